--- /dev/null
+++ b/Makefile
@@ -0,0 +1,104 @@
+# Builds into build/<flavour>; FLAVOUR=san adds the sanitizers.
+FLAVOUR ?= std
+B := build/$(FLAVOUR)
+CC ?= gcc
+CXX ?= g++
+PKGS := glib-2.0 jansson libevent libevent_pthreads libtirpc libxxhash
+CPPFLAGS += -D_GNU_SOURCE -I. -Iinclude $(shell pkg-config --cflags $(PKGS))
+WARNINGS := -Wall -Wextra -Wshadow=local -Wstrict-prototypes -Werror
+CFLAGS_std := -O2 -g
+CFLAGS_san := -O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer
+LDFLAGS_san := -fsanitize=address,undefined
+CFLAGS += -std=gnu11 $(WARNINGS) $(CFLAGS_$(FLAVOUR))
+CXXFLAGS += -std=c++17 -Wall -Wextra -Werror $(CFLAGS_$(FLAVOUR))
+LDFLAGS += $(LDFLAGS_$(FLAVOUR))
+LDLIBS := $(shell pkg-config --libs $(PKGS)) -lm -lpthread
+
+# The coordination parts, without sockets: what others embed.
+CORE_SRC := common/result.c wire/radishdeal_xdr.c wire/codec.c \
+	$(wildcard consensus/*.c state/*.c evidence/*.c placement/*.c \
+	routing/*.c)
+DAEMON_SRC := $(filter-out common/result.c,$(wildcard common/*.c)) \
+	$(filter-out wire/radishdeal_xdr.c wire/codec.c,$(wildcard wire/*.c)) \
+	$(wildcard settings/*.c storage/*.c control/*.c entry/*.c)
+CTL_SRC := $(wildcard ctl/*.c)
+
+CORE_OBJ := $(CORE_SRC:%.c=$B/%.o)
+LIB_OBJ := $(DAEMON_SRC:%.c=$B/%.o) $B/settings/toml.o
+TEST_BIN := $(patsubst test/%.c,$B/test/%,$(wildcard test/test_*.c))
+FAKE_BIN := $(patsubst test/fakes/%.c,$B/test/fakes/%,\
+	$(wildcard test/fakes/fake_*.c))
+BENCH_BIN := $(patsubst bench/%.c,$B/bench/%,$(wildcard bench/bench_*.c))
+HELPER_OBJ := $(patsubst %.c,$B/%.o,$(filter-out test/test_%,\
+	$(wildcard test/*.c)))
+FAKE_OBJ := $(patsubst %.c,$B/%.o,$(filter-out test/fakes/fake_%,\
+	$(wildcard test/fakes/*.c)))
+EXAMPLE_BIN := $(patsubst examples/%.c,$B/examples/%,$(wildcard examples/*.c))
+
+PROGRAMS := $B/radishdeald $B/radishdealctl
+
+.PHONY: all programs check demo measure clean packages lint format wire \
+	torture tests doc
+all: $(PROGRAMS) $B/libradishdeal.a $(FAKE_BIN) $(EXAMPLE_BIN)
+tests: all $(TEST_BIN) $(BENCH_BIN)
+
+$B/wire/radishdeal_xdr.o: WARNINGS := -w
+
+$B/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
+
+$B/%.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP -c $< -o $@
+
+$B/libradishdeal.a: $(CORE_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$B/librest.a: $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+LIBS := $B/librest.a $B/libradishdeal.a
+
+$B/radishdeald: $B/daemon/main.o $(LIBS)
+	$(CXX) $(LDFLAGS) $^ $(LDLIBS) -o $@
+
+$B/radishdealctl: $(CTL_SRC:%.c=$B/%.o) $(LIBS)
+	$(CXX) $(LDFLAGS) $^ $(LDLIBS) -o $@
+
+$(TEST_BIN): $B/test/%: $B/test/%.o $(HELPER_OBJ) $(LIBS)
+	$(CXX) $(LDFLAGS) $^ $(LDLIBS) -lcmocka -o $@
+
+$(FAKE_BIN): $B/test/fakes/%: $B/test/fakes/%.o $(FAKE_OBJ) $(LIBS)
+	$(CXX) $(LDFLAGS) $^ $(LDLIBS) -o $@
+
+$(BENCH_BIN): $B/bench/%: $B/bench/%.o $(HELPER_OBJ) $(LIBS)
+	$(CXX) $(LDFLAGS) $^ $(LDLIBS) -o $@
+
+# Only the library, to show that it stands alone.
+$(EXAMPLE_BIN): $B/examples/%: $B/examples/%.o $B/libradishdeal.a
+	$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
+
+PACKAGES := build-essential pkg-config libevent-dev libtirpc-dev \
+	libglib2.0-dev libjansson-dev libcmocka-dev libxxhash-dev \
+	libtomlplusplus-dev clang-format clang-tidy doxygen python3 curl
+
+# Installs nothing where everything is there.
+packages:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || { \
+		apt-get update -q && \
+		DEBIAN_FRONTEND=noninteractive apt-get install -y -q \
+		$(PACKAGES); }
+
+check: tests
+	test/run-tests $(sort $(TEST_BIN))
+
+wire:
+	sh wire/regenerate.sh
+
+clean:
+	rm -rf build
+
+-include $(shell find $B -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/common/fetch.c
@@ -0,0 +1,117 @@
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include "common/address.h"
+#include "common/fetch.h"
+
+struct fetching {
+	struct event_base *base;
+	struct fetch_answer *answer;
+	bool whole;
+};
+
+static void on_output(struct evbuffer *buffer,
+		      const struct evbuffer_cb_info *info, void *arg)
+{
+	struct fetching *f = arg;
+
+	(void)buffer;
+	if (info->n_deleted)
+		f->answer->sent = true;
+}
+
+static void on_done(struct evhttp_request *req, void *arg)
+{
+	struct fetching *f = arg;
+	struct evbuffer *in;
+	const char *type;
+
+	event_base_loopbreak(f->base);
+	if (!req || !evhttp_request_get_response_code(req))
+		return;
+	in = evhttp_request_get_input_buffer(req);
+	type = evhttp_find_header(evhttp_request_get_input_headers(req), "Conte"
+									 "nt-"
+									 "Typ"
+									 "e");
+	f->whole = true;
+	f->answer->status = evhttp_request_get_response_code(req);
+	f->answer->type = g_strdup(type ? type : "");
+	f->answer->size = evbuffer_get_length(in);
+	f->answer->body = g_malloc0(f->answer->size + 1);
+	evbuffer_copyout(in, f->answer->body, f->answer->size);
+}
+
+static enum evhttp_cmd_type command(const char *method)
+{
+	if (!strcmp(method, "POST"))
+		return EVHTTP_REQ_POST;
+	if (!strcmp(method, "PUT"))
+		return EVHTTP_REQ_PUT;
+	if (!strcmp(method, "DELETE"))
+		return EVHTTP_REQ_DELETE;
+	return EVHTTP_REQ_GET;
+}
+
+static void fill(struct evhttp_request *req, const struct fetch_request *r)
+{
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+	gsize size = 0;
+
+	evhttp_add_header(headers, "Host", r->address);
+	evhttp_add_header(headers, "Connection", "close");
+	if (r->key) {
+		char *bearer = g_strdup_printf("Bearer %s", r->key);
+
+		evhttp_add_header(headers, "Authorization", bearer);
+		g_free(bearer);
+	}
+	if (r->type)
+		evhttp_add_header(headers, "Content-Type", r->type);
+	for (int i = 0; r->headers && r->headers[i]; i += 2)
+		evhttp_add_header(headers, r->headers[i], r->headers[i + 1]);
+	if (r->body)
+		size = r->body_size < 0 ? strlen(r->body) : (gsize)r->body_size;
+	evbuffer_add(evhttp_request_get_output_buffer(req), r->body, size);
+}
+
+bool fetch(const struct fetch_request *r, struct fetch_answer *answer)
+{
+	struct fetching f = {.answer = answer};
+	struct timeval limit = {r->timeout_ms / 1000,
+				(r->timeout_ms % 1000) * 1000};
+	struct evhttp_connection *conn;
+	struct evhttp_request *req;
+	struct address address;
+	struct bufferevent *bev;
+
+	memset(answer, 0, sizeof(*answer));
+	if (!address_parse(r->address, &address))
+		return false;
+	f.base = event_base_new();
+	conn = evhttp_connection_base_new(f.base, NULL, address.host,
+					  address.port);
+	evhttp_connection_set_retries(conn, 0);
+	evhttp_connection_set_timeout_tv(conn, &limit);
+	bev = evhttp_connection_get_bufferevent(conn);
+	evbuffer_add_cb(bufferevent_get_output(bev), on_output, &f);
+	req = evhttp_request_new(on_done, &f);
+	fill(req, r);
+	evhttp_make_request(conn, req, command(r->method), r->path);
+	event_base_loopexit(f.base, &limit);
+	event_base_dispatch(f.base);
+	evhttp_connection_free(conn);
+	event_base_free(f.base);
+	return f.whole;
+}
+
+void fetch_clear(struct fetch_answer *answer)
+{
+	g_free(answer->type);
+	g_free(answer->body);
+	memset(answer, 0, sizeof(*answer));
+}
--- /dev/null
+++ b/common/http.c
@@ -0,0 +1,234 @@
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/keyvalq_struct.h>
+
+#include "common/address.h"
+#include "common/http.h"
+
+#define LISTEN_BACKLOG 1024
+#define READ_AHEAD_MAX 65536
+#define BEARER "Bearer "
+
+static json_t *problem_json(const struct problem *p)
+{
+	const struct rd_result_info *info = rd_result_info(p->code);
+	char type[96];
+	json_t *body;
+
+	g_snprintf(type, sizeof(type), "urn:radishdeal:result:%s", info->name);
+	body = json_pack("{s:s,s:s,s:i,s:s,s:i,s:s}", "type", type, "title",
+			 info->text, "status", info->http_status, "detail",
+			 p->detail ? p->detail : info->text, "code",
+			 (int)info->code, "outcome",
+			 p->outcome == OUTCOME_NOT_RUN ? "not-run" : "unknown");
+	if (!body)
+		body = json_pack("{s:i}", "code", (int)info->code);
+	if (p->request_id)
+		json_object_set_new(body, "request",
+				    json_string(p->request_id));
+	if (p->more)
+		json_object_update(body, p->more);
+	return body;
+}
+
+char *http_problem_text(const struct problem *problem)
+{
+	json_t *body = problem_json(problem);
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	json_decref(body);
+	return text;
+}
+
+static void send_text(struct evhttp_request *req, int status,
+		      const char *reason, const char *type, const char *text)
+{
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+	struct evbuffer *out = evhttp_request_get_output_buffer(req);
+
+	evhttp_remove_header(headers, "Content-Type");
+	evhttp_add_header(headers, "Content-Type", type);
+	evbuffer_add(out, text, strlen(text));
+	evhttp_send_reply(req, status, reason, NULL);
+}
+
+void http_send_problem(struct evhttp_request *req,
+		       const struct problem *problem)
+{
+	const struct rd_result_info *info = rd_result_info(problem->code);
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+	char *text = http_problem_text(problem);
+	char seconds[16];
+
+	if (problem->retry_after_s) {
+		g_snprintf(seconds, sizeof(seconds), "%d",
+			   problem->retry_after_s);
+		evhttp_add_header(headers, "Retry-After", seconds);
+	}
+	if (info->http_status == 401)
+		evhttp_add_header(headers, "WWW-Authenticate", "Bearer");
+	send_text(req, info->http_status, info->name,
+		  "application/problem+json", text);
+	free(text);
+}
+
+void http_send_json(struct evhttp_request *req, int status, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	json_decref(body);
+	send_text(req, status, NULL, "application/json", text ? text : "{}");
+	free(text);
+}
+
+void http_send_text(struct evhttp_request *req, int status, const char *type,
+		    const char *text)
+{
+	send_text(req, status, NULL, type, text);
+}
+
+const char *http_header(struct evhttp_request *req, const char *name)
+{
+	return evhttp_find_header(evhttp_request_get_input_headers(req), name);
+}
+
+const char *http_bearer(struct evhttp_request *req)
+{
+	const char *value = http_header(req, "Authorization");
+
+	if (!value || g_ascii_strncasecmp(value, BEARER, strlen(BEARER)))
+		return NULL;
+	value += strlen(BEARER);
+	while (*value == ' ')
+		value++;
+	return *value ? value : NULL;
+}
+
+GBytes *http_body(struct evhttp_request *req)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	size_t size = evbuffer_get_length(in);
+	char *data = g_malloc(size + 1);
+
+	evbuffer_copyout(in, data, size);
+	data[size] = '\0';
+	return g_bytes_new_take(data, size);
+}
+
+const char *http_method(struct evhttp_request *req)
+{
+	switch (evhttp_request_get_command(req)) {
+	case EVHTTP_REQ_GET:
+		return "GET";
+	case EVHTTP_REQ_POST:
+		return "POST";
+	case EVHTTP_REQ_HEAD:
+		return "HEAD";
+	case EVHTTP_REQ_PUT:
+		return "PUT";
+	case EVHTTP_REQ_DELETE:
+		return "DELETE";
+	case EVHTTP_REQ_OPTIONS:
+		return "OPTIONS";
+	case EVHTTP_REQ_PATCH:
+		return "PATCH";
+	default:
+		return "OTHER";
+	}
+}
+
+char *http_query(struct evhttp_request *req, const char *name)
+{
+	const char *query =
+		evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req));
+	struct evkeyvalq params;
+	const char *value;
+	char *copy = NULL;
+
+	if (!query || evhttp_parse_query_str(query, &params))
+		return NULL;
+	value = evhttp_find_header(&params, name);
+	if (value)
+		copy = g_strdup(value);
+	evhttp_clear_headers(&params);
+	return copy;
+}
+
+static void on_close(struct evhttp_connection *conn, void *arg)
+{
+	struct http_watch *watch = arg;
+
+	evhttp_connection_set_closecb(conn, NULL, NULL);
+	watch->closed(watch->ctx);
+}
+
+void http_watch(struct evhttp_request *req, struct http_watch *watch)
+{
+	struct evhttp_connection *conn = evhttp_request_get_connection(req);
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
+	bufferevent_data_cb write_cb;
+	bufferevent_event_cb event_cb;
+	void *cb_arg;
+
+	evhttp_connection_set_closecb(conn, on_close, watch);
+	/*
+	 * evhttp takes data that comes before the answer for an error of its
+	 * own and ends the process, so its read callback is set aside. An end
+	 * of file still reaches its event callback.
+	 */
+	bufferevent_getcb(bev, NULL, &write_cb, &event_cb, &cb_arg);
+	bufferevent_setcb(bev, NULL, write_cb, event_cb, cb_arg);
+	bufferevent_setwatermark(bev, EV_READ, 0, READ_AHEAD_MAX);
+	/* A caller that waits for its answer is not a slow sender. */
+	bufferevent_set_timeouts(bev, NULL, NULL);
+	bufferevent_enable(bev, EV_READ);
+}
+
+void http_unwatch(struct evhttp_request *req, int timeout_s)
+{
+	struct evhttp_connection *conn = evhttp_request_get_connection(req);
+	struct timeval timeout = {timeout_s, 0};
+
+	if (!conn)
+		return;
+	evhttp_connection_set_closecb(conn, NULL, NULL);
+	bufferevent_set_timeouts(evhttp_connection_get_bufferevent(conn),
+				 &timeout, &timeout);
+}
+
+struct evhttp *http_listen(const struct http_listen_opts *opts, int *port)
+{
+	struct address address;
+	struct evhttp *http = NULL;
+	int fd = -1;
+
+	errno = EINVAL;
+	if (!address_parse(opts->address, &address))
+		return NULL;
+	fd = address_listen(&address, LISTEN_BACKLOG);
+	if (fd < 0)
+		return NULL;
+	http = evhttp_new(opts->base);
+	if (!http || !evhttp_accept_socket_with_handle(http, fd))
+		goto fail;
+	evhttp_set_max_headers_size(http, (ev_ssize_t)opts->header_bytes);
+	evhttp_set_max_body_size(http, (ev_ssize_t)opts->body_bytes);
+	evhttp_set_timeout(http, opts->timeout_s);
+	evhttp_set_allowed_methods(
+		http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
+			      EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
+			      EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS);
+	evhttp_set_gencb(http, opts->handle, opts->ctx);
+	*port = address_local_port(fd);
+	return http;
+fail:
+	if (http)
+		evhttp_free(http);
+	close(fd);
+	return NULL;
+}
--- /dev/null
+++ b/consensus/election.c
@@ -0,0 +1,154 @@
+/* Pre-vote, votes and the rule that keeps a lease exclusive. */
+#include "consensus/raft_internal.h"
+
+static bool log_up_to_date(const struct raft *raft,
+			   const struct raft_message *message)
+{
+	uint64_t last = log_last(&raft->log);
+	uint64_t last_term = log_term(&raft->log, last);
+
+	if (message->log_term != last_term)
+		return message->log_term > last_term;
+	return message->log_index >= last;
+}
+
+static void ask_votes(struct raft *raft, bool pre, bool force)
+{
+	const struct member_config *config = raft_current(raft);
+	uint64_t last = log_last(&raft->log);
+
+	for (u_int i = 0; i < config->members.members_len; i++) {
+		const struct member *m = &config->members.members_val[i];
+		struct raft_message ask = {
+			.kind = pre ? RAFT_PRE_VOTE : RAFT_VOTE,
+			.to = m->id,
+			.term = pre ? raft->term + 1 : raft->term,
+			.log_index = last,
+			.log_term = log_term(&raft->log, last),
+			.force = force,
+		};
+
+		if (m->voter && m->id != raft->id)
+			raft_send(raft, &ask, true);
+	}
+}
+
+static bool has_quorum(const struct raft *raft)
+{
+	const struct member_config *config = raft_current(raft);
+	int granted = 0;
+
+	for (u_int i = 0; i < config->members.members_len; i++) {
+		const struct member *m = &config->members.members_val[i];
+
+		if (m->voter && g_hash_table_contains(raft->votes, &m->id))
+			granted++;
+	}
+	return granted > raft_voters(config) / 2;
+}
+
+static void grant(struct raft *raft, uint64_t id)
+{
+	g_hash_table_add(raft->votes, g_memdup2(&id, sizeof(id)));
+}
+
+static void on_quorum(struct raft *raft, int64_t now_ms)
+{
+	if (raft->role == RAFT_PRE_CANDIDATE)
+		raft_campaign(raft, now_ms, false, false);
+	else
+		raft_become_leader(raft, now_ms);
+}
+
+void raft_campaign(struct raft *raft, int64_t now_ms, bool pre, bool force)
+{
+	raft_reset_timer(raft, now_ms);
+	if (!raft_is_voter(raft_current(raft), raft->id))
+		return;
+	g_hash_table_remove_all(raft->votes);
+	if (!pre)
+		raft_set_term(raft, raft->term + 1, raft->id);
+	raft_set_role(raft, pre ? RAFT_PRE_CANDIDATE : RAFT_CANDIDATE, 0);
+	grant(raft, raft->id);
+	if (has_quorum(raft))
+		on_quorum(raft, now_ms);
+	else
+		ask_votes(raft, pre, force);
+}
+
+/*
+ * A member that has heard from a leader within the election timeout grants
+ * nothing: until then that leader's lease may run.
+ */
+static bool leader_may_live(const struct raft *raft, int64_t now_ms)
+{
+	if (raft->role == RAFT_LEADER)
+		return true;
+	return now_ms - raft->contact_ms < raft->election_ms;
+}
+
+static void answer_pre_vote(struct raft *raft, int64_t now_ms,
+			    const struct raft_message *message)
+{
+	bool granted = message->term > raft->term &&
+		       !leader_may_live(raft, now_ms) &&
+		       log_up_to_date(raft, message);
+	struct raft_message reply = {
+		.kind = RAFT_PRE_VOTE_REPLY,
+		.to = message->from,
+		.term = granted ? message->term : raft->term,
+		.granted = granted,
+	};
+
+	raft_send(raft, &reply, true);
+}
+
+static void answer_vote(struct raft *raft, int64_t now_ms,
+			const struct raft_message *message)
+{
+	struct raft_message reply = {
+		.kind = RAFT_VOTE_REPLY,
+		.to = message->from,
+	};
+
+	if (message->term > raft->term &&
+	    (message->force || !leader_may_live(raft, now_ms)))
+		raft_become_follower(raft, now_ms, message->term, 0);
+	if (message->term == raft->term &&
+	    (raft->vote == 0 || raft->vote == message->from) &&
+	    raft->role != RAFT_LEADER && log_up_to_date(raft, message)) {
+		raft_set_term(raft, raft->term, message->from);
+		raft_reset_timer(raft, now_ms);
+		reply.granted = true;
+	}
+	reply.term = raft->term;
+	raft_send(raft, &reply, true);
+}
+
+void raft_on_vote(struct raft *raft, int64_t now_ms,
+		  const struct raft_message *message)
+{
+	if (message->kind == RAFT_PRE_VOTE)
+		answer_pre_vote(raft, now_ms, message);
+	else
+		answer_vote(raft, now_ms, message);
+}
+
+void raft_on_vote_reply(struct raft *raft, int64_t now_ms,
+			const struct raft_message *message)
+{
+	bool pre = message->kind == RAFT_PRE_VOTE_REPLY;
+	uint64_t asked = pre ? raft->term + 1 : raft->term;
+
+	if (!message->granted) {
+		if (message->term > raft->term)
+			raft_become_follower(raft, now_ms, message->term, 0);
+		return;
+	}
+	if (raft->role != (pre ? RAFT_PRE_CANDIDATE : RAFT_CANDIDATE) ||
+	    message->term != asked)
+		return;
+	grant(raft, message->from);
+	if (has_quorum(raft))
+		on_quorum(raft, now_ms);
+}
--- /dev/null
+++ b/consensus/follower.c
@@ -0,0 +1,152 @@
+/* Taking entries and snapshots from a leader. */
+#include "consensus/raft_internal.h"
+#include "wire/codec.h"
+
+static void reply_append(struct raft *raft, const struct raft_message *message,
+			 bool granted, uint64_t match, uint64_t hint)
+{
+	struct raft_message reply = {
+		.kind = RAFT_APPEND_REPLY,
+		.to = message->from,
+		.term = raft->term,
+		.granted = granted,
+		.log_index = match,
+		.hint = hint,
+		.sent_ms = message->sent_ms,
+	};
+
+	raft_send(raft, &reply, true);
+}
+
+static void take_entry(struct raft *raft, const struct raft_wire_entry *entry)
+{
+	GBytes *data;
+
+	if (entry->index <= raft->log.base ||
+	    log_term(&raft->log, entry->index) == entry->term)
+		return;
+	if (entry->index <= log_last(&raft->log)) {
+		g_assert(entry->index > raft->commit);
+		log_truncate(&raft->log, entry->index);
+		raft->synced = MIN(raft->synced, entry->index - 1);
+		raft->effects.truncate(raft->effects.ctx, entry->index);
+	}
+	data = g_bytes_new(entry->data.data_val, entry->data.data_len);
+	raft->effects.append(raft->effects.ctx,
+			     log_append(&raft->log, entry->term, entry->kind,
+					data));
+	g_bytes_unref(data);
+}
+
+static bool entries_in_order(const struct raft_message *message)
+{
+	for (u_int i = 0; i < message->entries.entries_len; i++)
+		if (message->entries.entries_val[i].index !=
+		    message->log_index + 1 + i)
+			return false;
+	return true;
+}
+
+static uint64_t conflict_hint(const struct raft *raft, uint64_t index)
+{
+	uint64_t last = log_last(&raft->log);
+
+	if (index > last)
+		return last + 1;
+	return MAX(log_term_start(&raft->log, index), raft->commit + 1);
+}
+
+void raft_on_append(struct raft *raft, int64_t now_ms,
+		    const struct raft_message *message)
+{
+	uint64_t previous = message->log_index;
+	uint64_t match = previous + message->entries.entries_len;
+
+	if (!entries_in_order(message))
+		return;
+	if (previous >= raft->log.base &&
+	    (previous > log_last(&raft->log) ||
+	     log_term(&raft->log, previous) != message->log_term)) {
+		reply_append(raft, message, false, 0,
+			     conflict_hint(raft, previous));
+		return;
+	}
+	for (u_int i = 0; i < message->entries.entries_len; i++)
+		take_entry(raft, &message->entries.entries_val[i]);
+	raft->commit = MAX(raft->commit, MIN(message->commit, match));
+	reply_append(raft, message, true, match, 0);
+	(void)now_ms;
+}
+
+static void reply_snapshot(struct raft *raft,
+			   const struct raft_message *message, uint64_t offset)
+{
+	struct raft_message reply = {
+		.kind = RAFT_SNAPSHOT_REPLY,
+		.to = message->from,
+		.term = raft->term,
+		.granted = offset >= message->total,
+		.log_index = message->log_index,
+		.offset = offset,
+		.sent_ms = message->sent_ms,
+	};
+
+	raft_send(raft, &reply, true);
+}
+
+static void install(struct raft *raft, const struct raft_message *message)
+{
+	GBytes *data = g_byte_array_free_to_bytes(raft->receiving.data);
+
+	raft->receiving.data = NULL;
+	raft->effects.install(raft->effects.ctx, message->log_index,
+			      message->log_term, &message->config, data);
+	log_reset(&raft->log, message->log_index, message->log_term,
+		  &message->config);
+	raft->commit = raft->applied = raft->synced = message->log_index;
+	raft->snapshot_index = message->log_index;
+	raft->snapshot_term = message->log_term;
+	CODEC_FREE(member_config, &raft->snapshot_config);
+	CODEC_COPY(member_config, &message->config, &raft->snapshot_config);
+	if (raft->snapshot)
+		g_bytes_unref(raft->snapshot);
+	raft->snapshot = data;
+}
+
+static void start_receiving(struct raft *raft,
+			    const struct raft_message *message)
+{
+	struct receiving *r = &raft->receiving;
+
+	if (r->data && r->index == message->log_index &&
+	    r->term == message->log_term)
+		return;
+	if (r->data)
+		g_byte_array_unref(r->data);
+	r->data = g_byte_array_new();
+	r->index = message->log_index;
+	r->term = message->log_term;
+}
+
+void raft_on_snapshot(struct raft *raft, int64_t now_ms,
+		      const struct raft_message *message)
+{
+	struct receiving *r = &raft->receiving;
+
+	(void)now_ms;
+	if (message->log_index <= raft->commit) {
+		reply_snapshot(raft, message, message->total);
+		return;
+	}
+	start_receiving(raft, message);
+	if (message->offset == r->data->len)
+		g_byte_array_append(r->data,
+				    (const guint8 *)message->chunk.chunk_val,
+				    message->chunk.chunk_len);
+	if (r->data->len < message->total) {
+		reply_snapshot(raft, message, r->data->len);
+		return;
+	}
+	install(raft, message);
+	reply_snapshot(raft, message, message->total);
+}
--- /dev/null
+++ b/consensus/raft.c
@@ -0,0 +1,360 @@
+#include <string.h>
+
+#include "consensus/raft_internal.h"
+#include "wire/codec.h"
+
+#define UNCOMMITTED_MAX 16384u
+
+const struct member_config *raft_current(const struct raft *raft)
+{
+	return &log_config_at(&raft->log, log_last(&raft->log))->config;
+}
+
+bool raft_is_voter(const struct member_config *config, uint64_t id)
+{
+	for (u_int i = 0; i < config->members.members_len; i++)
+		if (config->members.members_val[i].id == id)
+			return config->members.members_val[i].voter;
+	return false;
+}
+
+int raft_voters(const struct member_config *config)
+{
+	int count = 0;
+
+	for (u_int i = 0; i < config->members.members_len; i++)
+		count += config->members.members_val[i].voter ? 1 : 0;
+	return count;
+}
+
+void raft_reset_timer(struct raft *raft, int64_t now_ms)
+{
+	raft->deadline_ms = now_ms + g_rand_int_range(raft->random,
+						      raft->election_ms,
+						      2 * raft->election_ms);
+}
+
+void raft_send(struct raft *raft, struct raft_message *message, bool after_sync)
+{
+	message->from = raft->id;
+	raft->effects.send(raft->effects.ctx, message, after_sync);
+}
+
+void raft_set_term(struct raft *raft, uint64_t term, uint64_t vote)
+{
+	if (raft->term == term && raft->vote == vote)
+		return;
+	raft->term = term;
+	raft->vote = vote;
+	raft->effects.hard_state(raft->effects.ctx, term, vote);
+}
+
+void raft_set_role(struct raft *raft, enum raft_role role, uint64_t leader)
+{
+	if (raft->role == role && raft->leader == leader)
+		return;
+	raft->role = role;
+	raft->leader = leader;
+	raft->effects.changed(raft->effects.ctx, role, raft->term, leader);
+}
+
+void raft_become_follower(struct raft *raft, int64_t now_ms, uint64_t term,
+			  uint64_t leader)
+{
+	if (term > raft->term)
+		raft_set_term(raft, term, 0);
+	raft->transferring = false;
+	raft_set_role(raft, RAFT_FOLLOWER, leader);
+	raft_reset_timer(raft, now_ms);
+}
+
+struct raft *raft_create(const struct raft_opts *opts)
+{
+	struct raft *raft = g_new0(struct raft, 1);
+
+	raft->id = opts->id;
+	raft->effects = opts->effects;
+	raft->election_ms = opts->election_ms;
+	raft->heartbeat_ms = opts->heartbeat_ms;
+	raft->drift_permille = opts->drift_permille;
+	raft->keep_entries = opts->keep_entries;
+	raft->random = g_rand_new_with_seed(opts->seed);
+	raft->term = opts->term;
+	raft->vote = opts->vote;
+	raft->role = RAFT_FOLLOWER;
+	log_init(&raft->log, opts->snapshot_index, opts->snapshot_term,
+		 opts->config);
+	raft->commit = raft->applied = raft->synced = opts->snapshot_index;
+	raft->snapshot_index = opts->snapshot_index;
+	raft->snapshot_term = opts->snapshot_term;
+	CODEC_COPY(member_config, opts->config, &raft->snapshot_config);
+	if (opts->snapshot)
+		raft->snapshot = g_bytes_ref(opts->snapshot);
+	raft->votes = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					    NULL);
+	raft->progress = g_array_new(FALSE, TRUE, sizeof(struct progress));
+	/* It may have promised a leader its time just before it stopped. */
+	raft->contact_ms = opts->now_ms;
+	raft_reset_timer(raft, opts->now_ms);
+	return raft;
+}
+
+void raft_destroy(struct raft *raft)
+{
+	if (!raft)
+		return;
+	log_clear(&raft->log);
+	g_rand_free(raft->random);
+	g_hash_table_unref(raft->votes);
+	g_array_unref(raft->progress);
+	CODEC_FREE(member_config, &raft->snapshot_config);
+	if (raft->snapshot)
+		g_bytes_unref(raft->snapshot);
+	if (raft->receiving.data)
+		g_byte_array_unref(raft->receiving.data);
+	g_free(raft);
+}
+
+void raft_restore(struct raft *raft, uint64_t index, uint64_t term,
+		  raft_entry_kind kind, GBytes *data)
+{
+	if (index <= raft->log.base)
+		return;
+	g_assert(index == log_last(&raft->log) + 1);
+	log_append(&raft->log, term, kind, data);
+	raft->synced = index;
+}
+
+void raft_tick(struct raft *raft, int64_t now_ms)
+{
+	if (raft->role == RAFT_LEADER)
+		raft_leader_tick(raft, now_ms);
+	else if (now_ms >= raft->deadline_ms)
+		raft_campaign(raft, now_ms, true, false);
+}
+
+static void from_leader(struct raft *raft, int64_t now_ms,
+			const struct raft_message *message)
+{
+	raft_become_follower(raft, now_ms, message->term, message->from);
+	raft->contact_ms = now_ms;
+	if (message->kind == RAFT_APPEND)
+		raft_on_append(raft, now_ms, message);
+	else if (message->kind == RAFT_SNAPSHOT)
+		raft_on_snapshot(raft, now_ms, message);
+	else
+		raft_campaign(raft, now_ms, false, true);
+}
+
+static void refuse_old_term(struct raft *raft,
+			    const struct raft_message *message)
+{
+	struct raft_message reply = {
+		.kind = RAFT_APPEND_REPLY,
+		.to = message->from,
+		.term = raft->term,
+	};
+
+	raft_send(raft, &reply, true);
+}
+
+static void from_follower(struct raft *raft, int64_t now_ms,
+			  const struct raft_message *message)
+{
+	if (message->term > raft->term) {
+		raft_become_follower(raft, now_ms, message->term, 0);
+		return;
+	}
+	if (raft->role != RAFT_LEADER || message->term < raft->term)
+		return;
+	if (message->kind == RAFT_APPEND_REPLY)
+		raft_on_append_reply(raft, now_ms, message);
+	else
+		raft_on_snapshot_reply(raft, now_ms, message);
+}
+
+void raft_step(struct raft *raft, int64_t now_ms,
+	       const struct raft_message *message)
+{
+	/* Meant for another data folder, perhaps a former one of this VM. */
+	if (message->to != raft->id)
+		return;
+	switch (message->kind) {
+	case RAFT_PRE_VOTE:
+	case RAFT_VOTE:
+		raft_on_vote(raft, now_ms, message);
+		break;
+	case RAFT_PRE_VOTE_REPLY:
+	case RAFT_VOTE_REPLY:
+		raft_on_vote_reply(raft, now_ms, message);
+		break;
+	case RAFT_APPEND:
+	case RAFT_SNAPSHOT:
+	case RAFT_TIMEOUT_NOW:
+		if (message->term < raft->term)
+			refuse_old_term(raft, message);
+		else
+			from_leader(raft, now_ms, message);
+		break;
+	case RAFT_APPEND_REPLY:
+	case RAFT_SNAPSHOT_REPLY:
+		from_follower(raft, now_ms, message);
+		break;
+	}
+}
+
+static enum rd_result append_own(struct raft *raft, int64_t now_ms,
+				 raft_entry_kind kind, GBytes *data,
+				 uint64_t *index)
+{
+	struct raft_entry *entry;
+
+	if (raft->role != RAFT_LEADER || raft->transferring)
+		return RD_NOT_LEADER;
+	if (log_last(&raft->log) - raft->commit >= UNCOMMITTED_MAX)
+		return RD_OVERLOADED;
+	entry = log_append(&raft->log, raft->term, kind, data);
+	*index = entry->index;
+	raft->effects.append(raft->effects.ctx, entry);
+	if (kind == RAFT_ENTRY_CONFIG)
+		raft_sync_progress(raft, now_ms);
+	raft_broadcast(raft, now_ms, false);
+	return RD_OK;
+}
+
+enum rd_result raft_propose(struct raft *raft, int64_t now_ms, GBytes *data,
+			    uint64_t *index)
+{
+	return append_own(raft, now_ms, RAFT_ENTRY_COMMAND, data, index);
+}
+
+static int voters_missing(const struct member_config *from,
+			  const struct member_config *in)
+{
+	int missing = 0;
+
+	for (u_int i = 0; i < from->members.members_len; i++) {
+		const struct member *m = &from->members.members_val[i];
+
+		if (m->voter && !raft_is_voter(in, m->id))
+			missing++;
+	}
+	return missing;
+}
+
+enum rd_result raft_propose_config(struct raft *raft, int64_t now_ms,
+				   const struct member_config *config,
+				   uint64_t *index)
+{
+	const struct log_config *last = log_config_at(&raft->log,
+						      log_last(&raft->log));
+	GBytes *data;
+	enum rd_result result;
+
+	if (raft->role != RAFT_LEADER)
+		return RD_NOT_LEADER;
+	if (last->index > raft->commit || !raft_leader_settled(raft))
+		return RD_CHANGE_PENDING;
+	/* Two majorities must share a member, so one voter at a time. */
+	if (voters_missing(config, &last->config) +
+			    voters_missing(&last->config, config) >
+		    1 ||
+	    raft_voters(config) == 0)
+		return RD_INVALID;
+	data = CODEC_ENCODE(member_config, config);
+	result = append_own(raft, now_ms, RAFT_ENTRY_CONFIG, data, index);
+	g_bytes_unref(data);
+	return result;
+}
+
+enum rd_result raft_transfer(struct raft *raft, int64_t now_ms)
+{
+	if (raft->role != RAFT_LEADER)
+		return RD_NOT_LEADER;
+	raft->transferring = true;
+	raft->transfer_deadline_ms = now_ms + raft->election_ms;
+	raft_broadcast(raft, now_ms, true);
+	return RD_OK;
+}
+
+void raft_synced(struct raft *raft, int64_t now_ms)
+{
+	raft->synced = log_last(&raft->log);
+	if (raft->role == RAFT_LEADER)
+		raft_advance_commit(raft, now_ms);
+}
+
+const struct raft_entry *raft_next_committed(struct raft *raft)
+{
+	if (raft->applied >= raft->commit)
+		return NULL;
+	return log_get(&raft->log, ++raft->applied);
+}
+
+void raft_compact(struct raft *raft, uint64_t index, GBytes *snapshot)
+{
+	uint64_t keep = (uint64_t)raft->keep_entries;
+
+	g_assert(index <= raft->applied && index >= raft->snapshot_index);
+	raft->snapshot_term = log_term(&raft->log, index);
+	raft->snapshot_index = index;
+	CODEC_FREE(member_config, &raft->snapshot_config);
+	CODEC_COPY(member_config, raft_config_at(raft, index),
+		   &raft->snapshot_config);
+	if (raft->snapshot)
+		g_bytes_unref(raft->snapshot);
+	raft->snapshot = g_bytes_ref(snapshot);
+	if (index > keep)
+		log_compact(&raft->log, index - keep);
+}
+
+enum raft_role raft_role(const struct raft *raft)
+{
+	return raft->role;
+}
+
+uint64_t raft_term(const struct raft *raft)
+{
+	return raft->term;
+}
+
+uint64_t raft_leader(const struct raft *raft)
+{
+	return raft->leader;
+}
+
+uint64_t raft_commit(const struct raft *raft)
+{
+	return raft->commit;
+}
+
+uint64_t raft_applied(const struct raft *raft)
+{
+	return raft->applied;
+}
+
+uint64_t raft_last_index(const struct raft *raft)
+{
+	return log_last(&raft->log);
+}
+
+uint64_t raft_first_index(const struct raft *raft)
+{
+	return raft->log.base + 1;
+}
+
+const struct member_config *raft_config(const struct raft *raft)
+{
+	return raft_current(raft);
+}
+
+const struct member_config *raft_config_at(const struct raft *raft,
+					   uint64_t index)
+{
+	return &log_config_at(&raft->log, index)->config;
+}
+
+uint64_t raft_term_at(const struct raft *raft, uint64_t index)
+{
+	return log_term(&raft->log, index);
+}
--- /dev/null
+++ b/control/control.c
@@ -0,0 +1,401 @@
+#include <errno.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "control/control_internal.h"
+#include "wire/codec.h"
+
+#define TICK_MS 50
+#define FEED_KEEP 1024
+#define PROPOSAL_TIMEOUT_MS 4000
+#define LEAVE_LIMIT_MS 2000
+#define ORPHAN_CHECK_MS 1000
+/* An entry silent for this long beyond its lease ends no booking itself. */
+#define ORPHAN_WAIT_MS 5000
+
+static const struct log control_log = {"control"};
+
+int64_t control_now_ms(const struct control *control)
+{
+	return clock_now_ms(control->opts.clock);
+}
+
+uint32_t control_leader(const struct control *control)
+{
+	uint64_t leader = control->group
+				  ? raft_leader(group_raft(control->group))
+				  : 0;
+
+	if (leader)
+		return group_node_of(control->group, leader);
+	return control->follow ? follow_leader(control->follow) : 0;
+}
+
+/* ---- the group's events ---- */
+
+static void on_group_send(void *ctx, uint64_t member, GBytes *message)
+{
+	peers_send_raft(ctx, member, message);
+}
+
+static void on_group_applied(void *ctx, const struct group_applied *applied)
+{
+	struct control *control = ctx;
+
+	/* Refused commands and resends changed nothing. */
+	if (!state_concerns_entries(applied->command->body.kind) ||
+	    applied->result->code || applied->result->index != applied->index)
+		return;
+	feed_add(control->feed, applied->index, applied->command);
+	if (raft_role(group_raft(control->group)) == RAFT_LEADER)
+		peers_hint(control);
+}
+
+static void on_group_replaced(void *ctx)
+{
+	struct control *control = ctx;
+
+	feed_reset(control->feed, state_index(group_state(control->group)));
+}
+
+static void on_group_changed(void *ctx)
+{
+	(void)ctx;
+}
+
+static void on_group_failed(void *ctx, enum rd_result code, const char *why)
+{
+	struct control *control = ctx;
+
+	log_error(&control_log, "storage failed: %s: %s",
+		  rd_result_info(code)->name, why);
+	control->opts.fatal(control->opts.fatal_ctx, code);
+}
+
+/* ---- ticking ---- */
+
+/* ---- bookings whose entry is gone ---- */
+
+static void ignore_result(void *ctx, enum rd_result code,
+			  const struct apply_result *result)
+{
+	(void)ctx;
+	(void)code;
+	(void)result;
+}
+
+static void find_orphan(void *ctx, const struct booking_state *booking)
+{
+	struct control *control = ctx;
+	uint64_t before =
+		feed_void_claims(control->feed, control_now_ms(control),
+				 booking->claim.entry, ORPHAN_WAIT_MS);
+	struct command command = {
+		.change_id = (char *)"",
+		.operator_name = (char *)"booking",
+		.time_ms = g_get_real_time() / 1000,
+		.body.kind = CMD_EXPIRE_BOOKINGS,
+	};
+	GBytes *bytes;
+
+	if (booking->claim.claim_id >= before)
+		return;
+	log_info(&control_log, "booking of node %u has no end: now unknown",
+		 booking->claim.entry);
+	command.body.command_body_u.expire.dead_entry = booking->claim.entry;
+	command.body.command_body_u.expire.before_claim = before;
+	bytes = CODEC_ENCODE(command, &command);
+	group_propose(control->group, bytes, ignore_result, NULL);
+	g_bytes_unref(bytes);
+}
+
+static void expire_orphans(struct control *control)
+{
+	int64_t now = control_now_ms(control);
+
+	if (now - control->orphans_checked_ms < ORPHAN_CHECK_MS)
+		return;
+	control->orphans_checked_ms = now;
+	state_each_in_flight(group_state(control->group), find_orphan, control);
+}
+
+static void begin_leading(struct control *control)
+{
+	log_note(&control_log,
+		 "leads: entries' earlier leases end within %d ms",
+		 (int)control->opts.settings->limits.config_lease_ms);
+	feed_lead(control->feed, control_now_ms(control));
+	placer_lead(control->placer);
+}
+
+static void leader_tick(struct control *control)
+{
+	uint64_t term = raft_term(group_raft(control->group));
+
+	if (!control->was_leading || control->led_term != term) {
+		control->was_leading = true;
+		control->led_term = term;
+		begin_leading(control);
+	}
+	members_tick(control);
+	expire_orphans(control);
+	placer_tick(control->placer);
+}
+
+static void check_leaving(struct control *control)
+{
+	bool leads = control->group &&
+		     raft_role(group_raft(control->group)) == RAFT_LEADER;
+
+	if (!control->leave_done)
+		return;
+	if (leads && control_now_ms(control) < control->leave_until_ms) {
+		group_transfer(control->group);
+		return;
+	}
+	control->leave_done(control->leave_arg);
+	control->leave_done = NULL;
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *ctx)
+{
+	struct control *control = ctx;
+
+	(void)fd;
+	(void)what;
+	view_tick(control->view, control_now_ms(control));
+	counters_set(control->opts.counters, COUNTER_RPC_BYTES,
+		     (int64_t)rpc_bytes_sent());
+	if (control->group && group_leads(control->group)) {
+		leader_tick(control);
+	} else if (control->was_leading &&
+		   (!control->group ||
+		    raft_role(group_raft(control->group)) != RAFT_LEADER)) {
+		control->was_leading = false;
+		placer_stop(control->placer);
+		log_note(&control_log, "no longer leads");
+	}
+	operators_tick(control->operators);
+	check_leaving(control);
+}
+
+/* ---- life ---- */
+
+static struct feed *make_feed(const struct daemon_settings *settings)
+{
+	const GPtrArray *peers = settings->cluster.peers;
+	uint32_t *nodes = g_new(uint32_t, peers->len);
+	struct feed_opts opts = {
+		.lease_ms = (int32_t)settings->limits.config_lease_ms,
+		.drift_permille = (int32_t)settings->cluster.drift_permille,
+		.keep = FEED_KEEP,
+		.nodes = nodes,
+		.node_count = peers->len,
+	};
+	struct feed *feed;
+
+	for (guint i = 0; i < peers->len; i++)
+		nodes[i] =
+			(uint32_t)((struct peer_settings *)peers->pdata[i])->id;
+	feed = feed_create(&opts);
+	g_free(nodes);
+	return feed;
+}
+
+static enum rd_result open_group(struct control *control, char **why)
+{
+	enum rd_result code = RD_OK;
+	struct group_opts opts = {
+		.base = control->base,
+		.clock = control->opts.clock,
+		.settings = control->opts.settings,
+		.counters = control->opts.counters,
+		.events = {on_group_send, on_group_applied, on_group_replaced,
+			   on_group_changed, on_group_failed, control},
+		.bootstrap = control->opts.bootstrap,
+	};
+
+	if (!(control->opts.settings->node.roles & ROLE_CONTROL))
+		return RD_OK;
+	control->group = group_create(&opts, &code, why);
+	if (!control->group)
+		return code;
+	control->identity.incarnation = group_incarnation(control->group);
+	feed_reset(control->feed, state_index(group_state(control->group)));
+	return RD_OK;
+}
+
+struct control *control_create(const struct control_opts *opts,
+			       enum rd_result *code, char **why)
+{
+	struct control *control = g_new0(struct control, 1);
+	struct view_opts view_opts = {
+		.silence_ms = (int32_t)opts->settings->limits.vm_silence_ms,
+	};
+
+	control->opts = *opts;
+	control->identity = *opts->identity;
+	/* Without a data folder the time of the start must grow instead. */
+	control->identity.incarnation = (uint64_t)(g_get_real_time() / 1000000);
+	control->base = task_base(opts->task);
+	control->feed = make_feed(opts->settings);
+	control->view = view_create(&view_opts);
+	control->proposals = proposals_create(control);
+	control->placer = placer_create(control);
+	*code = open_group(control, why);
+	if (*code)
+		goto fail;
+	*code = peers_open(control, why);
+	if (*code)
+		goto fail;
+	control->operators = operators_create(control, why);
+	if (control->operators)
+		return control;
+	*code = RD_IO;
+fail:
+	control_destroy(control);
+	return NULL;
+}
+
+void control_begin(void *arg)
+{
+	struct control *control = arg;
+	struct timeval tick = {0, TICK_MS * 1000};
+
+	control->follow = follow_create(control);
+	peers_connect(control);
+	control->tick = event_new(control->base, -1, EV_PERSIST, on_tick,
+				  control);
+	event_add(control->tick, &tick);
+}
+
+void control_destroy(struct control *control)
+{
+	if (!control)
+		return;
+	if (control->tick)
+		event_free(control->tick);
+	peers_close(control);
+	group_destroy(control->group);
+	proposals_destroy(control->proposals);
+	operators_destroy(control->operators);
+	placer_destroy(control->placer);
+	follow_destroy(control->follow);
+	feed_destroy(control->feed);
+	view_destroy(control->view);
+	g_free(control);
+}
+
+uint64_t control_incarnation(const struct control *control)
+{
+	return control->identity.incarnation;
+}
+
+/* ---- messages from other tasks ---- */
+
+struct status_message {
+	struct control *control;
+	struct entry_status status;
+};
+
+static void run_status(void *arg)
+{
+	struct status_message *m = arg;
+
+	if (m->control->follow)
+		follow_status(m->control->follow, &m->status);
+	g_free(m);
+}
+
+void control_post_status(struct control *control,
+			 const struct entry_status *status)
+{
+	struct status_message *m = g_new(struct status_message, 1);
+
+	m->control = control;
+	m->status = *status;
+	task_post(control->opts.task, run_status, m);
+}
+
+struct bytes_message {
+	struct control *control;
+	GBytes *bytes;
+	control_done_fn done;
+	void *ctx;
+};
+
+static void run_digest(void *arg)
+{
+	struct bytes_message *m = arg;
+	struct digest digest = {0};
+
+	if (CODEC_DECODE(digest, m->bytes, &digest)) {
+		(void)view_merge(m->control->view, control_now_ms(m->control),
+				 &digest);
+		CODEC_FREE(digest, &digest);
+	}
+	peers_digest(m->control, m->bytes);
+	g_bytes_unref(m->bytes);
+	g_free(m);
+}
+
+static struct bytes_message *new_message(struct control *control, GBytes *bytes)
+{
+	struct bytes_message *m = g_new0(struct bytes_message, 1);
+
+	m->control = control;
+	m->bytes = bytes;
+	return m;
+}
+
+void control_post_digest(struct control *control, GBytes *digest)
+{
+	task_post(control->opts.task, run_digest, new_message(control, digest));
+}
+
+static void run_proposal(void *arg)
+{
+	struct bytes_message *m = arg;
+
+	proposals_submit(m->control->proposals, m->bytes, PROPOSAL_TIMEOUT_MS,
+			 m->done, m->ctx);
+	g_bytes_unref(m->bytes);
+	g_free(m);
+}
+
+void control_post_proposal(struct control *control, GBytes *command,
+			   control_done_fn done, void *ctx)
+{
+	struct bytes_message *m = new_message(control, command);
+
+	m->done = done;
+	m->ctx = ctx;
+	task_post(control->opts.task, run_proposal, m);
+}
+
+struct leave_message {
+	struct control *control;
+	task_fn done;
+	void *arg;
+};
+
+static void run_leave(void *arg)
+{
+	struct leave_message *m = arg;
+
+	m->control->leave_done = m->done;
+	m->control->leave_arg = m->arg;
+	m->control->leave_until_ms = control_now_ms(m->control) +
+				     LEAVE_LIMIT_MS;
+	g_free(m);
+}
+
+void control_post_leave(struct control *control, task_fn done, void *arg)
+{
+	struct leave_message *m = g_new(struct leave_message, 1);
+
+	m->control = control;
+	m->done = done;
+	m->arg = arg;
+	task_post(control->opts.task, run_leave, m);
+}
--- /dev/null
+++ b/control/control.h
@@ -0,0 +1,96 @@
+/**
+ * @file
+ * The control task: a member of the state group, the placement leader while
+ * it leads, the operators' API, and this VM's link to the other processes.
+ *
+ * Created and destroyed by the daemon; runs on its own task. The entry task
+ * is reached only by the callbacks below, which must post, and reaches this
+ * one only by the control_post_* functions, callable from any thread.
+ */
+#ifndef CONTROL_CONTROL_H
+#define CONTROL_CONTROL_H
+
+#include <stdbool.h>
+
+#include <glib.h>
+
+#include <radishdeal/state.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/task.h"
+#include "settings/daemon.h"
+#include "wire/rpc.h"
+
+struct control;
+
+/** A new configuration for the entry; owns its reply. */
+struct config_update {
+	struct poll_reply reply;
+	int64_t lease_until_ms; /* by clock_system */
+};
+
+/** The entry's side; called on the control task, must post and return. */
+struct control_listener {
+	void (*config)(void *ctx, struct config_update *update);
+	void (*digest)(void *ctx, GBytes *digest);
+	/** Some process missed a digest: the next one must be full. */
+	void (*want_full)(void *ctx);
+	void (*drain)(void *ctx, bool draining);
+	void *ctx;
+};
+
+struct control_opts {
+	const struct daemon_settings *settings;
+	const struct clock_source *clock;
+	struct counters *counters;
+	struct task *task;
+	const struct rpc_identity *identity; /* incarnation set by control */
+	const char *operator_keys; /* text: name role key, a line each */
+	struct control_listener listener;
+	bool bootstrap;
+	void (*fatal)(void *ctx, enum rd_result code);
+	void *fatal_ctx;
+};
+
+/** Opens storage and ports before the task starts; NULL with *why set. */
+struct control *control_create(const struct control_opts *opts,
+			       enum rd_result *code, char **why);
+
+/** Begins to work; the first message to post on the task. */
+void control_begin(void *control);
+
+/** Closes ports and storage; after the task has ended. NULL is allowed. */
+void control_destroy(struct control *control);
+
+/** Counts the starts of this VM's daemon. */
+uint64_t control_incarnation(const struct control *control);
+
+/** What an entry tells with its polls. */
+struct entry_status {
+	uint64_t applied;
+	char callers_address[64];
+	char endpoints_address[64];
+	uint32_t free_permille;
+	bool draining;
+};
+
+/** From the entry: status, posted after each update and now and then. */
+void control_post_status(struct control *control,
+			 const struct entry_status *status);
+
+/** From the entry: a digest for all others; takes the reference. */
+void control_post_digest(struct control *control, GBytes *digest);
+
+/** Result of a proposal, called on the control task; must post. */
+typedef void (*control_done_fn)(void *ctx, enum rd_result code,
+				const struct apply_result *result);
+
+/** From the entry: a command for the log; takes the reference. */
+void control_post_proposal(struct control *control, GBytes *command,
+			   control_done_fn done, void *ctx);
+
+/** Hands over leadership, then calls done(arg) on the control task. */
+void control_post_leave(struct control *control, task_fn done, void *arg);
+
+#endif
--- /dev/null
+++ b/control/control_internal.h
@@ -0,0 +1,103 @@
+/**
+ * @file
+ * The control task's parts and what they share. All on the control task.
+ */
+#ifndef CONTROL_CONTROL_INTERNAL_H
+#define CONTROL_CONTROL_INTERNAL_H
+
+#include <event2/http.h>
+
+#include <radishdeal/evidence.h>
+
+#include "control/control.h"
+#include "control/feed.h"
+#include "control/group.h"
+
+struct follow;
+struct operators;
+struct placer;
+struct proposals;
+
+/** Another process of the system. */
+struct peer {
+	struct control *control;
+	const struct peer_settings *settings;
+	struct rpc_client *client;
+};
+
+struct control {
+	struct control_opts opts;
+	struct rpc_identity identity;
+	struct event_base *base;
+	struct rpc_server *server;
+	GPtrArray *peers; /* of struct peer, not this process */
+	struct group *group;
+	struct feed *feed;
+	struct view *view;
+	struct follow *follow;
+	struct proposals *proposals;
+	struct operators *operators;
+	struct placer *placer;
+	struct event *tick;
+	bool was_leading;
+	uint64_t led_term;
+	int64_t orphans_checked_ms;
+	task_fn leave_done;
+	void *leave_arg;
+	int64_t leave_until_ms;
+};
+
+int64_t control_now_ms(const struct control *control);
+
+/** The peer with a node number, or NULL. */
+struct peer *control_peer(const struct control *control, uint32_t node);
+
+/** Node of the leader as far as known here, 0 if unknown. */
+uint32_t control_leader(const struct control *control);
+
+/* peers.c */
+enum rd_result peers_open(struct control *control, char **why);
+void peers_connect(struct control *control);
+void peers_close(struct control *control);
+void peers_send_raft(struct control *control, uint64_t member, GBytes *bytes);
+void peers_hint(struct control *control);
+void peers_digest(struct control *control, GBytes *digest);
+
+/* follow.c: this VM's entry as a subscriber to the configuration */
+struct follow *follow_create(struct control *control);
+void follow_destroy(struct follow *follow);
+void follow_now(struct follow *follow);
+void follow_status(struct follow *follow, const struct entry_status *status);
+void follow_serve(struct control *control, const struct poll_request *request,
+		  struct poll_reply *reply);
+uint32_t follow_leader(const struct follow *follow);
+
+/* proposals.c: getting a command to whoever leads */
+struct proposals *proposals_create(struct control *control);
+void proposals_destroy(struct proposals *proposals);
+void proposals_submit(struct proposals *proposals, GBytes *command,
+		      int timeout_ms, control_done_fn done, void *ctx);
+
+/* operators.c */
+struct operators *operators_create(struct control *control, char **why);
+void operators_destroy(struct operators *operators);
+void operators_tick(struct operators *operators);
+
+/* placer.c: placement while this member leads */
+struct placer *placer_create(struct control *control);
+void placer_destroy(struct placer *placer);
+void placer_lead(struct placer *placer);
+void placer_stop(struct placer *placer);
+void placer_tick(struct placer *placer);
+
+/** Visits what the placer last decided and why, newest last. */
+void placer_each_decision(const struct placer *placer,
+			  void (*visit)(void *ctx, const char *line),
+			  void *ctx);
+
+/* members.c: membership by itself and by operators */
+void members_tick(struct control *control);
+enum rd_result members_change(struct control *control, const char *action,
+			      uint32_t node, char **why);
+
+#endif
--- /dev/null
+++ b/control/feed.c
@@ -0,0 +1,241 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/feed.h"
+#include "wire/codec.h"
+
+struct feed {
+	struct feed_opts opts;
+	uint32_t *nodes;
+	GQueue commands; /* of struct indexed_command */
+	uint64_t base;	 /* commands up to here are no longer held */
+	uint64_t last;
+	int64_t grace_until_ms; /* earlier leaders' leases */
+	GHashTable *entries;	/* node -> struct feed_entry */
+};
+
+static void command_drop(gpointer data)
+{
+	struct indexed_command *c = data;
+
+	CODEC_FREE(indexed_command, c);
+	g_free(c);
+}
+
+struct feed *feed_create(const struct feed_opts *opts)
+{
+	struct feed *feed = g_new0(struct feed, 1);
+
+	feed->opts = *opts;
+	feed->nodes = g_memdup2(opts->nodes,
+				opts->node_count * sizeof(uint32_t));
+	g_queue_init(&feed->commands);
+	feed->entries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	return feed;
+}
+
+void feed_destroy(struct feed *feed)
+{
+	if (!feed)
+		return;
+	g_queue_clear_full(&feed->commands, command_drop);
+	g_hash_table_unref(feed->entries);
+	g_free(feed->nodes);
+	g_free(feed);
+}
+
+void feed_add(struct feed *feed, uint64_t index, const struct command *command)
+{
+	struct indexed_command *kept = g_new0(struct indexed_command, 1);
+	struct indexed_command added = {index, *command};
+
+	if (!CODEC_COPY(indexed_command, &added, kept))
+		g_assert_not_reached();
+	g_queue_push_tail(&feed->commands, kept);
+	feed->last = index;
+	while (g_queue_get_length(&feed->commands) > feed->opts.keep) {
+		struct indexed_command *oldest =
+			g_queue_pop_head(&feed->commands);
+
+		feed->base = oldest->index;
+		command_drop(oldest);
+	}
+}
+
+void feed_reset(struct feed *feed, uint64_t index)
+{
+	g_queue_clear_full(&feed->commands, command_drop);
+	feed->base = index;
+	feed->last = index;
+}
+
+static int64_t sure_lease_ms(const struct feed *feed)
+{
+	return (int64_t)feed->opts.lease_ms *
+	       (1000 + feed->opts.drift_permille) / 1000;
+}
+
+void feed_lead(struct feed *feed, int64_t now_ms)
+{
+	g_hash_table_remove_all(feed->entries);
+	feed->grace_until_ms = now_ms + sure_lease_ms(feed);
+}
+
+static void note_entry(struct feed *feed, int64_t now_ms,
+		       const struct poll_request *request)
+{
+	gpointer key = GUINT_TO_POINTER(request->node);
+	struct feed_entry *e = g_hash_table_lookup(feed->entries, key);
+
+	if (!e) {
+		e = g_new0(struct feed_entry, 1);
+		e->node = request->node;
+		g_hash_table_insert(feed->entries, key, e);
+	}
+	/* A late poll of a process that was replaced says nothing. */
+	if (request->incarnation < e->incarnation)
+		return;
+	e->incarnation = request->incarnation;
+	e->member = request->member;
+	e->applied = request->applied;
+	e->heard_ms = now_ms;
+	e->lease_until_ms = now_ms + sure_lease_ms(feed);
+	e->free_permille = request->free_permille;
+	e->draining = request->draining;
+	g_strlcpy(e->callers_address, request->callers_address,
+		  sizeof(e->callers_address));
+	g_strlcpy(e->endpoints_address, request->endpoints_address,
+		  sizeof(e->endpoints_address));
+	g_strlcpy(e->data_centre, request->data_centre, sizeof(e->data_centre));
+}
+
+static void add_deltas(const struct feed *feed, uint64_t applied,
+		       struct poll_reply *reply)
+{
+	u_int n = 0;
+
+	reply->deltas.deltas_val = calloc(feed->commands.length + 1,
+					  sizeof(struct indexed_command));
+	for (GList *link = feed->commands.head; link; link = link->next) {
+		const struct indexed_command *c = link->data;
+
+		if (c->index > applied &&
+		    CODEC_COPY(indexed_command, c,
+			       &reply->deltas.deltas_val[n]))
+			n++;
+	}
+	reply->deltas.deltas_len = n;
+}
+
+static void add_image(const struct state *state, struct poll_reply *reply)
+{
+	GBytes *image = state_save(state, false);
+	gsize size;
+	const void *data;
+
+	if (!image)
+		return;
+	data = g_bytes_get_data(image, &size);
+	reply->snapshot.snapshot_val = malloc(size);
+	memcpy(reply->snapshot.snapshot_val, data, size);
+	reply->snapshot.snapshot_len = (u_int)size;
+	g_bytes_unref(image);
+}
+
+static void add_entries(const struct feed *feed, int64_t now_ms,
+			struct poll_reply *reply)
+{
+	GHashTableIter iter;
+	gpointer value;
+	u_int n = 0;
+
+	reply->entries.entries_val =
+		calloc(g_hash_table_size(feed->entries) + 1,
+		       sizeof(struct entry_info));
+	g_hash_table_iter_init(&iter, feed->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct feed_entry *e = value;
+		struct entry_info *info = &reply->entries.entries_val[n];
+
+		if (now_ms > e->lease_until_ms)
+			continue;
+		info->node = e->node;
+		info->callers_address = strdup(e->callers_address);
+		info->endpoints_address = strdup(e->endpoints_address);
+		info->data_centre = strdup(e->data_centre);
+		info->free_permille = e->free_permille;
+		info->draining = e->draining;
+		n++;
+	}
+	reply->entries.entries_len = n;
+}
+
+void feed_poll(struct feed *feed, int64_t now_ms, const struct state *state,
+	       const struct poll_request *request, struct poll_reply *reply)
+{
+	note_entry(feed, now_ms, request);
+	reply->code = RD_OK;
+	reply->commit = state_index(state);
+	reply->lease_ms = (uint32_t)feed->opts.lease_ms;
+	if (request->applied < feed->base)
+		add_image(state, reply);
+	else if (request->applied < feed->last)
+		add_deltas(feed, request->applied, reply);
+	add_entries(feed, now_ms, reply);
+}
+
+uint64_t feed_last(const struct feed *feed)
+{
+	return feed->last;
+}
+
+static bool holds_up(const struct feed *feed, int64_t now_ms, uint64_t index,
+		     uint32_t node)
+{
+	const struct feed_entry *e =
+		g_hash_table_lookup(feed->entries, GUINT_TO_POINTER(node));
+
+	if (!e)
+		return now_ms <= feed->grace_until_ms;
+	return e->applied < index && now_ms <= e->lease_until_ms;
+}
+
+bool feed_in_force(const struct feed *feed, int64_t now_ms, uint64_t index,
+		   GArray *laggards)
+{
+	bool all = true;
+
+	for (uint32_t i = 0; i < feed->opts.node_count; i++) {
+		if (!holds_up(feed, now_ms, index, feed->nodes[i]))
+			continue;
+		all = false;
+		if (laggards)
+			g_array_append_val(laggards, feed->nodes[i]);
+	}
+	return all;
+}
+
+uint64_t feed_void_claims(const struct feed *feed, int64_t now_ms,
+			  uint32_t node, int32_t wait_ms)
+{
+	const struct feed_entry *e =
+		g_hash_table_lookup(feed->entries, GUINT_TO_POINTER(node));
+	int64_t until_ms = e ? e->lease_until_ms : feed->grace_until_ms;
+
+	if (now_ms > until_ms + wait_ms)
+		return UINT64_MAX;
+	return e ? e->incarnation << 32 : 0;
+}
+
+void feed_each(const struct feed *feed,
+	       void (*visit)(void *ctx, const struct feed_entry *entry),
+	       void *ctx)
+{
+	for (uint32_t i = 0; i < feed->opts.node_count; i++) {
+		const struct feed_entry *e = g_hash_table_lookup(
+			feed->entries, GUINT_TO_POINTER(feed->nodes[i]));
+
+		if (e)
+			visit(ctx, e);
+	}
+}
--- /dev/null
+++ b/control/follow.c
@@ -0,0 +1,205 @@
+/* This VM's entry as a subscriber: polls the leader, passes on what is new. */
+#include <string.h>
+
+#include "common/log.h"
+#include "control/control_internal.h"
+#include "wire/codec.h"
+
+#define TICK_MS 25
+#define POLL_TIMEOUT_MS 800
+/* Polls go out this many times within a lease. */
+#define POLLS_PER_LEASE 8
+
+static const struct log follow_log = {"follow"};
+
+struct follow {
+	struct control *control;
+	struct event *tick;
+	struct entry_status status;
+	bool in_flight;
+	bool wanted;
+	int64_t sent_ms;
+	uint32_t leader; /* as last told */
+	guint next_peer; /* whom to ask while no leader is known */
+};
+
+uint32_t follow_leader(const struct follow *follow)
+{
+	return follow->leader;
+}
+
+/* ---- serving ---- */
+
+void follow_serve(struct control *control, const struct poll_request *request,
+		  struct poll_reply *reply)
+{
+	if (control->group && group_leads(control->group)) {
+		const struct raft *raft = group_raft(control->group);
+
+		feed_poll(control->feed, control_now_ms(control),
+			  group_state(control->group), request, reply);
+		reply->leader = (uint32_t)control->opts.settings->node.id;
+		reply->term = raft_term(raft);
+		return;
+	}
+	reply->code = RD_NOT_LEADER;
+	reply->leader = control_leader(control);
+}
+
+/* ---- asking ---- */
+
+static void take_reply(struct follow *follow, struct poll_reply *reply)
+{
+	struct control *control = follow->control;
+	struct config_update *update;
+
+	if (reply->leader)
+		follow->leader = reply->leader;
+	if (reply->code) {
+		/* Whoever was asked does not lead; ask the next one. */
+		follow->next_peer++;
+		CODEC_FREE(poll_reply, reply);
+		return;
+	}
+	update = g_new0(struct config_update, 1);
+	update->reply = *reply;
+	/* Counted from before the question was sent, so never too long. */
+	update->lease_until_ms = follow->sent_ms + reply->lease_ms;
+	control->opts.listener.config(control->opts.listener.ctx, update);
+}
+
+static void on_reply(void *ctx, const void *result, size_t size)
+{
+	struct follow *follow = ctx;
+	struct poll_reply reply = {0};
+
+	follow->in_flight = false;
+	if (!result) {
+		follow->leader = 0;
+		follow->next_peer++;
+		return;
+	}
+	if (!codec_decode((xdrproc_t)xdr_poll_reply, result, size, &reply)) {
+		log_warn(&follow_log, "a poll's reply cannot be decoded");
+		return;
+	}
+	take_reply(follow, &reply);
+}
+
+static void make_request(struct follow *follow, struct poll_request *request)
+{
+	struct control *control = follow->control;
+
+	request->node = (uint32_t)control->opts.settings->node.id;
+	request->incarnation = control->identity.incarnation;
+	request->member = control->group ? group_member_id(control->group) : 0;
+	request->applied = follow->status.applied;
+	request->callers_address = follow->status.callers_address;
+	request->endpoints_address = follow->status.endpoints_address;
+	request->data_centre = control->opts.settings->node.data_centre;
+	request->free_permille = follow->status.free_permille;
+	request->draining = follow->status.draining;
+}
+
+static bool ask_self(struct follow *follow, const struct poll_request *request)
+{
+	struct control *control = follow->control;
+	struct poll_reply reply = {0};
+
+	if (!control->group || !group_leads(control->group))
+		return false;
+	follow_serve(control, request, &reply);
+	take_reply(follow, &reply);
+	return true;
+}
+
+static struct peer *whom_to_ask(struct follow *follow)
+{
+	struct control *control = follow->control;
+	uint32_t leader = control_leader(control);
+	struct peer *peer = leader ? control_peer(control, leader) : NULL;
+
+	if (peer && rpc_client_ready(peer->client))
+		return peer;
+	for (guint i = 0; i < control->peers->len; i++) {
+		guint at = (follow->next_peer + i) % control->peers->len;
+
+		peer = control->peers->pdata[at];
+		if (peer->settings->control && rpc_client_ready(peer->client))
+			return peer;
+	}
+	return NULL;
+}
+
+static void ask(struct follow *follow)
+{
+	struct poll_request request = {0};
+	struct peer *peer;
+	GBytes *bytes;
+
+	follow->wanted = false;
+	follow->sent_ms = control_now_ms(follow->control);
+	make_request(follow, &request);
+	if (ask_self(follow, &request))
+		return;
+	peer = whom_to_ask(follow);
+	if (!peer)
+		return;
+	bytes = CODEC_ENCODE(poll_request, &request);
+	follow->in_flight = rpc_client_call(peer->client, RPC_POLL, bytes,
+					    POLL_TIMEOUT_MS, on_reply, follow);
+	g_bytes_unref(bytes);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *ctx)
+{
+	struct follow *follow = ctx;
+	int64_t every_ms =
+		follow->control->opts.settings->limits.config_lease_ms /
+		POLLS_PER_LEASE;
+
+	(void)fd;
+	(void)what;
+	if (follow->in_flight)
+		return;
+	if (follow->wanted ||
+	    control_now_ms(follow->control) - follow->sent_ms >= every_ms)
+		ask(follow);
+}
+
+void follow_now(struct follow *follow)
+{
+	follow->wanted = true;
+	if (!follow->in_flight)
+		event_active(follow->tick, EV_TIMEOUT, 0);
+}
+
+void follow_status(struct follow *follow, const struct entry_status *status)
+{
+	bool advanced = status->applied > follow->status.applied;
+
+	follow->status = *status;
+	/* The leader waits for this to say that a change is in force. */
+	if (advanced)
+		follow_now(follow);
+}
+
+struct follow *follow_create(struct control *control)
+{
+	struct follow *follow = g_new0(struct follow, 1);
+	struct timeval tick = {0, TICK_MS * 1000};
+
+	follow->control = control;
+	follow->tick = event_new(control->base, -1, EV_PERSIST, on_tick,
+				 follow);
+	event_add(follow->tick, &tick);
+	return follow;
+}
+
+void follow_destroy(struct follow *follow)
+{
+	if (!follow)
+		return;
+	event_free(follow->tick);
+	g_free(follow);
+}
--- /dev/null
+++ b/control/operators.c
@@ -0,0 +1,630 @@
+/* The operators' API: HTTP and JSON, keys with roles. */
+#include <errno.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/http.h"
+#include "common/log.h"
+#include "control/control_internal.h"
+#include "control/views.h"
+#include "settings/service.h"
+#include "wire/codec.h"
+#include "wire/rpc_frame.h"
+
+#define HEADER_BYTES 16384
+#define BODY_BYTES (256 * 1024)
+#define TIMEOUT_S 30
+#define CHANGE_TIMEOUT_MS 8000
+#define WAIT_MAX_MS 60000
+
+static const struct log operators_log = {"operators"};
+
+enum operator_role {
+	OPERATOR_READ = 1,
+	OPERATOR_CHANGE = 2,
+	OPERATOR_MEMBERSHIP = 3, /* each role may do what those below may */
+};
+
+static const char *const role_names[] = {"", "read", "change", "membership"};
+
+struct operator_key {
+	char *name;
+	enum operator_role role;
+	char *key;
+};
+
+struct operators {
+	struct control *control;
+	struct evhttp *http;
+	GPtrArray *keys;  /* of struct operator_key */
+	GPtrArray *waits; /* of struct change: accepted, not yet in force */
+};
+
+/** A change on its way. */
+struct change {
+	struct operators *operators;
+	struct evhttp_request *req;
+	struct http_watch watch;
+	bool closed;
+	int64_t wait_ms;
+	int64_t wait_until_ms;
+	uint64_t index;
+	uint64_t revision;
+};
+
+/** A request being handled. */
+struct request {
+	struct operators *operators;
+	struct evhttp_request *req;
+	const struct operator_key *operator_key;
+	char **path; /* split at '/', without the first two parts */
+	guint parts;
+};
+
+/* ---- keys ---- */
+
+static void key_drop(gpointer data)
+{
+	struct operator_key *key = data;
+
+	g_free(key->name);
+	g_free(key->key);
+	g_free(key);
+}
+
+static bool parse_key(struct operators *o, const char *line, char **why)
+{
+	char **words = g_strsplit_set(line, " \t", 0);
+	struct operator_key *key;
+	bool ok = false;
+
+	if (g_strv_length(words) != 3)
+		goto done;
+	key = g_new0(struct operator_key, 1);
+	for (int i = OPERATOR_READ; i <= OPERATOR_MEMBERSHIP; i++)
+		if (!strcmp(role_names[i], words[1]))
+			key->role = (enum operator_role)i;
+	key->name = g_strdup(words[0]);
+	key->key = g_strdup(words[2]);
+	g_ptr_array_add(o->keys, key);
+	ok = key->role != 0;
+done:
+	if (!ok)
+		*why = g_strdup("operator keys: each line must be: name "
+				"read|change|membership key");
+	g_strfreev(words);
+	return ok;
+}
+
+static bool parse_keys(struct operators *o, const char *text, char **why)
+{
+	char **lines = g_strsplit(text, "\n", 0);
+	bool ok = true;
+
+	for (int i = 0; ok && lines[i]; i++)
+		if (*g_strstrip(lines[i]))
+			ok = parse_key(o, lines[i], why);
+	g_strfreev(lines);
+	return ok;
+}
+
+static const struct operator_key *find_key(const struct operators *o,
+					   const char *given)
+{
+	const struct operator_key *found = NULL;
+
+	for (guint i = 0; i < o->keys->len; i++) {
+		const struct operator_key *k = o->keys->pdata[i];
+		size_t size = strlen(k->key);
+
+		if (strlen(given) == size &&
+		    rpc_equal((const uint8_t *)given, (const uint8_t *)k->key,
+			      size))
+			found = k;
+	}
+	return found;
+}
+
+/* ---- answering ---- */
+
+static void refuse(struct evhttp_request *req, enum rd_result code,
+		   const char *detail)
+{
+	struct problem problem = {.code = code, .detail = detail};
+
+	http_send_problem(req, &problem);
+}
+
+static void on_caller_left(void *ctx)
+{
+	struct change *change = ctx;
+
+	change->closed = true;
+}
+
+static void end_change(struct change *change)
+{
+	if (!change->closed)
+		http_unwatch(change->req, TIMEOUT_S);
+}
+
+static void answer_accepted(struct change *change, GArray *laggards)
+{
+	json_t *body = json_pack("{s:I,s:I,s:b}", "revision",
+				 (json_int_t)change->revision, "index",
+				 (json_int_t)change->index, "in_force",
+				 !laggards->len && change->wait_ms);
+	json_t *nodes = json_array();
+
+	for (guint i = 0; i < laggards->len; i++)
+		json_array_append_new(nodes, json_integer(g_array_index(
+						     laggards, uint32_t, i)));
+	json_object_set_new(body, "laggards", nodes);
+	end_change(change);
+	http_send_json(change->req, 200, body);
+	g_free(change);
+}
+
+static void answer_laggards(struct change *change, GArray *laggards)
+{
+	struct problem problem = {.code = RD_LAGGARDS,
+				  .outcome = OUTCOME_UNKNOWN};
+	GString *detail = g_string_new("accepted; not yet applied on nodes");
+
+	for (guint i = 0; i < laggards->len; i++)
+		g_string_append_printf(detail, " %u",
+				       g_array_index(laggards, uint32_t, i));
+	problem.detail = detail->str;
+	problem.more = json_pack("{s:I,s:I}", "revision",
+				 (json_int_t)change->revision, "index",
+				 (json_int_t)change->index);
+	end_change(change);
+	http_send_problem(change->req, &problem);
+	json_decref(problem.more);
+	g_string_free(detail, TRUE);
+	g_free(change);
+}
+
+static bool still_waits(struct operators *o, struct change *change)
+{
+	struct control *control = o->control;
+	GArray *laggards = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	int64_t now = control_now_ms(control);
+	bool leads = control->group && group_leads(control->group);
+	bool done = leads &&
+		    feed_in_force(control->feed, now, change->index, laggards);
+	bool waits = false;
+
+	if (done)
+		answer_accepted(change, laggards);
+	else if (now >= change->wait_until_ms)
+		answer_laggards(change, laggards);
+	else
+		waits = true;
+	g_array_unref(laggards);
+	return waits;
+}
+
+void operators_tick(struct operators *o)
+{
+	for (guint i = o->waits->len; i > 0; i--)
+		if (!still_waits(o, o->waits->pdata[i - 1]))
+			g_ptr_array_remove_index_fast(o->waits, i - 1);
+}
+
+static void on_change_done(void *ctx, enum rd_result code,
+			   const struct apply_result *result)
+{
+	struct change *change = ctx;
+	struct problem problem = {
+		.code = code ? code : (enum rd_result)result->code,
+		.outcome = code == RD_CHANGE_UNKNOWN ? OUTCOME_UNKNOWN
+						     : OUTCOME_NOT_RUN,
+		.detail = code ? NULL : result->text,
+	};
+	GArray *none;
+
+	if (problem.code) {
+		if (!code)
+			problem.more = json_pack("{s:I}", "revision",
+						 (json_int_t)result->revision);
+		end_change(change);
+		http_send_problem(change->req, &problem);
+		json_decref(problem.more);
+		g_free(change);
+		return;
+	}
+	change->index = result->index;
+	change->revision = result->revision;
+	if (change->wait_ms) {
+		change->wait_until_ms =
+			control_now_ms(change->operators->control) +
+			change->wait_ms;
+		g_ptr_array_add(change->operators->waits, change);
+		return;
+	}
+	none = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	answer_accepted(change, none);
+	g_array_unref(none);
+}
+
+static int64_t query_number(struct evhttp_request *req, const char *name)
+{
+	char *text = http_query(req, name);
+	int64_t n = text ? g_ascii_strtoll(text, NULL, 10) : 0;
+
+	g_free(text);
+	return n;
+}
+
+/* A change that is to wait is sent to the leader, who knows the entries. */
+static bool must_go_to_leader(const struct request *r)
+{
+	return query_number(r->req, "wait_ms") > 0 &&
+	       !(r->operators->control->group &&
+		 group_leads(r->operators->control->group));
+}
+
+static void answer_not_leader(const struct request *r)
+{
+	struct problem problem = {.code = RD_NOT_LEADER};
+	uint32_t leader = control_leader(r->operators->control);
+
+	problem.more = json_pack("{s:I}", "leader", (json_int_t)leader);
+	problem.retry_after_s = 1;
+	http_send_problem(r->req, &problem);
+	json_decref(problem.more);
+}
+
+static void submit(const struct request *r, struct command *command)
+{
+	struct control *control = r->operators->control;
+	struct change *change;
+	char *id, *base;
+	GBytes *bytes;
+
+	if (must_go_to_leader(r)) {
+		answer_not_leader(r);
+		return;
+	}
+	id = http_query(r->req, "change_id");
+	base = http_query(r->req, "base");
+	if (!id || !*id || strlen(id) > RD_NAME_MAX || !base) {
+		refuse(r->req, RD_BAD_REQUEST,
+		       "change_id (1 to 63 bytes) and base are needed");
+		goto done;
+	}
+	command->change_id = id;
+	command->base_revision = g_ascii_strtoull(base, NULL, 10);
+	command->operator_name = r->operator_key->name;
+	command->time_ms = g_get_real_time() / 1000;
+	bytes = CODEC_ENCODE(command, command);
+	if (!bytes) {
+		refuse(r->req, RD_TOO_LARGE, "the change is too large");
+		goto done;
+	}
+	log_note(&operators_log, "change %s by %s kind=%d base=%s", id,
+		 r->operator_key->name, (int)command->body.kind, base);
+	change = g_new0(struct change, 1);
+	change->operators = r->operators;
+	change->req = r->req;
+	change->wait_ms = MIN(query_number(r->req, "wait_ms"), WAIT_MAX_MS);
+	change->watch = (struct http_watch){on_caller_left, change};
+	http_watch(r->req, &change->watch);
+	proposals_submit(control->proposals, bytes, CHANGE_TIMEOUT_MS,
+			 on_change_done, change);
+	g_bytes_unref(bytes);
+done:
+	g_free(id);
+	g_free(base);
+}
+
+/* ---- changes ---- */
+
+static void post_service(const struct request *r)
+{
+	struct command command = {.body.kind = CMD_APPLY_SERVICE};
+	struct apply_service *change = &command.body.command_body_u.apply;
+	GBytes *body = http_body(r->req);
+	char *file = http_query(r->req, "file");
+	char *errors = NULL;
+
+	if (service_settings_read(file ? file : "service",
+				  g_bytes_get_data(body, NULL), change,
+				  &errors))
+		refuse(r->req, RD_SETTINGS, errors);
+	else
+		submit(r, &command);
+	CODEC_FREE(apply_service, change);
+	g_free(errors);
+	g_free(file);
+	g_bytes_unref(body);
+}
+
+static void post_preset(const struct request *r)
+{
+	struct command command = {.body.kind = CMD_SWITCH_PRESET};
+	char *preset = http_query(r->req, "preset");
+
+	if (!preset || strlen(preset) > RD_NAME_MAX) {
+		refuse(r->req, RD_BAD_REQUEST, "preset is needed");
+	} else {
+		command.body.command_body_u.preset.service = r->path[1];
+		command.body.command_body_u.preset.preset = preset;
+		submit(r, &command);
+	}
+	g_free(preset);
+}
+
+static void post_rollback(const struct request *r)
+{
+	struct command command = {.body.kind = CMD_ROLLBACK};
+
+	command.body.command_body_u.rollback.service = r->path[1];
+	command.body.command_body_u.rollback.to_revision =
+		(uint64_t)query_number(r->req, "to");
+	submit(r, &command);
+}
+
+static void delete_service(const struct request *r)
+{
+	struct command command = {.body.kind = CMD_REMOVE_SERVICE};
+
+	command.body.command_body_u.service = r->path[1];
+	submit(r, &command);
+}
+
+static void post_member(const struct request *r)
+{
+	char *action = http_query(r->req, "action");
+	char *why = NULL;
+	enum rd_result result =
+		members_change(r->operators->control, action ? action : "",
+			       (uint32_t)query_number(r->req, "node"), &why);
+
+	if (result == RD_NOT_LEADER)
+		answer_not_leader(r);
+	else if (result)
+		refuse(r->req, result, why);
+	else
+		http_send_json(r->req, 200, json_pack("{s:b}", "accepted", 1));
+	g_free(why);
+	g_free(action);
+}
+
+static void post_drain(const struct request *r)
+{
+	struct control *control = r->operators->control;
+	bool on = query_number(r->req, "on") != 0;
+
+	control->opts.listener.drain(control->opts.listener.ctx, on);
+	http_send_json(r->req, 200, json_pack("{s:b}", "draining", on));
+}
+
+/* ---- reading ---- */
+
+static const struct state *readable(const struct request *r)
+{
+	return group_state(r->operators->control->group);
+}
+
+static void get_status(const struct request *r)
+{
+	http_send_json(r->req, 200, views_status(r->operators->control));
+}
+
+static void get_services(const struct request *r)
+{
+	http_send_json(r->req, 200, views_services(readable(r)));
+}
+
+static void get_service(const struct request *r)
+{
+	const struct service_state *s = state_service(readable(r), r->path[1]);
+
+	if (s)
+		http_send_json(r->req, 200, views_service(s));
+	else
+		refuse(r->req, RD_NO_SERVICE, r->path[1]);
+}
+
+static void get_history(const struct request *r)
+{
+	const struct service_state *s = state_service(readable(r), r->path[1]);
+
+	if (s)
+		http_send_json(r->req, 200, views_history(s));
+	else
+		refuse(r->req, RD_NO_SERVICE, r->path[1]);
+}
+
+static void get_endpoints(const struct request *r)
+{
+	http_send_json(r->req, 200, views_endpoints(r->operators->control));
+}
+
+static void get_replicas(const struct request *r)
+{
+	http_send_json(r->req, 200, views_replicas(r->operators->control));
+}
+
+static void get_replica(const struct request *r)
+{
+	json_t *body =
+		views_replica(r->operators->control,
+			      (uint32_t)g_ascii_strtoull(r->path[1], NULL, 10));
+
+	if (body)
+		http_send_json(r->req, 200, body);
+	else
+		refuse(r->req, RD_NO_ROUTE, "no such replica");
+}
+
+static void get_accounts(const struct request *r)
+{
+	http_send_json(r->req, 200, views_accounts(readable(r)));
+}
+
+static void get_members(const struct request *r)
+{
+	http_send_json(r->req, 200, views_members(r->operators->control));
+}
+
+static void get_decisions(const struct request *r)
+{
+	http_send_json(r->req, 200, views_decisions(r->operators->control));
+}
+
+static void get_metrics(const struct request *r)
+{
+	GString *text = g_string_new(NULL);
+
+	counters_print(r->operators->control->opts.counters, text);
+	http_send_text(r->req, 200, "text/plain; version=0.0.4", text->str);
+	g_string_free(text, TRUE);
+}
+
+/* ---- routes ---- */
+
+/** `path` is what stands behind /v1; `*` matches one part. */
+struct route {
+	const char *method;
+	const char *path;
+	enum operator_role role;
+	void (*handle)(const struct request *r);
+};
+
+static const struct route routes[] = {
+	{"GET", "status", OPERATOR_READ, get_status},
+	{"GET", "services", OPERATOR_READ, get_services},
+	{"GET", "services/*", OPERATOR_READ, get_service},
+	{"GET", "services/*/history", OPERATOR_READ, get_history},
+	{"POST", "services", OPERATOR_CHANGE, post_service},
+	{"POST", "services/*/preset", OPERATOR_CHANGE, post_preset},
+	{"POST", "services/*/rollback", OPERATOR_CHANGE, post_rollback},
+	{"DELETE", "services/*", OPERATOR_CHANGE, delete_service},
+	{"GET", "endpoints", OPERATOR_READ, get_endpoints},
+	{"GET", "replicas", OPERATOR_READ, get_replicas},
+	{"GET", "replicas/*", OPERATOR_READ, get_replica},
+	{"GET", "accounts", OPERATOR_READ, get_accounts},
+	{"GET", "members", OPERATOR_READ, get_members},
+	{"POST", "members", OPERATOR_MEMBERSHIP, post_member},
+	{"GET", "decisions", OPERATOR_READ, get_decisions},
+	{"POST", "drain", OPERATOR_CHANGE, post_drain},
+	{"GET", "metrics", OPERATOR_READ, get_metrics},
+};
+
+static bool path_matches(const struct route *route, char **path, guint parts)
+{
+	char **wanted = g_strsplit(route->path, "/", 0);
+	bool same = g_strv_length(wanted) == parts;
+
+	for (guint i = 0; same && i < parts; i++)
+		same = !strcmp(wanted[i], "*") || !strcmp(wanted[i], path[i]);
+	g_strfreev(wanted);
+	return same;
+}
+
+static void dispatch(struct request *r)
+{
+	const char *method = http_method(r->req);
+	bool path_known = false;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
+		if (!path_matches(&routes[i], r->path, r->parts))
+			continue;
+		path_known = true;
+		if (strcmp(routes[i].method, method))
+			continue;
+		if (r->operator_key->role < routes[i].role)
+			refuse(r->req, RD_FORBIDDEN, NULL);
+		else
+			routes[i].handle(r);
+		return;
+	}
+	refuse(r->req, path_known ? RD_BAD_METHOD : RD_NO_ROUTE, NULL);
+}
+
+static void handle(struct evhttp_request *req, void *ctx)
+{
+	struct operators *o = ctx;
+	const char *given = http_bearer(req);
+	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(req);
+	const char *path = evhttp_uri_get_path(uri);
+	char **parts;
+	struct request r = {.operators = o, .req = req};
+
+	if (!given) {
+		refuse(req, RD_NO_KEY, NULL);
+		return;
+	}
+	r.operator_key = find_key(o, given);
+	if (!r.operator_key) {
+		refuse(req, RD_WRONG_KEY, NULL);
+		return;
+	}
+	if (!o->control->group) {
+		refuse(req, RD_NO_ROUTE,
+		       "this VM does not have the control "
+		       "role; ask one that has");
+		return;
+	}
+	if (!path || !g_str_has_prefix(path, "/v1/")) {
+		refuse(req, RD_NO_ROUTE, NULL);
+		return;
+	}
+	parts = g_strsplit(path + strlen("/v1/"), "/", 0);
+	r.path = parts;
+	r.parts = g_strv_length(parts);
+	dispatch(&r);
+	g_strfreev(parts);
+}
+
+struct operators *operators_create(struct control *control, char **why)
+{
+	struct operators *o = g_new0(struct operators, 1);
+	const char *address = control->opts.settings->listen.operators;
+	int port;
+	struct http_listen_opts opts = {
+		.base = control->base,
+		.address = address,
+		.header_bytes = HEADER_BYTES,
+		.body_bytes = BODY_BYTES,
+		.timeout_s = TIMEOUT_S,
+		.handle = handle,
+		.ctx = o,
+	};
+
+	o->control = control;
+	o->keys = g_ptr_array_new_with_free_func(key_drop);
+	o->waits = g_ptr_array_new();
+	if (!parse_keys(o, control->opts.operator_keys, why))
+		goto fail;
+	o->http = http_listen(&opts, &port);
+	if (o->http)
+		return o;
+	*why = g_strdup_printf("listen.operators %s: %s", address,
+			       g_strerror(errno));
+fail:
+	operators_destroy(o);
+	return NULL;
+}
+
+void operators_destroy(struct operators *o)
+{
+	if (!o)
+		return;
+	for (guint i = 0; i < o->waits->len; i++) {
+		struct change *change = o->waits->pdata[i];
+
+		end_change(change);
+		refuse(change->req, RD_CHANGE_UNKNOWN, NULL);
+		g_free(change);
+	}
+	g_ptr_array_unref(o->waits);
+	if (o->http)
+		evhttp_free(o->http);
+	g_ptr_array_unref(o->keys);
+	g_free(o);
+}
--- /dev/null
+++ b/control/orders.c
@@ -0,0 +1,128 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <glib.h>
+#include <sys/socket.h>
+
+#include "common/address.h"
+#include "control/orders.h"
+
+#define ANSWER_MAX 8192
+
+struct sending {
+	struct order order;
+	char *address;
+	char *body;
+	struct bufferevent *bev;
+	struct event *timer;
+	bool sent;
+};
+
+static void finish(struct sending *s, enum order_result result)
+{
+	void (*done)(void *ctx, enum order_result result) = s->order.done;
+	void *ctx = s->order.ctx;
+	int fd = bufferevent_getfd(s->bev);
+	struct linger abort_close = {.l_onoff = 1, .l_linger = 0};
+
+	if (fd >= 0)
+		(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort_close,
+				 sizeof(abort_close));
+	bufferevent_free(s->bev);
+	event_free(s->timer);
+	g_free(s->address);
+	g_free(s->body);
+	g_free(s);
+	done(ctx, result);
+}
+
+static void write_order(struct sending *s)
+{
+	char *text;
+
+	address_tune(bufferevent_getfd(s->bev), ORDER_BOUND_MS);
+	if (!s->order.may_send(s->order.ctx)) {
+		finish(s, ORDER_WITHHELD);
+		return;
+	}
+	text = g_strdup_printf("POST /v1/order HTTP/1.1\r\n"
+			       "Host: %s\r\n"
+			       "Content-Type: application/json\r\n"
+			       "Connection: close\r\n"
+			       "Content-Length: %zu\r\n\r\n%s",
+			       s->address, strlen(s->body), s->body);
+	s->sent = true;
+	/* Written at once rather than from the loop, so that no pause can
+	 * come between the check and the kernel's copy. */
+	if (send(bufferevent_getfd(s->bev), text, strlen(text), MSG_NOSIGNAL) !=
+	    (ssize_t)strlen(text))
+		finish(s, ORDER_LOST);
+	g_free(text);
+}
+
+static void on_read(struct bufferevent *bev, void *ctx)
+{
+	struct sending *s = ctx;
+	size_t size;
+	char *line = evbuffer_readln(bufferevent_get_input(bev), &size,
+				     EVBUFFER_EOL_CRLF);
+	int status = 0;
+
+	if (!line)
+		return;
+	if (sscanf(line, "HTTP/1.%*d %d", &status) != 1)
+		status = 0;
+	free(line);
+	if (status == 200)
+		finish(s, ORDER_ACCEPTED);
+	else if (status == 409)
+		finish(s, ORDER_STALE);
+	else
+		finish(s, status ? ORDER_REFUSED : ORDER_LOST);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *ctx)
+{
+	struct sending *s = ctx;
+
+	(void)bev;
+	if (what & BEV_EVENT_CONNECTED)
+		write_order(s);
+	else
+		finish(s, s->sent ? ORDER_LOST : ORDER_WITHHELD);
+}
+
+static void on_timeout(evutil_socket_t fd, short what, void *ctx)
+{
+	struct sending *s = ctx;
+
+	(void)fd;
+	(void)what;
+	finish(s, s->sent ? ORDER_LOST : ORDER_WITHHELD);
+}
+
+void order_send(struct event_base *base, const struct order *order)
+{
+	struct sending *s = g_new0(struct sending, 1);
+	struct timeval limit = {order->timeout_ms / 1000,
+				(order->timeout_ms % 1000) * 1000};
+	struct address address;
+
+	s->order = *order;
+	s->address = g_strdup(order->address);
+	s->body = g_strdup(order->body);
+	s->bev = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+	s->timer = evtimer_new(base, on_timeout, s);
+	event_add(s->timer, &limit);
+	bufferevent_setcb(s->bev, on_read, NULL, on_event, s);
+	bufferevent_setwatermark(s->bev, EV_READ, 0, ANSWER_MAX);
+	bufferevent_enable(s->bev, EV_READ);
+	if (!address_parse(order->address, &address) ||
+	    bufferevent_socket_connect(s->bev,
+				       (struct sockaddr *)&address.socket,
+				       sizeof(address.socket)))
+		finish(s, ORDER_WITHHELD);
+}
--- /dev/null
+++ b/control/peers.c
@@ -0,0 +1,248 @@
+/* The connections to the system's other processes. */
+#include <errno.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "control/control_internal.h"
+#include "wire/codec.h"
+
+#define MAX_CONNECTIONS 2048
+#define DIGEST_TIMEOUT_MS 1000
+
+static const struct log peers_log = {"peers"};
+
+/* ---- serving ---- */
+
+static void serve_propose_done(void *ctx, enum rd_result code,
+			       const struct apply_result *result)
+{
+	struct rpc_call *call = ctx;
+	struct propose_reply reply = {.code = code};
+	struct apply_result empty = {0};
+	GBytes *bytes;
+
+	state_result_set(&empty, RD_OK, "");
+	reply.result = result ? *result : empty;
+	bytes = CODEC_ENCODE(propose_reply, &reply);
+	rpc_call_reply(call, bytes);
+	g_bytes_unref(bytes);
+	state_result_clear(&empty);
+}
+
+static void serve_propose(struct control *control, struct rpc_call *call,
+			  const void *args, size_t size)
+{
+	GBytes *command;
+
+	if (!control->group) {
+		serve_propose_done(call, RD_NOT_LEADER, NULL);
+		return;
+	}
+	command = g_bytes_new(args, size);
+	group_propose(control->group, command, serve_propose_done, call);
+	g_bytes_unref(command);
+}
+
+static void serve_poll(struct control *control, struct rpc_call *call,
+		       const void *args, size_t size)
+{
+	struct poll_request request = {0};
+	struct poll_reply reply = {0};
+	GBytes *bytes;
+
+	if (!codec_decode((xdrproc_t)xdr_poll_request, args, size, &request)) {
+		rpc_call_drop(call);
+		return;
+	}
+	follow_serve(control, &request, &reply);
+	CODEC_FREE(poll_request, &request);
+	bytes = CODEC_ENCODE(poll_reply, &reply);
+	CODEC_FREE(poll_reply, &reply);
+	rpc_call_reply(call, bytes);
+	g_bytes_unref(bytes);
+}
+
+static void serve_digest(struct control *control, struct rpc_call *call,
+			 const void *args, size_t size)
+{
+	struct digest digest = {0};
+	bool_t want_full;
+	GBytes *bytes;
+
+	if (!codec_decode((xdrproc_t)xdr_digest, args, size, &digest)) {
+		rpc_call_drop(call);
+		return;
+	}
+	want_full = !view_merge(control->view, control_now_ms(control),
+				&digest);
+	CODEC_FREE(digest, &digest);
+	if (want_full)
+		counters_add(control->opts.counters, COUNTER_DIGESTS_MISSED, 1);
+	control->opts.listener.digest(control->opts.listener.ctx,
+				      g_bytes_new(args, size));
+	bytes = codec_encode((xdrproc_t)xdr_bool, &want_full);
+	rpc_call_reply(call, bytes);
+	g_bytes_unref(bytes);
+}
+
+static void serve(void *ctx, struct rpc_call *call, uint32_t node,
+		  enum rpc_proc proc, const void *args, size_t size)
+{
+	struct control *control = ctx;
+
+	switch (proc) {
+	case RPC_RAFT:
+		if (control->group &&
+		    !group_receive(control->group, node, args, size))
+			log_warn(&peers_log,
+				 "node %u sent a message that cannot be "
+				 "decoded",
+				 node);
+		rpc_call_drop(call);
+		break;
+	case RPC_PROPOSE:
+		serve_propose(control, call, args, size);
+		break;
+	case RPC_POLL:
+		serve_poll(control, call, args, size);
+		break;
+	case RPC_DIGEST:
+		serve_digest(control, call, args, size);
+		break;
+	case RPC_HINT:
+		rpc_call_drop(call);
+		follow_now(control->follow);
+		break;
+	default:
+		log_warn(&peers_log, "node %u called unknown procedure %u",
+			 node, (unsigned)proc);
+		rpc_call_drop(call);
+	}
+}
+
+/* ---- life ---- */
+
+enum rd_result peers_open(struct control *control, char **why)
+{
+	const struct daemon_settings *settings = control->opts.settings;
+	struct rpc_server_opts opts = {
+		.base = control->base,
+		.identity = &control->identity,
+		.address = settings->listen.peers,
+		.serve = serve,
+		.ctx = control,
+		.max_connections = MAX_CONNECTIONS,
+	};
+
+	control->peers = g_ptr_array_new_with_free_func(g_free);
+	control->server = rpc_server_create(&opts);
+	if (control->server)
+		return RD_OK;
+	*why = g_strdup_printf("listen.peers %s: %s", settings->listen.peers,
+			       g_strerror(errno));
+	return RD_IO;
+}
+
+static void on_ready(void *ctx, bool ready)
+{
+	struct peer *peer = ctx;
+
+	log_info(&peers_log, "node %d is %s", (int)peer->settings->id,
+		 ready ? "connected" : "disconnected");
+	if (ready)
+		follow_now(peer->control->follow);
+}
+
+void peers_connect(struct control *control)
+{
+	const struct daemon_settings *settings = control->opts.settings;
+
+	for (guint i = 0; i < settings->cluster.peers->len; i++) {
+		const struct peer_settings *p =
+			settings->cluster.peers->pdata[i];
+		struct peer *peer;
+		struct rpc_client_opts opts = {
+			.base = control->base,
+			.identity = &control->identity,
+			.address = p->peers,
+			.peer = (uint32_t)p->id,
+			.ready = on_ready,
+		};
+
+		if (p->id == settings->node.id)
+			continue;
+		peer = g_new0(struct peer, 1);
+		peer->control = control;
+		peer->settings = p;
+		opts.ctx = peer;
+		peer->client = rpc_client_create(&opts);
+		g_ptr_array_add(control->peers, peer);
+	}
+}
+
+void peers_close(struct control *control)
+{
+	for (guint i = 0; control->peers && i < control->peers->len; i++) {
+		struct peer *peer = control->peers->pdata[i];
+
+		rpc_client_destroy(peer->client);
+	}
+	if (control->peers)
+		g_ptr_array_unref(control->peers);
+	rpc_server_destroy(control->server);
+}
+
+struct peer *control_peer(const struct control *control, uint32_t node)
+{
+	for (guint i = 0; i < control->peers->len; i++) {
+		struct peer *peer = control->peers->pdata[i];
+
+		if (peer->settings->id == (int64_t)node)
+			return peer;
+	}
+	return NULL;
+}
+
+/* ---- sending ---- */
+
+void peers_send_raft(struct control *control, uint64_t member, GBytes *bytes)
+{
+	struct peer *peer = control_peer(control,
+					 group_node_of(control->group, member));
+
+	if (peer)
+		(void)rpc_client_send(peer->client, RPC_RAFT, bytes);
+}
+
+void peers_hint(struct control *control)
+{
+	for (guint i = 0; i < control->peers->len; i++) {
+		struct peer *peer = control->peers->pdata[i];
+
+		(void)rpc_client_send(peer->client, RPC_HINT, NULL);
+	}
+	follow_now(control->follow);
+}
+
+static void digest_done(void *ctx, const void *result, size_t size)
+{
+	struct control *control = ctx;
+	bool_t want_full = FALSE;
+
+	if (result &&
+	    codec_decode((xdrproc_t)xdr_bool, result, size, &want_full) &&
+	    want_full)
+		control->opts.listener.want_full(control->opts.listener.ctx);
+}
+
+void peers_digest(struct control *control, GBytes *digest)
+{
+	for (guint i = 0; i < control->peers->len; i++) {
+		struct peer *peer = control->peers->pdata[i];
+
+		if (!rpc_client_call(peer->client, RPC_DIGEST, digest,
+				     DIGEST_TIMEOUT_MS, digest_done, control))
+			continue;
+		counters_add(control->opts.counters, COUNTER_DIGESTS_SENT, 1);
+	}
+}
--- /dev/null
+++ b/control/placer.c
@@ -0,0 +1,620 @@
+/*
+ * Placement while this member leads: keeps the planner's model current,
+ * proposes what it decides, and brings the VMs to what the log says.
+ */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include <radishdeal/placement.h>
+
+#include "common/log.h"
+#include "control/control_internal.h"
+#include "control/orders.h"
+#include "wire/codec.h"
+
+#define FLAP_WAIT_MS 2000
+#define FLAP_FORGET_MS 60000
+#define ORDER_BACKOFF_MS 200
+#define ORDER_BACKOFF_MAX_MS 5000
+#define DECISIONS_KEPT 256
+
+static const struct log placer_log = {"placer"};
+
+/** What was ordered of a VM. */
+struct vm_orders {
+	struct placer *placer;
+	char *name;
+	bool in_flight;
+	int64_t next_ms; /* earliest time of the next order */
+	int32_t backoff_ms;
+	bool release;		 /* the order in flight is a release */
+	uint64_t epoch;		 /* of the order in flight */
+	uint64_t released_epoch; /* the VM confirmed to hold nothing of it */
+	int64_t releasing_since_ms;
+	bool freeing; /* CMD_FREE_VM is proposed */
+};
+
+struct placer {
+	struct control *control;
+	struct placement *placement;
+	GHashTable *orders;	/* VM's name -> struct vm_orders */
+	GHashTable *known;	/* replica's number -> epoch + 1 */
+	GHashTable *services;	/* name -> itself, as put into the planner */
+	GQueue decisions;	/* of char *, newest last */
+	GHashTable *last_wait;	/* replica or service -> reason last logged */
+	int64_t active_from_ms; /* 0 while not leading */
+	int32_t proposals;
+	uint32_t next_replica;
+	uint64_t next_epoch;
+};
+
+static void orders_drop(gpointer data)
+{
+	struct vm_orders *o = data;
+
+	g_free(o->name);
+	g_free(o);
+}
+
+struct placer *placer_create(struct control *control)
+{
+	const struct limit_settings *limits = &control->opts.settings->limits;
+	struct placer *placer = g_new0(struct placer, 1);
+	struct placement_opts opts = {
+		.pause_wait_ms = (int32_t)limits->pause_wait_ms,
+		.drain_ms = (int32_t)limits->drain_ms,
+		.flap_wait_ms = FLAP_WAIT_MS,
+		.flap_forget_ms = FLAP_FORGET_MS,
+		.loads_max = (uint32_t)limits->weight_loads,
+	};
+
+	placer->control = control;
+	placer->placement = placement_create(&opts);
+	placer->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       orders_drop);
+	placer->known = g_hash_table_new(NULL, NULL);
+	placer->services = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, NULL);
+	placer->last_wait = g_hash_table_new_full(g_str_hash, g_str_equal,
+						  g_free, g_free);
+	g_queue_init(&placer->decisions);
+	return placer;
+}
+
+void placer_destroy(struct placer *placer)
+{
+	if (!placer)
+		return;
+	placement_destroy(placer->placement);
+	g_hash_table_unref(placer->orders);
+	g_hash_table_unref(placer->known);
+	g_hash_table_unref(placer->services);
+	g_hash_table_unref(placer->last_wait);
+	g_queue_clear_full(&placer->decisions, g_free);
+	g_free(placer);
+}
+
+static int64_t now_ms(const struct placer *placer)
+{
+	return control_now_ms(placer->control);
+}
+
+static const struct state *state_of(const struct placer *placer)
+{
+	return group_state(placer->control->group);
+}
+
+void placer_lead(struct placer *placer)
+{
+	const struct limit_settings *limits =
+		&placer->control->opts.settings->limits;
+
+	/*
+	 * Orders of the last leader may be under way for ORDER_BOUND_MS, and
+	 * a VM not heard of may just not have been heard of yet.
+	 */
+	placer->active_from_ms =
+		now_ms(placer) +
+		MAX(ORDER_BOUND_MS,
+		    limits->vm_silence_ms + 2 * limits->digest_ms);
+}
+
+void placer_stop(struct placer *placer)
+{
+	placer->active_from_ms = 0;
+	/* Orders in flight still call back; what they say is no longer used. */
+	placer->proposals = 0;
+}
+
+/* ---- keeping the model current ---- */
+
+static void put_vm(void *ctx, const struct view_vm *seen)
+{
+	struct placer *placer = ctx;
+	const struct vm_report *r = &seen->report;
+	const struct vm_state *held = state_vm(state_of(placer), r->name);
+	struct placement_vm vm = {
+		.name = r->name,
+		.domain = r->domain,
+		.data_centre = r->data_centre,
+		.model = r->model,
+		.adapter = r->adapter,
+		.version = r->model_version,
+		.accelerators = r->accelerators,
+		.alive = view_alive(placer->control->view, seen,
+				    now_ms(placer)),
+		.leaving = r->leaving,
+		.lost_ms = seen->lost_ms,
+	};
+
+	if (*r->service)
+		return; /* a plain service's endpoint, not ours to place */
+	placement_put_vm(placer->placement, now_ms(placer), &vm);
+	placement_hold(placer->placement, r->name, held ? held->replica : 0,
+		       held && held->releasing);
+}
+
+static void put_held(void *ctx, const struct vm_state *held)
+{
+	struct placer *placer = ctx;
+
+	placement_hold(placer->placement, held->name, held->replica,
+		       held->releasing);
+}
+
+static void put_service(void *ctx, const struct service_state *service)
+{
+	struct placer *placer = ctx;
+	const struct preset_spec *preset = service_preset(service);
+	const struct service_spec *spec = &service->spec;
+	struct placement_service s = {
+		.name = service->name,
+		.model = spec->model,
+		.adapter = spec->adapter,
+		.version = preset->model_version,
+		.replicas = preset->replicas,
+		.vms_per_replica = spec->vms_per_replica,
+		.accelerators_per_vm = spec->accelerators_per_vm,
+		.cross_domain = spec->cross_domain != 0,
+		.downtime_weight = spec->downtime_weight,
+		.stranded_weight = spec->stranded_weight,
+	};
+
+	if (spec->plain)
+		return;
+	placement_put_service(placer->placement, &s);
+	g_hash_table_add(placer->services, g_strdup(service->name));
+}
+
+static uint32_t load_of(const struct view *view, const char *vm)
+{
+	const struct view_vm *seen = view_find(view, vm);
+
+	return seen ? seen->report.load.running + seen->report.load.waiting : 0;
+}
+
+static void put_replica(void *ctx, const struct replica_state *replica)
+{
+	struct placer *placer = ctx;
+	const struct assign_replica *a = &replica->assign;
+	gpointer number = GUINT_TO_POINTER(a->replica);
+	gpointer epoch = GSIZE_TO_POINTER(a->epoch + 1);
+	const struct view *view = placer->control->view;
+	const char *vms[PLACEMENT_VMS_MAX], *culprit;
+	int64_t fresh_until_ms;
+
+	if (g_hash_table_lookup(placer->known, number) != epoch) {
+		for (u_int i = 0; i < a->vms.vms_len; i++)
+			vms[i] = a->vms.vms_val[i].name;
+		placement_put_replica(placer->placement, now_ms(placer),
+				      a->replica, a->epoch, a->service,
+				      a->model_version, vms, a->vms.vms_len);
+		g_hash_table_insert(placer->known, number, epoch);
+	}
+	placement_set_whole(placer->placement, a->replica,
+			    view_judge(view, a, now_ms(placer), &culprit,
+				       &fresh_until_ms) == REPLICA_WHOLE);
+	placement_set_busy(placer->placement, a->replica,
+			   load_of(view, a->vms.vms_val[0].name) > 0);
+}
+
+static gboolean forget_replica(gpointer key, gpointer value, gpointer data)
+{
+	struct placer *placer = data;
+	const struct replica_state *r = state_replica(state_of(placer),
+						      GPOINTER_TO_UINT(key));
+
+	(void)value;
+	if (r && !r->released)
+		return FALSE;
+	placement_remove_replica(placer->placement, GPOINTER_TO_UINT(key));
+	return TRUE;
+}
+
+static gboolean forget_service(gpointer key, gpointer value, gpointer data)
+{
+	struct placer *placer = data;
+
+	(void)value;
+	if (state_service(state_of(placer), key))
+		return FALSE;
+	placement_remove_service(placer->placement, key);
+	return TRUE;
+}
+
+static void update_model(struct placer *placer)
+{
+	const struct state *state = state_of(placer);
+
+	state_each_service(state, put_service, placer);
+	g_hash_table_foreach_remove(placer->services, forget_service, placer);
+	view_each(placer->control->view, put_vm, placer);
+	state_each_vm(state, put_held, placer);
+	g_hash_table_foreach_remove(placer->known, forget_replica, placer);
+	state_each_replica(state, put_replica, placer);
+}
+
+/* ---- carrying out decisions ---- */
+
+static void on_proposed(void *ctx, enum rd_result code,
+			const struct apply_result *result)
+{
+	struct placer *placer = ctx;
+
+	if (placer->proposals > 0)
+		placer->proposals--;
+	if (code)
+		log_info(&placer_log, "a decision was not taken up: %s",
+			 rd_result_info(code)->name);
+	else if (result->code)
+		log_info(&placer_log, "a decision was refused: %s %s",
+			 rd_result_info(result->code)->name, result->text);
+}
+
+static void propose(struct placer *placer, struct command *command)
+{
+	GBytes *bytes;
+
+	command->change_id = (char *)"";
+	command->operator_name = (char *)"placement";
+	command->time_ms = g_get_real_time() / 1000;
+	bytes = CODEC_ENCODE(command, command);
+	placer->proposals++;
+	group_propose(placer->control->group, bytes, on_proposed, placer);
+	g_bytes_unref(bytes);
+}
+
+static void fill_ref(const struct placer *placer, const char *name,
+		     struct vm_ref *ref)
+{
+	const struct view_vm *seen = view_find(placer->control->view, name);
+
+	g_assert(seen);
+	ref->name = (char *)name;
+	ref->address = seen->report.address;
+	ref->domain = seen->report.domain;
+	ref->data_centre = seen->report.data_centre;
+	ref->accelerators = seen->report.accelerators;
+}
+
+static void propose_assign(struct placer *placer,
+			   const struct placement_decision *d)
+{
+	struct vm_ref refs[PLACEMENT_VMS_MAX];
+	struct command command = {.body.kind = CMD_ASSIGN_REPLICA};
+	struct assign_replica *assign = &command.body.command_body_u.assign;
+
+	for (uint32_t i = 0; i < d->vm_count; i++)
+		fill_ref(placer, d->vms[i], &refs[i]);
+	assign->replica = d->replica ? d->replica : placer->next_replica++;
+	assign->service = (char *)d->service;
+	assign->epoch = ++placer->next_epoch;
+	assign->model_version = (char *)d->version;
+	assign->vms.vms_len = d->vm_count;
+	assign->vms.vms_val = refs;
+	propose(placer, &command);
+}
+
+static void propose_release(struct placer *placer,
+			    const struct placement_decision *d)
+{
+	const struct replica_state *r = state_replica(state_of(placer),
+						      d->replica);
+	struct command command = {.body.kind = CMD_RELEASE_REPLICA};
+
+	if (!r)
+		return;
+	command.body.command_body_u.release.replica = d->replica;
+	command.body.command_body_u.release.epoch = r->assign.epoch;
+	propose(placer, &command);
+}
+
+static void keep_line(struct placer *placer, const char *line)
+{
+	g_queue_push_tail(&placer->decisions, g_strdup(line));
+	if (placer->decisions.length > DECISIONS_KEPT)
+		g_free(g_queue_pop_head(&placer->decisions));
+}
+
+/* A wait is logged when its kind of reason changes, not at each tick. */
+static bool wait_is_new(struct placer *placer,
+			const struct placement_decision *d)
+{
+	char *key = g_strdup_printf("%s/%u", d->service, d->replica);
+	const char *last = g_hash_table_lookup(placer->last_wait, key);
+
+	if (last && !strncmp(last, d->reason, 16)) {
+		g_free(key);
+		return false;
+	}
+	g_hash_table_replace(placer->last_wait, key, g_strdup(d->reason));
+	return true;
+}
+
+static void log_decision(struct placer *placer,
+			 const struct placement_decision *d)
+{
+	GString *line = g_string_new(NULL);
+
+	if (d->action == PLACEMENT_WAIT && !wait_is_new(placer, d))
+		goto done;
+	g_string_append_printf(line, "%s service=%s replica=%u",
+			       placement_action_name(d->action), d->service,
+			       d->replica);
+	if (d->vm_count)
+		g_string_append(line, " vms=");
+	for (uint32_t i = 0; i < d->vm_count; i++)
+		g_string_append_printf(line, "%s%s", i ? "," : "", d->vms[i]);
+	g_string_append_printf(line, " reason=\"%s\"", d->reason);
+	log_note(&placer_log, "%s", line->str);
+	keep_line(placer, line->str);
+done:
+	g_string_free(line, TRUE);
+}
+
+static void on_decision(void *ctx, const struct placement_decision *d)
+{
+	struct placer *placer = ctx;
+
+	log_decision(placer, d);
+	if (d->action == PLACEMENT_FORM || d->action == PLACEMENT_REPAIR)
+		propose_assign(placer, d);
+	else if (d->action == PLACEMENT_RELEASE)
+		propose_release(placer, d);
+}
+
+void placer_each_decision(const struct placer *placer,
+			  void (*visit)(void *ctx, const char *line), void *ctx)
+{
+	for (GList *link = placer->decisions.head; link; link = link->next)
+		visit(ctx, link->data);
+}
+
+/* ---- orders ---- */
+
+static struct vm_orders *orders_of(struct placer *placer, const char *name)
+{
+	struct vm_orders *o = g_hash_table_lookup(placer->orders, name);
+
+	if (!o) {
+		o = g_new0(struct vm_orders, 1);
+		o->placer = placer;
+		o->name = g_strdup(name);
+		g_hash_table_insert(placer->orders, o->name, o);
+	}
+	return o;
+}
+
+static bool order_may_send(void *ctx)
+{
+	struct vm_orders *o = ctx;
+	struct control *control = o->placer->control;
+
+	/* The clock is read again here: this process may have been paused. */
+	if (o->placer->active_from_ms && group_leads(control->group)) {
+		counters_add(control->opts.counters, COUNTER_ORDERS, 1);
+		return true;
+	}
+	counters_add(control->opts.counters, COUNTER_ORDERS_LATE, 1);
+	log_warn(&placer_log, "order to %s withheld: the lease has run out",
+		 o->name);
+	return false;
+}
+
+static void order_done(void *ctx, enum order_result result)
+{
+	static const char *const names[] = {"accepted", "stale", "refused",
+					    "withheld", "lost"};
+	struct vm_orders *o = ctx;
+	int64_t now = now_ms(o->placer);
+
+	o->in_flight = false;
+	log_info(&placer_log, "order %s to %s epoch %" PRIu64 ": %s",
+		 o->release ? "release" : "form", o->name, o->epoch,
+		 names[result]);
+	if (result == ORDER_STALE)
+		counters_add(o->placer->control->opts.counters,
+			     COUNTER_ORDERS_REFUSED, 1);
+	if (result == ORDER_ACCEPTED) {
+		o->backoff_ms = 0;
+		if (o->release)
+			o->released_epoch = MAX(o->released_epoch, o->epoch);
+		/* Time for the VM's announcement to say so. */
+		o->next_ms = now + ORDER_BOUND_MS;
+		return;
+	}
+	o->backoff_ms = CLAMP(o->backoff_ms * 2, ORDER_BACKOFF_MS,
+			      ORDER_BACKOFF_MAX_MS);
+	/* One that was lost may still be under way. */
+	o->next_ms = now +
+		     (result == ORDER_LOST ? ORDER_BOUND_MS : o->backoff_ms);
+}
+
+static void send_order(struct placer *placer, struct vm_orders *o,
+		       const char *address, bool release, uint64_t epoch,
+		       json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+	struct order order = {
+		.address = address,
+		.body = text,
+		.timeout_ms = (int)placer->control->opts.settings->limits
+				      .order_timeout_ms,
+		.may_send = order_may_send,
+		.done = order_done,
+		.ctx = o,
+	};
+
+	o->in_flight = true;
+	o->release = release;
+	o->epoch = epoch;
+	order_send(placer->control->base, &order);
+	free(text);
+	json_decref(body);
+}
+
+static json_t *form_body(const struct placer *placer,
+			 const struct assign_replica *a, u_int rank)
+{
+	const struct service_state *service = state_service(state_of(placer),
+							    a->service);
+	json_t *vms = json_array();
+
+	for (u_int i = 0; i < a->vms.vms_len; i++)
+		json_array_append_new(
+			vms,
+			json_pack("{s:s,s:s}", "vm", a->vms.vms_val[i].name,
+				  "address", a->vms.vms_val[i].address));
+	return json_pack(
+		"{s:s,s:I,s:I,s:I,s:I,s:s,s:s,s:s,s:s,s:I,s:o}", "order",
+		"form", "replica", (json_int_t)a->replica, "epoch",
+		(json_int_t)a->epoch, "fencing", (json_int_t)a->epoch, "rank",
+		(json_int_t)rank, "service", a->service, "model",
+		service ? service->spec.model : "", "adapter",
+		service ? service->spec.adapter : "", "version",
+		a->model_version, "slots",
+		(json_int_t)(service ? service->spec.slots_per_replica : 1),
+		"vms", vms);
+}
+
+static void reconcile_member(struct placer *placer,
+			     const struct assign_replica *a, u_int rank)
+{
+	const char *name = a->vms.vms_val[rank].name;
+	const struct view_vm *seen = view_find(placer->control->view, name);
+	struct vm_orders *o = orders_of(placer, name);
+
+	o->releasing_since_ms = 0;
+	if (!seen || !view_alive(placer->control->view, seen, now_ms(placer)))
+		return;
+	if (seen->report.replica == a->replica &&
+	    seen->report.epoch == a->epoch)
+		return;
+	if (o->in_flight || now_ms(placer) < o->next_ms)
+		return;
+	send_order(placer, o, seen->report.address, false, a->epoch,
+		   form_body(placer, a, rank));
+}
+
+static void reconcile_replica(void *ctx, const struct replica_state *replica)
+{
+	for (u_int i = 0; i < replica->assign.vms.vms_len; i++)
+		reconcile_member(ctx, &replica->assign, i);
+}
+
+static void propose_free(struct placer *placer, const struct vm_state *held)
+{
+	struct command command = {.body.kind = CMD_FREE_VM};
+	struct free_vm *change = &command.body.command_body_u.freed;
+
+	change->vm = held->name;
+	change->replica = held->replica;
+	change->epoch = held->epoch;
+	propose(placer, &command);
+}
+
+static bool drained(struct placer *placer, struct vm_orders *o,
+		    const struct view_vm *seen)
+{
+	const struct limit_settings *limits =
+		&placer->control->opts.settings->limits;
+
+	if (!o->releasing_since_ms)
+		o->releasing_since_ms = now_ms(placer);
+	/* Entries stop within a digest; the load report must be later. */
+	if (now_ms(placer) - o->releasing_since_ms <
+	    limits->announce_ms + 2 * limits->digest_ms)
+		return false;
+	if (!(seen->report.load.running + seen->report.load.waiting))
+		return true;
+	return now_ms(placer) - o->releasing_since_ms >= limits->drain_ms;
+}
+
+static void reconcile_releasing(void *ctx, const struct vm_state *held)
+{
+	struct placer *placer = ctx;
+	const struct view_vm *seen = view_find(placer->control->view,
+					       held->name);
+	struct vm_orders *o;
+
+	if (!held->releasing || !seen ||
+	    !view_alive(placer->control->view, seen, now_ms(placer)))
+		return;
+	o = orders_of(placer, held->name);
+	if (o->in_flight)
+		return;
+	if (o->released_epoch >= held->epoch) {
+		propose_free(placer, held);
+		return;
+	}
+	if (now_ms(placer) < o->next_ms || !drained(placer, o, seen))
+		return;
+	send_order(placer, o, seen->report.address, true, held->epoch,
+		   json_pack("{s:s,s:I,s:I,s:I}", "order", "release", "replica",
+			     (json_int_t)held->replica, "epoch",
+			     (json_int_t)held->epoch, "fencing",
+			     (json_int_t)held->epoch));
+}
+
+/* A VM that nobody holds but that says it serves: left by an older order. */
+static void reconcile_stray(void *ctx, const struct view_vm *seen)
+{
+	struct placer *placer = ctx;
+	const struct vm_report *r = &seen->report;
+	struct vm_orders *o;
+
+	if (*r->service || !r->replica || state_vm(state_of(placer), r->name) ||
+	    !view_alive(placer->control->view, seen, now_ms(placer)))
+		return;
+	o = orders_of(placer, r->name);
+	if (o->in_flight || now_ms(placer) < o->next_ms)
+		return;
+	send_order(placer, o, r->address, true, r->epoch,
+		   json_pack("{s:s,s:I,s:I,s:I}", "order", "release", "replica",
+			     (json_int_t)r->replica, "epoch",
+			     (json_int_t)r->epoch, "fencing",
+			     (json_int_t)r->epoch));
+}
+
+void placer_tick(struct placer *placer)
+{
+	const struct state *state = state_of(placer);
+
+	if (!placer->active_from_ms ||
+	    now_ms(placer) < placer->active_from_ms ||
+	    !group_leads(placer->control->group))
+		return;
+	update_model(placer);
+	if (!placer->proposals) {
+		placer->next_replica = state_next_replica(state);
+		placer->next_epoch = state_last_epoch(state);
+		placement_plan(placer->placement, now_ms(placer), on_decision,
+			       placer);
+	}
+	state_each_replica(state, reconcile_replica, placer);
+	state_each_vm(state, reconcile_releasing, placer);
+	view_each(placer->control->view, reconcile_stray, placer);
+}
--- /dev/null
+++ b/control/views.h
@@ -0,0 +1,26 @@
+/**
+ * @file
+ * What operators are shown, as JSON. Each function returns a new reference.
+ * On the control task.
+ */
+#ifndef CONTROL_VIEWS_H
+#define CONTROL_VIEWS_H
+
+#include <jansson.h>
+
+#include "control/control_internal.h"
+
+json_t *views_status(const struct control *control);
+json_t *views_services(const struct state *state);
+json_t *views_service(const struct service_state *service);
+json_t *views_history(const struct service_state *service);
+json_t *views_endpoints(const struct control *control);
+json_t *views_replicas(const struct control *control);
+json_t *views_accounts(const struct state *state);
+json_t *views_members(const struct control *control);
+json_t *views_decisions(const struct control *control);
+
+/** Everything about one replica, NULL if there is none. */
+json_t *views_replica(const struct control *control, uint32_t id);
+
+#endif
--- /dev/null
+++ b/ctl/request.c
@@ -0,0 +1,202 @@
+/* Talking to the operators' ports. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/fetch.h"
+#include "ctl/ctl.h"
+
+#define READ_TIMEOUT_MS 5000
+#define CHANGE_TIMEOUT_MS 12000
+#define ROUNDS 20
+#define ROUND_PAUSE_US 200000
+
+static int print_problem(const char *address, const struct fetch_answer *answer)
+{
+	json_t *body = json_loads(answer->body ? answer->body : "", 0, NULL);
+	int code = (int)json_integer_value(json_object_get(body, "code"));
+	const char *detail = json_string_value(json_object_get(body, "detail"));
+	const struct rd_result_info *info = rd_result_info(code ? code
+								: RD_INTERNAL);
+	json_t *revision = json_object_get(body, "revision");
+
+	fprintf(stderr, "radishdealctl: %s: %s (%d): %s\n", address, info->name,
+		(int)info->code, detail ? detail : info->text);
+	if (revision)
+		fprintf(stderr, "radishdealctl: current revision is %lld\n",
+			(long long)json_integer_value(revision));
+	json_decref(body);
+	return info->exit_status;
+}
+
+static int no_answer(void)
+{
+	const struct rd_result_info *info = rd_result_info(RD_TIMEOUT);
+
+	fprintf(stderr, "radishdealctl: %s (%d): no VM answered\n", info->name,
+		(int)info->code);
+	return info->exit_status;
+}
+
+json_t *ctl_get(struct ctl *ctl, const char *path, int *exit_status)
+{
+	struct fetch_answer answer;
+
+	for (guint i = 0; i < ctl->addresses->len; i++) {
+		struct fetch_request request = {
+			.address = ctl->addresses->pdata[i],
+			.method = "GET",
+			.path = path,
+			.key = ctl->key,
+			.timeout_ms = READ_TIMEOUT_MS,
+		};
+		json_t *body = NULL;
+
+		if (!fetch(&request, &answer)) {
+			fetch_clear(&answer);
+			continue;
+		}
+		if (answer.status == 200)
+			body = json_loads(answer.body, 0, NULL);
+		else
+			*exit_status = print_problem(request.address, &answer);
+		fetch_clear(&answer);
+		return body;
+	}
+	*exit_status = no_answer();
+	return NULL;
+}
+
+/* The revision a change is made against, if none was given. */
+static int64_t current_revision(struct ctl *ctl, const char *service)
+{
+	char *path = g_strdup_printf("/v1/services/%s", service);
+	int64_t revision = 0;
+	struct fetch_answer answer;
+
+	for (guint i = 0; i < ctl->addresses->len; i++) {
+		struct fetch_request request = {
+			.address = ctl->addresses->pdata[i],
+			.method = "GET",
+			.path = path,
+			.key = ctl->key,
+			.timeout_ms = READ_TIMEOUT_MS,
+		};
+		json_t *body = NULL;
+		bool ok = fetch(&request, &answer);
+
+		if (ok && answer.status == 200)
+			body = json_loads(answer.body, 0, NULL);
+		/* The VM asked may lag behind; the highest is current. */
+		revision = MAX(revision,
+			       json_integer_value(json_object_get(body, "revisi"
+									"on")));
+		json_decref(body);
+		fetch_clear(&answer);
+	}
+	g_free(path);
+	return revision;
+}
+
+static int print_accepted(const struct ctl *ctl, const char *body)
+{
+	json_t *answer = json_loads(body, 0, NULL);
+	json_t *revision = json_object_get(answer, "revision");
+
+	if (ctl->json)
+		printf("%s\n", body);
+	else if (revision)
+		printf("accepted, revision %lld%s\n",
+		       (long long)json_integer_value(revision),
+		       json_is_true(json_object_get(answer, "in_force"))
+			       ? ", in force everywhere"
+			       : "");
+	else
+		printf("accepted\n");
+	json_decref(answer);
+	return 0;
+}
+
+static bool try_elsewhere(const struct fetch_answer *answer)
+{
+	json_t *body = json_loads(answer->body ? answer->body : "", 0, NULL);
+	int code = (int)json_integer_value(json_object_get(body, "code"));
+
+	json_decref(body);
+	return code == RD_NOT_LEADER || code == RD_NO_QUORUM ||
+	       code == RD_CHANGE_UNKNOWN;
+}
+
+/* One round over all addresses; true once there is an exit status. */
+static bool try_round(struct ctl *ctl, const struct fetch_request *request,
+		      bool *maybe_accepted, int *exit_status)
+{
+	for (guint i = 0; i < ctl->addresses->len; i++) {
+		struct fetch_request r = *request;
+		struct fetch_answer answer;
+		bool ok;
+
+		r.address = ctl->addresses->pdata[i];
+		ok = fetch(&r, &answer);
+		*maybe_accepted |= !ok && answer.sent;
+		if (ok && !try_elsewhere(&answer)) {
+			*exit_status =
+				answer.status == 200
+					? print_accepted(ctl, answer.body)
+					: print_problem(r.address, &answer);
+			fetch_clear(&answer);
+			return true;
+		}
+		fetch_clear(&answer);
+	}
+	return false;
+}
+
+static char *make_change_id(void)
+{
+	char *uuid = g_uuid_string_random();
+
+	return uuid;
+}
+
+int ctl_change(struct ctl *ctl, const char *method, const char *path,
+	       const char *query, const char *body, const char *service)
+{
+	char *id = ctl->change_id ? g_strdup(ctl->change_id) : make_change_id();
+	int64_t base = ctl->base >= 0 ? ctl->base
+		       : service      ? current_revision(ctl, service)
+				      : 0;
+	char *full = g_strdup_printf("%s?change_id=%s&base=%" G_GINT64_FORMAT
+				     "&wait_ms=%" G_GINT64_FORMAT "%s%s",
+				     path, id, base, ctl->wait_ms,
+				     *query ? "&" : "", query);
+	struct fetch_request request = {
+		.method = method,
+		.path = full,
+		.key = ctl->key,
+		.body = body,
+		.body_size = -1,
+		.timeout_ms = CHANGE_TIMEOUT_MS + (int)ctl->wait_ms,
+	};
+	bool maybe_accepted = false;
+	int exit_status = -1;
+
+	for (int i = 0; i < ROUNDS; i++) {
+		if (try_round(ctl, &request, &maybe_accepted, &exit_status))
+			break;
+		usleep(ROUND_PAUSE_US);
+	}
+	if (exit_status < 0 && maybe_accepted) {
+		fprintf(stderr,
+			"radishdealctl: no answer; ask again with "
+			"--change-id %s --base %" G_GINT64_FORMAT "\n",
+			id, base);
+		exit_status = rd_result_info(RD_CHANGE_UNKNOWN)->exit_status;
+	} else if (exit_status < 0) {
+		exit_status = no_answer();
+	}
+	g_free(full);
+	g_free(id);
+	return exit_status;
+}
--- /dev/null
+++ b/daemon/main.c
@@ -0,0 +1,370 @@
+/* radishdeald: reads the settings, starts the tasks, stops them in order. */
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/thread.h>
+
+#include "common/log.h"
+#include "control/control.h"
+#include "entry/entry.h"
+#include "settings/daemon.h"
+#include "settings/service.h"
+#include "wire/rpc_frame.h"
+
+static const struct log daemon_log = {"daemon"};
+
+const char *argp_program_version = "radishdeald 0.1";
+
+enum {
+	ARG_CHECK = 256,
+	ARG_BOOTSTRAP,
+	ARG_PRINT,
+};
+
+static const struct argp_option options[] = {
+	{"settings", 's', "FILE", 0, "TOML file with the settings", 0},
+	{"check-settings", ARG_CHECK, NULL, 0,
+	 "check the settings, list all errors, and exit", 0},
+	{"bootstrap", ARG_BOOTSTRAP, NULL, 0,
+	 "make a new system; only for the very first start of its voters", 0},
+	{"print-keys", ARG_PRINT, NULL, 0,
+	 "print the reference of all settings' keys, and exit", 0},
+	{0}};
+
+struct arguments {
+	const char *settings;
+	bool check, bootstrap, print;
+};
+
+static error_t parse_argument(int key, char *arg, struct argp_state *state)
+{
+	struct arguments *a = state->input;
+
+	switch (key) {
+	case 's':
+		a->settings = arg;
+		return 0;
+	case ARG_CHECK:
+		a->check = true;
+		return 0;
+	case ARG_BOOTSTRAP:
+		a->bootstrap = true;
+		return 0;
+	case ARG_PRINT:
+		a->print = true;
+		return 0;
+	case ARGP_KEY_ARG:
+		argp_error(state, "unexpected argument \"%s\"", arg);
+		return 0;
+	case ARGP_KEY_END:
+		if (!a->settings && !a->print)
+			argp_error(state, "--settings is needed");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp argp = {
+	.options = options,
+	.parser = parse_argument,
+	.doc = "Serves requests to models whose replicas span several VMs.",
+};
+
+struct daemon {
+	struct daemon_settings settings;
+	struct rpc_identity identity;
+	GBytes *operator_keys;
+	GBytes *endpoint_key;
+	char *endpoint_key_text;
+	struct counters *counters;
+	struct task *control_task, *entry_task;
+	struct control *control;
+	struct entry *entry;
+	struct event_base *base;
+	struct event *quit;
+	bool leaving;
+	int exit_status;
+};
+
+/* ---- between the tasks ---- */
+
+static void on_config(void *ctx, struct config_update *update)
+{
+	struct daemon *d = ctx;
+
+	entry_post_config(d->entry, update);
+}
+
+static void on_digest(void *ctx, GBytes *digest)
+{
+	struct daemon *d = ctx;
+
+	entry_post_digest(d->entry, digest);
+}
+
+static void on_want_full(void *ctx)
+{
+	struct daemon *d = ctx;
+
+	entry_post_want_full(d->entry);
+}
+
+static void on_drain(void *ctx, bool draining)
+{
+	struct daemon *d = ctx;
+
+	entry_post_drain(d->entry, draining);
+}
+
+static void on_fatal(void *ctx, enum rd_result code)
+{
+	struct daemon *d = ctx;
+
+	d->exit_status = rd_result_info(code)->exit_status;
+	event_active(d->quit, EV_READ, 0);
+}
+
+/* ---- stopping ---- */
+
+static void control_left(void *ctx)
+{
+	struct daemon *d = ctx;
+
+	event_active(d->quit, EV_READ, 0);
+}
+
+static void entry_left(void *ctx)
+{
+	struct daemon *d = ctx;
+
+	control_post_leave(d->control, control_left, d);
+}
+
+static void on_signal(evutil_socket_t fd, short what, void *ctx)
+{
+	struct daemon *d = ctx;
+
+	(void)fd;
+	(void)what;
+	if (d->leaving) {
+		event_base_loopbreak(d->base);
+		return;
+	}
+	log_note(&daemon_log, "stopping: work in flight has %d ms",
+		 (int)d->settings.limits.drain_ms);
+	d->leaving = true;
+	entry_post_leave(d->entry, entry_left, d);
+}
+
+static void on_quit(evutil_socket_t fd, short what, void *ctx)
+{
+	struct daemon *d = ctx;
+
+	(void)fd;
+	(void)what;
+	event_base_loopbreak(d->base);
+}
+
+/* ---- starting ---- */
+
+static enum rd_result load_keys(struct daemon *d, char **why)
+{
+	const struct cluster_settings *c = &d->settings.cluster;
+
+	d->identity.keys[0] = key_file_load(c->key_file, why);
+	d->operator_keys = key_file_load(c->operator_keys_file, why);
+	d->endpoint_key = key_file_load(c->endpoint_key_file, why);
+	if (!d->identity.keys[0] || !d->operator_keys || !d->endpoint_key)
+		return RD_SETTINGS;
+	if (!*c->old_key_file)
+		return RD_OK;
+	d->identity.keys[1] = key_file_load(c->old_key_file, why);
+	return d->identity.keys[1] ? RD_OK : RD_SETTINGS;
+}
+
+static char *bytes_text(GBytes *bytes)
+{
+	gsize size;
+	const char *data = g_bytes_get_data(bytes, &size);
+
+	return g_strndup(data, size);
+}
+
+static enum rd_result create_control(struct daemon *d, bool bootstrap,
+				     char **why)
+{
+	char *operator_keys = bytes_text(d->operator_keys);
+	enum rd_result code = RD_OK;
+	struct control_opts opts = {
+		.settings = &d->settings,
+		.clock = &clock_system,
+		.counters = d->counters,
+		.task = d->control_task,
+		.identity = &d->identity,
+		.operator_keys = operator_keys,
+		.listener = {on_config, on_digest, on_want_full, on_drain, d},
+		.bootstrap = bootstrap,
+		.fatal = on_fatal,
+		.fatal_ctx = d,
+	};
+
+	d->control = control_create(&opts, &code, why);
+	g_free(operator_keys);
+	return code;
+}
+
+static enum rd_result create_entry(struct daemon *d, char **why)
+{
+	struct entry_opts opts = {
+		.settings = &d->settings,
+		.clock = &clock_system,
+		.counters = d->counters,
+		.task = d->entry_task,
+		.control = d->control,
+	};
+
+	d->endpoint_key_text = bytes_text(d->endpoint_key);
+	opts.endpoint_key = d->endpoint_key_text;
+	rpc_random(&opts.seed, sizeof(opts.seed));
+	d->entry = entry_create(&opts, why);
+	return d->entry ? RD_OK : RD_IO;
+}
+
+static enum rd_result start(struct daemon *d, bool bootstrap, char **why)
+{
+	enum rd_result code = load_keys(d, why);
+
+	if (code)
+		return code;
+	d->identity.cluster = d->settings.cluster.name;
+	d->identity.node = (uint32_t)d->settings.node.id;
+	d->counters = counters_create();
+	d->control_task = task_create("control");
+	d->entry_task = task_create("entry");
+	code = create_control(d, bootstrap, why);
+	if (!code)
+		code = create_entry(d, why);
+	if (code)
+		return code;
+	if (task_start(d->control_task, control_begin, d->control) ||
+	    task_start(d->entry_task, entry_begin, d->entry)) {
+		*why = g_strdup("cannot start a thread");
+		return RD_INTERNAL;
+	}
+	return RD_OK;
+}
+
+static void stop(struct daemon *d)
+{
+	if (d->control_task)
+		task_stop(d->control_task);
+	if (d->entry_task)
+		task_stop(d->entry_task);
+	task_join(d->control_task);
+	task_join(d->entry_task);
+	control_destroy(d->control);
+	entry_destroy(d->entry);
+	task_destroy(d->control_task);
+	task_destroy(d->entry_task);
+	counters_destroy(d->counters);
+}
+
+static void clear(struct daemon *d)
+{
+	for (int i = 0; i < RPC_KEYS_MAX; i++)
+		if (d->identity.keys[i])
+			g_bytes_unref(d->identity.keys[i]);
+	if (d->operator_keys)
+		g_bytes_unref(d->operator_keys);
+	if (d->endpoint_key)
+		g_bytes_unref(d->endpoint_key);
+	g_free(d->endpoint_key_text);
+	daemon_settings_clear(&d->settings);
+}
+
+static int run(struct daemon *d, bool bootstrap)
+{
+	char *why = NULL;
+	struct event *term, *interrupt;
+	enum rd_result code;
+
+	evthread_use_pthreads();
+	d->base = event_base_new();
+	term = evsignal_new(d->base, SIGTERM, on_signal, d);
+	interrupt = evsignal_new(d->base, SIGINT, on_signal, d);
+	d->quit = event_new(d->base, -1, EV_PERSIST, on_quit, d);
+	event_add(term, NULL);
+	event_add(interrupt, NULL);
+	code = start(d, bootstrap, &why);
+	if (code) {
+		fprintf(stderr, "radishdeald: %s (%d): %s\n",
+			rd_result_info(code)->name, code, why ? why : "");
+		d->exit_status = rd_result_info(code)->exit_status;
+	} else {
+		event_base_dispatch(d->base);
+	}
+	g_free(why);
+	stop(d);
+	event_free(term);
+	event_free(interrupt);
+	event_free(d->quit);
+	event_base_free(d->base);
+	return d->exit_status;
+}
+
+static void print_reference(void)
+{
+	GString *text = g_string_new("# radishdeald\n\n");
+
+	daemon_settings_print(text);
+	g_string_append(text, "\n# services\n\n");
+	service_settings_print(text);
+	fputs(text->str, stdout);
+	g_string_free(text, TRUE);
+}
+
+static void set_up_log(const struct daemon_settings *settings)
+{
+	static const GLogLevelFlags levels[] = {
+		G_LOG_LEVEL_CRITICAL, G_LOG_LEVEL_WARNING, G_LOG_LEVEL_MESSAGE,
+		G_LOG_LEVEL_INFO,     G_LOG_LEVEL_DEBUG,
+	};
+
+	log_setup(levels[settings->log.level],
+		  (enum log_format)settings->log.format);
+}
+
+int main(int argc, char **argv)
+{
+	struct arguments arguments = {0};
+	struct daemon d = {.exit_status = 0};
+	char *errors = NULL;
+	enum rd_result code;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+	if (arguments.print) {
+		print_reference();
+		return 0;
+	}
+	code = daemon_settings_load(arguments.settings, &d.settings, &errors);
+	if (code) {
+		fprintf(stderr, "%s\n", errors);
+		g_free(errors);
+		clear(&d);
+		return rd_result_info(code)->exit_status;
+	}
+	if (arguments.check) {
+		printf("%s: ok\n", arguments.settings);
+		clear(&d);
+		return 0;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	set_up_log(&d.settings);
+	code = (enum rd_result)run(&d, arguments.bootstrap);
+	clear(&d);
+	return (int)code;
+}
--- /dev/null
+++ b/entry/booking.c
@@ -0,0 +1,261 @@
+/* Bookings: claimed in the replicated ledger before they are dispatched. */
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "common/log.h"
+#include "entry/call.h"
+#include "wire/codec.h"
+
+#define RETRY_AFTER_S 1
+#define WAIT_MS 100
+
+static const struct log booking_log = {"booking"};
+
+/** A result on its way from the control task to the entry task. */
+struct claim_result {
+	struct entry *entry;
+	struct call *call;
+	uint64_t claim_id; /* tells whether the call is still the same */
+	enum rd_result code;
+	struct apply_result result;
+	/* What the caller gets once the end is recorded. */
+	booking_outcome outcome;
+	int status;
+	char *type;
+	GBytes *body;
+};
+
+static struct call *find_call(const struct claim_result *r)
+{
+	if (!g_hash_table_contains(r->entry->calls, r->call) ||
+	    r->call->claim_id != r->claim_id)
+		return NULL;
+	return r->call;
+}
+
+static void result_free(struct claim_result *r)
+{
+	state_result_clear(&r->result);
+	g_free(r->type);
+	if (r->body)
+		g_bytes_unref(r->body);
+	g_free(r);
+}
+
+static void take_result(struct claim_result *r, enum rd_result code,
+			const struct apply_result *result, task_fn next)
+{
+	r->code = code;
+	if (result && !CODEC_COPY(apply_result, result, &r->result))
+		r->code = RD_INTERNAL;
+	task_post(r->entry->opts.task, next, r);
+}
+
+static struct claim_result *new_result(struct call *call)
+{
+	struct claim_result *r = g_new0(struct claim_result, 1);
+
+	r->entry = call->entry;
+	r->call = call;
+	r->claim_id = call->claim_id;
+	return r;
+}
+
+static void propose(struct call *call, struct command *command,
+		    control_done_fn done, void *ctx)
+{
+	command->change_id = (char *)"";
+	command->operator_name = (char *)"booking";
+	command->time_ms = g_get_real_time() / 1000;
+	control_post_proposal(call->entry->opts.control,
+			      CODEC_ENCODE(command, command), done, ctx);
+}
+
+/* ---- claiming ---- */
+
+static void claim_again(evutil_socket_t fd, short what, void *arg);
+
+/* Another dispatch of the same booking is out: its answer will serve both. */
+static void wait_for_other(struct claim_result *r, struct call *call)
+{
+	struct timeval after = {0, WAIT_MS * 1000};
+
+	if (entry_now_ms(call->entry) + WAIT_MS >= call->deadline_ms) {
+		call_refuse(call, RD_IN_FLIGHT, OUTCOME_UNKNOWN, NULL,
+			    RETRY_AFTER_S);
+		return;
+	}
+	event_base_once(call->entry->base, -1, EV_TIMEOUT, claim_again,
+			new_result(call), &after);
+	(void)r;
+}
+
+static void replay(struct call *call, const struct apply_result *result)
+{
+	const struct booking_answer *answer = &result->answer;
+
+	counters_add(call->entry->opts.counters, COUNTER_REPLAYS, 1);
+	log_info(&booking_log, "request %s: answered from the ledger",
+		 call->id);
+	call_answer(call, (int)answer->status, answer->content_type,
+		    answer->body.body_val, answer->body.body_len);
+}
+
+static void claim_granted(struct call *call)
+{
+	counters_add(call->entry->opts.counters, COUNTER_CLAIMS, 1);
+	/* The caller may have gone meanwhile: then it need not run. */
+	call->refusal = RD_CALLER_LEFT;
+	if (!call->req)
+		booking_end(call, BOOKING_NOT_RUN, 0, "", "", 0);
+	else
+		call_enter(call);
+}
+
+static void claim_failed(struct call *call, enum rd_result code,
+			 const char *detail)
+{
+	/* Nothing was dispatched, so it did not run by this call. */
+	enum outcome outcome = code == RD_OUTCOME_UNKNOWN ? OUTCOME_UNKNOWN
+							  : OUTCOME_NOT_RUN;
+
+	call_refuse(call, code, outcome, detail && *detail ? detail : NULL,
+		    code == RD_OUTCOME_UNKNOWN ? 0 : RETRY_AFTER_S);
+}
+
+static void on_claimed(void *arg)
+{
+	struct claim_result *r = arg;
+	struct call *call = find_call(r);
+	enum rd_result code = r->code ? r->code
+				      : (enum rd_result)r->result.code;
+
+	if (!call)
+		goto done;
+	if (code == RD_IN_FLIGHT)
+		wait_for_other(r, call);
+	else if (code)
+		claim_failed(call, code, r->result.text);
+	else if (r->result.outcome == BOOKING_ANSWERED)
+		replay(call, &r->result);
+	else
+		claim_granted(call);
+done:
+	result_free(r);
+}
+
+static void claim_done(void *ctx, enum rd_result code,
+		       const struct apply_result *result)
+{
+	take_result(ctx, code, result, on_claimed);
+}
+
+static void claim(struct call *call)
+{
+	struct command command = {.body.kind = CMD_CLAIM_BOOKING};
+	struct claim_booking *c = &command.body.command_body_u.claim;
+
+	call->state = CALL_CLAIMING;
+	c->service = call->service->name;
+	c->account = call->account;
+	c->key = call->booking_key;
+	c->body_hash = call->body_hash;
+	c->claim_id = call->claim_id;
+	c->entry = (uint32_t)call->entry->opts.settings->node.id;
+	propose(call, &command, claim_done, new_result(call));
+}
+
+static void claim_again(evutil_socket_t fd, short what, void *arg)
+{
+	struct claim_result *r = arg;
+	struct call *call = find_call(r);
+
+	(void)fd;
+	(void)what;
+	if (call)
+		claim(call);
+	result_free(r);
+}
+
+static uint64_t hash_call(const struct call *call)
+{
+	gsize size = 0;
+	const void *data = call->body ? g_bytes_get_data(call->body, &size)
+				      : NULL;
+	uint64_t hash = XXH64(call->path, strlen(call->path) + 1,
+			      (XXH64_hash_t)call->method);
+
+	return XXH64(data ? data : "", size, hash);
+}
+
+void booking_begin(struct call *call)
+{
+	call->body_hash = hash_call(call);
+	call->claim_id = control_incarnation(call->entry->opts.control) << 32 |
+			 ++call->entry->next_claim;
+	claim(call);
+}
+
+/* ---- recording ---- */
+
+static void answer_caller(struct claim_result *r, struct call *call)
+{
+	gsize size;
+	const void *body = g_bytes_get_data(r->body, &size);
+
+	switch (r->outcome) {
+	case BOOKING_ANSWERED:
+		call_answer(call, r->status, r->type, body ? body : "", size);
+		return;
+	case BOOKING_NOT_RUN:
+		call_refuse(call, call->refusal, OUTCOME_NOT_RUN, NULL,
+			    RETRY_AFTER_S);
+		return;
+	default:
+		call_refuse(call, RD_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN, NULL, 0);
+	}
+}
+
+static void on_recorded(void *arg)
+{
+	struct claim_result *r = arg;
+	struct call *call = find_call(r);
+
+	if (r->code)
+		log_warn(&booking_log, "a booking's end was not recorded: %s",
+			 rd_result_info(r->code)->name);
+	if (call)
+		answer_caller(r, call);
+	result_free(r);
+}
+
+static void record_done(void *ctx, enum rd_result code,
+			const struct apply_result *result)
+{
+	take_result(ctx, code, result, on_recorded);
+}
+
+void booking_end(struct call *call, booking_outcome outcome, int status,
+		 const char *type, const void *body, size_t size)
+{
+	struct command command = {.body.kind = CMD_FINISH_BOOKING};
+	struct finish_booking *f = &command.body.command_body_u.finish;
+	struct claim_result *r = new_result(call);
+
+	call->state = CALL_RECORDING;
+	r->outcome = outcome;
+	r->status = status;
+	r->type = g_strdup(type);
+	r->body = g_bytes_new(body, size);
+	f->service = call->service->name;
+	f->account = call->account;
+	f->key = call->booking_key;
+	f->claim_id = call->claim_id;
+	f->outcome = outcome;
+	f->answer.status = (uint32_t)status;
+	f->answer.content_type = r->type;
+	f->answer.body.body_val = (char *)g_bytes_get_data(r->body, NULL);
+	f->answer.body.body_len = (u_int)size;
+	propose(call, &command, record_done, r);
+}
--- /dev/null
+++ b/entry/callers.c
@@ -0,0 +1,325 @@
+/* The callers' HTTP API: addresses, chat completions, plain services. */
+#include <string.h>
+
+#include <event2/keyvalq_struct.h>
+
+#include <radishdeal/prefix.h>
+
+#include "entry/call.h"
+
+#define CHAT_PATH "/v1/chat/completions"
+#define SERVICES_PATH "/services/"
+#define BYTES_PER_TOKEN 4
+#define DEFAULT_OUTPUT_TOKENS 256
+#define OUTPUT_TOKENS_MAX 1000000
+#define SHA256_BYTES 32
+#define BOOKING_KEY_MAX 255
+
+static void refuse(struct entry *entry, struct evhttp_request *req,
+		   enum rd_result code, const char *detail, const char *id)
+{
+	struct problem problem = {
+		.code = code, .detail = detail, .request_id = id};
+
+	counters_add(entry->opts.counters, COUNTER_NOT_RUN, 1);
+	if (rd_result_info(code)->http_status == 503)
+		problem.retry_after_s = 1;
+	if (code == RD_CUT_OFF || code == RD_DRAINING)
+		problem.more = json_pack("{s:o}", "addresses",
+					 addresses_json(entry));
+	http_send_problem(req, &problem);
+	json_decref(problem.more);
+}
+
+/* ---- who calls ---- */
+
+struct key_search {
+	const uint8_t *hash;
+	bool found;
+};
+
+static void search_key(void *ctx, const struct service_state *service)
+{
+	struct key_search *search = ctx;
+
+	if (service_account_by_key(service, search->hash))
+		search->found = true;
+}
+
+static enum rd_result authorize(const struct entry *entry,
+				struct evhttp_request *req,
+				const struct service_state *service,
+				const struct account_spec **account)
+{
+	const char *key = http_bearer(req);
+	uint8_t hash[SHA256_BYTES];
+	gsize size = sizeof(hash);
+	struct key_search search = {.hash = hash};
+	GChecksum *checksum;
+
+	if (!key)
+		return RD_NO_KEY;
+	checksum = g_checksum_new(G_CHECKSUM_SHA256);
+	g_checksum_update(checksum, (const guchar *)key, -1);
+	g_checksum_get_digest(checksum, hash, &size);
+	g_checksum_free(checksum);
+	*account = service ? service_account_by_key(service, hash) : NULL;
+	if (*account)
+		return RD_OK;
+	state_each_service(entry->config, search_key, &search);
+	if (!search.found)
+		return RD_WRONG_KEY;
+	return service ? RD_WRONG_SERVICE : RD_NO_SERVICE;
+}
+
+static bool request_id_allowed(const char *id)
+{
+	size_t n = strlen(id);
+
+	if (!n || n >= REQUEST_ID_MAX)
+		return false;
+	for (; *id; id++)
+		if (!g_ascii_isalnum(*id) && !strchr("-_.:", *id))
+			return false;
+	return true;
+}
+
+static void make_request_id(struct entry *entry, struct evhttp_request *req,
+			    char *out)
+{
+	const char *given = http_header(req, "X-Request-Id");
+
+	if (given && request_id_allowed(given))
+		g_strlcpy(out, given, REQUEST_ID_MAX);
+	else
+		g_snprintf(out, REQUEST_ID_MAX, "%d-%08x-%" G_GUINT64_FORMAT,
+			   (int)entry->opts.settings->node.id,
+			   g_rand_int(entry->random), ++entry->next_request);
+}
+
+/* ---- whether work is taken at all ---- */
+
+static enum rd_result may_take(const struct entry *entry,
+			       const struct service_state *service)
+{
+	if (entry->draining)
+		return RD_DRAINING;
+	if (!entry_has_lease(entry) && !(entry->ever_configured && service &&
+					 service->spec.on_control_loss))
+		return RD_CUT_OFF;
+	if (!service)
+		return RD_NO_SERVICE;
+	if (!service_preset(service)->admit)
+		return RD_MAINTENANCE;
+	return RD_OK;
+}
+
+static int64_t deadline_of(const struct entry *entry,
+			   struct evhttp_request *req,
+			   const struct service_state *service)
+{
+	const char *text = http_header(req, "X-Deadline-Ms");
+	int64_t given = text ? g_ascii_strtoll(text, NULL, 10) : 0;
+	int64_t most = service->spec.deadline_ms;
+
+	return entry_now_ms(entry) + (given > 0 ? MIN(given, most) : most);
+}
+
+/* ---- chat ---- */
+
+static void hash_prompt(const char *text, size_t size,
+			struct router_request *route)
+{
+	route->prompt_tokens = (uint32_t)(size / BYTES_PER_TOKEN + 1);
+	route->prefix_tokens = PREFIX_PART_BYTES / BYTES_PER_TOKEN;
+	route->prefix_count = prefix_hash(text, size, route->prefix,
+					  ROUTER_PREFIX_MAX);
+}
+
+static void describe_chat(json_t *chat, struct router_request *route)
+{
+	json_t *limit = json_object_get(chat, "max_tokens");
+	char *text = json_dumps(json_object_get(chat, "messages"),
+				JSON_COMPACT);
+	json_int_t tokens = json_is_integer(limit) ? json_integer_value(limit)
+						   : DEFAULT_OUTPUT_TOKENS;
+
+	route->output_tokens = (uint32_t)CLAMP(tokens, 1, OUTPUT_TOKENS_MAX);
+	if (text)
+		hash_prompt(text, strlen(text), route);
+	free(text);
+}
+
+static const char *check_chat(json_t *chat)
+{
+	json_t *stream;
+
+	if (!json_is_object(chat))
+		return "body: must be a JSON object";
+	if (!json_is_string(json_object_get(chat, "model")))
+		return "model: must be a string";
+	if (!json_is_array(json_object_get(chat, "messages")))
+		return "messages: must be an array";
+	stream = json_object_get(chat, "stream");
+	if (stream && !json_is_boolean(stream))
+		return "stream: must be true or false";
+	if (json_object_get(chat, "resume"))
+		return "resume: is not for callers";
+	return NULL;
+}
+
+static void take_chat(struct entry *entry, struct evhttp_request *req,
+		      json_t *chat, GBytes *body)
+{
+	const char *name = json_string_value(json_object_get(chat, "model"));
+	const struct service_state *service = state_service(entry->config,
+							    name);
+	const struct account_spec *account = NULL;
+	char id[REQUEST_ID_MAX];
+	enum rd_result code;
+	struct call_opts opts = {
+		.req = req,
+		.id = id,
+		.kind = json_is_true(json_object_get(chat, "stream"))
+				? CALL_CHAT_STREAM
+				: CALL_CHAT,
+		.path = CHAT_PATH,
+		.content_type = "application/json",
+	};
+
+	make_request_id(entry, req, id);
+	code = authorize(entry, req, service, &account);
+	if (!code && service->spec.plain)
+		code = RD_WRONG_SERVICE;
+	if (!code)
+		code = may_take(entry, service);
+	if (code) {
+		refuse(entry, req, code, NULL, id);
+		return;
+	}
+	opts.service = services_find(entry, name);
+	opts.account = account;
+	opts.deadline_ms = deadline_of(entry, req, service);
+	opts.body = g_bytes_ref(body);
+	opts.chat = json_incref(chat);
+	describe_chat(chat, &opts.route);
+	call_start(entry, &opts);
+}
+
+static void handle_chat(struct entry *entry, struct evhttp_request *req)
+{
+	GBytes *body;
+	json_t *chat;
+	const char *fault;
+
+	if (evhttp_request_get_command(req) != EVHTTP_REQ_POST) {
+		refuse(entry, req, RD_BAD_METHOD, NULL, NULL);
+		return;
+	}
+	if (!http_bearer(req)) {
+		refuse(entry, req, RD_NO_KEY, NULL, NULL);
+		return;
+	}
+	body = http_body(req);
+	chat = json_loadb(g_bytes_get_data(body, NULL), g_bytes_get_size(body),
+			  JSON_REJECT_DUPLICATES, NULL);
+	fault = check_chat(chat);
+	if (fault)
+		refuse(entry, req, RD_BAD_REQUEST, fault, NULL);
+	else
+		take_chat(entry, req, chat, body);
+	json_decref(chat);
+	g_bytes_unref(body);
+}
+
+/* ---- plain services ---- */
+
+static bool split_plain_path(const char *path, char **service,
+			     const char **rest)
+{
+	const char *name = path + strlen(SERVICES_PATH);
+	const char *slash = strchr(name, '/');
+
+	if (!slash || slash == name)
+		return false;
+	*service = g_strndup(name, (gsize)(slash - name));
+	*rest = slash;
+	return true;
+}
+
+static void take_plain(struct entry *entry, struct evhttp_request *req,
+		       const char *name, const char *path)
+{
+	const struct service_state *service = state_service(entry->config,
+							    name);
+	const struct account_spec *account = NULL;
+	const char *query =
+		evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req));
+	const char *type = http_header(req, "Content-Type");
+	const char *key = http_header(req, "Idempotency-Key");
+	char id[REQUEST_ID_MAX];
+	enum rd_result code;
+	struct call_opts opts = {.req = req, .id = id, .kind = CALL_PLAIN};
+	char *full;
+
+	make_request_id(entry, req, id);
+	code = authorize(entry, req, service, &account);
+	if (!code && !service->spec.plain)
+		code = RD_WRONG_SERVICE;
+	if (!code)
+		code = may_take(entry, service);
+	if (!code && key && (!*key || strlen(key) > BOOKING_KEY_MAX))
+		code = RD_BAD_REQUEST;
+	if (code) {
+		refuse(entry, req, code, NULL, id);
+		return;
+	}
+	full = query ? g_strdup_printf("%s?%s", path, query) : g_strdup(path);
+	opts.service = services_find(entry, name);
+	opts.account = account;
+	opts.deadline_ms = deadline_of(entry, req, service);
+	opts.path = full;
+	opts.content_type = type ? type : "application/octet-stream";
+	opts.body = http_body(req);
+	opts.once_only = service_once_only(service, http_method(req), path);
+	opts.booking_key = opts.once_only ? key : NULL;
+	opts.route.output_tokens = 1;
+	call_start(entry, &opts);
+	g_free(full);
+}
+
+static void handle_plain(struct entry *entry, struct evhttp_request *req,
+			 const char *path)
+{
+	const char *rest = NULL;
+	char *name = NULL;
+
+	if (!http_bearer(req))
+		refuse(entry, req, RD_NO_KEY, NULL, NULL);
+	else if (!split_plain_path(path, &name, &rest))
+		refuse(entry, req, RD_NO_ROUTE, NULL, NULL);
+	else
+		take_plain(entry, req, name, rest);
+	g_free(name);
+}
+
+/* ---- routes ---- */
+
+void callers_handle(struct evhttp_request *req, void *ctx)
+{
+	struct entry *entry = ctx;
+	const char *path =
+		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+
+	counters_add(entry->opts.counters, COUNTER_REQUESTS, 1);
+	if (!path)
+		refuse(entry, req, RD_NO_ROUTE, NULL, NULL);
+	else if (!strcmp(path, "/v1/addresses"))
+		addresses_answer(entry, req);
+	else if (!strcmp(path, CHAT_PATH))
+		handle_chat(entry, req);
+	else if (g_str_has_prefix(path, SERVICES_PATH))
+		handle_plain(entry, req, path);
+	else
+		refuse(entry, req, RD_NO_ROUTE, NULL, NULL);
+}
--- /dev/null
+++ b/entry/entry.h
@@ -0,0 +1,49 @@
+/**
+ * @file
+ * The entry task: faces callers and endpoints.
+ *
+ * Created and destroyed by the daemon; runs on its own task. The control task
+ * reaches it only by the entry_post_* functions, callable from any thread.
+ */
+#ifndef ENTRY_ENTRY_H
+#define ENTRY_ENTRY_H
+
+#include "control/control.h"
+
+struct entry;
+
+struct entry_opts {
+	const struct daemon_settings *settings;
+	const struct clock_source *clock;
+	struct counters *counters;
+	struct task *task;
+	struct control *control;
+	const char *endpoint_key;
+	uint32_t seed;
+};
+
+/** Opens the ports; NULL with *why set on failure. */
+struct entry *entry_create(const struct entry_opts *opts, char **why);
+
+/** Begins to work; the first message to post on the task. */
+void entry_begin(void *entry);
+
+/** Closes the ports and drops all calls; after the task has ended. */
+void entry_destroy(struct entry *entry);
+
+/** Takes the ownership of an update. */
+void entry_post_config(struct entry *entry, struct config_update *update);
+
+/** Takes the reference of an encoded digest of another home. */
+void entry_post_digest(struct entry *entry, GBytes *digest);
+
+/** The next digest must be full. */
+void entry_post_want_full(struct entry *entry);
+
+/** Starts or ends draining: no new work, addresses no longer given out. */
+void entry_post_drain(struct entry *entry, bool draining);
+
+/** Drains, then calls done(arg) on the entry task once nothing is left. */
+void entry_post_leave(struct entry *entry, task_fn done, void *arg);
+
+#endif
--- /dev/null
+++ b/entry/entry_internal.h
@@ -0,0 +1,104 @@
+/**
+ * @file
+ * The entry task's parts and what they share. All on the entry task.
+ */
+#ifndef ENTRY_ENTRY_INTERNAL_H
+#define ENTRY_ENTRY_INTERNAL_H
+
+#include <event2/http.h>
+#include <jansson.h>
+
+#include <radishdeal/admission.h>
+#include <radishdeal/evidence.h>
+#include <radishdeal/router.h>
+
+#include "common/http.h"
+#include "entry/entry.h"
+#include "entry/upstream.h"
+
+#define REQUEST_ID_MAX 64
+
+struct call;
+
+/** A service as this entry serves it. */
+struct entry_service {
+	struct entry *entry;
+	char *name;
+	bool seen; /* in the configuration just applied */
+	uint64_t revision;
+	struct router *router;
+	struct admission *admission;
+	GHashTable *plain; /* VM's name -> replica number; plain services */
+	uint32_t next_plain;
+};
+
+struct entry {
+	struct entry_opts opts;
+	struct event_base *base;
+	struct state *config;
+	int64_t lease_until_ms;
+	bool ever_configured;
+	bool draining;
+	struct entry_info *others; /* entries to name to callers */
+	uint32_t other_count;
+	struct home *home;
+	struct view *view;
+	uint64_t judged_version; /* of the view, when replicas were judged */
+	bool want_full;
+	GHashTable *services; /* name -> struct entry_service */
+	GHashTable *calls;    /* set of struct call */
+	struct upstream_pool *pool;
+	struct evhttp *callers;
+	struct evhttp *endpoints;
+	char callers_address[64];
+	char endpoints_address[64];
+	struct event *tick;
+	struct event *digest_timer;
+	struct event *pump;
+	uint64_t next_claim;
+	uint64_t next_request;
+	GRand *random;
+	task_fn leave_done;
+	void *leave_arg;
+	int64_t leave_until_ms;
+	int64_t status_sent_ms;
+};
+
+int64_t entry_now_ms(const struct entry *entry);
+int64_t entry_now_us(const struct entry *entry);
+
+/** Whether this entry may know which configuration is in force. */
+bool entry_has_lease(const struct entry *entry);
+
+/** Asks for waiting calls to be looked at, soon. */
+void entry_want_pump(struct entry *entry);
+
+/** Tells the control task how this entry is doing. */
+void entry_send_status(struct entry *entry);
+
+/** Sends what changed since the last digest. */
+void entry_send_digest(struct entry *entry);
+
+/* services.c */
+void services_update(struct entry *entry);
+void services_judge(struct entry *entry);
+void services_pump(struct entry *entry);
+void services_load(struct entry *entry, const struct vm_report *report);
+void services_cache(struct entry *entry, const struct vm_report *report,
+		    json_t *cache);
+struct entry_service *services_find(const struct entry *entry,
+				    const char *name);
+void service_drop(gpointer service);
+
+/* callers.c */
+void callers_handle(struct evhttp_request *req, void *ctx);
+
+/* addresses.c */
+void addresses_answer(struct entry *entry, struct evhttp_request *req);
+json_t *addresses_json(struct entry *entry);
+json_t *addresses_homes(struct entry *entry, const char *vm);
+
+/* announce.c */
+void announce_handle(struct evhttp_request *req, void *ctx);
+
+#endif
--- /dev/null
+++ b/entry/services.c
@@ -0,0 +1,398 @@
+/* The services of the configuration: their routers, queues and replicas. */
+#include <string.h>
+
+#include "common/log.h"
+#include "entry/call.h"
+
+#define PREFIXES_PER_REPLICA 4096
+/* Numbers of plain services' endpoints, apart from those of replicas. */
+#define FIRST_PLAIN 1u
+
+static const struct log services_log = {"services"};
+
+void service_drop(gpointer data)
+{
+	struct entry_service *s = data;
+
+	router_destroy(s->router);
+	admission_destroy(s->admission);
+	g_hash_table_unref(s->plain);
+	g_free(s->name);
+	g_free(s);
+}
+
+struct entry_service *services_find(const struct entry *entry, const char *name)
+{
+	return g_hash_table_lookup(entry->services, name);
+}
+
+static struct entry_service *add_service(struct entry *entry, const char *name)
+{
+	struct entry_service *s = g_new0(struct entry_service, 1);
+	struct router_opts opts = {
+		.seed = g_rand_int(entry->random),
+		.entry = (uint32_t)entry->opts.settings->node.id,
+		.subset = (uint32_t)entry->opts.settings->limits.subset,
+		.prefix_max = PREFIXES_PER_REPLICA,
+	};
+
+	s->entry = entry;
+	s->name = g_strdup(name);
+	s->router = router_create(&opts);
+	s->admission = admission_create();
+	s->plain = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->next_plain = FIRST_PLAIN;
+	g_hash_table_insert(entry->services, s->name, s);
+	return s;
+}
+
+/* ---- following the configuration ---- */
+
+/* What an account may use here: its part of what it may use everywhere. */
+static uint32_t local_limit(const struct entry *entry, uint32_t limit)
+{
+	uint32_t entries = MAX(1, entry->other_count);
+
+	return limit ? MAX(1, (limit + entries - 1) / entries) : 0;
+}
+
+static void update_service(void *ctx, const struct service_state *service)
+{
+	struct entry *entry = ctx;
+	struct entry_service *s = services_find(entry, service->name);
+
+	if (!s)
+		s = add_service(entry, service->name);
+	s->seen = true;
+	s->revision = service->revision;
+	for (u_int i = 0; i < service->spec.accounts.accounts_len; i++) {
+		const struct account_spec *a =
+			&service->spec.accounts.accounts_val[i];
+
+		admission_put_account(s->admission, a->name, a->weight,
+				      a->priority,
+				      local_limit(entry, a->max_outstanding));
+	}
+}
+
+static void put_replica(void *ctx, const struct replica_state *replica)
+{
+	struct entry *entry = ctx;
+	const struct assign_replica *a = &replica->assign;
+	struct entry_service *s = services_find(entry, a->service);
+	const struct service_state *service = state_service(entry->config,
+							    a->service);
+
+	if (s && service && a->vms.vms_len)
+		router_put(s->router, a->replica, a->epoch,
+			   service->spec.slots_per_replica,
+			   a->vms.vms_val[0].address);
+}
+
+struct removal {
+	struct entry *entry;
+	struct entry_service *service;
+	GArray *gone;
+};
+
+static void find_gone(void *ctx, const struct router_replica *r)
+{
+	struct removal *removal = ctx;
+	const struct replica_state *known =
+		state_replica(removal->entry->config, r->id);
+	uint32_t id = r->id;
+
+	if (!known || known->released ||
+	    strcmp(known->assign.service, removal->service->name) != 0)
+		g_array_append_val(removal->gone, id);
+}
+
+/* Calls at a released replica go on; it just gets no new ones. */
+static void remove_gone(struct entry *entry, struct entry_service *s)
+{
+	const struct service_state *service = state_service(entry->config,
+							    s->name);
+	struct removal removal = {entry, s,
+				  g_array_new(FALSE, FALSE, sizeof(uint32_t))};
+
+	if (service && !service->spec.plain)
+		router_each(s->router, find_gone, &removal);
+	for (guint i = 0; i < removal.gone->len; i++)
+		router_remove(s->router,
+			      g_array_index(removal.gone, uint32_t, i));
+	g_array_unref(removal.gone);
+}
+
+static gboolean forget_unseen(gpointer key, gpointer value, gpointer data)
+{
+	struct entry_service *s = value;
+
+	(void)key;
+	(void)data;
+	/* One with calls left goes when they have ended. */
+	return !s->seen && !admission_waiting(s->admission) &&
+	       !admission_serving(s->admission);
+}
+
+void services_update(struct entry *entry)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, entry->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct entry_service *)value)->seen = false;
+	state_each_service(entry->config, update_service, entry);
+	state_each_replica(entry->config, put_replica, entry);
+	g_hash_table_iter_init(&iter, entry->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		remove_gone(entry, value);
+	g_hash_table_foreach_remove(entry->services, forget_unseen, NULL);
+	services_judge(entry);
+}
+
+/* ---- following the evidence ---- */
+
+static void lose_calls(struct entry *entry, uint32_t replica,
+		       const struct entry_service *service, const char *why)
+{
+	GPtrArray *lost = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, entry->calls);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct call *call = key;
+
+		if (call->replica == replica && call->service == service)
+			g_ptr_array_add(lost, call);
+	}
+	for (guint i = 0; i < lost->len; i++)
+		call_replica_lost(lost->pdata[i], why);
+	g_ptr_array_unref(lost);
+}
+
+/* A replica whose VM is leaving finishes what it has. */
+static bool loses_calls(enum replica_fault fault)
+{
+	return fault == REPLICA_VM_SILENT || fault == REPLICA_VM_OTHER_EPOCH ||
+	       fault == REPLICA_VM_UNKNOWN;
+}
+
+static void judge_replica(void *ctx, const struct replica_state *replica)
+{
+	struct entry *entry = ctx;
+	const struct assign_replica *a = &replica->assign;
+	struct entry_service *s = services_find(entry, a->service);
+	const struct router_replica *r;
+	enum replica_fault fault;
+	const char *culprit;
+	int64_t fresh_until_ms;
+	bool was_whole;
+
+	r = s ? router_find(s->router, a->replica) : NULL;
+	if (!r)
+		return;
+	was_whole = r->fresh_until_ms != 0;
+	fault = view_judge(entry->view, a, entry_now_ms(entry), &culprit,
+			   &fresh_until_ms);
+	router_set_fresh(s->router, a->replica, fresh_until_ms,
+			 replica_fault_name(fault));
+	if (was_whole == !fault)
+		return;
+	log_note(&services_log,
+		 "replica %u epoch %" G_GUINT64_FORMAT " of %s: %s%s%s",
+		 a->replica, a->epoch, a->service, replica_fault_name(fault),
+		 culprit ? " " : "", culprit ? culprit : "");
+	if (loses_calls(fault))
+		lose_calls(entry, a->replica, s, replica_fault_name(fault));
+}
+
+static uint32_t plain_number(struct entry_service *s, const char *vm)
+{
+	gpointer known = g_hash_table_lookup(s->plain, vm);
+
+	if (!known) {
+		known = GUINT_TO_POINTER(s->next_plain++);
+		g_hash_table_insert(s->plain, g_strdup(vm), known);
+	}
+	return GPOINTER_TO_UINT(known);
+}
+
+/* Endpoints of plain services announce which service they belong to. */
+static void judge_plain(void *ctx, const struct view_vm *vm)
+{
+	struct entry *entry = ctx;
+	const struct vm_report *r = &vm->report;
+	struct entry_service *s = *r->service ? services_find(entry, r->service)
+					      : NULL;
+	const struct service_state *service =
+		s ? state_service(entry->config, r->service) : NULL;
+	bool alive = view_alive(entry->view, vm, entry_now_ms(entry));
+	bool good = alive && r->ready && !r->leaving;
+	uint32_t number;
+
+	if (!service || !service->spec.plain)
+		return;
+	number = plain_number(s, r->name);
+	router_put(s->router, number, r->incarnation,
+		   service->spec.slots_per_replica, r->address);
+	router_set_fresh(s->router, number, good ? vm->fresh_until_ms : 0,
+			 good	      ? "whole"
+			 : !alive     ? "vm-silent"
+			 : r->leaving ? "vm-leaving"
+				      : "vm-not-ready");
+	if (!alive)
+		lose_calls(entry, number, s, "vm-silent");
+}
+
+void services_judge(struct entry *entry)
+{
+	state_each_replica(entry->config, judge_replica, entry);
+	view_each(entry->view, judge_plain, entry);
+	entry->judged_version = view_version(entry->view);
+	entry_want_pump(entry);
+}
+
+static uint32_t replica_of(const struct entry_service *s,
+			   const struct vm_report *report)
+{
+	if (!*report->service)
+		return report->replica;
+	return GPOINTER_TO_UINT(g_hash_table_lookup(s->plain, report->name));
+}
+
+static struct entry_service *service_of(struct entry *entry,
+					const struct vm_report *report)
+{
+	const struct replica_state *r;
+
+	if (*report->service)
+		return services_find(entry, report->service);
+	r = state_replica(entry->config, report->replica);
+	return r && r->assign.epoch == report->epoch
+		       ? services_find(entry, r->assign.service)
+		       : NULL;
+}
+
+static bool is_head(struct entry *entry, const struct vm_report *report)
+{
+	const struct replica_state *r = state_replica(entry->config,
+						      report->replica);
+
+	return *report->service ||
+	       (r && !strcmp(r->assign.vms.vms_val[0].name, report->name));
+}
+
+void services_load(struct entry *entry, const struct vm_report *report)
+{
+	struct entry_service *s = service_of(entry, report);
+
+	if (!s || !is_head(entry, report))
+		return;
+	router_load(s->router, replica_of(s, report),
+		    report->load.running + report->load.waiting,
+		    report->load.step_us);
+	router_trust(s->router, replica_of(s, report));
+}
+
+static guint read_hashes(json_t *list, uint64_t *out, guint max)
+{
+	guint n = 0;
+	size_t i;
+	json_t *value;
+
+	json_array_foreach(list, i, value)
+	{
+		if (n < max)
+			out[n++] = (uint64_t)json_integer_value(value);
+	}
+	return n;
+}
+
+void services_cache(struct entry *entry, const struct vm_report *report,
+		    json_t *cache)
+{
+	struct entry_service *s = service_of(entry, report);
+	uint64_t stored[256], dropped[256];
+	guint stored_count, dropped_count;
+
+	if (!s || !json_is_object(cache) || !is_head(entry, report))
+		return;
+	/* A gap hides what was dropped; what is listed now is the truth. */
+	if (json_is_true(json_object_get(cache, "reset")))
+		router_cache_reset(s->router, replica_of(s, report));
+	stored_count = read_hashes(json_object_get(cache, "stored"), stored,
+				   G_N_ELEMENTS(stored));
+	dropped_count = read_hashes(json_object_get(cache, "dropped"), dropped,
+				    G_N_ELEMENTS(dropped));
+	router_cache(s->router, replica_of(s, report), stored, stored_count,
+		     dropped, dropped_count);
+}
+
+/* ---- turns ---- */
+
+static void expire_waiting(struct entry_service *s)
+{
+	int64_t now = entry_now_ms(s->entry);
+	struct admission_ticket *ticket;
+
+	while ((ticket = admission_expired(s->admission, now))) {
+		uint32_t free_slots, slots;
+
+		router_capacity(s->router, now, &free_slots, &slots);
+		call_give_up(ticket->ctx,
+			     slots ? RD_OVERLOADED : RD_NO_REPLICA);
+	}
+}
+
+static bool admits(const struct entry_service *s)
+{
+	const struct service_state *service = state_service(s->entry->config,
+							    s->name);
+
+	return service && service_preset(service)->admit;
+}
+
+static void pump_service(struct entry_service *s)
+{
+	struct entry *entry = s->entry;
+	struct admission_ticket *ticket;
+	struct router_choice choice;
+
+	expire_waiting(s);
+	if (!admits(s)) {
+		/* What has not begun when maintenance starts does not begin. */
+		while ((ticket = admission_peek(s->admission)))
+			call_give_up(ticket->ctx, RD_MAINTENANCE);
+		return;
+	}
+	while ((ticket = admission_peek(s->admission))) {
+		struct call *call = ticket->ctx;
+		int64_t started = entry_now_us(entry);
+
+		router_choose(s->router, entry_now_ms(entry), true,
+			      &call->route, &choice);
+		counters_time(entry->opts.counters, HISTOGRAM_DECISION,
+			      entry_now_us(entry) - started);
+		if (!choice.replica)
+			return;
+		call_dispatch(call, &choice);
+	}
+}
+
+void services_pump(struct entry *entry)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int64_t waiting = 0;
+
+	g_hash_table_iter_init(&iter, entry->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct entry_service *s = value;
+
+		pump_service(s);
+		waiting += admission_waiting(s->admission);
+	}
+	counters_set(entry->opts.counters, COUNTER_QUEUED, waiting);
+}
--- /dev/null
+++ b/entry/sse.c
@@ -0,0 +1,76 @@
+#include <string.h>
+
+#include "entry/sse.h"
+
+#define DATA_FIELD "data: "
+#define DONE_EVENT "data: [DONE]"
+#define CONTENT_KEY "\"content\":\""
+
+void sse_init(struct sse *sse)
+{
+	memset(sse, 0, sizeof(*sse));
+	sse->text = g_string_new(NULL);
+}
+
+void sse_clear(struct sse *sse)
+{
+	g_string_free(sse->text, TRUE);
+	sse->text = NULL;
+}
+
+/* Copies the JSON string that starts at `from`, still escaped. */
+static bool take_content(struct sse *sse, const char *from, const char *end)
+{
+	const char *at = from;
+
+	while (at < end && *at != '"')
+		at += *at == '\\' ? 2 : 1;
+	if (at >= end || at == from)
+		return false;
+	g_string_append_len(sse->text, from, at - from);
+	return true;
+}
+
+static bool take_event(struct sse *sse, const char *event, size_t size)
+{
+	const char *content;
+
+	if (size >= strlen(DONE_EVENT) &&
+	    !memcmp(event, DONE_EVENT, strlen(DONE_EVENT))) {
+		sse->done = true;
+		return false;
+	}
+	if (size < strlen(DATA_FIELD) ||
+	    memcmp(event, DATA_FIELD, strlen(DATA_FIELD)) != 0)
+		return false;
+	content = memmem(event, size, CONTENT_KEY, strlen(CONTENT_KEY));
+	if (!content)
+		return false;
+	return take_content(sse, content + strlen(CONTENT_KEY), event + size);
+}
+
+/* The length of the first event with its empty line, 0 if it is not whole. */
+static size_t event_length(struct evbuffer *in)
+{
+	struct evbuffer_ptr at = evbuffer_search(in, "\n\n", 2, NULL);
+
+	return at.pos < 0 ? 0 : (size_t)at.pos + 2;
+}
+
+uint32_t sse_move(struct sse *sse, struct evbuffer *in, struct evbuffer *out)
+{
+	uint32_t before = sse->tokens;
+	size_t size;
+
+	while (!sse->done && (size = event_length(in))) {
+		const char *event =
+			(const char *)evbuffer_pullup(in, (ev_ssize_t)size);
+
+		if (take_event(sse, event, size))
+			sse->tokens++;
+		evbuffer_remove_buffer(in, out, size);
+	}
+	if (evbuffer_get_length(in) > SSE_EVENT_MAX)
+		sse->too_long = true;
+	return sse->tokens - before;
+}
--- /dev/null
+++ b/entry/upstream.c
@@ -0,0 +1,275 @@
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include "common/address.h"
+#include "entry/upstream.h"
+
+#define IDLE_PER_ADDRESS 64
+#define HEADER_BYTES 65536
+
+struct upstream_pool {
+	struct event_base *base;
+	GHashTable *idle;   /* address -> GQueue of evhttp_connection */
+	GHashTable *active; /* set of struct upstream */
+};
+
+struct upstream {
+	struct upstream_pool *pool;
+	struct upstream_request opts;
+	char *address;
+	struct evhttp_connection *conn;
+	struct evhttp_request *req; /* NULL once evhttp has freed it */
+	bool bytes_left; /* some of the request may have left the process */
+	bool has_end;	 /* the answer states where it ends */
+	bool cancelled;
+	enum upstream_end end;
+	struct evbuffer_cb_entry *watch;
+};
+
+static void queue_free(gpointer data)
+{
+	g_queue_free_full(data, (GDestroyNotify)evhttp_connection_free);
+}
+
+struct upstream_pool *upstream_pool_create(struct event_base *base)
+{
+	struct upstream_pool *pool = g_new0(struct upstream_pool, 1);
+
+	pool->base = base;
+	pool->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   queue_free);
+	pool->active = g_hash_table_new(NULL, NULL);
+	return pool;
+}
+
+static void release(struct upstream *u, bool reusable)
+{
+	struct upstream_pool *pool = u->pool;
+	GQueue *queue = g_hash_table_lookup(pool->idle, u->address);
+
+	g_hash_table_remove(pool->active, u);
+	if (u->watch)
+		evbuffer_remove_cb_entry(
+			bufferevent_get_output(
+				evhttp_connection_get_bufferevent(u->conn)),
+			u->watch);
+	if (!queue) {
+		queue = g_queue_new();
+		g_hash_table_insert(pool->idle, g_strdup(u->address), queue);
+	}
+	if (reusable && queue->length < IDLE_PER_ADDRESS)
+		g_queue_push_tail(queue, u->conn);
+	else
+		evhttp_connection_free(u->conn);
+	g_free(u->address);
+	g_free(u);
+}
+
+/* evhttp must not lose a connection inside one of its own callbacks. */
+static void drop_later(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	release(arg, false);
+}
+
+static void finish_later(evutil_socket_t fd, short what, void *arg)
+{
+	struct upstream *u = arg;
+	struct upstream_request opts = u->opts;
+	enum upstream_end end = u->end;
+
+	(void)fd;
+	(void)what;
+	if (u->cancelled)
+		return;
+	/* Calls begun by `end` may want the connection, so it goes first. */
+	release(u, end == UPSTREAM_WHOLE && !opts.once_only);
+	opts.end(opts.ctx, end);
+}
+
+static void on_output(struct evbuffer *buffer,
+		      const struct evbuffer_cb_info *info, void *arg)
+{
+	struct upstream *u = arg;
+
+	(void)buffer;
+	if (info->n_deleted)
+		u->bytes_left = true;
+}
+
+static bool states_its_end(struct evhttp_request *req)
+{
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
+	const char *coding = evhttp_find_header(headers, "Transfer-Encoding");
+	int status = evhttp_request_get_response_code(req);
+
+	return evhttp_find_header(headers, "Content-Length") ||
+	       (coding && !g_ascii_strcasecmp(coding, "chunked")) ||
+	       status == HTTP_NOCONTENT || status == HTTP_NOTMODIFIED ||
+	       evhttp_request_get_command(req) == EVHTTP_REQ_HEAD;
+}
+
+static int on_head(struct evhttp_request *req, void *arg)
+{
+	struct upstream *u = arg;
+
+	if (u->cancelled)
+		return -1;
+	u->has_end = states_its_end(req);
+	if (u->opts.head)
+		u->opts.head(u->opts.ctx, evhttp_request_get_response_code(req),
+			     evhttp_request_get_input_headers(req));
+	return 0;
+}
+
+static void on_chunk(struct evhttp_request *req, void *arg)
+{
+	struct upstream *u = arg;
+
+	if (!u->cancelled)
+		u->opts.data(u->opts.ctx, evhttp_request_get_input_buffer(req));
+}
+
+static void on_done(struct evhttp_request *req, void *arg)
+{
+	struct upstream *u = arg;
+	struct timeval at_once = {0, 0};
+	bool answered = req && evhttp_request_get_response_code(req) != 0;
+
+	u->req = NULL;
+	if (u->cancelled)
+		return;
+	u->end = UPSTREAM_BROKE;
+	if (answered && u->has_end)
+		u->end = UPSTREAM_WHOLE;
+	else if (!answered && !u->bytes_left)
+		u->end = UPSTREAM_NOT_SENT;
+	event_base_once(u->pool->base, -1, EV_TIMEOUT, finish_later, u,
+			&at_once);
+}
+
+static struct evhttp_connection *connection_for(struct upstream_pool *pool,
+						const char *text,
+						bool once_only)
+{
+	GQueue *queue = g_hash_table_lookup(pool->idle, text);
+	struct evhttp_connection *conn;
+	struct address address;
+
+	if (queue && queue->length && !once_only)
+		return g_queue_pop_tail(queue);
+	if (!address_parse(text, &address))
+		memset(&address, 0, sizeof(address));
+	conn = evhttp_connection_base_new(
+		pool->base, NULL, *address.host ? address.host : "127.0.0.1",
+		address.port);
+	/* evhttp may not send anything again by itself. */
+	evhttp_connection_set_retries(conn, 0);
+	evhttp_connection_set_max_headers_size(conn, HEADER_BYTES);
+	return conn;
+}
+
+static void add_headers(struct upstream *u)
+{
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(u->req);
+
+	for (int i = 0; u->opts.headers && u->opts.headers[i]; i += 2)
+		if (u->opts.headers[i + 1])
+			evhttp_add_header(headers, u->opts.headers[i],
+					  u->opts.headers[i + 1]);
+	evhttp_add_header(headers, "Host", u->address);
+	if (u->opts.once_only)
+		evhttp_add_header(headers, "Connection", "close");
+}
+
+static void unref_bytes(const void *data, size_t size, void *bytes)
+{
+	(void)data;
+	(void)size;
+	g_bytes_unref(bytes);
+}
+
+static void add_body(struct upstream *u)
+{
+	struct evbuffer *out = evhttp_request_get_output_buffer(u->req);
+	gsize size;
+	const void *data;
+
+	if (!u->opts.body)
+		return;
+	data = g_bytes_get_data(u->opts.body, &size);
+	if (size)
+		evbuffer_add_reference(out, data, size, unref_bytes,
+				       g_bytes_ref(u->opts.body));
+}
+
+struct upstream *upstream_send(struct upstream_pool *pool,
+			       const struct upstream_request *request)
+{
+	struct upstream *u = g_new0(struct upstream, 1);
+	struct timeval idle = {request->idle_timeout_ms / 1000,
+			       (request->idle_timeout_ms % 1000) * 1000};
+	struct bufferevent *bev;
+
+	u->pool = pool;
+	u->opts = *request;
+	u->address = g_strdup(request->address);
+	u->conn = connection_for(pool, u->address, request->once_only);
+	evhttp_connection_set_timeout_tv(u->conn, &idle);
+	bev = evhttp_connection_get_bufferevent(u->conn);
+	u->watch = evbuffer_add_cb(bufferevent_get_output(bev), on_output, u);
+	u->req = evhttp_request_new(on_done, u);
+	evhttp_request_set_header_cb(u->req, on_head);
+	evhttp_request_set_chunked_cb(u->req, on_chunk);
+	add_headers(u);
+	add_body(u);
+	g_hash_table_add(pool->active, u);
+	/* A failure here is told by on_done, as any other. */
+	(void)evhttp_make_request(u->conn, u->req, request->method,
+				  request->path);
+	return u;
+}
+
+void upstream_cancel(struct upstream *u)
+{
+	struct timeval at_once = {0, 0};
+
+	if (!u || u->cancelled)
+		return;
+	u->cancelled = true;
+	event_base_once(u->pool->base, -1, EV_TIMEOUT, drop_later, u, &at_once);
+}
+
+void upstream_pause(struct upstream *u, bool paused)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(u->conn);
+
+	if (paused)
+		bufferevent_disable(bev, EV_READ);
+	else
+		bufferevent_enable(bev, EV_READ);
+}
+
+void upstream_pool_destroy(struct upstream_pool *pool)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	if (!pool)
+		return;
+	g_hash_table_iter_init(&iter, pool->active);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct upstream *u = key;
+
+		u->cancelled = true;
+		evhttp_connection_free(u->conn);
+		g_free(u->address);
+		g_free(u);
+	}
+	g_hash_table_unref(pool->active);
+	g_hash_table_unref(pool->idle);
+	g_free(pool);
+}
--- /dev/null
+++ b/evidence/home.c
@@ -0,0 +1,164 @@
+/* The table of VMs that announce themselves to one entry. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <radishdeal/evidence.h>
+
+#include "wire/codec.h"
+
+struct home_vm {
+	struct vm_report report;
+	int64_t heard_ms;
+	bool changed; /* since the last digest */
+};
+
+struct home {
+	struct home_opts opts;
+	GHashTable *vms; /* name -> struct home_vm */
+	GPtrArray *lost; /* names lost since the last digest */
+	uint64_t seq;
+};
+
+static void vm_drop(gpointer data)
+{
+	struct home_vm *vm = data;
+
+	CODEC_FREE(vm_report, &vm->report);
+	g_free(vm);
+}
+
+struct home *home_create(const struct home_opts *opts)
+{
+	struct home *home = g_new0(struct home, 1);
+
+	home->opts = *opts;
+	home->vms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					  vm_drop);
+	home->lost = g_ptr_array_new_with_free_func(g_free);
+	return home;
+}
+
+void home_destroy(struct home *home)
+{
+	if (!home)
+		return;
+	g_hash_table_unref(home->vms);
+	g_ptr_array_unref(home->lost);
+	g_free(home);
+}
+
+static bool same_status(const struct vm_report *a, const struct vm_report *b)
+{
+	return a->incarnation == b->incarnation && a->ready == b->ready &&
+	       a->leaving == b->leaving && a->replica == b->replica &&
+	       a->epoch == b->epoch && a->fencing == b->fencing &&
+	       !strcmp(a->address, b->address) &&
+	       !strcmp(a->domain, b->domain) && !strcmp(a->model, b->model) &&
+	       !strcmp(a->adapter, b->adapter) &&
+	       !strcmp(a->model_version, b->model_version) &&
+	       !strcmp(a->service, b->service) &&
+	       a->accelerators == b->accelerators;
+}
+
+/* Loads are told in powers of two, so that small changes cost nothing. */
+static uint32_t coarse(uint32_t n)
+{
+	return (uint32_t)g_bit_storage(n);
+}
+
+static bool same_load(const struct load_report *a, const struct load_report *b)
+{
+	return coarse(a->running) == coarse(b->running) &&
+	       coarse(a->waiting) == coarse(b->waiting) &&
+	       a->step_us / 1024 == b->step_us / 1024;
+}
+
+bool home_announce(struct home *home, int64_t now_ms,
+		   const struct vm_report *report)
+{
+	struct home_vm *vm = g_hash_table_lookup(home->vms, report->name);
+	bool status;
+
+	if (vm && report->incarnation < vm->report.incarnation)
+		return false;
+	if (vm && report->incarnation == vm->report.incarnation &&
+	    report->sequence <= vm->report.sequence)
+		return false;
+	status = !vm || !same_status(&vm->report, report);
+	if (!vm)
+		vm = g_new0(struct home_vm, 1);
+	else
+		g_hash_table_steal(home->vms, report->name);
+	vm->changed |= status || !same_load(&vm->report.load, &report->load);
+	CODEC_FREE(vm_report, &vm->report);
+	if (!CODEC_COPY(vm_report, report, &vm->report))
+		g_assert_not_reached();
+	vm->heard_ms = now_ms;
+	g_hash_table_insert(home->vms, vm->report.name, vm);
+	return status;
+}
+
+static void find_lost(struct home *home, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, home->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct home_vm *vm = value;
+
+		if (now_ms - vm->heard_ms <= home->opts.silence_ms)
+			continue;
+		g_ptr_array_add(home->lost, g_strdup(vm->report.name));
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+static void add_changed(struct home *home, bool full, struct digest *digest)
+{
+	u_int n = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	digest->changed.changed_val = calloc(g_hash_table_size(home->vms) + 1,
+					     sizeof(struct vm_report));
+	g_hash_table_iter_init(&iter, home->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct home_vm *vm = value;
+
+		if (!full && !vm->changed)
+			continue;
+		if (!CODEC_COPY(vm_report, &vm->report,
+				&digest->changed.changed_val[n++]))
+			g_assert_not_reached();
+		vm->changed = false;
+	}
+	digest->changed.changed_len = n;
+}
+
+void home_digest(struct home *home, int64_t now_ms, bool full,
+		 struct digest *digest)
+{
+	memset(digest, 0, sizeof(*digest));
+	find_lost(home, now_ms);
+	digest->home = home->opts.node;
+	digest->incarnation = home->opts.incarnation;
+	digest->seq = ++home->seq;
+	digest->full = full;
+	add_changed(home, full, digest);
+	digest->lost.lost_val = calloc(home->lost->len + 1, sizeof(vm_name));
+	digest->lost.lost_len = home->lost->len;
+	for (guint i = 0; i < home->lost->len; i++)
+		digest->lost.lost_val[i] = strdup(home->lost->pdata[i]);
+	g_ptr_array_set_size(home->lost, 0);
+}
+
+void home_digest_clear(struct digest *digest)
+{
+	CODEC_FREE(digest, digest);
+}
+
+uint32_t home_count(const struct home *home)
+{
+	return g_hash_table_size(home->vms);
+}
--- /dev/null
+++ b/evidence/view.c
@@ -0,0 +1,361 @@
+/* The merged view of all homes' digests. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <radishdeal/evidence.h>
+
+#include "wire/codec.h"
+
+/** What is known of a home. */
+struct view_home {
+	uint32_t node;
+	uint64_t incarnation;
+	uint64_t seq;
+	int64_t heard_ms;
+};
+
+struct view {
+	struct view_opts opts;
+	GTree *vms;	   /* name -> struct view_vm */
+	GHashTable *homes; /* node -> struct view_home */
+	uint64_t version;
+};
+
+static gint compare_names(gconstpointer a, gconstpointer b, gpointer ctx)
+{
+	(void)ctx;
+	return strcmp(a, b);
+}
+
+static void vm_drop(gpointer data)
+{
+	struct view_vm *vm = data;
+
+	g_array_unref(vm->homes);
+	CODEC_FREE(vm_report, &vm->report);
+	g_free(vm);
+}
+
+struct view *view_create(const struct view_opts *opts)
+{
+	struct view *view = g_new0(struct view, 1);
+
+	view->opts = *opts;
+	view->vms = g_tree_new_full(compare_names, NULL, g_free, vm_drop);
+	view->homes = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	return view;
+}
+
+void view_destroy(struct view *view)
+{
+	if (!view)
+		return;
+	g_tree_unref(view->vms);
+	g_hash_table_unref(view->homes);
+	g_free(view);
+}
+
+static struct view_home *get_home(struct view *view, uint32_t node)
+{
+	gpointer key = GUINT_TO_POINTER(node);
+	struct view_home *home = g_hash_table_lookup(view->homes, key);
+
+	if (!home) {
+		home = g_new0(struct view_home, 1);
+		home->node = node;
+		g_hash_table_insert(view->homes, key, home);
+	}
+	return home;
+}
+
+static struct view_vm *get_vm(struct view *view, const char *name)
+{
+	struct view_vm *vm = g_tree_lookup(view->vms, name);
+
+	if (!vm) {
+		vm = g_new0(struct view_vm, 1);
+		vm->homes = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+		g_tree_insert(view->vms, g_strdup(name), vm);
+	}
+	return vm;
+}
+
+static int home_position(const struct view_vm *vm, uint32_t node)
+{
+	for (guint i = 0; i < vm->homes->len; i++)
+		if (g_array_index(vm->homes, uint32_t, i) == node)
+			return (int)i;
+	return -1;
+}
+
+static void lose(struct view *view, struct view_vm *vm, int64_t now_ms)
+{
+	vm->fresh_until_ms = 0;
+	vm->lost_ms = now_ms;
+	vm->losses++;
+	view->version++;
+}
+
+static int64_t vouched_until(const struct view *view, const struct view_vm *vm)
+{
+	int64_t until = 0;
+
+	for (guint i = 0; i < vm->homes->len; i++) {
+		uint32_t node = g_array_index(vm->homes, uint32_t, i);
+		const struct view_home *home = g_hash_table_lookup(
+			view->homes, GUINT_TO_POINTER(node));
+
+		until = MAX(until, home->heard_ms + view->opts.silence_ms);
+	}
+	return until;
+}
+
+static void forget_home(struct view *view, struct view_vm *vm, uint32_t node,
+			int64_t now_ms)
+{
+	int at = home_position(vm, node);
+
+	if (at < 0)
+		return;
+	g_array_remove_index_fast(vm->homes, (guint)at);
+	vm->fresh_until_ms = vouched_until(view, vm);
+	if (!vm->homes->len)
+		lose(view, vm, now_ms);
+}
+
+static bool is_newer(const struct vm_report *a, const struct vm_report *b)
+{
+	if (a->incarnation != b->incarnation)
+		return a->incarnation > b->incarnation;
+	return a->sequence > b->sequence;
+}
+
+static void take_report(struct view *view, uint32_t node,
+			const struct vm_report *report, int64_t now_ms)
+{
+	struct view_vm *vm = get_vm(view, report->name);
+
+	if (!vm->homes->len)
+		vm->since_ms = now_ms;
+	if (home_position(vm, node) < 0)
+		g_array_append_val(vm->homes, node);
+	if (vm->report.name && !is_newer(report, &vm->report))
+		return;
+	CODEC_FREE(vm_report, &vm->report);
+	if (!CODEC_COPY(vm_report, report, &vm->report))
+		g_assert_not_reached();
+	view->version++;
+}
+
+struct forgetting {
+	struct view *view;
+	const struct digest *digest;
+	GHashTable *named;
+	int64_t now_ms;
+};
+
+static gboolean forget_unnamed(gpointer key, gpointer value, gpointer data)
+{
+	struct forgetting *f = data;
+
+	if (!g_hash_table_contains(f->named, key))
+		forget_home(f->view, value, f->digest->home, f->now_ms);
+	return FALSE;
+}
+
+/* A full digest names all that its home hears; the rest it has lost. */
+static void forget_others(struct view *view, const struct digest *digest,
+			  int64_t now_ms)
+{
+	struct forgetting f = {
+		.view = view,
+		.digest = digest,
+		.named = g_hash_table_new(g_str_hash, g_str_equal),
+		.now_ms = now_ms,
+	};
+
+	for (u_int i = 0; i < digest->changed.changed_len; i++)
+		g_hash_table_add(f.named, digest->changed.changed_val[i].name);
+	g_tree_foreach(view->vms, forget_unnamed, &f);
+	g_hash_table_unref(f.named);
+}
+
+struct refreshing {
+	struct view *view;
+	const struct view_home *home;
+};
+
+static gboolean refresh_vm(gpointer key, gpointer value, gpointer data)
+{
+	struct refreshing *r = data;
+	struct view_vm *vm = value;
+
+	(void)key;
+	if (home_position(vm, r->home->node) >= 0)
+		vm->fresh_until_ms = vouched_until(r->view, vm);
+	return FALSE;
+}
+
+bool view_merge(struct view *view, int64_t now_ms, const struct digest *digest)
+{
+	struct view_home *home = get_home(view, digest->home);
+	bool gap = home->incarnation != digest->incarnation ||
+		   home->seq + 1 != digest->seq;
+	struct refreshing refreshing = {view, home};
+
+	if (digest->incarnation < home->incarnation ||
+	    (digest->incarnation == home->incarnation &&
+	     digest->seq <= home->seq))
+		return true; /* late; nothing new in it */
+	/*
+	 * Behind a gap a loss may hide, so until the full digest comes this
+	 * home's word is not renewed.
+	 */
+	if (!gap || digest->full) {
+		home->incarnation = digest->incarnation;
+		home->seq = digest->seq;
+		home->heard_ms = now_ms;
+	}
+	for (u_int i = 0; i < digest->changed.changed_len; i++)
+		take_report(view, digest->home, &digest->changed.changed_val[i],
+			    now_ms);
+	for (u_int i = 0; i < digest->lost.lost_len; i++) {
+		struct view_vm *vm = g_tree_lookup(view->vms,
+						   digest->lost.lost_val[i]);
+
+		if (vm)
+			forget_home(view, vm, digest->home, now_ms);
+	}
+	if (digest->full)
+		forget_others(view, digest, now_ms);
+	g_tree_foreach(view->vms, refresh_vm, &refreshing);
+	return !gap || digest->full;
+}
+
+struct ticking {
+	struct view *view;
+	int64_t now_ms;
+};
+
+static gboolean tick_vm(gpointer key, gpointer value, gpointer data)
+{
+	struct ticking *t = data;
+	struct view_vm *vm = value;
+
+	(void)key;
+	if (!vm->homes->len || t->now_ms < vm->fresh_until_ms)
+		return FALSE;
+	g_array_set_size(vm->homes, 0);
+	lose(t->view, vm, t->now_ms);
+	return FALSE;
+}
+
+void view_tick(struct view *view, int64_t now_ms)
+{
+	struct ticking t = {view, now_ms};
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, view->homes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct view_home *home = value;
+
+		/* What it says next must be everything. */
+		if (now_ms - home->heard_ms >= view->opts.silence_ms)
+			home->seq = 0;
+	}
+	g_tree_foreach(view->vms, tick_vm, &t);
+}
+
+const struct view_vm *view_find(const struct view *view, const char *name)
+{
+	return g_tree_lookup(view->vms, name);
+}
+
+bool view_alive(const struct view *view, const struct view_vm *vm,
+		int64_t now_ms)
+{
+	(void)view;
+	return vm->homes->len && now_ms < vm->fresh_until_ms;
+}
+
+struct visiting {
+	void (*visit)(void *ctx, const struct view_vm *vm);
+	void *ctx;
+};
+
+static gboolean visit_vm(gpointer key, gpointer value, gpointer data)
+{
+	struct visiting *v = data;
+
+	(void)key;
+	v->visit(v->ctx, value);
+	return FALSE;
+}
+
+void view_each(const struct view *view,
+	       void (*visit)(void *ctx, const struct view_vm *vm), void *ctx)
+{
+	struct visiting v = {visit, ctx};
+
+	g_tree_foreach(view->vms, visit_vm, &v);
+}
+
+uint64_t view_version(const struct view *view)
+{
+	return view->version;
+}
+
+const char *replica_fault_name(enum replica_fault fault)
+{
+	static const char *const names[] = {
+		[REPLICA_WHOLE] = "whole",
+		[REPLICA_VM_UNKNOWN] = "vm-unknown",
+		[REPLICA_VM_SILENT] = "vm-silent",
+		[REPLICA_VM_LEAVING] = "vm-leaving",
+		[REPLICA_VM_NOT_READY] = "vm-not-ready",
+		[REPLICA_VM_OTHER_EPOCH] = "vm-other-epoch",
+	};
+
+	return names[fault];
+}
+
+static enum replica_fault judge_vm(const struct view *view,
+				   const struct assign_replica *replica,
+				   const struct view_vm *vm, int64_t now_ms)
+{
+	if (!vm)
+		return REPLICA_VM_UNKNOWN;
+	if (!view_alive(view, vm, now_ms))
+		return REPLICA_VM_SILENT;
+	if (vm->report.leaving)
+		return REPLICA_VM_LEAVING;
+	if (vm->report.replica != replica->replica ||
+	    vm->report.epoch != replica->epoch)
+		return REPLICA_VM_OTHER_EPOCH;
+	if (!vm->report.ready)
+		return REPLICA_VM_NOT_READY;
+	return REPLICA_WHOLE;
+}
+
+enum replica_fault view_judge(const struct view *view,
+			      const struct assign_replica *replica,
+			      int64_t now_ms, const char **culprit,
+			      int64_t *fresh_until_ms)
+{
+	*culprit = NULL;
+	*fresh_until_ms = INT64_MAX;
+	for (u_int i = 0; i < replica->vms.vms_len; i++) {
+		const char *name = replica->vms.vms_val[i].name;
+		const struct view_vm *vm = view_find(view, name);
+		enum replica_fault fault = judge_vm(view, replica, vm, now_ms);
+
+		if (fault) {
+			*culprit = name;
+			*fresh_until_ms = 0;
+			return fault;
+		}
+		*fresh_until_ms = MIN(*fresh_until_ms, vm->fresh_until_ms);
+	}
+	return REPLICA_WHOLE;
+}
--- /dev/null
+++ b/include/radishdeal/evidence.h
@@ -0,0 +1,114 @@
+/**
+ * @file
+ * Liveness of VMs: what home entries hear and what everybody concludes.
+ *
+ * A VM announces itself to two home entries. A home sends digests, which
+ * carry only what changed and, by arriving, say that all else is as before. A
+ * view merges the digests of all homes. No clock or socket inside; one thread
+ * owns an instance.
+ */
+#ifndef RADISHDEAL_EVIDENCE_H
+#define RADISHDEAL_EVIDENCE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "wire/radishdeal.h"
+
+struct home;
+
+struct home_opts {
+	uint32_t node;
+	uint64_t incarnation;
+	int32_t silence_ms; /* a VM silent for longer is lost */
+};
+
+struct home *home_create(const struct home_opts *opts);
+void home_destroy(struct home *home);
+
+/**
+ * Takes an announcement. Returns true if it changes what others must know at
+ * once (readiness, leaving, what is held), not just the load.
+ */
+bool home_announce(struct home *home, int64_t now_ms,
+		   const struct vm_report *report);
+
+/**
+ * Makes the next digest: changes since the last one, or everything if `full`.
+ * The caller frees it with home_digest_clear().
+ */
+void home_digest(struct home *home, int64_t now_ms, bool full,
+		 struct digest *digest);
+void home_digest_clear(struct digest *digest);
+
+/** How many VMs announce here. */
+uint32_t home_count(const struct home *home);
+
+struct view;
+
+struct view_opts {
+	int32_t silence_ms; /* a home silent for longer vouches for nothing */
+};
+
+/** What a view knows of a VM. */
+struct view_vm {
+	struct vm_report report;
+	int64_t fresh_until_ms; /* unless heard of again */
+	int64_t since_ms;	/* alive without a break since */
+	int64_t lost_ms;	/* when it was last found lost, 0 if never */
+	uint32_t losses;	/* how often it was lost */
+	GArray *homes;		/* node numbers that vouch for it */
+};
+
+struct view *view_create(const struct view_opts *opts);
+void view_destroy(struct view *view);
+
+/**
+ * Merges a digest. Returns false if digests are missing before it, so that a
+ * full one must be asked for; its changes are taken all the same.
+ */
+bool view_merge(struct view *view, int64_t now_ms, const struct digest *digest);
+
+/** Notices VMs whose homes fell silent; call at least each 100 ms. */
+void view_tick(struct view *view, int64_t now_ms);
+
+/** Returns a VM by name, lost or not, or NULL. */
+const struct view_vm *view_find(const struct view *view, const char *name);
+
+/** Whether a VM is alive by fresh evidence. */
+bool view_alive(const struct view *view, const struct view_vm *vm,
+		int64_t now_ms);
+
+/** Visits every VM, by name. */
+void view_each(const struct view *view,
+	       void (*visit)(void *ctx, const struct view_vm *vm), void *ctx);
+
+/** Counts changes of liveness or of reports; grows. */
+uint64_t view_version(const struct view *view);
+
+/** Why a replica may not serve. */
+enum replica_fault {
+	REPLICA_WHOLE,
+	REPLICA_VM_UNKNOWN,
+	REPLICA_VM_SILENT,
+	REPLICA_VM_LEAVING,
+	REPLICA_VM_NOT_READY,
+	REPLICA_VM_OTHER_EPOCH,
+};
+
+/** Returns a word for a fault. */
+const char *replica_fault_name(enum replica_fault fault);
+
+/**
+ * Judges whether a replica is whole: each of its VMs alive, ready and under
+ * the replica's epoch. Sets the VM at fault (or NULL) and until when the
+ * evidence serves.
+ */
+enum replica_fault view_judge(const struct view *view,
+			      const struct assign_replica *replica,
+			      int64_t now_ms, const char **culprit,
+			      int64_t *fresh_until_ms);
+
+#endif
--- /dev/null
+++ b/include/radishdeal/router.h
@@ -0,0 +1,156 @@
+/**
+ * @file
+ * Choice of a replica for a request, and the accounts of what was sent where.
+ *
+ * A decision core: time and random numbers come in as arguments, nothing is
+ * read or sent. One thread owns an instance. How candidates are compared is a
+ * policy, a struct of callbacks; the baselines use the same one.
+ */
+#ifndef RADISHDEAL_ROUTER_H
+#define RADISHDEAL_ROUTER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#define ROUTER_PREFIX_MAX 64
+
+/** A request as far as its routing goes. */
+struct router_request {
+	uint32_t prompt_tokens; /* estimated */
+	uint32_t output_tokens; /* estimated, or the caller's limit */
+	uint32_t prefix_count;
+	uint64_t prefix[ROUTER_PREFIX_MAX]; /* chained hashes of the prompt */
+	uint32_t prefix_tokens;		    /* tokens in each part */
+	uint32_t avoid_count;
+	uint32_t avoid[4]; /* replicas that failed it before */
+};
+
+/** A replica as the router sees it. */
+struct router_replica {
+	uint32_t id;
+	uint64_t epoch;
+	uint32_t slots;
+	char address[64];	/* of the head VM */
+	int64_t fresh_until_ms; /* 0: not usable */
+	const char *fault;	/* word for why not, if so */
+	bool suspect;		/* a connection failed; until new evidence */
+
+	uint32_t outstanding; /* own requests there */
+	uint64_t own_tokens;  /* estimated tokens they still need */
+	uint32_t others;      /* requests of other entries, by reports */
+	double step_us;	      /* time of a decoding step, smoothed */
+	double prefill_us;    /* time to read one prompt token, smoothed */
+	int64_t probed_ms;    /* when a straggler was last tried */
+	int64_t paced_ms;     /* when step_us was last measured */
+
+	GHashTable *prefixes; /* hash -> last use */
+	GQueue prefix_order;  /* hashes, least recent first */
+};
+
+/** How to compare candidates. */
+struct router_policy {
+	const char *name;
+	/** Cost of one candidate; the least wins. */
+	double (*cost)(void *ctx, const struct router_replica *replica,
+		       const struct router_request *request);
+	/** How many random candidates are compared; 0 for all. */
+	uint32_t sample;
+	void *ctx;
+};
+
+extern const struct router_policy router_policy_cost;
+
+struct router;
+
+struct router_opts {
+	uint32_t seed;
+	uint32_t entry;	     /* this node, for its share of the replicas */
+	uint32_t subset;     /* how many replicas one entry uses; 0 for all */
+	uint32_t prefix_max; /* hashes remembered per replica */
+	const struct router_policy *policy; /* NULL for router_policy_cost */
+};
+
+struct router *router_create(const struct router_opts *opts);
+void router_destroy(struct router *router);
+
+/** Adds or updates a replica; a new epoch forgets what the old one held. */
+void router_put(struct router *router, uint32_t id, uint64_t epoch,
+		uint32_t slots, const char *address);
+
+/** Removes a replica; its requests in flight are forgotten. */
+void router_remove(struct router *router, uint32_t id);
+
+/** Says until when a replica's evidence serves, or why it does not. */
+void router_set_fresh(struct router *router, uint32_t id,
+		      int64_t fresh_until_ms, const char *fault);
+
+/** Marks a replica that refused a connection; cleared by router_trust(). */
+void router_suspect(struct router *router, uint32_t id);
+void router_trust(struct router *router, uint32_t id);
+
+/** Takes a lagging load report: running and waiting in all, step time. */
+void router_load(struct router *router, uint32_t id, uint32_t total,
+		 uint32_t step_us);
+
+/** Takes cache events: hashes now held, or no longer held. */
+void router_cache(struct router *router, uint32_t id, const uint64_t *stored,
+		  uint32_t stored_count, const uint64_t *dropped,
+		  uint32_t dropped_count);
+
+/** Forgets what a replica's cache holds, after a gap in its events. */
+void router_cache_reset(struct router *router, uint32_t id);
+
+/** Why candidates were left out, for the log. */
+struct router_choice {
+	uint32_t replica; /* 0 if there is none */
+	uint64_t epoch;
+	const char *address; /* borrowed until the next change */
+	double cost_ms;
+	uint32_t cached_tokens;
+	uint32_t candidates;
+	uint32_t stale, suspects, full, avoided, slow;
+	char worst[64]; /* id and fault of one candidate left out */
+};
+
+/**
+ * Chooses. With `only_free`, replicas without a free slot are left out.
+ * Nothing is counted until router_sent().
+ */
+void router_choose(struct router *router, int64_t now_ms, bool only_free,
+		   const struct router_request *request,
+		   struct router_choice *choice);
+
+/** Counts a request as sent. */
+void router_sent(struct router *router, uint32_t id, int64_t now_ms,
+		 const struct router_request *request);
+
+/** Takes tokens off what is still expected. */
+void router_progress(struct router *router, uint32_t id, uint32_t tokens);
+
+/** Counts a request as ended; `left` is what was still expected of it. */
+void router_done(struct router *router, uint32_t id, uint64_t epoch,
+		 uint32_t left);
+
+/** Learns the pace of a replica from one stream. */
+void router_pace(struct router *router, uint32_t id, int64_t now_ms,
+		 uint32_t tokens, int64_t elapsed_us);
+
+/** Learns the time to first token beyond queueing. */
+void router_prefill(struct router *router, uint32_t id, uint32_t tokens,
+		    int64_t elapsed_us);
+
+const struct router_replica *router_find(const struct router *router,
+					 uint32_t id);
+
+/** Free slots over the usable replicas of this entry, and slots in all. */
+void router_capacity(const struct router *router, int64_t now_ms,
+		     uint32_t *free_slots, uint32_t *slots);
+
+/** Visits all replicas by number. */
+void router_each(const struct router *router,
+		 void (*visit)(void *ctx, const struct router_replica *r),
+		 void *ctx);
+
+#endif
