--- /dev/null
+++ b/placement/model.c
@@ -0,0 +1,373 @@
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "placement/placement_internal.h"
+
+static gint compare_names(gconstpointer a, gconstpointer b, gpointer ctx)
+{
+	(void)ctx;
+	return strcmp(a, b);
+}
+
+static gint compare_numbers(gconstpointer a, gconstpointer b, gpointer ctx)
+{
+	guint x = GPOINTER_TO_UINT(a), y = GPOINTER_TO_UINT(b);
+
+	(void)ctx;
+	return x < y ? -1 : x > y;
+}
+
+static void vm_drop(gpointer data)
+{
+	struct vm *vm = data;
+
+	g_free(vm->name);
+	g_free(vm);
+}
+
+static void domain_drop(gpointer data)
+{
+	struct domain *domain = data;
+
+	g_ptr_array_unref(domain->vms);
+	g_free(domain->name);
+	g_free(domain->data_centre);
+	g_free(domain);
+}
+
+static void service_drop(gpointer data)
+{
+	struct service *service = data;
+
+	g_ptr_array_unref(service->replicas);
+	g_free(service->name);
+	g_free(service->version);
+	g_free(service);
+}
+
+static void replica_drop(gpointer data)
+{
+	struct replica *replica = data;
+
+	g_free(replica->version);
+	g_free(replica);
+}
+
+struct placement *placement_create(const struct placement_opts *opts)
+{
+	struct placement *p = g_new0(struct placement, 1);
+
+	p->opts = *opts;
+	p->vms = g_tree_new_full(compare_names, NULL, NULL, vm_drop);
+	p->domains = g_tree_new_full(compare_names, NULL, NULL, domain_drop);
+	p->services = g_tree_new_full(compare_names, NULL, NULL, service_drop);
+	p->replicas = g_tree_new_full(compare_numbers, NULL, NULL,
+				      replica_drop);
+	p->domain_list = g_ptr_array_new();
+	p->service_list = g_ptr_array_new();
+	return p;
+}
+
+void placement_destroy(struct placement *p)
+{
+	if (!p)
+		return;
+	g_ptr_array_unref(p->domain_list);
+	g_ptr_array_unref(p->service_list);
+	g_tree_unref(p->replicas);
+	g_tree_unref(p->services);
+	g_tree_unref(p->domains);
+	g_tree_unref(p->vms);
+	g_free(p);
+}
+
+uint64_t model_weights(const char *model, const char *adapter,
+		       const char *version)
+{
+	uint64_t hash;
+
+	if (!*model)
+		return 0;
+	hash = XXH64(model, strlen(model) + 1, 0);
+	hash = XXH64(adapter, strlen(adapter) + 1, hash);
+	hash = XXH64(version, strlen(version) + 1, hash);
+	return hash ? hash : 1;
+}
+
+/* ---- services ---- */
+
+static gboolean collect(gpointer key, gpointer value, gpointer data)
+{
+	(void)key;
+	g_ptr_array_add(data, value);
+	return FALSE;
+}
+
+static struct service *get_service(struct placement *p, const char *name)
+{
+	struct service *service = g_tree_lookup(p->services, name);
+
+	if (service)
+		return service;
+	service = g_new0(struct service, 1);
+	service->name = g_strdup(name);
+	service->version = g_strdup("");
+	service->replicas = g_ptr_array_new();
+	service->removed = true;
+	g_tree_insert(p->services, service->name, service);
+	g_ptr_array_set_size(p->service_list, 0);
+	g_tree_foreach(p->services, collect, p->service_list);
+	return service;
+}
+
+void placement_put_service(struct placement *p,
+			   const struct placement_service *from)
+{
+	struct service *service = get_service(p, from->name);
+
+	g_free(service->version);
+	service->version = g_strdup(from->version);
+	service->weights = model_weights(from->model, from->adapter,
+					 from->version);
+	service->wanted = from->replicas;
+	service->vms_per_replica = from->vms_per_replica;
+	service->accelerators_per_vm = from->accelerators_per_vm;
+	service->cross_domain = from->cross_domain;
+	service->downtime_weight = from->downtime_weight;
+	service->stranded_weight = from->stranded_weight;
+	service->removed = false;
+}
+
+void placement_remove_service(struct placement *p, const char *name)
+{
+	struct service *service = g_tree_lookup(p->services, name);
+
+	if (!service)
+		return;
+	service->removed = true;
+	service->wanted = 0;
+}
+
+/* ---- VMs ---- */
+
+struct vm *model_vm(const struct placement *p, const char *name)
+{
+	return g_tree_lookup(p->vms, name);
+}
+
+static struct domain *get_domain(struct placement *p, const char *name,
+				 const char *data_centre)
+{
+	struct domain *domain = g_tree_lookup(p->domains, name);
+
+	if (domain)
+		return domain;
+	domain = g_new0(struct domain, 1);
+	domain->name = g_strdup(name);
+	domain->data_centre = g_strdup(data_centre);
+	domain->vms = g_ptr_array_new();
+	g_tree_insert(p->domains, domain->name, domain);
+	g_ptr_array_set_size(p->domain_list, 0);
+	g_tree_foreach(p->domains, collect, p->domain_list);
+	return domain;
+}
+
+static void join_domain(struct vm *vm, struct domain *domain)
+{
+	guint at = 0;
+
+	if (vm->domain == domain)
+		return;
+	if (vm->domain)
+		g_ptr_array_remove(vm->domain->vms, vm);
+	while (at < domain->vms->len &&
+	       strcmp(((struct vm *)domain->vms->pdata[at])->name, vm->name) <
+		       0)
+		at++;
+	g_ptr_array_insert(domain->vms, (gint)at, vm);
+	vm->domain = domain;
+}
+
+static void note_loss(struct placement *p, struct vm *vm, int64_t now_ms)
+{
+	if (now_ms - vm->lost_ms > p->opts.flap_forget_ms)
+		vm->recent_losses = 0;
+	vm->recent_losses++;
+	vm->lost_ms = now_ms;
+}
+
+void placement_put_vm(struct placement *p, int64_t now_ms,
+		      const struct placement_vm *from)
+{
+	struct vm *vm = model_vm(p, from->name);
+	bool was_alive = vm && vm->alive;
+
+	if (!vm) {
+		vm = g_new0(struct vm, 1);
+		vm->name = g_strdup(from->name);
+		g_tree_insert(p->vms, vm->name, vm);
+	}
+	join_domain(vm, get_domain(p, from->domain, from->data_centre));
+	vm->accelerators = from->accelerators;
+	vm->weights = model_weights(from->model, from->adapter, from->version);
+	if (from->leaving && !vm->leaving)
+		vm->leaving_since_ms = now_ms;
+	vm->leaving = from->leaving;
+	vm->straggling = from->straggling;
+	vm->alive = from->alive;
+	if (from->alive && !was_alive)
+		vm->alive_since_ms = now_ms;
+	if (!from->alive && was_alive)
+		note_loss(p, vm, from->lost_ms ? from->lost_ms : now_ms);
+}
+
+void placement_hold(struct placement *p, const char *name, uint32_t replica,
+		    bool releasing)
+{
+	struct vm *vm = model_vm(p, name);
+
+	if (!vm) {
+		/* Held by the log's word, though not heard of yet. */
+		vm = g_new0(struct vm, 1);
+		vm->name = g_strdup(name);
+		g_tree_insert(p->vms, vm->name, vm);
+	}
+	vm->holder = replica;
+	vm->releasing = releasing;
+}
+
+bool model_usable(const struct placement *p, const struct vm *vm,
+		  const struct service *service, int64_t now_ms)
+{
+	int64_t wait_ms = 0;
+
+	if (!vm->alive || vm->leaving || vm->straggling || vm->holder ||
+	    vm->taken || vm->accelerators < service->accelerators_per_vm)
+		return false;
+	/* One that was lost again and again must stay up longer each time. */
+	if (vm->recent_losses > 1 &&
+	    now_ms - vm->lost_ms <= p->opts.flap_forget_ms)
+		wait_ms = (int64_t)p->opts.flap_wait_ms * vm->recent_losses;
+	return now_ms - vm->alive_since_ms >= wait_ms;
+}
+
+bool model_serving(const struct vm *vm)
+{
+	return vm->alive && !vm->leaving;
+}
+
+/* ---- replicas ---- */
+
+void placement_put_replica(struct placement *p, int64_t now_ms, uint32_t id,
+			   uint64_t epoch, const char *service,
+			   const char *version, const char *const *vms,
+			   uint32_t vm_count)
+{
+	struct replica *r = g_tree_lookup(p->replicas, GUINT_TO_POINTER(id));
+
+	g_assert(vm_count <= PLACEMENT_VMS_MAX);
+	if (!r) {
+		guint at = 0;
+
+		r = g_new0(struct replica, 1);
+		r->id = id;
+		r->service = get_service(p, service);
+		while (at < r->service->replicas->len &&
+		       ((struct replica *)r->service->replicas->pdata[at])->id <
+			       id)
+			at++;
+		g_ptr_array_insert(r->service->replicas, (gint)at, r);
+		g_tree_insert(p->replicas, GUINT_TO_POINTER(id), r);
+	}
+	r->epoch = epoch;
+	g_free(r->version);
+	r->version = g_strdup(version);
+	r->whole = false;
+	r->since_ms = now_ms;
+	r->vm_count = vm_count;
+	for (uint32_t i = 0; i < vm_count; i++) {
+		placement_hold(p, vms[i], id, false);
+		r->vms[i] = model_vm(p, vms[i]);
+	}
+}
+
+void placement_remove_replica(struct placement *p, uint32_t id)
+{
+	struct replica *r = g_tree_lookup(p->replicas, GUINT_TO_POINTER(id));
+
+	if (!r)
+		return;
+	g_ptr_array_remove(r->service->replicas, r);
+	g_tree_remove(p->replicas, GUINT_TO_POINTER(id));
+}
+
+void placement_set_whole(struct placement *p, uint32_t id, bool whole)
+{
+	struct replica *r = g_tree_lookup(p->replicas, GUINT_TO_POINTER(id));
+
+	if (r)
+		r->whole = whole;
+}
+
+void placement_set_busy(struct placement *p, uint32_t id, bool busy)
+{
+	struct replica *r = g_tree_lookup(p->replicas, GUINT_TO_POINTER(id));
+
+	if (r)
+		r->busy = busy;
+}
+
+uint32_t model_missing(const struct replica *r)
+{
+	uint32_t missing = 0;
+
+	for (uint32_t i = 0; i < r->vm_count; i++)
+		missing += model_serving(r->vms[i]) ? 0 : 1;
+	return missing;
+}
+
+bool model_loading(const struct replica *r)
+{
+	if (r->whole || model_missing(r))
+		return false;
+	for (uint32_t i = 0; i < r->vm_count; i++)
+		if (r->vms[i]->weights != r->service->weights)
+			return true;
+	return false;
+}
+
+/* ---- sums ---- */
+
+static gboolean sum_vm(gpointer key, gpointer value, gpointer data)
+{
+	struct placement_sums *sums = data;
+	const struct vm *vm = value;
+
+	(void)key;
+	if (model_serving(vm))
+		sums->alive += vm->accelerators;
+	return FALSE;
+}
+
+void placement_sum(const struct placement *p, struct placement_sums *sums)
+{
+	memset(sums, 0, sizeof(*sums));
+	g_tree_foreach(p->vms, sum_vm, sums);
+	for (guint i = 0; i < p->service_list->len; i++) {
+		const struct service *s = p->service_list->pdata[i];
+		uint32_t whole = 0;
+
+		for (guint j = 0; j < s->replicas->len; j++) {
+			const struct replica *r = s->replicas->pdata[j];
+
+			if (!r->whole || model_missing(r))
+				continue;
+			whole++;
+			for (uint32_t k = 0; k < r->vm_count; k++)
+				sums->in_whole += r->vms[k]->accelerators;
+		}
+		sums->wanted += s->wanted;
+		sums->whole += MIN(whole, s->wanted);
+	}
+}
--- /dev/null
+++ b/placement/placement_internal.h
@@ -0,0 +1,88 @@
+/**
+ * @file
+ * The model behind placement: VMs, domains, services, replicas and the links
+ * between them, kept current so that planning looks only at what is amiss.
+ */
+#ifndef PLACEMENT_PLACEMENT_INTERNAL_H
+#define PLACEMENT_PLACEMENT_INTERNAL_H
+
+#include <radishdeal/placement.h>
+
+struct domain;
+struct service;
+struct replica;
+
+struct vm {
+	char *name;
+	struct domain *domain;
+	uint64_t weights; /* hash of what is loaded, 0 for nothing */
+	uint32_t accelerators;
+	bool alive, leaving, straggling;
+	int64_t leaving_since_ms;
+	int64_t alive_since_ms;
+	int64_t lost_ms;
+	uint32_t recent_losses;
+	uint32_t holder; /* replica's number, 0 if free */
+	bool releasing;
+	bool taken; /* by a decision of the current plan */
+};
+
+struct domain {
+	char *name;
+	char *data_centre;
+	GPtrArray *vms; /* of struct vm, by name */
+};
+
+struct service {
+	char *name;
+	char *version;
+	uint64_t weights;
+	uint32_t wanted, vms_per_replica, accelerators_per_vm;
+	bool cross_domain;
+	uint32_t downtime_weight, stranded_weight;
+	bool removed;
+	GPtrArray *replicas; /* of struct replica, by number */
+};
+
+struct replica {
+	uint32_t id;
+	uint64_t epoch;
+	struct service *service;
+	char *version;
+	struct vm *vms[PLACEMENT_VMS_MAX];
+	uint32_t vm_count;
+	bool whole;
+	bool busy;
+	int64_t since_ms;
+	bool giving_up; /* by a decision of the current plan */
+};
+
+struct placement {
+	struct placement_opts opts;
+	GTree *vms;		 /* name -> struct vm */
+	GTree *domains;		 /* name -> struct domain */
+	GTree *services;	 /* name -> struct service */
+	GTree *replicas;	 /* number -> struct replica */
+	GPtrArray *domain_list;	 /* of struct domain, by name */
+	GPtrArray *service_list; /* of struct service, by name */
+};
+
+/* model.c */
+struct vm *model_vm(const struct placement *placement, const char *name);
+uint64_t model_weights(const char *model, const char *adapter,
+		       const char *version);
+
+/** Whether a free VM may be put into a replica of a service. */
+bool model_usable(const struct placement *placement, const struct vm *vm,
+		  const struct service *service, int64_t now_ms);
+
+/** Whether a VM that a replica holds still serves it. */
+bool model_serving(const struct vm *vm);
+
+/** How many VMs of a replica are gone. */
+uint32_t model_missing(const struct replica *replica);
+
+/** Whether a replica still has to load weights on some VM. */
+bool model_loading(const struct replica *replica);
+
+#endif
--- /dev/null
+++ b/placement/plan.c
@@ -0,0 +1,603 @@
+/* Deciding: what is amiss, what would mend it, what is worth doing first. */
+#include <stdio.h>
+#include <string.h>
+
+#include "placement/placement_internal.h"
+
+/** Something a service lacks: a broken replica, or one more replica. */
+struct need {
+	struct service *service;
+	struct replica *replica; /* NULL for a new one */
+	uint32_t missing;	 /* VMs to find */
+	double value;		 /* price of leaving it */
+};
+
+/** VMs found for a need. */
+struct pick {
+	struct vm *vms[PLACEMENT_VMS_MAX];
+	uint32_t count;
+	uint32_t loads; /* VMs that must load weights */
+	uint32_t domains;
+};
+
+struct plan {
+	struct placement *p;
+	int64_t now_ms;
+	void (*decide)(void *ctx, const struct placement_decision *decision);
+	void *ctx;
+	GArray *needs;
+	GPtrArray *taken;    /* VMs marked by this plan */
+	GPtrArray *given_up; /* replicas marked by this plan */
+	uint32_t loading;
+};
+
+const char *placement_action_name(enum placement_action action)
+{
+	static const char *const names[] = {
+		[PLACEMENT_FORM] = "form",
+		[PLACEMENT_REPAIR] = "repair",
+		[PLACEMENT_RELEASE] = "release",
+		[PLACEMENT_WAIT] = "wait",
+	};
+
+	return names[action];
+}
+
+/* ---- telling ---- */
+
+static void tell(struct plan *plan, enum placement_action action,
+		 const struct service *service, const struct replica *replica,
+		 const struct pick *pick, const char *fmt, ...)
+	G_GNUC_PRINTF(6, 7);
+
+static void tell(struct plan *plan, enum placement_action action,
+		 const struct service *service, const struct replica *replica,
+		 const struct pick *pick, const char *fmt, ...)
+{
+	struct placement_decision d = {
+		.action = action,
+		.replica = replica ? replica->id : 0,
+		.service = service->name,
+		.version = service->version,
+	};
+	va_list ap;
+
+	if (pick)
+		d.vm_count = pick->count;
+	for (uint32_t i = 0; pick && i < pick->count; i++)
+		d.vms[i] = pick->vms[i]->name;
+	va_start(ap, fmt);
+	vsnprintf(d.reason, sizeof(d.reason), fmt, ap);
+	va_end(ap);
+	plan->decide(plan->ctx, &d);
+}
+
+static void take(struct plan *plan, const struct pick *pick)
+{
+	for (uint32_t i = 0; i < pick->count; i++) {
+		pick->vms[i]->taken = true;
+		g_ptr_array_add(plan->taken, pick->vms[i]);
+	}
+}
+
+static void give_up(struct plan *plan, struct replica *r, const char *reason)
+{
+	if (r->giving_up)
+		return;
+	r->giving_up = true;
+	g_ptr_array_add(plan->given_up, r);
+	tell(plan, PLACEMENT_RELEASE, r->service, r, NULL, "%s", reason);
+}
+
+/* ---- surplus and versions ---- */
+
+static uint32_t count_replicas(const struct service *s, bool only_whole)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < s->replicas->len; i++) {
+		const struct replica *r = s->replicas->pdata[i];
+
+		if (r->giving_up)
+			continue;
+		if (!only_whole || (r->whole && !model_missing(r)))
+			count++;
+	}
+	return count;
+}
+
+static uint32_t domains_of(const struct replica *r)
+{
+	uint32_t domains = 0;
+
+	for (uint32_t i = 0; i < r->vm_count; i++) {
+		bool seen = false;
+
+		for (uint32_t j = 0; j < i; j++)
+			seen |= r->vms[i]->domain == r->vms[j]->domain;
+		domains += seen ? 0 : 1;
+	}
+	return domains;
+}
+
+/* Which replica is least worth keeping: greater is worse. */
+static int badness(const struct replica *r)
+{
+	int points = 0;
+
+	points += model_missing(r) ? 1000 : 0;
+	points += r->whole ? 0 : 100;
+	points += strcmp(r->version, r->service->version) ? 10 : 0;
+	points += domains_of(r) > 1 ? 5 : 0;
+	return points;
+}
+
+static struct replica *worst_replica(const struct service *s)
+{
+	struct replica *worst = NULL;
+
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct replica *r = s->replicas->pdata[i];
+
+		if (r->giving_up)
+			continue;
+		if (!worst || badness(r) >= badness(worst))
+			worst = r;
+	}
+	return worst;
+}
+
+static void drop_surplus(struct plan *plan, struct service *s)
+{
+	char reason[PLACEMENT_REASON_MAX];
+
+	while (count_replicas(s, false) > s->wanted) {
+		snprintf(reason, sizeof(reason), "%u replicas, preset wants %u",
+			 count_replicas(s, false), s->wanted);
+		give_up(plan, worst_replica(s), reason);
+	}
+}
+
+/*
+ * Another version rolls through one replica at a time, and only while all
+ * others that are wanted are whole.
+ */
+static void roll_version(struct plan *plan, struct service *s)
+{
+	char reason[PLACEMENT_REASON_MAX];
+
+	if (count_replicas(s, true) < s->wanted)
+		return;
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct replica *r = s->replicas->pdata[i];
+
+		if (r->giving_up || !strcmp(r->version, s->version))
+			continue;
+		snprintf(reason, sizeof(reason),
+			 "runs version %s, preset wants %s", r->version,
+			 s->version);
+		give_up(plan, r, reason);
+		return;
+	}
+}
+
+/* ---- finding VMs ---- */
+
+/* Prefers loaded weights, then the VM with the fewest spare accelerators. */
+static int preference(const struct plan *plan, const struct service *s,
+		      const struct vm *vm)
+{
+	int points = (int)(vm->accelerators - s->accelerators_per_vm);
+
+	if (!plan->p->opts.ignore_weights && vm->weights != s->weights)
+		points += 1 << 16;
+	return points;
+}
+
+static bool picked(const struct pick *pick, const struct vm *vm)
+{
+	for (uint32_t i = 0; i < pick->count; i++)
+		if (pick->vms[i] == vm)
+			return true;
+	return false;
+}
+
+static struct vm *best_in_domain(const struct plan *plan,
+				 const struct domain *d,
+				 const struct service *s,
+				 const struct pick *pick)
+{
+	struct vm *best = NULL;
+
+	for (guint i = 0; i < d->vms->len; i++) {
+		struct vm *vm = d->vms->pdata[i];
+
+		if (!model_usable(plan->p, vm, s, plan->now_ms) ||
+		    picked(pick, vm))
+			continue;
+		if (!best)
+			best = vm;
+		else if (!plan->p->opts.first_fit &&
+			 preference(plan, s, vm) < preference(plan, s, best))
+			best = vm;
+	}
+	return best;
+}
+
+static void add_vm(struct pick *pick, const struct service *s, struct vm *vm)
+{
+	pick->vms[pick->count++] = vm;
+	pick->loads += vm->weights != s->weights ? 1 : 0;
+}
+
+/* Fills a pick from one domain; false if it has too few. */
+static bool fill_from(const struct plan *plan, const struct domain *d,
+		      const struct service *s, struct pick *pick)
+{
+	while (pick->count < s->vms_per_replica) {
+		struct vm *vm = best_in_domain(plan, d, s, pick);
+
+		if (!vm)
+			return false;
+		add_vm(pick, s, vm);
+	}
+	return true;
+}
+
+static uint32_t usable_count(const struct plan *plan, const struct domain *d,
+			     const struct service *s)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < d->vms->len; i++)
+		count += model_usable(plan->p, d->vms->pdata[i], s,
+				      plan->now_ms);
+	return count;
+}
+
+/*
+ * Where to form: the domain that leaves the fewest VMs over that fill no
+ * further replica, then the one with the fewest loads.
+ */
+static bool pick_one_domain(const struct plan *plan, const struct service *s,
+			    struct pick *best)
+{
+	uint32_t best_rest = UINT32_MAX;
+	bool found = false;
+
+	for (guint i = 0; i < plan->p->domain_list->len; i++) {
+		const struct domain *d = plan->p->domain_list->pdata[i];
+		uint32_t count = usable_count(plan, d, s);
+		uint32_t rest = count % s->vms_per_replica;
+		struct pick pick = {.domains = 1};
+
+		if (count < s->vms_per_replica || !fill_from(plan, d, s, &pick))
+			continue;
+		if (found && (pick.loads > best->loads ||
+			      (pick.loads == best->loads && rest >= best_rest)))
+			continue;
+		*best = pick;
+		best_rest = rest;
+		found = true;
+		if (plan->p->opts.first_fit)
+			break;
+	}
+	return found;
+}
+
+/* Across domains: those of one data centre first, the fullest first. */
+static bool pick_across(const struct plan *plan, const struct service *s,
+			struct pick *pick)
+{
+	const char *centre = pick->count ? pick->vms[0]->domain->data_centre
+					 : NULL;
+
+	for (int same_centre = 1; same_centre >= 0; same_centre--) {
+		for (guint i = 0; i < plan->p->domain_list->len; i++) {
+			const struct domain *d = plan->p->domain_list->pdata[i];
+			uint32_t before = pick->count;
+
+			if (same_centre && centre &&
+			    strcmp(centre, d->data_centre))
+				continue;
+			if (fill_from(plan, d, s, pick))
+				return true;
+			pick->domains += pick->count > before ? 1 : 0;
+			if (!centre && pick->count)
+				centre = d->data_centre;
+		}
+	}
+	return false;
+}
+
+static void add_survivors(const struct replica *r, struct pick *pick)
+{
+	for (uint32_t i = 0; i < r->vm_count; i++)
+		if (model_serving(r->vms[i]) && !r->vms[i]->straggling)
+			add_vm(pick, r->service, r->vms[i]);
+}
+
+/* The domain that holds most of a replica's survivors. */
+static const struct domain *home_domain(const struct pick *survivors)
+{
+	const struct domain *best = NULL;
+	uint32_t best_count = 0;
+
+	for (uint32_t i = 0; i < survivors->count; i++) {
+		uint32_t count = 0;
+
+		for (uint32_t j = 0; j < survivors->count; j++)
+			count += survivors->vms[i]->domain ==
+				 survivors->vms[j]->domain;
+		if (count > best_count) {
+			best = survivors->vms[i]->domain;
+			best_count = count;
+		}
+	}
+	return best;
+}
+
+/* ---- needs ---- */
+
+static int64_t latest_loss_ms(const struct replica *r)
+{
+	int64_t latest = 0;
+
+	for (uint32_t i = 0; i < r->vm_count; i++)
+		if (!model_serving(r->vms[i]))
+			latest = MAX(latest, r->vms[i]->lost_ms);
+	return latest;
+}
+
+static bool may_be_pausing(const struct plan *plan, const struct replica *r)
+{
+	if (plan->p->opts.repair_at_once)
+		return false;
+	for (uint32_t i = 0; i < r->vm_count; i++)
+		if (r->vms[i]->leaving)
+			return false;
+	return plan->now_ms - latest_loss_ms(r) < plan->p->opts.pause_wait_ms;
+}
+
+/* A VM that announced its leaving still finishes what its replica does. */
+static bool is_draining(const struct plan *plan, const struct replica *r)
+{
+	if (!r->busy)
+		return false;
+	for (uint32_t i = 0; i < r->vm_count; i++) {
+		const struct vm *vm = r->vms[i];
+
+		if (!vm->alive)
+			return false;
+		if (vm->leaving && plan->now_ms - vm->leaving_since_ms >=
+					   plan->p->opts.drain_ms)
+			return false;
+	}
+	return true;
+}
+
+/* A service that has lost more of its replicas gains more by one. */
+static double need_value(const struct service *s)
+{
+	uint32_t whole = count_replicas(s, true);
+	double lacking =
+		s->wanted ? 1.0 - (double)MIN(whole, s->wanted) / s->wanted : 0;
+
+	return s->downtime_weight * (1.0 + lacking) +
+	       (double)s->stranded_weight * s->vms_per_replica *
+		       s->accelerators_per_vm / 8.0;
+}
+
+static void add_needs(struct plan *plan, struct service *s)
+{
+	uint32_t have = count_replicas(s, false);
+	struct need need = {.service = s, .value = need_value(s)};
+
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct replica *r = s->replicas->pdata[i];
+
+		need.missing = model_missing(r);
+		need.replica = r;
+		if (!r->giving_up && need.missing)
+			g_array_append_val(plan->needs, need);
+		if (!r->giving_up && model_loading(r))
+			plan->loading++;
+	}
+	need.replica = NULL;
+	need.missing = s->vms_per_replica;
+	for (; have < s->wanted; have++)
+		g_array_append_val(plan->needs, need);
+}
+
+static gint compare_needs(gconstpointer a, gconstpointer b)
+{
+	const struct need *x = a, *y = b;
+
+	if (x->value != y->value)
+		return x->value > y->value ? -1 : 1;
+	if (x->missing != y->missing)
+		return x->missing < y->missing ? -1 : 1;
+	if (x->replica && y->replica)
+		return x->replica->id < y->replica->id ? -1 : 1;
+	return x->replica ? -1 : y->replica ? 1 : 0;
+}
+
+/* ---- meeting a need ---- */
+
+static bool may_load(struct plan *plan, const struct need *need,
+		     const struct pick *pick)
+{
+	if (!pick->loads)
+		return true;
+	if (plan->loading < plan->p->opts.loads_max) {
+		plan->loading++;
+		return true;
+	}
+	tell(plan, PLACEMENT_WAIT, need->service, need->replica, NULL,
+	     "weight store is busy with %u loads, limit %u", plan->loading,
+	     plan->p->opts.loads_max);
+	return false;
+}
+
+static void repair_with(struct plan *plan, const struct need *need,
+			const struct pick *pick, const char *where)
+{
+	take(plan, pick);
+	if (!may_load(plan, need, pick))
+		return;
+	tell(plan, PLACEMENT_REPAIR, need->service, need->replica, pick,
+	     "%u of %u VMs lost; %s, %u load weights", need->missing,
+	     need->replica->vm_count, where, pick->loads);
+}
+
+/* Broken replicas of the domain whose survivors would complete this one. */
+static bool take_from_broken(struct plan *plan, const struct need *need,
+			     const struct domain *home, uint32_t lacking)
+{
+	for (guint i = plan->needs->len; i > 0; i--) {
+		struct need *other = &g_array_index(plan->needs, struct need,
+						    i - 1);
+		struct replica *donor = other->replica;
+		struct pick survivors = {0};
+		char reason[PLACEMENT_REASON_MAX];
+
+		if (!donor || donor == need->replica || donor->giving_up ||
+		    other->value > need->value ||
+		    donor->service->accelerators_per_vm <
+			    need->service->accelerators_per_vm)
+			continue;
+		add_survivors(donor, &survivors);
+		if (survivors.count < lacking || !survivors.count ||
+		    survivors.vms[0]->taken || home_domain(&survivors) != home)
+			continue;
+		snprintf(reason, sizeof(reason),
+			 "its %u VMs left complete replica %u in domain %s",
+			 survivors.count, need->replica->id, home->name);
+		give_up(plan, donor, reason);
+		take(plan, &survivors);
+		return true;
+	}
+	return false;
+}
+
+static void repair(struct plan *plan, const struct need *need)
+{
+	struct replica *r = need->replica;
+	struct service *s = need->service;
+	struct pick pick = {.domains = 1}, elsewhere = {0};
+	const struct domain *home;
+
+	if (is_draining(plan, r)) {
+		tell(plan, PLACEMENT_WAIT, s, r, NULL,
+		     "a VM is leaving and requests are in flight, limit %d ms",
+		     plan->p->opts.drain_ms);
+		return;
+	}
+	if (may_be_pausing(plan, r)) {
+		tell(plan, PLACEMENT_WAIT, s, r, NULL,
+		     "a VM may be pausing: silent %d ms, limit %d ms",
+		     (int)(plan->now_ms - latest_loss_ms(r)),
+		     plan->p->opts.pause_wait_ms);
+		return;
+	}
+	if (plan->p->opts.wait_for_own) {
+		tell(plan, PLACEMENT_WAIT, s, r, NULL, "waits for its own VM");
+		return;
+	}
+	add_survivors(r, &pick);
+	for (uint32_t i = 0; i < pick.count; i++)
+		if (pick.vms[i]->taken)
+			return; /* they complete another replica */
+	home = home_domain(&pick);
+	if (home && fill_from(plan, home, s, &pick)) {
+		repair_with(plan, need, &pick, "in its domain");
+		return;
+	}
+	if (pick_one_domain(plan, s, &elsewhere)) {
+		repair_with(plan, need, &elsewhere, "moved to one domain");
+		return;
+	}
+	if (home && take_from_broken(plan, need, home,
+				     s->vms_per_replica - pick.count)) {
+		take(plan, &pick);
+		return;
+	}
+	if (s->cross_domain && pick_across(plan, s, &pick)) {
+		repair_with(plan, need, &pick, "across domains");
+		return;
+	}
+	tell(plan, PLACEMENT_WAIT, s, r, NULL,
+	     "%u of %u VMs lost, no domain can complete it", need->missing,
+	     r->vm_count);
+}
+
+static void form(struct plan *plan, const struct need *need)
+{
+	struct service *s = need->service;
+	struct pick pick = {0};
+	const char *where = "in one domain";
+
+	if (!pick_one_domain(plan, s, &pick)) {
+		memset(&pick, 0, sizeof(pick));
+		where = "across domains";
+		if (!s->cross_domain || !pick_across(plan, s, &pick)) {
+			tell(plan, PLACEMENT_WAIT, s, NULL, NULL,
+			     "no domain has %u free VMs", s->vms_per_replica);
+			return;
+		}
+	}
+	take(plan, &pick);
+	if (!may_load(plan, need, &pick))
+		return;
+	tell(plan, PLACEMENT_FORM, s, NULL, &pick,
+	     "%u replicas, preset wants %u; %s, %u load weights",
+	     count_replicas(s, false), s->wanted, where, pick.loads);
+}
+
+static void clear_marks(struct plan *plan)
+{
+	for (guint i = 0; i < plan->taken->len; i++)
+		((struct vm *)plan->taken->pdata[i])->taken = false;
+	for (guint i = 0; i < plan->given_up->len; i++)
+		((struct replica *)plan->given_up->pdata[i])->giving_up = false;
+}
+
+void placement_plan(struct placement *p, int64_t now_ms,
+		    void (*decide)(void *ctx,
+				   const struct placement_decision *decision),
+		    void *ctx)
+{
+	struct plan plan = {
+		.p = p,
+		.now_ms = now_ms,
+		.decide = decide,
+		.ctx = ctx,
+		.needs = g_array_new(FALSE, FALSE, sizeof(struct need)),
+		.taken = g_ptr_array_new(),
+		.given_up = g_ptr_array_new(),
+	};
+
+	for (guint i = 0; i < p->service_list->len; i++) {
+		struct service *s = p->service_list->pdata[i];
+
+		drop_surplus(&plan, s);
+		roll_version(&plan, s);
+	}
+	for (guint i = 0; i < p->service_list->len; i++)
+		add_needs(&plan, p->service_list->pdata[i]);
+	g_array_sort(plan.needs, compare_needs);
+	for (guint i = 0; i < plan.needs->len; i++) {
+		struct need *need = &g_array_index(plan.needs, struct need, i);
+
+		if (need->replica && need->replica->giving_up)
+			continue;
+		if (need->replica)
+			repair(&plan, need);
+		else
+			form(&plan, need);
+	}
+	clear_marks(&plan);
+	g_array_unref(plan.needs);
+	g_ptr_array_unref(plan.taken);
+	g_ptr_array_unref(plan.given_up);
+}
--- /dev/null
+++ b/state/change.c
@@ -0,0 +1,84 @@
+/* Change ids: a change sent again gets the answer it got at first. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "state/state_internal.h"
+#include "wire/codec.h"
+
+#define CHANGES_MAX 65536u
+
+void change_free(gpointer data)
+{
+	struct change_record *record = data;
+
+	CODEC_FREE(change_record, record);
+	free(record);
+}
+
+uint64_t change_fingerprint(const struct command *command)
+{
+	struct command unstamped = *command;
+	GBytes *bytes;
+	uint64_t hash;
+	gsize size;
+	const void *data;
+
+	/* A resend carries a later time; all else must be equal. */
+	unstamped.time_ms = 0;
+	bytes = CODEC_ENCODE(command, &unstamped);
+	data = g_bytes_get_data(bytes, &size);
+	hash = XXH64(data, size, 0);
+	g_bytes_unref(bytes);
+	return hash;
+}
+
+bool change_replay(struct state *state, const struct command *command,
+		   uint64_t fingerprint, struct apply_result *result)
+{
+	const struct change_record *first =
+		g_hash_table_lookup(state->changes, command->change_id);
+
+	if (!first)
+		return false;
+	if (first->fingerprint != fingerprint)
+		state_result_set(result, RD_INVALID,
+				 "the change id was used for another change");
+	else if (!CODEC_COPY(apply_result, &first->result, result))
+		g_assert_not_reached();
+	return true;
+}
+
+void change_restore(struct state *state, const struct change_record *record)
+{
+	struct change_record *kept = calloc(1, sizeof(*kept));
+
+	if (!CODEC_COPY(change_record, record, kept))
+		g_assert_not_reached();
+	g_hash_table_insert(state->changes, kept->change_id, kept);
+	g_queue_push_tail(&state->change_order, kept);
+	if (g_queue_get_length(&state->change_order) > CHANGES_MAX) {
+		struct change_record *oldest =
+			g_queue_pop_head(&state->change_order);
+
+		g_hash_table_remove(state->changes, oldest->change_id);
+	}
+}
+
+void change_remember(struct state *state, const struct command *command,
+		     uint64_t fingerprint, const struct apply_result *result)
+{
+	struct change_record record = {
+		.change_id = command->change_id,
+		.fingerprint = fingerprint,
+		.result = *result,
+	};
+
+	change_restore(state, &record);
+}
+
+uint32_t state_change_count(const struct state *state)
+{
+	return g_hash_table_size(state->changes);
+}
--- /dev/null
+++ b/state/replica.c
@@ -0,0 +1,153 @@
+/*
+ * The replica aggregate: which VMs form a replica, under which epoch. A new
+ * epoch of a replica may keep VMs of the last one; all others must be free.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "state/state_internal.h"
+#include "wire/codec.h"
+
+static bool names_vm(const struct assign_replica *assign, const char *vm)
+{
+	for (u_int i = 0; i < assign->vms.vms_len; i++)
+		if (!strcmp(assign->vms.vms_val[i].name, vm))
+			return true;
+	return false;
+}
+
+static bool names_vm_twice(const struct assign_replica *assign)
+{
+	for (u_int i = 0; i < assign->vms.vms_len; i++)
+		for (u_int j = 0; j < i; j++)
+			if (!strcmp(assign->vms.vms_val[i].name,
+				    assign->vms.vms_val[j].name))
+				return true;
+	return false;
+}
+
+static enum rd_result check_assign(const struct state *state,
+				   const struct assign_replica *assign,
+				   const char **culprit)
+{
+	const struct service_state *service = state_service(state,
+							    assign->service);
+	const struct replica_state *old = state_replica(state, assign->replica);
+
+	*culprit = assign->service;
+	if (!service)
+		return RD_NO_SERVICE;
+	if (assign->epoch <= state->last_epoch)
+		return RD_STALE_EPOCH;
+	if (old && !old->released &&
+	    strcmp(old->assign.service, assign->service))
+		return RD_INVALID;
+	if (!assign->replica || names_vm_twice(assign) ||
+	    assign->vms.vms_len != service->spec.vms_per_replica)
+		return RD_INVALID;
+	for (u_int i = 0; i < assign->vms.vms_len; i++) {
+		*culprit = assign->vms.vms_val[i].name;
+		if (!vm_may_join(state, *culprit, assign->replica))
+			return RD_VM_TAKEN;
+	}
+	return RD_OK;
+}
+
+static void release_others(struct state *state, const struct replica_state *old,
+			   const struct assign_replica *assign)
+{
+	for (u_int i = 0; i < old->assign.vms.vms_len; i++) {
+		const char *vm = old->assign.vms.vms_val[i].name;
+
+		if (!assign || !names_vm(assign, vm))
+			vm_begin_release(state, vm, old->assign.replica);
+	}
+}
+
+void replica_assign(struct state *state, const struct command *command,
+		    struct apply_result *result)
+{
+	const struct assign_replica *assign =
+		&command->body.command_body_u.assign;
+	gpointer number = GUINT_TO_POINTER(assign->replica);
+	const char *culprit = "";
+	enum rd_result code = check_assign(state, assign, &culprit);
+	struct replica_state *replica;
+
+	state_result_set(result, code, culprit);
+	if (code)
+		return;
+	replica = g_tree_lookup(state->replicas, number);
+	if (replica) {
+		release_others(state, replica, assign);
+		CODEC_FREE(replica_state, replica);
+	} else {
+		replica = calloc(1, sizeof(*replica));
+		g_tree_insert(state->replicas, number, replica);
+	}
+	if (!CODEC_COPY(assign_replica, assign, &replica->assign))
+		g_assert_not_reached();
+	replica->released = FALSE;
+	state->last_epoch = assign->epoch;
+	for (u_int i = 0; i < assign->vms.vms_len; i++)
+		vm_take(state, assign->vms.vms_val[i].name, assign->replica,
+			assign->epoch);
+	result->revision = assign->epoch;
+}
+
+void replica_release(struct state *state, const struct command *command,
+		     struct apply_result *result)
+{
+	const struct release_replica *change =
+		&command->body.command_body_u.release;
+	gpointer number = GUINT_TO_POINTER(change->replica);
+	struct replica_state *replica = g_tree_lookup(state->replicas, number);
+
+	if (!replica || replica->released ||
+	    replica->assign.epoch != change->epoch) {
+		state_result_set(result, RD_STALE_EPOCH, "");
+		return;
+	}
+	release_others(state, replica, NULL);
+	replica->released = TRUE;
+	state_result_set(result, RD_OK, "");
+}
+
+const struct replica_state *state_replica(const struct state *state,
+					  uint32_t replica)
+{
+	return g_tree_lookup(state->replicas, GUINT_TO_POINTER(replica));
+}
+
+struct visit_replicas {
+	void (*visit)(void *ctx, const struct replica_state *replica);
+	void *ctx;
+};
+
+static gboolean visit_replica(gpointer key, gpointer value, gpointer data)
+{
+	struct visit_replicas *v = data;
+	struct replica_state *replica = value;
+
+	(void)key;
+	if (!replica->released)
+		v->visit(v->ctx, replica);
+	return FALSE;
+}
+
+void state_each_replica(const struct state *state,
+			void (*visit)(void *ctx,
+				      const struct replica_state *replica),
+			void *ctx)
+{
+	struct visit_replicas v = {visit, ctx};
+
+	g_tree_foreach(state->replicas, visit_replica, &v);
+}
+
+uint32_t state_next_replica(const struct state *state)
+{
+	GTreeNode *last = g_tree_node_last(state->replicas);
+
+	return last ? GPOINTER_TO_UINT(g_tree_node_key(last)) + 1 : 1;
+}
--- /dev/null
+++ b/state/service.c
@@ -0,0 +1,386 @@
+/* The service aggregate: its presets, client accounts and revisions. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "state/state_internal.h"
+#include "wire/codec.h"
+
+#define VMS_PER_REPLICA_MAX 64u
+
+void service_free(struct service_state *service)
+{
+	CODEC_FREE(service_state, service);
+	free(service);
+}
+
+/* ---- what makes a service valid ---- */
+
+static void complain(GString *out, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
+
+static void complain(GString *out, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (out->len)
+		g_string_append_c(out, '\n');
+	va_start(ap, fmt);
+	g_string_append_vprintf(out, fmt, ap);
+	va_end(ap);
+}
+
+static bool name_allowed(const char *name)
+{
+	if (!*name)
+		return false;
+	for (; *name; name++)
+		if (!g_ascii_isalnum(*name) && !strchr("-_.", *name))
+			return false;
+	return true;
+}
+
+static const struct preset_spec *find_preset(const struct service_spec *spec,
+					     const char *name)
+{
+	for (u_int i = 0; i < spec->presets.presets_len; i++)
+		if (!strcmp(spec->presets.presets_val[i].name, name))
+			return &spec->presets.presets_val[i];
+	return NULL;
+}
+
+static void check_presets(const struct service_spec *spec, const char *preset,
+			  GString *out)
+{
+	if (!spec->presets.presets_len)
+		complain(out, "preset: at least one is needed");
+	for (u_int i = 0; i < spec->presets.presets_len; i++) {
+		const struct preset_spec *p = &spec->presets.presets_val[i];
+
+		if (!name_allowed(p->name))
+			complain(out, "preset %u: name \"%s\" is not allowed",
+				 i + 1, p->name);
+		if (find_preset(spec, p->name) != p)
+			complain(out, "preset %s: named twice", p->name);
+		if (p->admit && !p->replicas)
+			complain(out,
+				 "preset %s: admits work but has no "
+				 "replicas",
+				 p->name);
+	}
+	if (*preset && !find_preset(spec, preset))
+		complain(out, "preset: \"%s\" is not one of the presets",
+			 preset);
+}
+
+static void check_accounts(const struct service_spec *spec, GString *out)
+{
+	for (u_int i = 0; i < spec->accounts.accounts_len; i++) {
+		const struct account_spec *a = &spec->accounts.accounts_val[i];
+
+		if (!name_allowed(a->name))
+			complain(out, "account %u: name \"%s\" is not allowed",
+				 i + 1, a->name);
+		if (!a->weight)
+			complain(out, "account %s: weight must not be 0",
+				 a->name);
+		for (u_int j = 0; j < i; j++) {
+			const struct account_spec *b =
+				&spec->accounts.accounts_val[j];
+
+			if (!strcmp(a->name, b->name))
+				complain(out, "account %s: named twice",
+					 a->name);
+			if (!memcmp(a->key_sha256, b->key_sha256,
+				    sizeof(a->key_sha256)))
+				complain(out,
+					 "account %s: has the key of account "
+					 "%s",
+					 a->name, b->name);
+		}
+	}
+}
+
+char *service_validate(const struct service_spec *spec, const char *preset)
+{
+	GString *out = g_string_new(NULL);
+
+	if (!name_allowed(spec->name))
+		complain(out, "name: \"%s\" is not allowed", spec->name);
+	if (!spec->vms_per_replica ||
+	    spec->vms_per_replica > VMS_PER_REPLICA_MAX)
+		complain(out, "vms_per_replica: is %u, must be 1 to %u",
+			 spec->vms_per_replica, VMS_PER_REPLICA_MAX);
+	if (spec->plain && spec->vms_per_replica != 1)
+		complain(out, "vms_per_replica: a plain service has 1");
+	if (!spec->plain && !*spec->model)
+		complain(out, "model: a model service needs one");
+	if (!spec->slots_per_replica)
+		complain(out, "slots_per_replica: must not be 0");
+	check_presets(spec, preset, out);
+	check_accounts(spec, out);
+	return g_string_free(out, out->len == 0);
+}
+
+/* ---- changes ---- */
+
+static void conflict(const struct command *command, uint64_t current,
+		     struct apply_result *result)
+{
+	char *text = g_strdup_printf("made against revision %" G_GUINT64_FORMAT
+				     ", current is %" G_GUINT64_FORMAT,
+				     command->base_revision, current);
+
+	state_result_set(result, RD_CONFLICT, text);
+	result->revision = current;
+	g_free(text);
+}
+
+static struct service_state *find_any(struct state *state, const char *name)
+{
+	return g_tree_lookup(state->services, name);
+}
+
+/* The service to change, if it is there and at the revision expected. */
+static struct service_state *to_change(struct state *state, const char *name,
+				       const struct command *command,
+				       struct apply_result *result)
+{
+	struct service_state *service = find_any(state, name);
+
+	if (!service || service->removed) {
+		state_result_set(result, RD_NO_SERVICE, name);
+		return NULL;
+	}
+	if (command->base_revision != service->revision) {
+		conflict(command, service->revision, result);
+		return NULL;
+	}
+	return service;
+}
+
+static void replace_string(char **at, const char *text)
+{
+	free(*at);
+	*at = strdup(text);
+}
+
+static void replace_spec(struct service_state *service,
+			 const struct service_spec *spec, const char *text)
+{
+	CODEC_FREE(service_spec, &service->spec);
+	if (!CODEC_COPY(service_spec, spec, &service->spec))
+		g_assert_not_reached();
+	replace_string(&service->text, text);
+}
+
+static void accepted(struct service_state *service,
+		     const struct command *command, const char *what,
+		     struct apply_result *result)
+{
+	service->revision++;
+	history_add(service, command, what);
+	state_result_set(result, RD_OK, what);
+	result->revision = service->revision;
+}
+
+static struct service_state *add_service(struct state *state, const char *name)
+{
+	struct service_state *service = calloc(1, sizeof(*service));
+
+	service->name = strdup(name);
+	service->preset = strdup("");
+	service->text = strdup("");
+	g_tree_insert(state->services, service->name, service);
+	return service;
+}
+
+/* What a changed service has in force: what it had, else what it names. */
+static const char *preset_after(const struct service_state *service,
+				const struct apply_service *apply)
+{
+	if (service && !service->removed)
+		return service->preset;
+	if (*apply->preset)
+		return apply->preset;
+	return apply->spec.presets.presets_len
+		       ? apply->spec.presets.presets_val[0].name
+		       : "";
+}
+
+void service_apply(struct state *state, const struct command *command,
+		   struct apply_result *result)
+{
+	const struct apply_service *apply = &command->body.command_body_u.apply;
+	struct service_state *service = find_any(state, apply->spec.name);
+	uint64_t current = service && !service->removed ? service->revision : 0;
+	char *preset;
+	char *reasons;
+
+	if (command->base_revision != current) {
+		conflict(command, current, result);
+		return;
+	}
+	preset = g_strdup(preset_after(service, apply));
+	reasons = service_validate(&apply->spec, preset);
+	if (reasons) {
+		state_result_set(result, RD_INVALID, reasons);
+		result->revision = current;
+		goto done;
+	}
+	if (!service)
+		service = add_service(state, apply->spec.name);
+	service->removed = FALSE;
+	replace_spec(service, &apply->spec, apply->text);
+	replace_string(&service->preset, preset);
+	accepted(service, command, "apply", result);
+done:
+	g_free(preset);
+	g_free(reasons);
+}
+
+void service_switch_preset(struct state *state, const struct command *command,
+			   struct apply_result *result)
+{
+	const struct switch_preset *change =
+		&command->body.command_body_u.preset;
+	struct service_state *service = to_change(state, change->service,
+						  command, result);
+	char *what;
+
+	if (!service)
+		return;
+	if (!find_preset(&service->spec, change->preset)) {
+		state_result_set(result, RD_NO_PRESET, change->preset);
+		result->revision = service->revision;
+		return;
+	}
+	replace_string(&service->preset, change->preset);
+	what = g_strdup_printf("preset %s", change->preset);
+	accepted(service, command, what, result);
+	g_free(what);
+}
+
+void service_rollback(struct state *state, const struct command *command,
+		      struct apply_result *result)
+{
+	const struct rollback_service *change =
+		&command->body.command_body_u.rollback;
+	struct service_state *service = to_change(state, change->service,
+						  command, result);
+	const struct revision_record *old;
+	char *what;
+
+	if (!service)
+		return;
+	old = history_find(service, change->to_revision);
+	if (!old) {
+		state_result_set(result, RD_NO_REVISION, change->service);
+		result->revision = service->revision;
+		return;
+	}
+	replace_spec(service, &old->spec, old->text);
+	replace_string(&service->preset, old->preset);
+	what = g_strdup_printf("rollback to %" G_GUINT64_FORMAT,
+			       change->to_revision);
+	accepted(service, command, what, result);
+	g_free(what);
+}
+
+void service_remove(struct state *state, const struct command *command,
+		    struct apply_result *result)
+{
+	struct service_state *service = to_change(
+		state, command->body.command_body_u.service, command, result);
+
+	if (!service)
+		return;
+	if (service_preset(service)->admit) {
+		state_result_set(result, RD_INVALID,
+				 "switch to a preset that admits no work "
+				 "first");
+		result->revision = service->revision;
+		return;
+	}
+	service->removed = TRUE;
+	accepted(service, command, "remove", result);
+}
+
+/* ---- queries ---- */
+
+const struct service_state *state_service(const struct state *state,
+					  const char *name)
+{
+	struct service_state *service = g_tree_lookup(state->services, name);
+
+	return service && !service->removed ? service : NULL;
+}
+
+struct visit_services {
+	void (*visit)(void *ctx, const struct service_state *service);
+	void *ctx;
+};
+
+static gboolean visit_service(gpointer key, gpointer value, gpointer data)
+{
+	struct visit_services *v = data;
+	struct service_state *service = value;
+
+	(void)key;
+	if (!service->removed)
+		v->visit(v->ctx, service);
+	return FALSE;
+}
+
+void state_each_service(const struct state *state,
+			void (*visit)(void *ctx,
+				      const struct service_state *service),
+			void *ctx)
+{
+	struct visit_services v = {visit, ctx};
+
+	g_tree_foreach(state->services, visit_service, &v);
+}
+
+const struct preset_spec *service_preset(const struct service_state *service)
+{
+	return find_preset(&service->spec, service->preset);
+}
+
+static bool hash_equal(const uint8_t *a, const uint8_t *b, size_t size)
+{
+	uint8_t difference = 0;
+
+	for (size_t i = 0; i < size; i++)
+		difference |= (uint8_t)(a[i] ^ b[i]);
+	return !difference;
+}
+
+const struct account_spec *service_account_by_key(
+	const struct service_state *service, const uint8_t *key_sha256)
+{
+	const struct account_spec *found = NULL;
+
+	/* All are compared, so that the time tells nothing. */
+	for (u_int i = 0; i < service->spec.accounts.accounts_len; i++) {
+		const struct account_spec *a =
+			&service->spec.accounts.accounts_val[i];
+
+		if (hash_equal((const uint8_t *)a->key_sha256, key_sha256,
+			       sizeof(a->key_sha256)))
+			found = a;
+	}
+	return found;
+}
+
+bool service_once_only(const struct service_state *service, const char *method,
+		       const char *path)
+{
+	for (u_int i = 0; i < service->spec.once_only.once_only_len; i++) {
+		const struct call_rule *rule =
+			&service->spec.once_only.once_only_val[i];
+
+		if (!strcmp(rule->method, method) &&
+		    g_str_has_prefix(path, rule->path_prefix))
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/state/state.c
@@ -0,0 +1,288 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "state/state_internal.h"
+#include "wire/codec.h"
+
+/* ---- life ---- */
+
+static gint compare_names(gconstpointer a, gconstpointer b, gpointer ctx)
+{
+	(void)ctx;
+	return strcmp(a, b);
+}
+
+static gint compare_numbers(gconstpointer a, gconstpointer b, gpointer ctx)
+{
+	guint x = GPOINTER_TO_UINT(a), y = GPOINTER_TO_UINT(b);
+
+	(void)ctx;
+	return x < y ? -1 : x > y;
+}
+
+static void drop_service(gpointer data)
+{
+	service_free(data);
+}
+
+static void drop_replica(gpointer data)
+{
+	CODEC_FREE(replica_state, (struct replica_state *)data);
+	free(data);
+}
+
+static void drop_vm(gpointer data)
+{
+	CODEC_FREE(vm_state, (struct vm_state *)data);
+	free(data);
+}
+
+static void make_tables(struct state *state)
+{
+	state->services = g_tree_new_full(compare_names, NULL, NULL,
+					  drop_service);
+	state->replicas = g_tree_new_full(compare_numbers, NULL, NULL,
+					  drop_replica);
+	state->vms = g_tree_new_full(compare_names, NULL, NULL, drop_vm);
+	state->changes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       change_free);
+	g_queue_init(&state->change_order);
+	state->bookings = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						booking_free);
+	state->booking_counts = g_hash_table_new_full(g_str_hash, g_str_equal,
+						      g_free, NULL);
+	g_queue_init(&state->booking_order);
+}
+
+static void free_tables(struct state *state)
+{
+	g_tree_unref(state->services);
+	g_tree_unref(state->replicas);
+	g_tree_unref(state->vms);
+	g_queue_clear(&state->change_order);
+	g_hash_table_unref(state->changes);
+	g_queue_clear(&state->booking_order);
+	g_hash_table_unref(state->bookings);
+	g_hash_table_unref(state->booking_counts);
+}
+
+struct state *state_create(void)
+{
+	struct state *state = g_new0(struct state, 1);
+
+	make_tables(state);
+	return state;
+}
+
+void state_destroy(struct state *state)
+{
+	if (!state)
+		return;
+	free_tables(state);
+	g_free(state);
+}
+
+/* ---- results ---- */
+
+void state_result_set(struct apply_result *result, enum rd_result code,
+		      const char *text)
+{
+	result->code = code;
+	free(result->text);
+	result->text = strdup(text);
+	if (!result->answer.content_type)
+		result->answer.content_type = strdup("");
+}
+
+void state_result_clear(struct apply_result *result)
+{
+	CODEC_FREE(apply_result, result);
+}
+
+/* ---- applying ---- */
+
+struct handler {
+	command_kind kind;
+	void (*apply)(struct state *state, const struct command *command,
+		      struct apply_result *result);
+	bool for_entries;
+};
+
+static const struct handler handlers[] = {
+	{CMD_APPLY_SERVICE, service_apply, true},
+	{CMD_SWITCH_PRESET, service_switch_preset, true},
+	{CMD_ROLLBACK, service_rollback, true},
+	{CMD_REMOVE_SERVICE, service_remove, true},
+	{CMD_ASSIGN_REPLICA, replica_assign, true},
+	{CMD_RELEASE_REPLICA, replica_release, true},
+	{CMD_FREE_VM, vm_free, true},
+	{CMD_CLAIM_BOOKING, booking_claim, false},
+	{CMD_FINISH_BOOKING, booking_finish, false},
+	{CMD_EXPIRE_BOOKINGS, booking_expire, false},
+};
+
+static const struct handler *find_handler(command_kind kind)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(handlers); i++)
+		if (handlers[i].kind == kind)
+			return &handlers[i];
+	return NULL;
+}
+
+bool state_concerns_entries(command_kind kind)
+{
+	const struct handler *handler = find_handler(kind);
+
+	return handler && handler->for_entries;
+}
+
+void state_apply(struct state *state, uint64_t index,
+		 const struct command *command, struct apply_result *result)
+{
+	const struct handler *handler = find_handler(command->body.kind);
+	bool keep = *command->change_id != '\0';
+	uint64_t fingerprint = keep ? change_fingerprint(command) : 0;
+
+	state->index = index;
+	state->time_ms = MAX(state->time_ms, command->time_ms);
+	if (keep && change_replay(state, command, fingerprint, result))
+		return;
+	result->index = index;
+	if (handler)
+		handler->apply(state, command, result);
+	else
+		state_result_set(result, RD_OK, "");
+	if (keep)
+		change_remember(state, command, fingerprint, result);
+}
+
+/* ---- images ---- */
+
+static gboolean collect(gpointer key, gpointer value, gpointer data)
+{
+	(void)key;
+	g_ptr_array_add(data, value);
+	return FALSE;
+}
+
+/* Lays the values of a tree side by side; the copies share their insides. */
+static void *flatten(GTree *tree, size_t size, u_int *count)
+{
+	GPtrArray *values = g_ptr_array_new();
+	char *flat;
+
+	g_tree_foreach(tree, collect, values);
+	flat = g_malloc0(values->len * size + 1);
+	for (guint i = 0; i < values->len; i++)
+		memcpy(flat + i * size, values->pdata[i], size);
+	*count = values->len;
+	g_ptr_array_unref(values);
+	return flat;
+}
+
+static void *flatten_queue(const GQueue *queue, size_t size, u_int *count)
+{
+	char *flat = g_malloc0(queue->length * size + 1);
+	char *at = flat;
+
+	for (GList *link = queue->head; link; link = link->next, at += size)
+		memcpy(at, link->data, size);
+	*count = queue->length;
+	return flat;
+}
+
+GBytes *state_save(const struct state *state, bool with_bookings)
+{
+	struct state_image image = {0};
+	GBytes *bytes;
+
+	image.index = state->index;
+	image.last_epoch = state->last_epoch;
+	image.time_ms = state->time_ms;
+	image.services.services_val = flatten(state->services,
+					      sizeof(struct service_state),
+					      &image.services.services_len);
+	image.replicas.replicas_val = flatten(state->replicas,
+					      sizeof(struct replica_state),
+					      &image.replicas.replicas_len);
+	image.vms.vms_val = flatten(state->vms, sizeof(struct vm_state),
+				    &image.vms.vms_len);
+	if (with_bookings) {
+		image.changes.changes_val = flatten_queue(
+			&state->change_order, sizeof(struct change_record),
+			&image.changes.changes_len);
+		image.bookings.bookings_val = flatten_queue(
+			&state->booking_order, sizeof(struct booking_state),
+			&image.bookings.bookings_len);
+	}
+	bytes = CODEC_ENCODE(state_image, &image);
+	g_free(image.services.services_val);
+	g_free(image.replicas.replicas_val);
+	g_free(image.vms.vms_val);
+	g_free(image.changes.changes_val);
+	g_free(image.bookings.bookings_val);
+	return bytes;
+}
+
+static void load_services(struct state *state, struct state_image *image)
+{
+	for (u_int i = 0; i < image->services.services_len; i++) {
+		struct service_state *s = calloc(1, sizeof(*s));
+
+		CODEC_COPY(service_state, &image->services.services_val[i], s);
+		g_tree_insert(state->services, s->name, s);
+	}
+}
+
+static void load_replicas(struct state *state, struct state_image *image)
+{
+	for (u_int i = 0; i < image->replicas.replicas_len; i++) {
+		struct replica_state *r = calloc(1, sizeof(*r));
+
+		CODEC_COPY(replica_state, &image->replicas.replicas_val[i], r);
+		g_tree_insert(state->replicas,
+			      GUINT_TO_POINTER(r->assign.replica), r);
+	}
+}
+
+static void load_vms(struct state *state, struct state_image *image)
+{
+	for (u_int i = 0; i < image->vms.vms_len; i++) {
+		struct vm_state *v = calloc(1, sizeof(*v));
+
+		CODEC_COPY(vm_state, &image->vms.vms_val[i], v);
+		g_tree_insert(state->vms, v->name, v);
+	}
+}
+
+bool state_load(struct state *state, GBytes *bytes)
+{
+	struct state_image image = {0};
+
+	if (!CODEC_DECODE(state_image, bytes, &image))
+		return false;
+	free_tables(state);
+	make_tables(state);
+	state->index = image.index;
+	state->last_epoch = image.last_epoch;
+	state->time_ms = image.time_ms;
+	load_services(state, &image);
+	load_replicas(state, &image);
+	load_vms(state, &image);
+	for (u_int i = 0; i < image.changes.changes_len; i++)
+		change_restore(state, &image.changes.changes_val[i]);
+	for (u_int i = 0; i < image.bookings.bookings_len; i++)
+		booking_restore(state, &image.bookings.bookings_val[i]);
+	CODEC_FREE(state_image, &image);
+	return true;
+}
+
+uint64_t state_index(const struct state *state)
+{
+	return state->index;
+}
+
+uint64_t state_last_epoch(const struct state *state)
+{
+	return state->last_epoch;
+}
--- /dev/null
+++ b/storage/storage.c
@@ -0,0 +1,663 @@
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "storage/record.h"
+#include "storage/storage.h"
+#include "wire/codec.h"
+
+#define FOLDER_FORMAT 1u
+#define META_NAME "meta"
+#define NAME_BYTES 64
+#define SEGMENT_PREFIX "log-"
+#define SNAPSHOT_PREFIX "snapshot-"
+
+/** A log file. */
+struct segment {
+	uint64_t sequence;
+	uint64_t last_index; /* highest entry in it */
+	uint64_t bytes;
+};
+
+struct storage {
+	struct storage_opts opts;
+	struct folder_meta meta;
+	struct stored_state state;
+	GArray *segments; /* of struct segment; the last is written */
+	int handle;	  /* of the last segment, -1 before the first */
+	GByteArray *buffer;
+	uint64_t snapshot_index;
+	uint64_t syncs;
+	enum rd_result failed;
+	char *failure;
+};
+
+static void segment_name(char *out, uint64_t sequence)
+{
+	snprintf(out, NAME_BYTES, SEGMENT_PREFIX "%016" PRIx64, sequence);
+}
+
+static void snapshot_name(char *out, uint64_t index)
+{
+	snprintf(out, NAME_BYTES, SNAPSHOT_PREFIX "%016" PRIx64, index);
+}
+
+static enum rd_result fail(struct storage *s, const char *name,
+			   const char *action, int error)
+{
+	if (s->failed)
+		return s->failed;
+	s->failed = error == -ENOSPC || error == -EDQUOT ? RD_DISK_FULL : RD_IO;
+	s->failure = g_strdup_printf("%s: %s: %s", name, action,
+				     g_strerror(-error));
+	return s->failed;
+}
+
+static enum rd_result reject(struct storage *s, enum rd_result code,
+			     const char *name, const char *fmt, uint64_t a,
+			     uint64_t b)
+{
+	char what[160];
+
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wformat-nonliteral"
+	snprintf(what, sizeof(what), fmt, a, b);
+#pragma GCC diagnostic pop
+	s->failed = code;
+	s->failure = g_strdup_printf("%s: %s", name, what);
+	return code;
+}
+
+/* Writes a file whole: temporary name, sync, rename, sync of the names. */
+static enum rd_result write_whole(struct storage *s, const char *name,
+				  const GByteArray *data)
+{
+	const struct storage_fs *fs = s->opts.fs;
+	char temporary[NAME_BYTES + 8];
+	int handle, error;
+
+	snprintf(temporary, sizeof(temporary), "%s.tmp", name);
+	(void)fs->remove(fs->ctx, temporary);
+	handle = fs->open(fs->ctx, temporary);
+	if (handle < 0)
+		return fail(s, temporary, "open", handle);
+	error = fs->append(fs->ctx, handle, data->data, data->len);
+	if (!error)
+		error = fs->sync(fs->ctx, handle);
+	fs->close(fs->ctx, handle);
+	if (!error)
+		error = fs->rename(fs->ctx, temporary, name);
+	if (!error)
+		error = fs->sync_names(fs->ctx);
+	return error ? fail(s, name, "write", error) : RD_OK;
+}
+
+static enum rd_result write_record(struct storage *s, const char *name,
+				   enum record_type type, GBytes *payload)
+{
+	GByteArray *data = g_byte_array_new();
+	enum rd_result result;
+
+	record_append(data, type, payload);
+	result = write_whole(s, name, data);
+	g_byte_array_unref(data);
+	return result;
+}
+
+static void put(struct storage *s, enum record_type type, GBytes *payload)
+{
+	record_append(s->buffer, type, payload);
+	g_bytes_unref(payload);
+}
+
+static enum rd_result begin_segment(struct storage *s)
+{
+	const struct storage_fs *fs = s->opts.fs;
+	struct segment fresh = {.sequence = 1};
+	char name[NAME_BYTES];
+	int error;
+
+	if (s->segments->len)
+		fresh.sequence = g_array_index(s->segments, struct segment,
+					       s->segments->len - 1)
+					 .sequence +
+				 1;
+	if (s->handle >= 0)
+		fs->close(fs->ctx, s->handle);
+	segment_name(name, fresh.sequence);
+	s->handle = fs->open(fs->ctx, name);
+	if (s->handle < 0)
+		return fail(s, name, "open", s->handle);
+	error = fs->sync_names(fs->ctx);
+	if (error)
+		return fail(s, name, "sync", error);
+	g_array_append_val(s->segments, fresh);
+	/* Older segments may go, so each one carries the state anew. */
+	put(s, RECORD_STATE, CODEC_ENCODE(stored_state, &s->state));
+	return RD_OK;
+}
+
+static struct segment *last_segment(struct storage *s)
+{
+	return &g_array_index(s->segments, struct segment,
+			      s->segments->len - 1);
+}
+
+/* ---- reading a folder ---- */
+
+static enum rd_result read_meta(struct storage *s, bool *fresh)
+{
+	const struct storage_fs *fs = s->opts.fs;
+	struct record record;
+	size_t offset = 0;
+	int error = 0;
+	gsize size;
+	GBytes *bytes = fs->read(fs->ctx, META_NAME, &error);
+	const uint8_t *data;
+	bool ok;
+
+	*fresh = !bytes && error == -ENOENT;
+	if (*fresh)
+		return RD_OK;
+	if (!bytes)
+		return fail(s, META_NAME, "read", error);
+	data = g_bytes_get_data(bytes, &size);
+	ok = record_read(data, size, &offset, &record) &&
+	     record.type == RECORD_META &&
+	     codec_decode((xdrproc_t)xdr_folder_meta, record.payload,
+			  record.size, &s->meta);
+	g_bytes_unref(bytes);
+	if (!ok)
+		return reject(s, RD_DAMAGED, META_NAME, "cannot be read", 0, 0);
+	if (s->meta.format != FOLDER_FORMAT)
+		return reject(s, RD_FORMAT, META_NAME,
+			      "format %" PRIu64 ", this build reads %" PRIu64,
+			      s->meta.format, FOLDER_FORMAT);
+	if (strcmp(s->meta.cluster, s->opts.cluster))
+		return reject(s, RD_FOREIGN_FOLDER, META_NAME,
+			      "belongs to another cluster", 0, 0);
+	if (s->meta.node != s->opts.node)
+		return reject(s, RD_FOREIGN_FOLDER, META_NAME,
+			      "belongs to node %" PRIu64 ", not %" PRIu64,
+			      s->meta.node, s->opts.node);
+	return RD_OK;
+}
+
+static enum rd_result write_meta(struct storage *s)
+{
+	GBytes *payload = CODEC_ENCODE(folder_meta, &s->meta);
+	enum rd_result result = write_record(s, META_NAME, RECORD_META,
+					     payload);
+
+	g_bytes_unref(payload);
+	return result;
+}
+
+static gint compare_names(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+static enum rd_result list_files(struct storage *s, const char *prefix,
+				 GPtrArray *found)
+{
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	int error = s->opts.fs->list(s->opts.fs->ctx, names);
+
+	for (guint i = 0; i < names->len; i++) {
+		char *name = names->pdata[i];
+
+		if (g_str_has_prefix(name, prefix) &&
+		    !g_str_has_suffix(name, ".tmp"))
+			g_ptr_array_add(found, g_strdup(name));
+	}
+	g_ptr_array_unref(names);
+	g_ptr_array_sort(found, compare_names);
+	return error ? fail(s, prefix, "list", error) : RD_OK;
+}
+
+static enum rd_result read_snapshot(struct storage *s,
+				    struct storage_recovered *r)
+{
+	const struct storage_fs *fs = s->opts.fs;
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	enum rd_result result = list_files(s, SNAPSHOT_PREFIX, names);
+	struct record record;
+	const uint8_t *data;
+	GBytes *bytes = NULL;
+	size_t offset = 0;
+	const char *name;
+	int error = 0;
+	gsize size;
+
+	if (result || !names->len)
+		goto done;
+	name = names->pdata[names->len - 1];
+	bytes = fs->read(fs->ctx, name, &error);
+	if (!bytes) {
+		result = fail(s, name, "read", error);
+		goto done;
+	}
+	data = g_bytes_get_data(bytes, &size);
+	if (!record_read(data, size, &offset, &record) ||
+	    record.type != RECORD_SNAPSHOT ||
+	    !codec_decode((xdrproc_t)xdr_stored_snapshot, record.payload,
+			  record.size, &r->snapshot))
+		result = reject(s, RD_DAMAGED, name, "cannot be read", 0, 0);
+	s->snapshot_index = r->snapshot.index;
+done:
+	if (bytes)
+		g_bytes_unref(bytes);
+	g_ptr_array_unref(names);
+	return result;
+}
+
+static void entry_free(gpointer data)
+{
+	struct raft_entry *entry = data;
+
+	g_bytes_unref(entry->data);
+	g_free(entry);
+}
+
+static uint64_t last_index(const struct storage_recovered *r)
+{
+	struct raft_entry *last;
+
+	if (!r->entries->len)
+		return 0;
+	last = r->entries->pdata[r->entries->len - 1];
+	return last->index;
+}
+
+static bool replay_entry(struct storage_recovered *r, struct segment *segment,
+			 const struct raft_wire_entry *wire)
+{
+	struct raft_entry *entry;
+
+	if (r->entries->len ? wire->index != last_index(r) + 1
+			    : wire->index > r->snapshot.index + 1)
+		return false;
+	entry = g_new0(struct raft_entry, 1);
+	entry->index = wire->index;
+	entry->term = wire->term;
+	entry->kind = wire->kind;
+	entry->data = g_bytes_new(wire->data.data_val, wire->data.data_len);
+	g_ptr_array_add(r->entries, entry);
+	segment->last_index = MAX(segment->last_index, wire->index);
+	return true;
+}
+
+static void replay_truncate(struct storage_recovered *r, uint64_t from)
+{
+	while (r->entries->len && last_index(r) >= from)
+		g_ptr_array_remove_index(r->entries, r->entries->len - 1);
+}
+
+static bool replay(struct storage_recovered *r, struct segment *segment,
+		   const struct record *record)
+{
+	struct raft_wire_entry entry = {0};
+	struct stored_state state = {0};
+	uint64_t from = 0;
+	bool ok = false;
+
+	switch (record->type) {
+	case RECORD_STATE:
+		ok = codec_decode((xdrproc_t)xdr_stored_state, record->payload,
+				  record->size, &state);
+		r->term = state.term;
+		r->vote = state.vote;
+		return ok;
+	case RECORD_ENTRY:
+		if (!codec_decode((xdrproc_t)xdr_raft_wire_entry,
+				  record->payload, record->size, &entry))
+			return false;
+		ok = replay_entry(r, segment, &entry);
+		CODEC_FREE(raft_wire_entry, &entry);
+		return ok;
+	case RECORD_TRUNCATE:
+		ok = codec_decode((xdrproc_t)xdr_uint64_t, record->payload,
+				  record->size, &from);
+		replay_truncate(r, from);
+		return ok;
+	case RECORD_RESET:
+		g_ptr_array_set_size(r->entries, 0);
+		return true;
+	default:
+		return false;
+	}
+}
+
+static enum rd_result cut_tail(struct storage *s, const char *name,
+			       uint64_t size)
+{
+	const struct storage_fs *fs = s->opts.fs;
+	int handle = fs->open(fs->ctx, name);
+	int error;
+
+	if (handle < 0)
+		return fail(s, name, "open", handle);
+	error = fs->cut(fs->ctx, handle, size);
+	if (!error)
+		error = fs->sync(fs->ctx, handle);
+	fs->close(fs->ctx, handle);
+	return error ? fail(s, name, "cut", error) : RD_OK;
+}
+
+static enum rd_result read_segment(struct storage *s,
+				   struct storage_recovered *r,
+				   const char *name, bool last)
+{
+	const struct storage_fs *fs = s->opts.fs;
+	struct segment segment = {0};
+	struct record record;
+	size_t offset = 0, start = 0;
+	enum rd_result result = RD_OK;
+	int error = 0;
+	gsize size;
+	GBytes *bytes = fs->read(fs->ctx, name, &error);
+	const uint8_t *data;
+
+	if (!bytes)
+		return fail(s, name, "read", error);
+	data = g_bytes_get_data(bytes, &size);
+	segment.sequence = g_ascii_strtoull(name + strlen(SEGMENT_PREFIX), NULL,
+					    16);
+	while (record_read(data, size, &offset, &record)) {
+		if (!replay(r, &segment, &record)) {
+			result = reject(s, RD_DAMAGED, name,
+					"record of type %" PRIu64
+					" at byte %" PRIu64 " does not fit",
+					record.type, start);
+			goto done;
+		}
+		start = offset;
+	}
+	if (offset < size && (!last || record_follows(data, size, offset + 1)))
+		result = reject(s, RD_DAMAGED, name,
+				"bad checksum at byte %" PRIu64 " of %" PRIu64,
+				offset, size);
+	else if (offset < size)
+		result = cut_tail(s, name, offset);
+	r->torn_bytes += size - offset;
+	segment.bytes = offset;
+	g_array_append_val(s->segments, segment);
+done:
+	g_bytes_unref(bytes);
+	return result;
+}
+
+static enum rd_result read_log(struct storage *s, struct storage_recovered *r)
+{
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	enum rd_result result = list_files(s, SEGMENT_PREFIX, names);
+
+	for (guint i = 0; !result && i < names->len; i++)
+		result = read_segment(s, r, names->pdata[i],
+				      i + 1 == names->len);
+	g_ptr_array_unref(names);
+	return result;
+}
+
+/*
+ * Drops what the snapshot covers. If the log disagrees with it (a received
+ * snapshot, then a crash), nothing behind it can be trusted either.
+ */
+static void fit_to_snapshot(struct storage_recovered *r)
+{
+	const struct stored_snapshot *snapshot = &r->snapshot;
+	bool agrees = true;
+
+	while (r->entries->len) {
+		struct raft_entry *first = r->entries->pdata[0];
+
+		if (first->index > snapshot->index)
+			break;
+		if (first->index == snapshot->index)
+			agrees = first->term == snapshot->term;
+		g_ptr_array_remove_index(r->entries, 0);
+	}
+	if (!agrees)
+		g_ptr_array_set_size(r->entries, 0);
+}
+
+/* Removes what a crash left of files that were being written. */
+static void remove_temporaries(struct storage *s)
+{
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+
+	(void)s->opts.fs->list(s->opts.fs->ctx, names);
+	for (guint i = 0; i < names->len; i++)
+		if (g_str_has_suffix(names->pdata[i], ".tmp"))
+			(void)s->opts.fs->remove(s->opts.fs->ctx,
+						 names->pdata[i]);
+	g_ptr_array_unref(names);
+}
+
+static enum rd_result recover(struct storage *s, struct storage_recovered *r)
+{
+	enum rd_result result = read_meta(s, &r->fresh);
+
+	if (!result && r->fresh) {
+		s->meta.format = FOLDER_FORMAT;
+		s->meta.cluster = g_strdup(s->opts.cluster);
+		s->meta.node = s->opts.node;
+		s->meta.member = s->opts.new_member;
+	}
+	if (!result && !r->fresh)
+		result = read_snapshot(s, r);
+	if (!result && !r->fresh)
+		result = read_log(s, r);
+	if (result)
+		return result;
+	remove_temporaries(s);
+	fit_to_snapshot(r);
+	s->state.term = r->term;
+	s->state.vote = r->vote;
+	s->meta.incarnation++;
+	r->member = s->meta.member;
+	r->incarnation = s->meta.incarnation;
+	result = write_meta(s);
+	if (!result)
+		result = begin_segment(s);
+	return result ? result : storage_sync(s);
+}
+
+enum rd_result storage_open(const struct storage_opts *opts,
+			    struct storage **storage,
+			    struct storage_recovered *recovered, char **why)
+{
+	struct storage *s = g_new0(struct storage, 1);
+	enum rd_result result;
+
+	s->opts = *opts;
+	s->segments = g_array_new(FALSE, TRUE, sizeof(struct segment));
+	s->handle = -1;
+	s->buffer = g_byte_array_new();
+	memset(recovered, 0, sizeof(*recovered));
+	recovered->entries = g_ptr_array_new_with_free_func(entry_free);
+	result = recover(s, recovered);
+	if (!result) {
+		*storage = s;
+		return RD_OK;
+	}
+	*why = g_strdup(s->failure);
+	storage_recovered_clear(recovered);
+	storage_close(s);
+	return result;
+}
+
+void storage_recovered_clear(struct storage_recovered *recovered)
+{
+	g_ptr_array_unref(recovered->entries);
+	CODEC_FREE(stored_snapshot, &recovered->snapshot);
+	recovered->entries = NULL;
+}
+
+void storage_close(struct storage *s)
+{
+	if (!s)
+		return;
+	if (s->handle >= 0)
+		s->opts.fs->close(s->opts.fs->ctx, s->handle);
+	CODEC_FREE(folder_meta, &s->meta);
+	g_array_unref(s->segments);
+	g_byte_array_unref(s->buffer);
+	g_free(s->failure);
+	g_free(s);
+}
+
+/* ---- writing ---- */
+
+void storage_put_state(struct storage *s, uint64_t term, uint64_t vote)
+{
+	s->state.term = term;
+	s->state.vote = vote;
+	put(s, RECORD_STATE, CODEC_ENCODE(stored_state, &s->state));
+}
+
+void storage_put_entry(struct storage *s, const struct raft_entry *entry)
+{
+	struct raft_wire_entry wire = {
+		.index = entry->index,
+		.term = entry->term,
+		.kind = entry->kind,
+	};
+	struct segment *segment = last_segment(s);
+	gsize size;
+
+	wire.data.data_val = (char *)g_bytes_get_data(entry->data, &size);
+	wire.data.data_len = (u_int)size;
+	put(s, RECORD_ENTRY, CODEC_ENCODE(raft_wire_entry, &wire));
+	segment->last_index = MAX(segment->last_index, entry->index);
+}
+
+void storage_put_truncate(struct storage *s, uint64_t from)
+{
+	put(s, RECORD_TRUNCATE, codec_encode((xdrproc_t)xdr_uint64_t, &from));
+}
+
+bool storage_dirty(const struct storage *s)
+{
+	return s->buffer->len > 0;
+}
+
+static enum rd_result flush(struct storage *s)
+{
+	const struct storage_fs *fs = s->opts.fs;
+	char name[NAME_BYTES];
+	int error = fs->append(fs->ctx, s->handle, s->buffer->data,
+			       s->buffer->len);
+
+	if (!error)
+		error = fs->sync(fs->ctx, s->handle);
+	if (error) {
+		segment_name(name, last_segment(s)->sequence);
+		return fail(s, name, "write", error);
+	}
+	last_segment(s)->bytes += s->buffer->len;
+	s->syncs++;
+	g_byte_array_set_size(s->buffer, 0);
+	return RD_OK;
+}
+
+enum rd_result storage_sync(struct storage *s)
+{
+	enum rd_result result = s->failed;
+
+	if (result || !s->buffer->len)
+		return result;
+	result = flush(s);
+	if (!result && last_segment(s)->bytes > s->opts.segment_bytes)
+		result = begin_segment(s);
+	return result;
+}
+
+static enum rd_result remove_covered(struct storage *s)
+{
+	const struct storage_fs *fs = s->opts.fs;
+	char name[NAME_BYTES];
+	int error = 0;
+
+	/* Oldest first, so that a crash leaves no gap. */
+	while (!error && s->segments->len > 1) {
+		struct segment *first = &g_array_index(s->segments,
+						       struct segment, 0);
+
+		if (first->last_index > s->snapshot_index)
+			break;
+		segment_name(name, first->sequence);
+		error = fs->remove(fs->ctx, name);
+		if (!error)
+			g_array_remove_index(s->segments, 0);
+	}
+	return error ? fail(s, name, "remove", error) : RD_OK;
+}
+
+static enum rd_result remove_old_snapshots(struct storage *s)
+{
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	enum rd_result result = list_files(s, SNAPSHOT_PREFIX, names);
+
+	for (guint i = 0; !result && i + 1 < names->len; i++) {
+		int error = s->opts.fs->remove(s->opts.fs->ctx,
+					       names->pdata[i]);
+
+		if (error)
+			result = fail(s, names->pdata[i], "remove", error);
+	}
+	g_ptr_array_unref(names);
+	return result;
+}
+
+enum rd_result storage_snapshot(struct storage *s,
+				const struct stored_snapshot *snapshot,
+				bool received)
+{
+	GBytes *payload = CODEC_ENCODE(stored_snapshot, snapshot);
+	char name[NAME_BYTES];
+	enum rd_result result = s->failed ? s->failed : storage_sync(s);
+
+	snapshot_name(name, snapshot->index);
+	if (!result)
+		result = write_record(s, name, RECORD_SNAPSHOT, payload);
+	g_bytes_unref(payload);
+	if (result)
+		return result;
+	s->snapshot_index = snapshot->index;
+	if (received) {
+		GBytes *empty = g_bytes_new(NULL, 0);
+
+		put(s, RECORD_RESET, empty);
+		for (guint i = 0; i < s->segments->len; i++)
+			g_array_index(s->segments, struct segment, i)
+				.last_index = 0;
+	}
+	result = begin_segment(s);
+	if (!result)
+		result = storage_sync(s);
+	if (!result)
+		result = remove_covered(s);
+	return result ? result : remove_old_snapshots(s);
+}
+
+uint64_t storage_log_bytes(const struct storage *s)
+{
+	uint64_t bytes = s->buffer->len;
+
+	for (guint i = 0; i < s->segments->len; i++)
+		bytes += g_array_index(s->segments, struct segment, i).bytes;
+	return bytes;
+}
+
+uint64_t storage_syncs(const struct storage *s)
+{
+	return s->syncs;
+}
+
+const char *storage_failure(const struct storage *s)
+{
+	return s->failure ? s->failure : "";
+}
--- /dev/null
+++ b/test/fakes/engine.c
@@ -0,0 +1,185 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "test/fakes/engine.h"
+
+struct engine_vm *engine_find(const struct engine *engine, const char *name)
+{
+	for (guint i = 0; i < engine->vms->len; i++) {
+		struct engine_vm *vm = engine->vms->pdata[i];
+
+		if (!strcmp(vm->name, name))
+			return vm;
+	}
+	return NULL;
+}
+
+bool engine_whole(const struct engine_vm *head)
+{
+	for (guint i = 0; head->members && i < head->members->len; i++) {
+		const struct engine_vm *vm =
+			engine_find(head->engine, head->members->pdata[i]);
+
+		/* A VM of another process is taken to be there. */
+		if (vm &&
+		    (!vm->alive || vm->paused || !vm->ready ||
+		     vm->replica != head->replica || vm->epoch != head->epoch))
+			return false;
+	}
+	return head->replica != 0;
+}
+
+static void log_order(const struct engine_vm *vm, json_t *order,
+		      const char *result)
+{
+	json_t *line = json_pack("{s:I,s:s,s:s,s:s,s:I}", "t_us",
+				 (json_int_t)fake_now_us(), "event", "order",
+				 "vm", vm->name, "result", result,
+				 "incarnation", (json_int_t)vm->incarnation);
+
+	json_object_set(line, "order", json_object_get(order, "order"));
+	json_object_set(line, "replica", json_object_get(order, "replica"));
+	json_object_set(line, "epoch", json_object_get(order, "epoch"));
+	json_object_set(line, "fencing", json_object_get(order, "fencing"));
+	fake_log(vm->engine->log, line);
+}
+
+void engine_leave_replica(struct engine_vm *vm)
+{
+	run_destroy(vm->run);
+	if (vm->loading)
+		vm->engine->loads--;
+	vm->loading = false;
+	event_del(vm->load_timer);
+	vm->ready = false;
+	vm->replica = 0;
+	vm->epoch = 0;
+	if (vm->members)
+		g_ptr_array_unref(vm->members);
+	vm->members = NULL;
+}
+
+static void copy_string(char *out, size_t size, json_t *value)
+{
+	const char *text = json_string_value(value);
+
+	g_strlcpy(out, text ? text : "", size);
+}
+
+static bool weights_loaded(const struct engine_vm *vm)
+{
+	return !strcmp(vm->model, vm->want_model) &&
+	       !strcmp(vm->adapter, vm->want_adapter) &&
+	       !strcmp(vm->version, vm->want_version);
+}
+
+static void begin_load(struct engine_vm *vm);
+
+static void on_load(evutil_socket_t fd, short what, void *ctx)
+{
+	struct engine_vm *vm = ctx;
+
+	(void)fd;
+	(void)what;
+	if (!vm->loading) {
+		begin_load(vm);
+		return;
+	}
+	vm->loading = false;
+	vm->engine->loads--;
+	g_strlcpy(vm->model, vm->want_model, sizeof(vm->model));
+	g_strlcpy(vm->adapter, vm->want_adapter, sizeof(vm->adapter));
+	g_strlcpy(vm->version, vm->want_version, sizeof(vm->version));
+	vm->ready = true;
+	announcer_now(vm->announcer);
+}
+
+/* Loads take turns at the weight store. */
+static void begin_load(struct engine_vm *vm)
+{
+	struct timeval turn = {0, 20000};
+	struct timeval load = {vm->engine->opts.load_ms / 1000,
+			       (vm->engine->opts.load_ms % 1000) * 1000};
+
+	if (vm->engine->loads >= vm->engine->opts.store_loads) {
+		event_add(vm->load_timer, &turn);
+		return;
+	}
+	vm->loading = true;
+	vm->engine->loads++;
+	event_add(vm->load_timer, &load);
+}
+
+struct event *engine_load_timer(struct engine_vm *vm)
+{
+	return evtimer_new(vm->engine->base, on_load, vm);
+}
+
+static void form(struct engine_vm *vm, json_t *order)
+{
+	json_t *vms = json_object_get(order, "vms");
+
+	engine_leave_replica(vm);
+	vm->replica = (uint32_t)json_integer_value(json_object_get(order, "repl"
+									  "ic"
+									  "a"));
+	vm->epoch = json_integer_value(json_object_get(order, "epoch"));
+	vm->rank = (int)json_integer_value(json_object_get(order, "rank"));
+	vm->slots = (int)json_integer_value(json_object_get(order, "slots"));
+	vm->members = g_ptr_array_new_with_free_func(g_free);
+	for (size_t i = 0; i < json_array_size(vms); i++)
+		g_ptr_array_add(vm->members,
+				g_strdup(json_string_value(json_object_get(
+					json_array_get(vms, i), "vm"))));
+	copy_string(vm->want_model, sizeof(vm->want_model),
+		    json_object_get(order, "model"));
+	copy_string(vm->want_adapter, sizeof(vm->want_adapter),
+		    json_object_get(order, "adapter"));
+	copy_string(vm->want_version, sizeof(vm->want_version),
+		    json_object_get(order, "version"));
+	if (weights_loaded(vm))
+		vm->ready = true;
+	else
+		begin_load(vm);
+}
+
+static const char *carry_out(struct engine_vm *vm, json_t *order)
+{
+	const char *what = json_string_value(json_object_get(order, "order"));
+	int64_t fencing = json_integer_value(json_object_get(order, "fencing"));
+	int64_t epoch = json_integer_value(json_object_get(order, "epoch"));
+	bool forms = what && !strcmp(what, "form");
+
+	if (vm->engine->opts.checks_fencing && fencing < vm->fencing)
+		return "stale";
+	vm->fencing = MAX(vm->fencing, fencing);
+	/* The same order again changes nothing. */
+	if (forms && vm->epoch == epoch)
+		return "accepted";
+	if (forms)
+		form(vm, order);
+	else if (vm->replica && vm->epoch <= epoch)
+		engine_leave_replica(vm);
+	return "accepted";
+}
+
+void engine_order(struct engine_vm *vm, struct evhttp_request *req)
+{
+	GBytes *body = http_body(req);
+	json_t *order = json_loadb(g_bytes_get_data(body, NULL),
+				   g_bytes_get_size(body), 0, NULL);
+	const char *result;
+
+	g_bytes_unref(body);
+	if (!json_is_object(order)) {
+		http_send_json(req, 400, json_pack("{s:s}", "error", "JSON"));
+		return;
+	}
+	result = carry_out(vm, order);
+	log_order(vm, order, result);
+	http_send_json(req, strcmp(result, "stale") ? 200 : 409,
+		       json_pack("{s:s,s:I}", "result", result, "fencing",
+				 (json_int_t)vm->fencing));
+	json_decref(order);
+	announcer_now(vm->announcer);
+}
--- /dev/null
+++ b/test/fakes/fake_service.c
@@ -0,0 +1,315 @@
+/*
+ * One process that plays the endpoints of a plain service. Each run of a
+ * booking is one line in a file: key, endpoint, and how often it ran.
+ */
+#include <argp.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <event2/buffer.h>
+
+#include "common/http.h"
+#include "test/fakes/announcer.h"
+
+struct service {
+	struct event_base *base;
+	const char *name;
+	FILE *runs;
+	GHashTable *counts; /* key -> runs */
+	GPtrArray *endpoints;
+	int delay_ms;
+};
+
+struct endpoint {
+	struct service *service;
+	char name[64];
+	char address[64];
+	char data_centre[64];
+	struct announcer *announcer;
+	int64_t incarnation, sequence;
+	int running;
+	bool alive, leaving;
+	char mode[32]; /* how calls go wrong; empty for not at all */
+};
+
+struct arguments {
+	const char *host, *name, *prefix, *entries, *key_file, *control_file,
+		*runs_file;
+	int count, delay_ms;
+};
+
+static const struct argp_option options[] = {
+	{"host", 'h', "IP", 0, "address to listen on", 0},
+	{"service", 'n', "NAME", 0, "service announced", 0},
+	{"prefix", 'p', "TEXT", 0, "start of the endpoints' names", 0},
+	{"entries", 'e', "IP:PORT,...", 0, "where to announce first", 0},
+	{"key", 'k', "FILE", 0, "key for announcing", 0},
+	{"control", 'c', "FILE", 0, "file to write the control address to", 0},
+	{"runs", 'r', "FILE", 0, "file that counts runs", 0},
+	{"count", 'm', "N", 0, "endpoints", 0},
+	{"delay-ms", 'd', "MS", 0, "time a call takes", 0},
+	{0}};
+
+static error_t parse_argument(int key, char *arg, struct argp_state *state)
+{
+	struct arguments *a = state->input;
+
+	switch (key) {
+	case 'h':
+		a->host = arg;
+		break;
+	case 'n':
+		a->name = arg;
+		break;
+	case 'p':
+		a->prefix = arg;
+		break;
+	case 'e':
+		a->entries = arg;
+		break;
+	case 'k':
+		a->key_file = arg;
+		break;
+	case 'c':
+		a->control_file = arg;
+		break;
+	case 'r':
+		a->runs_file = arg;
+		break;
+	case 'm':
+		a->count = atoi(arg);
+		break;
+	case 'd':
+		a->delay_ms = atoi(arg);
+		break;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+	return 0;
+}
+
+static const struct argp argp = {.options = options, .parser = parse_argument};
+
+static int count_run(struct endpoint *e, const char *key)
+{
+	int runs =
+		GPOINTER_TO_INT(g_hash_table_lookup(e->service->counts, key)) +
+		1;
+
+	g_hash_table_insert(e->service->counts, g_strdup(key),
+			    GINT_TO_POINTER(runs));
+	fprintf(e->service->runs, "%s %s %d\n", key, e->name, runs);
+	fflush(e->service->runs);
+	return runs;
+}
+
+/** A call whose answer comes later. */
+struct pending {
+	struct endpoint *endpoint;
+	struct evhttp_request *req;
+	struct http_watch watch;
+	char *key;
+	int runs;
+	bool left;
+};
+
+static void finish(struct pending *p)
+{
+	json_t *body = json_pack("{s:s,s:s,s:i}", "key", p->key, "endpoint",
+				 p->endpoint->name, "run", p->runs);
+
+	p->endpoint->running--;
+	if (!p->left)
+		http_unwatch(p->req, 600);
+	http_send_json(p->req, 200, body);
+	g_free(p->key);
+	g_free(p);
+}
+
+static void on_delay(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	finish(arg);
+}
+
+static void on_left(void *ctx)
+{
+	struct pending *p = ctx;
+
+	p->left = true;
+}
+
+static void close_without_answer(struct evhttp_request *req)
+{
+	evhttp_connection_free(evhttp_request_get_connection(req));
+}
+
+/* Half an answer with its length stated, then a close. */
+static void answer_half(struct evhttp_request *req)
+{
+	struct evbuffer *out = evbuffer_new();
+
+	evhttp_add_header(evhttp_request_get_output_headers(req),
+			  "Content-Length", "1000");
+	evhttp_send_reply_start(req, 200, "OK");
+	evbuffer_add_printf(out, "{\"half\":");
+	evhttp_send_reply_chunk(req, out);
+	evbuffer_free(out);
+	evhttp_send_reply_end(req);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Connection",
+			  "close");
+}
+
+static void run_call(struct endpoint *e, struct evhttp_request *req,
+		     const char *key)
+{
+	struct pending *p = g_new0(struct pending, 1);
+	struct timeval delay = {e->service->delay_ms / 1000,
+				(e->service->delay_ms % 1000) * 1000};
+
+	p->endpoint = e;
+	p->req = req;
+	p->key = g_strdup(key);
+	p->runs = count_run(e, key);
+	e->running++;
+	p->watch = (struct http_watch){on_left, p};
+	http_watch(req, &p->watch);
+	event_base_once(e->service->base, -1, EV_TIMEOUT, on_delay, p, &delay);
+}
+
+static void handle(struct evhttp_request *req, void *ctx)
+{
+	struct endpoint *e = ctx;
+	const char *key = http_header(req, "Idempotency-Key");
+
+	if (!e->alive || !strcmp(e->mode, "silent"))
+		return;
+	if (!strcmp(e->mode, "close-before")) {
+		close_without_answer(req);
+	} else if (!strcmp(e->mode, "close-after")) {
+		count_run(e, key ? key : "-");
+		close_without_answer(req);
+	} else if (!strcmp(e->mode, "half")) {
+		count_run(e, key ? key : "-");
+		answer_half(req);
+	} else {
+		run_call(e, req, key ? key : "-");
+	}
+}
+
+static json_t *announcement(void *ctx)
+{
+	struct endpoint *e = ctx;
+
+	if (!e->alive)
+		return NULL;
+	return json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:b,s:b,s:{s:i}}", "vm",
+			 e->name, "address", e->address, "data_centre",
+			 e->data_centre, "domain", "plain", "service",
+			 e->service->name, "incarnation",
+			 (json_int_t)e->incarnation, "sequence",
+			 (json_int_t)++e->sequence, "ready", 1, "leaving",
+			 e->leaving, "load", "running", e->running);
+}
+
+static void handle_control(struct evhttp_request *req, void *ctx)
+{
+	struct service *service = ctx;
+	char *name = http_query(req, "vm");
+	char *what = http_query(req, "what");
+	int changed = 0;
+
+	for (guint i = 0; name && what && i < service->endpoints->len; i++) {
+		struct endpoint *e = service->endpoints->pdata[i];
+
+		if (strcmp(name, e->name) != 0 && strcmp(name, "*") != 0)
+			continue;
+		changed++;
+		if (!strcmp(what, "kill"))
+			e->alive = false;
+		else if (!strcmp(what, "leave"))
+			e->leaving = true;
+		else if (!strcmp(what, "revive")) {
+			e->alive = true;
+			e->leaving = false;
+			e->incarnation++;
+			*e->mode = '\0';
+		} else
+			g_strlcpy(e->mode, strcmp(what, "good") ? what : "",
+				  sizeof(e->mode));
+		announcer_now(e->announcer);
+	}
+	http_send_json(req, changed ? 200 : 404,
+		       json_pack("{s:i}", "changed", changed));
+	g_free(name);
+	g_free(what);
+}
+
+static void add_endpoint(struct service *s, const struct arguments *a,
+			 int number, const char *const *entries,
+			 const char *key)
+{
+	struct endpoint *e = g_new0(struct endpoint, 1);
+	struct announcer_opts opts = {
+		.base = s->base,
+		.entries = entries,
+		.key = key,
+		.body = announcement,
+		.ctx = e,
+	};
+
+	e->service = s;
+	e->alive = true;
+	e->incarnation = fake_now_us() / 1000;
+	g_snprintf(e->name, sizeof(e->name), "%s%d", a->prefix, number);
+	g_snprintf(e->data_centre, sizeof(e->data_centre), "%c",
+		   'a' + number % 3);
+	fake_listen(s->base, a->host, handle, e, e->address,
+		    sizeof(e->address));
+	e->announcer = announcer_create(&opts);
+	g_ptr_array_add(s->endpoints, e);
+}
+
+int main(int argc, char **argv)
+{
+	struct arguments a = {.host = "127.0.0.1",
+			      .name = "queue",
+			      .prefix = "queue-",
+			      .count = 3,
+			      .delay_ms = 5};
+	struct service service = {.endpoints = g_ptr_array_new()};
+	char control[64];
+	char **entries;
+	char *key;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &a);
+	if (!a.entries || !a.key_file || !a.control_file || !a.runs_file) {
+		fprintf(stderr, "--entries, --key, --control and --runs are "
+				"needed\n");
+		return 1;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	service.base = event_base_new();
+	service.name = a.name;
+	service.delay_ms = a.delay_ms;
+	service.counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       NULL);
+	service.runs = fopen(a.runs_file, "a");
+	if (!service.runs) {
+		perror(a.runs_file);
+		return 1;
+	}
+	entries = g_strsplit(a.entries, ",", 0);
+	key = fake_read_key(a.key_file);
+	for (int i = 0; i < a.count; i++)
+		add_endpoint(&service, &a, i, (const char *const *)entries,
+			     key);
+	fake_listen(service.base, a.host, handle_control, &service, control,
+		    sizeof(control));
+	fake_tell_address(a.control_file, control);
+	event_base_dispatch(service.base);
+	return 0;
+}
--- /dev/null
+++ b/wire/rpc_server.c
@@ -0,0 +1,283 @@
+#include <string.h>
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include "common/address.h"
+#include "common/log.h"
+#include "wire/codec.h"
+#include "wire/rpc_frame.h"
+
+#define LISTEN_BACKLOG 128
+#define HANDSHAKE_LIMIT_S 5
+#define IDLE_LIMIT_S 30
+#define SOCKET_TIMEOUT_MS 2000
+/* A peer that does not read its replies is cut off past this. */
+#define REPLY_BUFFER_MAX (96u * 1024 * 1024)
+
+static const struct log rpc_log = {"rpc"};
+
+struct server_conn {
+	struct rpc_server *server;
+	struct bufferevent *bev;
+	struct rpc_session session;
+	uint32_t peer;
+	uint8_t client_nonce[RPC_NONCE_BYTES];
+	uint8_t server_nonce[RPC_NONCE_BYTES];
+	bool greeted;
+	GPtrArray *calls; /* unanswered */
+};
+
+struct rpc_call {
+	struct server_conn *conn; /* NULL once the connection is gone */
+	uint32_t xid;
+};
+
+struct rpc_server {
+	struct rpc_server_opts opts;
+	struct evconnlistener *listener;
+	GPtrArray *conns;
+};
+
+static void conn_close(struct server_conn *conn)
+{
+	for (guint i = 0; i < conn->calls->len; i++)
+		((struct rpc_call *)conn->calls->pdata[i])->conn = NULL;
+	g_ptr_array_unref(conn->calls);
+	bufferevent_free(conn->bev);
+	g_ptr_array_remove_fast(conn->server->conns, conn);
+	g_free(conn);
+}
+
+static void reply_now(struct server_conn *conn, uint32_t xid, GBytes *result)
+{
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+
+	rpc_frame_write(out, &conn->session, RPC_SIDE_SERVER, false, xid, 0,
+			result);
+}
+
+static bool greet(struct server_conn *conn, const struct rpc_record *record)
+{
+	const struct rpc_identity *me = conn->server->opts.identity;
+	struct hello_request request = {0};
+	struct hello_reply reply = {.code = 0, .node = me->node};
+	GBytes *bytes;
+	bool fits;
+
+	if (!codec_decode((xdrproc_t)xdr_hello_request, record->body,
+			  record->body_size, &request))
+		return false;
+	fits = !strcmp(request.cluster, me->cluster) &&
+	       request.format == RPC_FORMAT && !conn->greeted;
+	conn->peer = request.node;
+	memcpy(conn->client_nonce, request.nonce, RPC_NONCE_BYTES);
+	CODEC_FREE(hello_request, &request);
+	if (!fits)
+		return false;
+	conn->greeted = true;
+	rpc_random(conn->server_nonce, RPC_NONCE_BYTES);
+	memcpy(reply.nonce, conn->server_nonce, RPC_NONCE_BYTES);
+	bytes = CODEC_ENCODE(hello_reply, &reply);
+	reply_now(conn, record->xid, bytes);
+	g_bytes_unref(bytes);
+	return true;
+}
+
+static bool key_proves(struct server_conn *conn, GBytes *key,
+		       const uint8_t *proof)
+{
+	const struct rpc_identity *me = conn->server->opts.identity;
+	uint8_t expected[RPC_PROOF_BYTES];
+
+	rpc_proof(key, "client", me, conn->peer, me->node, conn->client_nonce,
+		  conn->server_nonce, expected);
+	return rpc_equal(proof, expected, sizeof(expected));
+}
+
+static void accept_proof(struct server_conn *conn, GBytes *key, uint32_t xid)
+{
+	const struct rpc_identity *me = conn->server->opts.identity;
+	struct prove_request proof;
+	GBytes *bytes;
+
+	rpc_proof(key, "server", me, conn->peer, me->node, conn->client_nonce,
+		  conn->server_nonce, (uint8_t *)proof.proof);
+	bytes = CODEC_ENCODE(prove_request, &proof);
+	reply_now(conn, xid, bytes);
+	g_bytes_unref(bytes);
+	rpc_proof(key, "session", me, conn->peer, me->node, conn->client_nonce,
+		  conn->server_nonce, conn->session.key);
+	conn->session.proven = true;
+	bufferevent_set_timeouts(
+		conn->bev, &(struct timeval){.tv_sec = IDLE_LIMIT_S}, NULL);
+}
+
+static bool prove(struct server_conn *conn, const struct rpc_record *record)
+{
+	const struct rpc_identity *me = conn->server->opts.identity;
+	struct prove_request proof;
+
+	if (!conn->greeted ||
+	    !codec_decode((xdrproc_t)xdr_prove_request, record->body,
+			  record->body_size, &proof))
+		return false;
+	for (int i = 0; i < RPC_KEYS_MAX; i++) {
+		if (!me->keys[i] ||
+		    !key_proves(conn, me->keys[i], (uint8_t *)proof.proof))
+			continue;
+		accept_proof(conn, me->keys[i], record->xid);
+		return true;
+	}
+	log_warn(&rpc_log, "node %u did not prove the cluster key", conn->peer);
+	return false;
+}
+
+static void serve(struct server_conn *conn, const struct rpc_record *record)
+{
+	const struct rpc_server_opts *opts = &conn->server->opts;
+	struct rpc_call *call = g_new0(struct rpc_call, 1);
+
+	call->conn = conn;
+	call->xid = record->xid;
+	g_ptr_array_add(conn->calls, call);
+	opts->serve(opts->ctx, call, conn->peer, (enum rpc_proc)record->proc,
+		    record->body, record->body_size);
+}
+
+static bool handle(struct server_conn *conn, const struct rpc_record *record)
+{
+	if (!record->is_call)
+		return false;
+	if (record->proc == RPC_HELLO && !conn->session.proven)
+		return greet(conn, record);
+	if (record->proc == RPC_PROVE && !conn->session.proven)
+		return prove(conn, record);
+	if (!conn->session.proven)
+		return false;
+	if (record->proc == RPC_NULL)
+		reply_now(conn, record->xid, NULL);
+	else
+		serve(conn, record);
+	return true;
+}
+
+static void on_read(struct bufferevent *bev, void *ctx)
+{
+	struct server_conn *conn = ctx;
+	struct evbuffer *in = bufferevent_get_input(bev);
+	struct rpc_record record;
+	enum rpc_frame_status status;
+	bool ok;
+
+	for (;;) {
+		status = rpc_frame_read(in, &conn->session, RPC_SIDE_CLIENT,
+					&record);
+		if (status == RPC_FRAME_MORE)
+			break;
+		ok = status == RPC_FRAME_RECORD && handle(conn, &record);
+		g_free(record.memory);
+		if (!ok) {
+			log_debug(&rpc_log, "bad record from node %u: closed",
+				  conn->peer);
+			conn_close(conn);
+			return;
+		}
+	}
+	if (evbuffer_get_length(bufferevent_get_output(bev)) > REPLY_BUFFER_MAX)
+		conn_close(conn);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *ctx)
+{
+	(void)bev;
+	(void)what;
+	conn_close(ctx);
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *from, int size, void *ctx)
+{
+	struct rpc_server *server = ctx;
+	struct server_conn *conn;
+
+	(void)listener;
+	(void)from;
+	(void)size;
+	if ((int)server->conns->len >= server->opts.max_connections) {
+		evutil_closesocket(fd);
+		return;
+	}
+	address_tune(fd, SOCKET_TIMEOUT_MS);
+	conn = g_new0(struct server_conn, 1);
+	conn->server = server;
+	conn->calls = g_ptr_array_new();
+	conn->bev = bufferevent_socket_new(server->opts.base, fd,
+					   BEV_OPT_CLOSE_ON_FREE);
+	g_ptr_array_add(server->conns, conn);
+	bufferevent_setcb(conn->bev, on_read, NULL, on_event, conn);
+	bufferevent_set_timeouts(conn->bev,
+				 &(struct timeval){.tv_sec = HANDSHAKE_LIMIT_S},
+				 NULL);
+	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
+}
+
+struct rpc_server *rpc_server_create(const struct rpc_server_opts *opts)
+{
+	struct rpc_server *server;
+	struct address address;
+	int fd;
+
+	if (!address_parse(opts->address, &address))
+		return NULL;
+	fd = address_listen(&address, LISTEN_BACKLOG);
+	if (fd < 0)
+		return NULL;
+	server = g_new0(struct rpc_server, 1);
+	server->opts = *opts;
+	server->conns = g_ptr_array_new();
+	server->listener = evconnlistener_new(opts->base, on_accept, server,
+					      LEV_OPT_CLOSE_ON_FREE, 0, fd);
+	if (!server->listener) {
+		evutil_closesocket(fd);
+		rpc_server_destroy(server);
+		return NULL;
+	}
+	return server;
+}
+
+void rpc_server_destroy(struct rpc_server *server)
+{
+	if (!server)
+		return;
+	while (server->conns->len)
+		conn_close(server->conns->pdata[0]);
+	g_ptr_array_unref(server->conns);
+	if (server->listener)
+		evconnlistener_free(server->listener);
+	g_free(server);
+}
+
+int rpc_server_port(const struct rpc_server *server)
+{
+	return address_local_port(evconnlistener_get_fd(server->listener));
+}
+
+void rpc_call_drop(struct rpc_call *call)
+{
+	if (call->conn)
+		g_ptr_array_remove_fast(call->conn->calls, call);
+	g_free(call);
+}
+
+void rpc_call_reply(struct rpc_call *call, GBytes *result)
+{
+	if (call->conn)
+		reply_now(call->conn, call->xid, result);
+	rpc_call_drop(call);
+}
+
+uint64_t rpc_bytes_sent(void)
+{
+	return rpc_frame_bytes();
+}
