--- a/Makefile
+++ b/Makefile
@@ -93,7 +93,7 @@
 		$(PACKAGES); }
 
 check: tests
-	test/run-tests $(sort $(TEST_BIN))
+	test/run-tests $B
 
 wire:
 	sh wire/regenerate.sh
--- a/entry/booking.c
+++ b/entry/booking.c
@@ -252,6 +252,7 @@
 	f->account = call->account;
 	f->key = call->booking_key;
 	f->claim_id = call->claim_id;
+	f->entry = (uint32_t)call->entry->opts.settings->node.id;
 	f->outcome = outcome;
 	f->answer.status = (uint32_t)status;
 	f->answer.content_type = r->type;
--- a/evidence/home.c
+++ b/evidence/home.c
@@ -63,7 +63,8 @@
 /* Loads are told in powers of two, so that small changes cost nothing. */
 static uint32_t coarse(uint32_t n)
 {
-	return (uint32_t)g_bit_storage(n);
+	/* g_bit_storage(0) is 1, and idle must differ from busy. */
+	return n ? (uint32_t)g_bit_storage(n) : 0;
 }
 
 static bool same_load(const struct load_report *a, const struct load_report *b)
--- a/state/booking.c
+++ b/state/booking.c
@@ -140,6 +140,14 @@
 	result->outcome = booking->outcome;
 }
 
+/* Entries number their claims each for itself. */
+static bool same_claim(const struct booking_state *booking, uint32_t entry,
+		       uint64_t claim_id)
+{
+	return booking->claim.entry == entry &&
+	       booking->claim.claim_id == claim_id;
+}
+
 static void claim_known(struct state *state, struct booking_state *booking,
 			const struct command *command,
 			struct apply_result *result)
@@ -172,7 +180,7 @@
 	}
 	/* The same claim proposed again, after its answer was lost. */
 	state_result_set(result,
-			 booking->claim.claim_id == claim->claim_id
+			 same_claim(booking, claim->entry, claim->claim_id)
 				 ? RD_OK
 				 : RD_IN_FLIGHT,
 			 "");
@@ -216,13 +224,13 @@
 					     finish->account, finish->key);
 
 	/* The same end proposed again, after its answer was lost. */
-	if (booking && booking->claim.claim_id == finish->claim_id &&
+	if (booking && same_claim(booking, finish->entry, finish->claim_id) &&
 	    booking->outcome == finish->outcome) {
 		state_result_set(result, RD_OK, "");
 		result->outcome = finish->outcome;
 		return;
 	}
-	if (!booking || booking->claim.claim_id != finish->claim_id ||
+	if (!booking || !same_claim(booking, finish->entry, finish->claim_id) ||
 	    booking->outcome == BOOKING_ANSWERED ||
 	    booking->outcome == BOOKING_NOT_RUN) {
 		state_result_set(result, RD_STALE_EPOCH, finish->key);
--- /dev/null
+++ b/test/cluster.c
@@ -0,0 +1,556 @@
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <ftw.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+
+#include "common/address.h"
+#include "test/cluster.h"
+
+#define READ_TIMEOUT_MS 3000
+#define CHANGE_TIMEOUT_MS 20000
+#define POLL_US 20000
+#define KEY_BYTES 24
+#define VOTERS_MAX 3
+
+extern char **environ;
+
+static struct cluster *open_cluster; /* to clean up after a failure */
+
+void cluster_fail(const char *fmt, ...)
+{
+	va_list ap;
+
+	va_start(ap, fmt);
+	vfprintf(stderr, fmt, ap);
+	va_end(ap);
+	fprintf(stderr, "\n");
+	if (open_cluster)
+		cluster_destroy(open_cluster);
+	exit(1);
+}
+
+gint64 cluster_now_ms(void)
+{
+	return g_get_monotonic_time() / 1000;
+}
+
+char *cluster_path(const struct cluster *c, const char *name)
+{
+	return g_build_filename(c->folder, name, NULL);
+}
+
+/* ---- processes ---- */
+
+static pid_t spawn(const struct cluster *c, const char *program,
+		   const char *log_name, const char *const *arguments)
+{
+	char *path = g_build_filename(c->bin, program, NULL);
+	char *log = cluster_path(c, log_name);
+	GPtrArray *argv = g_ptr_array_new();
+	posix_spawn_file_actions_t actions;
+	posix_spawnattr_t attributes;
+	sigset_t none;
+	pid_t pid;
+	int error;
+
+	g_ptr_array_add(argv, path);
+	for (; *arguments; arguments++)
+		g_ptr_array_add(argv, (char *)*arguments);
+	g_ptr_array_add(argv, NULL);
+	posix_spawn_file_actions_init(&actions);
+	posix_spawn_file_actions_addopen(&actions, 1, log,
+					 O_WRONLY | O_CREAT | O_APPEND, 0600);
+	posix_spawn_file_actions_adddup2(&actions, 1, 2);
+	sigemptyset(&none);
+	posix_spawnattr_init(&attributes);
+	posix_spawnattr_setsigmask(&attributes, &none);
+	posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
+	error = posix_spawn(&pid, path, &actions, &attributes,
+			    (char **)argv->pdata, environ);
+	posix_spawnattr_destroy(&attributes);
+	posix_spawn_file_actions_destroy(&actions);
+	g_ptr_array_unref(argv);
+	if (error)
+		cluster_fail("%s: %s", path, g_strerror(error));
+	g_free(path);
+	g_free(log);
+	return pid;
+}
+
+static void end_process(pid_t pid)
+{
+	if (!pid)
+		return;
+	kill(pid, SIGCONT);
+	kill(pid, SIGKILL);
+	waitpid(pid, NULL, 0);
+}
+
+/* ---- files ---- */
+
+static char *make_key(void)
+{
+	GString *key = g_string_new(NULL);
+
+	for (int i = 0; i < KEY_BYTES; i++)
+		g_string_append_printf(key, "%02x",
+				       (unsigned)g_random_int_range(0, 256));
+	return g_string_free(key, FALSE);
+}
+
+static void write_file(const struct cluster *c, const char *name,
+		       const char *text)
+{
+	char *path = cluster_path(c, name);
+	int fd = open(path, O_WRONLY | O_CREAT | O_TRUNC, 0600);
+
+	if (fd < 0 || write(fd, text, strlen(text)) != (ssize_t)strlen(text))
+		cluster_fail("%s: %s", path, g_strerror(errno));
+	close(fd);
+	g_free(path);
+}
+
+static int remove_entry(const char *path, const struct stat *st, int flag,
+			struct FTW *ftw)
+{
+	(void)st;
+	(void)flag;
+	(void)ftw;
+	return remove(path);
+}
+
+static void remove_folder(const char *path)
+{
+	(void)nftw(path, remove_entry, 16, FTW_DEPTH | FTW_PHYS);
+}
+
+char *cluster_key_hash(const char *key)
+{
+	return g_compute_checksum_for_string(G_CHECKSUM_SHA256, key, -1);
+}
+
+/* ---- life ---- */
+
+/* A loopback address of this run's own, so that no port can be taken. */
+static void choose_host(struct cluster *c)
+{
+	unsigned n = (unsigned)getpid();
+
+	g_snprintf(c->host, sizeof(c->host), "127.%u.%u.%u",
+		   100 + (n >> 16) % 100, n >> 8 & 255, 1 + (n & 255) % 254);
+}
+
+static char *wait_for_control(struct cluster *c, const char *name)
+{
+	char *file = g_strdup_printf("%s.control", name);
+	char *path = cluster_path(c, file);
+	gint64 until = cluster_now_ms() + CLUSTER_WAIT_MS;
+	char *address = NULL;
+
+	while (!g_file_get_contents(path, &address, NULL, NULL)) {
+		if (cluster_now_ms() > until)
+			cluster_fail("%s does not start", name);
+		usleep(POLL_US);
+	}
+	g_free(path);
+	g_free(file);
+	return address;
+}
+
+static void start_proxy(struct cluster *c)
+{
+	char *control = cluster_path(c, "proxy.control");
+	const char *const arguments[] = { c->host, control, NULL };
+	pid_t pid = spawn(c, "test/fakes/fake_proxy", "proxy.log", arguments);
+
+	g_ptr_array_add(c->children, GINT_TO_POINTER(pid));
+	c->proxy = wait_for_control(c, "proxy");
+	g_free(control);
+}
+
+static char *programs_folder(void)
+{
+	char *self = g_file_read_link("/proc/self/exe", NULL);
+	char *folder = g_path_get_dirname(self);
+	char *parent = g_path_get_dirname(folder);
+
+	g_free(self);
+	g_free(folder);
+	return parent;
+}
+
+struct cluster *cluster_create(bool proxied)
+{
+	struct cluster *c = g_new0(struct cluster, 1);
+	char *lines;
+
+	open_cluster = c;
+	c->folder = g_dir_make_tmp("radishdeal-XXXXXX", NULL);
+	c->bin = programs_folder();
+	c->proxied = proxied;
+	c->children = g_ptr_array_new();
+	c->controls = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    g_free);
+	choose_host(c);
+	c->operator_key = make_key();
+	c->account_key = make_key();
+	c->other_key = make_key();
+	c->limits = g_strdup("");
+	c->cluster_lines = g_strdup("");
+	lines = make_key();
+	write_file(c, "cluster.key", lines);
+	g_free(lines);
+	lines = make_key();
+	write_file(c, "endpoint.key", lines);
+	g_free(lines);
+	lines = g_strdup_printf("tester membership %s\nreader read %s-reader\n",
+				c->operator_key, c->operator_key);
+	write_file(c, "operators.keys", lines);
+	g_free(lines);
+	if (proxied)
+		start_proxy(c);
+	return c;
+}
+
+void cluster_destroy(struct cluster *c)
+{
+	open_cluster = NULL;
+	for (int i = 0; i < c->node_count; i++) {
+		end_process(c->nodes[i].pid);
+		g_free(c->nodes[i].settings);
+	}
+	for (guint i = 0; i < c->children->len; i++)
+		end_process(GPOINTER_TO_INT(c->children->pdata[i]));
+	if (!getenv("KEEP"))
+		remove_folder(c->folder);
+	else
+		fprintf(stderr, "kept %s\n", c->folder);
+	g_ptr_array_unref(c->children);
+	g_hash_table_unref(c->controls);
+	g_free(c->folder);
+	g_free(c->bin);
+	g_free(c->proxy);
+	g_free(c->operator_key);
+	g_free(c->account_key);
+	g_free(c->other_key);
+	g_free(c->limits);
+	g_free(c->cluster_lines);
+	g_free(c);
+}
+
+/* ---- daemons ---- */
+
+/* The socket stays open for now, so that no port is chosen twice. */
+static int choose_port(const struct cluster *c, char *out)
+{
+	struct address address;
+	char text[64];
+	int fd;
+
+	g_snprintf(text, sizeof(text), "%s:0", c->host);
+	(void)address_parse(text, &address);
+	fd = address_listen(&address, 1);
+	if (fd < 0)
+		cluster_fail("%s: %s", text, g_strerror(errno));
+	g_snprintf(out, 64, "%s:%d", c->host, address_local_port(fd));
+	return fd;
+}
+
+static const char *centre_of(int node)
+{
+	static const char *const centres[] = { "a", "b", "c" };
+
+	return centres[(node - 1) % 3];
+}
+
+/* How one daemon reaches another: directly or through a link of its own. */
+static char *make_link(struct cluster *c, int from, int to)
+{
+	char *path = g_strdup_printf("/link?target=%s", c->nodes[to - 1].peers);
+	struct fetch_request request = {
+		.address = c->proxy,
+		.method = "POST",
+		.path = path,
+		.timeout_ms = READ_TIMEOUT_MS,
+	};
+	struct fetch_answer answer;
+	json_t *body;
+	char *address;
+
+	if (!fetch(&request, &answer))
+		cluster_fail("the proxy does not answer");
+	body = json_loads(answer.body, 0, NULL);
+	address = g_strdup(
+		json_string_value(json_object_get(body, "address")));
+	c->links[from][to] =
+		(int)json_integer_value(json_object_get(body, "link"));
+	json_decref(body);
+	fetch_clear(&answer);
+	g_free(path);
+	return address;
+}
+
+static void write_settings(struct cluster *c, int node)
+{
+	struct cluster_node *n = &c->nodes[node - 1];
+	GString *text = g_string_new(NULL);
+	char *name = g_strdup_printf("node%d.toml", node);
+
+	g_string_append_printf(
+		text,
+		"[node]\nid = %d\ndata_centre = \"%s\"\n"
+		"roles = [\"entry\", \"control\"]\n"
+		"data_folder = \"%s/data%d\"\n"
+		"[listen]\npeers = \"%s\"\ncallers = \"%s\"\n"
+		"endpoints = \"%s\"\noperators = \"%s\"\n"
+		"[limits]\n%s\n"
+		"[cluster]\nname = \"test\"\nkey_file = \"%s/cluster.key\"\n"
+		"operator_keys_file = \"%s/operators.keys\"\n"
+		"endpoint_key_file = \"%s/endpoint.key\"\n%s\n",
+		node, centre_of(node), c->folder, node, n->peers, n->callers,
+		n->endpoints, n->operators, c->limits, c->folder, c->folder,
+		c->folder, c->cluster_lines);
+	for (int i = 1; i <= c->node_count; i++) {
+		char *address = c->proxied && i != node ?
+					make_link(c, node, i) :
+					g_strdup(c->nodes[i - 1].peers);
+
+		g_string_append_printf(
+			text,
+			"[[cluster.peer]]\nid = %d\ndata_centre = \"%s\"\n"
+			"peers = \"%s\"\nvoter = %s\n",
+			i, centre_of(i), address,
+			i <= VOTERS_MAX ? "true" : "false");
+		g_free(address);
+	}
+	write_file(c, name, text->str);
+	n->settings = cluster_path(c, name);
+	g_string_free(text, TRUE);
+	g_free(name);
+}
+
+void cluster_start_node(struct cluster *c, int node)
+{
+	struct cluster_node *n = &c->nodes[node - 1];
+	const char *arguments[4] = { "--settings", n->settings, NULL, NULL };
+	char *log = g_strdup_printf("node%d.log", node);
+
+	if (!n->starts && node <= VOTERS_MAX)
+		arguments[2] = "--bootstrap";
+	n->starts++;
+	n->pid = spawn(c, "radishdeald", log, arguments);
+	g_free(log);
+}
+
+void cluster_start(struct cluster *c, int nodes)
+{
+	int sockets[CLUSTER_NODES_MAX * 4];
+	int count = 0;
+
+	c->node_count = nodes;
+	for (int i = 1; i <= nodes; i++) {
+		struct cluster_node *n = &c->nodes[i - 1];
+
+		n->number = i;
+		sockets[count++] = choose_port(c, n->peers);
+		sockets[count++] = choose_port(c, n->callers);
+		sockets[count++] = choose_port(c, n->endpoints);
+		sockets[count++] = choose_port(c, n->operators);
+	}
+	while (count)
+		close(sockets[--count]);
+	for (int i = 1; i <= nodes; i++)
+		write_settings(c, i);
+	for (int i = 1; i <= nodes; i++)
+		cluster_start_node(c, i);
+	cluster_wait_leader(c);
+}
+
+void cluster_signal_node(struct cluster *c, int node, int signal)
+{
+	struct cluster_node *n = &c->nodes[node - 1];
+
+	if (!n->pid)
+		return;
+	kill(n->pid, signal);
+	if (signal != SIGKILL)
+		return;
+	waitpid(n->pid, NULL, 0);
+	n->pid = 0;
+}
+
+int cluster_wait_node(struct cluster *c, int node)
+{
+	struct cluster_node *n = &c->nodes[node - 1];
+	gint64 until = cluster_now_ms() + CLUSTER_WAIT_MS;
+	int status = 0;
+
+	while (waitpid(n->pid, &status, WNOHANG) == 0) {
+		if (cluster_now_ms() > until)
+			cluster_fail("node %d does not stop", node);
+		usleep(POLL_US);
+	}
+	n->pid = 0;
+	return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+void cluster_wipe_node(struct cluster *c, int node)
+{
+	char *name = g_strdup_printf("data%d", node);
+	char *path = cluster_path(c, name);
+
+	remove_folder(path);
+	g_free(path);
+	g_free(name);
+}
+
+/* ---- stand-ins ---- */
+
+char *cluster_entries(const struct cluster *c)
+{
+	GString *list = g_string_new(NULL);
+
+	for (int i = 0; i < c->node_count; i++)
+		g_string_append_printf(list, "%s%s", i ? "," : "",
+				       c->nodes[i].endpoints);
+	return g_string_free(list, FALSE);
+}
+
+pid_t cluster_start_fake(struct cluster *c, const char *program,
+			 const char *name, const char *const *arguments)
+{
+	char *control_file = g_strdup_printf("%s.control", name);
+	char *control = cluster_path(c, control_file);
+	char *key = cluster_path(c, "endpoint.key");
+	char *entries = cluster_entries(c);
+	char *log = g_strdup_printf("%s.log", name);
+	char *path = g_strdup_printf("test/fakes/%s", program);
+	GPtrArray *all = g_ptr_array_new();
+	pid_t pid;
+
+	g_ptr_array_add(all, (char *)"--host");
+	g_ptr_array_add(all, c->host);
+	g_ptr_array_add(all, (char *)"--entries");
+	g_ptr_array_add(all, entries);
+	g_ptr_array_add(all, (char *)"--key");
+	g_ptr_array_add(all, key);
+	g_ptr_array_add(all, (char *)"--control");
+	g_ptr_array_add(all, control);
+	for (; *arguments; arguments++)
+		g_ptr_array_add(all, (char *)*arguments);
+	g_ptr_array_add(all, NULL);
+	pid = spawn(c, path, log, (const char *const *)all->pdata);
+	g_ptr_array_add(c->children, GINT_TO_POINTER(pid));
+	g_hash_table_insert(c->controls, g_strdup(name),
+			    wait_for_control(c, name));
+	g_ptr_array_unref(all);
+	g_free(control_file);
+	g_free(control);
+	g_free(key);
+	g_free(entries);
+	g_free(log);
+	g_free(path);
+	return pid;
+}
+
+static bool post(const char *address, const char *path)
+{
+	struct fetch_request request = {
+		.address = address,
+		.method = "POST",
+		.path = path,
+		.timeout_ms = READ_TIMEOUT_MS,
+	};
+	struct fetch_answer answer;
+	bool done = fetch(&request, &answer) && answer.status == 200;
+
+	fetch_clear(&answer);
+	return done;
+}
+
+bool cluster_change_fake(struct cluster *c, const char *name, const char *path)
+{
+	const char *address = g_hash_table_lookup(c->controls, name);
+
+	return address && post(address, path);
+}
+
+void cluster_link(struct cluster *c, int from, int to, const char *what)
+{
+	char *path = g_strdup_printf("/set?link=%d&what=%s",
+				     c->links[from][to], what);
+
+	if (!post(c->proxy, path))
+		cluster_fail("the proxy refuses %s", path);
+	g_free(path);
+}
+
+/* ---- operators ---- */
+
+bool cluster_operate(struct cluster *c, int node, const char *method,
+		     const char *path, const char *body,
+		     struct fetch_answer *answer)
+{
+	struct fetch_request request = {
+		.address = c->nodes[node - 1].operators,
+		.method = method,
+		.path = path,
+		.key = c->operator_key,
+		.body = body,
+		.body_size = -1,
+		.timeout_ms = strcmp(method, "GET") ? CHANGE_TIMEOUT_MS :
+						      READ_TIMEOUT_MS,
+	};
+
+	return fetch(&request, answer);
+}
+
+json_t *cluster_get(struct cluster *c, int node, const char *path)
+{
+	struct fetch_answer answer;
+	json_t *body = NULL;
+
+	if (!c->nodes[node - 1].pid)
+		return NULL;
+	if (cluster_operate(c, node, "GET", path, NULL, &answer) &&
+	    answer.status == 200)
+		body = json_loads(answer.body, 0, NULL);
+	fetch_clear(&answer);
+	return body;
+}
+
+int cluster_leader(struct cluster *c)
+{
+	for (int i = 1; i <= c->node_count; i++) {
+		json_t *status = cluster_get(c, i, "/v1/status");
+		bool leads = json_is_true(json_object_get(status, "leads"));
+
+		json_decref(status);
+		if (leads)
+			return i;
+	}
+	return 0;
+}
+
+int cluster_wait_leader(struct cluster *c)
+{
+	gint64 until = cluster_now_ms() + CLUSTER_WAIT_MS;
+
+	for (;;) {
+		int leader = cluster_leader(c);
+
+		if (leader)
+			return leader;
+		if (cluster_now_ms() > until)
+			cluster_fail("no leader");
+		usleep(POLL_US);
+	}
+}
--- /dev/null
+++ b/test/jobs.c
@@ -0,0 +1,294 @@
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <jansson.h>
+#include <sys/socket.h>
+
+#include "common/address.h"
+#include "test/jobs.h"
+
+#define READ_LIMIT_S 60
+
+static int connect_to(const char *text)
+{
+	struct address address;
+	struct timeval limit = { READ_LIMIT_S, 0 };
+	int fd;
+
+	if (!address_parse(text, &address))
+		return -1;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	if (!connect(fd, (struct sockaddr *)&address.socket,
+		     sizeof(address.socket)))
+		return fd;
+	close(fd);
+	return -1;
+}
+
+static bool send_all(int fd, const char *text, size_t size)
+{
+	while (size) {
+		ssize_t n = send(fd, text, size, MSG_NOSIGNAL);
+
+		if (n <= 0)
+			return false;
+		text += n;
+		size -= (size_t)n;
+	}
+	return true;
+}
+
+/** An answer as it comes in. */
+struct reading {
+	struct job *job;
+	int fd;
+	GString *raw; /* what came and is not used yet */
+	GString *body;
+	bool head_done;
+	bool chunked;
+	gssize left; /* of the body or the chunk; -1: unknown */
+	bool complete;
+	size_t scanned; /* of the body, for tokens */
+	bool done_seen, error_seen;
+};
+
+static void read_head(struct reading *r)
+{
+	char *end = strstr(r->raw->str, "\r\n\r\n");
+	char *length, *head;
+
+	if (!end)
+		return;
+	*end = '\0';
+	head = g_ascii_strdown(r->raw->str, -1);
+	sscanf(head, "http/1.%*d %d", &r->job->status);
+	r->chunked = strstr(head, "transfer-encoding: chunked") != NULL;
+	length = strstr(head, "content-length: ");
+	r->left = r->chunked ? 0 : -1;
+	if (length)
+		r->left = atol(length + strlen("content-length: "));
+	g_free(head);
+	g_string_erase(r->raw, 0, end - r->raw->str + 4);
+	r->head_done = true;
+	if (length && !r->left)
+		r->complete = true;
+}
+
+static bool take_chunk(struct reading *r)
+{
+	char *end = strstr(r->raw->str, "\r\n");
+	gsize size, head;
+
+	if (!end)
+		return false;
+	size = strtoul(r->raw->str, NULL, 16);
+	head = (gsize)(end - r->raw->str) + 2;
+	if (r->raw->len < head + size + 2)
+		return false;
+	g_string_append_len(r->body, r->raw->str + head, (gssize)size);
+	g_string_erase(r->raw, 0, (gssize)(head + size + 2));
+	r->complete = size == 0;
+	return !r->complete;
+}
+
+static void read_body(struct reading *r)
+{
+	if (r->chunked) {
+		while (take_chunk(r))
+			;
+		return;
+	}
+	g_string_append_len(r->body, r->raw->str, (gssize)r->raw->len);
+	if (r->left >= 0 && (gssize)r->body->len >= r->left)
+		r->complete = true;
+	g_string_truncate(r->raw, 0);
+}
+
+/* Counts tokens only while they come in order: w0, w1, w2, ... */
+static void scan_tokens(struct reading *r)
+{
+	char wanted[32];
+	const char *found;
+
+	for (;;) {
+		g_snprintf(wanted, sizeof(wanted), "\"w%d \"", r->job->got);
+		found = strstr(r->body->str + r->scanned, wanted);
+		if (!found)
+			break;
+		r->scanned = (size_t)(found - r->body->str) + strlen(wanted);
+		if (!r->job->got)
+			r->job->first_us = g_get_monotonic_time();
+		r->job->got++;
+	}
+	if (strstr(r->body->str + r->scanned, "data: [DONE]"))
+		r->done_seen = true;
+	if (strstr(r->body->str + r->scanned, "event: error"))
+		r->error_seen = true;
+}
+
+static bool read_more(struct reading *r)
+{
+	char buffer[16384];
+	ssize_t n;
+
+	if (r->job->read_pause_ms)
+		usleep((useconds_t)r->job->read_pause_ms * 1000);
+	n = recv(r->fd, buffer, sizeof(buffer), 0);
+	if (n <= 0)
+		return false;
+	g_string_append_len(r->raw, buffer, n);
+	if (!r->head_done)
+		read_head(r);
+	if (r->head_done)
+		read_body(r);
+	if (r->job->stream)
+		scan_tokens(r);
+	return true;
+}
+
+/* Whether each token stands once in the answer, and no other. */
+static int tokens_in_answer(const char *answer)
+{
+	json_t *body = json_loads(answer, 0, NULL);
+	json_t *choice = json_array_get(json_object_get(body, "choices"), 0);
+	const char *text = json_string_value(json_object_get(
+		json_object_get(choice, "message"), "content"));
+	GString *wanted = g_string_new(NULL);
+	int n = 0;
+
+	while (text && wanted->len < strlen(text))
+		g_string_append_printf(wanted, "w%d ", n++);
+	if (!text || strcmp(text, wanted->str) != 0)
+		n = -1;
+	g_string_free(wanted, TRUE);
+	json_decref(body);
+	return n;
+}
+
+static enum job_end judge(struct reading *r)
+{
+	struct job *job = r->job;
+
+	if (!r->head_done)
+		return JOB_NO_ANSWER;
+	if (job->status != 200)
+		return r->complete ? JOB_REFUSED : JOB_NO_ANSWER;
+	if (!r->complete || r->error_seen)
+		return JOB_BROKEN;
+	if (!job->tokens)
+		return JOB_WHOLE;
+	if (!job->stream)
+		job->got = tokens_in_answer(r->body->str);
+	else if (!r->done_seen)
+		return JOB_SHORT;
+	return job->got == job->tokens ? JOB_WHOLE : JOB_SHORT;
+}
+
+static void *run(void *arg)
+{
+	struct job *job = arg;
+	struct reading r = { .job = job,
+			     .raw = g_string_new(NULL),
+			     .body = g_string_new(NULL) };
+	char *request = g_strdup_printf(
+		"%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n"
+		"Connection: close\r\n%sContent-Length: %zu\r\n\r\n%s",
+		job->method, job->path, job->address, job->key, job->headers,
+		strlen(job->body), job->body);
+
+	r.fd = connect_to(job->address);
+	job->end = JOB_NO_ANSWER;
+	if (r.fd >= 0 && send_all(r.fd, request, strlen(request))) {
+		while (!r.complete && read_more(&r))
+			;
+		job->end = judge(&r);
+	}
+	if (r.fd >= 0)
+		close(r.fd);
+	job->ended_us = g_get_monotonic_time();
+	job->answer = g_string_free(r.body, FALSE);
+	g_string_free(r.raw, TRUE);
+	g_free(request);
+	return NULL;
+}
+
+struct job *job_start(const struct job *opts)
+{
+	struct job *job = g_new0(struct job, 1);
+
+	job->name = g_strdup(opts->name);
+	job->address = g_strdup(opts->address);
+	job->key = g_strdup(opts->key);
+	job->path = g_strdup(opts->path);
+	job->body = g_strdup(opts->body ? opts->body : "");
+	job->headers = g_strdup(opts->headers ? opts->headers : "");
+	job->method = g_strdup(opts->method ? opts->method : "POST");
+	job->stream = opts->stream;
+	job->tokens = opts->tokens;
+	job->read_pause_ms = opts->read_pause_ms;
+	job->started_us = g_get_monotonic_time();
+	if (pthread_create(&job->thread, NULL, run, job))
+		abort();
+	return job;
+}
+
+void job_join(struct job *job)
+{
+	if (!job->joined)
+		pthread_join(job->thread, NULL);
+	job->joined = true;
+}
+
+void job_free(struct job *job)
+{
+	if (!job)
+		return;
+	job_join(job);
+	g_free(job->name);
+	g_free(job->address);
+	g_free(job->key);
+	g_free(job->path);
+	g_free(job->body);
+	g_free(job->headers);
+	g_free(job->method);
+	g_free(job->answer);
+	g_free(job);
+}
+
+static char *refusal_text(const struct job *job)
+{
+	json_t *body = json_loads(job->answer, 0, NULL);
+	const char *type = json_string_value(json_object_get(body, "type"));
+	const char *outcome =
+		json_string_value(json_object_get(body, "outcome"));
+	const char *name = type ? strrchr(type, ':') : NULL;
+	char *text = g_strdup_printf("refused %s %s",
+				     name ? name + 1 : "without-type",
+				     outcome ? outcome : "without-outcome");
+
+	json_decref(body);
+	return text;
+}
+
+char *job_text(const struct job *job)
+{
+	switch (job->end) {
+	case JOB_WHOLE:
+		if (job->tokens)
+			return g_strdup_printf("whole tokens=%d", job->got);
+		return g_strdup("whole");
+	case JOB_REFUSED:
+		return refusal_text(job);
+	case JOB_BROKEN:
+		return g_strdup("broken");
+	case JOB_SHORT:
+		return g_strdup_printf("SHORT tokens=%d of %d", job->got,
+				       job->tokens);
+	default:
+		return g_strdup("no answer");
+	}
+}
--- /dev/null
+++ b/test/test_proc.c
@@ -0,0 +1,938 @@
+/*
+ * Scripts over a system of real processes.
+ * usage: test_proc SCRIPT
+ */
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include <radishdeal/result.h>
+
+#include "test/cluster.h"
+#include "test/jobs.h"
+#include "test/oracle.h"
+#include "test/script.h"
+
+#define POLL_US 20000
+#define CHANGE_WAIT_MS 15000
+
+/** What a script works on. */
+struct stage {
+	struct cluster *cluster;
+	GHashTable *jobs; /* name -> struct job */
+	GPtrArray *engine_logs; /* of char * */
+	char *runs; /* file in which plain endpoints count runs */
+	GHashTable *revisions; /* service -> revision last accepted */
+	int changes;
+};
+
+static struct stage *stage_of(struct script *s)
+{
+	return s->ctx;
+}
+
+static struct cluster *cluster_of(struct script *s)
+{
+	struct stage *stage = s->ctx;
+
+	if (!stage->cluster)
+		script_fail(s, "no cluster yet");
+	return stage->cluster;
+}
+
+/* A node by number, or `leader`, `follower` (the first that does not lead). */
+static int node_of(struct script *s, const char *word)
+{
+	struct cluster *c = cluster_of(s);
+	int leader;
+
+	if (g_ascii_isdigit(*word))
+		return atoi(word);
+	leader = cluster_wait_leader(c);
+	if (!strcmp(word, "leader"))
+		return leader;
+	return leader == 1 ? 2 : 1;
+}
+
+static void wait_until(struct script *s, bool (*holds)(struct script *s),
+		       const char *what)
+{
+	gint64 until = cluster_now_ms() + CLUSTER_WAIT_MS;
+
+	while (!holds(s)) {
+		if (cluster_now_ms() > until) {
+			fprintf(stderr, "%s:%d: not within %d ms: %s\n",
+				s->path, s->line, CLUSTER_WAIT_MS, what);
+			cluster_fail("given up");
+		}
+		usleep(POLL_US);
+	}
+}
+
+/* ---- the system ---- */
+
+static void do_limit(struct script *s)
+{
+	struct stage *stage = stage_of(s);
+
+	/* limit KEY VALUE, before the cluster is started */
+	if (!stage->cluster)
+		script_fail(s, "create it first");
+	if (g_str_has_prefix(s->words[1], "cluster.")) {
+		char *old = stage->cluster->cluster_lines;
+
+		stage->cluster->cluster_lines = g_strdup_printf(
+			"%s%s = %s\n", old,
+			s->words[1] + strlen("cluster."), s->words[2]);
+		g_free(old);
+		return;
+	}
+	char *old = stage->cluster->limits;
+
+	stage->cluster->limits =
+		g_strdup_printf("%s%s = %s\n", old, s->words[1], s->words[2]);
+	g_free(old);
+}
+
+static void do_create(struct script *s)
+{
+	stage_of(s)->cluster =
+		cluster_create(s->word_count > 1 &&
+			       !strcmp(s->words[1], "proxied"));
+}
+
+static void do_start(struct script *s)
+{
+	cluster_start(cluster_of(s), atoi(s->words[1]));
+}
+
+static void do_engine(struct script *s)
+{
+	struct stage *stage = stage_of(s);
+	char *log = g_strdup_printf("%s/%s.engine", cluster_of(s)->folder,
+				    s->words[1]);
+	const char *arguments[SCRIPT_WORDS_MAX + 8] = {
+		"--domains", s->words[2], "--log", log,
+	};
+	int n = 4;
+
+	/* engine NAME DOMAINS [option...] */
+	for (int i = 3; i < s->word_count; i++)
+		arguments[n++] = s->words[i];
+	cluster_start_fake(cluster_of(s), "fake_engine", s->words[1],
+			   arguments);
+	g_ptr_array_add(stage->engine_logs, log);
+}
+
+static void do_plain(struct script *s)
+{
+	struct stage *stage = stage_of(s);
+	const char *delay = script_value(s, "delay", "5");
+	const char *const arguments[] = {
+		"--count", s->words[1], "--delay-ms", delay, "--runs",
+		stage->runs, NULL,
+	};
+
+	cluster_start_fake(cluster_of(s), "fake_service", "plain", arguments);
+}
+
+/* ---- changes ---- */
+
+static void print_change(struct script *s, const struct fetch_answer *answer)
+{
+	json_t *body = json_loads(answer->body ? answer->body : "", 0, NULL);
+	const char *type = json_string_value(json_object_get(body, "type"));
+	const char *name = type ? strrchr(type, ':') : NULL;
+
+	if (answer->status == 200)
+		script_print(s, "accepted revision %lld%s",
+			     (long long)json_integer_value(
+				     json_object_get(body, "revision")),
+			     json_is_true(json_object_get(body, "in_force")) ?
+				     " in force" :
+				     "");
+	else
+		script_print(s, "refused %s", name ? name + 1 : "no answer");
+	json_decref(body);
+}
+
+static bool must_retry(const struct fetch_answer *answer)
+{
+	json_t *body = json_loads(answer->body ? answer->body : "", 0, NULL);
+	int code = (int)json_integer_value(json_object_get(body, "code"));
+
+	json_decref(body);
+	return !answer->status || code == RD_NOT_LEADER ||
+	       code == RD_NO_QUORUM || code == RD_CHANGE_UNKNOWN;
+}
+
+/* Asks one node after the other, under one change id, until one decides. */
+static void change(struct script *s, const char *method, const char *path,
+		   const char *query, const char *body, const char *service)
+{
+	struct stage *stage = stage_of(s);
+	struct cluster *c = cluster_of(s);
+	gint64 until = cluster_now_ms() + CLUSTER_WAIT_MS;
+	const char *id = script_value(s, "id", NULL);
+	char *own_id = g_strdup_printf("change-%d", ++stage->changes);
+	gpointer known = g_hash_table_lookup(stage->revisions, service);
+	gint64 base = script_number(s, "base", GPOINTER_TO_INT(known));
+	char *full = g_strdup_printf(
+		"%s?change_id=%s&base=%d&wait_ms=%d&%s", path, id ? id : own_id,
+		(int)base, (int)script_number(s, "wait", CHANGE_WAIT_MS),
+		query);
+	struct fetch_answer answer = { 0 };
+	json_t *answered;
+
+	for (int i = 0; cluster_now_ms() < until; i++) {
+		struct cluster_node *n = &c->nodes[i % c->node_count];
+
+		if (n->pid && script_number(s, "node", n->number) == n->number) {
+			fetch_clear(&answer);
+			cluster_operate(c, n->number, method, full, body,
+					&answer);
+			if (!must_retry(&answer))
+				break;
+		}
+		usleep(POLL_US);
+	}
+	print_change(s, &answer);
+	answered = json_loads(answer.body ? answer.body : "", 0, NULL);
+	if (answer.status == 200)
+		g_hash_table_insert(stage->revisions, g_strdup(service),
+				    GINT_TO_POINTER(json_integer_value(
+					    json_object_get(answered,
+							    "revision"))));
+	json_decref(answered);
+	fetch_clear(&answer);
+	g_free(full);
+	g_free(own_id);
+}
+
+static char *service_text(struct script *s, const char *name, bool plain)
+{
+	struct cluster *c = cluster_of(s);
+	char *studio = cluster_key_hash(c->account_key);
+	char *label = cluster_key_hash(c->other_key);
+	const char *version = script_value(s, "version", "1");
+	char *text = g_strdup_printf(
+		"name = \"%s\"\nkind = \"%s\"\nmodel = \"%s\"\n"
+		"vms_per_replica = %s\naccelerators_per_vm = %s\n"
+		"slots_per_replica = %s\ndeadline_ms = %s\n"
+		"on_control_loss = \"%s\"\ncross_domain = \"%s\"\n"
+		"once_only = [%s]\nbooking_max = %s\n"
+		"[[presets]]\nname = \"ordinary\"\nreplicas = %s\n"
+		"version = \"%s\"\n"
+		"[[presets]]\nname = \"peak\"\nreplicas = %s\n"
+		"version = \"%s\"\n"
+		"[[presets]]\nname = \"maintenance\"\nreplicas = 0\n"
+		"admit = false\n"
+		"[[accounts]]\nname = \"studio\"\nkey_sha256 = \"%s\"\n"
+		"[[accounts]]\nname = \"label\"\nkey_sha256 = \"%s\"\n",
+		name, plain ? "plain" : "model", plain ? "" : "tuner",
+		script_value(s, "vms", plain ? "1" : "2"),
+		plain ? "0" : "8", script_value(s, "slots", "16"),
+		script_value(s, "deadline", "20000"),
+		script_value(s, "loss", "refuse"),
+		script_value(s, "cross", "never"),
+		plain ? "\"POST /bookings\"" : "",
+		script_value(s, "bookings", "10000"),
+		script_value(s, "replicas", "2"), version,
+		script_value(s, "peak", "3"),
+		script_value(s, "peak-version", version), studio, label);
+
+	g_free(studio);
+	g_free(label);
+	return text;
+}
+
+static void do_model(struct script *s)
+{
+	char *text = service_text(s, s->words[1], false);
+
+	change(s, "POST", "/v1/services", "", text, s->words[1]);
+	g_free(text);
+}
+
+static void do_queue(struct script *s)
+{
+	char *text = service_text(s, s->words[1], true);
+
+	change(s, "POST", "/v1/services", "", text, s->words[1]);
+	g_free(text);
+}
+
+static void do_preset(struct script *s)
+{
+	char *path = g_strdup_printf("/v1/services/%s/preset", s->words[1]);
+	char *query = g_strdup_printf("preset=%s", s->words[2]);
+
+	change(s, "POST", path, query, "", s->words[1]);
+	g_free(path);
+	g_free(query);
+}
+
+static void do_rollback(struct script *s)
+{
+	char *path = g_strdup_printf("/v1/services/%s/rollback", s->words[1]);
+	char *query = g_strdup_printf("to=%s", s->words[2]);
+
+	change(s, "POST", path, query, "", s->words[1]);
+	g_free(path);
+	g_free(query);
+}
+
+/* switches N: so many switches of presets, one after the other. */
+static void do_switches(struct script *s)
+{
+	struct stage *stage = stage_of(s);
+	struct cluster *c = cluster_of(s);
+	int done = 0, count = atoi(s->words[2]);
+	const char *service = s->words[1];
+
+	for (int i = 0; i < count; i++) {
+		char *path = g_strdup_printf(
+			"/v1/services/%s/preset?change_id=sw-%d-%d&base=%d&"
+			"preset=%s",
+			service, s->line, i,
+			GPOINTER_TO_INT(g_hash_table_lookup(stage->revisions,
+							    service)),
+			i % 2 ? "ordinary" : "peak");
+		struct fetch_answer answer;
+		json_t *body;
+
+		cluster_operate(c, cluster_wait_leader(c), "POST", path, "",
+				&answer);
+		body = json_loads(answer.body ? answer.body : "", 0, NULL);
+		if (answer.status == 200) {
+			done++;
+			g_hash_table_insert(
+				stage->revisions, g_strdup(service),
+				GINT_TO_POINTER(json_integer_value(
+					json_object_get(body, "revision"))));
+		}
+		json_decref(body);
+		fetch_clear(&answer);
+		g_free(path);
+	}
+	script_print(s, "%d switches accepted", done);
+}
+
+/* ---- processes ---- */
+
+static void do_kill(struct script *s)
+{
+	cluster_signal_node(cluster_of(s), node_of(s, s->words[1]), SIGKILL);
+}
+
+static void do_pause(struct script *s)
+{
+	int node = node_of(s, s->words[1]);
+
+	cluster_signal_node(cluster_of(s), node, SIGSTOP);
+	if (s->word_count > 2)
+		usleep((useconds_t)atoi(s->words[2]) * 1000);
+	if (s->word_count > 2)
+		cluster_signal_node(cluster_of(s), node, SIGCONT);
+}
+
+static void do_continue(struct script *s)
+{
+	cluster_signal_node(cluster_of(s), node_of(s, s->words[1]), SIGCONT);
+}
+
+static void do_restart(struct script *s)
+{
+	cluster_start_node(cluster_of(s), atoi(s->words[1]));
+}
+
+static void do_wipe(struct script *s)
+{
+	cluster_wipe_node(cluster_of(s), atoi(s->words[1]));
+}
+
+static void do_stop(struct script *s)
+{
+	cluster_signal_node(cluster_of(s), node_of(s, s->words[1]), SIGTERM);
+}
+
+static void do_stopped(struct script *s)
+{
+	script_print(s, "exit status %d",
+		     cluster_wait_node(cluster_of(s), atoi(s->words[1])));
+}
+
+/* isolate NODE WHAT: all links to and from a daemon. */
+static void do_isolate(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+	int node = node_of(s, s->words[1]);
+
+	for (int i = 1; i <= c->node_count; i++) {
+		if (i == node)
+			continue;
+		cluster_link(c, node, i, s->words[2]);
+		cluster_link(c, i, node, s->words[2]);
+	}
+}
+
+static void do_link(struct script *s)
+{
+	cluster_link(cluster_of(s), atoi(s->words[1]), atoi(s->words[2]),
+		     s->words[3]);
+}
+
+static void change_fake(struct script *s, const char *fake, const char *kind)
+{
+	char *path = g_strdup_printf("/set?%s=%s&what=%s", kind, s->words[2],
+				     s->words[3]);
+
+	if (!cluster_change_fake(cluster_of(s), fake, path))
+		script_fail(s, "%s refuses %s", fake, path);
+	g_free(path);
+}
+
+static void do_vm(struct script *s)
+{
+	change_fake(s, s->words[1], "vm");
+}
+
+static void do_domain(struct script *s)
+{
+	change_fake(s, s->words[1], "domain");
+}
+
+static void do_sleep(struct script *s)
+{
+	usleep((useconds_t)atoi(s->words[1]) * 1000);
+}
+
+/* ---- waiting ---- */
+
+static int count_whole(struct script *s, const char *service,
+		       const char *version)
+{
+	struct cluster *c = cluster_of(s);
+	int leader = cluster_leader(c);
+	json_t *body = leader ? cluster_get(c, leader, "/v1/replicas") : NULL;
+	json_t *row;
+	size_t i;
+	int count = 0;
+
+	json_array_foreach (json_object_get(body, "replicas"), i, row) {
+		const char *name =
+			json_string_value(json_object_get(row, "service"));
+		const char *state =
+			json_string_value(json_object_get(row, "state"));
+		const char *runs =
+			json_string_value(json_object_get(row, "version"));
+
+		count += !strcmp(name, service) && !strcmp(state, "whole") &&
+			 (!version || !strcmp(version, runs));
+	}
+	json_decref(body);
+	return count;
+}
+
+static bool enough_whole(struct script *s)
+{
+	return count_whole(s, s->words[1], script_value(s, "version", NULL)) ==
+	       atoi(s->words[2]);
+}
+
+static void do_whole(struct script *s)
+{
+	wait_until(s, enough_whole, "replicas whole");
+	script_print(s, "%s: %s replicas whole", s->words[1], s->words[2]);
+}
+
+static bool endpoints_there(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+
+	for (int i = 1; i <= c->node_count; i++) {
+		json_t *body, *row;
+		size_t j;
+		int n = 0;
+
+		if (!c->nodes[i - 1].pid)
+			continue;
+		body = cluster_get(c, i, "/v1/endpoints");
+		json_array_foreach (json_object_get(body, "endpoints"), j, row)
+			n += strcmp(json_string_value(
+					    json_object_get(row, "state")),
+				    "lost") != 0;
+		json_decref(body);
+		if (n != atoi(s->words[1]))
+			return false;
+	}
+	return true;
+}
+
+static void do_endpoints(struct script *s)
+{
+	wait_until(s, endpoints_there, "endpoints known on every node");
+	script_print(s, "%s endpoints", s->words[1]);
+}
+
+static bool has_voters(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+	int leader = cluster_leader(c);
+	json_t *body = leader ? cluster_get(c, leader, "/v1/members") : NULL;
+	GString *voters = g_string_new(NULL);
+	json_t *row;
+	size_t i;
+	bool same;
+
+	for (int node = 1; node <= c->node_count; node++)
+		json_array_foreach (json_object_get(body, "members"), i, row)
+			if (json_integer_value(json_object_get(row, "node")) ==
+				    node &&
+			    !strcmp(json_string_value(
+					    json_object_get(row, "role")),
+				    "voter"))
+				g_string_append_printf(voters, "%s%d",
+						       voters->len ? "," : "",
+						       node);
+	json_decref(body);
+	same = !strcmp(voters->str, s->words[1]);
+	g_string_free(voters, TRUE);
+	return same;
+}
+
+static void do_voters(struct script *s)
+{
+	wait_until(s, has_voters, "voters");
+	script_print(s, "voters %s", s->words[1]);
+}
+
+static void do_leader(struct script *s)
+{
+	cluster_wait_leader(cluster_of(s));
+	script_print(s, "a leader");
+}
+
+static bool node_caught_up(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+	int leader = cluster_leader(c);
+	json_t *mine = cluster_get(c, atoi(s->words[1]), "/v1/status");
+	json_t *theirs = leader ? cluster_get(c, leader, "/v1/status") : NULL;
+	json_int_t a = json_integer_value(json_object_get(mine, "applied"));
+	json_int_t b = json_integer_value(json_object_get(theirs, "commit"));
+
+	json_decref(mine);
+	json_decref(theirs);
+	return b && a >= b;
+}
+
+static void do_caught_up(struct script *s)
+{
+	wait_until(s, node_caught_up, "node caught up");
+	script_print(s, "node %s caught up", s->words[1]);
+}
+
+/* Whether an entry takes work: it answers anything but "cut off". */
+static bool node_serves(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+	struct fetch_request request = {
+		.address = c->nodes[atoi(s->words[1]) - 1].callers,
+		.method = "GET",
+		.path = s->words[2],
+		.key = c->account_key,
+		.timeout_ms = 3000,
+	};
+	struct fetch_answer answer;
+	bool serves = fetch(&request, &answer) && answer.status != 503;
+
+	fetch_clear(&answer);
+	return serves;
+}
+
+static void do_serving(struct script *s)
+{
+	wait_until(s, node_serves, "entry serves");
+	script_print(s, "node %s serves", s->words[1]);
+}
+
+static void do_revision(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+	char *path = g_strdup_printf("/v1/services/%s", s->words[1]);
+	json_t *body = cluster_get(c, cluster_wait_leader(c), path);
+
+	script_print(s, "%s revision %lld preset %s", s->words[1],
+		     (long long)json_integer_value(
+			     json_object_get(body, "revision")),
+		     json_string_value(json_object_get(body, "preset")));
+	json_decref(body);
+	g_free(path);
+}
+
+/* ---- callers ---- */
+
+static void keep_job(struct script *s, const struct job *opts)
+{
+	g_hash_table_insert(stage_of(s)->jobs, g_strdup(opts->name),
+			    job_start(opts));
+}
+
+static const char *key_of(struct script *s)
+{
+	const char *account = script_value(s, "account", "studio");
+
+	if (!strcmp(account, "studio"))
+		return cluster_of(s)->account_key;
+	return !strcmp(account, "label") ? cluster_of(s)->other_key : account;
+}
+
+static const char *callers_of(struct script *s, const char *node)
+{
+	return cluster_of(s)->nodes[node_of(s, node) - 1].callers;
+}
+
+static void start_chat(struct script *s, bool stream)
+{
+	int tokens = (int)script_number(s, "tokens", 10);
+	const char *pad = script_value(s, "prompt", "hello");
+	const char *deadline = script_value(s, "deadline", NULL);
+	char *body = g_strdup_printf(
+		"{\"model\":\"%s\",\"stream\":%s,\"max_tokens\":%d,"
+		"\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}",
+		script_value(s, "service", "assistant"),
+		stream ? "true" : "false", tokens, pad);
+	char *headers = deadline ? g_strdup_printf("X-Deadline-Ms: %s\r\n",
+						   deadline) :
+				   NULL;
+	struct job opts = {
+		.name = s->words[1],
+		.address = (char *)callers_of(s, script_value(s, "node", "1")),
+		.key = (char *)key_of(s),
+		.path = (char *)"/v1/chat/completions",
+		.body = body,
+		.headers = headers,
+		.stream = stream,
+		.tokens = tokens,
+		.read_pause_ms = (int)script_number(s, "pause", 0),
+	};
+
+	keep_job(s, &opts);
+	g_free(body);
+	g_free(headers);
+}
+
+static void do_stream(struct script *s)
+{
+	start_chat(s, true);
+}
+
+static void do_chat(struct script *s)
+{
+	start_chat(s, false);
+}
+
+/* crowd PREFIX N ...: N streams, spread over the nodes that run. */
+static void do_crowd(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+	int count = atoi(s->words[2]);
+	char *prefix = g_strdup(s->words[1]);
+	char *word = s->words[s->word_count++] = g_malloc(32);
+
+	for (int i = 0, node = 0; i < count; i++) {
+		do
+			node = node % c->node_count + 1;
+		while (!c->nodes[node - 1].pid);
+		g_snprintf(word, 32, "node=%d", node);
+		s->words[1] = g_strdup_printf("%s%d", prefix, i);
+		start_chat(s, true);
+		g_free(s->words[1]);
+	}
+	s->words[1] = prefix;
+}
+
+static void do_book(struct script *s)
+{
+	const char *key = script_value(s, "key", NULL);
+	const char *deadline = script_value(s, "deadline", "20000");
+	char *headers =
+		key ? g_strdup_printf("Idempotency-Key: %s\r\n"
+				      "X-Deadline-Ms: %s\r\n",
+				      key, deadline) :
+		      g_strdup_printf("X-Deadline-Ms: %s\r\n", deadline);
+	struct job opts = {
+		.name = s->words[1],
+		.address = (char *)callers_of(s, script_value(s, "node", "1")),
+		.key = (char *)key_of(s),
+		.path = (char *)"/services/queue/bookings",
+		.body = (char *)script_value(s, "body", "slot=1"),
+		.headers = headers,
+	};
+
+	keep_job(s, &opts);
+	g_free(headers);
+}
+
+static void do_get(struct script *s)
+{
+	struct job opts = {
+		.name = s->words[1],
+		.address = (char *)callers_of(s, script_value(s, "node", "1")),
+		.key = (char *)key_of(s),
+		.method = (char *)"GET",
+		.path = (char *)script_value(s, "path", "/services/queue/"),
+	};
+
+	keep_job(s, &opts);
+}
+
+static struct job *find_job(struct script *s, const char *name)
+{
+	struct job *job = g_hash_table_lookup(stage_of(s)->jobs, name);
+
+	if (!job)
+		script_fail(s, "no job %s", name);
+	return job;
+}
+
+static void do_await(struct script *s)
+{
+	for (int i = 1; i < s->word_count; i++) {
+		struct job *job = find_job(s, s->words[i]);
+		char *text;
+
+		job_join(job);
+		text = job_text(job);
+		script_print(s, "%s: %s", job->name, text);
+		g_free(text);
+	}
+}
+
+/* await-all PREFIX: counts how all jobs of a crowd ended. */
+static void do_await_all(struct script *s)
+{
+	static const char *const names[] = { "whole", "refused", "broken",
+					     "SHORT", "no answer" };
+	int counts[5] = { 0 };
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, stage_of(s)->jobs);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		struct job *job = value;
+
+		if (!g_str_has_prefix(key, s->words[1]))
+			continue;
+		job_join(job);
+		counts[job->end]++;
+	}
+	for (int i = 0; i < 5; i++)
+		if (counts[i])
+			script_print(s, "%s: %d %s", s->words[1], counts[i],
+				     names[i]);
+}
+
+static bool has_tokens(struct script *s)
+{
+	return find_job(s, s->words[1])->got >= atoi(s->words[2]);
+}
+
+static void do_tokens(struct script *s)
+{
+	wait_until(s, has_tokens, "tokens");
+}
+
+/* hang-up JOB is not possible from outside a thread: a caller that leaves. */
+static void do_leave(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+	char *command = g_strdup_printf(
+		"{\"model\":\"assistant\",\"stream\":true,\"max_tokens\":100000,"
+		"\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}");
+	struct fetch_request request = {
+		.address = callers_of(s, script_value(s, "node", "1")),
+		.method = "POST",
+		.path = "/v1/chat/completions",
+		.key = c->account_key,
+		.body = command,
+		.body_size = -1,
+		.timeout_ms = (int)script_number(s, "after", 500),
+	};
+	struct fetch_answer answer;
+
+	script_print(s, "%s", fetch(&request, &answer) ? "answered" : "left");
+	fetch_clear(&answer);
+	g_free(command);
+}
+
+static bool nothing_running(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+	json_t *body = cluster_get(c, cluster_wait_leader(c), "/v1/endpoints");
+	json_t *row;
+	size_t i;
+	json_int_t running = 0;
+
+	json_array_foreach (json_object_get(body, "endpoints"), i, row)
+		running += json_integer_value(json_object_get(row, "running"));
+	json_decref(body);
+	return running == 0;
+}
+
+static void do_idle(struct script *s)
+{
+	wait_until(s, nothing_running, "no request at any endpoint");
+	script_print(s, "idle");
+}
+
+/* raw NODE PORT TEXT: bytes thrown at a port; the daemon must live on. */
+static void do_raw(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+	struct cluster_node *n = &c->nodes[node_of(s, s->words[1]) - 1];
+	const char *address = !strcmp(s->words[2], "peers")	? n->peers :
+			      !strcmp(s->words[2], "callers")	? n->callers :
+			      !strcmp(s->words[2], "endpoints") ? n->endpoints :
+								  n->operators;
+
+	script_print(s, "%s: %s", s->words[2],
+		     oracle_throw_bytes(address, s->words[3],
+					(unsigned)s->line) ?
+			     "thrown" :
+			     "port closed");
+}
+
+static void do_alive(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+
+	for (int i = 1; i <= c->node_count; i++)
+		if (c->nodes[i - 1].pid && kill(c->nodes[i - 1].pid, 0))
+			script_print(s, "node %d is gone", i);
+	script_print(s, "all alive");
+}
+
+/* ---- what the stand-ins saw ---- */
+
+static void do_runs(struct script *s)
+{
+	script_print(s, "%s ran %d times", s->words[1],
+		     oracle_count_runs(stage_of(s)->runs, s->words[1]));
+}
+
+static void do_runs_at_most_once(struct script *s)
+{
+	script_print(s, "bookings run more than once: %d",
+		     oracle_double_runs(stage_of(s)->runs));
+}
+
+static void do_check_engines(struct script *s)
+{
+	struct stage *stage = stage_of(s);
+
+	for (guint i = 0; i < stage->engine_logs->len; i++) {
+		char *faults =
+			oracle_check_engine(stage->engine_logs->pdata[i]);
+
+		script_print(s, "engine: %s", faults);
+		g_free(faults);
+	}
+}
+
+static const struct script_command commands[] = {
+	{ "create", 0, do_create },
+	{ "limit", 2, do_limit },
+	{ "start", 1, do_start },
+	{ "engine", 2, do_engine },
+	{ "plain", 1, do_plain },
+	{ "model", 1, do_model },
+	{ "queue", 1, do_queue },
+	{ "preset", 2, do_preset },
+	{ "rollback", 2, do_rollback },
+	{ "switches", 2, do_switches },
+	{ "kill", 1, do_kill },
+	{ "pause", 1, do_pause },
+	{ "continue", 1, do_continue },
+	{ "restart", 1, do_restart },
+	{ "wipe", 1, do_wipe },
+	{ "stop", 1, do_stop },
+	{ "stopped", 1, do_stopped },
+	{ "isolate", 2, do_isolate },
+	{ "link", 3, do_link },
+	{ "vm", 3, do_vm },
+	{ "domain", 3, do_domain },
+	{ "sleep", 1, do_sleep },
+	{ "whole", 2, do_whole },
+	{ "endpoints", 1, do_endpoints },
+	{ "voters", 1, do_voters },
+	{ "leader", 0, do_leader },
+	{ "caught-up", 1, do_caught_up },
+	{ "serving", 2, do_serving },
+	{ "revision", 1, do_revision },
+	{ "stream", 1, do_stream },
+	{ "chat", 1, do_chat },
+	{ "crowd", 2, do_crowd },
+	{ "book", 1, do_book },
+	{ "get", 1, do_get },
+	{ "await", 1, do_await },
+	{ "await-all", 1, do_await_all },
+	{ "tokens", 2, do_tokens },
+	{ "leave", 0, do_leave },
+	{ "idle", 0, do_idle },
+	{ "raw", 3, do_raw },
+	{ "alive", 0, do_alive },
+	{ "runs", 1, do_runs },
+	{ "double-runs", 0, do_runs_at_most_once },
+	{ "check-engines", 0, do_check_engines },
+	{ 0 }
+};
+
+static const char *script_path;
+
+static void test_script(void **state)
+{
+	struct stage stage = {
+		.jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      (GDestroyNotify)job_free),
+		.engine_logs = g_ptr_array_new_with_free_func(g_free),
+		.revisions = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   g_free, NULL),
+	};
+
+	(void)state;
+	stage.runs = g_strdup_printf("%s/radishdeal-runs-%d",
+				     g_get_tmp_dir(), (int)getpid());
+	script_check(script_path, commands, &stage);
+	g_hash_table_unref(stage.jobs);
+	if (stage.cluster)
+		cluster_destroy(stage.cluster);
+	g_ptr_array_unref(stage.engine_logs);
+	g_hash_table_unref(stage.revisions);
+	unlink(stage.runs);
+	g_free(stage.runs);
+}
+
+int main(int argc, char **argv)
+{
+	struct CMUnitTest test = { .test_func = test_script };
+	char *name;
+
+	if (argc != 2) {
+		fprintf(stderr, "usage: test_proc SCRIPT\n");
+		return 1;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	script_path = argv[1];
+	name = g_path_get_basename(script_path);
+	test.name = name;
+	return _cmocka_run_group_tests("proc", &test, 1, NULL, NULL);
+}
--- a/wire/radishdeal.h
+++ b/wire/radishdeal.h
@@ -172,6 +172,7 @@
 	char *account;
 	char *key;
 	uint64_t claim_id;
+	uint32_t entry;
 	booking_outcome outcome;
 	booking_answer answer;
 };
--- a/wire/radishdeal.x
+++ b/wire/radishdeal.x
@@ -114,7 +114,7 @@
 	string account<RD_NAME_MAX>;
 	string key<255>;
 	uint64_t body_hash;
-	uint64_t claim_id;		/* unique to the entry and dispatch */
+	uint64_t claim_id;		/* unique within the entry */
 	uint32_t entry;
 };
 
@@ -136,6 +136,7 @@
 	string account<RD_NAME_MAX>;
 	string key<255>;
 	uint64_t claim_id;
+	uint32_t entry;
 	booking_outcome outcome;
 	booking_answer answer;
 };
--- a/wire/radishdeal_xdr.c
+++ b/wire/radishdeal_xdr.c
@@ -265,6 +265,8 @@
 		 return FALSE;
 	 if (!xdr_uint64_t (xdrs, &objp->claim_id))
 		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->entry))
+		 return FALSE;
 	 if (!xdr_booking_outcome (xdrs, &objp->outcome))
 		 return FALSE;
 	 if (!xdr_booking_answer (xdrs, &objp->answer))
