--- a/Makefile
+++ b/Makefile
@@ -75,7 +75,7 @@
 	$(CXX) $(LDFLAGS) $^ $(LDLIBS) -o $@
 
 $(BENCH_BIN): $B/bench/%: $B/bench/%.o $(HELPER_OBJ) $(LIBS)
-	$(CXX) $(LDFLAGS) $^ $(LDLIBS) -o $@
+	$(CXX) $(LDFLAGS) $^ $(LDLIBS) -lcmocka -o $@
 
 # Only the library, to show that it stands alone.
 $(EXAMPLE_BIN): $B/examples/%: $B/examples/%.o $B/libradishdeal.a
@@ -95,6 +95,12 @@
 check: tests
 	test/run-tests $B
 
+# Seeded fault schedules over the state group; replay one by its seed.
+SEED ?= 1
+SEEDS ?= 10000
+torture: tests
+	$B/bench/bench_torture $(SEED) $(SEEDS)
+
 wire:
 	sh wire/regenerate.sh
 
--- a/common/clock.c
+++ b/common/clock.c
@@ -14,7 +14,7 @@
 	return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
 }
 
-const struct clock_source clock_system = {system_now_us, NULL};
+const struct clock_source clock_system = { system_now_us, NULL };
 
 int64_t clock_now_us(const struct clock_source *clock)
 {
--- a/common/counters.c
+++ b/common/counters.c
@@ -13,13 +13,13 @@
 };
 
 static const struct row counter_rows[] = {
-#define ROW(sym, name, type, help) {name, type, help},
+#define ROW(sym, name, type, help) { name, type, help },
 	COUNTER_TABLE(ROW)
 #undef ROW
 };
 
 static const struct row histogram_rows[] = {
-#define ROW(sym, name, help) {name, "histogram", help},
+#define ROW(sym, name, help) { name, "histogram", help },
 	HISTOGRAM_TABLE(ROW)
 #undef ROW
 };
--- a/common/fetch.c
+++ b/common/fetch.c
@@ -81,9 +81,9 @@
 
 bool fetch(const struct fetch_request *r, struct fetch_answer *answer)
 {
-	struct fetching f = {.answer = answer};
-	struct timeval limit = {r->timeout_ms / 1000,
-				(r->timeout_ms % 1000) * 1000};
+	struct fetching f = { .answer = answer };
+	struct timeval limit = { r->timeout_ms / 1000,
+				 (r->timeout_ms % 1000) * 1000 };
 	struct evhttp_connection *conn;
 	struct evhttp_request *req;
 	struct address address;
--- a/common/http.c
+++ b/common/http.c
@@ -192,7 +192,7 @@
 void http_unwatch(struct evhttp_request *req, int timeout_s)
 {
 	struct evhttp_connection *conn = evhttp_request_get_connection(req);
-	struct timeval timeout = {timeout_s, 0};
+	struct timeval timeout = { timeout_s, 0 };
 
 	if (!conn)
 		return;
--- a/common/log.c
+++ b/common/log.c
@@ -98,8 +98,8 @@
 	va_end(ap);
 
 	const GLogField fields[] = {
-		{"MESSAGE", message, -1},
-		{"RD_OBJECT", log ? log->name : "-", -1},
+		{ "MESSAGE", message, -1 },
+		{ "RD_OBJECT", log ? log->name : "-", -1 },
 	};
 	g_log_structured_array(level, fields, G_N_ELEMENTS(fields));
 }
--- a/common/result.c
+++ b/common/result.c
@@ -4,7 +4,7 @@
 
 static const struct rd_result_info table[] = {
 #define ROW(sym, code, name, http, exits, text) \
-	{RD_##sym, name, http, exits, text},
+	{ RD_##sym, name, http, exits, text },
 	RD_RESULT_TABLE(ROW)
 #undef ROW
 };
--- a/common/task.c
+++ b/common/task.c
@@ -75,7 +75,7 @@
 
 int task_start(struct task *task, task_fn init, void *arg)
 {
-	task->init = (struct message){init, arg};
+	task->init = (struct message){ init, arg };
 	if (pthread_create(&task->thread, NULL, thread_main, task))
 		return -1;
 	pthread_setname_np(task->thread, task->name);
--- a/consensus/election.c
+++ b/consensus/election.c
@@ -60,22 +60,40 @@
 		raft_become_leader(raft, now_ms);
 }
 
+/*
+ * A member that its latest configuration leaves out may be the only one with
+ * the entry that says so; until that is committed it must still stand.
+ */
+static bool may_stand(const struct raft *raft)
+{
+	return raft_is_voter(raft_current(raft), raft->id) ||
+	       raft_is_voter(&log_config_at(&raft->log, raft->commit)->config,
+			     raft->id);
+}
+
 void raft_campaign(struct raft *raft, int64_t now_ms, bool pre, bool force)
 {
 	raft_reset_timer(raft, now_ms);
-	if (!raft_is_voter(raft_current(raft), raft->id))
+	if (!may_stand(raft))
 		return;
 	g_hash_table_remove_all(raft->votes);
 	if (!pre)
 		raft_set_term(raft, raft->term + 1, raft->id);
 	raft_set_role(raft, pre ? RAFT_PRE_CANDIDATE : RAFT_CANDIDATE, 0);
 	grant(raft, raft->id);
-	if (has_quorum(raft))
+	if (pre && has_quorum(raft))
 		on_quorum(raft, now_ms);
 	else
 		ask_votes(raft, pre, force);
 }
 
+/* A sole voter's own vote decides, but only once it is durable. */
+void raft_vote_synced(struct raft *raft, int64_t now_ms)
+{
+	if (raft->role == RAFT_CANDIDATE && has_quorum(raft))
+		on_quorum(raft, now_ms);
+}
+
 /*
  * A member that has heard from a leader within the election timeout grants
  * nothing: until then that leader's lease may run.
--- a/consensus/log.c
+++ b/consensus/log.c
@@ -69,7 +69,7 @@
 			      raft_entry_kind kind, GBytes *data)
 {
 	struct raft_entry *entry = g_new0(struct raft_entry, 1);
-	struct member_config config = {{0}};
+	struct member_config config = { { 0 } };
 
 	entry->index = log_last(log) + 1;
 	entry->term = term;
--- a/consensus/raft.c
+++ b/consensus/raft.c
@@ -280,6 +280,7 @@
 void raft_synced(struct raft *raft, int64_t now_ms)
 {
 	raft->synced = log_last(&raft->log);
+	raft_vote_synced(raft, now_ms);
 	if (raft->role == RAFT_LEADER)
 		raft_advance_commit(raft, now_ms);
 }
--- a/consensus/raft_internal.h
+++ b/consensus/raft_internal.h
@@ -71,6 +71,7 @@
 
 /* election.c */
 void raft_campaign(struct raft *raft, int64_t now_ms, bool pre, bool force);
+void raft_vote_synced(struct raft *raft, int64_t now_ms);
 void raft_on_vote(struct raft *raft, int64_t now_ms,
 		  const struct raft_message *message);
 void raft_on_vote_reply(struct raft *raft, int64_t now_ms,
--- a/control/control.c
+++ b/control/control.c
@@ -4,6 +4,7 @@
 #include "common/log.h"
 #include "control/control_internal.h"
 #include "wire/codec.h"
+#include "wire/rpc_frame.h"
 
 #define TICK_MS 50
 #define FEED_KEEP 1024
@@ -13,7 +14,7 @@
 /* An entry silent for this long beyond its lease ends no booking itself. */
 #define ORPHAN_WAIT_MS 5000
 
-static const struct log control_log = {"control"};
+static const struct log control_log = { "control" };
 
 int64_t control_now_ms(const struct control *control)
 {
@@ -63,6 +64,15 @@
 	(void)ctx;
 }
 
+static void on_group_want_turn(void *ctx)
+{
+	struct control *control = ctx;
+	struct timeval at_once = { 0, 0 };
+
+	if (!evtimer_pending(control->group_turn, NULL))
+		event_add(control->group_turn, &at_once);
+}
+
 static void on_group_failed(void *ctx, enum rd_result code, const char *why)
 {
 	struct control *control = ctx;
@@ -202,21 +212,50 @@
 	return feed;
 }
 
+static void on_group_turn(evutil_socket_t fd, short what, void *ctx)
+{
+	struct control *control = ctx;
+
+	(void)fd;
+	(void)what;
+	group_turn(control->group);
+}
+
+static enum rd_result open_folder(struct control *control, char **why)
+{
+	const char *path = control->opts.settings->node.data_folder;
+	int error = 0;
+
+	control->folder = fs_folder_open(path, &error);
+	if (control->folder)
+		return RD_OK;
+	*why = g_strdup_printf("%s: %s", path, g_strerror(-error));
+	return error == -EWOULDBLOCK ? RD_LOCKED : RD_IO;
+}
+
 static enum rd_result open_group(struct control *control, char **why)
 {
 	enum rd_result code = RD_OK;
 	struct group_opts opts = {
-		.base = control->base,
 		.clock = control->opts.clock,
 		.settings = control->opts.settings,
 		.counters = control->opts.counters,
-		.events = {on_group_send, on_group_applied, on_group_replaced,
-			   on_group_changed, on_group_failed, control},
+		.events = { on_group_send, on_group_applied, on_group_replaced,
+			    on_group_changed, on_group_want_turn,
+			    on_group_failed, control },
 		.bootstrap = control->opts.bootstrap,
 	};
 
 	if (!(control->opts.settings->node.roles & ROLE_CONTROL))
 		return RD_OK;
+	code = open_folder(control, why);
+	if (code)
+		return code;
+	control->group_turn = evtimer_new(control->base, on_group_turn,
+					  control);
+	opts.fs = fs_folder_driver(control->folder);
+	rpc_random(&opts.seed, sizeof(opts.seed));
+	rpc_random(&opts.new_member, sizeof(opts.new_member));
 	control->group = group_create(&opts, &code, why);
 	if (!control->group)
 		return code;
@@ -260,13 +299,19 @@
 void control_begin(void *arg)
 {
 	struct control *control = arg;
-	struct timeval tick = {0, TICK_MS * 1000};
+	struct timeval tick = { 0, TICK_MS * 1000 };
+	struct timeval group_tick = { 0, GROUP_TICK_MS * 1000 };
 
 	control->follow = follow_create(control);
 	peers_connect(control);
 	control->tick = event_new(control->base, -1, EV_PERSIST, on_tick,
 				  control);
 	event_add(control->tick, &tick);
+	if (!control->group)
+		return;
+	control->group_tick = event_new(control->base, -1, EV_PERSIST,
+					on_group_turn, control);
+	event_add(control->group_tick, &group_tick);
 }
 
 void control_destroy(struct control *control)
@@ -275,8 +320,13 @@
 		return;
 	if (control->tick)
 		event_free(control->tick);
+	if (control->group_tick)
+		event_free(control->group_tick);
 	peers_close(control);
 	group_destroy(control->group);
+	if (control->group_turn)
+		event_free(control->group_turn);
+	fs_folder_close(control->folder);
 	proposals_destroy(control->proposals);
 	operators_destroy(control->operators);
 	placer_destroy(control->placer);
@@ -327,7 +377,7 @@
 static void run_digest(void *arg)
 {
 	struct bytes_message *m = arg;
-	struct digest digest = {0};
+	struct digest digest = { 0 };
 
 	if (CODEC_DECODE(digest, m->bytes, &digest)) {
 		(void)view_merge(m->control->view, control_now_ms(m->control),
--- a/control/control_internal.h
+++ b/control/control_internal.h
@@ -31,7 +31,10 @@
 	struct event_base *base;
 	struct rpc_server *server;
 	GPtrArray *peers; /* of struct peer, not this process */
+	struct fs_folder *folder;
 	struct group *group;
+	struct event *group_tick;
+	struct event *group_turn;
 	struct feed *feed;
 	struct view *view;
 	struct follow *follow;
--- a/control/feed.c
+++ b/control/feed.c
@@ -47,7 +47,7 @@
 void feed_add(struct feed *feed, uint64_t index, const struct command *command)
 {
 	struct indexed_command *kept = g_new0(struct indexed_command, 1);
-	struct indexed_command added = {index, *command};
+	struct indexed_command added = { index, *command };
 
 	if (!CODEC_COPY(indexed_command, &added, kept))
 		g_assert_not_reached();
--- a/control/follow.c
+++ b/control/follow.c
@@ -10,7 +10,7 @@
 /* Polls go out this many times within a lease. */
 #define POLLS_PER_LEASE 8
 
-static const struct log follow_log = {"follow"};
+static const struct log follow_log = { "follow" };
 
 struct follow {
 	struct control *control;
@@ -71,7 +71,7 @@
 static void on_reply(void *ctx, const void *result, size_t size)
 {
 	struct follow *follow = ctx;
-	struct poll_reply reply = {0};
+	struct poll_reply reply = { 0 };
 
 	follow->in_flight = false;
 	if (!result) {
@@ -104,7 +104,7 @@
 static bool ask_self(struct follow *follow, const struct poll_request *request)
 {
 	struct control *control = follow->control;
-	struct poll_reply reply = {0};
+	struct poll_reply reply = { 0 };
 
 	if (!control->group || !group_leads(control->group))
 		return false;
@@ -133,7 +133,7 @@
 
 static void ask(struct follow *follow)
 {
-	struct poll_request request = {0};
+	struct poll_request request = { 0 };
 	struct peer *peer;
 	GBytes *bytes;
 
@@ -187,7 +187,7 @@
 struct follow *follow_create(struct control *control)
 {
 	struct follow *follow = g_new0(struct follow, 1);
-	struct timeval tick = {0, TICK_MS * 1000};
+	struct timeval tick = { 0, TICK_MS * 1000 };
 
 	follow->control = control;
 	follow->tick = event_new(control->base, -1, EV_PERSIST, on_tick,
--- a/control/group.c
+++ b/control/group.c
@@ -6,13 +6,11 @@
 #include "control/group.h"
 #include "storage/storage.h"
 #include "wire/codec.h"
-#include "wire/rpc_frame.h"
 
-#define TICK_MS 20
 #define PROPOSAL_LIMIT_MS 5000
 #define KEEP_ENTRIES 1024
 
-static const struct log group_log = {"group"};
+static const struct log group_log = { "group" };
 
 /** A message held back until the next sync. */
 struct held {
@@ -31,7 +29,6 @@
 
 struct group {
 	struct group_opts opts;
-	struct fs_folder *folder;
 	struct storage *storage;
 	struct raft *raft;
 	struct state *state;
@@ -40,8 +37,6 @@
 	GPtrArray *held;       /* of struct held */
 	GHashTable *proposals; /* index -> struct proposal */
 	GHashTable *heard;     /* member id -> node it was heard from */
-	struct event *tick;
-	struct event *turn;
 	uint64_t compacted;
 	bool failed;
 };
@@ -53,10 +48,7 @@
 
 static void want_turn(struct group *group)
 {
-	struct timeval at_once = {0, 0};
-
-	if (!evtimer_pending(group->turn, NULL))
-		event_add(group->turn, &at_once);
+	group->opts.events.want_turn(group->opts.events.ctx);
 }
 
 static void fail(struct group *group, enum rd_result code)
@@ -147,8 +139,8 @@
 
 static const char *role_name(enum raft_role role)
 {
-	static const char *const names[] = {"follower", "pre-candidate",
-					    "candidate", "leader"};
+	static const char *const names[] = { "follower", "pre-candidate",
+					     "candidate", "leader" };
 
 	return names[role];
 }
@@ -192,9 +184,9 @@
 static void apply_command(struct group *group, const struct raft_entry *entry)
 {
 	struct proposal *p = take_proposal(group, entry->index);
-	struct command command = {0};
-	struct apply_result result = {0};
-	struct group_applied applied = {entry->index, &command, &result};
+	struct command command = { 0 };
+	struct apply_result result = { 0 };
+	struct group_applied applied = { entry->index, &command, &result };
 
 	if (!CODEC_DECODE(command, entry->data, &command)) {
 		log_error(&group_log, "entry %" PRIu64 " cannot be decoded",
@@ -236,7 +228,7 @@
 static void compact(struct group *group)
 {
 	uint64_t index = raft_applied(group->raft);
-	struct stored_snapshot snapshot = {0};
+	struct stored_snapshot snapshot = { 0 };
 	GBytes *data;
 	gsize size;
 	enum rd_result result;
@@ -296,29 +288,6 @@
 	g_ptr_array_unref(held);
 }
 
-static void take_turn(struct group *group)
-{
-	if (group->failed)
-		return;
-	raft_tick(group->raft, now_ms(group));
-	if (!sync_storage(group))
-		return;
-	raft_synced(group->raft, now_ms(group));
-	release_held(group);
-	apply_committed(group);
-	if (!group->failed)
-		compact(group);
-	if (storage_dirty(group->storage) || group->held->len)
-		want_turn(group);
-}
-
-static void on_turn(evutil_socket_t fd, short what, void *ctx)
-{
-	(void)fd;
-	(void)what;
-	take_turn(ctx);
-}
-
 static void drop_old_proposals(struct group *group)
 {
 	int64_t limit = clock_now_us(group->opts.clock) -
@@ -341,14 +310,22 @@
 	g_ptr_array_unref(old);
 }
 
-static void on_tick(evutil_socket_t fd, short what, void *ctx)
+void group_turn(struct group *group)
 {
-	struct group *group = ctx;
-
-	(void)fd;
-	(void)what;
+	if (group->failed)
+		return;
 	drop_old_proposals(group);
-	take_turn(group);
+	raft_tick(group->raft, now_ms(group));
+	if (!sync_storage(group))
+		return;
+	raft_synced(group->raft, now_ms(group));
+	release_held(group);
+	apply_committed(group);
+	if (!group->failed)
+		compact(group);
+	if (!group->failed &&
+	    (storage_dirty(group->storage) || group->held->len))
+		want_turn(group);
 }
 
 /* ---- life ---- */
@@ -377,16 +354,16 @@
 	}
 }
 
+/* Ids of later members stand above every node number. */
+#define LATER_MEMBER (UINT64_C(1) << 63)
+
 static uint64_t fresh_member_id(const struct group_opts *opts)
 {
 	const struct peer_settings *self = daemon_settings_self(opts->settings);
-	uint64_t id;
 
 	if (opts->bootstrap && self->voter)
 		return (uint64_t)self->id;
-	rpc_random(&id, sizeof(id));
-	/* Above every node number, so that it never is a first member's. */
-	return id | UINT64_C(1) << 63;
+	return opts->new_member | LATER_MEMBER;
 }
 
 static enum rd_result open_storage(struct group *group,
@@ -394,21 +371,14 @@
 				   char **why)
 {
 	const struct daemon_settings *settings = group->opts.settings;
-	int error = 0;
 	struct storage_opts opts = {
+		.fs = group->opts.fs,
 		.cluster = settings->cluster.name,
 		.node = (uint32_t)settings->node.id,
 		.new_member = fresh_member_id(&group->opts),
 		.segment_bytes = (uint32_t)settings->limits.segment_bytes,
 	};
 
-	group->folder = fs_folder_open(settings->node.data_folder, &error);
-	if (!group->folder) {
-		*why = g_strdup_printf("%s: %s", settings->node.data_folder,
-				       g_strerror(-error));
-		return error == -EWOULDBLOCK ? RD_LOCKED : RD_IO;
-	}
-	opts.fs = fs_folder_driver(group->folder);
 	return storage_open(&opts, &group->storage, recovered, why);
 }
 
@@ -417,15 +387,16 @@
 {
 	const struct daemon_settings *settings = group->opts.settings;
 	const struct stored_snapshot *snapshot = &recovered->snapshot;
-	struct member_config config = {0};
+	struct member_config config = { 0 };
 	struct raft_opts opts = {
 		.id = recovered->member,
 		.election_ms = (int32_t)settings->cluster.election_ms,
 		.heartbeat_ms = (int32_t)settings->cluster.heartbeat_ms,
 		.drift_permille = (int32_t)settings->cluster.drift_permille,
+		.seed = group->opts.seed,
 		.keep_entries = KEEP_ENTRIES,
-		.effects = {on_send, on_hard_state, on_append, on_truncate,
-			    on_install, on_changed, group},
+		.effects = { on_send, on_hard_state, on_append, on_truncate,
+			     on_install, on_changed, group },
 		.now_ms = now_ms(group),
 		.term = recovered->term,
 		.vote = recovered->vote,
@@ -433,7 +404,6 @@
 		.snapshot_term = snapshot->term,
 	};
 
-	rpc_random(&opts.seed, sizeof(opts.seed));
 	/* A member with a first member's id was made from these settings. */
 	if (!snapshot->index && recovered->member <= UINT16_MAX)
 		bootstrap_config(settings, &config);
@@ -472,8 +442,7 @@
 			   char **why)
 {
 	struct group *group = g_new0(struct group, 1);
-	struct storage_recovered recovered = {0};
-	struct timeval tick = {0, TICK_MS * 1000};
+	struct storage_recovered recovered = { 0 };
 
 	group->opts = *opts;
 	group->held = g_ptr_array_new();
@@ -481,8 +450,6 @@
 	group->heard = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					     g_free, NULL);
 	group->state = state_create();
-	group->tick = event_new(opts->base, -1, EV_PERSIST, on_tick, group);
-	group->turn = evtimer_new(opts->base, on_turn, group);
 	*code = open_storage(group, &recovered, why);
 	if (*code)
 		goto fail;
@@ -505,7 +472,6 @@
 		 group->member, group->incarnation, recovered.term,
 		 recovered.snapshot.index, recovered.entries->len);
 	storage_recovered_clear(&recovered);
-	event_add(group->tick, &tick);
 	return group;
 fail:
 	group_destroy(group);
@@ -540,12 +506,9 @@
 	}
 	g_ptr_array_unref(group->held);
 	g_hash_table_unref(group->heard);
-	event_free(group->tick);
-	event_free(group->turn);
 	raft_destroy(group->raft);
 	state_destroy(group->state);
 	storage_close(group->storage);
-	fs_folder_close(group->folder);
 	g_free(group);
 }
 
@@ -554,7 +517,7 @@
 bool group_receive(struct group *group, uint32_t node, const void *data,
 		   size_t size)
 {
-	struct raft_message message = {0};
+	struct raft_message message = { 0 };
 
 	if (!codec_decode((xdrproc_t)xdr_raft_message, data, size, &message))
 		return false;
--- a/control/group.h
+++ b/control/group.h
@@ -5,18 +5,18 @@
  *
  * Owned by the control task; everything runs on its thread. A turn takes all
  * inputs that arrived, makes one group commit, then sends what depends on it.
+ * Files, clock and seed are passed in, so that tests drive the same code.
  */
 #ifndef CONTROL_GROUP_H
 #define CONTROL_GROUP_H
 
-#include <event2/event.h>
-
 #include <radishdeal/raft.h>
 #include <radishdeal/state.h>
 
 #include "common/clock.h"
 #include "common/counters.h"
 #include "settings/daemon.h"
+#include "storage/fs.h"
 
 struct group;
 
@@ -37,25 +37,35 @@
 	void (*replaced)(void *ctx);
 	/** Role, term or leader changed. */
 	void (*changed)(void *ctx);
+	/** A turn is due at once; may be told again before it is taken. */
+	void (*want_turn)(void *ctx);
 	/** Storage failed: nothing may be acknowledged any more. */
 	void (*failed)(void *ctx, enum rd_result code, const char *why);
 	void *ctx;
 };
 
 struct group_opts {
-	struct event_base *base;
+	const struct storage_fs *fs;
 	const struct clock_source *clock;
 	const struct daemon_settings *settings;
 	struct counters *counters;
 	struct group_events events;
 	bool bootstrap; /* make a new group out of the settings' voters */
+	uint32_t seed;
+	uint64_t new_member; /* id if the folder is new and not bootstrapped */
 };
 
-/** Opens the data folder. NULL with *code and *why set on failure. */
+/** A group is to be given a turn this often, and when it wants one. */
+#define GROUP_TICK_MS 20
+
+/** Reads the data folder. NULL with *code and *why set on failure. */
 struct group *group_create(const struct group_opts *opts, enum rd_result *code,
 			   char **why);
 void group_destroy(struct group *group);
 
+/** Lets time pass, commits what arrived, sends and applies. */
+void group_turn(struct group *group);
+
 /**
  * Takes a message that came from a node; false if it cannot be decoded. A
  * member that is not in the configuration yet answers by that node.
--- a/control/members.c
+++ b/control/members.c
@@ -14,7 +14,7 @@
 #define CAUGHT_UP_ENTRIES 64u
 #define HEARD_LIMIT_MS 1000
 
-static const struct log members_log = {"members"};
+static const struct log members_log = { "members" };
 
 static struct member *find_member(struct member_config *config, uint64_t id)
 {
@@ -235,7 +235,7 @@
 static bool take_in_newcomer(struct control *control,
 			     struct member_config *config)
 {
-	struct newcomer found = {.config = config};
+	struct newcomer found = { .config = config };
 	const struct peer_settings *peer;
 	struct member *old;
 
@@ -262,7 +262,7 @@
 
 void members_tick(struct control *control)
 {
-	struct member_config config = {{0}};
+	struct member_config config = { { 0 } };
 
 	if (!CODEC_COPY(member_config, raft_config(group_raft(control->group)),
 			&config))
@@ -289,12 +289,30 @@
 
 static bool still_runs(const struct control *control, uint32_t node)
 {
-	struct polling p = {.node = node};
+	struct polling p = { .node = node };
 
 	feed_each(control->feed, note_polling, &p);
 	return control_now_ms(control) - p.heard_ms < HEARD_LIMIT_MS;
 }
 
+/* Whether the voters heard of lately are a majority of all. */
+static bool majority_lives(const struct control *control,
+			   const struct member_config *config)
+{
+	u_int live = 0;
+
+	for (u_int i = 0; i < config->members.members_len; i++) {
+		const struct member *m = &config->members.members_val[i];
+		int64_t silent_ms;
+		uint64_t lag;
+
+		if (m->voter && silence_of(control, m, &silent_ms, &lag) &&
+		    silent_ms < HEARD_LIMIT_MS)
+			live++;
+	}
+	return live > count_voters(config) / 2;
+}
+
 static enum rd_result do_change(struct control *control, const char *action,
 				struct member_config *config, struct member *m,
 				char **why)
@@ -307,6 +325,11 @@
 	}
 	if (!strcmp(action, "demote")) {
 		m->voter = FALSE;
+		if (!majority_lives(control, config)) {
+			*why = g_strdup("too few of the other voters are heard "
+					"of; promote a learner first");
+			return RD_INVALID;
+		}
 		return change(control, config, "demoted by an operator", node);
 	}
 	if (strcmp(action, "remove")) {
@@ -325,7 +348,7 @@
 enum rd_result members_change(struct control *control, const char *action,
 			      uint32_t node, char **why)
 {
-	struct member_config config = {{0}};
+	struct member_config config = { { 0 } };
 	struct member *m;
 	enum rd_result result = RD_NO_MEMBER;
 
--- a/control/operators.c
+++ b/control/operators.c
@@ -18,7 +18,7 @@
 #define CHANGE_TIMEOUT_MS 8000
 #define WAIT_MAX_MS 60000
 
-static const struct log operators_log = {"operators"};
+static const struct log operators_log = { "operators" };
 
 enum operator_role {
 	OPERATOR_READ = 1,
@@ -26,7 +26,7 @@
 	OPERATOR_MEMBERSHIP = 3, /* each role may do what those below may */
 };
 
-static const char *const role_names[] = {"", "read", "change", "membership"};
+static const char *const role_names[] = { "", "read", "change", "membership" };
 
 struct operator_key {
 	char *name;
@@ -131,7 +131,7 @@
 static void refuse(struct evhttp_request *req, enum rd_result code,
 		   const char *detail)
 {
-	struct problem problem = {.code = code, .detail = detail};
+	struct problem problem = { .code = code, .detail = detail };
 
 	http_send_problem(req, &problem);
 }
@@ -168,8 +168,8 @@
 
 static void answer_laggards(struct change *change, GArray *laggards)
 {
-	struct problem problem = {.code = RD_LAGGARDS,
-				  .outcome = OUTCOME_UNKNOWN};
+	struct problem problem = { .code = RD_LAGGARDS,
+				   .outcome = OUTCOME_UNKNOWN };
 	GString *detail = g_string_new("accepted; not yet applied on nodes");
 
 	for (guint i = 0; i < laggards->len; i++)
@@ -268,7 +268,7 @@
 
 static void answer_not_leader(const struct request *r)
 {
-	struct problem problem = {.code = RD_NOT_LEADER};
+	struct problem problem = { .code = RD_NOT_LEADER };
 	uint32_t leader = control_leader(r->operators->control);
 
 	problem.more = json_pack("{s:I}", "leader", (json_int_t)leader);
@@ -310,7 +310,7 @@
 	change->operators = r->operators;
 	change->req = r->req;
 	change->wait_ms = MIN(query_number(r->req, "wait_ms"), WAIT_MAX_MS);
-	change->watch = (struct http_watch){on_caller_left, change};
+	change->watch = (struct http_watch){ on_caller_left, change };
 	http_watch(r->req, &change->watch);
 	proposals_submit(control->proposals, bytes, CHANGE_TIMEOUT_MS,
 			 on_change_done, change);
@@ -324,7 +324,7 @@
 
 static void post_service(const struct request *r)
 {
-	struct command command = {.body.kind = CMD_APPLY_SERVICE};
+	struct command command = { .body.kind = CMD_APPLY_SERVICE };
 	struct apply_service *change = &command.body.command_body_u.apply;
 	GBytes *body = http_body(r->req);
 	char *file = http_query(r->req, "file");
@@ -344,7 +344,7 @@
 
 static void post_preset(const struct request *r)
 {
-	struct command command = {.body.kind = CMD_SWITCH_PRESET};
+	struct command command = { .body.kind = CMD_SWITCH_PRESET };
 	char *preset = http_query(r->req, "preset");
 
 	if (!preset || strlen(preset) > RD_NAME_MAX) {
@@ -359,7 +359,7 @@
 
 static void post_rollback(const struct request *r)
 {
-	struct command command = {.body.kind = CMD_ROLLBACK};
+	struct command command = { .body.kind = CMD_ROLLBACK };
 
 	command.body.command_body_u.rollback.service = r->path[1];
 	command.body.command_body_u.rollback.to_revision =
@@ -369,7 +369,7 @@
 
 static void delete_service(const struct request *r)
 {
-	struct command command = {.body.kind = CMD_REMOVE_SERVICE};
+	struct command command = { .body.kind = CMD_REMOVE_SERVICE };
 
 	command.body.command_body_u.service = r->path[1];
 	submit(r, &command);
@@ -496,23 +496,23 @@
 };
 
 static const struct route routes[] = {
-	{"GET", "status", OPERATOR_READ, get_status},
-	{"GET", "services", OPERATOR_READ, get_services},
-	{"GET", "services/*", OPERATOR_READ, get_service},
-	{"GET", "services/*/history", OPERATOR_READ, get_history},
-	{"POST", "services", OPERATOR_CHANGE, post_service},
-	{"POST", "services/*/preset", OPERATOR_CHANGE, post_preset},
-	{"POST", "services/*/rollback", OPERATOR_CHANGE, post_rollback},
-	{"DELETE", "services/*", OPERATOR_CHANGE, delete_service},
-	{"GET", "endpoints", OPERATOR_READ, get_endpoints},
-	{"GET", "replicas", OPERATOR_READ, get_replicas},
-	{"GET", "replicas/*", OPERATOR_READ, get_replica},
-	{"GET", "accounts", OPERATOR_READ, get_accounts},
-	{"GET", "members", OPERATOR_READ, get_members},
-	{"POST", "members", OPERATOR_MEMBERSHIP, post_member},
-	{"GET", "decisions", OPERATOR_READ, get_decisions},
-	{"POST", "drain", OPERATOR_CHANGE, post_drain},
-	{"GET", "metrics", OPERATOR_READ, get_metrics},
+	{ "GET", "status", OPERATOR_READ, get_status },
+	{ "GET", "services", OPERATOR_READ, get_services },
+	{ "GET", "services/*", OPERATOR_READ, get_service },
+	{ "GET", "services/*/history", OPERATOR_READ, get_history },
+	{ "POST", "services", OPERATOR_CHANGE, post_service },
+	{ "POST", "services/*/preset", OPERATOR_CHANGE, post_preset },
+	{ "POST", "services/*/rollback", OPERATOR_CHANGE, post_rollback },
+	{ "DELETE", "services/*", OPERATOR_CHANGE, delete_service },
+	{ "GET", "endpoints", OPERATOR_READ, get_endpoints },
+	{ "GET", "replicas", OPERATOR_READ, get_replicas },
+	{ "GET", "replicas/*", OPERATOR_READ, get_replica },
+	{ "GET", "accounts", OPERATOR_READ, get_accounts },
+	{ "GET", "members", OPERATOR_READ, get_members },
+	{ "POST", "members", OPERATOR_MEMBERSHIP, post_member },
+	{ "GET", "decisions", OPERATOR_READ, get_decisions },
+	{ "POST", "drain", OPERATOR_CHANGE, post_drain },
+	{ "GET", "metrics", OPERATOR_READ, get_metrics },
 };
 
 static bool path_matches(const struct route *route, char **path, guint parts)
@@ -553,7 +553,7 @@
 	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(req);
 	const char *path = evhttp_uri_get_path(uri);
 	char **parts;
-	struct request r = {.operators = o, .req = req};
+	struct request r = { .operators = o, .req = req };
 
 	if (!given) {
 		refuse(req, RD_NO_KEY, NULL);
--- a/control/orders.c
+++ b/control/orders.c
@@ -26,7 +26,7 @@
 	void (*done)(void *ctx, enum order_result result) = s->order.done;
 	void *ctx = s->order.ctx;
 	int fd = bufferevent_getfd(s->bev);
-	struct linger abort_close = {.l_onoff = 1, .l_linger = 0};
+	struct linger abort_close = { .l_onoff = 1, .l_linger = 0 };
 
 	if (fd >= 0)
 		(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort_close,
@@ -107,8 +107,8 @@
 void order_send(struct event_base *base, const struct order *order)
 {
 	struct sending *s = g_new0(struct sending, 1);
-	struct timeval limit = {order->timeout_ms / 1000,
-				(order->timeout_ms % 1000) * 1000};
+	struct timeval limit = { order->timeout_ms / 1000,
+				 (order->timeout_ms % 1000) * 1000 };
 	struct address address;
 
 	s->order = *order;
--- a/control/peers.c
+++ b/control/peers.c
@@ -9,7 +9,7 @@
 #define MAX_CONNECTIONS 2048
 #define DIGEST_TIMEOUT_MS 1000
 
-static const struct log peers_log = {"peers"};
+static const struct log peers_log = { "peers" };
 
 /* ---- serving ---- */
 
@@ -17,8 +17,8 @@
 			       const struct apply_result *result)
 {
 	struct rpc_call *call = ctx;
-	struct propose_reply reply = {.code = code};
-	struct apply_result empty = {0};
+	struct propose_reply reply = { .code = code };
+	struct apply_result empty = { 0 };
 	GBytes *bytes;
 
 	state_result_set(&empty, RD_OK, "");
@@ -46,8 +46,8 @@
 static void serve_poll(struct control *control, struct rpc_call *call,
 		       const void *args, size_t size)
 {
-	struct poll_request request = {0};
-	struct poll_reply reply = {0};
+	struct poll_request request = { 0 };
+	struct poll_reply reply = { 0 };
 	GBytes *bytes;
 
 	if (!codec_decode((xdrproc_t)xdr_poll_request, args, size, &request)) {
@@ -65,7 +65,7 @@
 static void serve_digest(struct control *control, struct rpc_call *call,
 			 const void *args, size_t size)
 {
-	struct digest digest = {0};
+	struct digest digest = { 0 };
 	bool_t want_full;
 	GBytes *bytes;
 
--- a/control/placer.c
+++ b/control/placer.c
@@ -21,7 +21,7 @@
 #define ORDER_BACKOFF_MAX_MS 5000
 #define DECISIONS_KEPT 256
 
-static const struct log placer_log = {"placer"};
+static const struct log placer_log = { "placer" };
 
 /** What was ordered of a VM. */
 struct vm_orders {
@@ -304,7 +304,7 @@
 			   const struct placement_decision *d)
 {
 	struct vm_ref refs[PLACEMENT_VMS_MAX];
-	struct command command = {.body.kind = CMD_ASSIGN_REPLICA};
+	struct command command = { .body.kind = CMD_ASSIGN_REPLICA };
 	struct assign_replica *assign = &command.body.command_body_u.assign;
 
 	for (uint32_t i = 0; i < d->vm_count; i++)
@@ -323,7 +323,7 @@
 {
 	const struct replica_state *r = state_replica(state_of(placer),
 						      d->replica);
-	struct command command = {.body.kind = CMD_RELEASE_REPLICA};
+	struct command command = { .body.kind = CMD_RELEASE_REPLICA };
 
 	if (!r)
 		return;
@@ -426,8 +426,8 @@
 
 static void order_done(void *ctx, enum order_result result)
 {
-	static const char *const names[] = {"accepted", "stale", "refused",
-					    "withheld", "lost"};
+	static const char *const names[] = { "accepted", "stale", "refused",
+					     "withheld", "lost" };
 	struct vm_orders *o = ctx;
 	int64_t now = now_ms(o->placer);
 
@@ -527,7 +527,7 @@
 
 static void propose_free(struct placer *placer, const struct vm_state *held)
 {
-	struct command command = {.body.kind = CMD_FREE_VM};
+	struct command command = { .body.kind = CMD_FREE_VM };
 	struct free_vm *change = &command.body.command_body_u.freed;
 
 	change->vm = held->name;
--- a/control/proposals.c
+++ b/control/proposals.c
@@ -35,7 +35,7 @@
 
 static void retry(struct submission *s)
 {
-	struct timeval after = {0, RETRY_MS * 1000};
+	struct timeval after = { 0, RETRY_MS * 1000 };
 
 	if (control_now_ms(s->owner->control) >= s->deadline_ms)
 		end(s, s->may_be_accepted ? RD_CHANGE_UNKNOWN : RD_NO_QUORUM,
@@ -66,7 +66,7 @@
 static void on_remote(void *ctx, const void *data, size_t size)
 {
 	struct submission *s = ctx;
-	struct propose_reply reply = {0};
+	struct propose_reply reply = { 0 };
 
 	if (!data ||
 	    !codec_decode((xdrproc_t)xdr_propose_reply, data, size, &reply)) {
--- a/control/views.c
+++ b/control/views.c
@@ -124,7 +124,7 @@
 
 json_t *views_endpoints(const struct control *control)
 {
-	struct listing l = {control, json_array()};
+	struct listing l = { control, json_array() };
 
 	view_each(control->view, add_endpoint, &l);
 	return json_pack("{s:o}", "endpoints", l.list);
@@ -161,7 +161,7 @@
 
 json_t *views_replicas(const struct control *control)
 {
-	struct listing l = {control, json_array()};
+	struct listing l = { control, json_array() };
 
 	state_each_replica(group_state(control->group), add_replica, &l);
 	return json_pack("{s:o}", "replicas", l.list);
@@ -182,7 +182,7 @@
 
 json_t *views_decisions(const struct control *control)
 {
-	struct decision_search search = {NULL, json_array()};
+	struct decision_search search = { NULL, json_array() };
 
 	placer_each_decision(control->placer, add_decision, &search);
 	return json_pack("{s:o}", "decisions", search.list);
@@ -193,7 +193,7 @@
 	const struct replica_state *r =
 		state_replica(group_state(control->group), id);
 	char needle[32];
-	struct decision_search search = {needle, json_array()};
+	struct decision_search search = { needle, json_array() };
 	json_t *body;
 
 	if (!r) {
@@ -260,7 +260,7 @@
 json_t *views_status(const struct control *control)
 {
 	const struct raft *raft = group_raft(control->group);
-	struct listing entries = {control, json_array()};
+	struct listing entries = { control, json_array() };
 	bool leads = group_leads(control->group);
 
 	if (leads)
--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -25,10 +25,10 @@
 static int run_status(struct ctl *ctl, char **arguments)
 {
 	static const struct ctl_column columns[] = {
-		{"ENTRY", "node"},	   {"DATA CENTRE", "data_centre"},
-		{"CALLERS", "callers"},	   {"APPLIED", "applied"},
-		{"LEASE", "lease"},	   {"DRAINING", "draining"},
-		{"FREE", "free_permille"}, {NULL, NULL},
+		{ "ENTRY", "node" },	     { "DATA CENTRE", "data_centre" },
+		{ "CALLERS", "callers" },    { "APPLIED", "applied" },
+		{ "LEASE", "lease" },	     { "DRAINING", "draining" },
+		{ "FREE", "free_permille" }, { NULL, NULL },
 	};
 	int status = 0;
 	json_t *answer = NULL;
@@ -65,13 +65,13 @@
 static int run_service_list(struct ctl *ctl, char **arguments)
 {
 	static const struct ctl_column columns[] = {
-		{"SERVICE", "name"},
-		{"KIND", "kind"},
-		{"REVISION", "revision"},
-		{"PRESET", "preset"},
-		{"REPLICAS", "replicas"},
-		{"VERSION", "version"},
-		{NULL, NULL},
+		{ "SERVICE", "name" },
+		{ "KIND", "kind" },
+		{ "REVISION", "revision" },
+		{ "PRESET", "preset" },
+		{ "REPLICAS", "replicas" },
+		{ "VERSION", "version" },
+		{ NULL, NULL },
 	};
 
 	(void)arguments;
@@ -101,13 +101,13 @@
 static int run_service_history(struct ctl *ctl, char **arguments)
 {
 	static const struct ctl_column columns[] = {
-		{"REVISION", "revision"},
-		{"OPERATOR", "operator"},
-		{"CHANGE", "what"},
-		{"PRESET", "preset"},
-		{"TIME", "time_ms"},
-		{"CHANGE ID", "change_id"},
-		{NULL, NULL},
+		{ "REVISION", "revision" },
+		{ "OPERATOR", "operator" },
+		{ "CHANGE", "what" },
+		{ "PRESET", "preset" },
+		{ "TIME", "time_ms" },
+		{ "CHANGE ID", "change_id" },
+		{ NULL, NULL },
 	};
 	char *path = g_strdup_printf("/v1/services/%s/history", arguments[0]);
 	int status = show_list(ctl, path, "history", columns);
@@ -119,9 +119,9 @@
 static int run_preset_show(struct ctl *ctl, char **arguments)
 {
 	static const struct ctl_column columns[] = {
-		{"PRESET", "name"},	{"REPLICAS", "replicas"},
-		{"VERSION", "version"}, {"ADMITS", "admit"},
-		{NULL, NULL},
+		{ "PRESET", "name" },	  { "REPLICAS", "replicas" },
+		{ "VERSION", "version" }, { "ADMITS", "admit" },
+		{ NULL, NULL },
 	};
 	char *path = g_strdup_printf("/v1/services/%s", arguments[0]);
 	int status = 0;
@@ -139,17 +139,17 @@
 static int run_endpoints(struct ctl *ctl, char **arguments)
 {
 	static const struct ctl_column columns[] = {
-		{"VM", "vm"},
-		{"STATE", "state"},
-		{"DATA CENTRE", "data_centre"},
-		{"DOMAIN", "domain"},
-		{"REPLICA", "replica"},
-		{"EPOCH", "epoch"},
-		{"RUNNING", "running"},
-		{"LOSSES", "losses"},
-		{"FENCING", "checks_fencing"},
-		{"ADDRESS", "address"},
-		{NULL, NULL},
+		{ "VM", "vm" },
+		{ "STATE", "state" },
+		{ "DATA CENTRE", "data_centre" },
+		{ "DOMAIN", "domain" },
+		{ "REPLICA", "replica" },
+		{ "EPOCH", "epoch" },
+		{ "RUNNING", "running" },
+		{ "LOSSES", "losses" },
+		{ "FENCING", "checks_fencing" },
+		{ "ADDRESS", "address" },
+		{ NULL, NULL },
 	};
 
 	(void)arguments;
@@ -159,10 +159,10 @@
 static int run_replicas(struct ctl *ctl, char **arguments)
 {
 	static const struct ctl_column columns[] = {
-		{"REPLICA", "replica"},	     {"SERVICE", "service"},
-		{"STATE", "state"},	     {"EPOCH", "epoch"},
-		{"VERSION", "version"},	     {"VMS", "vms"},
-		{"AT FAULT", "vm_at_fault"}, {NULL, NULL},
+		{ "REPLICA", "replica" },      { "SERVICE", "service" },
+		{ "STATE", "state" },	       { "EPOCH", "epoch" },
+		{ "VERSION", "version" },      { "VMS", "vms" },
+		{ "AT FAULT", "vm_at_fault" }, { NULL, NULL },
 	};
 
 	(void)arguments;
@@ -196,9 +196,9 @@
 static int run_accounts(struct ctl *ctl, char **arguments)
 {
 	static const struct ctl_column columns[] = {
-		{"SERVICE", "service"},	      {"ACCOUNT", "account"},
-		{"WEIGHT", "weight"},	      {"PRIORITY", "priority"},
-		{"LIMIT", "max_outstanding"}, {NULL, NULL},
+		{ "SERVICE", "service" },	{ "ACCOUNT", "account" },
+		{ "WEIGHT", "weight" },		{ "PRIORITY", "priority" },
+		{ "LIMIT", "max_outstanding" }, { NULL, NULL },
 	};
 
 	(void)arguments;
@@ -208,15 +208,15 @@
 static int run_member_list(struct ctl *ctl, char **arguments)
 {
 	static const struct ctl_column columns[] = {
-		{"NODE", "node"},
-		{"ROLE", "role"},
-		{"LEADER", "leader"},
-		{"DATA CENTRE", "data_centre"},
-		{"SILENT MS", "silent_ms"},
-		{"MATCH", "match"},
-		{"ADDRESS", "address"},
-		{"MEMBER", "member"},
-		{NULL, NULL},
+		{ "NODE", "node" },
+		{ "ROLE", "role" },
+		{ "LEADER", "leader" },
+		{ "DATA CENTRE", "data_centre" },
+		{ "SILENT MS", "silent_ms" },
+		{ "MATCH", "match" },
+		{ "ADDRESS", "address" },
+		{ "MEMBER", "member" },
+		{ NULL, NULL },
 	};
 
 	(void)arguments;
@@ -278,7 +278,7 @@
 
 static int run_check(struct ctl *ctl, char **arguments)
 {
-	struct apply_service change = {0};
+	struct apply_service change = { 0 };
 	char *text = NULL;
 	int status = read_service(arguments[0], &text, &change);
 
@@ -292,7 +292,7 @@
 
 static int run_service_apply(struct ctl *ctl, char **arguments)
 {
-	struct apply_service change = {0};
+	struct apply_service change = { 0 };
 	char *text = NULL;
 	int status = read_service(arguments[0], &text, &change);
 
@@ -383,65 +383,69 @@
 }
 
 const struct ctl_command ctl_commands[] = {
-	{"status", "", 0, "leader, entries, leases",
-	 "Shows the leader and, for each entry, the last change it has\n"
-	 "applied, whether its lease runs, and how much of it is free.",
-	 run_status},
-	{"service list", "", 0, "services and the presets in force",
-	 "Lists the services, each with its revision and its preset.",
-	 run_service_list},
-	{"service show", "SERVICE", 1, "a service as it is in force",
-	 "Prints the TOML that was last accepted for the service.",
-	 run_service_show},
-	{"service apply", "FILE", 1, "creates or changes a service",
-	 "Checks the file, then makes it the service's next revision. A\n"
-	 "change made by somebody else since --base (or, without it, since\n"
-	 "this command began) is a conflict: nothing is changed.",
-	 run_service_apply},
-	{"service history", "SERVICE", 1, "its revisions",
-	 "Lists who made which revision. Revisions are never rewritten.",
-	 run_service_history},
-	{"service rollback", "SERVICE REVISION", 2,
-	 "makes an old revision the next one",
-	 "Copies an old revision, preset included, into a new one.",
-	 run_service_rollback},
-	{"service remove", "SERVICE", 1, "removes a service",
-	 "Only while its preset in force admits no work.", run_service_remove},
-	{"preset show", "SERVICE", 1, "a service's presets",
-	 "Lists the presets and which of them is in force.", run_preset_show},
-	{"preset switch", "SERVICE PRESET", 2, "puts a preset in force",
-	 "Exactly one preset is in force at any moment. With --wait the\n"
-	 "command ends when every entry has applied the switch, or its lease\n"
-	 "has surely run out.",
-	 run_preset_switch},
-	{"endpoints", "", 0, "the VMs that announce themselves",
-	 "Lists VMs, what they hold, and how often each was lost.",
-	 run_endpoints},
-	{"replicas", "", 0, "replicas and which VM keeps one from serving",
-	 "Lists the replicas that are formed, whole or not.", run_replicas},
-	{"replica explain", "REPLICA", 1, "why a replica is as it is",
-	 "Shows the replica's state, the VM at fault, and the placement\n"
-	 "decisions about it. Ask the leader: others do not decide.",
-	 run_replica_explain},
-	{"decisions", "", 0, "what placement decided last",
-	 "Prints the last placement decisions of the VM asked.", run_decisions},
-	{"accounts", "", 0, "client accounts",
-	 "Lists the client accounts of all services.", run_accounts},
-	{"member list", "", 0, "the state group",
-	 "Lists voters and learners; the leader also shows their lag.",
-	 run_member_list},
-	{"member promote", "NODE", 1, "makes a learner a voter",
-	 "One membership change at a time is made.", run_member_promote},
-	{"member demote", "NODE", 1, "makes a voter a learner",
-	 "Do this before a longer repair of its VM.", run_member_demote},
-	{"member remove", "NODE", 1, "takes a stopped VM out of the group",
-	 "Refused while the VM runs, for it would join again.",
-	 run_member_remove},
-	{"drain", "on|off", 1, "stops or resumes new work at one entry",
-	 "Work in flight goes on; callers are no longer sent there.",
-	 run_drain},
-	{"watch", "", 0, "replicas, again and again",
-	 "Prints the table of replicas each second until stopped.", run_watch},
-	{"check", "FILE", 1, "checks a service's file, all errors",
-	 "Exits with 78 and lists every error if there is one.", run_check},
-	{0}};
+	{ "status", "", 0, "leader, entries, leases",
+	  "Shows the leader and, for each entry, the last change it has\n"
+	  "applied, whether its lease runs, and how much of it is free.",
+	  run_status },
+	{ "service list", "", 0, "services and the presets in force",
+	  "Lists the services, each with its revision and its preset.",
+	  run_service_list },
+	{ "service show", "SERVICE", 1, "a service as it is in force",
+	  "Prints the TOML that was last accepted for the service.",
+	  run_service_show },
+	{ "service apply", "FILE", 1, "creates or changes a service",
+	  "Checks the file, then makes it the service's next revision. A\n"
+	  "change made by somebody else since --base (or, without it, since\n"
+	  "this command began) is a conflict: nothing is changed.",
+	  run_service_apply },
+	{ "service history", "SERVICE", 1, "its revisions",
+	  "Lists who made which revision. Revisions are never rewritten.",
+	  run_service_history },
+	{ "service rollback", "SERVICE REVISION", 2,
+	  "makes an old revision the next one",
+	  "Copies an old revision, preset included, into a new one.",
+	  run_service_rollback },
+	{ "service remove", "SERVICE", 1, "removes a service",
+	  "Only while its preset in force admits no work.",
+	  run_service_remove },
+	{ "preset show", "SERVICE", 1, "a service's presets",
+	  "Lists the presets and which of them is in force.", run_preset_show },
+	{ "preset switch", "SERVICE PRESET", 2, "puts a preset in force",
+	  "Exactly one preset is in force at any moment. With --wait the\n"
+	  "command ends when every entry has applied the switch, or its lease\n"
+	  "has surely run out.",
+	  run_preset_switch },
+	{ "endpoints", "", 0, "the VMs that announce themselves",
+	  "Lists VMs, what they hold, and how often each was lost.",
+	  run_endpoints },
+	{ "replicas", "", 0, "replicas and which VM keeps one from serving",
+	  "Lists the replicas that are formed, whole or not.", run_replicas },
+	{ "replica explain", "REPLICA", 1, "why a replica is as it is",
+	  "Shows the replica's state, the VM at fault, and the placement\n"
+	  "decisions about it. Ask the leader: others do not decide.",
+	  run_replica_explain },
+	{ "decisions", "", 0, "what placement decided last",
+	  "Prints the last placement decisions of the VM asked.",
+	  run_decisions },
+	{ "accounts", "", 0, "client accounts",
+	  "Lists the client accounts of all services.", run_accounts },
+	{ "member list", "", 0, "the state group",
+	  "Lists voters and learners; the leader also shows their lag.",
+	  run_member_list },
+	{ "member promote", "NODE", 1, "makes a learner a voter",
+	  "One membership change at a time is made.", run_member_promote },
+	{ "member demote", "NODE", 1, "makes a voter a learner",
+	  "Do this before a longer repair of its VM.", run_member_demote },
+	{ "member remove", "NODE", 1, "takes a stopped VM out of the group",
+	  "Refused while the VM runs, for it would join again.",
+	  run_member_remove },
+	{ "drain", "on|off", 1, "stops or resumes new work at one entry",
+	  "Work in flight goes on; callers are no longer sent there.",
+	  run_drain },
+	{ "watch", "", 0, "replicas, again and again",
+	  "Prints the table of replicas each second until stopped.",
+	  run_watch },
+	{ "check", "FILE", 1, "checks a service's file, all errors",
+	  "Exits with 78 and lists every error if there is one.", run_check },
+	{ 0 }
+};
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -22,18 +22,19 @@
 };
 
 static const struct argp_option options[] = {
-	{"server", 's', "IP:PORT,...", 0,
-	 "operators' addresses to try (RADISHDEAL_SERVERS)", 0},
-	{"key-file", 'k', "FILE", 0,
-	 "file with the operator's key (RADISHDEAL_KEY_FILE)", 0},
-	{"json", ARG_JSON, NULL, 0, "print JSON for scripts", 0},
-	{"wait", ARG_WAIT, "MS", OPTION_ARG_OPTIONAL,
-	 "wait until the change is in force everywhere", 0},
-	{"change-id", ARG_CHANGE_ID, "ID", 0,
-	 "id of a change that is sent again", 0},
-	{"base", ARG_BASE, "REVISION", 0, "revision the change is made against",
-	 0},
-	{0}};
+	{ "server", 's', "IP:PORT,...", 0,
+	  "operators' addresses to try (RADISHDEAL_SERVERS)", 0 },
+	{ "key-file", 'k', "FILE", 0,
+	  "file with the operator's key (RADISHDEAL_KEY_FILE)", 0 },
+	{ "json", ARG_JSON, NULL, 0, "print JSON for scripts", 0 },
+	{ "wait", ARG_WAIT, "MS", OPTION_ARG_OPTIONAL,
+	  "wait until the change is in force everywhere", 0 },
+	{ "change-id", ARG_CHANGE_ID, "ID", 0,
+	  "id of a change that is sent again", 0 },
+	{ "base", ARG_BASE, "REVISION", 0,
+	  "revision the change is made against", 0 },
+	{ 0 }
+};
 
 struct arguments {
 	struct ctl ctl;
@@ -130,7 +131,7 @@
 
 static int unknown(const GPtrArray *words)
 {
-	const char *names[COMMANDS_MAX] = {NULL};
+	const char *names[COMMANDS_MAX] = { NULL };
 	GString *given = g_string_new(NULL);
 	const char *near;
 
@@ -225,7 +226,7 @@
 
 int main(int argc, char **argv)
 {
-	struct arguments a = {.ctl = {.base = -1}};
+	struct arguments a = { .ctl = { .base = -1 } };
 	int status;
 
 	a.words = g_ptr_array_new();
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -14,7 +14,7 @@
 #include "settings/service.h"
 #include "wire/rpc_frame.h"
 
-static const struct log daemon_log = {"daemon"};
+static const struct log daemon_log = { "daemon" };
 
 const char *argp_program_version = "radishdeald 0.1";
 
@@ -25,14 +25,15 @@
 };
 
 static const struct argp_option options[] = {
-	{"settings", 's', "FILE", 0, "TOML file with the settings", 0},
-	{"check-settings", ARG_CHECK, NULL, 0,
-	 "check the settings, list all errors, and exit", 0},
-	{"bootstrap", ARG_BOOTSTRAP, NULL, 0,
-	 "make a new system; only for the very first start of its voters", 0},
-	{"print-keys", ARG_PRINT, NULL, 0,
-	 "print the reference of all settings' keys, and exit", 0},
-	{0}};
+	{ "settings", 's', "FILE", 0, "TOML file with the settings", 0 },
+	{ "check-settings", ARG_CHECK, NULL, 0,
+	  "check the settings, list all errors, and exit", 0 },
+	{ "bootstrap", ARG_BOOTSTRAP, NULL, 0,
+	  "make a new system; only for the very first start of its voters", 0 },
+	{ "print-keys", ARG_PRINT, NULL, 0,
+	  "print the reference of all settings' keys, and exit", 0 },
+	{ 0 }
+};
 
 struct arguments {
 	const char *settings;
@@ -206,7 +207,7 @@
 		.task = d->control_task,
 		.identity = &d->identity,
 		.operator_keys = operator_keys,
-		.listener = {on_config, on_digest, on_want_full, on_drain, d},
+		.listener = { on_config, on_digest, on_want_full, on_drain, d },
 		.bootstrap = bootstrap,
 		.fatal = on_fatal,
 		.fatal_ctx = d,
@@ -340,8 +341,8 @@
 
 int main(int argc, char **argv)
 {
-	struct arguments arguments = {0};
-	struct daemon d = {.exit_status = 0};
+	struct arguments arguments = { 0 };
+	struct daemon d = { .exit_status = 0 };
 	char *errors = NULL;
 	enum rd_result code;
 
--- a/entry/announce.c
+++ b/entry/announce.c
@@ -8,12 +8,12 @@
 
 #define TTL_ANNOUNCES 3
 
-static const struct log announce_log = {"announce"};
+static const struct log announce_log = { "announce" };
 
 static void refuse(struct entry *entry, struct evhttp_request *req,
 		   enum rd_result code, const char *detail)
 {
-	struct problem problem = {.code = code, .detail = detail};
+	struct problem problem = { .code = code, .detail = detail };
 
 	counters_add(entry->opts.counters, COUNTER_BAD_ANNOUNCES, 1);
 	http_send_problem(req, &problem);
@@ -39,34 +39,34 @@
 
 #define REPORT(member) offsetof(struct vm_report, member)
 static const struct field strings[] = {
-	{"vm", JSON_STRING, REPORT(name), true},
-	{"address", JSON_STRING, REPORT(address), true},
-	{"data_centre", JSON_STRING, REPORT(data_centre), true},
-	{"domain", JSON_STRING, REPORT(domain), true},
-	{"service", JSON_STRING, REPORT(service), false},
-	{"model", JSON_STRING, REPORT(model), false},
-	{"adapter", JSON_STRING, REPORT(adapter), false},
-	{"version", JSON_STRING, REPORT(model_version), false},
+	{ "vm", JSON_STRING, REPORT(name), true },
+	{ "address", JSON_STRING, REPORT(address), true },
+	{ "data_centre", JSON_STRING, REPORT(data_centre), true },
+	{ "domain", JSON_STRING, REPORT(domain), true },
+	{ "service", JSON_STRING, REPORT(service), false },
+	{ "model", JSON_STRING, REPORT(model), false },
+	{ "adapter", JSON_STRING, REPORT(adapter), false },
+	{ "version", JSON_STRING, REPORT(model_version), false },
 };
 static const struct field booleans[] = {
-	{"checks_fencing", JSON_TRUE, REPORT(checks_fencing), false},
-	{"ready", JSON_TRUE, REPORT(ready), false},
-	{"leaving", JSON_TRUE, REPORT(leaving), false},
+	{ "checks_fencing", JSON_TRUE, REPORT(checks_fencing), false },
+	{ "ready", JSON_TRUE, REPORT(ready), false },
+	{ "leaving", JSON_TRUE, REPORT(leaving), false },
 };
 static const struct field wides[] = {
-	{"incarnation", JSON_INTEGER, REPORT(incarnation), true},
-	{"sequence", JSON_INTEGER, REPORT(sequence), true},
-	{"epoch", JSON_INTEGER, REPORT(epoch), false},
-	{"fencing", JSON_INTEGER, REPORT(fencing), false},
+	{ "incarnation", JSON_INTEGER, REPORT(incarnation), true },
+	{ "sequence", JSON_INTEGER, REPORT(sequence), true },
+	{ "epoch", JSON_INTEGER, REPORT(epoch), false },
+	{ "fencing", JSON_INTEGER, REPORT(fencing), false },
 };
 static const struct field numbers[] = {
-	{"accelerators", JSON_INTEGER, REPORT(accelerators), false},
-	{"replica", JSON_INTEGER, REPORT(replica), false},
+	{ "accelerators", JSON_INTEGER, REPORT(accelerators), false },
+	{ "replica", JSON_INTEGER, REPORT(replica), false },
 };
 static const struct field loads[] = {
-	{"running", JSON_INTEGER, REPORT(load.running), false},
-	{"waiting", JSON_INTEGER, REPORT(load.waiting), false},
-	{"step_us", JSON_INTEGER, REPORT(load.step_us), false},
+	{ "running", JSON_INTEGER, REPORT(load.running), false },
+	{ "waiting", JSON_INTEGER, REPORT(load.waiting), false },
+	{ "step_us", JSON_INTEGER, REPORT(load.step_us), false },
 };
 
 static bool wrong(const struct field *f, const char *what, char **why)
@@ -164,7 +164,7 @@
 
 static void take(struct entry *entry, struct evhttp_request *req, json_t *body)
 {
-	struct vm_report report = {0};
+	struct vm_report report = { 0 };
 	char *why = NULL;
 
 	if (!read_report(body, &report, &why)) {
--- a/entry/booking.c
+++ b/entry/booking.c
@@ -10,7 +10,7 @@
 #define RETRY_AFTER_S 1
 #define WAIT_MS 100
 
-static const struct log booking_log = {"booking"};
+static const struct log booking_log = { "booking" };
 
 /** A result on its way from the control task to the entry task. */
 struct claim_result {
@@ -79,7 +79,7 @@
 /* Another dispatch of the same booking is out: its answer will serve both. */
 static void wait_for_other(struct claim_result *r, struct call *call)
 {
-	struct timeval after = {0, WAIT_MS * 1000};
+	struct timeval after = { 0, WAIT_MS * 1000 };
 
 	if (entry_now_ms(call->entry) + WAIT_MS >= call->deadline_ms) {
 		call_refuse(call, RD_IN_FLIGHT, OUTCOME_UNKNOWN, NULL,
@@ -153,7 +153,7 @@
 
 static void claim(struct call *call)
 {
-	struct command command = {.body.kind = CMD_CLAIM_BOOKING};
+	struct command command = { .body.kind = CMD_CLAIM_BOOKING };
 	struct claim_booking *c = &command.body.command_body_u.claim;
 
 	call->state = CALL_CLAIMING;
@@ -239,7 +239,7 @@
 void booking_end(struct call *call, booking_outcome outcome, int status,
 		 const char *type, const void *body, size_t size)
 {
-	struct command command = {.body.kind = CMD_FINISH_BOOKING};
+	struct command command = { .body.kind = CMD_FINISH_BOOKING };
 	struct finish_booking *f = &command.body.command_body_u.finish;
 	struct claim_result *r = new_result(call);
 
--- a/entry/call.c
+++ b/entry/call.c
@@ -16,7 +16,7 @@
 #define OUTPUT_HIGH_BYTES 65536u
 #define PACE_TOKENS 16u
 
-static const struct log call_log = {"call"};
+static const struct log call_log = { "call" };
 
 static void finish_attempt(struct call *call);
 
@@ -75,7 +75,7 @@
 	call->answer = evbuffer_new();
 	sse_init(&call->sse);
 	g_hash_table_add(entry->calls, call);
-	call->watch = (struct http_watch){on_caller_left, call};
+	call->watch = (struct http_watch){ on_caller_left, call };
 	http_watch(opts->req, &call->watch);
 	if (call->booking_key)
 		booking_begin(call);
@@ -137,9 +137,9 @@
 /* Ends a stream so that nobody takes it for whole. */
 static void break_stream(struct call *call, enum rd_result code)
 {
-	struct problem problem = {.code = code,
-				  .outcome = OUTCOME_UNKNOWN,
-				  .request_id = call->id};
+	struct problem problem = { .code = code,
+				   .outcome = OUTCOME_UNKNOWN,
+				   .request_id = call->id };
 	char *text = http_problem_text(&problem);
 	struct evhttp_connection *conn =
 		evhttp_request_get_connection(call->req);
@@ -587,10 +587,10 @@
 {
 	log_info(&call_log,
 		 "request %s: to replica %u epoch=%" PRIu64 " at %s "
-							    "cost_ms=%.1f "
-							    "cached=%u "
-							    "candidates=%u "
-							    "stale=%u "
+		 "cost_ms=%.1f "
+		 "cached=%u "
+		 "candidates=%u "
+		 "stale=%u "
 		 "suspect=%u full=%u failed=%u slow=%u left_out=%s",
 		 call->id, choice->replica, choice->epoch, choice->address,
 		 choice->cost_ms, choice->cached_tokens, choice->candidates,
--- a/entry/callers.c
+++ b/entry/callers.c
@@ -18,8 +18,9 @@
 static void refuse(struct entry *entry, struct evhttp_request *req,
 		   enum rd_result code, const char *detail, const char *id)
 {
-	struct problem problem = {
-		.code = code, .detail = detail, .request_id = id};
+	struct problem problem = { .code = code,
+				   .detail = detail,
+				   .request_id = id };
 
 	counters_add(entry->opts.counters, COUNTER_NOT_RUN, 1);
 	if (rd_result_info(code)->http_status == 503)
@@ -54,7 +55,7 @@
 	const char *key = http_bearer(req);
 	uint8_t hash[SHA256_BYTES];
 	gsize size = sizeof(hash);
-	struct key_search search = {.hash = hash};
+	struct key_search search = { .hash = hash };
 	GChecksum *checksum;
 
 	if (!key)
@@ -259,7 +260,7 @@
 	const char *key = http_header(req, "Idempotency-Key");
 	char id[REQUEST_ID_MAX];
 	enum rd_result code;
-	struct call_opts opts = {.req = req, .id = id, .kind = CALL_PLAIN};
+	struct call_opts opts = { .req = req, .id = id, .kind = CALL_PLAIN };
 	char *full;
 
 	make_request_id(entry, req, id);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -13,7 +13,7 @@
 #define ENDPOINT_HEADER_BYTES 8192
 #define PERMILLE 1000
 
-static const struct log entry_log = {"entry"};
+static const struct log entry_log = { "entry" };
 
 int64_t entry_now_ms(const struct entry *entry)
 {
@@ -32,7 +32,7 @@
 
 void entry_want_pump(struct entry *entry)
 {
-	struct timeval at_once = {0, 0};
+	struct timeval at_once = { 0, 0 };
 
 	if (entry->pump && !evtimer_pending(entry->pump, NULL))
 		event_add(entry->pump, &at_once);
@@ -59,7 +59,7 @@
 
 static uint32_t free_permille(struct entry *entry)
 {
-	struct capacity sum = {.now_ms = entry_now_ms(entry)};
+	struct capacity sum = { .now_ms = entry_now_ms(entry) };
 	uint32_t connections = g_hash_table_size(entry->calls);
 	int64_t most = entry->opts.settings->limits.connections;
 	uint32_t own =
@@ -227,7 +227,7 @@
 		.incarnation = control_incarnation(opts->control),
 		.silence_ms = (int32_t)limits->vm_silence_ms,
 	};
-	struct view_opts view = {(int32_t)limits->vm_silence_ms};
+	struct view_opts view = { (int32_t)limits->vm_silence_ms };
 
 	entry->opts = *opts;
 	entry->base = task_base(opts->task);
@@ -250,9 +250,9 @@
 {
 	struct entry *entry = arg;
 	const struct limit_settings *limits = &entry->opts.settings->limits;
-	struct timeval tick = {0, TICK_MS * 1000};
-	struct timeval digest = {limits->digest_ms / 1000,
-				 (limits->digest_ms % 1000) * 1000};
+	struct timeval tick = { 0, TICK_MS * 1000 };
+	struct timeval digest = { limits->digest_ms / 1000,
+				  (limits->digest_ms % 1000) * 1000 };
 
 	entry->pump = evtimer_new(entry->base, on_pump, entry);
 	entry->tick = event_new(entry->base, -1, EV_PERSIST, on_tick, entry);
@@ -352,7 +352,7 @@
 
 	for (u_int i = 0; i < reply->deltas.deltas_len; i++) {
 		const struct indexed_command *c = &reply->deltas.deltas_val[i];
-		struct apply_result result = {0};
+		struct apply_result result = { 0 };
 
 		if (c->index <= state_index(entry->config))
 			continue;
@@ -408,14 +408,14 @@
 
 void entry_post_config(struct entry *entry, struct config_update *update)
 {
-	post(entry, run_config, &(struct message){.update = update});
+	post(entry, run_config, &(struct message){ .update = update });
 }
 
 static void run_digest(void *arg)
 {
 	struct message *m = arg;
 	struct entry *entry = m->entry;
-	struct digest digest = {0};
+	struct digest digest = { 0 };
 
 	if (CODEC_DECODE(digest, m->bytes, &digest)) {
 		(void)view_merge(entry->view, entry_now_ms(entry), &digest);
@@ -431,7 +431,7 @@
 
 void entry_post_digest(struct entry *entry, GBytes *digest)
 {
-	post(entry, run_digest, &(struct message){.bytes = digest});
+	post(entry, run_digest, &(struct message){ .bytes = digest });
 }
 
 static void run_want_full(void *arg)
@@ -444,7 +444,7 @@
 
 void entry_post_want_full(struct entry *entry)
 {
-	post(entry, run_want_full, &(struct message){0});
+	post(entry, run_want_full, &(struct message){ 0 });
 }
 
 static void run_drain(void *arg)
@@ -459,7 +459,7 @@
 
 void entry_post_drain(struct entry *entry, bool draining)
 {
-	post(entry, run_drain, &(struct message){.flag = draining});
+	post(entry, run_drain, &(struct message){ .flag = draining });
 }
 
 static void run_leave(void *arg)
@@ -478,5 +478,5 @@
 
 void entry_post_leave(struct entry *entry, task_fn done, void *arg)
 {
-	post(entry, run_leave, &(struct message){.done = done, .arg = arg});
+	post(entry, run_leave, &(struct message){ .done = done, .arg = arg });
 }
--- a/entry/services.c
+++ b/entry/services.c
@@ -8,7 +8,7 @@
 /* Numbers of plain services' endpoints, apart from those of replicas. */
 #define FIRST_PLAIN 1u
 
-static const struct log services_log = {"services"};
+static const struct log services_log = { "services" };
 
 void service_drop(gpointer data)
 {
@@ -112,8 +112,9 @@
 {
 	const struct service_state *service = state_service(entry->config,
 							    s->name);
-	struct removal removal = {entry, s,
-				  g_array_new(FALSE, FALSE, sizeof(uint32_t))};
+	struct removal removal = {
+		entry, s, g_array_new(FALSE, FALSE, sizeof(uint32_t))
+	};
 
 	if (service && !service->spec.plain)
 		router_each(s->router, find_gone, &removal);
@@ -302,8 +303,7 @@
 	size_t i;
 	json_t *value;
 
-	json_array_foreach(list, i, value)
-	{
+	json_array_foreach(list, i, value) {
 		if (n < max)
 			out[n++] = (uint64_t)json_integer_value(value);
 	}
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -136,7 +136,7 @@
 static void on_done(struct evhttp_request *req, void *arg)
 {
 	struct upstream *u = arg;
-	struct timeval at_once = {0, 0};
+	struct timeval at_once = { 0, 0 };
 	bool answered = req && evhttp_request_get_response_code(req) != 0;
 
 	u->req = NULL;
@@ -210,8 +210,8 @@
 			       const struct upstream_request *request)
 {
 	struct upstream *u = g_new0(struct upstream, 1);
-	struct timeval idle = {request->idle_timeout_ms / 1000,
-			       (request->idle_timeout_ms % 1000) * 1000};
+	struct timeval idle = { request->idle_timeout_ms / 1000,
+				(request->idle_timeout_ms % 1000) * 1000 };
 	struct bufferevent *bev;
 
 	u->pool = pool;
@@ -235,7 +235,7 @@
 
 void upstream_cancel(struct upstream *u)
 {
-	struct timeval at_once = {0, 0};
+	struct timeval at_once = { 0, 0 };
 
 	if (!u || u->cancelled)
 		return;
--- a/evidence/view.c
+++ b/evidence/view.c
@@ -201,7 +201,7 @@
 	struct view_home *home = get_home(view, digest->home);
 	bool gap = home->incarnation != digest->incarnation ||
 		   home->seq + 1 != digest->seq;
-	struct refreshing refreshing = {view, home};
+	struct refreshing refreshing = { view, home };
 
 	if (digest->incarnation < home->incarnation ||
 	    (digest->incarnation == home->incarnation &&
@@ -252,7 +252,7 @@
 
 void view_tick(struct view *view, int64_t now_ms)
 {
-	struct ticking t = {view, now_ms};
+	struct ticking t = { view, now_ms };
 	GHashTableIter iter;
 	gpointer value;
 
@@ -296,7 +296,7 @@
 void view_each(const struct view *view,
 	       void (*visit)(void *ctx, const struct view_vm *vm), void *ctx)
 {
-	struct visiting v = {visit, ctx};
+	struct visiting v = { visit, ctx };
 
 	g_tree_foreach(view->vms, visit_vm, &v);
 }
--- a/placement/plan.c
+++ b/placement/plan.c
@@ -269,7 +269,7 @@
 		const struct domain *d = plan->p->domain_list->pdata[i];
 		uint32_t count = usable_count(plan, d, s);
 		uint32_t rest = count % s->vms_per_replica;
-		struct pick pick = {.domains = 1};
+		struct pick pick = { .domains = 1 };
 
 		if (count < s->vms_per_replica || !fill_from(plan, d, s, &pick))
 			continue;
@@ -391,7 +391,7 @@
 static void add_needs(struct plan *plan, struct service *s)
 {
 	uint32_t have = count_replicas(s, false);
-	struct need need = {.service = s, .value = need_value(s)};
+	struct need need = { .service = s, .value = need_value(s) };
 
 	for (guint i = 0; i < s->replicas->len; i++) {
 		struct replica *r = s->replicas->pdata[i];
@@ -458,7 +458,7 @@
 		struct need *other = &g_array_index(plan->needs, struct need,
 						    i - 1);
 		struct replica *donor = other->replica;
-		struct pick survivors = {0};
+		struct pick survivors = { 0 };
 		char reason[PLACEMENT_REASON_MAX];
 
 		if (!donor || donor == need->replica || donor->giving_up ||
@@ -484,7 +484,7 @@
 {
 	struct replica *r = need->replica;
 	struct service *s = need->service;
-	struct pick pick = {.domains = 1}, elsewhere = {0};
+	struct pick pick = { .domains = 1 }, elsewhere = { 0 };
 	const struct domain *home;
 
 	if (is_draining(plan, r)) {
@@ -534,7 +534,7 @@
 static void form(struct plan *plan, const struct need *need)
 {
 	struct service *s = need->service;
-	struct pick pick = {0};
+	struct pick pick = { 0 };
 	const char *where = "in one domain";
 
 	if (!pick_one_domain(plan, s, &pick)) {
--- a/routing/admission.c
+++ b/routing/admission.c
@@ -164,7 +164,7 @@
 	ticket->start = MAX(a->virtual_time, account->finish);
 	account->finish = ticket->start + cost / account->weight;
 	account->queued_cost += cost;
-	ticket->link = (GList){.data = ticket};
+	ticket->link = (GList){ .data = ticket };
 	g_queue_push_tail_link(&account->queue, &ticket->link);
 	ticket->waiting = true;
 	a->waiting++;
--- a/routing/router.c
+++ b/routing/router.c
@@ -176,7 +176,7 @@
 
 	for (guint i = 0; i < n; i++) {
 		struct router_replica *r = router->replicas->pdata[i];
-		uint32_t pair[2] = {router->opts.entry, r->id};
+		uint32_t pair[2] = { router->opts.entry, r->id };
 
 		ranks[i].rank = XXH64(pair, sizeof(pair), 0);
 		ranks[i].replica = r;
@@ -438,7 +438,7 @@
 				      double *cost)
 {
 	uint32_t sample = router->policy->sample;
-	struct best best = {0};
+	struct best best = { 0 };
 
 	if (!sample || sample >= usables->len) {
 		for (guint i = 0; i < usables->len; i++)
--- a/settings/daemon.c
+++ b/settings/daemon.c
@@ -10,47 +10,52 @@
 #define KEY_BYTES_MIN 16
 #define FILE_BYTES_MAX (1024 * 1024)
 
-static const char *const role_names[] = {"entry", "control", NULL};
-static const char *const level_names[] = {"error", "warn",  "note",
-					  "info",  "debug", NULL};
-static const char *const format_names[] = {"key-value", "json", NULL};
+static const char *const role_names[] = { "entry", "control", NULL };
+static const char *const level_names[] = { "error", "warn",  "note",
+					   "info",  "debug", NULL };
+static const char *const format_names[] = { "key-value", "json", NULL };
 
 #define NODE(field) offsetof(struct node_settings, field)
-static const struct option_row node_options[] = {{.key = "id",
-						  .type = OPT_INT,
-						  .offset = NODE(id),
-						  .min = 1,
-						  .max = 65535,
-						  .required = TRUE,
-						  .help = "number of this VM, "
-							  "not used by any "
-							  "other"},
-						 {.key = "data_centre",
-						  .type = OPT_STRING,
-						  .offset = NODE(data_centre),
-						  .min = 1,
-						  .max = 63,
-						  .required = TRUE,
-						  .help = "data centre this VM "
-							  "stands in"},
-						 {.key = "roles",
-						  .type = OPT_FLAGS,
-						  .offset = NODE(roles),
-						  .choices = role_names,
-						  .required = TRUE,
-						  .help = "what this VM does"},
-						 {.key = "data_folder",
-						  .type = OPT_STRING,
-						  .offset = NODE(data_folder),
-						  .min = 1,
-						  .max = 4000,
-						  .required = TRUE,
-						  .help = "folder that holds "
-							  "everything this VM "
-							  "stores"},
-						 {0}};
-static const struct option_group node_group = {
-	"node", sizeof(struct node_settings), node_options};
+static const struct option_row node_options[] = { { .key = "id",
+						    .type = OPT_INT,
+						    .offset = NODE(id),
+						    .min = 1,
+						    .max = 65535,
+						    .required = TRUE,
+						    .help = "number of this "
+							    "VM, "
+							    "not used by any "
+							    "other" },
+						  { .key = "data_centre",
+						    .type = OPT_STRING,
+						    .offset = NODE(data_centre),
+						    .min = 1,
+						    .max = 63,
+						    .required = TRUE,
+						    .help = "data centre this "
+							    "VM "
+							    "stands in" },
+						  { .key = "roles",
+						    .type = OPT_FLAGS,
+						    .offset = NODE(roles),
+						    .choices = role_names,
+						    .required = TRUE,
+						    .help = "what this VM "
+							    "does" },
+						  { .key = "data_folder",
+						    .type = OPT_STRING,
+						    .offset = NODE(data_folder),
+						    .min = 1,
+						    .max = 4000,
+						    .required = TRUE,
+						    .help = "folder that holds "
+							    "everything this "
+							    "VM "
+							    "stores" },
+						  { 0 } };
+static const struct option_group node_group = { "node",
+						sizeof(struct node_settings),
+						node_options };
 
 #define LISTEN(field) offsetof(struct listen_settings, field)
 #define LISTEN_OPTION(name, text)                                         \
@@ -63,50 +68,55 @@
 	LISTEN_OPTION(endpoints, "IP:port for endpoints' announcements"),
 	LISTEN_OPTION(operators, "IP:port for operators"),
 	LISTEN_OPTION(peers, "IP:port for the system's other processes"),
-	{0}};
+	{ 0 }
+};
 static const struct option_group listen_group = {
-	"listen", sizeof(struct listen_settings), listen_options};
+	"listen", sizeof(struct listen_settings), listen_options
+};
 
 #define PEER(field) offsetof(struct peer_settings, field)
-static const struct option_row peer_options[] = {{.key = "id",
-						  .type = OPT_INT,
-						  .offset = PEER(id),
-						  .min = 1,
-						  .max = 65535,
-						  .required = TRUE,
-						  .help = "number of the VM"},
-						 {.key = "data_centre",
-						  .type = OPT_STRING,
-						  .offset = PEER(data_centre),
-						  .min = 1,
-						  .max = 63,
-						  .required = TRUE,
-						  .help = "data centre it "
-							  "stands in"},
-						 {.key = "peers",
-						  .type = OPT_STRING,
-						  .offset = PEER(peers),
-						  .min = 1,
-						  .max = 63,
-						  .required = TRUE,
-						  .help = "IP:port of its "
-							  "peers port"},
-						 {.key = "control",
-						  .type = OPT_BOOL,
-						  .offset = PEER(control),
-						  .fallback = 1,
-						  .help = "whether it has the "
-							  "control role"},
-						 {.key = "voter",
-						  .type = OPT_BOOL,
-						  .offset = PEER(voter),
-						  .fallback = 0,
-						  .help = "whether it votes "
-							  "when the group is "
-							  "first made"},
-						 {0}};
-static const struct option_group peer_group = {
-	"cluster.peer", sizeof(struct peer_settings), peer_options};
+static const struct option_row peer_options[] = { { .key = "id",
+						    .type = OPT_INT,
+						    .offset = PEER(id),
+						    .min = 1,
+						    .max = 65535,
+						    .required = TRUE,
+						    .help = "number of the "
+							    "VM" },
+						  { .key = "data_centre",
+						    .type = OPT_STRING,
+						    .offset = PEER(data_centre),
+						    .min = 1,
+						    .max = 63,
+						    .required = TRUE,
+						    .help = "data centre it "
+							    "stands in" },
+						  { .key = "peers",
+						    .type = OPT_STRING,
+						    .offset = PEER(peers),
+						    .min = 1,
+						    .max = 63,
+						    .required = TRUE,
+						    .help = "IP:port of its "
+							    "peers port" },
+						  { .key = "control",
+						    .type = OPT_BOOL,
+						    .offset = PEER(control),
+						    .fallback = 1,
+						    .help = "whether it has "
+							    "the "
+							    "control role" },
+						  { .key = "voter",
+						    .type = OPT_BOOL,
+						    .offset = PEER(voter),
+						    .fallback = 0,
+						    .help = "whether it votes "
+							    "when the group is "
+							    "first made" },
+						  { 0 } };
+static const struct option_group peer_group = { "cluster.peer",
+						sizeof(struct peer_settings),
+						peer_options };
 
 #define CLUSTER(field) offsetof(struct cluster_settings, field)
 #define KEY_OPTION(name, need, text)                                       \
@@ -115,60 +125,62 @@
 		.max = 4000, .required = (need), .help = (text)            \
 	}
 static const struct option_row cluster_options[] = {
-	{.key = "name",
-	 .type = OPT_STRING,
-	 .offset = CLUSTER(name),
-	 .min = 1,
-	 .max = 63,
-	 .required = TRUE,
-	 .help = "name of the system; processes of another one are refused"},
+	{ .key = "name",
+	  .type = OPT_STRING,
+	  .offset = CLUSTER(name),
+	  .min = 1,
+	  .max = 63,
+	  .required = TRUE,
+	  .help = "name of the system; processes of another one are refused" },
 	KEY_OPTION(key_file, TRUE, "file with the key of the system"),
 	KEY_OPTION(old_key_file, FALSE, "key accepted besides, while changing"),
 	KEY_OPTION(operator_keys_file, TRUE,
 		   "file with operators' keys: name role key, a line each"),
 	KEY_OPTION(endpoint_key_file, TRUE, "key that endpoints announce with"),
-	{.key = "election_ms",
-	 .type = OPT_INT,
-	 .offset = CLUSTER(election_ms),
-	 .min = 100,
-	 .max = 60000,
-	 .fallback = 600,
-	 .unit = "ms",
-	 .help = "least time without a leader before an election"},
-	{.key = "heartbeat_ms",
-	 .type = OPT_INT,
-	 .offset = CLUSTER(heartbeat_ms),
-	 .min = 10,
-	 .max = 10000,
-	 .fallback = 100,
-	 .unit = "ms",
-	 .help = "time between a leader's heartbeats"},
-	{.key = "drift_permille",
-	 .type = OPT_INT,
-	 .offset = CLUSTER(drift_permille),
-	 .min = 1,
-	 .max = 500,
-	 .fallback = 50,
-	 .help = "by how much the rates of two VMs' clocks may differ"},
-	{.key = "replace_after_ms",
-	 .type = OPT_INT,
-	 .offset = CLUSTER(replace_after_ms),
-	 .min = 500,
-	 .max = 86400000,
-	 .fallback = 5000,
-	 .unit = "ms",
-	 .help = "a voter silent for this long is replaced by a learner"},
-	{.key = "peer",
-	 .type = OPT_TABLES,
-	 .offset = CLUSTER(peers),
-	 .sub = &peer_group,
-	 .min = 1,
-	 .max = 1024,
-	 .required = TRUE,
-	 .help = "every VM of the system, this one too"},
-	{0}};
+	{ .key = "election_ms",
+	  .type = OPT_INT,
+	  .offset = CLUSTER(election_ms),
+	  .min = 100,
+	  .max = 60000,
+	  .fallback = 600,
+	  .unit = "ms",
+	  .help = "least time without a leader before an election" },
+	{ .key = "heartbeat_ms",
+	  .type = OPT_INT,
+	  .offset = CLUSTER(heartbeat_ms),
+	  .min = 10,
+	  .max = 10000,
+	  .fallback = 100,
+	  .unit = "ms",
+	  .help = "time between a leader's heartbeats" },
+	{ .key = "drift_permille",
+	  .type = OPT_INT,
+	  .offset = CLUSTER(drift_permille),
+	  .min = 1,
+	  .max = 500,
+	  .fallback = 50,
+	  .help = "by how much the rates of two VMs' clocks may differ" },
+	{ .key = "replace_after_ms",
+	  .type = OPT_INT,
+	  .offset = CLUSTER(replace_after_ms),
+	  .min = 500,
+	  .max = 86400000,
+	  .fallback = 5000,
+	  .unit = "ms",
+	  .help = "a voter silent for this long is replaced by a learner" },
+	{ .key = "peer",
+	  .type = OPT_TABLES,
+	  .offset = CLUSTER(peers),
+	  .sub = &peer_group,
+	  .min = 1,
+	  .max = 1024,
+	  .required = TRUE,
+	  .help = "every VM of the system, this one too" },
+	{ 0 }
+};
 static const struct option_group cluster_group = {
-	"cluster", sizeof(struct cluster_settings), cluster_options};
+	"cluster", sizeof(struct cluster_settings), cluster_options
+};
 
 #define LIMIT_OPTION(name, low, high, standard, measure, text)                 \
 	{                                                                      \
@@ -212,26 +224,30 @@
 		     "how long a repair waits for a VM that may be pausing"),
 	LIMIT_OPTION(order_timeout_ms, 100, 60000, 1000, "ms",
 		     "time an engine has to accept an order"),
-	{0}};
-static const struct option_group limit_group = {
-	"limits", sizeof(struct limit_settings), limit_options};
+	{ 0 }
+};
+static const struct option_group limit_group = { "limits",
+						 sizeof(struct limit_settings),
+						 limit_options };
 
 static const struct option_row log_options[] = {
-	{.key = "level",
-	 .type = OPT_CHOICE,
-	 .offset = offsetof(struct log_settings, level),
-	 .choices = level_names,
-	 .fallback = 3,
-	 .help = "least level written"},
-	{.key = "format",
-	 .type = OPT_CHOICE,
-	 .offset = offsetof(struct log_settings, format),
-	 .choices = format_names,
-	 .fallback = 0,
-	 .help = "form of a line"},
-	{0}};
-static const struct option_group log_group = {
-	"log", sizeof(struct log_settings), log_options};
+	{ .key = "level",
+	  .type = OPT_CHOICE,
+	  .offset = offsetof(struct log_settings, level),
+	  .choices = level_names,
+	  .fallback = 3,
+	  .help = "least level written" },
+	{ .key = "format",
+	  .type = OPT_CHOICE,
+	  .offset = offsetof(struct log_settings, format),
+	  .choices = format_names,
+	  .fallback = 0,
+	  .help = "form of a line" },
+	{ 0 }
+};
+static const struct option_group log_group = { "log",
+					       sizeof(struct log_settings),
+					       log_options };
 
 #define TOP(field, group, text)                                    \
 	{                                                          \
@@ -245,9 +261,11 @@
 	TOP(cluster, cluster_group, "the system it belongs to"),
 	TOP(limits, limit_group, "limits and times"),
 	TOP(log, log_group, "what is logged"),
-	{0}};
-static const struct option_group top_group = {
-	"settings", sizeof(struct daemon_settings), top_options};
+	{ 0 }
+};
+static const struct option_group top_group = { "settings",
+					       sizeof(struct daemon_settings),
+					       top_options };
 
 /* ---- rules between keys ---- */
 
--- a/settings/options.c
+++ b/settings/options.c
@@ -334,7 +334,7 @@
 static void unknown_key(const struct option_group *group,
 			const struct toml_node *n, struct option_errors *errors)
 {
-	const char *names[64] = {NULL};
+	const char *names[64] = { NULL };
 	const char *near;
 	int count = 0;
 
@@ -359,7 +359,7 @@
 	return NULL;
 }
 
-static const struct toml_node empty_table = {.type = TOML_TABLE};
+static const struct toml_node empty_table = { .type = TOML_TABLE };
 
 static void fill(const struct option_group *group,
 		 const struct toml_node *table, void *target,
--- a/settings/service.c
+++ b/settings/service.c
@@ -46,74 +46,78 @@
 	GPtrArray *accounts;
 };
 
-static const char *const kind_names[] = {"model", "plain", NULL};
-static const char *const cross_names[] = {"never", "last-resort", NULL};
-static const char *const loss_names[] = {"refuse", "serve", NULL};
+static const char *const kind_names[] = { "model", "plain", NULL };
+static const char *const cross_names[] = { "never", "last-resort", NULL };
+static const char *const loss_names[] = { "refuse", "serve", NULL };
 
 static const struct option_row preset_options[] = {
-	{.key = "name",
-	 .type = OPT_STRING,
-	 .offset = offsetof(struct preset_text, name),
-	 .min = 1,
-	 .max = 63,
-	 .required = TRUE,
-	 .help = "name, as in ordinary, peak, maintenance"},
-	{.key = "replicas",
-	 .type = OPT_INT,
-	 .offset = offsetof(struct preset_text, replicas),
-	 .max = 100000,
-	 .required = TRUE,
-	 .help = "whole replicas wanted"},
-	{.key = "version",
-	 .type = OPT_STRING,
-	 .offset = offsetof(struct preset_text, version),
-	 .max = 63,
-	 .help = "version of the model's weights"},
-	{.key = "admit",
-	 .type = OPT_BOOL,
-	 .offset = offsetof(struct preset_text, admit),
-	 .fallback = 1,
-	 .help = "whether new work is taken"},
-	{0}};
-static const struct option_group preset_group = {
-	"preset", sizeof(struct preset_text), preset_options};
+	{ .key = "name",
+	  .type = OPT_STRING,
+	  .offset = offsetof(struct preset_text, name),
+	  .min = 1,
+	  .max = 63,
+	  .required = TRUE,
+	  .help = "name, as in ordinary, peak, maintenance" },
+	{ .key = "replicas",
+	  .type = OPT_INT,
+	  .offset = offsetof(struct preset_text, replicas),
+	  .max = 100000,
+	  .required = TRUE,
+	  .help = "whole replicas wanted" },
+	{ .key = "version",
+	  .type = OPT_STRING,
+	  .offset = offsetof(struct preset_text, version),
+	  .max = 63,
+	  .help = "version of the model's weights" },
+	{ .key = "admit",
+	  .type = OPT_BOOL,
+	  .offset = offsetof(struct preset_text, admit),
+	  .fallback = 1,
+	  .help = "whether new work is taken" },
+	{ 0 }
+};
+static const struct option_group preset_group = { "preset",
+						  sizeof(struct preset_text),
+						  preset_options };
 
 static const struct option_row account_options[] = {
-	{.key = "name",
-	 .type = OPT_STRING,
-	 .offset = offsetof(struct account_text, name),
-	 .min = 1,
-	 .max = 63,
-	 .required = TRUE,
-	 .help = "name of the client account"},
-	{.key = "key_sha256",
-	 .type = OPT_STRING,
-	 .offset = offsetof(struct account_text, key_sha256),
-	 .min = 64,
-	 .max = 64,
-	 .required = TRUE,
-	 .help = "SHA-256 of its key, in hex"},
-	{.key = "weight",
-	 .type = OPT_INT,
-	 .offset = offsetof(struct account_text, weight),
-	 .min = 1,
-	 .max = 1000000,
-	 .fallback = 1,
-	 .help = "share of the service under contention"},
-	{.key = "priority",
-	 .type = OPT_INT,
-	 .offset = offsetof(struct account_text, priority),
-	 .max = 9,
-	 .fallback = 5,
-	 .help = "0 is served first"},
-	{.key = "max_outstanding",
-	 .type = OPT_INT,
-	 .offset = offsetof(struct account_text, max_outstanding),
-	 .max = 1000000,
-	 .help = "requests in flight over all entries; 0 is no limit"},
-	{0}};
-static const struct option_group account_group = {
-	"account", sizeof(struct account_text), account_options};
+	{ .key = "name",
+	  .type = OPT_STRING,
+	  .offset = offsetof(struct account_text, name),
+	  .min = 1,
+	  .max = 63,
+	  .required = TRUE,
+	  .help = "name of the client account" },
+	{ .key = "key_sha256",
+	  .type = OPT_STRING,
+	  .offset = offsetof(struct account_text, key_sha256),
+	  .min = 64,
+	  .max = 64,
+	  .required = TRUE,
+	  .help = "SHA-256 of its key, in hex" },
+	{ .key = "weight",
+	  .type = OPT_INT,
+	  .offset = offsetof(struct account_text, weight),
+	  .min = 1,
+	  .max = 1000000,
+	  .fallback = 1,
+	  .help = "share of the service under contention" },
+	{ .key = "priority",
+	  .type = OPT_INT,
+	  .offset = offsetof(struct account_text, priority),
+	  .max = 9,
+	  .fallback = 5,
+	  .help = "0 is served first" },
+	{ .key = "max_outstanding",
+	  .type = OPT_INT,
+	  .offset = offsetof(struct account_text, max_outstanding),
+	  .max = 1000000,
+	  .help = "requests in flight over all entries; 0 is no limit" },
+	{ 0 }
+};
+static const struct option_group account_group = { "account",
+						   sizeof(struct account_text),
+						   account_options };
 
 #define TEXT(field) offsetof(struct service_text, field)
 #define INT_OPTION(name, low, high, standard, measure, text)         \
@@ -157,29 +161,31 @@
 	INT_OPTION(booking_max, 1, 1000000, 10000, NULL,
 		   "bookings kept per client account"),
 	STRING_OPTION(preset, FALSE, "preset in force at first"),
-	{.key = "once_only",
-	 .type = OPT_STRINGS,
-	 .offset = TEXT(once_only),
-	 .min = 3,
-	 .max = 255,
-	 .help = "calls that may not be repeated, as METHOD /path/prefix"},
-	{.key = "presets",
-	 .type = OPT_TABLES,
-	 .offset = TEXT(presets),
-	 .min = 1,
-	 .max = 8,
-	 .sub = &preset_group,
-	 .required = TRUE,
-	 .help = "presets"},
-	{.key = "accounts",
-	 .type = OPT_TABLES,
-	 .offset = TEXT(accounts),
-	 .max = 256,
-	 .sub = &account_group,
-	 .help = "client accounts"},
-	{0}};
-static const struct option_group service_group = {
-	"service", sizeof(struct service_text), service_options};
+	{ .key = "once_only",
+	  .type = OPT_STRINGS,
+	  .offset = TEXT(once_only),
+	  .min = 3,
+	  .max = 255,
+	  .help = "calls that may not be repeated, as METHOD /path/prefix" },
+	{ .key = "presets",
+	  .type = OPT_TABLES,
+	  .offset = TEXT(presets),
+	  .min = 1,
+	  .max = 8,
+	  .sub = &preset_group,
+	  .required = TRUE,
+	  .help = "presets" },
+	{ .key = "accounts",
+	  .type = OPT_TABLES,
+	  .offset = TEXT(accounts),
+	  .max = 256,
+	  .sub = &account_group,
+	  .help = "client accounts" },
+	{ 0 }
+};
+static const struct option_group service_group = { "service",
+						   sizeof(struct service_text),
+						   service_options };
 
 static void convert_presets(const struct service_text *from,
 			    struct service_spec *to)
@@ -288,7 +294,7 @@
 				     struct apply_service *change,
 				     char **errors)
 {
-	struct service_text read = {0};
+	struct service_text read = { 0 };
 	struct option_errors found;
 	char *reasons = NULL;
 
--- a/state/replica.c
+++ b/state/replica.c
@@ -140,7 +140,7 @@
 				      const struct replica_state *replica),
 			void *ctx)
 {
-	struct visit_replicas v = {visit, ctx};
+	struct visit_replicas v = { visit, ctx };
 
 	g_tree_foreach(state->replicas, visit_replica, &v);
 }
--- a/state/service.c
+++ b/state/service.c
@@ -335,7 +335,7 @@
 				      const struct service_state *service),
 			void *ctx)
 {
-	struct visit_services v = {visit, ctx};
+	struct visit_services v = { visit, ctx };
 
 	g_tree_foreach(state->services, visit_service, &v);
 }
--- a/state/state.c
+++ b/state/state.c
@@ -109,16 +109,16 @@
 };
 
 static const struct handler handlers[] = {
-	{CMD_APPLY_SERVICE, service_apply, true},
-	{CMD_SWITCH_PRESET, service_switch_preset, true},
-	{CMD_ROLLBACK, service_rollback, true},
-	{CMD_REMOVE_SERVICE, service_remove, true},
-	{CMD_ASSIGN_REPLICA, replica_assign, true},
-	{CMD_RELEASE_REPLICA, replica_release, true},
-	{CMD_FREE_VM, vm_free, true},
-	{CMD_CLAIM_BOOKING, booking_claim, false},
-	{CMD_FINISH_BOOKING, booking_finish, false},
-	{CMD_EXPIRE_BOOKINGS, booking_expire, false},
+	{ CMD_APPLY_SERVICE, service_apply, true },
+	{ CMD_SWITCH_PRESET, service_switch_preset, true },
+	{ CMD_ROLLBACK, service_rollback, true },
+	{ CMD_REMOVE_SERVICE, service_remove, true },
+	{ CMD_ASSIGN_REPLICA, replica_assign, true },
+	{ CMD_RELEASE_REPLICA, replica_release, true },
+	{ CMD_FREE_VM, vm_free, true },
+	{ CMD_CLAIM_BOOKING, booking_claim, false },
+	{ CMD_FINISH_BOOKING, booking_finish, false },
+	{ CMD_EXPIRE_BOOKINGS, booking_expire, false },
 };
 
 static const struct handler *find_handler(command_kind kind)
@@ -193,7 +193,7 @@
 
 GBytes *state_save(const struct state *state, bool with_bookings)
 {
-	struct state_image image = {0};
+	struct state_image image = { 0 };
 	GBytes *bytes;
 
 	image.index = state->index;
@@ -257,7 +257,7 @@
 
 bool state_load(struct state *state, GBytes *bytes)
 {
-	struct state_image image = {0};
+	struct state_image image = { 0 };
 
 	if (!CODEC_DECODE(state_image, bytes, &image))
 		return false;
--- a/state/vm.c
+++ b/state/vm.c
@@ -71,7 +71,7 @@
 		   void (*visit)(void *ctx, const struct vm_state *vm),
 		   void *ctx)
 {
-	struct visit_vms v = {visit, ctx};
+	struct visit_vms v = { visit, ctx };
 
 	g_tree_foreach(state->vms, visit_vm, &v);
 }
--- a/storage/storage.c
+++ b/storage/storage.c
@@ -111,10 +111,16 @@
 	g_bytes_unref(payload);
 }
 
+/* Says that the entries stored before are void. */
+static void put_reset(struct storage *s)
+{
+	put(s, RECORD_RESET, g_bytes_new(NULL, 0));
+}
+
 static enum rd_result begin_segment(struct storage *s)
 {
 	const struct storage_fs *fs = s->opts.fs;
-	struct segment fresh = {.sequence = 1};
+	struct segment fresh = { .sequence = 1 };
 	char name[NAME_BYTES];
 	int error;
 
@@ -298,8 +304,8 @@
 static bool replay(struct storage_recovered *r, struct segment *segment,
 		   const struct record *record)
 {
-	struct raft_wire_entry entry = {0};
-	struct stored_state state = {0};
+	struct raft_wire_entry entry = { 0 };
+	struct stored_state state = { 0 };
 	uint64_t from = 0;
 	bool ok = false;
 
@@ -351,7 +357,7 @@
 				   const char *name, bool last)
 {
 	const struct storage_fs *fs = s->opts.fs;
-	struct segment segment = {0};
+	struct segment segment = { 0 };
 	struct record record;
 	size_t offset = 0, start = 0;
 	enum rd_result result = RD_OK;
@@ -462,7 +468,15 @@
 	result = write_meta(s);
 	if (!result)
 		result = begin_segment(s);
-	return result ? result : storage_sync(s);
+	if (result)
+		return result;
+	/*
+	 * A crash between storing a received snapshot and this record leaves
+	 * entries that the next ones do not follow on.
+	 */
+	if (!r->entries->len)
+		put_reset(s);
+	return storage_sync(s);
 }
 
 enum rd_result storage_open(const struct storage_opts *opts,
@@ -628,9 +642,7 @@
 		return result;
 	s->snapshot_index = snapshot->index;
 	if (received) {
-		GBytes *empty = g_bytes_new(NULL, 0);
-
-		put(s, RECORD_RESET, empty);
+		put_reset(s);
 		for (guint i = 0; i < s->segments->len; i++)
 			g_array_index(s->segments, struct segment, i)
 				.last_index = 0;
--- a/test/cluster.c
+++ b/test/cluster.c
@@ -288,8 +288,7 @@
 	if (!fetch(&request, &answer))
 		cluster_fail("the proxy does not answer");
 	body = json_loads(answer.body, 0, NULL);
-	address = g_strdup(
-		json_string_value(json_object_get(body, "address")));
+	address = g_strdup(json_string_value(json_object_get(body, "address")));
 	c->links[from][to] =
 		(int)json_integer_value(json_object_get(body, "link"));
 	json_decref(body);
@@ -304,31 +303,32 @@
 	GString *text = g_string_new(NULL);
 	char *name = g_strdup_printf("node%d.toml", node);
 
-	g_string_append_printf(
-		text,
-		"[node]\nid = %d\ndata_centre = \"%s\"\n"
-		"roles = [\"entry\", \"control\"]\n"
-		"data_folder = \"%s/data%d\"\n"
-		"[listen]\npeers = \"%s\"\ncallers = \"%s\"\n"
-		"endpoints = \"%s\"\noperators = \"%s\"\n"
-		"[limits]\n%s\n"
-		"[cluster]\nname = \"test\"\nkey_file = \"%s/cluster.key\"\n"
-		"operator_keys_file = \"%s/operators.keys\"\n"
-		"endpoint_key_file = \"%s/endpoint.key\"\n%s\n",
-		node, centre_of(node), c->folder, node, n->peers, n->callers,
-		n->endpoints, n->operators, c->limits, c->folder, c->folder,
-		c->folder, c->cluster_lines);
+	g_string_append_printf(text,
+			       "[node]\nid = %d\ndata_centre = \"%s\"\n"
+			       "roles = [\"entry\", \"control\"]\n"
+			       "data_folder = \"%s/data%d\"\n"
+			       "[listen]\npeers = \"%s\"\ncallers = \"%s\"\n"
+			       "endpoints = \"%s\"\noperators = \"%s\"\n"
+			       "[limits]\n%s\n"
+			       "[cluster]\nname = \"test\"\nkey_file = "
+			       "\"%s/cluster.key\"\n"
+			       "operator_keys_file = \"%s/operators.keys\"\n"
+			       "endpoint_key_file = \"%s/endpoint.key\"\n%s\n",
+			       node, centre_of(node), c->folder, node, n->peers,
+			       n->callers, n->endpoints, n->operators,
+			       c->limits, c->folder, c->folder, c->folder,
+			       c->cluster_lines);
 	for (int i = 1; i <= c->node_count; i++) {
-		char *address = c->proxied && i != node ?
-					make_link(c, node, i) :
-					g_strdup(c->nodes[i - 1].peers);
-
-		g_string_append_printf(
-			text,
-			"[[cluster.peer]]\nid = %d\ndata_centre = \"%s\"\n"
-			"peers = \"%s\"\nvoter = %s\n",
-			i, centre_of(i), address,
-			i <= VOTERS_MAX ? "true" : "false");
+		char *address = c->proxied && i != node
+					? make_link(c, node, i)
+					: g_strdup(c->nodes[i - 1].peers);
+
+		g_string_append_printf(text,
+				       "[[cluster.peer]]\nid = %d\ndata_centre "
+				       "= \"%s\"\n"
+				       "peers = \"%s\"\nvoter = %s\n",
+				       i, centre_of(i), address,
+				       i <= VOTERS_MAX ? "true" : "false");
 		g_free(address);
 	}
 	write_file(c, name, text->str);
@@ -485,8 +485,8 @@
 
 void cluster_link(struct cluster *c, int from, int to, const char *what)
 {
-	char *path = g_strdup_printf("/set?link=%d&what=%s",
-				     c->links[from][to], what);
+	char *path = g_strdup_printf("/set?link=%d&what=%s", c->links[from][to],
+				     what);
 
 	if (!post(c->proxy, path))
 		cluster_fail("the proxy refuses %s", path);
@@ -506,8 +506,8 @@
 		.key = c->operator_key,
 		.body = body,
 		.body_size = -1,
-		.timeout_ms = strcmp(method, "GET") ? CHANGE_TIMEOUT_MS :
-						      READ_TIMEOUT_MS,
+		.timeout_ms = strcmp(method, "GET") ? CHANGE_TIMEOUT_MS
+						    : READ_TIMEOUT_MS,
 	};
 
 	return fetch(&request, answer);
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -20,7 +20,7 @@
 
 struct cluster_node {
 	int number; /* from 1 */
-	pid_t pid; /* 0 while not running */
+	pid_t pid;  /* 0 while not running */
 	char peers[64], callers[64], endpoints[64], operators[64];
 	char *settings;
 	int starts;
@@ -34,13 +34,13 @@
 	struct cluster_node nodes[CLUSTER_NODES_MAX];
 	bool proxied; /* daemons reach each other through the proxy */
 	int links[CLUSTER_NODES_MAX + 1][CLUSTER_NODES_MAX + 1];
-	char *proxy; /* address of its control port, NULL without */
-	GPtrArray *children; /* pids of all stand-ins */
+	char *proxy;	      /* address of its control port, NULL without */
+	GPtrArray *children;  /* pids of all stand-ins */
 	GHashTable *controls; /* stand-in's name -> its control address */
 	char *operator_key;
 	char *account_key; /* of account "studio" in every service */
-	char *other_key; /* of account "label" */
-	char *limits; /* lines for [limits] of the next settings written */
+	char *other_key;   /* of account "label" */
+	char *limits;	   /* lines for [limits] of the next settings written */
 	char *cluster_lines; /* lines for [cluster] */
 };
 
--- a/test/fakes/announcer.c
+++ b/test/fakes/announcer.c
@@ -73,7 +73,7 @@
 {
 	struct sending *s = arg;
 	struct announcer *a = s->announcer;
-	struct timeval at_once = {0, 0};
+	struct timeval at_once = { 0, 0 };
 
 	a->in_flight--;
 	if (req && evhttp_request_get_response_code(req) == 200) {
@@ -158,8 +158,8 @@
 struct announcer *announcer_create(const struct announcer_opts *opts)
 {
 	struct announcer *a = g_new0(struct announcer, 1);
-	struct timeval first = {opts->first_delay_ms / 1000,
-				(opts->first_delay_ms % 1000) * 1000};
+	struct timeval first = { opts->first_delay_ms / 1000,
+				 (opts->first_delay_ms % 1000) * 1000 };
 
 	a->opts = *opts;
 	a->every_ms = DEFAULT_EVERY_MS;
--- a/test/fakes/batch.c
+++ b/test/fakes/batch.c
@@ -302,7 +302,7 @@
 					      vm->engine->opts.prefill_us;
 	g_ptr_array_add(s->run->streams, s);
 	log_serving(s, "begun");
-	s->watch = (struct http_watch){on_left, s};
+	s->watch = (struct http_watch){ on_left, s };
 	http_watch(req, &s->watch);
 	if (s->streaming) {
 		evhttp_add_header(evhttp_request_get_output_headers(req),
--- a/test/fakes/engine.c
+++ b/test/fakes/engine.c
@@ -97,9 +97,9 @@
 /* Loads take turns at the weight store. */
 static void begin_load(struct engine_vm *vm)
 {
-	struct timeval turn = {0, 20000};
-	struct timeval load = {vm->engine->opts.load_ms / 1000,
-			       (vm->engine->opts.load_ms % 1000) * 1000};
+	struct timeval turn = { 0, 20000 };
+	struct timeval load = { vm->engine->opts.load_ms / 1000,
+				(vm->engine->opts.load_ms % 1000) * 1000 };
 
 	if (vm->engine->loads >= vm->engine->opts.store_loads) {
 		event_add(vm->load_timer, &turn);
--- a/test/fakes/fake_engine.c
+++ b/test/fakes/fake_engine.c
@@ -20,22 +20,24 @@
 };
 
 static const struct argp_option options[] = {
-	{"host", 'h', "IP", 0, "address to listen on", 0},
-	{"domains", 'd', "DC/DOMAIN:N,...", 0, "VMs in each domain", 0},
-	{"prefix", 'p', "TEXT", 0, "start of the VMs' names", 0},
-	{"entries", 'e', "IP:PORT,...", 0, "where to announce first", 0},
-	{"key", 'k', "FILE", 0, "key for announcing", 0},
-	{"control", 'c', "FILE", 0, "file to write the control address to", 0},
-	{"accelerators", 'a', "N", 0, "of each VM", 0},
-	{"step-us", 's', "US", 0, "decoding step", 0},
-	{"prefill-us", 'f', "US", 0, "time per prompt token", 0},
-	{"load-ms", 'l', "MS", 0, "time to load weights", 0},
-	{"store-loads", 'w', "N", 0, "loads at once", 0},
-	{"cache-parts", 'm', "N", 0, "prompt parts cached", 0},
-	{"cache-loss", 'x', "N", 0, "one in N cache reports is lost", 0},
-	{"ignore-fencing", 'i', NULL, 0, "obey any fencing number", 0},
-	{"log", 'o', "FILE", 0, "log of orders and servings", 0},
-	{0}};
+	{ "host", 'h', "IP", 0, "address to listen on", 0 },
+	{ "domains", 'd', "DC/DOMAIN:N,...", 0, "VMs in each domain", 0 },
+	{ "prefix", 'p', "TEXT", 0, "start of the VMs' names", 0 },
+	{ "entries", 'e', "IP:PORT,...", 0, "where to announce first", 0 },
+	{ "key", 'k', "FILE", 0, "key for announcing", 0 },
+	{ "control", 'c', "FILE", 0, "file to write the control address to",
+	  0 },
+	{ "accelerators", 'a', "N", 0, "of each VM", 0 },
+	{ "step-us", 's', "US", 0, "decoding step", 0 },
+	{ "prefill-us", 'f', "US", 0, "time per prompt token", 0 },
+	{ "load-ms", 'l', "MS", 0, "time to load weights", 0 },
+	{ "store-loads", 'w', "N", 0, "loads at once", 0 },
+	{ "cache-parts", 'm', "N", 0, "prompt parts cached", 0 },
+	{ "cache-loss", 'x', "N", 0, "one in N cache reports is lost", 0 },
+	{ "ignore-fencing", 'i', NULL, 0, "obey any fencing number", 0 },
+	{ "log", 'o', "FILE", 0, "log of orders and servings", 0 },
+	{ 0 }
+};
 
 static error_t parse_argument(int key, char *arg, struct argp_state *state)
 {
@@ -93,7 +95,8 @@
 	return 0;
 }
 
-static const struct argp argp = {.options = options, .parser = parse_argument};
+static const struct argp argp = { .options = options,
+				  .parser = parse_argument };
 
 /* ---- a VM ---- */
 
@@ -323,18 +326,18 @@
 int main(int argc, char **argv)
 {
 	struct arguments a = {
-		.engine = {.host = "127.0.0.1",
-			   .step_us = 10000,
-			   .prefill_us = 20,
-			   .load_ms = 300,
-			   .store_loads = 4,
-			   .cache_parts = 2000,
-			   .checks_fencing = true},
+		.engine = { .host = "127.0.0.1",
+			    .step_us = 10000,
+			    .prefill_us = 20,
+			    .load_ms = 300,
+			    .store_loads = 4,
+			    .cache_parts = 2000,
+			    .checks_fencing = true },
 		.domains = "a/a1:2",
 		.prefix = "vm-",
 		.accelerators = 8,
 	};
-	struct engine engine = {.vms = g_ptr_array_new()};
+	struct engine engine = { .vms = g_ptr_array_new() };
 	char control[64];
 	char **entries;
 
--- a/test/fakes/fake_proxy.c
+++ b/test/fakes/fake_proxy.c
@@ -227,8 +227,9 @@
 	g_ptr_array_add(proxy->links, link);
 	g_snprintf(text, sizeof(text), "%s:%d", proxy->host,
 		   address_local_port(fd));
-	http_send_json(req, 200, json_pack("{s:s,s:i}", "address", text, "link",
-					   link->number));
+	http_send_json(req, 200,
+		       json_pack("{s:s,s:i}", "address", text, "link",
+				 link->number));
 	g_free(target);
 }
 
--- a/test/fakes/fake_service.c
+++ b/test/fakes/fake_service.c
@@ -41,16 +41,18 @@
 };
 
 static const struct argp_option options[] = {
-	{"host", 'h', "IP", 0, "address to listen on", 0},
-	{"service", 'n', "NAME", 0, "service announced", 0},
-	{"prefix", 'p', "TEXT", 0, "start of the endpoints' names", 0},
-	{"entries", 'e', "IP:PORT,...", 0, "where to announce first", 0},
-	{"key", 'k', "FILE", 0, "key for announcing", 0},
-	{"control", 'c', "FILE", 0, "file to write the control address to", 0},
-	{"runs", 'r', "FILE", 0, "file that counts runs", 0},
-	{"count", 'm', "N", 0, "endpoints", 0},
-	{"delay-ms", 'd', "MS", 0, "time a call takes", 0},
-	{0}};
+	{ "host", 'h', "IP", 0, "address to listen on", 0 },
+	{ "service", 'n', "NAME", 0, "service announced", 0 },
+	{ "prefix", 'p', "TEXT", 0, "start of the endpoints' names", 0 },
+	{ "entries", 'e', "IP:PORT,...", 0, "where to announce first", 0 },
+	{ "key", 'k', "FILE", 0, "key for announcing", 0 },
+	{ "control", 'c', "FILE", 0, "file to write the control address to",
+	  0 },
+	{ "runs", 'r', "FILE", 0, "file that counts runs", 0 },
+	{ "count", 'm', "N", 0, "endpoints", 0 },
+	{ "delay-ms", 'd', "MS", 0, "time a call takes", 0 },
+	{ 0 }
+};
 
 static error_t parse_argument(int key, char *arg, struct argp_state *state)
 {
@@ -90,7 +92,8 @@
 	return 0;
 }
 
-static const struct argp argp = {.options = options, .parser = parse_argument};
+static const struct argp argp = { .options = options,
+				  .parser = parse_argument };
 
 static int count_run(struct endpoint *e, const char *key)
 {
@@ -167,15 +170,15 @@
 		     const char *key)
 {
 	struct pending *p = g_new0(struct pending, 1);
-	struct timeval delay = {e->service->delay_ms / 1000,
-				(e->service->delay_ms % 1000) * 1000};
+	struct timeval delay = { e->service->delay_ms / 1000,
+				 (e->service->delay_ms % 1000) * 1000 };
 
 	p->endpoint = e;
 	p->req = req;
 	p->key = g_strdup(key);
 	p->runs = count_run(e, key);
 	e->running++;
-	p->watch = (struct http_watch){on_left, p};
+	p->watch = (struct http_watch){ on_left, p };
 	http_watch(req, &p->watch);
 	event_base_once(e->service->base, -1, EV_TIMEOUT, on_delay, p, &delay);
 }
@@ -275,12 +278,12 @@
 
 int main(int argc, char **argv)
 {
-	struct arguments a = {.host = "127.0.0.1",
-			      .name = "queue",
-			      .prefix = "queue-",
-			      .count = 3,
-			      .delay_ms = 5};
-	struct service service = {.endpoints = g_ptr_array_new()};
+	struct arguments a = { .host = "127.0.0.1",
+			       .name = "queue",
+			       .prefix = "queue-",
+			       .count = 3,
+			       .delay_ms = 5 };
+	struct service service = { .endpoints = g_ptr_array_new() };
 	char control[64];
 	char **entries;
 	char *key;
--- a/test/jobs.c
+++ b/test/jobs.c
@@ -155,8 +155,8 @@
 {
 	json_t *body = json_loads(answer, 0, NULL);
 	json_t *choice = json_array_get(json_object_get(body, "choices"), 0);
-	const char *text = json_string_value(json_object_get(
-		json_object_get(choice, "message"), "content"));
+	const char *text = json_string_value(
+		json_object_get(json_object_get(choice, "message"), "content"));
 	GString *wanted = g_string_new(NULL);
 	int n = 0;
 
@@ -194,11 +194,14 @@
 	struct reading r = { .job = job,
 			     .raw = g_string_new(NULL),
 			     .body = g_string_new(NULL) };
-	char *request = g_strdup_printf(
-		"%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n"
-		"Connection: close\r\n%sContent-Length: %zu\r\n\r\n%s",
-		job->method, job->path, job->address, job->key, job->headers,
-		strlen(job->body), job->body);
+	char *request = g_strdup_printf("%s %s HTTP/1.1\r\nHost: "
+					"%s\r\nAuthorization: Bearer %s\r\n"
+					"Connection: "
+					"close\r\n%sContent-Length: "
+					"%zu\r\n\r\n%s",
+					job->method, job->path, job->address,
+					job->key, job->headers,
+					strlen(job->body), job->body);
 
 	r.fd = connect_to(job->address);
 	job->end = JOB_NO_ANSWER;
@@ -263,8 +266,8 @@
 {
 	json_t *body = json_loads(job->answer, 0, NULL);
 	const char *type = json_string_value(json_object_get(body, "type"));
-	const char *outcome =
-		json_string_value(json_object_get(body, "outcome"));
+	const char *outcome = json_string_value(json_object_get(body, "outcom"
+								      "e"));
 	const char *name = type ? strrchr(type, ':') : NULL;
 	char *text = g_strdup_printf("refused %s %s",
 				     name ? name + 1 : "without-type",
--- a/test/jobs.h
+++ b/test/jobs.h
@@ -15,10 +15,10 @@
 #include <glib.h>
 
 enum job_end {
-	JOB_WHOLE, /* the whole answer */
-	JOB_REFUSED, /* an error answer */
-	JOB_BROKEN, /* a stream that ended visibly broken */
-	JOB_SHORT, /* an answer that looks whole and is not */
+	JOB_WHOLE,     /* the whole answer */
+	JOB_REFUSED,   /* an error answer */
+	JOB_BROKEN,    /* a stream that ended visibly broken */
+	JOB_SHORT,     /* an answer that looks whole and is not */
 	JOB_NO_ANSWER, /* connection closed or refused without an answer */
 };
 
@@ -31,7 +31,7 @@
 	char *headers; /* lines ending in CRLF */
 	char *method;
 	bool stream;
-	int tokens; /* expected */
+	int tokens;	   /* expected */
 	int read_pause_ms; /* a slow caller sleeps this between reads */
 
 	pthread_t thread;
--- a/test/oracle.c
+++ b/test/oracle.c
@@ -108,11 +108,10 @@
 		return NULL;
 	}
 	if (epoch < h->highest)
-		return g_strdup_printf("VM %s obeyed epoch %lld after %lld",
-				       json_string_value(json_object_get(
-					       line, "vm")),
-				       (long long)epoch,
-				       (long long)h->highest);
+		return g_strdup_printf(
+			"VM %s obeyed epoch %lld after %lld",
+			json_string_value(json_object_get(line, "vm")),
+			(long long)epoch, (long long)h->highest);
 	if (h->replica && h->replica != number(line, "replica"))
 		return g_strdup_printf(
 			"VM %s taken by replica %lld while in %lld",
--- a/test/script.c
+++ b/test/script.c
@@ -109,10 +109,8 @@
 void script_check(const char *path, const struct script_command *commands,
 		  void *ctx)
 {
-	char *expected_path = g_strdup_printf("%.*s.expected",
-					      (int)(strlen(path) -
-						    strlen(".script")),
-					      path);
+	char *expected_path = g_strdup_printf(
+		"%.*s.expected", (int)(strlen(path) - strlen(".script")), path);
 	GString *output = g_string_new(NULL);
 	char *expected = NULL;
 	bool same;
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -26,10 +26,10 @@
 /** What a script works on. */
 struct stage {
 	struct cluster *cluster;
-	GHashTable *jobs; /* name -> struct job */
+	GHashTable *jobs;	/* name -> struct job */
 	GPtrArray *engine_logs; /* of char * */
-	char *runs; /* file in which plain endpoints count runs */
-	GHashTable *revisions; /* service -> revision last accepted */
+	char *runs;		/* file in which plain endpoints count runs */
+	GHashTable *revisions;	/* service -> revision last accepted */
 	int changes;
 };
 
@@ -89,23 +89,22 @@
 		char *old = stage->cluster->cluster_lines;
 
 		stage->cluster->cluster_lines = g_strdup_printf(
-			"%s%s = %s\n", old,
-			s->words[1] + strlen("cluster."), s->words[2]);
+			"%s%s = %s\n", old, s->words[1] + strlen("cluster."),
+			s->words[2]);
 		g_free(old);
 		return;
 	}
 	char *old = stage->cluster->limits;
 
-	stage->cluster->limits =
-		g_strdup_printf("%s%s = %s\n", old, s->words[1], s->words[2]);
+	stage->cluster->limits = g_strdup_printf("%s%s = %s\n", old,
+						 s->words[1], s->words[2]);
 	g_free(old);
 }
 
 static void do_create(struct script *s)
 {
-	stage_of(s)->cluster =
-		cluster_create(s->word_count > 1 &&
-			       !strcmp(s->words[1], "proxied"));
+	stage_of(s)->cluster = cluster_create(s->word_count > 1 &&
+					      !strcmp(s->words[1], "proxied"));
 }
 
 static void do_start(struct script *s)
@@ -119,7 +118,10 @@
 	char *log = g_strdup_printf("%s/%s.engine", cluster_of(s)->folder,
 				    s->words[1]);
 	const char *arguments[SCRIPT_WORDS_MAX + 8] = {
-		"--domains", s->words[2], "--log", log,
+		"--domains",
+		s->words[2],
+		"--log",
+		log,
 	};
 	int n = 4;
 
@@ -136,8 +138,8 @@
 	struct stage *stage = stage_of(s);
 	const char *delay = script_value(s, "delay", "5");
 	const char *const arguments[] = {
-		"--count", s->words[1], "--delay-ms", delay, "--runs",
-		stage->runs, NULL,
+		"--count", s->words[1], "--delay-ms", delay,
+		"--runs",  stage->runs, NULL,
 	};
 
 	cluster_start_fake(cluster_of(s), "fake_service", "plain", arguments);
@@ -155,9 +157,9 @@
 		script_print(s, "accepted revision %lld%s",
 			     (long long)json_integer_value(
 				     json_object_get(body, "revision")),
-			     json_is_true(json_object_get(body, "in_force")) ?
-				     " in force" :
-				     "");
+			     json_is_true(json_object_get(body, "in_force"))
+				     ? " in force"
+				     : "");
 	else
 		script_print(s, "refused %s", name ? name + 1 : "no answer");
 	json_decref(body);
@@ -194,7 +196,8 @@
 	for (int i = 0; cluster_now_ms() < until; i++) {
 		struct cluster_node *n = &c->nodes[i % c->node_count];
 
-		if (n->pid && script_number(s, "node", n->number) == n->number) {
+		if (n->pid &&
+		    script_number(s, "node", n->number) == n->number) {
 			fetch_clear(&answer);
 			cluster_operate(c, n->number, method, full, body,
 					&answer);
@@ -208,8 +211,8 @@
 	if (answer.status == 200)
 		g_hash_table_insert(stage->revisions, g_strdup(service),
 				    GINT_TO_POINTER(json_integer_value(
-					    json_object_get(answered,
-							    "revision"))));
+					    json_object_get(answered, "revisio"
+								      "n"))));
 	json_decref(answered);
 	fetch_clear(&answer);
 	g_free(full);
@@ -237,8 +240,8 @@
 		"[[accounts]]\nname = \"studio\"\nkey_sha256 = \"%s\"\n"
 		"[[accounts]]\nname = \"label\"\nkey_sha256 = \"%s\"\n",
 		name, plain ? "plain" : "model", plain ? "" : "tuner",
-		script_value(s, "vms", plain ? "1" : "2"),
-		plain ? "0" : "8", script_value(s, "slots", "16"),
+		script_value(s, "vms", plain ? "1" : "2"), plain ? "0" : "8",
+		script_value(s, "slots", "16"),
 		script_value(s, "deadline", "20000"),
 		script_value(s, "loss", "refuse"),
 		script_value(s, "cross", "never"),
@@ -302,8 +305,8 @@
 			"/v1/services/%s/preset?change_id=sw-%d-%d&base=%d&"
 			"preset=%s",
 			service, s->line, i,
-			GPOINTER_TO_INT(g_hash_table_lookup(stage->revisions,
-							    service)),
+			GPOINTER_TO_INT(
+				g_hash_table_lookup(stage->revisions, service)),
 			i % 2 ? "ordinary" : "peak");
 		struct fetch_answer answer;
 		json_t *body;
@@ -426,13 +429,15 @@
 	size_t i;
 	int count = 0;
 
-	json_array_foreach (json_object_get(body, "replicas"), i, row) {
-		const char *name =
-			json_string_value(json_object_get(row, "service"));
+	json_array_foreach(json_object_get(body, "replicas"), i, row) {
+		const char *name = json_string_value(json_object_get(row, "serv"
+									  "ic"
+									  "e"));
 		const char *state =
 			json_string_value(json_object_get(row, "state"));
-		const char *runs =
-			json_string_value(json_object_get(row, "version"));
+		const char *runs = json_string_value(json_object_get(row, "vers"
+									  "io"
+									  "n"));
 
 		count += !strcmp(name, service) && !strcmp(state, "whole") &&
 			 (!version || !strcmp(version, runs));
@@ -465,7 +470,7 @@
 		if (!c->nodes[i - 1].pid)
 			continue;
 		body = cluster_get(c, i, "/v1/endpoints");
-		json_array_foreach (json_object_get(body, "endpoints"), j, row)
+		json_array_foreach(json_object_get(body, "endpoints"), j, row)
 			n += strcmp(json_string_value(
 					    json_object_get(row, "state")),
 				    "lost") != 0;
@@ -493,7 +498,7 @@
 	bool same;
 
 	for (int node = 1; node <= c->node_count; node++)
-		json_array_foreach (json_object_get(body, "members"), i, row)
+		json_array_foreach(json_object_get(body, "members"), i, row)
 			if (json_integer_value(json_object_get(row, "node")) ==
 				    node &&
 			    !strcmp(json_string_value(
@@ -571,8 +576,9 @@
 	json_t *body = cluster_get(c, cluster_wait_leader(c), path);
 
 	script_print(s, "%s revision %lld preset %s", s->words[1],
-		     (long long)json_integer_value(
-			     json_object_get(body, "revision")),
+		     (long long)json_integer_value(json_object_get(body, "revis"
+									 "io"
+									 "n")),
 		     json_string_value(json_object_get(body, "preset")));
 	json_decref(body);
 	g_free(path);
@@ -605,14 +611,15 @@
 	int tokens = (int)script_number(s, "tokens", 10);
 	const char *pad = script_value(s, "prompt", "hello");
 	const char *deadline = script_value(s, "deadline", NULL);
-	char *body = g_strdup_printf(
-		"{\"model\":\"%s\",\"stream\":%s,\"max_tokens\":%d,"
-		"\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}",
-		script_value(s, "service", "assistant"),
-		stream ? "true" : "false", tokens, pad);
+	char *body = g_strdup_printf("{\"model\":\"%s\",\"stream\":%s,\"max_"
+				     "tokens\":%d,"
+				     "\"messages\":[{\"role\":\"user\","
+				     "\"content\":\"%s\"}]}",
+				     script_value(s, "service", "assistant"),
+				     stream ? "true" : "false", tokens, pad);
 	char *headers = deadline ? g_strdup_printf("X-Deadline-Ms: %s\r\n",
-						   deadline) :
-				   NULL;
+						   deadline)
+				 : NULL;
 	struct job opts = {
 		.name = s->words[1],
 		.address = (char *)callers_of(s, script_value(s, "node", "1")),
@@ -664,11 +671,11 @@
 {
 	const char *key = script_value(s, "key", NULL);
 	const char *deadline = script_value(s, "deadline", "20000");
-	char *headers =
-		key ? g_strdup_printf("Idempotency-Key: %s\r\n"
-				      "X-Deadline-Ms: %s\r\n",
-				      key, deadline) :
-		      g_strdup_printf("X-Deadline-Ms: %s\r\n", deadline);
+	char *headers = key ? g_strdup_printf("Idempotency-Key: %s\r\n"
+					      "X-Deadline-Ms: %s\r\n",
+					      key, deadline)
+			    : g_strdup_printf("X-Deadline-Ms: %s\r\n",
+					      deadline);
 	struct job opts = {
 		.name = s->words[1],
 		.address = (char *)callers_of(s, script_value(s, "node", "1")),
@@ -755,9 +762,10 @@
 static void do_leave(struct script *s)
 {
 	struct cluster *c = cluster_of(s);
-	char *command = g_strdup_printf(
-		"{\"model\":\"assistant\",\"stream\":true,\"max_tokens\":100000,"
-		"\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}");
+	char *command = g_strdup_printf("{\"model\":\"assistant\",\"stream\":"
+					"true,\"max_tokens\":100000,"
+					"\"messages\":[{\"role\":\"user\","
+					"\"content\":\"hi\"}]}");
 	struct fetch_request request = {
 		.address = callers_of(s, script_value(s, "node", "1")),
 		.method = "POST",
@@ -782,7 +790,7 @@
 	size_t i;
 	json_int_t running = 0;
 
-	json_array_foreach (json_object_get(body, "endpoints"), i, row)
+	json_array_foreach(json_object_get(body, "endpoints"), i, row)
 		running += json_integer_value(json_object_get(row, "running"));
 	json_decref(body);
 	return running == 0;
@@ -799,16 +807,16 @@
 {
 	struct cluster *c = cluster_of(s);
 	struct cluster_node *n = &c->nodes[node_of(s, s->words[1]) - 1];
-	const char *address = !strcmp(s->words[2], "peers")	? n->peers :
-			      !strcmp(s->words[2], "callers")	? n->callers :
-			      !strcmp(s->words[2], "endpoints") ? n->endpoints :
-								  n->operators;
+	const char *address = !strcmp(s->words[2], "peers")	? n->peers
+			      : !strcmp(s->words[2], "callers") ? n->callers
+			      : !strcmp(s->words[2], "endpoints")
+				      ? n->endpoints
+				      : n->operators;
 
 	script_print(s, "%s: %s", s->words[2],
-		     oracle_throw_bytes(address, s->words[3],
-					(unsigned)s->line) ?
-			     "thrown" :
-			     "port closed");
+		     oracle_throw_bytes(address, s->words[3], (unsigned)s->line)
+			     ? "thrown"
+			     : "port closed");
 }
 
 static void do_alive(struct script *s)
@@ -909,8 +917,8 @@
 	};
 
 	(void)state;
-	stage.runs = g_strdup_printf("%s/radishdeal-runs-%d",
-				     g_get_tmp_dir(), (int)getpid());
+	stage.runs = g_strdup_printf("%s/radishdeal-runs-%d", g_get_tmp_dir(),
+				     (int)getpid());
 	script_check(script_path, commands, &stage);
 	g_hash_table_unref(stage.jobs);
 	if (stage.cluster)
--- a/wire/rpc_client.c
+++ b/wire/rpc_client.c
@@ -15,7 +15,7 @@
 #define SILENCE_LIMIT_PINGS 4
 #define SEND_BUFFER_MAX (8u * 1024 * 1024)
 
-static const struct log rpc_log = {"rpc"};
+static const struct log rpc_log = { "rpc" };
 
 enum client_step {
 	STEP_CLOSED,
@@ -49,7 +49,7 @@
 
 static void arm(struct rpc_client *client, int ms)
 {
-	struct timeval after = {ms / 1000, (ms % 1000) * 1000};
+	struct timeval after = { ms / 1000, (ms % 1000) * 1000 };
 
 	event_add(client->timer, &after);
 }
@@ -125,7 +125,7 @@
 static bool on_hello(struct rpc_client *client, const struct rpc_record *record)
 {
 	const struct rpc_identity *me = client->opts.identity;
-	struct hello_reply reply = {0};
+	struct hello_reply reply = { 0 };
 	struct prove_request proof;
 	GBytes *bytes;
 
@@ -308,7 +308,8 @@
 bool rpc_client_call(struct rpc_client *client, enum rpc_proc proc,
 		     GBytes *args, int timeout_ms, rpc_done_fn done, void *ctx)
 {
-	struct timeval after = {timeout_ms / 1000, (timeout_ms % 1000) * 1000};
+	struct timeval after = { timeout_ms / 1000,
+				 (timeout_ms % 1000) * 1000 };
 	struct pending *p;
 
 	if (client->step != STEP_READY)
--- a/wire/rpc_frame.c
+++ b/wire/rpc_frame.c
@@ -101,7 +101,7 @@
 static bool write_header(XDR *xdr, bool is_call, uint32_t xid, uint32_t proc,
 			 struct opaque_auth *verifier)
 {
-	struct rpc_msg msg = {.rm_xid = xid};
+	struct rpc_msg msg = { .rm_xid = xid };
 
 	if (is_call) {
 		msg.rm_direction = CALL;
@@ -127,7 +127,7 @@
 {
 	uint8_t mac[RPC_MAC_BYTES];
 	char header[HEADER_MAX];
-	struct opaque_auth verifier = {.oa_flavor = AUTH_NONE};
+	struct opaque_auth verifier = { .oa_flavor = AUTH_NONE };
 	gsize size = 0;
 	const void *data = body ? g_bytes_get_data(body, &size) : "";
 	uint32_t mark;
@@ -157,7 +157,7 @@
 			bool *has_mac)
 {
 	char verifier[MAX_AUTH_BYTES], credential[MAX_AUTH_BYTES];
-	struct rpc_msg msg = {0};
+	struct rpc_msg msg = { 0 };
 	struct opaque_auth *v;
 	uint32_t *direction = (uint32_t *)(record->memory + 4);
 
--- a/wire/rpc_server.c
+++ b/wire/rpc_server.c
@@ -15,7 +15,7 @@
 /* A peer that does not read its replies is cut off past this. */
 #define REPLY_BUFFER_MAX (96u * 1024 * 1024)
 
-static const struct log rpc_log = {"rpc"};
+static const struct log rpc_log = { "rpc" };
 
 struct server_conn {
 	struct rpc_server *server;
@@ -60,8 +60,8 @@
 static bool greet(struct server_conn *conn, const struct rpc_record *record)
 {
 	const struct rpc_identity *me = conn->server->opts.identity;
-	struct hello_request request = {0};
-	struct hello_reply reply = {.code = 0, .node = me->node};
+	struct hello_request request = { 0 };
+	struct hello_reply reply = { .code = 0, .node = me->node };
 	GBytes *bytes;
 	bool fits;
 
@@ -110,7 +110,7 @@
 		  conn->server_nonce, conn->session.key);
 	conn->session.proven = true;
 	bufferevent_set_timeouts(
-		conn->bev, &(struct timeval){.tv_sec = IDLE_LIMIT_S}, NULL);
+		conn->bev, &(struct timeval){ .tv_sec = IDLE_LIMIT_S }, NULL);
 }
 
 static bool prove(struct server_conn *conn, const struct rpc_record *record)
@@ -216,9 +216,9 @@
 					   BEV_OPT_CLOSE_ON_FREE);
 	g_ptr_array_add(server->conns, conn);
 	bufferevent_setcb(conn->bev, on_read, NULL, on_event, conn);
-	bufferevent_set_timeouts(conn->bev,
-				 &(struct timeval){.tv_sec = HANDSHAKE_LIMIT_S},
-				 NULL);
+	bufferevent_set_timeouts(
+		conn->bev, &(struct timeval){ .tv_sec = HANDSHAKE_LIMIT_S },
+		NULL);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 }
 
