test: schedules that make each check of the torture able to fail

Cause: purpose-made faults showed that three checks were not exercised: votes forgotten by a crash, two leases at once, and the term rule of commits.

Change: message delays and operators' pace differ from schedule to schedule; a member may crash right after it voted; the leader and one other lose each other while nothing else changes.

--- a/test/torture.c
+++ b/test/torture.c
@@ -19,6 +19,7 @@
 #define DRIFT_PERMILLE 50
 #define SERVICE "torture"
 #define OPERATORS 3
+#define CALM_US 1500000
 
 struct world;
 
@@ -35,6 +36,7 @@
 	int64_t offset_us;
 	int64_t paused_until_us, down_until_us;
 	bool want_turn;
+	bool voted;  /* a vote went out in this turn */
 	bool broken; /* its storage failed: it must stop */
 };
 
@@ -47,11 +49,12 @@
 
 /** A change an operator is making. */
 struct change {
-	struct operator *owner;
+	struct operator* owner;
 	uint32_t number;
 };
 
-struct operator {
+struct operator
+{
 	struct world *world;
 	uint32_t id;
 	uint32_t next; /* number of the change being made */
@@ -69,11 +72,15 @@
 	struct operator operators[OPERATORS];
 	GPtrArray *letters;
 	bool cut[MEMBERS][MEMBERS]; /* from, to */
-	GHashTable *committed; /* index -> hash of term and data */
-	GHashTable *leaders; /* term -> member id */
-	GHashTable *acknowledged; /* change id -> revision */
+	GHashTable *committed;	    /* index -> hash of term and data */
+	GHashTable *leaders;	    /* term -> member id */
+	GHashTable *acknowledged;   /* change id -> revision */
 	uint64_t highest_index;
-	bool quiet; /* no more faults */
+	int delay_us;	       /* longest ordinary delay of a message */
+	int gap_us;	       /* longest pause of an operator */
+	double vote_crash;     /* chance of a crash right after a vote */
+	int64_t calm_until_us; /* no other fault, no change till then */
+	bool quiet;	       /* no more faults */
 	struct torture_result *result;
 };
 
@@ -104,6 +111,16 @@
 
 /* ---- the group's outputs ---- */
 
+static bool is_granted_vote(GBytes *bytes)
+{
+	struct raft_message message = { 0 };
+	bool granted = CODEC_DECODE(raft_message, bytes, &message) &&
+		       message.kind == RAFT_VOTE_REPLY && message.granted;
+
+	CODEC_FREE(raft_message, &message);
+	return granted;
+}
+
 static void on_send(void *ctx, uint64_t member, GBytes *bytes)
 {
 	struct vm *vm = ctx;
@@ -112,6 +129,8 @@
 	struct letter *letter;
 	int copies = !w->quiet && chance(w, 0.02) ? 2 : 1;
 
+	if (is_granted_vote(bytes))
+		vm->voted = true;
 	/* What a crash stopped short of the disk is never sent either. */
 	if (!to || memory_fs_failed(vm->fs))
 		return;
@@ -123,10 +142,10 @@
 		letter->to = to;
 		letter->bytes = g_bytes_ref(bytes);
 		letter->due_us = w->now_us +
-				 g_rand_int_range(w->random, 500, 8000);
+				 g_rand_int_range(w->random, 500, w->delay_us);
 		if (!w->quiet && chance(w, 0.02))
-			letter->due_us +=
-				g_rand_int_range(w->random, 0, 2000000);
+			letter->due_us += g_rand_int_range(w->random, 0,
+							   2000000);
 		g_ptr_array_add(w->letters, letter);
 	}
 }
@@ -148,10 +167,9 @@
 	if (known)
 		return;
 	w->highest_index = MAX(w->highest_index, applied->index);
-	g_hash_table_insert(
-		w->committed,
-		g_memdup2(&applied->index, sizeof(applied->index)),
-		g_memdup2(&hash, sizeof(hash)));
+	g_hash_table_insert(w->committed,
+			    g_memdup2(&applied->index, sizeof(applied->index)),
+			    g_memdup2(&hash, sizeof(hash)));
 }
 
 static void on_replaced(void *ctx)
@@ -176,8 +194,7 @@
 	if (known)
 		return;
 	vm->world->result->terms++;
-	g_hash_table_insert(vm->world->leaders,
-			    g_memdup2(&term, sizeof(term)),
+	g_hash_table_insert(vm->world->leaders, g_memdup2(&term, sizeof(term)),
 			    g_memdup2(&id, sizeof(id)));
 }
 
@@ -274,13 +291,13 @@
 			   const struct apply_result *result)
 {
 	struct change *change = ctx;
-	struct operator *o = change->owner;
+	struct operator* o = change->owner;
 	struct world *w = o->world;
 
 	if (change->number != o->next || !o->waiting)
 		goto done; /* the answer came too late to be of use */
 	o->waiting = false;
-	o->retry_us = w->now_us + g_rand_int_range(w->random, 1000, 200000);
+	o->retry_us = w->now_us + g_rand_int_range(w->random, 1000, w->gap_us);
 	if (code == RD_CHANGE_UNKNOWN || code == RD_NOT_LEADER ||
 	    code == RD_OVERLOADED || code == RD_IO)
 		goto done; /* the same change id is sent again */
@@ -292,8 +309,9 @@
 						      o->change_id);
 
 		if (known && *known != result->revision)
-			found(w, "change %s got revisions %" PRIu64
-				 " and %" PRIu64,
+			found(w,
+			      "change %s got revisions %" PRIu64 " and "
+			      "%" PRIu64,
 			      o->change_id, *known, result->revision);
 		if (!known) {
 			g_hash_table_insert(
@@ -310,7 +328,7 @@
 	g_free(change);
 }
 
-static GBytes *encode_change(struct operator *o)
+static GBytes *encode_change(struct operator* o)
 {
 	struct preset_spec presets[2] = {
 		{ (char *)"ordinary", 1, (char *)"1", TRUE },
@@ -357,7 +375,7 @@
 	return NULL;
 }
 
-static void operate(struct operator *o)
+static void operate(struct operator* o)
 {
 	struct world *w = o->world;
 	struct vm *vm;
@@ -367,14 +385,15 @@
 	/* One that waits too long gives up waiting, not the change. */
 	if (o->waiting && w->now_us > o->retry_us + 6000000)
 		o->waiting = false;
-	if (o->waiting || w->now_us < o->retry_us)
+	if (o->waiting || w->now_us < o->retry_us ||
+	    w->now_us < w->calm_until_us)
 		return;
 	vm = some_leader(w);
 	if (!vm)
 		return;
 	if (!o->rolled)
-		g_snprintf(o->change_id, sizeof(o->change_id), "op%u-%u",
-			   o->id, o->next);
+		g_snprintf(o->change_id, sizeof(o->change_id), "op%u-%u", o->id,
+			   o->next);
 	o->rolled = true;
 	change = g_new(struct change, 1);
 	change->owner = o;
@@ -403,6 +422,21 @@
 	w->result->cuts++;
 }
 
+/* Only the leader and one other lose each other, while no change is made. */
+static void cut_leader(struct world *w)
+{
+	const struct vm *leader = some_leader(w);
+	int other = g_rand_int_range(w->random, 0, MEMBERS);
+
+	if (!leader || leader == &w->vms[other])
+		return;
+	memset(w->cut, 0, sizeof(w->cut));
+	w->cut[leader->node - 1][other] = true;
+	w->cut[other][leader->node - 1] = true;
+	w->calm_until_us = w->now_us + CALM_US;
+	w->result->cuts++;
+}
+
 static u_int voter_count(const struct member_config *config)
 {
 	u_int n = 0;
@@ -421,8 +455,8 @@
 	struct member_config config = { { 0 } };
 	struct member *m;
 
-	if (!vm || !CODEC_COPY(member_config, raft_config(group_raft(vm->group)),
-			       &config))
+	if (!vm || !CODEC_COPY(member_config,
+			       raft_config(group_raft(vm->group)), &config))
 		return;
 	m = &config.members.members_val[g_rand_int_range(
 		w->random, 0, (gint)config.members.members_len)];
@@ -549,8 +583,8 @@
 			return false;
 	}
 	return config->members.members_len == MEMBERS &&
-	       same_config(config, raft_config_at(group_raft(leader->group),
-						  commit)) &&
+	       same_config(config,
+			   raft_config_at(group_raft(leader->group), commit)) &&
 	       voters_present(w, config) && voter_count(config) >= VOTERS;
 }
 
@@ -567,11 +601,14 @@
 {
 	struct vm *vm = &w->vms[g_rand_int_range(w->random, 0, MEMBERS)];
 
+	if (w->now_us < w->calm_until_us)
+		return;
+	if (chance(w, 0.001))
+		cut_leader(w);
 	if (chance(w, 0.004) && vm->group)
 		vm_crash(vm);
 	if (chance(w, 0.004) && vm->group && !memory_fs_failed(vm->fs))
-		memory_fs_fail_after(vm->fs,
-				     g_rand_int_range(w->random, 1, 30),
+		memory_fs_fail_after(vm->fs, g_rand_int_range(w->random, 1, 30),
 				     chance(w, 0.5) ? EIO : ENOSPC);
 	if (chance(w, 0.004)) {
 		vm->paused_until_us =
@@ -666,8 +703,16 @@
 		vm->want_turn = false;
 		group_turn(vm->group);
 	} while (vm->want_turn && !vm->broken);
-	if (vm->broken)
+	if (vm->broken) {
+		vm_crash(vm);
+		return;
+	}
+	/* A vote forgotten here would be given twice. */
+	if (vm->voted && !w->quiet && chance(w, w->vote_crash)) {
 		vm_crash(vm);
+		vm->down_until_us = w->now_us;
+	}
+	vm->voted = false;
 }
 
 static void step(struct world *w)
@@ -710,8 +755,8 @@
 
 static void check_history(struct world *w, const struct vm *vm)
 {
-	const struct service_state *s =
-		state_service(group_state(vm->group), SERVICE);
+	const struct service_state *s = state_service(group_state(vm->group),
+						      SERVICE);
 	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
 	GHashTableIter iter;
 	gpointer key, value;
@@ -723,8 +768,8 @@
 
 		if (!g_hash_table_insert(seen, r->change_id, (gpointer)r))
 			found(w, "change %s applied twice", r->change_id);
-		if (i && r->revision != s->history.history_val[i - 1].revision +
-						1)
+		if (i &&
+		    r->revision != s->history.history_val[i - 1].revision + 1)
 			found(w, "revision %" PRIu64 " out of order",
 			      r->revision);
 	}
@@ -756,9 +801,13 @@
 	check_history(w, &w->vms[0]);
 }
 
+/* A network in which a leader can hold its ground. */
+static const int delays_us_settled = 8000;
+
 static void quieten(struct world *w)
 {
 	w->quiet = true;
+	w->delay_us = delays_us_settled;
 	memset(w->cut, 0, sizeof(w->cut));
 	for (int i = 0; i < MEMBERS; i++) {
 		w->vms[i].paused_until_us = 0;
@@ -775,28 +824,29 @@
 
 	for (int i = 0; i < MEMBERS; i++) {
 		const struct vm *vm = &w->vms[i];
-		const struct raft *raft = vm->group ? group_raft(vm->group) :
-						      NULL;
-		const struct member_config *config =
-			raft ? raft_config(raft) : NULL;
+		const struct raft *raft = vm->group ? group_raft(vm->group)
+						    : NULL;
+		const struct member_config *config = raft ? raft_config(raft)
+							  : NULL;
 
 		g_string_append_printf(text, "; node %u", vm->node);
 		if (!raft) {
 			g_string_append(text, " down");
 			continue;
 		}
-		g_string_append_printf(
-			text,
-			" role %d term %" PRIu64 " commit %" PRIu64
-			" applied %" PRIu64 " last %" PRIu64 " members",
-			raft_role(raft), raft_term(raft), raft_commit(raft),
-			raft_applied(raft), raft_last_index(raft));
+		g_string_append_printf(text,
+				       " role %d term %" PRIu64
+				       " commit %" PRIu64 " applied %" PRIu64
+				       " last %" PRIu64 " members",
+				       raft_role(raft), raft_term(raft),
+				       raft_commit(raft), raft_applied(raft),
+				       raft_last_index(raft));
 		for (u_int j = 0; j < config->members.members_len; j++)
 			g_string_append_printf(
 				text, " %u%s",
 				config->members.members_val[j].node,
-				config->members.members_val[j].voter ? "v" :
-								       "l");
+				config->members.members_val[j].voter ? "v"
+								     : "l");
 	}
 	return g_string_free(text, FALSE);
 }
@@ -833,8 +883,14 @@
 static void world_init(struct world *w, uint32_t seed,
 		       struct torture_result *result)
 {
+	static const int delays_us[] = { 8000, 60000, 250000 };
+	static const int gaps_us[] = { 20000, 200000, 3000000 };
+
 	memset(w, 0, sizeof(*w));
 	w->random = g_rand_new_with_seed(seed);
+	w->delay_us = delays_us[g_rand_int_range(w->random, 0, 3)];
+	w->gap_us = gaps_us[g_rand_int_range(w->random, 0, 3)];
+	w->vote_crash = chance(w, 0.5) ? 0.3 : 0;
 	w->now_us = 1000000;
 	w->letters = g_ptr_array_new();
 	w->committed = g_hash_table_new_full(g_int64_hash, g_int64_equal,
@@ -851,9 +907,9 @@
 		vm->node = (uint32_t)i + 1;
 		vm->fs = memory_fs_create(g_rand_int(w->random));
 		vm->counters = counters_create();
-		vm->rate_permille =
-			1000 + g_rand_int_range(w->random, -DRIFT_PERMILLE / 2,
-						DRIFT_PERMILLE / 2);
+		vm->rate_permille = 1000 + g_rand_int_range(w->random,
+							    -DRIFT_PERMILLE / 2,
+							    DRIFT_PERMILLE / 2);
 		vm->offset_us = g_rand_int_range(w->random, 0, 1000000000);
 		vm->clock = (struct clock_source){ vm_now_us, vm };
 		make_settings(vm);
