build: lint, doxygen and the sanitizers in make check

Change: make check builds both flavours, runs clang-format, clang-tidy and doxygen as errors, and counts the tests of both. Daemons under the sanitizers must free everything at a planned stop; stand-ins and tests need not.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 CPPFLAGS += -D_GNU_SOURCE -I. -Iinclude $(shell pkg-config --cflags $(PKGS))
 WARNINGS := -Wall -Wextra -Wshadow=local -Wstrict-prototypes -Werror
 CFLAGS_std := -O2 -g
-CFLAGS_san := -O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer
+CFLAGS_san := -O1 -g -fsanitize=address,undefined \
+	-fno-sanitize-recover=undefined -fno-omit-frame-pointer
 LDFLAGS_san := -fsanitize=address,undefined
 CFLAGS += -std=gnu11 $(WARNINGS) $(CFLAGS_$(FLAVOUR))
 CXXFLAGS += -std=c++17 -Wall -Wextra -Werror $(CFLAGS_$(FLAVOUR))
@@ -92,8 +93,31 @@
 		DEBIAN_FRONTEND=noninteractive apt-get install -y -q \
 		$(PACKAGES); }
 
-check: tests
-	test/run-tests $B
+OWN_C := $(filter-out wire/radishdeal_xdr.c,$(shell git ls-files '*.c'))
+OWN_SOURCE := $(OWN_C) $(filter-out wire/radishdeal.h,\
+	$(shell git ls-files '*.h' '*.cc'))
+
+lint:
+	clang-format --dry-run --Werror $(OWN_SOURCE)
+	@echo $(OWN_C) | xargs -P 8 -n 4 sh -c 'for f; do clang-tidy \
+		--quiet $$f -- -std=gnu11 $(CPPFLAGS) 2>/dev/null || exit 255; \
+		done' x
+
+format:
+	clang-format -i $(OWN_SOURCE)
+
+# Both flavours first, so that one run's closing line counts all tests.
+check: packages
+	$(MAKE) -s tests
+	$(MAKE) -s FLAVOUR=san tests
+	$(MAKE) -s lint
+	$(MAKE) -s doc
+	test/run-tests build/std build/san
+
+# Fails on any warning.
+doc:
+	@mkdir -p build/doc
+	doxygen docs/Doxyfile
 
 # Seeded fault schedules over the state group; replay one by its seed.
 SEED ?= 1
--- a/common/address.c
+++ b/common/address.c
@@ -53,7 +53,7 @@
 
 int address_local_port(int fd)
 {
-	struct sockaddr_in local;
+	struct sockaddr_in local = { 0 };
 	socklen_t size = sizeof(local);
 
 	if (getsockname(fd, (struct sockaddr *)&local, &size))
--- a/control/members.c
+++ b/control/members.c
@@ -332,7 +332,7 @@
 		}
 		return change(control, config, "demoted by an operator", node);
 	}
-	if (strcmp(action, "remove")) {
+	if (strcmp(action, "remove") != 0) {
 		*why = g_strdup("action must be promote, demote or remove");
 		return RD_BAD_REQUEST;
 	}
--- a/control/operators.c
+++ b/control/operators.c
@@ -535,7 +535,7 @@
 		if (!path_matches(&routes[i], r->path, r->parts))
 			continue;
 		path_known = true;
-		if (strcmp(routes[i].method, method))
+		if (strcmp(routes[i].method, method) != 0)
 			continue;
 		if (r->operator_key->role < routes[i].role)
 			refuse(r->req, RD_FORBIDDEN, NULL);
--- a/entry/announce.c
+++ b/entry/announce.c
@@ -32,41 +32,40 @@
 /** How a JSON field goes into a vm_report. */
 struct field {
 	const char *name;
-	json_type type;
 	size_t offset;
 	bool required;
 };
 
 #define REPORT(member) offsetof(struct vm_report, member)
 static const struct field strings[] = {
-	{ "vm", JSON_STRING, REPORT(name), true },
-	{ "address", JSON_STRING, REPORT(address), true },
-	{ "data_centre", JSON_STRING, REPORT(data_centre), true },
-	{ "domain", JSON_STRING, REPORT(domain), true },
-	{ "service", JSON_STRING, REPORT(service), false },
-	{ "model", JSON_STRING, REPORT(model), false },
-	{ "adapter", JSON_STRING, REPORT(adapter), false },
-	{ "version", JSON_STRING, REPORT(model_version), false },
+	{ "vm", REPORT(name), true },
+	{ "address", REPORT(address), true },
+	{ "data_centre", REPORT(data_centre), true },
+	{ "domain", REPORT(domain), true },
+	{ "service", REPORT(service), false },
+	{ "model", REPORT(model), false },
+	{ "adapter", REPORT(adapter), false },
+	{ "version", REPORT(model_version), false },
 };
 static const struct field booleans[] = {
-	{ "checks_fencing", JSON_TRUE, REPORT(checks_fencing), false },
-	{ "ready", JSON_TRUE, REPORT(ready), false },
-	{ "leaving", JSON_TRUE, REPORT(leaving), false },
+	{ "checks_fencing", REPORT(checks_fencing), false },
+	{ "ready", REPORT(ready), false },
+	{ "leaving", REPORT(leaving), false },
 };
 static const struct field wides[] = {
-	{ "incarnation", JSON_INTEGER, REPORT(incarnation), true },
-	{ "sequence", JSON_INTEGER, REPORT(sequence), true },
-	{ "epoch", JSON_INTEGER, REPORT(epoch), false },
-	{ "fencing", JSON_INTEGER, REPORT(fencing), false },
+	{ "incarnation", REPORT(incarnation), true },
+	{ "sequence", REPORT(sequence), true },
+	{ "epoch", REPORT(epoch), false },
+	{ "fencing", REPORT(fencing), false },
 };
 static const struct field numbers[] = {
-	{ "accelerators", JSON_INTEGER, REPORT(accelerators), false },
-	{ "replica", JSON_INTEGER, REPORT(replica), false },
+	{ "accelerators", REPORT(accelerators), false },
+	{ "replica", REPORT(replica), false },
 };
 static const struct field loads[] = {
-	{ "running", JSON_INTEGER, REPORT(load.running), false },
-	{ "waiting", JSON_INTEGER, REPORT(load.waiting), false },
-	{ "step_us", JSON_INTEGER, REPORT(load.step_us), false },
+	{ "running", REPORT(load.running), false },
+	{ "waiting", REPORT(load.waiting), false },
+	{ "step_us", REPORT(load.step_us), false },
 };
 
 static bool wrong(const struct field *f, const char *what, char **why)
@@ -157,7 +156,7 @@
 
 	http_send_json(req, 200,
 		       json_pack("{s:I,s:I,s:o}", "ttl_ms",
-				 (json_int_t)(every_ms * TTL_ANNOUNCES),
+				 (json_int_t)every_ms * TTL_ANNOUNCES,
 				 "announce_ms", (json_int_t)every_ms, "homes",
 				 addresses_homes(entry, vm)));
 }
--- a/placement/plan.c
+++ b/placement/plan.c
@@ -292,13 +292,15 @@
 	const char *centre = pick->count ? pick->vms[0]->domain->data_centre
 					 : NULL;
 
+	if (pick->count && pick->vms[0]->domain)
+		centre = pick->vms[0]->domain->data_centre;
 	for (int same_centre = 1; same_centre >= 0; same_centre--) {
 		for (guint i = 0; i < plan->p->domain_list->len; i++) {
 			const struct domain *d = plan->p->domain_list->pdata[i];
 			uint32_t before = pick->count;
 
 			if (same_centre && centre &&
-			    strcmp(centre, d->data_centre))
+			    strcmp(centre, d->data_centre) != 0)
 				continue;
 			if (fill_from(plan, d, s, pick))
 				return true;
--- a/settings/options.c
+++ b/settings/options.c
@@ -454,6 +454,7 @@
 				       o->fallback ? "true" : "false");
 		break;
 	case OPT_CHOICE:
+		g_assert(o->choices);
 		g_string_append_printf(out, "%s, default %s", choices,
 				       o->choices[o->fallback]);
 		break;
--- a/state/replica.c
+++ b/state/replica.c
@@ -40,7 +40,7 @@
 	if (assign->epoch <= state->last_epoch)
 		return RD_STALE_EPOCH;
 	if (old && !old->released &&
-	    strcmp(old->assign.service, assign->service))
+	    strcmp(old->assign.service, assign->service) != 0)
 		return RD_INVALID;
 	if (!assign->replica || names_vm_twice(assign) ||
 	    assign->vms.vms_len != service->spec.vms_per_replica)
--- a/state/state.c
+++ b/state/state.c
@@ -102,23 +102,23 @@
 /* ---- applying ---- */
 
 struct handler {
-	command_kind kind;
 	void (*apply)(struct state *state, const struct command *command,
 		      struct apply_result *result);
+	command_kind kind;
 	bool for_entries;
 };
 
 static const struct handler handlers[] = {
-	{ CMD_APPLY_SERVICE, service_apply, true },
-	{ CMD_SWITCH_PRESET, service_switch_preset, true },
-	{ CMD_ROLLBACK, service_rollback, true },
-	{ CMD_REMOVE_SERVICE, service_remove, true },
-	{ CMD_ASSIGN_REPLICA, replica_assign, true },
-	{ CMD_RELEASE_REPLICA, replica_release, true },
-	{ CMD_FREE_VM, vm_free, true },
-	{ CMD_CLAIM_BOOKING, booking_claim, false },
-	{ CMD_FINISH_BOOKING, booking_finish, false },
-	{ CMD_EXPIRE_BOOKINGS, booking_expire, false },
+	{ service_apply, CMD_APPLY_SERVICE, true },
+	{ service_switch_preset, CMD_SWITCH_PRESET, true },
+	{ service_rollback, CMD_ROLLBACK, true },
+	{ service_remove, CMD_REMOVE_SERVICE, true },
+	{ replica_assign, CMD_ASSIGN_REPLICA, true },
+	{ replica_release, CMD_RELEASE_REPLICA, true },
+	{ vm_free, CMD_FREE_VM, true },
+	{ booking_claim, CMD_CLAIM_BOOKING, false },
+	{ booking_finish, CMD_FINISH_BOOKING, false },
+	{ booking_expire, CMD_EXPIRE_BOOKINGS, false },
 };
 
 static const struct handler *find_handler(command_kind kind)
--- a/storage/storage.c
+++ b/storage/storage.c
@@ -180,7 +180,7 @@
 		return reject(s, RD_FORMAT, META_NAME,
 			      "format %" PRIu64 ", this build reads %" PRIu64,
 			      s->meta.format, FOLDER_FORMAT);
-	if (strcmp(s->meta.cluster, s->opts.cluster))
+	if (strcmp(s->meta.cluster, s->opts.cluster) != 0)
 		return reject(s, RD_FOREIGN_FOLDER, META_NAME,
 			      "belongs to another cluster", 0, 0);
 	if (s->meta.node != s->opts.node)
--- a/test/cluster.c
+++ b/test/cluster.c
@@ -346,7 +346,10 @@
 	if (!n->starts && node <= VOTERS_MAX)
 		arguments[2] = "--bootstrap";
 	n->starts++;
+	/* Only the daemons are held to freeing everything. */
+	setenv("ASAN_OPTIONS", "detect_leaks=1", 1);
 	n->pid = spawn(c, "radishdeald", log, arguments);
+	setenv("ASAN_OPTIONS", "detect_leaks=0", 1);
 	g_free(log);
 }
 
--- a/test/fakes/batch.c
+++ b/test/fakes/batch.c
@@ -135,8 +135,8 @@
 /* A replica with a VM missing breaks off everything, as a real one would. */
 static void break_off(struct run *run)
 {
-	while (run->streams->len) {
-		struct stream *s = run->streams->pdata[0];
+	for (guint i = run->streams->len; i > 0; i--) {
+		struct stream *s = run->streams->pdata[i - 1];
 		struct evhttp_connection *conn =
 			evhttp_request_get_connection(s->req);
 
--- a/test/fakes/fake_proxy.c
+++ b/test/fakes/fake_proxy.c
@@ -235,8 +235,8 @@
 
 static void reset_pairs(struct link *link)
 {
-	while (link->pairs->len)
-		pair_close(link->pairs->pdata[0], true);
+	for (guint i = link->pairs->len; i > 0; i--)
+		pair_close(link->pairs->pdata[i - 1], true);
 }
 
 static void change_link(struct link *link, const char *what)
--- a/test/memory_fs.c
+++ b/test/memory_fs.c
@@ -12,10 +12,10 @@
 struct memory_fs {
 	struct storage_fs driver;
 	GRand *random;
-	GHashTable *names; /* name -> struct file, as seen */
+	GHashTable *names;   /* name -> struct file, as seen */
 	GHashTable *durable; /* name -> struct file, after a crash */
-	GPtrArray *handles; /* of struct file */
-	int left; /* operations until failure; -1: no failure set */
+	GPtrArray *handles;  /* of struct file */
+	int left;	     /* operations until failure; -1: no failure set */
 	int error;
 	bool failed;
 	uint64_t operations;
@@ -305,8 +305,7 @@
 	return strcmp(*(char *const *)a, *(char *const *)b);
 }
 
-void memory_fs_names(struct memory_fs *fs, const char *prefix,
-		     GPtrArray *names)
+void memory_fs_names(struct memory_fs *fs, const char *prefix, GPtrArray *names)
 {
 	GHashTableIter iter;
 	gpointer key;
--- a/test/test_torture.c
+++ b/test/test_torture.c
@@ -12,7 +12,7 @@
 
 /* Seeds that once found a fault. */
 static const uint32_t found[] = {
-	6, /* the only member with the newest configuration did not stand */
+	6,    /* the only member with the newest configuration did not stand */
 	1514, /* the log did not follow on a snapshot after a crash */
 	6071, 9080, /* a sole voter led before its vote was durable */
 };
--- a/wire/rpc_server.c
+++ b/wire/rpc_server.c
@@ -250,8 +250,8 @@
 {
 	if (!server)
 		return;
-	while (server->conns->len)
-		conn_close(server->conns->pdata[0]);
+	for (guint i = server->conns->len; i > 0; i--)
+		conn_close(server->conns->pdata[i - 1]);
 	g_ptr_array_unref(server->conns);
 	if (server->listener)
 		evconnlistener_free(server->listener);
