placement: spares load weights ahead; planning at 4,900 replicas

Change: while the weight store has room, a spare VM loads the weights of the service that would lose most in its domain. Domains are counted once per plan and service, replicas per domain are kept counted.

--- a/Makefile
+++ b/Makefile
@@ -119,6 +119,11 @@
 	@mkdir -p build/doc
 	doxygen docs/Doxyfile
 
+# make measure WHAT=placement|state|path|capacity|routing
+WHAT ?= placement
+measure: tests
+	$B/bench/bench_$(WHAT)
+
 # Seeded fault schedules over the state group; replay one by its seed.
 SEED ?= 1
 SEEDS ?= 10000
--- a/control/placer.c
+++ b/control/placer.c
@@ -19,8 +19,14 @@
 #define FLAP_FORGET_MS 60000
 #define ORDER_BACKOFF_MS 200
 #define ORDER_BACKOFF_MAX_MS 5000
+/* A load ahead that is not done by then may be decided on anew. */
+#define PRELOAD_LIMIT_MS 120000
 #define DECISIONS_KEPT 256
 
+#define ORDER_FORM "form"
+#define ORDER_RELEASE "release"
+#define ORDER_LOAD "load"
+
 static const struct log placer_log = { "placer" };
 
 /** What was ordered of a VM. */
@@ -30,11 +36,12 @@
 	bool in_flight;
 	int64_t next_ms; /* earliest time of the next order */
 	int32_t backoff_ms;
-	bool release;		 /* the order in flight is a release */
+	const char *what;	 /* the order in flight */
 	uint64_t epoch;		 /* of the order in flight */
 	uint64_t released_epoch; /* the VM confirmed to hold nothing of it */
 	int64_t releasing_since_ms;
-	bool freeing; /* CMD_FREE_VM is proposed */
+	int64_t preload_until_ms; /* 0 unless told to load ahead */
+	char preload_version[64];
 };
 
 struct placer {
@@ -131,6 +138,33 @@
 
 /* ---- keeping the model current ---- */
 
+static struct vm_orders *orders_of(struct placer *placer, const char *name)
+{
+	struct vm_orders *o = g_hash_table_lookup(placer->orders, name);
+
+	if (!o) {
+		o = g_new0(struct vm_orders, 1);
+		o->placer = placer;
+		o->name = g_strdup(name);
+		g_hash_table_insert(placer->orders, o->name, o);
+	}
+	return o;
+}
+
+/* A load ahead ends with the VM's word that it has loaded, or in time. */
+static void follow_preload(struct placer *placer, const struct vm_report *r)
+{
+	struct vm_orders *o = g_hash_table_lookup(placer->orders, r->name);
+
+	if (!o || !o->preload_until_ms)
+		return;
+	if (r->replica || o->preload_until_ms < now_ms(placer) ||
+	    !strcmp(r->model_version, o->preload_version))
+		o->preload_until_ms = 0;
+	placement_set_preloading(placer->placement, r->name,
+				 o->preload_until_ms != 0);
+}
+
 static void put_vm(void *ctx, const struct view_vm *seen)
 {
 	struct placer *placer = ctx;
@@ -155,6 +189,7 @@
 	placement_put_vm(placer->placement, now_ms(placer), &vm);
 	placement_hold(placer->placement, r->name, held ? held->replica : 0,
 		       held && held->releasing);
+	follow_preload(placer, r);
 }
 
 static void put_held(void *ctx, const struct vm_state *held)
@@ -375,17 +410,6 @@
 	g_string_free(line, TRUE);
 }
 
-static void on_decision(void *ctx, const struct placement_decision *d)
-{
-	struct placer *placer = ctx;
-
-	log_decision(placer, d);
-	if (d->action == PLACEMENT_FORM || d->action == PLACEMENT_REPAIR)
-		propose_assign(placer, d);
-	else if (d->action == PLACEMENT_RELEASE)
-		propose_release(placer, d);
-}
-
 void placer_each_decision(const struct placer *placer,
 			  void (*visit)(void *ctx, const char *line), void *ctx)
 {
@@ -395,19 +419,6 @@
 
 /* ---- orders ---- */
 
-static struct vm_orders *orders_of(struct placer *placer, const char *name)
-{
-	struct vm_orders *o = g_hash_table_lookup(placer->orders, name);
-
-	if (!o) {
-		o = g_new0(struct vm_orders, 1);
-		o->placer = placer;
-		o->name = g_strdup(name);
-		g_hash_table_insert(placer->orders, o->name, o);
-	}
-	return o;
-}
-
 static bool order_may_send(void *ctx)
 {
 	struct vm_orders *o = ctx;
@@ -432,15 +443,14 @@
 	int64_t now = now_ms(o->placer);
 
 	o->in_flight = false;
-	log_info(&placer_log, "order %s to %s epoch %" PRIu64 ": %s",
-		 o->release ? "release" : "form", o->name, o->epoch,
-		 names[result]);
+	log_info(&placer_log, "order %s to %s epoch %" PRIu64 ": %s", o->what,
+		 o->name, o->epoch, names[result]);
 	if (result == ORDER_STALE)
 		counters_add(o->placer->control->opts.counters,
 			     COUNTER_ORDERS_REFUSED, 1);
 	if (result == ORDER_ACCEPTED) {
 		o->backoff_ms = 0;
-		if (o->release)
+		if (!strcmp(o->what, ORDER_RELEASE))
 			o->released_epoch = MAX(o->released_epoch, o->epoch);
 		/* Time for the VM's announcement to say so. */
 		o->next_ms = now + ORDER_BOUND_MS;
@@ -454,13 +464,12 @@
 }
 
 static void send_order(struct placer *placer, struct vm_orders *o,
-		       const char *address, bool release, uint64_t epoch,
+		       const char *address, const char *what, uint64_t epoch,
 		       json_t *body)
 {
-	char *text = json_dumps(body, JSON_COMPACT);
+	char *text;
 	struct order order = {
 		.address = address,
-		.body = text,
 		.timeout_ms = (int)placer->control->opts.settings->limits
 				      .order_timeout_ms,
 		.may_send = order_may_send,
@@ -469,13 +478,50 @@
 	};
 
 	o->in_flight = true;
-	o->release = release;
+	o->what = what;
+	json_object_set_new(body, "order", json_string(what));
+	json_object_set_new(body, "fencing", json_integer((json_int_t)epoch));
 	o->epoch = epoch;
+	text = json_dumps(body, JSON_COMPACT);
+	order.body = text;
 	order_send(placer->control->base, &order);
 	free(text);
 	json_decref(body);
 }
 
+static void preload(struct placer *placer, const struct placement_decision *d)
+{
+	const struct view_vm *seen = view_find(placer->control->view,
+					       d->vms[0]);
+	const struct service_state *service = state_service(state_of(placer),
+							    d->service);
+	struct vm_orders *o = orders_of(placer, d->vms[0]);
+
+	if (!seen || !service || o->in_flight || now_ms(placer) < o->next_ms)
+		return;
+	o->preload_until_ms = now_ms(placer) + PRELOAD_LIMIT_MS;
+	g_strlcpy(o->preload_version, d->version, sizeof(o->preload_version));
+	placement_set_preloading(placer->placement, d->vms[0], true);
+	send_order(placer, o, seen->report.address, ORDER_LOAD,
+		   state_last_epoch(state_of(placer)),
+		   json_pack("{s:s,s:s,s:s}", "model", service->spec.model,
+			     "adapter", service->spec.adapter, "version",
+			     d->version));
+}
+
+static void on_decision(void *ctx, const struct placement_decision *d)
+{
+	struct placer *placer = ctx;
+
+	log_decision(placer, d);
+	if (d->action == PLACEMENT_FORM || d->action == PLACEMENT_REPAIR)
+		propose_assign(placer, d);
+	else if (d->action == PLACEMENT_RELEASE)
+		propose_release(placer, d);
+	else if (d->action == PLACEMENT_PRELOAD)
+		preload(placer, d);
+}
+
 static json_t *form_body(const struct placer *placer,
 			 const struct assign_replica *a, u_int rank)
 {
@@ -488,16 +534,15 @@
 			vms,
 			json_pack("{s:s,s:s}", "vm", a->vms.vms_val[i].name,
 				  "address", a->vms.vms_val[i].address));
-	return json_pack(
-		"{s:s,s:I,s:I,s:I,s:I,s:s,s:s,s:s,s:s,s:I,s:o}", "order",
-		"form", "replica", (json_int_t)a->replica, "epoch",
-		(json_int_t)a->epoch, "fencing", (json_int_t)a->epoch, "rank",
-		(json_int_t)rank, "service", a->service, "model",
-		service ? service->spec.model : "", "adapter",
-		service ? service->spec.adapter : "", "version",
-		a->model_version, "slots",
-		(json_int_t)(service ? service->spec.slots_per_replica : 1),
-		"vms", vms);
+	return json_pack("{s:I,s:I,s:I,s:s,s:s,s:s,s:s,s:I,s:o}", "replica",
+			 (json_int_t)a->replica, "epoch", (json_int_t)a->epoch,
+			 "rank", (json_int_t)rank, "service", a->service,
+			 "model", service ? service->spec.model : "", "adapter",
+			 service ? service->spec.adapter : "", "version",
+			 a->model_version, "slots",
+			 (json_int_t)(service ? service->spec.slots_per_replica
+					      : 1),
+			 "vms", vms);
 }
 
 static void reconcile_member(struct placer *placer,
@@ -515,7 +560,7 @@
 		return;
 	if (o->in_flight || now_ms(placer) < o->next_ms)
 		return;
-	send_order(placer, o, seen->report.address, false, a->epoch,
+	send_order(placer, o, seen->report.address, ORDER_FORM, a->epoch,
 		   form_body(placer, a, rank));
 }
 
@@ -572,11 +617,9 @@
 	}
 	if (now_ms(placer) < o->next_ms || !drained(placer, o, seen))
 		return;
-	send_order(placer, o, seen->report.address, true, held->epoch,
-		   json_pack("{s:s,s:I,s:I,s:I}", "order", "release", "replica",
-			     (json_int_t)held->replica, "epoch",
-			     (json_int_t)held->epoch, "fencing",
-			     (json_int_t)held->epoch));
+	send_order(placer, o, seen->report.address, ORDER_RELEASE, held->epoch,
+		   json_pack("{s:I,s:I}", "replica", (json_int_t)held->replica,
+			     "epoch", (json_int_t)held->epoch));
 }
 
 /* A VM that nobody holds but that says it serves: left by an older order. */
@@ -592,11 +635,9 @@
 	o = orders_of(placer, r->name);
 	if (o->in_flight || now_ms(placer) < o->next_ms)
 		return;
-	send_order(placer, o, r->address, true, r->epoch,
-		   json_pack("{s:s,s:I,s:I,s:I}", "order", "release", "replica",
-			     (json_int_t)r->replica, "epoch",
-			     (json_int_t)r->epoch, "fencing",
-			     (json_int_t)r->epoch));
+	send_order(placer, o, r->address, ORDER_RELEASE, r->epoch,
+		   json_pack("{s:I,s:I}", "replica", (json_int_t)r->replica,
+			     "epoch", (json_int_t)r->epoch));
 }
 
 void placer_tick(struct placer *placer)
--- a/include/radishdeal/placement.h
+++ b/include/radishdeal/placement.h
@@ -29,6 +29,7 @@
 	bool repair_at_once;	/* baseline: no waiting for a pausing VM */
 	bool wait_for_own;	/* baseline: a replica waits for its own VM */
 	bool ignore_weights;	/* baseline: loaded weights do not matter */
+	bool no_preload;	/* baseline: spares load nothing ahead */
 	bool first_fit; /* baseline: domains and VMs in order of names */
 };
 
@@ -75,6 +76,10 @@
 void placement_put_vm(struct placement *placement, int64_t now_ms,
 		      const struct placement_vm *vm);
 
+/** Tells that a free VM was told to load weights and has not done so yet. */
+void placement_set_preloading(struct placement *placement, const char *vm,
+			      bool preloading);
+
 /** Tells who holds a VM: a replica's number or 0; and if it is giving it up. */
 void placement_hold(struct placement *placement, const char *vm,
 		    uint32_t replica, bool releasing);
@@ -99,6 +104,7 @@
 	PLACEMENT_REPAIR,  /* new epoch with other VMs in place of lost ones */
 	PLACEMENT_RELEASE, /* give a replica up */
 	PLACEMENT_WAIT,	   /* nothing to do yet; why */
+	PLACEMENT_PRELOAD, /* a spare VM loads weights ahead of need */
 };
 
 /** Returns a word for an action. */
--- a/placement/model.c
+++ b/placement/model.c
@@ -31,6 +31,7 @@
 	struct domain *domain = data;
 
 	g_ptr_array_unref(domain->vms);
+	g_hash_table_unref(domain->replicas);
 	g_free(domain->name);
 	g_free(domain->data_centre);
 	g_free(domain);
@@ -167,6 +168,7 @@
 	domain->name = g_strdup(name);
 	domain->data_centre = g_strdup(data_centre);
 	domain->vms = g_ptr_array_new();
+	domain->replicas = g_hash_table_new(NULL, NULL);
 	g_tree_insert(p->domains, domain->name, domain);
 	g_ptr_array_set_size(p->domain_list, 0);
 	g_tree_foreach(p->domains, collect, p->domain_list);
@@ -222,6 +224,15 @@
 		note_loss(p, vm, from->lost_ms ? from->lost_ms : now_ms);
 }
 
+void placement_set_preloading(struct placement *p, const char *name,
+			      bool preloading)
+{
+	struct vm *vm = model_vm(p, name);
+
+	if (vm)
+		vm->preloading = preloading;
+}
+
 void placement_hold(struct placement *p, const char *name, uint32_t replica,
 		    bool releasing)
 {
@@ -259,6 +270,31 @@
 
 /* ---- replicas ---- */
 
+uint32_t model_replicas_in(const struct domain *domain,
+			   const struct service *service)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(domain->replicas, service));
+}
+
+/* Counts a replica in the domain of its head, and nowhere else. */
+static void count_in(struct replica *r, struct domain *domain)
+{
+	if (r->counted_in == domain)
+		return;
+	if (r->counted_in)
+		g_hash_table_insert(
+			r->counted_in->replicas, r->service,
+			GUINT_TO_POINTER(
+				model_replicas_in(r->counted_in, r->service) -
+				1));
+	if (domain)
+		g_hash_table_insert(
+			domain->replicas, r->service,
+			GUINT_TO_POINTER(model_replicas_in(domain, r->service) +
+					 1));
+	r->counted_in = domain;
+}
+
 void placement_put_replica(struct placement *p, int64_t now_ms, uint32_t id,
 			   uint64_t epoch, const char *service,
 			   const char *version, const char *const *vms,
@@ -290,6 +326,7 @@
 		placement_hold(p, vms[i], id, false);
 		r->vms[i] = model_vm(p, vms[i]);
 	}
+	count_in(r, vm_count ? r->vms[0]->domain : NULL);
 }
 
 void placement_remove_replica(struct placement *p, uint32_t id)
@@ -298,6 +335,7 @@
 
 	if (!r)
 		return;
+	count_in(r, NULL);
 	g_ptr_array_remove(r->service->replicas, r);
 	g_tree_remove(p->replicas, GUINT_TO_POINTER(id));
 }
--- a/placement/placement_internal.h
+++ b/placement/placement_internal.h
@@ -24,13 +24,19 @@
 	uint32_t recent_losses;
 	uint32_t holder; /* replica's number, 0 if free */
 	bool releasing;
+	bool preloading;
 	bool taken; /* by a decision of the current plan */
 };
 
 struct domain {
 	char *name;
 	char *data_centre;
-	GPtrArray *vms; /* of struct vm, by name */
+	GPtrArray *vms;	      /* of struct vm, by name */
+	GHashTable *replicas; /* struct service -> replicas headed here */
+	/* What the current plan counted for one service; see plan.c. */
+	uint64_t counted_plan;
+	const struct service *counted_for;
+	uint32_t usable, loaded;
 };
 
 struct service {
@@ -51,6 +57,7 @@
 	char *version;
 	struct vm *vms[PLACEMENT_VMS_MAX];
 	uint32_t vm_count;
+	struct domain *counted_in; /* where it is counted, or NULL */
 	bool whole;
 	bool busy;
 	int64_t since_ms;
@@ -65,9 +72,15 @@
 	GTree *replicas;	 /* number -> struct replica */
 	GPtrArray *domain_list;	 /* of struct domain, by name */
 	GPtrArray *service_list; /* of struct service, by name */
+	uint64_t plans;		 /* made so far */
 };
 
 /* model.c */
+
+/** How many replicas of a service are headed in a domain. */
+uint32_t model_replicas_in(const struct domain *domain,
+			   const struct service *service);
+
 struct vm *model_vm(const struct placement *placement, const char *name);
 uint64_t model_weights(const char *model, const char *adapter,
 		       const char *version);
--- a/placement/plan.c
+++ b/placement/plan.c
@@ -34,10 +34,9 @@
 const char *placement_action_name(enum placement_action action)
 {
 	static const char *const names[] = {
-		[PLACEMENT_FORM] = "form",
-		[PLACEMENT_REPAIR] = "repair",
-		[PLACEMENT_RELEASE] = "release",
-		[PLACEMENT_WAIT] = "wait",
+		[PLACEMENT_FORM] = "form",	 [PLACEMENT_REPAIR] = "repair",
+		[PLACEMENT_RELEASE] = "release", [PLACEMENT_WAIT] = "wait",
+		[PLACEMENT_PRELOAD] = "preload",
 	};
 
 	return names[action];
@@ -72,12 +71,25 @@
 	plan->decide(plan->ctx, &d);
 }
 
-static void take(struct plan *plan, const struct pick *pick)
+static void take_vm(struct plan *plan, struct vm *vm)
 {
-	for (uint32_t i = 0; i < pick->count; i++) {
-		pick->vms[i]->taken = true;
-		g_ptr_array_add(plan->taken, pick->vms[i]);
+	struct domain *d = vm->domain;
+
+	if (vm->taken)
+		return;
+	if (!vm->holder && d && d->counted_plan == plan->p->plans) {
+		d->usable -= MIN(d->usable, 1);
+		if (vm->weights == d->counted_for->weights)
+			d->loaded -= MIN(d->loaded, 1);
 	}
+	vm->taken = true;
+	g_ptr_array_add(plan->taken, vm);
+}
+
+static void take(struct plan *plan, const struct pick *pick)
+{
+	for (uint32_t i = 0; i < pick->count; i++)
+		take_vm(plan, pick->vms[i]);
 }
 
 static void give_up(struct plan *plan, struct replica *r, const char *reason)
@@ -244,45 +256,62 @@
 	return true;
 }
 
-static uint32_t usable_count(const struct plan *plan, const struct domain *d,
-			     const struct service *s)
+/*
+ * Counts a domain's usable VMs, and those of them with the weights loaded,
+ * once per plan and service; taking a VM keeps the counts.
+ */
+static void count_domain(const struct plan *plan, struct domain *d,
+			 const struct service *s)
 {
-	uint32_t count = 0;
+	if (d->counted_plan == plan->p->plans && d->counted_for == s)
+		return;
+	d->counted_plan = plan->p->plans;
+	d->counted_for = s;
+	d->usable = d->loaded = 0;
+	for (guint i = 0; i < d->vms->len; i++) {
+		const struct vm *vm = d->vms->pdata[i];
 
-	for (guint i = 0; i < d->vms->len; i++)
-		count += model_usable(plan->p, d->vms->pdata[i], s,
-				      plan->now_ms);
-	return count;
+		if (!model_usable(plan->p, vm, s, plan->now_ms))
+			continue;
+		d->usable++;
+		d->loaded += vm->weights == s->weights ? 1 : 0;
+	}
 }
 
 /*
- * Where to form: the domain that leaves the fewest VMs over that fill no
- * further replica, then the one with the fewest loads.
+ * Where to form: the domain with the fewest loads, then the one that leaves
+ * the fewest VMs over that fill no further replica.
  */
 static bool pick_one_domain(const struct plan *plan, const struct service *s,
-			    struct pick *best)
+			    struct pick *pick)
 {
-	uint32_t best_rest = UINT32_MAX;
-	bool found = false;
+	uint32_t n = s->vms_per_replica;
+	uint32_t best_loads = UINT32_MAX, best_rest = UINT32_MAX;
+	struct domain *best = NULL;
 
+	g_assert(n);
 	for (guint i = 0; i < plan->p->domain_list->len; i++) {
-		const struct domain *d = plan->p->domain_list->pdata[i];
-		uint32_t count = usable_count(plan, d, s);
-		uint32_t rest = count % s->vms_per_replica;
-		struct pick pick = { .domains = 1 };
+		struct domain *d = plan->p->domain_list->pdata[i];
+		uint32_t loads, rest;
 
-		if (count < s->vms_per_replica || !fill_from(plan, d, s, &pick))
+		count_domain(plan, d, s);
+		if (d->usable < n)
 			continue;
-		if (found && (pick.loads > best->loads ||
-			      (pick.loads == best->loads && rest >= best_rest)))
+		loads = plan->p->opts.ignore_weights ? n
+						     : n - MIN(n, d->loaded);
+		rest = d->usable % n;
+		if (best && (loads > best_loads ||
+			     (loads == best_loads && rest >= best_rest)))
 			continue;
-		*best = pick;
+		best = d;
+		best_loads = loads;
 		best_rest = rest;
-		found = true;
 		if (plan->p->opts.first_fit)
 			break;
 	}
-	return found;
+	memset(pick, 0, sizeof(*pick));
+	pick->domains = 1;
+	return best && fill_from(plan, best, s, pick);
 }
 
 /* Across domains: those of one data centre first, the fullest first. */
@@ -292,8 +321,12 @@
 	const char *centre = pick->count ? pick->vms[0]->domain->data_centre
 					 : NULL;
 
-	if (pick->count && pick->vms[0]->domain)
-		centre = pick->vms[0]->domain->data_centre;
+	if (pick->count) {
+		const struct domain *home = pick->vms[0]->domain;
+
+		g_assert(home);
+		centre = home->data_centre;
+	}
 	for (int same_centre = 1; same_centre >= 0; same_centre--) {
 		for (guint i = 0; i < plan->p->domain_list->len; i++) {
 			const struct domain *d = plan->p->domain_list->pdata[i];
@@ -556,6 +589,111 @@
 	     count_replicas(s, false), s->wanted, where, pick.loads);
 }
 
+/* ---- loading ahead ---- */
+
+static uint32_t spares_with(const struct plan *plan, const struct domain *d,
+			    const struct service *s)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < d->vms->len; i++) {
+		const struct vm *vm = d->vms->pdata[i];
+
+		count += model_usable(plan->p, vm, s, plan->now_ms) &&
+			 vm->weights == s->weights;
+	}
+	return count;
+}
+
+/*
+ * The service that gains most by one more spare of its weights here: what its
+ * replicas in the domain would lose, over the spares that stand by already.
+ */
+static struct service *wants_spare(const struct plan *plan,
+				   const struct domain *d, const struct vm *vm)
+{
+	struct service *best = NULL;
+	double best_gain = 0;
+
+	for (guint i = 0; i < plan->p->service_list->len; i++) {
+		struct service *s = plan->p->service_list->pdata[i];
+		uint32_t replicas = s->removed ? 0 : model_replicas_in(d, s);
+		double gain;
+
+		if (!replicas || !s->weights ||
+		    !model_usable(plan->p, vm, s, plan->now_ms))
+			continue;
+		gain = (double)replicas * s->downtime_weight /
+		       (1 + spares_with(plan, d, s));
+		if (gain > best_gain) {
+			best = s;
+			best_gain = gain;
+		}
+	}
+	return best;
+}
+
+/* Whether a spare's weights are some service's here, and so worth keeping. */
+static bool stands_by(const struct plan *plan, const struct domain *d,
+		      const struct vm *vm)
+{
+	for (guint i = 0; i < plan->p->service_list->len; i++) {
+		const struct service *s = plan->p->service_list->pdata[i];
+
+		if (!s->removed && vm->weights == s->weights &&
+		    model_replicas_in(d, s))
+			return true;
+	}
+	return false;
+}
+
+static uint32_t preloads_running(const struct plan *plan)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < plan->p->domain_list->len; i++) {
+		const struct domain *d = plan->p->domain_list->pdata[i];
+
+		for (guint j = 0; j < d->vms->len; j++)
+			count += ((struct vm *)d->vms->pdata[j])->preloading;
+	}
+	return count;
+}
+
+static void preload_in(struct plan *plan, struct domain *d, uint32_t *budget)
+{
+	for (guint i = 0; i < d->vms->len && *budget; i++) {
+		struct vm *vm = d->vms->pdata[i];
+		struct pick pick = { .vms = { vm }, .count = 1 };
+		struct service *s;
+
+		if (vm->taken || vm->holder || vm->preloading || !vm->alive ||
+		    vm->leaving || stands_by(plan, d, vm))
+			continue;
+		s = wants_spare(plan, d, vm);
+		if (!s)
+			continue;
+		(*budget)--;
+		take_vm(plan, vm);
+		tell(plan, PLACEMENT_PRELOAD, s, NULL, &pick,
+		     "spare of domain %s, which has %u replicas of it", d->name,
+		     model_replicas_in(d, s));
+	}
+}
+
+/* Uses what the weight store has left once all replicas have theirs. */
+static void preload_spares(struct plan *plan)
+{
+	uint32_t used = plan->loading + preloads_running(plan);
+	uint32_t budget = plan->p->opts.loads_max;
+
+	budget -= MIN(budget, used);
+	if (plan->p->opts.no_preload)
+		return;
+	for (guint i = 0; i < plan->p->domain_list->len && budget; i++)
+		preload_in(plan, plan->p->domain_list->pdata[i], &budget);
+}
+
 static void clear_marks(struct plan *plan)
 {
 	for (guint i = 0; i < plan->taken->len; i++)
@@ -579,6 +717,7 @@
 		.given_up = g_ptr_array_new(),
 	};
 
+	p->plans++;
 	for (guint i = 0; i < p->service_list->len; i++) {
 		struct service *s = p->service_list->pdata[i];
 
@@ -598,6 +737,7 @@
 		else
 			form(&plan, need);
 	}
+	preload_spares(&plan);
 	clear_marks(&plan);
 	g_array_unref(plan.needs);
 	g_ptr_array_unref(plan.taken);
