--- a/Makefile
+++ b/Makefile
@@ -75,7 +75,7 @@
 $(FAKE_BIN): $B/test/fakes/%: $B/test/fakes/%.o $(FAKE_OBJ) $(LIBS)
 	$(CXX) $(LDFLAGS) $^ $(LDLIBS) -o $@
 
-$(BENCH_BIN): $B/bench/%: $B/bench/%.o $(HELPER_OBJ) $(LIBS)
+$(BENCH_BIN): $B/bench/%: $B/bench/%.o $B/bench/meter.o $(HELPER_OBJ) $(LIBS)
 	$(CXX) $(LDFLAGS) $^ $(LDLIBS) -lcmocka -o $@
 
 # Only the library, to show that it stands alone.
@@ -119,6 +119,10 @@
 	@mkdir -p build/doc
 	doxygen docs/Doxyfile
 
+demo: packages
+	@$(MAKE) -s -j8 all
+	@demo/run
+
 # make measure WHAT=placement|state|path|capacity|routing
 WHAT ?= placement
 measure: tests
--- /dev/null
+++ b/bench/bench_capacity.c
@@ -0,0 +1,525 @@
+/*
+ * Slopes of what a node uses with what it serves, each over four sizes and
+ * more. Prints `slope NAME VALUE INTERCEPT RESIDUAL UNIT` lines, which
+ * docs/make-capacity.py turns into the sums of docs/CAPACITY.md.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <radishdeal/evidence.h>
+#include <radishdeal/router.h>
+#include <radishdeal/state.h>
+
+#include "bench/meter.h"
+#include "test/cluster.h"
+#include "test/jobs.h"
+#include "wire/codec.h"
+
+#define POINTS_MAX 6
+#define WARM_US 3000000
+#define WINDOW_US 4000000
+#define NODES 4
+
+static void print_slope(const char *name, const double *x, const double *y,
+			int n, const char *unit)
+{
+	struct line line;
+
+	meter_fit(x, y, n, &line);
+	printf("# %s:", name);
+	for (int i = 0; i < n; i++)
+		printf(" (%g, %.4g)", x[i], y[i]);
+	printf("\nslope %s %.6g %.6g %.4g %s\n", name, line.slope,
+	       line.intercept, line.residual, unit);
+	fflush(stdout);
+}
+
+/** What the nodes of a system used in a window, averaged over them. */
+struct window {
+	double cpu_us_s; /* us of processor time per second and node */
+	double rss_kb;
+	double bytes_s;
+};
+
+static double rpc_bytes(struct cluster *c, int node)
+{
+	struct fetch_answer answer;
+	double bytes = 0;
+
+	if (cluster_operate(c, node, "GET", "/v1/metrics", NULL, &answer))
+		bytes = meter_metric(answer.body, "rpc_bytes_sent_total");
+	fetch_clear(&answer);
+	return bytes;
+}
+
+static void watch(struct cluster *c, struct window *out)
+{
+	struct usage before[CLUSTER_NODES_MAX], after;
+	double bytes[CLUSTER_NODES_MAX];
+	gint64 started;
+	double seconds;
+
+	usleep(WARM_US);
+	memset(out, 0, sizeof(*out));
+	for (int i = 0; i < c->node_count; i++) {
+		bytes[i] = rpc_bytes(c, i + 1);
+		meter_usage(c->nodes[i].pid, &before[i]);
+	}
+	started = g_get_monotonic_time();
+	usleep(WINDOW_US);
+	seconds = (double)(g_get_monotonic_time() - started) / 1e6;
+	for (int i = 0; i < c->node_count; i++) {
+		meter_usage(c->nodes[i].pid, &after);
+		out->cpu_us_s += (after.cpu_us - before[i].cpu_us) / seconds;
+		out->rss_kb += after.rss_kb;
+		out->bytes_s += (rpc_bytes(c, i + 1) - bytes[i]) / seconds;
+	}
+	out->cpu_us_s /= c->node_count;
+	out->rss_kb /= c->node_count;
+	out->bytes_s /= c->node_count;
+}
+
+static void wait_endpoints(struct cluster *c, int count)
+{
+	gint64 until = cluster_now_ms() + CLUSTER_WAIT_MS;
+	size_t n;
+
+	do {
+		json_t *body = cluster_get(c, 1, "/v1/endpoints");
+
+		n = json_array_size(json_object_get(body, "endpoints"));
+		json_decref(body);
+		if (cluster_now_ms() > until)
+			cluster_fail("%zu endpoints of %d", n, count);
+		usleep(50000);
+	} while ((int)n < count);
+}
+
+static void start_engine(struct cluster *c, int vms)
+{
+	char domains[128];
+	const char *const arguments[] = { "--domains", domains, NULL };
+
+	g_snprintf(domains, sizeof(domains), "a/a1:%d,b/b1:%d,c/c1:%d,a/a2:%d",
+		   vms / 4, vms / 4, vms / 4, vms / 4);
+	cluster_start_fake(c, "fake_engine", "eng", arguments);
+	wait_endpoints(c, vms / 4 * 4);
+}
+
+static void by_entries(void)
+{
+	static const int sizes[] = { 3, 4, 6, 9, 12 };
+	double x[POINTS_MAX], cpu[POINTS_MAX], rss[POINTS_MAX],
+		bytes[POINTS_MAX];
+	int n = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct cluster *c = cluster_create(false);
+		struct window w;
+
+		cluster_start(c, sizes[i]);
+		watch(c, &w);
+		cluster_destroy(c);
+		x[n] = sizes[i];
+		cpu[n] = w.cpu_us_s;
+		rss[n] = w.rss_kb;
+		bytes[n++] = w.bytes_s;
+	}
+	print_slope("entry_cpu_by_entries", x, cpu, n, "us/s");
+	print_slope("entry_rss_by_entries", x, rss, n, "KB");
+	print_slope("entry_bytes_by_entries", x, bytes, n, "B/s");
+}
+
+static void by_endpoints(void)
+{
+	static const int sizes[] = { 40, 100, 200, 400 };
+	double x[POINTS_MAX], cpu[POINTS_MAX], rss[POINTS_MAX],
+		bytes[POINTS_MAX];
+	int n = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct cluster *c = cluster_create(false);
+		struct window w;
+
+		cluster_start(c, NODES);
+		start_engine(c, sizes[i]);
+		watch(c, &w);
+		cluster_destroy(c);
+		x[n] = sizes[i];
+		cpu[n] = w.cpu_us_s;
+		rss[n] = w.rss_kb;
+		bytes[n++] = w.bytes_s;
+	}
+	print_slope("entry_cpu_by_endpoints", x, cpu, n, "us/s");
+	print_slope("entry_rss_by_endpoints", x, rss, n, "KB");
+	print_slope("entry_bytes_by_endpoints", x, bytes, n, "B/s");
+}
+
+/* ---- open streams ---- */
+
+static char *start_service(struct cluster *c, int replicas, int slots)
+{
+	char *hash = cluster_key_hash(c->account_key);
+	char *text = g_strdup_printf(
+		"name = \"assistant\"\nmodel = \"m\"\nvms_per_replica = 1\n"
+		"slots_per_replica = %d\ndeadline_ms = 600000\n"
+		"[[presets]]\nname = \"ordinary\"\nreplicas = %d\n"
+		"[[presets]]\nname = \"peak\"\nreplicas = %d\n"
+		"[[accounts]]\nname = \"studio\"\nkey_sha256 = \"%s\"\n",
+		slots, replicas, replicas, hash);
+	struct fetch_answer answer;
+
+	if (!cluster_operate(c, cluster_wait_leader(c), "POST",
+			     "/v1/services?change_id=first&base=0&wait_ms=9000",
+			     text, &answer) ||
+	    answer.status != 200)
+		cluster_fail("the service is refused: %s",
+			     answer.body ? answer.body : "");
+	fetch_clear(&answer);
+	g_free(hash);
+	return text;
+}
+
+static void wait_whole(struct cluster *c, int count)
+{
+	gint64 until = cluster_now_ms() + CLUSTER_WAIT_MS;
+	int whole;
+
+	do {
+		json_t *body = cluster_get(c, cluster_wait_leader(c),
+					   "/v1/replicas");
+		json_t *row;
+		size_t i;
+
+		whole = 0;
+		json_array_foreach(json_object_get(body, "replicas"), i, row)
+			whole += !strcmp(json_string_value(json_object_get(
+						 row, "state")),
+					 "whole");
+		json_decref(body);
+		if (cluster_now_ms() > until)
+			cluster_fail("%d replicas whole of %d", whole, count);
+		usleep(50000);
+	} while (whole < count);
+}
+
+static void by_streams(void)
+{
+	static const int sizes[] = { 0, 100, 200, 400 };
+	double x[POINTS_MAX], rss[POINTS_MAX];
+	int n = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct cluster *c = cluster_create(false);
+		struct usage usage;
+		GPtrArray *jobs = g_ptr_array_new();
+		const char *const slow[] = { "--domains", "a/a1:4", "--step-us",
+					     "100000", NULL };
+
+		cluster_start(c, 3);
+		cluster_start_fake(c, "fake_engine", "eng", slow);
+		g_free(start_service(c, 4, 200));
+		wait_whole(c, 4);
+		usleep(500000);
+		for (int j = 0; j < sizes[i]; j++) {
+			struct job opts = {
+				.name = (char *)"s",
+				.address = c->nodes[0].callers,
+				.key = c->account_key,
+				.path = (char *)"/v1/chat/completions",
+				.body = (char *)"{\"model\":\"assistant\","
+						"\"stream\":true,"
+						"\"max_tokens\":60,"
+						"\"messages\":[]}",
+				.stream = true,
+				.tokens = 60,
+			};
+
+			g_ptr_array_add(jobs, job_start(&opts));
+		}
+		usleep(3000000);
+		meter_usage(c->nodes[0].pid, &usage);
+		x[n] = sizes[i];
+		rss[n++] = usage.rss_kb;
+		for (guint j = 0; j < jobs->len; j++)
+			job_free(jobs->pdata[j]);
+		g_ptr_array_unref(jobs);
+		cluster_destroy(c);
+	}
+	print_slope("entry_rss_by_streams", x, rss, n, "KB");
+}
+
+/* ---- changes ---- */
+
+static void by_changes(void)
+{
+	static const int rates[] = { 0, 20, 50, 100 };
+	double x[POINTS_MAX], cpu[POINTS_MAX], bytes[POINTS_MAX];
+	int n = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rates); i++) {
+		struct cluster *c = cluster_create(false);
+		struct usage before[NODES], after;
+		double sent[NODES], seconds;
+		gint64 started;
+		int leader, made = 0;
+
+		cluster_start(c, NODES);
+		g_free(start_service(c, 0 + 1, 1));
+		leader = cluster_wait_leader(c);
+		usleep(WARM_US);
+		for (int j = 0; j < NODES; j++) {
+			sent[j] = rpc_bytes(c, j + 1);
+			meter_usage(c->nodes[j].pid, &before[j]);
+		}
+		started = g_get_monotonic_time();
+		while (g_get_monotonic_time() - started < WINDOW_US) {
+			char path[160];
+			struct fetch_answer answer;
+
+			if (!rates[i]) {
+				usleep(100000);
+				continue;
+			}
+			g_snprintf(path, sizeof(path),
+				   "/v1/services/assistant/preset?change_id=c%d"
+				   "&base=%d&preset=%s",
+				   made, made + 1, made % 2 ? "ordinary" : "peak");
+			if (cluster_operate(c, leader, "POST", path, "",
+					    &answer) &&
+			    answer.status == 200)
+				made++;
+			fetch_clear(&answer);
+			usleep((useconds_t)(1000000 / rates[i]));
+		}
+		seconds = (double)(g_get_monotonic_time() - started) / 1e6;
+		cpu[n] = bytes[n] = 0;
+		for (int j = 0; j < NODES; j++) {
+			meter_usage(c->nodes[j].pid, &after);
+			cpu[n] += (after.cpu_us - before[j].cpu_us) / seconds /
+				  NODES;
+			bytes[n] += (rpc_bytes(c, j + 1) - sent[j]) / seconds /
+				    NODES;
+		}
+		x[n++] = made / seconds;
+		cluster_destroy(c);
+	}
+	print_slope("node_cpu_by_changes", x, cpu, n, "us/s per 1/s");
+	print_slope("node_bytes_by_changes", x, bytes, n, "B/s per 1/s");
+}
+
+/* ---- the cores, in given time ---- */
+
+static double thread_us(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
+	return (double)t.tv_sec * 1e6 + (double)t.tv_nsec / 1e3;
+}
+
+static void by_replicas(void)
+{
+	static const uint32_t sizes[] = { 100, 500, 1500, 4900 };
+	double x[POINTS_MAX], all[POINTS_MAX], subset[POINTS_MAX];
+	int n = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		double us[2];
+
+		for (int with = 0; with < 2; with++) {
+			struct router_opts opts = { .seed = 1,
+						    .entry = 1,
+						    .subset = with ? 64 : 0,
+						    .prefix_max = 64 };
+			struct router *r = router_create(&opts);
+			struct router_request request = { .prompt_tokens = 500,
+							  .output_tokens = 200,
+							  .prefix_count = 8,
+							  .prefix_tokens = 64 };
+			struct router_choice choice;
+			double started;
+
+			for (uint32_t j = 1; j <= sizes[i]; j++) {
+				router_put(r, j, 1, 16, "127.0.0.1:1");
+				router_set_fresh(r, j, INT64_MAX, "whole");
+			}
+			router_choose(r, 1, true, &request, &choice);
+			started = thread_us();
+			for (int j = 0; j < 2000; j++)
+				router_choose(r, 1, true, &request, &choice);
+			us[with] = (thread_us() - started) / 2000;
+			router_destroy(r);
+		}
+		x[n] = sizes[i];
+		all[n] = us[0];
+		subset[n++] = us[1];
+	}
+	print_slope("choice_us_by_replicas_all", x, all, n, "us");
+	print_slope("choice_us_by_replicas_subset64", x, subset, n, "us");
+	meter_verdict("choice_us_at_4900", subset[n - 1], "us", 20,
+		      subset[n - 1] < 20);
+}
+
+static void claim(struct state *state, uint64_t index, int number,
+		  command_kind kind)
+{
+	char key[32];
+	struct command command = { .change_id = (char *)"",
+				   .operator_name = (char *)"" };
+	struct apply_result result = { 0 };
+
+	g_snprintf(key, sizeof(key), "key-%d", number);
+	command.body.kind = kind;
+	if (kind == CMD_CLAIM_BOOKING) {
+		struct claim_booking *c = &command.body.command_body_u.claim;
+
+		c->service = (char *)"queue";
+		c->account = (char *)"label";
+		c->key = key;
+		c->claim_id = (uint64_t)number;
+		c->entry = 1;
+	} else {
+		struct finish_booking *f = &command.body.command_body_u.finish;
+
+		f->service = (char *)"queue";
+		f->account = (char *)"label";
+		f->key = key;
+		f->claim_id = (uint64_t)number;
+		f->entry = 1;
+		f->outcome = BOOKING_ANSWERED;
+		f->answer.content_type = (char *)"application/json";
+		f->answer.body.body_val = (char *)"{\"slot\":1}";
+		f->answer.body.body_len = 10;
+	}
+	state_apply(state, index, &command, &result);
+	state_result_clear(&result);
+}
+
+static void add_queue(struct state *state)
+{
+	struct preset_spec preset = { (char *)"ordinary", 1, (char *)"", TRUE };
+	struct command command = { .change_id = (char *)"",
+				   .operator_name = (char *)"" };
+	struct apply_service *a = &command.body.command_body_u.apply;
+	struct apply_result result = { 0 };
+
+	command.body.kind = CMD_APPLY_SERVICE;
+	a->spec.name = (char *)"queue";
+	a->spec.model = a->spec.adapter = (char *)"";
+	a->spec.plain = 1;
+	a->spec.vms_per_replica = a->spec.slots_per_replica = 1;
+	a->spec.booking_keep_s = 86400;
+	a->spec.booking_max = 1000000;
+	a->spec.presets.presets_len = 1;
+	a->spec.presets.presets_val = &preset;
+	a->preset = (char *)"ordinary";
+	a->text = (char *)"";
+	state_apply(state, 1, &command, &result);
+	state_result_clear(&result);
+}
+
+static void by_bookings(void)
+{
+	static const int sizes[] = { 2000, 5000, 10000, 20000 };
+	double x[POINTS_MAX], image[POINTS_MAX], us[POINTS_MAX];
+	int n = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct state *state = state_create();
+		uint64_t index = 1;
+		double started;
+		GBytes *bytes;
+
+		add_queue(state);
+		started = thread_us();
+		for (int j = 1; j <= sizes[i]; j++) {
+			claim(state, ++index, j, CMD_CLAIM_BOOKING);
+			claim(state, ++index, j, CMD_FINISH_BOOKING);
+		}
+		x[n] = sizes[i];
+		us[n] = thread_us() - started;
+		bytes = state_save(state, true);
+		image[n++] = (double)g_bytes_get_size(bytes);
+		g_bytes_unref(bytes);
+		state_destroy(state);
+	}
+	print_slope("image_bytes_by_bookings", x, image, n, "B");
+	print_slope("apply_us_by_bookings", x, us, n, "us");
+}
+
+static void by_digest(void)
+{
+	static const int sizes[] = { 50, 100, 200, 400 };
+	double x[POINTS_MAX], full[POINTS_MAX], quiet[POINTS_MAX],
+		merge[POINTS_MAX];
+	int n = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct home_opts opts = { 1, 1, 100000 };
+		struct view_opts view_opts = { 100000 };
+		struct home *home = home_create(&opts);
+		struct view *view = view_create(&view_opts);
+		struct digest digest;
+		GBytes *bytes;
+		double started;
+
+		for (int j = 0; j < sizes[i]; j++) {
+			char name[32];
+			struct vm_report r = {
+				.name = name,
+				.address = (char *)"10.0.0.1:8000",
+				.data_centre = (char *)"a",
+				.domain = (char *)"a1",
+				.service = (char *)"",
+				.model = (char *)"tuner-70b",
+				.adapter = (char *)"",
+				.model_version = (char *)"12",
+				.sequence = 1,
+				.incarnation = 1,
+			};
+
+			g_snprintf(name, sizeof(name), "vm-a1-%05d", j);
+			home_announce(home, 1, &r);
+		}
+		home_digest(home, 1, true, &digest);
+		bytes = CODEC_ENCODE(digest, &digest);
+		x[n] = sizes[i];
+		full[n] = (double)g_bytes_get_size(bytes);
+		view_merge(view, 1, &digest);
+		home_digest_clear(&digest);
+		g_bytes_unref(bytes);
+		started = thread_us();
+		for (int j = 0; j < 200; j++) {
+			home_digest(home, 1, false, &digest);
+			view_merge(view, 1, &digest);
+			if (j + 1 < 200)
+				home_digest_clear(&digest);
+		}
+		merge[n] = (thread_us() - started) / 200;
+		bytes = CODEC_ENCODE(digest, &digest);
+		quiet[n++] = (double)g_bytes_get_size(bytes);
+		g_bytes_unref(bytes);
+		home_digest_clear(&digest);
+		home_destroy(home);
+		view_destroy(view);
+	}
+	print_slope("digest_full_bytes_by_vms", x, full, n, "B");
+	print_slope("digest_quiet_bytes_by_vms", x, quiet, n, "B");
+	print_slope("digest_merge_us_by_vms", x, merge, n, "us");
+}
+
+int main(void)
+{
+	by_replicas();
+	by_bookings();
+	by_digest();
+	by_entries();
+	by_endpoints();
+	by_changes();
+	by_streams();
+	return 0;
+}
--- /dev/null
+++ b/bench/bench_state.c
@@ -0,0 +1,284 @@
+/*
+ * The state group at work: real processes, this machine's disk.
+ * usage: bench_state
+ */
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "bench/meter.h"
+#include "test/cluster.h"
+#include "test/jobs.h"
+
+#define KILLS 12
+#define SWITCHES 60
+#define CLIENTS 16
+#define WINDOW_MS 4000
+#define SYNCS 200
+
+static int revision;
+
+static int switch_preset(struct cluster *c, int node, int wait_ms,
+			 const char *id, double *ms)
+{
+	char path[200];
+	struct fetch_answer answer;
+	gint64 started = g_get_monotonic_time();
+	int status;
+
+	g_snprintf(path, sizeof(path),
+		   "/v1/services/queue/preset?change_id=%s&base=%d&preset=%s"
+		   "&wait_ms=%d",
+		   id, revision, revision % 2 ? "peak" : "ordinary", wait_ms);
+	cluster_operate(c, node, "POST", path, "", &answer);
+	*ms = (double)(g_get_monotonic_time() - started) / 1000;
+	status = answer.status;
+	if (status == 200)
+		revision++;
+	fetch_clear(&answer);
+	return status;
+}
+
+static void add_queue(struct cluster *c)
+{
+	char *hash = cluster_key_hash(c->account_key);
+	char *text = g_strdup_printf(
+		"name = \"queue\"\nkind = \"plain\"\n"
+		"once_only = [\"POST /bookings\"]\nbooking_max = 1000000\n"
+		"slots_per_replica = 1000\n"
+		"[[presets]]\nname = \"ordinary\"\nreplicas = 1\n"
+		"[[presets]]\nname = \"peak\"\nreplicas = 2\n"
+		"[[accounts]]\nname = \"studio\"\nkey_sha256 = \"%s\"\n",
+		hash);
+	struct fetch_answer answer;
+
+	if (!cluster_operate(c, cluster_wait_leader(c), "POST",
+			     "/v1/services?change_id=first&base=0&wait_ms=9000",
+			     text, &answer) ||
+	    answer.status != 200)
+		cluster_fail("refused: %s", answer.body ? answer.body : "");
+	fetch_clear(&answer);
+	revision = 1;
+	g_free(hash);
+	g_free(text);
+}
+
+/* Leader killed until the next change is accepted by anybody. */
+static void leader_kills(struct cluster *c)
+{
+	double ms[KILLS];
+
+	for (int i = 0; i < KILLS; i++) {
+		int leader = cluster_wait_leader(c);
+		gint64 started = g_get_monotonic_time();
+		char id[32];
+		double ignored;
+		int node = leader;
+		gint64 until = cluster_now_ms() + CLUSTER_WAIT_MS;
+
+		g_snprintf(id, sizeof(id), "kill-%d", i);
+		cluster_signal_node(c, leader, SIGKILL);
+		do {
+			node = node % c->node_count + 1;
+			if (cluster_now_ms() > until)
+				cluster_fail("no change accepted");
+		} while (!c->nodes[node - 1].pid ||
+			 switch_preset(c, node, 0, id, &ignored) != 200);
+		ms[i] = (double)(g_get_monotonic_time() - started) / 1000;
+		cluster_start_node(c, leader);
+		/* Until it has caught up, another loss is not to be borne. */
+		usleep(1500000);
+	}
+	printf("# leader kill to accepted change, ms: p50 %.0f max %.0f of %d\n",
+	       meter_percentile(ms, KILLS, 50),
+	       meter_percentile(ms, KILLS, 100), KILLS);
+	meter_verdict("leader_kill_to_change_p99",
+		      meter_percentile(ms, KILLS, 99), "ms", 2000,
+		      meter_percentile(ms, KILLS, 99) < 2000);
+}
+
+static void in_force(struct cluster *c, const char *name, double target)
+{
+	double ms[SWITCHES];
+	int leader = cluster_wait_leader(c);
+	int n = 0;
+
+	for (int i = 0; i < SWITCHES; i++) {
+		char id[48];
+
+		g_snprintf(id, sizeof(id), "%s-%d", name, i);
+		if (switch_preset(c, leader, 9000, id, &ms[n]) == 200)
+			n++;
+		if (target > 1000 && i == 9)
+			break;
+	}
+	printf("# %s, ms: p50 %.1f p99 %.1f of %d\n", name,
+	       meter_percentile(ms, n, 50), meter_percentile(ms, n, 99), n);
+	meter_verdict(name, meter_percentile(ms, n, 99), "ms", target,
+		      n && meter_percentile(ms, n, 99) < target);
+}
+
+/* ---- throughput against the disk ---- */
+
+static double sync_rate(struct cluster *c)
+{
+	char *path = cluster_path(c, "sync-test");
+	int fd = open(path, O_WRONLY | O_CREAT | O_APPEND, 0600);
+	char block[512] = { 0 };
+	gint64 started = g_get_monotonic_time();
+
+	for (int i = 0; i < SYNCS; i++)
+		if (write(fd, block, sizeof(block)) < 0 || fdatasync(fd))
+			cluster_fail("sync fails");
+	close(fd);
+	unlink(path);
+	g_free(path);
+	return SYNCS * 1e6 / (double)(g_get_monotonic_time() - started);
+}
+
+struct client {
+	struct cluster *cluster;
+	pthread_t thread;
+	int number, done, failed;
+	gint64 until;
+	double ms_sum;
+};
+
+static void *book(void *arg)
+{
+	struct client *client = arg;
+	struct cluster *c = client->cluster;
+
+	for (int i = 0; cluster_now_ms() < client->until; i++) {
+		char *headers = g_strdup_printf(
+			"Idempotency-Key: b-%d-%d\r\n", client->number, i);
+		struct job opts = {
+			.name = (char *)"b",
+			.address =
+				c->nodes[client->number % c->node_count].callers,
+			.key = c->account_key,
+			.path = (char *)"/services/queue/bookings",
+			.headers = headers,
+			.body = (char *)"slot=1",
+		};
+		struct job *job = job_start(&opts);
+
+		job_join(job);
+		if (job->end == JOB_WHOLE) {
+			client->done++;
+			client->ms_sum += (double)(job->ended_us -
+						   job->started_us) /
+					  1000;
+		} else {
+			client->failed++;
+		}
+		job_free(job);
+		g_free(headers);
+	}
+	return NULL;
+}
+
+static void bookings(struct cluster *c, int count)
+{
+	struct client *clients = g_new0(struct client, count);
+	double rate = sync_rate(c), done = 0, failed = 0, ms = 0;
+
+	for (int i = 0; i < count; i++) {
+		clients[i].cluster = c;
+		clients[i].number = i;
+		clients[i].until = cluster_now_ms() + WINDOW_MS;
+		pthread_create(&clients[i].thread, NULL, book, &clients[i]);
+	}
+	for (int i = 0; i < count; i++) {
+		pthread_join(clients[i].thread, NULL);
+		done += clients[i].done;
+		failed += clients[i].failed;
+		ms += clients[i].ms_sum;
+	}
+	printf("# %d callers: %.0f bookings/s, %.0f failed, mean %.2f ms; "
+	       "the disk syncs %.0f/s\n",
+	       count, done * 1000 / WINDOW_MS, failed, ms / MAX(done, 1), rate);
+	if (count == CLIENTS)
+		/* A booking takes two commands and may share its syncs. */
+		meter_verdict("bookings_s_over_sync_s",
+			      done * 1000 / WINDOW_MS / rate, "ratio",
+			      1 / 1.5, done * 1000 / WINDOW_MS / rate > 1 / 1.5);
+	g_free(clients);
+}
+
+static void restart_time(struct cluster *c, const char *name)
+{
+	gint64 started;
+	int node = cluster_wait_leader(c) % c->node_count + 1;
+	json_t *status = NULL;
+
+	cluster_signal_node(c, node, SIGKILL);
+	started = g_get_monotonic_time();
+	cluster_start_node(c, node);
+	while (!status) {
+		status = cluster_get(c, node, "/v1/status");
+		usleep(5000);
+	}
+	meter_verdict(name,
+		      (double)(g_get_monotonic_time() - started) / 1000, "ms",
+		      5000,
+		      g_get_monotonic_time() - started < 5000000);
+	json_decref(status);
+}
+
+static void idle(struct cluster *c)
+{
+	struct usage before[CLUSTER_NODES_MAX], after;
+	double cpu = 0, rss = 0;
+
+	usleep(2000000);
+	for (int i = 0; i < c->node_count; i++)
+		meter_usage(c->nodes[i].pid, &before[i]);
+	usleep(5000000);
+	for (int i = 0; i < c->node_count; i++) {
+		meter_usage(c->nodes[i].pid, &after);
+		cpu = MAX(cpu, (after.cpu_us - before[i].cpu_us) / 5e6 * 100);
+		rss = MAX(rss, after.rss_kb / 1024);
+	}
+	meter_verdict("idle_cpu_of_a_core", cpu, "percent", 1.1, cpu <= 1.1);
+	meter_verdict("idle_rss", rss, "MB", 64, rss <= 64);
+}
+
+int main(void)
+{
+	struct cluster *c = cluster_create(true);
+	const char *const plain[] = { "--count", "3", "--delay-ms", "0",
+				      "--runs", NULL, NULL };
+	char *runs = cluster_path(c, "runs");
+	const char *arguments[8];
+
+	signal(SIGPIPE, SIG_IGN);
+	for (int i = 0; i < 7; i++)
+		arguments[i] = plain[i];
+	arguments[5] = runs;
+	arguments[6] = NULL;
+	cluster_start(c, 4);
+	cluster_start_fake(c, "fake_service", "plain", arguments);
+	usleep(1500000);
+	idle(c);
+	add_queue(c);
+	in_force(c, "accepted_to_in_force_p99", 1000);
+	leader_kills(c);
+	bookings(c, 1);
+	bookings(c, CLIENTS);
+	bookings(c, 64);
+	restart_time(c, "restart_after_bookings");
+	usleep(2000000);
+	for (int i = 1; i <= 3; i++) {
+		cluster_link(c, 4, i, "cut");
+		cluster_link(c, i, 4, "cut");
+	}
+	usleep(3500000);
+	in_force(c, "in_force_with_one_vm_cut_off_p99", 5000);
+	g_free(runs);
+	cluster_destroy(c);
+	return 0;
+}
