routing: entries no longer herd; measures of routing and of the path

Change: the cost is compared over two replicas drawn at random and the one with the longest cached prefix. A whole answer (not a stream) waits only as long as its usual length leaves it time before the deadline.

--- a/bench/bench_path.c
+++ b/bench/bench_path.c
@@ -22,12 +22,15 @@
 static void start_service(struct cluster *c)
 {
 	char *hash = cluster_key_hash(c->account_key);
-	char *text = g_strdup_printf(
-		"name = \"assistant\"\nmodel = \"m\"\nvms_per_replica = 1\n"
-		"slots_per_replica = 64\ndeadline_ms = 600000\n"
-		"[[presets]]\nname = \"ordinary\"\nreplicas = 4\n"
-		"[[accounts]]\nname = \"studio\"\nkey_sha256 = \"%s\"\n",
-		hash);
+	char *text = g_strdup_printf("name = \"assistant\"\nmodel = "
+				     "\"m\"\nvms_per_replica = 1\n"
+				     "slots_per_replica = 64\ndeadline_ms = "
+				     "600000\n"
+				     "[[presets]]\nname = "
+				     "\"ordinary\"\nreplicas = 4\n"
+				     "[[accounts]]\nname = "
+				     "\"studio\"\nkey_sha256 = \"%s\"\n",
+				     hash);
 	struct fetch_answer answer;
 
 	if (!cluster_operate(c, cluster_wait_leader(c), "POST",
@@ -59,13 +62,14 @@
 		json_t *each;
 
 		json_array_foreach(rows, i, each)
-			whole += !strcmp(json_string_value(json_object_get(
-						 each, "state")),
-					 "whole");
+			whole += !strcmp(
+				json_string_value(json_object_get(each, "stat"
+									"e")),
+				"whole");
 		if (whole == 4) {
 			g_strlcpy(out->address,
-				  json_string_value(
-					  json_object_get(row, "head")),
+				  json_string_value(json_object_get(row, "hea"
+									 "d")),
 				  sizeof(out->address));
 			g_snprintf(out->headers, sizeof(out->headers),
 				   "X-Replica: %lld\r\nX-Epoch: %lld\r\n",
@@ -89,8 +93,8 @@
 	char body[160];
 	struct job opts = {
 		.name = (char *)"s",
-		.address = direct ? (char *)direct->address :
-				    c->nodes[0].callers,
+		.address = direct ? (char *)direct->address
+				  : c->nodes[0].callers,
 		.key = c->account_key,
 		.path = (char *)"/v1/chat/completions",
 		.body = body,
@@ -118,12 +122,12 @@
 			job_join(job);
 			if (job->end != JOB_WHOLE)
 				cluster_fail("a request was not whole");
-			first[way][i] = (double)(job->first_us -
-						 job->started_us) /
-					1000;
-			between[way][i] = (double)(job->ended_us -
-						   job->first_us) /
-					  1000 / (TOKENS - 1);
+			first[way][i] =
+				(double)(job->first_us - job->started_us) /
+				1000;
+			between[way][i] =
+				(double)(job->ended_us - job->first_us) / 1000 /
+				(TOKENS - 1);
 			job_free(job);
 		}
 	for (int p = 0; p < 3; p++) {
@@ -201,8 +205,9 @@
 int main(void)
 {
 	struct cluster *c = cluster_create(false);
-	const char *const engine[] = { "--domains", "a/a1:4", "--step-us",
-				       "200", "--prefill-us", "0", NULL };
+	const char *const engine[] = { "--domains", "a/a1:4",	    "--step-us",
+				       "200",	    "--prefill-us", "0",
+				       NULL };
 	struct target direct;
 	double requests, tokens, cpu_one, cpu_many, per_token;
 
--- a/bench/bench_placement.c
+++ b/bench/bench_placement.c
@@ -345,6 +345,7 @@
 	}
 	w->moves++;
 	if (d->action == PLACEMENT_RELEASE) {
+		g_assert(r);
 		for (uint32_t i = 0; i < r->vm_count; i++)
 			release_vm(w, r->vms[i], r->id);
 		placement_remove_replica(w->placement, r->id);
--- a/entry/call.c
+++ b/entry/call.c
@@ -15,6 +15,7 @@
 /* Above this much unread answer the endpoint is not read from. */
 #define OUTPUT_HIGH_BYTES 65536u
 #define PACE_TOKENS 16u
+#define OUTPUT_SMOOTHING 0.05
 
 static const struct log call_log = { "call" };
 
@@ -207,12 +208,30 @@
 
 /* ---- waiting ---- */
 
+/* Until when it may wait and still be answered in time. */
+static int64_t waits_until_ms(const struct call *call, int64_t now)
+{
+	const struct entry *entry = call->entry;
+	int64_t until = MIN(call->deadline_ms,
+			    now + entry->opts.settings->limits.queue_ms);
+	struct router_request expected = call->route;
+
+	/* Only the first token of a stream has a deadline. */
+	if (call->kind != CALL_CHAT)
+		return until;
+	/* What callers allow is more than what answers take. */
+	expected.output_tokens = MIN(expected.output_tokens,
+				     (uint32_t)call->service->mean_output);
+	return MIN(until,
+		   call->deadline_ms -
+			   router_service_ms(call->service->router, &expected));
+}
+
 void call_enter(struct call *call)
 {
 	struct entry *entry = call->entry;
 	int64_t now = entry_now_ms(entry);
-	int64_t until = MIN(call->deadline_ms,
-			    now + entry->opts.settings->limits.queue_ms);
+	int64_t until = waits_until_ms(call, now);
 	int64_t retry_ms = 0;
 	double cost = call->route.prompt_tokens + call->route.output_tokens + 1;
 
@@ -450,6 +469,10 @@
 
 static void end_stream(struct call *call)
 {
+	struct entry_service *service = call->service;
+
+	service->mean_output += OUTPUT_SMOOTHING *
+				(call->sse.tokens - service->mean_output);
 	count_end(call, COUNTER_ANSWERED);
 	log_info(&call_log, "request %s: whole, replica %u tokens=%u", call->id,
 		 call->replica, call->sse.tokens);
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -26,6 +26,7 @@
 	char *name;
 	bool seen; /* in the configuration just applied */
 	uint64_t revision;
+	double mean_output; /* tokens of an answer, smoothed */
 	struct router *router;
 	struct admission *admission;
 	GHashTable *plain; /* VM's name -> replica number; plain services */
--- a/include/radishdeal/router.h
+++ b/include/radishdeal/router.h
@@ -57,6 +57,9 @@
 		       const struct router_request *request);
 	/** How many random candidates are compared; 0 for all. */
 	uint32_t sample;
+	/** Whether the replica with the longest cached prefix is compared too.
+	 */
+	bool with_holder;
 	void *ctx;
 };
 
@@ -141,6 +144,10 @@
 void router_prefill(struct router *router, uint32_t id, uint32_t tokens,
 		    int64_t elapsed_us);
 
+/** Time that a request takes once begun, by the usual pace here. */
+int64_t router_service_ms(const struct router *router,
+			  const struct router_request *request);
+
 const struct router_replica *router_find(const struct router *router,
 					 uint32_t id);
 
--- a/routing/router.c
+++ b/routing/router.c
@@ -14,6 +14,7 @@
 /* Never treat more than one replica in this many as stragglers. */
 #define STRAGGLER_SHARE 4
 #define MEDIAN_MAX 256
+#define SAMPLE 2
 
 struct router {
 	struct router_opts opts;
@@ -299,6 +300,13 @@
 const struct router_policy router_policy_cost = {
 	.name = "cost",
 	.cost = cost_ms,
+	/*
+	 * Entries see each other's work late. If all took the best of all,
+	 * they would herd to the same replica; of a few drawn at random each
+	 * takes its own.
+	 */
+	.sample = SAMPLE,
+	.with_holder = true,
 };
 
 /* ---- stragglers ---- */
@@ -433,6 +441,23 @@
 	return NULL;
 }
 
+static struct router_replica *longest_prefix(
+	GPtrArray *usables, const struct router_request *request)
+{
+	struct router_replica *holder = NULL;
+	uint32_t most = 0;
+
+	for (guint i = 0; request->prefix_count && i < usables->len; i++) {
+		uint32_t cached = cached_tokens(usables->pdata[i], request);
+
+		if (cached > most) {
+			most = cached;
+			holder = usables->pdata[i];
+		}
+	}
+	return holder;
+}
+
 static struct router_replica *best_of(struct router *router, GPtrArray *usables,
 				      const struct router_request *request,
 				      double *cost)
@@ -450,6 +475,13 @@
 
 			compare(router, &best, usables->pdata[at], request);
 		}
+		if (router->policy->with_holder) {
+			struct router_replica *holder = longest_prefix(usables,
+								       request);
+
+			if (holder && holder != best.replica)
+				compare(router, &best, holder, request);
+		}
 	}
 	*cost = best.cost;
 	return best.replica;
@@ -547,6 +579,14 @@
 				 ((double)elapsed_us / tokens - r->prefill_us);
 }
 
+int64_t router_service_ms(const struct router *router,
+			  const struct router_request *request)
+{
+	return (int64_t)(request->prompt_tokens * DEFAULT_PREFILL_US +
+			 request->output_tokens * router->median_step_us) /
+	       1000;
+}
+
 void router_capacity(const struct router *router, int64_t now_ms,
 		     uint32_t *free_slots, uint32_t *slots)
 {
--- a/test/test_cores.c
+++ b/test/test_cores.c
@@ -100,8 +100,7 @@
 			      (const char *const *)vms, g_strv_length(vms));
 	placement_set_whole(p->placement, id,
 			    script_number(s, "whole", 1) != 0);
-	placement_set_busy(p->placement, id,
-			   script_number(s, "busy", 0) != 0);
+	placement_set_busy(p->placement, id, script_number(s, "busy", 0) != 0);
 	g_strfreev(vms);
 }
 
@@ -116,8 +115,8 @@
 	GString *vms = g_string_new(NULL);
 
 	for (uint32_t i = 0; i < d->vm_count; i++)
-		g_string_append_printf(vms, "%s%s", i ? "," : " vms=",
-				       d->vms[i]);
+		g_string_append_printf(vms, "%s%s",
+				       i ? "," : " vms=", d->vms[i]);
 	script_print(p->script, "%s %s replica=%u%s: %s",
 		     placement_action_name(d->action), d->service, d->replica,
 		     vms->str, d->reason);
@@ -134,9 +133,12 @@
 }
 
 static const struct script_command place_commands[] = {
-	{ "opts", 0, place_opts },   { "service", 1, place_service },
-	{ "vm", 2, place_vm },	     { "replica", 3, place_replica },
-	{ "at", 1, place_at },	     { "plan", 0, place_plan },
+	{ "opts", 0, place_opts },
+	{ "service", 1, place_service },
+	{ "vm", 2, place_vm },
+	{ "replica", 3, place_replica },
+	{ "at", 1, place_at },
+	{ "plan", 0, place_plan },
 	{ 0 }
 };
 
@@ -186,8 +188,7 @@
 	for (; prefix && *prefix; prefix++)
 		request->prefix[request->prefix_count++] = (uint64_t)*prefix;
 	if (avoid)
-		request->avoid[request->avoid_count++] =
-			(uint32_t)atoi(avoid);
+		request->avoid[request->avoid_count++] = (uint32_t)atoi(avoid);
 }
 
 static void route_choose(struct script *s)
@@ -305,8 +306,8 @@
 static void admit_finish(struct script *s)
 {
 	struct routing *r = s->ctx;
-	struct admission_ticket *t =
-		g_hash_table_lookup(r->tickets, s->words[1]);
+	struct admission_ticket *t = g_hash_table_lookup(r->tickets,
+							 s->words[1]);
 
 	admission_finish(r->admission, r->now_ms, t,
 			 (double)script_number(s, "cost", (gint64)t->cost));
@@ -408,8 +409,7 @@
 	placement_destroy(p.placement);
 }
 
-static void run_routing(const char *path,
-			const struct script_command *commands)
+static void run_routing(const char *path, const struct script_command *commands)
 {
 	struct routing r = { 0 };
 
@@ -561,8 +561,7 @@
 		struct storage *storage;
 		struct storage_recovered r;
 
-		assert_int_equal(open_storage(fs, "c", 1, &storage, &r),
-				 RD_OK);
+		assert_int_equal(open_storage(fs, "c", 1, &storage, &r), RD_OK);
 		storage_recovered_clear(&r);
 		put_entry(storage, 4);
 		memory_fs_fail_after(fs, 2, cases[i].error);
