settings: a key's hash of the wrong length is not read past its end

Cause: make check under the address sanitizer: a service's file whose key_sha256 has the wrong length was refused, but the empty value left was still read as 64 hex digits. An operator's file could so read past a heap block of the daemon.

Change: the length is checked first.

--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -160,7 +160,7 @@
 
 /* ---- open streams ---- */
 
-static char *start_service(struct cluster *c, int replicas, int slots)
+static void start_service(struct cluster *c, int replicas, int slots)
 {
 	char *hash = cluster_key_hash(c->account_key);
 	char *text = g_strdup_printf("name = \"assistant\"\nmodel = "
@@ -174,40 +174,10 @@
 				     "[[accounts]]\nname = "
 				     "\"studio\"\nkey_sha256 = \"%s\"\n",
 				     slots, replicas, replicas, hash);
-	struct fetch_answer answer;
 
-	if (!cluster_operate(c, cluster_wait_leader(c), "POST",
-			     "/v1/services?change_id=first&base=0&wait_ms=9000",
-			     text, &answer) ||
-	    answer.status != 200)
-		cluster_fail("the service is refused: %s",
-			     answer.body ? answer.body : "");
-	fetch_clear(&answer);
+	cluster_apply(c, text);
 	g_free(hash);
-	return text;
-}
-
-static void wait_whole(struct cluster *c, int count)
-{
-	gint64 until = cluster_now_ms() + CLUSTER_WAIT_MS;
-	int whole;
-
-	do {
-		json_t *body = cluster_get(c, cluster_wait_leader(c),
-					   "/v1/replicas");
-		json_t *row;
-		size_t i;
-
-		whole = 0;
-		json_array_foreach(json_object_get(body, "replicas"), i, row)
-			whole += !strcmp(json_string_value(
-						 json_object_get(row, "state")),
-					 "whole");
-		json_decref(body);
-		if (cluster_now_ms() > until)
-			cluster_fail("%d replicas whole of %d", whole, count);
-		usleep(50000);
-	} while (whole < count);
+	g_free(text);
 }
 
 static void by_streams(void)
@@ -225,8 +195,8 @@
 
 		cluster_start(c, 3);
 		cluster_start_fake(c, "fake_engine", "eng", slow);
-		g_free(start_service(c, 4, 200));
-		wait_whole(c, 4);
+		start_service(c, 4, 200);
+		cluster_wait_whole(c, 4);
 		usleep(500000);
 		for (int j = 0; j < sizes[i]; j++) {
 			struct job opts = {
@@ -272,7 +242,7 @@
 		int leader, made = 0;
 
 		cluster_start(c, NODES);
-		g_free(start_service(c, 0 + 1, 1));
+		start_service(c, 1, 1);
 		leader = cluster_wait_leader(c);
 		usleep(WARM_US);
 		for (int j = 0; j < NODES; j++) {
--- a/bench/bench_path.c
+++ b/bench/bench_path.c
@@ -31,14 +31,8 @@
 				     "[[accounts]]\nname = "
 				     "\"studio\"\nkey_sha256 = \"%s\"\n",
 				     hash);
-	struct fetch_answer answer;
-
-	if (!cluster_operate(c, cluster_wait_leader(c), "POST",
-			     "/v1/services?change_id=first&base=0&wait_ms=9000",
-			     text, &answer) ||
-	    answer.status != 200)
-		cluster_fail("refused: %s", answer.body ? answer.body : "");
-	fetch_clear(&answer);
+
+	cluster_apply(c, text);
 	g_free(hash);
 	g_free(text);
 }
@@ -51,40 +45,20 @@
 /* Where a replica can be asked without the entry. */
 static void find_direct(struct cluster *c, struct target *out)
 {
-	gint64 until = cluster_now_ms() + CLUSTER_WAIT_MS;
-
-	for (;;) {
-		json_t *body = cluster_get(c, cluster_wait_leader(c),
-					   "/v1/replicas");
-		json_t *rows = json_object_get(body, "replicas");
-		json_t *row = json_array_get(rows, 0);
-		size_t whole = 0, i;
-		json_t *each;
-
-		json_array_foreach(rows, i, each)
-			whole += !strcmp(
-				json_string_value(json_object_get(each, "stat"
-									"e")),
-				"whole");
-		if (whole == 4) {
-			g_strlcpy(out->address,
-				  json_string_value(json_object_get(row, "hea"
-									 "d")),
-				  sizeof(out->address));
-			g_snprintf(out->headers, sizeof(out->headers),
-				   "X-Replica: %lld\r\nX-Epoch: %lld\r\n",
-				   (long long)json_integer_value(
-					   json_object_get(row, "replica")),
-				   (long long)json_integer_value(
-					   json_object_get(row, "epoch")));
-			json_decref(body);
-			return;
-		}
-		json_decref(body);
-		if (cluster_now_ms() > until)
-			cluster_fail("replicas do not become whole");
-		usleep(50000);
-	}
+	json_t *body, *row;
+
+	cluster_wait_whole(c, 4);
+	body = cluster_get(c, cluster_wait_leader(c), "/v1/replicas");
+	row = json_array_get(json_object_get(body, "replicas"), 0);
+	g_strlcpy(out->address, json_string_value(json_object_get(row, "head")),
+		  sizeof(out->address));
+	g_snprintf(out->headers, sizeof(out->headers),
+		   "X-Replica: %lld\r\nX-Epoch: %lld\r\n",
+		   (long long)json_integer_value(json_object_get(row, "replic"
+								      "a")),
+		   (long long)json_integer_value(json_object_get(row, "epoc"
+								      "h")));
+	json_decref(body);
 }
 
 static struct job *ask(struct cluster *c, const struct target *direct,
--- a/bench/bench_state.c
+++ b/bench/bench_state.c
@@ -56,14 +56,8 @@
 				     "[[accounts]]\nname = "
 				     "\"studio\"\nkey_sha256 = \"%s\"\n",
 				     hash);
-	struct fetch_answer answer;
 
-	if (!cluster_operate(c, cluster_wait_leader(c), "POST",
-			     "/v1/services?change_id=first&base=0&wait_ms=9000",
-			     text, &answer) ||
-	    answer.status != 200)
-		cluster_fail("refused: %s", answer.body ? answer.body : "");
-	fetch_clear(&answer);
+	cluster_apply(c, text);
 	revision = 1;
 	g_free(hash);
 	g_free(text);
--- a/control/follow.c
+++ b/control/follow.c
@@ -5,7 +5,7 @@
 #include "control/control_internal.h"
 #include "wire/codec.h"
 
-#define TICK_MS 25
+#define TICK_MS 50
 #define POLL_TIMEOUT_MS 800
 /* Polls go out this many times within a lease. */
 #define POLLS_PER_LEASE 8
--- a/control/group.h
+++ b/control/group.h
@@ -56,7 +56,7 @@
 };
 
 /** A group is to be given a turn this often, and when it wants one. */
-#define GROUP_TICK_MS 20
+#define GROUP_TICK_MS 40
 
 /** Reads the data folder. NULL with *code and *why set on failure. */
 struct group *group_create(const struct group_opts *opts, enum rd_result *code,
--- a/placement/plan.c
+++ b/placement/plan.c
@@ -2,34 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "placement/placement_internal.h"
-
-/** Something a service lacks: a broken replica, or one more replica. */
-struct need {
-	struct service *service;
-	struct replica *replica; /* NULL for a new one */
-	uint32_t missing;	 /* VMs to find */
-	double value;		 /* price of leaving it */
-};
-
-/** VMs found for a need. */
-struct pick {
-	struct vm *vms[PLACEMENT_VMS_MAX];
-	uint32_t count;
-	uint32_t loads; /* VMs that must load weights */
-	uint32_t domains;
-};
-
-struct plan {
-	struct placement *p;
-	int64_t now_ms;
-	void (*decide)(void *ctx, const struct placement_decision *decision);
-	void *ctx;
-	GArray *needs;
-	GPtrArray *taken;    /* VMs marked by this plan */
-	GPtrArray *given_up; /* replicas marked by this plan */
-	uint32_t loading;
-};
+#include "placement/plan.h"
 
 const char *placement_action_name(enum placement_action action)
 {
@@ -44,14 +17,9 @@
 
 /* ---- telling ---- */
 
-static void tell(struct plan *plan, enum placement_action action,
-		 const struct service *service, const struct replica *replica,
-		 const struct pick *pick, const char *fmt, ...)
-	G_GNUC_PRINTF(6, 7);
-
-static void tell(struct plan *plan, enum placement_action action,
-		 const struct service *service, const struct replica *replica,
-		 const struct pick *pick, const char *fmt, ...)
+void plan_tell(struct plan *plan, enum placement_action action,
+	       const struct service *service, const struct replica *replica,
+	       const struct pick *pick, const char *fmt, ...)
 {
 	struct placement_decision d = {
 		.action = action,
@@ -71,7 +39,7 @@
 	plan->decide(plan->ctx, &d);
 }
 
-static void take_vm(struct plan *plan, struct vm *vm)
+void plan_take(struct plan *plan, struct vm *vm)
 {
 	struct domain *d = vm->domain;
 
@@ -89,7 +57,7 @@
 static void take(struct plan *plan, const struct pick *pick)
 {
 	for (uint32_t i = 0; i < pick->count; i++)
-		take_vm(plan, pick->vms[i]);
+		plan_take(plan, pick->vms[i]);
 }
 
 static void give_up(struct plan *plan, struct replica *r, const char *reason)
@@ -98,7 +66,7 @@
 		return;
 	r->giving_up = true;
 	g_ptr_array_add(plan->given_up, r);
-	tell(plan, PLACEMENT_RELEASE, r->service, r, NULL, "%s", reason);
+	plan_tell(plan, PLACEMENT_RELEASE, r->service, r, NULL, "%s", reason);
 }
 
 /* ---- surplus and versions ---- */
@@ -468,9 +436,9 @@
 		plan->loading++;
 		return true;
 	}
-	tell(plan, PLACEMENT_WAIT, need->service, need->replica, NULL,
-	     "weight store is busy with %u loads, limit %u", plan->loading,
-	     plan->p->opts.loads_max);
+	plan_tell(plan, PLACEMENT_WAIT, need->service, need->replica, NULL,
+		  "weight store is busy with %u loads, limit %u", plan->loading,
+		  plan->p->opts.loads_max);
 	return false;
 }
 
@@ -480,9 +448,9 @@
 	take(plan, pick);
 	if (!may_load(plan, need, pick))
 		return;
-	tell(plan, PLACEMENT_REPAIR, need->service, need->replica, pick,
-	     "%u of %u VMs lost; %s, %u load weights", need->missing,
-	     need->replica->vm_count, where, pick->loads);
+	plan_tell(plan, PLACEMENT_REPAIR, need->service, need->replica, pick,
+		  "%u of %u VMs lost; %s, %u load weights", need->missing,
+		  need->replica->vm_count, where, pick->loads);
 }
 
 /* Broken replicas of the domain whose survivors would complete this one. */
@@ -523,20 +491,22 @@
 	const struct domain *home;
 
 	if (is_draining(plan, r)) {
-		tell(plan, PLACEMENT_WAIT, s, r, NULL,
-		     "a VM is leaving and requests are in flight, limit %d ms",
-		     plan->p->opts.drain_ms);
+		plan_tell(plan, PLACEMENT_WAIT, s, r, NULL,
+			  "a VM is leaving and requests are in flight, limit "
+			  "%d ms",
+			  plan->p->opts.drain_ms);
 		return;
 	}
 	if (may_be_pausing(plan, r)) {
-		tell(plan, PLACEMENT_WAIT, s, r, NULL,
-		     "a VM may be pausing: silent %d ms, limit %d ms",
-		     (int)(plan->now_ms - latest_loss_ms(r)),
-		     plan->p->opts.pause_wait_ms);
+		plan_tell(plan, PLACEMENT_WAIT, s, r, NULL,
+			  "a VM may be pausing: silent %d ms, limit %d ms",
+			  (int)(plan->now_ms - latest_loss_ms(r)),
+			  plan->p->opts.pause_wait_ms);
 		return;
 	}
 	if (plan->p->opts.wait_for_own) {
-		tell(plan, PLACEMENT_WAIT, s, r, NULL, "waits for its own VM");
+		plan_tell(plan, PLACEMENT_WAIT, s, r, NULL,
+			  "waits for its own VM");
 		return;
 	}
 	add_survivors(r, &pick);
@@ -561,9 +531,9 @@
 		repair_with(plan, need, &pick, "across domains");
 		return;
 	}
-	tell(plan, PLACEMENT_WAIT, s, r, NULL,
-	     "%u of %u VMs lost, no domain can complete it", need->missing,
-	     r->vm_count);
+	plan_tell(plan, PLACEMENT_WAIT, s, r, NULL,
+		  "%u of %u VMs lost, no domain can complete it", need->missing,
+		  r->vm_count);
 }
 
 static void form(struct plan *plan, const struct need *need)
@@ -576,122 +546,18 @@
 		memset(&pick, 0, sizeof(pick));
 		where = "across domains";
 		if (!s->cross_domain || !pick_across(plan, s, &pick)) {
-			tell(plan, PLACEMENT_WAIT, s, NULL, NULL,
-			     "no domain has %u free VMs", s->vms_per_replica);
+			plan_tell(plan, PLACEMENT_WAIT, s, NULL, NULL,
+				  "no domain has %u free VMs",
+				  s->vms_per_replica);
 			return;
 		}
 	}
 	take(plan, &pick);
 	if (!may_load(plan, need, &pick))
 		return;
-	tell(plan, PLACEMENT_FORM, s, NULL, &pick,
-	     "%u replicas, preset wants %u; %s, %u load weights",
-	     count_replicas(s, false), s->wanted, where, pick.loads);
-}
-
-/* ---- loading ahead ---- */
-
-static uint32_t spares_with(const struct plan *plan, const struct domain *d,
-			    const struct service *s)
-{
-	uint32_t count = 0;
-
-	for (guint i = 0; i < d->vms->len; i++) {
-		const struct vm *vm = d->vms->pdata[i];
-
-		count += model_usable(plan->p, vm, s, plan->now_ms) &&
-			 vm->weights == s->weights;
-	}
-	return count;
-}
-
-/*
- * The service that gains most by one more spare of its weights here: what its
- * replicas in the domain would lose, over the spares that stand by already.
- */
-static struct service *wants_spare(const struct plan *plan,
-				   const struct domain *d, const struct vm *vm)
-{
-	struct service *best = NULL;
-	double best_gain = 0;
-
-	for (guint i = 0; i < plan->p->service_list->len; i++) {
-		struct service *s = plan->p->service_list->pdata[i];
-		uint32_t replicas = s->removed ? 0 : model_replicas_in(d, s);
-		double gain;
-
-		if (!replicas || !s->weights ||
-		    !model_usable(plan->p, vm, s, plan->now_ms))
-			continue;
-		gain = (double)replicas * s->downtime_weight /
-		       (1 + spares_with(plan, d, s));
-		if (gain > best_gain) {
-			best = s;
-			best_gain = gain;
-		}
-	}
-	return best;
-}
-
-/* Whether a spare's weights are some service's here, and so worth keeping. */
-static bool stands_by(const struct plan *plan, const struct domain *d,
-		      const struct vm *vm)
-{
-	for (guint i = 0; i < plan->p->service_list->len; i++) {
-		const struct service *s = plan->p->service_list->pdata[i];
-
-		if (!s->removed && vm->weights == s->weights &&
-		    model_replicas_in(d, s))
-			return true;
-	}
-	return false;
-}
-
-static uint32_t preloads_running(const struct plan *plan)
-{
-	uint32_t count = 0;
-
-	for (guint i = 0; i < plan->p->domain_list->len; i++) {
-		const struct domain *d = plan->p->domain_list->pdata[i];
-
-		for (guint j = 0; j < d->vms->len; j++)
-			count += ((struct vm *)d->vms->pdata[j])->preloading;
-	}
-	return count;
-}
-
-static void preload_in(struct plan *plan, struct domain *d, uint32_t *budget)
-{
-	for (guint i = 0; i < d->vms->len && *budget; i++) {
-		struct vm *vm = d->vms->pdata[i];
-		struct pick pick = { .vms = { vm }, .count = 1 };
-		struct service *s;
-
-		if (vm->taken || vm->holder || vm->preloading || !vm->alive ||
-		    vm->leaving || stands_by(plan, d, vm))
-			continue;
-		s = wants_spare(plan, d, vm);
-		if (!s)
-			continue;
-		(*budget)--;
-		take_vm(plan, vm);
-		tell(plan, PLACEMENT_PRELOAD, s, NULL, &pick,
-		     "spare of domain %s, which has %u replicas of it", d->name,
-		     model_replicas_in(d, s));
-	}
-}
-
-/* Uses what the weight store has left once all replicas have theirs. */
-static void preload_spares(struct plan *plan)
-{
-	uint32_t used = plan->loading + preloads_running(plan);
-	uint32_t budget = plan->p->opts.loads_max;
-
-	budget -= MIN(budget, used);
-	if (plan->p->opts.no_preload)
-		return;
-	for (guint i = 0; i < plan->p->domain_list->len && budget; i++)
-		preload_in(plan, plan->p->domain_list->pdata[i], &budget);
+	plan_tell(plan, PLACEMENT_FORM, s, NULL, &pick,
+		  "%u replicas, preset wants %u; %s, %u load weights",
+		  count_replicas(s, false), s->wanted, where, pick.loads);
 }
 
 static void clear_marks(struct plan *plan)
@@ -737,7 +603,7 @@
 		else
 			form(&plan, need);
 	}
-	preload_spares(&plan);
+	plan_preload(&plan);
 	clear_marks(&plan);
 	g_array_unref(plan.needs);
 	g_ptr_array_unref(plan.taken);
--- a/settings/service.c
+++ b/settings/service.c
@@ -207,6 +207,9 @@
 
 static bool parse_hash(const char *hex, char *out)
 {
+	/* One whose length was refused is empty here. */
+	if (strlen(hex) != (size_t)2 * SHA256_BYTES)
+		return false;
 	for (int i = 0; i < SHA256_BYTES; i++) {
 		int high = g_ascii_xdigit_value(hex[(ptrdiff_t)2 * i]);
 		int low = g_ascii_xdigit_value(hex[(ptrdiff_t)2 * i + 1]);
--- a/test/cluster.c
+++ b/test/cluster.c
@@ -571,3 +571,42 @@
 		usleep(POLL_US);
 	}
 }
+
+void cluster_apply(struct cluster *c, const char *text)
+{
+	struct fetch_answer answer;
+
+	if (!cluster_operate(c, cluster_wait_leader(c), "POST",
+			     "/v1/services?change_id=first&base=0&wait_ms=9000",
+			     text, &answer) ||
+	    answer.status != 200)
+		cluster_fail("the service is refused: %s",
+			     answer.body ? answer.body : "");
+	fetch_clear(&answer);
+}
+
+static int count_whole(struct cluster *c)
+{
+	json_t *body = cluster_get(c, cluster_wait_leader(c), "/v1/replicas");
+	json_t *row;
+	size_t i;
+	int whole = 0;
+
+	json_array_foreach(json_object_get(body, "replicas"), i, row)
+		whole += !strcmp(json_string_value(json_object_get(row, "stat"
+									"e")),
+				 "whole");
+	json_decref(body);
+	return whole;
+}
+
+void cluster_wait_whole(struct cluster *c, int count)
+{
+	gint64 until = cluster_now_ms() + CLUSTER_WAIT_MS;
+
+	while (count_whole(c) < count) {
+		if (cluster_now_ms() > until)
+			cluster_fail("%d replicas do not become whole", count);
+		usleep(POLL_US);
+	}
+}
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -84,6 +84,12 @@
 		     const char *path, const char *body,
 		     struct fetch_answer *answer);
 
+/** Applies a new service's TOML and waits until it is in force. */
+void cluster_apply(struct cluster *cluster, const char *text);
+
+/** Waits until so many replicas are whole by the leader's word. */
+void cluster_wait_whole(struct cluster *cluster, int count);
+
 /** The node that leads by its own word, 0 if none. */
 int cluster_leader(struct cluster *cluster);
 
--- a/test/jobs.c
+++ b/test/jobs.c
@@ -295,3 +295,59 @@
 		return g_strdup("no answer");
 	}
 }
+
+/** One caller of a storm. */
+struct caller {
+	pthread_t thread;
+	const char *address;
+	const char *key;
+	int number, each, failed;
+};
+
+static void *book_on(void *arg)
+{
+	struct caller *caller = arg;
+
+	for (int i = 0; i < caller->each; i++) {
+		char *headers = g_strdup_printf("Idempotency-Key: "
+						"storm-%d-%d\r\n",
+						caller->number, i);
+		struct job opts = {
+			.name = (char *)"storm",
+			.address = (char *)caller->address,
+			.key = (char *)caller->key,
+			.path = (char *)"/services/queue/bookings",
+			.headers = headers,
+			.body = (char *)"slot=1",
+		};
+		struct job *job = job_start(&opts);
+
+		job_join(job);
+		caller->failed += job->end != JOB_WHOLE;
+		job_free(job);
+		g_free(headers);
+	}
+	return NULL;
+}
+
+int jobs_storm(const char *const *addresses, int address_count, const char *key,
+	       int callers, int each)
+{
+	struct caller *all = g_new0(struct caller, callers);
+	int failed = 0;
+
+	for (int i = 0; i < callers; i++) {
+		all[i].address = addresses[i % address_count];
+		all[i].key = key;
+		all[i].number = i;
+		all[i].each = each;
+		if (pthread_create(&all[i].thread, NULL, book_on, &all[i]))
+			abort();
+	}
+	for (int i = 0; i < callers; i++) {
+		pthread_join(all[i].thread, NULL);
+		failed += all[i].failed;
+	}
+	g_free(all);
+	return failed;
+}
--- a/test/jobs.h
+++ b/test/jobs.h
@@ -54,4 +54,11 @@
 /** "whole tokens=12", "refused no-replica not-run", ... Caller frees. */
 char *job_text(const struct job *job);
 
+/**
+ * Lets callers book one after the other, each its own keys, on the addresses
+ * in turn. Returns how many of callers * each were not answered whole.
+ */
+int jobs_storm(const char *const *addresses, int address_count, const char *key,
+	       int callers, int each);
+
 #endif
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -702,6 +702,20 @@
 	keep_job(s, &opts);
 }
 
+/* storm CALLERS EACH: bookings through all nodes at once. */
+static void do_storm(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+	const char *addresses[CLUSTER_NODES_MAX];
+	int callers = atoi(s->words[1]), each = atoi(s->words[2]);
+
+	for (int i = 0; i < c->node_count; i++)
+		addresses[i] = c->nodes[i].callers;
+	script_print(s, "%d bookings, %d not answered", callers * each,
+		     jobs_storm(addresses, c->node_count, c->account_key,
+				callers, each));
+}
+
 static struct job *find_job(struct script *s, const char *name)
 {
 	struct job *job = g_hash_table_lookup(stage_of(s)->jobs, name);
@@ -891,6 +905,7 @@
 	{ "crowd", 2, do_crowd },
 	{ "book", 1, do_book },
 	{ "get", 1, do_get },
+	{ "storm", 2, do_storm },
 	{ "await", 1, do_await },
 	{ "await-all", 1, do_await_all },
 	{ "tokens", 2, do_tokens },
