entry, placement, test: dead sums removed, doubled loops made one

Cause: reading the whole change once more. An entry summed the free slots of all replicas five times a second and threw the sum away; a pick counted domains that nobody read; a parameter was passed to be ignored. The capacity measure had its window twice, the tests counted whole replicas in two places and made a service's path and query in two.

Change: the sum, the count and the parameter are gone; watch() takes what is to run during its window; cluster_count_whole() and change_service() serve both sides. A comment that described another command is set right.

No expected output and no bound was changed. The capacity measure was built but not run again; the stored figures are those of its run before.

Conclusion: behaviour as before.

--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -42,6 +42,7 @@
 	double cpu_us_s; /* us of processor time per second and node */
 	double rss_kb;
 	double bytes_s;
+	double seconds; /* its length */
 };
 
 static double rpc_bytes(struct cluster *c, int node)
@@ -55,12 +56,13 @@
 	return bytes;
 }
 
-static void watch(struct cluster *c, struct window *out)
+/* Runs `during`, or waits a window if it is NULL, and sees what that costs. */
+static void watch(struct cluster *c, void (*during)(void *ctx), void *ctx,
+		  struct window *out)
 {
 	struct usage before[CLUSTER_NODES_MAX], after;
 	double bytes[CLUSTER_NODES_MAX] = { 0 };
 	gint64 started;
-	double seconds;
 
 	usleep(WARM_US);
 	memset(out, 0, sizeof(*out));
@@ -69,13 +71,17 @@
 		meter_usage(c->nodes[i].pid, &before[i]);
 	}
 	started = g_get_monotonic_time();
-	usleep(WINDOW_US);
-	seconds = (double)(g_get_monotonic_time() - started) / 1e6;
+	if (during)
+		during(ctx);
+	else
+		usleep(WINDOW_US);
+	out->seconds = (double)(g_get_monotonic_time() - started) / 1e6;
 	for (int i = 0; i < c->node_count; i++) {
 		meter_usage(c->nodes[i].pid, &after);
-		out->cpu_us_s += (after.cpu_us - before[i].cpu_us) / seconds;
+		out->cpu_us_s += (after.cpu_us - before[i].cpu_us) /
+				 out->seconds;
 		out->rss_kb += after.rss_kb;
-		out->bytes_s += (rpc_bytes(c, i + 1) - bytes[i]) / seconds;
+		out->bytes_s += (rpc_bytes(c, i + 1) - bytes[i]) / out->seconds;
 	}
 	out->cpu_us_s /= c->node_count;
 	out->rss_kb /= c->node_count;
@@ -121,7 +127,7 @@
 		struct window w;
 
 		cluster_start(c, sizes[i]);
-		watch(c, &w);
+		watch(c, NULL, NULL, &w);
 		cluster_destroy(c);
 		x[n] = sizes[i];
 		cpu[n] = w.cpu_us_s;
@@ -146,7 +152,7 @@
 
 		cluster_start(c, NODES);
 		start_engine(c, sizes[i]);
-		watch(c, &w);
+		watch(c, NULL, NULL, &w);
 		cluster_destroy(c);
 		x[n] = sizes[i];
 		cpu[n] = w.cpu_us_s;
@@ -228,6 +234,39 @@
 
 /* ---- changes ---- */
 
+/** Changes made at a pace. */
+struct changing {
+	struct cluster *cluster;
+	int leader, rate_s, made;
+};
+
+static void make_changes(void *ctx)
+{
+	struct changing *ch = ctx;
+	gint64 started = g_get_monotonic_time();
+
+	while (g_get_monotonic_time() - started < WINDOW_US) {
+		char path[160];
+		struct fetch_answer answer;
+
+		if (!ch->rate_s) {
+			usleep(100000);
+			continue;
+		}
+		g_snprintf(path, sizeof(path),
+			   "/v1/services/assistant/preset?change_id=c%d"
+			   "&base=%d&preset=%s",
+			   ch->made, ch->made + 1,
+			   ch->made % 2 ? "ordinary" : "peak");
+		if (cluster_operate(ch->cluster, ch->leader, "POST", path, "",
+				    &answer) &&
+		    answer.status == 200)
+			ch->made++;
+		fetch_clear(&answer);
+		usleep((useconds_t)(1000000 / ch->rate_s));
+	}
+}
+
 static void by_changes(void)
 {
 	static const int rates[] = { 0, 20, 50, 100 };
@@ -236,51 +275,17 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(rates); i++) {
 		struct cluster *c = cluster_create(false);
-		struct usage before[NODES], after;
-		double sent[NODES], seconds;
-		gint64 started;
-		int leader, made = 0;
+		struct changing changing = { .cluster = c, .rate_s = rates[i] };
+		struct window w;
 
 		cluster_start(c, NODES);
 		start_service(c, 1, 1);
-		leader = cluster_wait_leader(c);
-		usleep(WARM_US);
-		for (int j = 0; j < NODES; j++) {
-			sent[j] = rpc_bytes(c, j + 1);
-			meter_usage(c->nodes[j].pid, &before[j]);
-		}
-		started = g_get_monotonic_time();
-		while (g_get_monotonic_time() - started < WINDOW_US) {
-			char path[160];
-			struct fetch_answer answer;
-
-			if (!rates[i]) {
-				usleep(100000);
-				continue;
-			}
-			g_snprintf(path, sizeof(path),
-				   "/v1/services/assistant/preset?change_id=c%d"
-				   "&base=%d&preset=%s",
-				   made, made + 1,
-				   made % 2 ? "ordinary" : "peak");
-			if (cluster_operate(c, leader, "POST", path, "",
-					    &answer) &&
-			    answer.status == 200)
-				made++;
-			fetch_clear(&answer);
-			usleep((useconds_t)(1000000 / rates[i]));
-		}
-		seconds = (double)(g_get_monotonic_time() - started) / 1e6;
-		cpu[n] = bytes[n] = 0;
-		for (int j = 0; j < NODES; j++) {
-			meter_usage(c->nodes[j].pid, &after);
-			cpu[n] += (after.cpu_us - before[j].cpu_us) / seconds /
-				  NODES;
-			bytes[n] += (rpc_bytes(c, j + 1) - sent[j]) / seconds /
-				    NODES;
-		}
-		x[n++] = made / seconds;
+		changing.leader = cluster_wait_leader(c);
+		watch(c, make_changes, &changing, &w);
 		cluster_destroy(c);
+		x[n] = changing.made / w.seconds;
+		cpu[n] = w.cpu_us_s;
+		bytes[n++] = w.bytes_s;
 	}
 	print_slope("node_cpu_by_changes", x, cpu, n, "us/s per 1/s");
 	print_slope("node_bytes_by_changes", x, bytes, n, "B/s per 1/s");
--- a/entry/booking.c
+++ b/entry/booking.c
@@ -77,7 +77,7 @@
 static void claim_again(evutil_socket_t fd, short what, void *arg);
 
 /* Another dispatch of the same booking is out: its answer will serve both. */
-static void wait_for_other(struct claim_result *r, struct call *call)
+static void wait_for_other(struct call *call)
 {
 	struct timeval after = { 0, WAIT_MS * 1000 };
 
@@ -88,7 +88,6 @@
 	}
 	event_base_once(call->entry->base, -1, EV_TIMEOUT, claim_again,
 			new_result(call), &after);
-	(void)r;
 }
 
 static void replay(struct call *call, const struct apply_result *result)
@@ -134,7 +133,7 @@
 	if (!call)
 		goto done;
 	if (code == RD_IN_FLIGHT)
-		wait_for_other(r, call);
+		wait_for_other(call);
 	else if (code)
 		claim_failed(call, code, r->result.text);
 	else if (r->result.outcome == BOOKING_ANSWERED)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -40,36 +40,15 @@
 
 /* ---- what this entry tells ---- */
 
-struct capacity {
-	int64_t now_ms;
-	uint32_t free_slots, slots;
-};
-
-static void add_capacity(gpointer key, gpointer value, gpointer data)
+/* Full replicas are everybody's; callers gain nothing by moving. */
+static uint32_t free_permille(const struct entry *entry)
 {
-	struct capacity *sum = data;
-	const struct entry_service *s = value;
-	uint32_t free_slots, slots;
-
-	(void)key;
-	router_capacity(s->router, sum->now_ms, &free_slots, &slots);
-	sum->free_slots += free_slots;
-	sum->slots += slots;
-}
-
-static uint32_t free_permille(struct entry *entry)
-{
-	struct capacity sum = { .now_ms = entry_now_ms(entry) };
-	uint32_t connections = g_hash_table_size(entry->calls);
+	uint32_t calls = g_hash_table_size(entry->calls);
 	int64_t most = entry->opts.settings->limits.connections;
-	uint32_t own =
-		connections >= most
-			? 0
-			: (uint32_t)(PERMILLE - connections * PERMILLE / most);
-
-	g_hash_table_foreach(entry->services, add_capacity, &sum);
-	/* Full replicas are everybody's; callers gain nothing by moving. */
-	return own;
+
+	if (calls >= most)
+		return 0;
+	return (uint32_t)(PERMILLE - calls * PERMILLE / most);
 }
 
 void entry_send_status(struct entry *entry)
--- a/placement/plan.c
+++ b/placement/plan.c
@@ -278,7 +278,6 @@
 			break;
 	}
 	memset(pick, 0, sizeof(*pick));
-	pick->domains = 1;
 	return best && fill_from(plan, best, s, pick);
 }
 
@@ -298,14 +297,12 @@
 	for (int same_centre = 1; same_centre >= 0; same_centre--) {
 		for (guint i = 0; i < plan->p->domain_list->len; i++) {
 			const struct domain *d = plan->p->domain_list->pdata[i];
-			uint32_t before = pick->count;
 
 			if (same_centre && centre &&
 			    strcmp(centre, d->data_centre) != 0)
 				continue;
 			if (fill_from(plan, d, s, pick))
 				return true;
-			pick->domains += pick->count > before ? 1 : 0;
 			if (!centre && pick->count)
 				centre = d->data_centre;
 		}
@@ -487,7 +484,7 @@
 {
 	struct replica *r = need->replica;
 	struct service *s = need->service;
-	struct pick pick = { .domains = 1 }, elsewhere = { 0 };
+	struct pick pick = { 0 }, elsewhere = { 0 };
 	const struct domain *home;
 
 	if (is_draining(plan, r)) {
--- a/placement/plan.h
+++ b/placement/plan.h
@@ -21,7 +21,6 @@
 	struct vm *vms[PLACEMENT_VMS_MAX];
 	uint32_t count;
 	uint32_t loads; /* VMs that must load weights */
-	uint32_t domains;
 };
 
 struct plan {
--- a/test/cluster.c
+++ b/test/cluster.c
@@ -585,17 +585,25 @@
 	fetch_clear(&answer);
 }
 
-static int count_whole(struct cluster *c)
+static bool is_text(json_t *row, const char *key, const char *wanted)
 {
-	json_t *body = cluster_get(c, cluster_wait_leader(c), "/v1/replicas");
+	return !wanted ||
+	       !strcmp(json_string_value(json_object_get(row, key)), wanted);
+}
+
+int cluster_count_whole(struct cluster *c, const char *service,
+			const char *version)
+{
+	int leader = cluster_leader(c);
+	json_t *body = leader ? cluster_get(c, leader, "/v1/replicas") : NULL;
 	json_t *row;
 	size_t i;
 	int whole = 0;
 
 	json_array_foreach(json_object_get(body, "replicas"), i, row)
-		whole += !strcmp(json_string_value(json_object_get(row, "stat"
-									"e")),
-				 "whole");
+		whole += is_text(row, "state", "whole") &&
+			 is_text(row, "service", service) &&
+			 is_text(row, "version", version);
 	json_decref(body);
 	return whole;
 }
@@ -604,7 +612,7 @@
 {
 	gint64 until = cluster_now_ms() + CLUSTER_WAIT_MS;
 
-	while (count_whole(c) < count) {
+	while (cluster_count_whole(c, NULL, NULL) < count) {
 		if (cluster_now_ms() > until)
 			cluster_fail("%d replicas do not become whole", count);
 		usleep(POLL_US);
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -87,6 +87,10 @@
 /** Applies a new service's TOML and waits until it is in force. */
 void cluster_apply(struct cluster *cluster, const char *text);
 
+/** Counts whole replicas; `service` and `version` may be NULL for any. */
+int cluster_count_whole(struct cluster *cluster, const char *service,
+			const char *version);
+
 /** Waits until so many replicas are whole by the leader's word. */
 void cluster_wait_whole(struct cluster *cluster, int count);
 
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -272,24 +272,26 @@
 	g_free(text);
 }
 
-static void do_preset(struct script *s)
+/* Makes a change to the service named first: /v1/services/NAME/part?query. */
+static void change_service(struct script *s, const char *part,
+			   const char *parameter)
 {
-	char *path = g_strdup_printf("/v1/services/%s/preset", s->words[1]);
-	char *query = g_strdup_printf("preset=%s", s->words[2]);
+	char *path = g_strdup_printf("/v1/services/%s/%s", s->words[1], part);
+	char *query = g_strdup_printf("%s=%s", parameter, s->words[2]);
 
 	change(s, "POST", path, query, "", s->words[1]);
 	g_free(path);
 	g_free(query);
 }
 
-static void do_rollback(struct script *s)
+static void do_preset(struct script *s)
 {
-	char *path = g_strdup_printf("/v1/services/%s/rollback", s->words[1]);
-	char *query = g_strdup_printf("to=%s", s->words[2]);
+	change_service(s, "preset", "preset");
+}
 
-	change(s, "POST", path, query, "", s->words[1]);
-	g_free(path);
-	g_free(query);
+static void do_rollback(struct script *s)
+{
+	change_service(s, "rollback", "to");
 }
 
 /* switches N: so many switches of presets, one after the other. */
@@ -419,36 +421,10 @@
 
 /* ---- waiting ---- */
 
-static int count_whole(struct script *s, const char *service,
-		       const char *version)
-{
-	struct cluster *c = cluster_of(s);
-	int leader = cluster_leader(c);
-	json_t *body = leader ? cluster_get(c, leader, "/v1/replicas") : NULL;
-	json_t *row;
-	size_t i;
-	int count = 0;
-
-	json_array_foreach(json_object_get(body, "replicas"), i, row) {
-		const char *name = json_string_value(json_object_get(row, "serv"
-									  "ic"
-									  "e"));
-		const char *state =
-			json_string_value(json_object_get(row, "state"));
-		const char *runs = json_string_value(json_object_get(row, "vers"
-									  "io"
-									  "n"));
-
-		count += !strcmp(name, service) && !strcmp(state, "whole") &&
-			 (!version || !strcmp(version, runs));
-	}
-	json_decref(body);
-	return count;
-}
-
 static bool enough_whole(struct script *s)
 {
-	return count_whole(s, s->words[1], script_value(s, "version", NULL)) ==
+	return cluster_count_whole(cluster_of(s), s->words[1],
+				   script_value(s, "version", NULL)) ==
 	       atoi(s->words[2]);
 }
 
@@ -773,7 +749,7 @@
 	wait_until(s, has_tokens, "tokens");
 }
 
-/* hang-up JOB is not possible from outside a thread: a caller that leaves. */
+/* leave [after=MS]: a caller that goes away in the middle of its stream. */
 static void do_leave(struct script *s)
 {
 	struct cluster *c = cluster_of(s);
