--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 B := build/$(FLAVOUR)
 CC ?= gcc
 CXX ?= g++
-PKGS := glib-2.0 jansson libevent libevent_pthreads libtirpc libxxhash
+PKGS := glib-2.0 jansson libevent libevent_pthreads libtirpc libxxhash zlib
 CPPFLAGS += -D_GNU_SOURCE -I. -Iinclude $(shell pkg-config --cflags $(PKGS))
 WARNINGS := -Wall -Wextra -Wshadow=local -Wstrict-prototypes -Werror
 CFLAGS_std := -O2 -g
@@ -21,7 +21,8 @@
 	routing/*.c)
 DAEMON_SRC := $(filter-out common/result.c,$(wildcard common/*.c)) \
 	$(filter-out wire/radishdeal_xdr.c wire/codec.c,$(wildcard wire/*.c)) \
-	$(wildcard settings/*.c storage/*.c control/*.c entry/*.c)
+	$(wildcard settings/*.c storage/*.c control/*.c entry/*.c \
+	platform/*.c)
 CTL_SRC := $(wildcard ctl/*.c)
 
 CORE_OBJ := $(CORE_SRC:%.c=$B/%.o)
@@ -40,6 +41,7 @@
 
 .PHONY: all programs check demo measure clean packages lint format wire \
 	torture tests doc
+programs: $(PROGRAMS)
 all: $(PROGRAMS) $B/libradishdeal.a $(FAKE_BIN) $(EXAMPLE_BIN)
 tests: all $(TEST_BIN) $(BENCH_BIN)
 
@@ -84,7 +86,7 @@
 
 PACKAGES := build-essential pkg-config libevent-dev libtirpc-dev \
 	libglib2.0-dev libjansson-dev libcmocka-dev libxxhash-dev \
-	libtomlplusplus-dev clang-format clang-tidy doxygen python3 curl
+	libtomlplusplus-dev zlib1g-dev clang-format clang-tidy doxygen python3 curl
 
 # Installs nothing where everything is there.
 packages:
--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -389,6 +389,7 @@
 
 	command.body.kind = CMD_APPLY_SERVICE;
 	a->spec.name = (char *)"queue";
+	a->spec.pool = (char *)"";
 	a->spec.model = a->spec.adapter = (char *)"";
 	a->spec.plain = 1;
 	a->spec.vms_per_replica = a->spec.slots_per_replica = 1;
@@ -455,6 +456,7 @@
 				.data_centre = (char *)"a",
 				.domain = (char *)"a1",
 				.service = (char *)"",
+				.pool = (char *)"",
 				.model = (char *)"tuner-70b",
 				.adapter = (char *)"",
 				.model_version = (char *)"12",
--- a/common/http.c
+++ b/common/http.c
@@ -11,6 +11,7 @@
 #include "common/http.h"
 
 #define LISTEN_BACKLOG 1024
+#define MS_PER_S 1000
 #define READ_AHEAD_MAX 65536
 /* A caller that acknowledges nothing for this long is gone. */
 #define ANSWER_UNACKED_MS 30000
@@ -67,9 +68,11 @@
 	char *text = http_problem_text(problem);
 	char seconds[16];
 
-	if (problem->retry_after_s) {
+	if (problem->close)
+		evhttp_add_header(headers, "Connection", "close");
+	if (problem->retry_after_ms) {
 		g_snprintf(seconds, sizeof(seconds), "%d",
-			   problem->retry_after_s);
+			   (problem->retry_after_ms + MS_PER_S - 1) / MS_PER_S);
 		evhttp_add_header(headers, "Retry-After", seconds);
 	}
 	if (info->http_status == 401)
--- a/common/http.h
+++ b/common/http.h
@@ -28,8 +28,9 @@
 	enum outcome outcome;
 	const char *detail;	/* NULL for the code's own text */
 	const char *request_id; /* may be NULL */
-	int retry_after_s;	/* 0 for none */
+	int retry_after_ms;	/* 0 for none */
 	json_t *more;		/* object merged in; borrowed; may be NULL */
+	bool close;		/* the caller should use another connection */
 };
 
 /** Builds the body of an error answer (RFC 9457). */
--- a/control/control.c
+++ b/control/control.c
@@ -185,7 +185,9 @@
 		placer_stop(control->placer);
 		log_note(&control_log, "no longer leads");
 	}
-	operators_tick(control->operators);
+	peers_tick(control);
+	if (control->operators)
+		operators_tick(control->operators);
 	check_leaving(control);
 }
 
@@ -201,6 +203,7 @@
 		.keep = FEED_KEEP,
 		.nodes = nodes,
 		.node_count = peers->len,
+		.open = daemon_settings_discovers(settings),
 	};
 	struct feed *feed;
 
@@ -264,6 +267,21 @@
 	return RD_OK;
 }
 
+static enum rd_result open_interface(struct control *control, char **why)
+{
+	const struct control_driver *driver = control->opts.driver;
+
+	if (!driver) {
+		control->operators = operators_create(control, why);
+		return control->operators ? RD_OK : RD_IO;
+	}
+	if (!control->group)
+		return RD_OK; /* only an entry, which faces neither */
+	control->announcements = announcements_create(control);
+	control->driver = driver->open(control, why);
+	return control->driver ? RD_OK : RD_IO;
+}
+
 struct control *control_create(const struct control_opts *opts,
 			       enum rd_result *code, char **why)
 {
@@ -287,10 +305,9 @@
 	*code = peers_open(control, why);
 	if (*code)
 		goto fail;
-	control->operators = operators_create(control, why);
-	if (control->operators)
+	*code = open_interface(control, why);
+	if (!*code)
 		return control;
-	*code = RD_IO;
 fail:
 	control_destroy(control);
 	return NULL;
@@ -304,6 +321,8 @@
 
 	control->follow = follow_create(control);
 	peers_connect(control);
+	if (control->announcements)
+		announcements_begin(control->announcements);
 	control->tick = event_new(control->base, -1, EV_PERSIST, on_tick,
 				  control);
 	event_add(control->tick, &tick);
@@ -329,6 +348,10 @@
 	fs_folder_close(control->folder);
 	proposals_destroy(control->proposals);
 	operators_destroy(control->operators);
+	if (control->driver)
+		control->opts.driver->close(control->driver);
+	announcements_destroy(control->announcements);
+	control_take_entries(control, NULL);
 	placer_destroy(control->placer);
 	follow_destroy(control->follow);
 	feed_destroy(control->feed);
@@ -341,6 +364,32 @@
 	return control->identity.incarnation;
 }
 
+/* ---- what drivers use ---- */
+
+void control_take_entries(struct control *control, struct poll_reply *reply)
+{
+	for (uint32_t i = 0; i < control->entry_count; i++)
+		CODEC_FREE(entry_info, &control->entries[i]);
+	g_free(control->entries);
+	control->entries = NULL;
+	control->entry_count = reply ? reply->entries.entries_len : 0;
+	if (!control->entry_count)
+		return;
+	control->entries = g_new0(struct entry_info, control->entry_count);
+	for (uint32_t i = 0; i < control->entry_count; i++)
+		if (!CODEC_COPY(entry_info, &reply->entries.entries_val[i],
+				&control->entries[i]))
+			g_assert_not_reached();
+}
+
+const struct state *control_newest_state(const struct control *control)
+{
+	/* Leading by a valid lease means that no other can be ahead. */
+	if (!control->group || !group_leads(control->group))
+		return NULL;
+	return group_state(control->group);
+}
+
 /* ---- messages from other tasks ---- */
 
 struct status_message {
--- a/control/control.h
+++ b/control/control.h
@@ -23,6 +23,7 @@
 #include "wire/rpc.h"
 
 struct control;
+struct order_format;
 
 /** A new configuration for the entry; owns its reply. */
 struct config_update {
@@ -40,7 +41,20 @@
 	void *ctx;
 };
 
+/**
+ * A way to face operators and announcing VMs other than the native one. Its
+ * functions run on the control task, but for open and close.
+ */
+struct control_driver {
+	/** Opens its ports; NULL with *why set on failure. */
+	void *(*open)(struct control *control, char **why);
+	void (*close)(void *driver);
+	/** What it writes into orders and reads out of their answers. */
+	const struct order_format *orders;
+};
+
 struct control_opts {
+	const struct control_driver *driver; /* NULL for the native one */
 	const struct daemon_settings *settings;
 	const struct clock_source *clock;
 	struct counters *counters;
--- a/control/control_internal.h
+++ b/control/control_internal.h
@@ -21,7 +21,10 @@
 /** Another process of the system. */
 struct peer {
 	struct control *control;
-	const struct peer_settings *settings;
+	uint32_t node;
+	bool is_control;  /* may be asked who leads */
+	bool found;	  /* not listed in the settings */
+	int64_t named_ms; /* when it was last heard of, if found */
 	struct rpc_client *client;
 };
 
@@ -39,7 +42,11 @@
 	struct view *view;
 	struct follow *follow;
 	struct proposals *proposals;
-	struct operators *operators;
+	struct operators *operators; /* NULL unless the interface is native */
+	struct announcements *announcements; /* NULL if entries are homes */
+	struct entry_info *entries;	     /* as the leader last told */
+	uint32_t entry_count;
+	void *driver; /* of opts.driver; NULL without one */
 	struct placer *placer;
 	struct event *tick;
 	bool was_leading;
@@ -55,15 +62,29 @@
 /** The peer with a node number, or NULL. */
 struct peer *control_peer(const struct control *control, uint32_t node);
 
+/**
+ * The peer with a node number, connecting to it if it is new. NULL if it is
+ * this process, or not listed in a system without seeds.
+ */
+struct peer *control_find_peer(struct control *control, uint32_t node,
+			       bool is_control);
+
 /** Node of the leader as far as known here, 0 if unknown. */
 uint32_t control_leader(const struct control *control);
 
+/** Keeps the entries of a leader's reply; NULL forgets them. */
+void control_take_entries(struct control *control, struct poll_reply *reply);
+
+/** The state if it is surely the newest: only at a leader; else NULL. */
+const struct state *control_newest_state(const struct control *control);
+
 /* peers.c */
 enum rd_result peers_open(struct control *control, char **why);
 void peers_connect(struct control *control);
 void peers_close(struct control *control);
 void peers_send_raft(struct control *control, uint64_t member, GBytes *bytes);
 void peers_hint(struct control *control);
+void peers_tick(struct control *control);
 void peers_digest(struct control *control, GBytes *digest);
 
 /* follow.c: this VM's entry as a subscriber to the configuration */
@@ -86,6 +107,17 @@
 void operators_destroy(struct operators *operators);
 void operators_tick(struct operators *operators);
 
+/* announcements.c: VMs that announce themselves here */
+struct announcements *announcements_create(struct control *control);
+void announcements_destroy(struct announcements *a);
+void announcements_begin(struct announcements *a);
+void announcements_take(struct announcements *a,
+			const struct vm_report *report);
+/** A VM said that it is about to go. */
+void announcements_leave(struct announcements *a, const char *vm);
+/** Some process missed a digest. */
+void announcements_want_full(struct announcements *a);
+
 /* placer.c: placement while this member leads */
 struct placer *placer_create(struct control *control);
 void placer_destroy(struct placer *placer);
--- a/control/feed.c
+++ b/control/feed.c
@@ -49,6 +49,9 @@
 	struct indexed_command *kept = g_new0(struct indexed_command, 1);
 	struct indexed_command added = { index, *command };
 
+	/* Entries need no text to read back. */
+	if (command->body.kind == CMD_DEPLOY)
+		added.cmd.body.command_body_u.deploy.document.document_len = 0;
 	if (!CODEC_COPY(indexed_command, &added, kept))
 		g_assert_not_reached();
 	g_queue_push_tail(&feed->commands, kept);
@@ -189,6 +192,34 @@
 	return feed->last;
 }
 
+static gint compare_nodes(gconstpointer a, gconstpointer b)
+{
+	uint32_t x = *(const uint32_t *)a, y = *(const uint32_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/* Those known from the start and those heard of since, by number. */
+static GArray *all_nodes(const struct feed *feed)
+{
+	GArray *nodes = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	GHashTableIter iter;
+	gpointer key;
+
+	for (uint32_t i = 0; i < feed->opts.node_count; i++)
+		if (!g_hash_table_contains(feed->entries,
+					   GUINT_TO_POINTER(feed->nodes[i])))
+			g_array_append_val(nodes, feed->nodes[i]);
+	g_hash_table_iter_init(&iter, feed->entries);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		uint32_t node = GPOINTER_TO_UINT(key);
+
+		g_array_append_val(nodes, node);
+	}
+	g_array_sort(nodes, compare_nodes);
+	return nodes;
+}
+
 static bool holds_up(const struct feed *feed, int64_t now_ms, uint64_t index,
 		     uint32_t node)
 {
@@ -203,15 +234,19 @@
 bool feed_in_force(const struct feed *feed, int64_t now_ms, uint64_t index,
 		   GArray *laggards)
 {
-	bool all = true;
+	bool all = !feed->opts.open || now_ms > feed->grace_until_ms;
+	GArray *nodes = all_nodes(feed);
+
+	for (guint i = 0; i < nodes->len; i++) {
+		uint32_t node = g_array_index(nodes, uint32_t, i);
 
-	for (uint32_t i = 0; i < feed->opts.node_count; i++) {
-		if (!holds_up(feed, now_ms, index, feed->nodes[i]))
+		if (!holds_up(feed, now_ms, index, node))
 			continue;
 		all = false;
 		if (laggards)
-			g_array_append_val(laggards, feed->nodes[i]);
+			g_array_append_val(laggards, node);
 	}
+	g_array_unref(nodes);
 	return all;
 }
 
@@ -231,11 +266,15 @@
 	       void (*visit)(void *ctx, const struct feed_entry *entry),
 	       void *ctx)
 {
-	for (uint32_t i = 0; i < feed->opts.node_count; i++) {
+	GArray *nodes = all_nodes(feed);
+
+	for (guint i = 0; i < nodes->len; i++) {
+		uint32_t node = g_array_index(nodes, uint32_t, i);
 		const struct feed_entry *e = g_hash_table_lookup(
-			feed->entries, GUINT_TO_POINTER(feed->nodes[i]));
+			feed->entries, GUINT_TO_POINTER(node));
 
 		if (e)
 			visit(ctx, e);
 	}
+	g_array_unref(nodes);
 }
--- a/control/feed.h
+++ b/control/feed.h
@@ -17,8 +17,9 @@
 	int32_t lease_ms;
 	int32_t drift_permille;
 	uint32_t keep; /* commands kept; entries further behind get an image */
-	const uint32_t *nodes; /* all entries there may be */
+	const uint32_t *nodes; /* entries that are known from the start */
 	uint32_t node_count;
+	bool open; /* other entries may come, and may have come before */
 };
 
 struct feed *feed_create(const struct feed_opts *opts);
--- a/control/follow.c
+++ b/control/follow.c
@@ -1,4 +1,5 @@
 /* This VM's entry as a subscriber: polls the leader, passes on what is new. */
+#include <stdlib.h>
 #include <string.h>
 
 #include "common/log.h"
@@ -30,9 +31,26 @@
 
 /* ---- serving ---- */
 
+static void add_controls(const struct control *control,
+			 struct poll_reply *reply)
+{
+	const struct member_config *config;
+
+	if (!control->group)
+		return;
+	config = raft_config(group_raft(control->group));
+	reply->controls.controls_val = calloc(config->members.members_len + 1,
+					      sizeof(uint32_t));
+	reply->controls.controls_len = config->members.members_len;
+	for (u_int i = 0; i < config->members.members_len; i++)
+		reply->controls.controls_val[i] =
+			config->members.members_val[i].node;
+}
+
 void follow_serve(struct control *control, const struct poll_request *request,
 		  struct poll_reply *reply)
 {
+	add_controls(control, reply);
 	if (control->group && group_leads(control->group)) {
 		const struct raft *raft = group_raft(control->group);
 
@@ -53,8 +71,12 @@
 	struct control *control = follow->control;
 	struct config_update *update;
 
+	/* Told without a leader too, so that a new one can be found. */
 	if (reply->leader)
 		follow->leader = reply->leader;
+	for (u_int i = 0; i < reply->controls.controls_len; i++)
+		(void)control_find_peer(control,
+					reply->controls.controls_val[i], true);
 	if (reply->code) {
 		/* Whoever was asked does not lead; ask the next one soon. */
 		follow->next_peer++;
@@ -62,6 +84,17 @@
 		CODEC_FREE(poll_reply, reply);
 		return;
 	}
+	if (control->group) {
+		for (u_int i = 0; i < reply->entries.entries_len; i++)
+			(void)control_find_peer(
+				control, reply->entries.entries_val[i].node,
+				false);
+		control_take_entries(control, reply);
+	}
+	if (!control->opts.listener.config) {
+		CODEC_FREE(poll_reply, reply);
+		return;
+	}
 	update = g_new0(struct config_update, 1);
 	update->reply = *reply;
 	/* Counted from before the question was sent, so never too long. */
@@ -94,7 +127,10 @@
 	request->node = (uint32_t)control->opts.settings->node.id;
 	request->incarnation = control->identity.incarnation;
 	request->member = control->group ? group_member_id(control->group) : 0;
-	request->applied = follow->status.applied;
+	/* A VM without an entry has the configuration by the log alone. */
+	request->applied = control->opts.listener.config
+				   ? follow->status.applied
+				   : state_index(group_state(control->group));
 	request->callers_address = follow->status.callers_address;
 	request->endpoints_address = follow->status.endpoints_address;
 	request->data_centre = control->opts.settings->node.data_centre;
@@ -126,7 +162,7 @@
 		guint at = (follow->next_peer + i) % control->peers->len;
 
 		peer = control->peers->pdata[at];
-		if (peer->settings->control && rpc_client_ready(peer->client))
+		if (peer->is_control && rpc_client_ready(peer->client))
 			return peer;
 	}
 	return NULL;
--- a/control/group.c
+++ b/control/group.c
@@ -364,6 +364,10 @@
 	}
 }
 
+/* Where the stored list of first members stands in the log. */
+#define FIRST_INDEX 1
+#define FIRST_TERM 1
+
 /* Ids of later members stand above every node number. */
 #define LATER_MEMBER (UINT64_C(1) << 63)
 
@@ -392,6 +396,34 @@
 	return storage_open(&opts, &group->storage, recovered, why);
 }
 
+/*
+ * Seeds may name other VMs at the next start, so the first members are stored:
+ * each of them begins from the same snapshot of an empty state.
+ */
+static enum rd_result store_first_members(struct group *group,
+					  struct storage_recovered *recovered)
+{
+	struct stored_snapshot *snapshot = &recovered->snapshot;
+	GBytes *image;
+	gsize size;
+	const void *data;
+
+	if (!group->opts.bootstrap || snapshot->index ||
+	    recovered->entries->len || recovered->member & LATER_MEMBER ||
+	    !daemon_settings_discovers(group->opts.settings))
+		return RD_OK;
+	image = state_save(group->state, true);
+	data = g_bytes_get_data(image, &size);
+	snapshot->index = FIRST_INDEX;
+	snapshot->term = FIRST_TERM;
+	bootstrap_config(group->opts.settings, &snapshot->config);
+	snapshot->data.data_val = malloc(size);
+	memcpy(snapshot->data.data_val, data, size);
+	snapshot->data.data_len = (u_int)size;
+	g_bytes_unref(image);
+	return storage_snapshot(group->storage, snapshot, false);
+}
+
 static void create_raft(struct group *group,
 			const struct storage_recovered *recovered)
 {
@@ -417,7 +449,8 @@
 	};
 
 	/* A member with a first member's id was made from these settings. */
-	if (!snapshot->index && recovered->member <= UINT16_MAX)
+	if (!snapshot->index && recovered->member <= UINT16_MAX &&
+	    !daemon_settings_discovers(settings))
 		bootstrap_config(settings, &config);
 	opts.config = snapshot->index ? &snapshot->config : &config;
 	if (snapshot->index)
@@ -463,6 +496,8 @@
 					     g_free, NULL);
 	group->state = state_create();
 	*code = open_storage(group, &recovered, why);
+	if (!*code)
+		*code = store_first_members(group, &recovered);
 	if (*code)
 		goto fail;
 	if (!restore_state(group, &recovered)) {
--- a/control/members.c
+++ b/control/members.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/address.h"
 #include "common/log.h"
 #include "control/control_internal.h"
 #include "wire/codec.h"
@@ -126,15 +127,7 @@
 
 static u_int wanted_voters(const struct control *control)
 {
-	const GPtrArray *peers = control->opts.settings->cluster.peers;
-	u_int count = 0;
-
-	for (guint i = 0; i < peers->len; i++) {
-		const struct peer_settings *p = peers->pdata[i];
-
-		count += p->voter ? 1 : 0;
-	}
-	return count;
+	return daemon_settings_voters(control->opts.settings);
 }
 
 static u_int count_voters(const struct member_config *config)
@@ -172,20 +165,51 @@
 	return true;
 }
 
-static void append_member(struct member_config *config, uint64_t id,
-			  const struct peer_settings *peer)
+static const struct peer_settings *settings_of(const struct control *control,
+					       uint32_t node)
+{
+	const GPtrArray *peers = control->opts.settings->cluster.peers;
+
+	for (guint i = 0; i < peers->len; i++) {
+		const struct peer_settings *p = peers->pdata[i];
+
+		if (p->id == (int64_t)node)
+			return p;
+	}
+	return NULL;
+}
+
+struct newcomer {
+	struct member_config *config;
+	uint64_t id;
+	uint32_t node;
+	char data_centre[64];
+};
+
+static void append_member(const struct control *control,
+			  struct member_config *config,
+			  const struct newcomer *newcomer)
 {
+	const struct daemon_settings *settings = control->opts.settings;
+	const struct peer_settings *listed = settings_of(control,
+							 newcomer->node);
 	u_int n = config->members.members_len;
+	char address[ADDRESS_MAX];
 	struct member *m;
 
+	if (listed)
+		g_strlcpy(address, listed->peers, sizeof(address));
+	else
+		daemon_settings_node_address(settings, newcomer->node, address,
+					     sizeof(address));
 	config->members.members_val = realloc(config->members.members_val,
 					      (n + 1) * sizeof(struct member));
 	m = &config->members.members_val[n];
 	memset(m, 0, sizeof(*m));
-	m->id = id;
-	m->node = (uint32_t)peer->id;
-	m->address = strdup(peer->peers);
-	m->data_centre = strdup(peer->data_centre);
+	m->id = newcomer->id;
+	m->node = newcomer->node;
+	m->address = strdup(address);
+	m->data_centre = strdup(newcomer->data_centre);
 	config->members.members_len++;
 }
 
@@ -200,26 +224,6 @@
 	config->members.members_len--;
 }
 
-static const struct peer_settings *settings_of(const struct control *control,
-					       uint32_t node)
-{
-	const GPtrArray *peers = control->opts.settings->cluster.peers;
-
-	for (guint i = 0; i < peers->len; i++) {
-		const struct peer_settings *p = peers->pdata[i];
-
-		if (p->id == (int64_t)node)
-			return p;
-	}
-	return NULL;
-}
-
-struct newcomer {
-	struct member_config *config;
-	uint64_t id;
-	uint32_t node;
-};
-
 static void find_newcomer(void *ctx, const struct feed_entry *entry)
 {
 	struct newcomer *found = ctx;
@@ -229,6 +233,8 @@
 		return;
 	found->id = entry->member;
 	found->node = entry->node;
+	g_strlcpy(found->data_centre, entry->data_centre,
+		  sizeof(found->data_centre));
 }
 
 /* A VM with a new data folder is a new member; its old self goes first. */
@@ -236,7 +242,7 @@
 			     struct member_config *config)
 {
 	struct newcomer found = { .config = config };
-	const struct peer_settings *peer;
+	const struct peer_settings *peer = NULL;
 	struct member *old;
 
 	feed_each(control->feed, find_newcomer, &found);
@@ -253,9 +259,10 @@
 		return true;
 	}
 	peer = settings_of(control, found.node);
-	if (!peer || !peer->control)
+	if (peer ? !peer->control
+		 : !daemon_settings_discovers(control->opts.settings))
 		return false;
-	append_member(config, found.id, peer);
+	append_member(control, config, &found);
 	(void)change(control, config, "joins as a learner", found.node);
 	return true;
 }
--- a/control/operators.c
+++ b/control/operators.c
@@ -17,6 +17,7 @@
 #define TIMEOUT_S 30
 #define CHANGE_TIMEOUT_MS 8000
 #define WAIT_MAX_MS 60000
+#define RETRY_AFTER_MS 1000
 
 static const struct log operators_log = { "operators" };
 
@@ -272,7 +273,7 @@
 	uint32_t leader = control_leader(r->operators->control);
 
 	problem.more = json_pack("{s:I}", "leader", (json_int_t)leader);
-	problem.retry_after_s = 1;
+	problem.retry_after_ms = RETRY_AFTER_MS;
 	http_send_problem(r->req, &problem);
 	json_decref(problem.more);
 }
--- a/control/orders.c
+++ b/control/orders.c
@@ -12,10 +12,22 @@
 
 #define ANSWER_MAX 8192
 
+const char *order_kind_name(enum order_kind kind)
+{
+	static const char *const names[] = {
+		[ORDER_FORM] = "form",
+		[ORDER_OPEN] = "open",
+		[ORDER_RELEASE] = "release",
+		[ORDER_LOAD] = "load",
+	};
+
+	return names[kind];
+}
+
 struct sending {
 	struct order order;
 	char *address;
-	char *body;
+	char *text; /* the whole request */
 	struct bufferevent *bev;
 	struct event *timer;
 	bool sent;
@@ -34,33 +46,45 @@
 	bufferevent_free(s->bev);
 	event_free(s->timer);
 	g_free(s->address);
-	g_free(s->body);
+	g_free(s->text);
 	g_free(s);
 	done(ctx, result);
 }
 
+static char *request_text(const struct order *order)
+{
+	const struct order_format *format = order->format;
+	char *body = format->body(order->intent);
+	char *headers = format->headers ? format->headers(order->intent)
+					: g_strdup("");
+	char *text = g_strdup_printf("POST /v1/order HTTP/1.1\r\n"
+				     "Host: %s\r\n"
+				     "Content-Type: application/json\r\n"
+				     "Connection: close\r\n%s"
+				     "Content-Length: %zu\r\n\r\n%s",
+				     order->address, headers, strlen(body),
+				     body);
+
+	g_free(headers);
+	free(body);
+	return text;
+}
+
 static void write_order(struct sending *s)
 {
-	char *text;
+	size_t size = strlen(s->text);
 
 	address_tune(bufferevent_getfd(s->bev), ORDER_BOUND_MS);
 	if (!s->order.may_send(s->order.ctx)) {
 		finish(s, ORDER_WITHHELD);
 		return;
 	}
-	text = g_strdup_printf("POST /v1/order HTTP/1.1\r\n"
-			       "Host: %s\r\n"
-			       "Content-Type: application/json\r\n"
-			       "Connection: close\r\n"
-			       "Content-Length: %zu\r\n\r\n%s",
-			       s->address, strlen(s->body), s->body);
 	s->sent = true;
 	/* Written at once rather than from the loop, so that no pause can
 	 * come between the check and the kernel's copy. */
-	if (send(bufferevent_getfd(s->bev), text, strlen(text), MSG_NOSIGNAL) !=
-	    (ssize_t)strlen(text))
+	if (send(bufferevent_getfd(s->bev), s->text, size, MSG_NOSIGNAL) !=
+	    (ssize_t)size)
 		finish(s, ORDER_LOST);
-	g_free(text);
 }
 
 static void on_read(struct bufferevent *bev, void *ctx)
@@ -76,12 +100,7 @@
 	if (sscanf(line, "HTTP/1.%*d %d", &status) != 1)
 		status = 0;
 	free(line);
-	if (status == 200)
-		finish(s, ORDER_ACCEPTED);
-	else if (status == 409)
-		finish(s, ORDER_STALE);
-	else
-		finish(s, status ? ORDER_REFUSED : ORDER_LOST);
+	finish(s, status ? s->order.format->judge(status) : ORDER_LOST);
 }
 
 static void on_event(struct bufferevent *bev, short what, void *ctx)
@@ -113,7 +132,7 @@
 
 	s->order = *order;
 	s->address = g_strdup(order->address);
-	s->body = g_strdup(order->body);
+	s->text = request_text(order);
 	s->bev = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
 	s->timer = evtimer_new(base, on_timeout, s);
 	event_add(s->timer, &limit);
--- a/control/peers.c
+++ b/control/peers.c
@@ -2,12 +2,14 @@
 #include <errno.h>
 #include <string.h>
 
+#include "common/address.h"
 #include "common/log.h"
 #include "control/control_internal.h"
 #include "wire/codec.h"
 
 #define MAX_CONNECTIONS 2048
 #define DIGEST_TIMEOUT_MS 1000
+#define FORGET_PEER_MS 60000
 
 static const struct log peers_log = { "peers" };
 
@@ -54,6 +56,7 @@
 		rpc_call_drop(call);
 		return;
 	}
+	(void)control_find_peer(control, request.node, request.member != 0);
 	follow_serve(control, &request, &reply);
 	CODEC_FREE(poll_request, &request);
 	bytes = CODEC_ENCODE(poll_reply, &reply);
@@ -78,8 +81,9 @@
 	CODEC_FREE(digest, &digest);
 	if (want_full)
 		counters_add(control->opts.counters, COUNTER_DIGESTS_MISSED, 1);
-	control->opts.listener.digest(control->opts.listener.ctx,
-				      g_bytes_new(args, size));
+	if (control->opts.listener.digest)
+		control->opts.listener.digest(control->opts.listener.ctx,
+					      g_bytes_new(args, size));
 	bytes = codec_encode((xdrproc_t)xdr_bool, &want_full);
 	rpc_call_reply(call, bytes);
 	g_bytes_unref(bytes);
@@ -122,6 +126,14 @@
 
 /* ---- life ---- */
 
+static void peer_drop(gpointer data)
+{
+	struct peer *peer = data;
+
+	rpc_client_destroy(peer->client);
+	g_free(peer);
+}
+
 enum rd_result peers_open(struct control *control, char **why)
 {
 	const struct daemon_settings *settings = control->opts.settings;
@@ -134,7 +146,7 @@
 		.max_connections = MAX_CONNECTIONS,
 	};
 
-	control->peers = g_ptr_array_new_with_free_func(g_free);
+	control->peers = g_ptr_array_new_with_free_func(peer_drop);
 	control->server = rpc_server_create(&opts);
 	if (control->server)
 		return RD_OK;
@@ -147,12 +159,33 @@
 {
 	struct peer *peer = ctx;
 
-	log_info(&peers_log, "node %d is %s", (int)peer->settings->id,
+	log_info(&peers_log, "node %u is %s", peer->node,
 		 ready ? "connected" : "disconnected");
 	if (ready)
 		follow_now(peer->control->follow);
 }
 
+static struct peer *add_peer(struct control *control, uint32_t node,
+			     const char *address, bool is_control)
+{
+	struct peer *peer = g_new0(struct peer, 1);
+	struct rpc_client_opts opts = {
+		.base = control->base,
+		.identity = &control->identity,
+		.address = address,
+		.peer = node,
+		.ready = on_ready,
+		.ctx = peer,
+	};
+
+	peer->control = control;
+	peer->node = node;
+	peer->is_control = is_control;
+	peer->client = rpc_client_create(&opts);
+	g_ptr_array_add(control->peers, peer);
+	return peer;
+}
+
 void peers_connect(struct control *control)
 {
 	const struct daemon_settings *settings = control->opts.settings;
@@ -160,33 +193,54 @@
 	for (guint i = 0; i < settings->cluster.peers->len; i++) {
 		const struct peer_settings *p =
 			settings->cluster.peers->pdata[i];
-		struct peer *peer;
-		struct rpc_client_opts opts = {
-			.base = control->base,
-			.identity = &control->identity,
-			.address = p->peers,
-			.peer = (uint32_t)p->id,
-			.ready = on_ready,
-		};
-
-		if (p->id == settings->node.id)
-			continue;
-		peer = g_new0(struct peer, 1);
-		peer->control = control;
-		peer->settings = p;
-		opts.ctx = peer;
-		peer->client = rpc_client_create(&opts);
-		g_ptr_array_add(control->peers, peer);
+
+		if (p->id != settings->node.id)
+			(void)add_peer(control, (uint32_t)p->id, p->peers,
+				       p->control);
 	}
 }
 
-void peers_close(struct control *control)
+struct peer *control_find_peer(struct control *control, uint32_t node,
+			       bool is_control)
 {
-	for (guint i = 0; control->peers && i < control->peers->len; i++) {
-		struct peer *peer = control->peers->pdata[i];
+	const struct daemon_settings *settings = control->opts.settings;
+	struct peer *peer = control_peer(control, node);
+	char address[ADDRESS_MAX];
+
+	if (!peer && (!daemon_settings_discovers(settings) || !node ||
+		      node == (uint32_t)settings->node.id))
+		return NULL;
+	if (!peer) {
+		daemon_settings_node_address(settings, node, address,
+					     sizeof(address));
+		log_note(&peers_log, "node %u found: %s%s", node, address,
+			 is_control ? ", has the control role" : "");
+		peer = add_peer(control, node, address, is_control);
+		peer->found = true;
+	}
+	peer->is_control |= is_control;
+	peer->named_ms = control_now_ms(control);
+	return peer;
+}
+
+/* Found peers that nobody names any more are gone for good. */
+void peers_tick(struct control *control)
+{
+	int64_t now = control_now_ms(control);
+
+	for (guint i = control->peers->len; i > 0; i--) {
+		const struct peer *peer = control->peers->pdata[i - 1];
 
-		rpc_client_destroy(peer->client);
+		if (!peer->found || now - peer->named_ms < FORGET_PEER_MS)
+			continue;
+		log_note(&peers_log, "node %u forgotten: not named for %d ms",
+			 peer->node, FORGET_PEER_MS);
+		g_ptr_array_remove_index(control->peers, i - 1);
 	}
+}
+
+void peers_close(struct control *control)
+{
 	if (control->peers)
 		g_ptr_array_unref(control->peers);
 	rpc_server_destroy(control->server);
@@ -197,7 +251,7 @@
 	for (guint i = 0; i < control->peers->len; i++) {
 		struct peer *peer = control->peers->pdata[i];
 
-		if (peer->settings->id == (int64_t)node)
+		if (peer->node == node)
 			return peer;
 	}
 	return NULL;
@@ -207,8 +261,8 @@
 
 void peers_send_raft(struct control *control, uint64_t member, GBytes *bytes)
 {
-	struct peer *peer = control_peer(control,
-					 group_node_of(control->group, member));
+	struct peer *peer = control_find_peer(
+		control, group_node_of(control->group, member), true);
 
 	if (peer)
 		(void)rpc_client_send(peer->client, RPC_RAFT, bytes);
@@ -231,8 +285,13 @@
 
 	if (result &&
 	    codec_decode((xdrproc_t)xdr_bool, result, size, &want_full) &&
-	    want_full)
-		control->opts.listener.want_full(control->opts.listener.ctx);
+	    want_full) {
+		if (control->announcements)
+			announcements_want_full(control->announcements);
+		else
+			control->opts.listener.want_full(
+				control->opts.listener.ctx);
+	}
 }
 
 void peers_digest(struct control *control, GBytes *digest)
--- a/control/placer.c
+++ b/control/placer.c
@@ -23,9 +23,14 @@
 #define PRELOAD_LIMIT_MS 120000
 #define DECISIONS_KEPT 256
 
-#define ORDER_FORM "form"
-#define ORDER_RELEASE "release"
-#define ORDER_LOAD "load"
+/* Of a pool's VMs: kept free so that a lost VM is replaced at once. */
+#define SPARE_PERMILLE 60
+/* Starts of weight loads are counted over windows of this length. */
+#define LOAD_WINDOW_MS 5000
+/* On top of the time after which a head without a member gives up. */
+#define STALL_MARGIN_MS 500
+/* VMs announce themselves one by one when the whole system starts. */
+#define FIRST_START_MS 300
 
 static const struct log placer_log = { "placer" };
 
@@ -36,11 +41,14 @@
 	bool in_flight;
 	int64_t next_ms; /* earliest time of the next order */
 	int32_t backoff_ms;
-	const char *what;	 /* the order in flight */
+	enum order_kind kind;	 /* of the order in flight */
 	uint64_t epoch;		 /* of the order in flight */
 	uint64_t released_epoch; /* the VM confirmed to hold nothing of it */
+	int64_t released_ms;	 /* when it did */
+	uint64_t formed_epoch;	 /* it accepted to take part under it */
 	int64_t releasing_since_ms;
 	int64_t preload_until_ms; /* 0 unless told to load ahead */
+	char preload_model[64];
 	char preload_version[64];
 };
 
@@ -49,6 +57,8 @@
 	struct placement *placement;
 	GHashTable *orders;	/* VM's name -> struct vm_orders */
 	GHashTable *known;	/* replica's number -> epoch + 1 */
+	GHashTable *whole;	/* replica's number -> epoch it was whole at */
+	GArray *loads;		/* int64_t: starts of loads in the window */
 	GHashTable *services;	/* name -> itself, as put into the planner */
 	GQueue decisions;	/* of char *, newest last */
 	GHashTable *last_wait;	/* replica or service -> reason last logged */
@@ -56,6 +66,7 @@
 	int32_t proposals;
 	uint32_t next_replica;
 	uint64_t next_epoch;
+	bool whole_system_starts;
 };
 
 static void orders_drop(gpointer data)
@@ -83,6 +94,8 @@
 	placer->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       orders_drop);
 	placer->known = g_hash_table_new(NULL, NULL);
+	placer->whole = g_hash_table_new(NULL, NULL);
+	placer->loads = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	placer->services = g_hash_table_new_full(g_str_hash, g_str_equal,
 						 g_free, NULL);
 	placer->last_wait = g_hash_table_new_full(g_str_hash, g_str_equal,
@@ -98,6 +111,8 @@
 	placement_destroy(placer->placement);
 	g_hash_table_unref(placer->orders);
 	g_hash_table_unref(placer->known);
+	g_hash_table_unref(placer->whole);
+	g_array_unref(placer->loads);
 	g_hash_table_unref(placer->services);
 	g_hash_table_unref(placer->last_wait);
 	g_queue_clear_full(&placer->decisions, g_free);
@@ -114,19 +129,65 @@
 	return group_state(placer->control->group);
 }
 
+static const struct order_format *order_format(const struct placer *placer)
+{
+	const struct control_driver *driver = placer->control->opts.driver;
+
+	return driver ? driver->orders : &native_orders;
+}
+
+static uint32_t loads_per_window(const struct placer *placer)
+{
+	const struct deployment *d = state_deployment(state_of(placer));
+
+	return d ? d->loads_per_s * LOAD_WINDOW_MS / 1000 : 0;
+}
+
 void placer_lead(struct placer *placer)
 {
 	const struct limit_settings *limits =
 		&placer->control->opts.settings->limits;
+	int64_t now = now_ms(placer);
 
+	placer->whole_system_starts = state_next_replica(state_of(placer)) == 1;
+	if (placer->whole_system_starts) {
+		placer->active_from_ms = now + FIRST_START_MS;
+		return;
+	}
 	/*
 	 * Orders of the last leader may be under way for ORDER_BOUND_MS, and
 	 * a VM not heard of may just not have been heard of yet.
 	 */
 	placer->active_from_ms =
-		now_ms(placer) +
-		MAX(ORDER_BOUND_MS,
-		    limits->vm_silence_ms + 2 * limits->digest_ms);
+		now + MAX(ORDER_BOUND_MS,
+			  limits->vm_silence_ms + 2 * limits->digest_ms);
+	/* The last leader may have started all the loads there may be. */
+	g_array_set_size(placer->loads, 0);
+	for (uint32_t i = 0; i < loads_per_window(placer); i++)
+		g_array_append_val(placer->loads, now);
+}
+
+/* ---- the weight store's limit ---- */
+
+static bool has_weights(const struct vm_report *r, const char *model,
+			const char *version)
+{
+	return !strcmp(r->model, model) && !strcmp(r->model_version, version);
+}
+
+/* Whether one more load may start now; counts it if so. */
+static bool take_load(struct placer *placer)
+{
+	uint32_t most = loads_per_window(placer);
+	int64_t now = now_ms(placer);
+
+	while (placer->loads->len &&
+	       now - g_array_index(placer->loads, int64_t, 0) >= LOAD_WINDOW_MS)
+		g_array_remove_index(placer->loads, 0);
+	if (most && placer->loads->len >= most)
+		return false;
+	g_array_append_val(placer->loads, now);
+	return true;
 }
 
 void placer_stop(struct placer *placer)
@@ -159,7 +220,7 @@
 	if (!o || !o->preload_until_ms)
 		return;
 	if (r->replica || o->preload_until_ms < now_ms(placer) ||
-	    !strcmp(r->model_version, o->preload_version))
+	    has_weights(r, o->preload_model, o->preload_version))
 		o->preload_until_ms = 0;
 	placement_set_preloading(placer->placement, r->name,
 				 o->preload_until_ms != 0);
@@ -174,6 +235,7 @@
 		.name = r->name,
 		.domain = r->domain,
 		.data_centre = r->data_centre,
+		.pool = r->pool,
 		.model = r->model,
 		.adapter = r->adapter,
 		.version = r->model_version,
@@ -200,6 +262,87 @@
 		       held->releasing);
 }
 
+/* ---- how many replicas a pool is to have of each model ---- */
+
+struct pool {
+	struct placer *placer;
+	const char *name;
+	GArray *parts;	     /* of struct division_part */
+	GPtrArray *services; /* of const struct service_state, in that order */
+	GHashTable *domains; /* name -> count of usable VMs */
+};
+
+static void add_part(void *ctx, const struct service_state *service)
+{
+	struct pool *pool = ctx;
+	struct division_part part = {
+		.share_permille = service->spec.share_permille,
+		.vms_per_replica = service->spec.vms_per_replica,
+	};
+
+	if (!part.share_permille || strcmp(service->spec.pool, pool->name) != 0)
+		return;
+	g_array_append_val(pool->parts, part);
+	g_ptr_array_add(pool->services, (gpointer)service);
+}
+
+static void add_domain(void *ctx, const struct view_vm *vm)
+{
+	struct pool *pool = ctx;
+	guint count;
+
+	if (strcmp(vm->report.pool, pool->name) != 0 || vm->report.leaving ||
+	    !view_alive(pool->placer->control->view, vm, now_ms(pool->placer)))
+		return;
+	count = GPOINTER_TO_UINT(
+		g_hash_table_lookup(pool->domains, vm->report.domain));
+	g_hash_table_insert(pool->domains, vm->report.domain,
+			    GUINT_TO_POINTER(count + 1));
+}
+
+static void divide(struct pool *pool)
+{
+	guint n = g_hash_table_size(pool->domains);
+	uint32_t *vms = g_new0(uint32_t, n + 1);
+	GHashTableIter iter;
+	gpointer value;
+
+	n = 0;
+	g_hash_table_iter_init(&iter, pool->domains);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		vms[n++] = GPOINTER_TO_UINT(value);
+	placement_divide((struct division_part *)pool->parts->data,
+			 pool->parts->len, vms, n, SPARE_PERMILLE);
+	g_free(vms);
+}
+
+/* The replicas wanted of a service that has a share of its pool. */
+static uint32_t share_of_pool(struct placer *placer,
+			      const struct service_state *service)
+{
+	struct pool pool = {
+		.placer = placer,
+		.name = service->spec.pool,
+		.parts = g_array_new(FALSE, TRUE, sizeof(struct division_part)),
+		.services = g_ptr_array_new(),
+		.domains = g_hash_table_new(g_str_hash, g_str_equal),
+	};
+	uint32_t wanted = 0;
+
+	state_each_service(state_of(placer), add_part, &pool);
+	view_each(placer->control->view, add_domain, &pool);
+	divide(&pool);
+	for (guint i = 0; i < pool.services->len; i++)
+		if (pool.services->pdata[i] == service)
+			wanted = g_array_index(pool.parts, struct division_part,
+					       i)
+					 .replicas;
+	g_array_unref(pool.parts);
+	g_ptr_array_unref(pool.services);
+	g_hash_table_unref(pool.domains);
+	return wanted;
+}
+
 static void put_service(void *ctx, const struct service_state *service)
 {
 	struct placer *placer = ctx;
@@ -210,6 +353,7 @@
 		.model = spec->model,
 		.adapter = spec->adapter,
 		.version = preset->model_version,
+		.pool = spec->pool,
 		.replicas = preset->replicas,
 		.vms_per_replica = spec->vms_per_replica,
 		.accelerators_per_vm = spec->accelerators_per_vm,
@@ -220,6 +364,8 @@
 
 	if (spec->plain)
 		return;
+	if (spec->share_permille)
+		s.replicas = share_of_pool(placer, service);
 	placement_put_service(placer->placement, &s);
 	g_hash_table_add(placer->services, g_strdup(service->name));
 }
@@ -240,6 +386,7 @@
 	const struct view *view = placer->control->view;
 	const char *vms[PLACEMENT_VMS_MAX], *culprit;
 	int64_t fresh_until_ms;
+	bool is_whole;
 
 	if (g_hash_table_lookup(placer->known, number) != epoch) {
 		for (u_int i = 0; i < a->vms.vms_len; i++)
@@ -249,9 +396,12 @@
 				      a->model_version, vms, a->vms.vms_len);
 		g_hash_table_insert(placer->known, number, epoch);
 	}
-	placement_set_whole(placer->placement, a->replica,
-			    view_judge(view, a, now_ms(placer), &culprit,
-				       &fresh_until_ms) == REPLICA_WHOLE);
+	is_whole = view_judge(view, a, now_ms(placer), &culprit,
+			      &fresh_until_ms) == REPLICA_WHOLE;
+	placement_set_whole(placer->placement, a->replica, is_whole);
+	if (is_whole)
+		g_hash_table_insert(placer->whole, number,
+				    GSIZE_TO_POINTER(a->epoch));
 	placement_set_busy(placer->placement, a->replica,
 			   load_of(view, a->vms.vms_val[0].name) > 0);
 }
@@ -435,6 +585,20 @@
 	return false;
 }
 
+static void note_accepted(struct vm_orders *o, int64_t now)
+{
+	o->backoff_ms = 0;
+	/* Time for the VM's announcement to say so. */
+	o->next_ms = now + ORDER_BOUND_MS;
+	if (o->kind == ORDER_FORM)
+		o->formed_epoch = MAX(o->formed_epoch, o->epoch);
+	if (o->kind != ORDER_RELEASE)
+		return;
+	if (o->released_epoch < o->epoch)
+		o->released_ms = now;
+	o->released_epoch = MAX(o->released_epoch, o->epoch);
+}
+
 static void order_done(void *ctx, enum order_result result)
 {
 	static const char *const names[] = { "accepted", "stale", "refused",
@@ -443,17 +607,13 @@
 	int64_t now = now_ms(o->placer);
 
 	o->in_flight = false;
-	log_info(&placer_log, "order %s to %s epoch %" PRIu64 ": %s", o->what,
-		 o->name, o->epoch, names[result]);
+	log_info(&placer_log, "order %s to %s epoch %" PRIu64 ": %s",
+		 order_kind_name(o->kind), o->name, o->epoch, names[result]);
 	if (result == ORDER_STALE)
 		counters_add(o->placer->control->opts.counters,
 			     COUNTER_ORDERS_REFUSED, 1);
 	if (result == ORDER_ACCEPTED) {
-		o->backoff_ms = 0;
-		if (!strcmp(o->what, ORDER_RELEASE))
-			o->released_epoch = MAX(o->released_epoch, o->epoch);
-		/* Time for the VM's announcement to say so. */
-		o->next_ms = now + ORDER_BOUND_MS;
+		note_accepted(o, now);
 		return;
 	}
 	o->backoff_ms = CLAMP(o->backoff_ms * 2, ORDER_BACKOFF_MS,
@@ -463,13 +623,14 @@
 		     (result == ORDER_LOST ? ORDER_BOUND_MS : o->backoff_ms);
 }
 
-static void send_order(struct placer *placer, struct vm_orders *o,
-		       const char *address, const char *what, uint64_t epoch,
-		       json_t *body)
+static void send_order(struct placer *placer, const struct view_vm *to,
+		       struct order_intent *intent)
 {
-	char *text;
+	struct vm_orders *o = orders_of(placer, to->report.name);
 	struct order order = {
-		.address = address,
+		.format = order_format(placer),
+		.address = to->report.address,
+		.intent = intent,
 		.timeout_ms = (int)placer->control->opts.settings->limits
 				      .order_timeout_ms,
 		.may_send = order_may_send,
@@ -478,15 +639,16 @@
 	};
 
 	o->in_flight = true;
-	o->what = what;
-	json_object_set_new(body, "order", json_string(what));
-	json_object_set_new(body, "fencing", json_integer((json_int_t)epoch));
-	o->epoch = epoch;
-	text = json_dumps(body, JSON_COMPACT);
-	order.body = text;
+	o->kind = intent->kind;
+	o->epoch = intent->epoch;
+	intent->vm = to->report.name;
+	intent->term = raft_term(group_raft(placer->control->group));
 	order_send(placer->control->base, &order);
-	free(text);
-	json_decref(body);
+}
+
+static bool order_is_due(struct placer *placer, const struct vm_orders *o)
+{
+	return !o->in_flight && now_ms(placer) >= o->next_ms;
 }
 
 static void preload(struct placer *placer, const struct placement_decision *d)
@@ -496,17 +658,23 @@
 	const struct service_state *service = state_service(state_of(placer),
 							    d->service);
 	struct vm_orders *o = orders_of(placer, d->vms[0]);
+	struct order_intent intent = {
+		.kind = ORDER_LOAD,
+		.epoch = state_last_epoch(state_of(placer)),
+		.version = d->version,
+	};
 
-	if (!seen || !service || o->in_flight || now_ms(placer) < o->next_ms)
+	if (!seen || !service || !order_is_due(placer, o) || !take_load(placer))
 		return;
+	intent.service = service->name;
+	intent.model = service->spec.model;
+	intent.adapter = service->spec.adapter;
 	o->preload_until_ms = now_ms(placer) + PRELOAD_LIMIT_MS;
+	g_strlcpy(o->preload_model, service->spec.model,
+		  sizeof(o->preload_model));
 	g_strlcpy(o->preload_version, d->version, sizeof(o->preload_version));
 	placement_set_preloading(placer->placement, d->vms[0], true);
-	send_order(placer, o, seen->report.address, ORDER_LOAD,
-		   state_last_epoch(state_of(placer)),
-		   json_pack("{s:s,s:s,s:s}", "model", service->spec.model,
-			     "adapter", service->spec.adapter, "version",
-			     d->version));
+	send_order(placer, seen, &intent);
 }
 
 static void on_decision(void *ctx, const struct placement_decision *d)
@@ -522,52 +690,181 @@
 		preload(placer, d);
 }
 
-static json_t *form_body(const struct placer *placer,
-			 const struct assign_replica *a, u_int rank)
+/* ---- bringing VMs to what the log says ---- */
+
+static const struct view_vm *find_alive(const struct placer *placer,
+					const char *name)
+{
+	const struct view *view = placer->control->view;
+	const struct view_vm *seen = view_find(view, name);
+
+	return seen && view_alive(view, seen, now_ms(placer)) ? seen : NULL;
+}
+
+static bool holds(const struct view_vm *seen, const struct assign_replica *a)
+{
+	return seen->report.replica == a->replica &&
+	       seen->report.epoch == a->epoch;
+}
+
+/** Looks for the VM that serves a replica under some epoch. */
+struct head_search {
+	uint32_t replica;
+	uint64_t least_epoch, most_epoch;
+	const struct view_vm *head;
+};
+
+static void search_head(void *ctx, const struct view_vm *seen)
+{
+	struct head_search *search = ctx;
+	const struct vm_report *r = &seen->report;
+
+	if (r->serving && r->replica == search->replica &&
+	    r->epoch >= search->least_epoch && r->epoch <= search->most_epoch)
+		search->head = seen;
+}
+
+/* Who served it, by its last word, alive or not; NULL if nobody did. */
+static const struct view_vm *find_head(const struct placer *placer,
+				       uint32_t replica, uint64_t least_epoch,
+				       uint64_t most_epoch)
+{
+	struct head_search search = { replica, least_epoch, most_epoch, NULL };
+
+	view_each(placer->control->view, search_head, &search);
+	return search.head;
+}
+
+static void order_form(struct placer *placer, const struct assign_replica *a,
+		       u_int rank, const struct view_vm *seen)
 {
 	const struct service_state *service = state_service(state_of(placer),
 							    a->service);
-	json_t *vms = json_array();
+	struct order_intent intent = {
+		.kind = ORDER_FORM,
+		.replica = a->replica,
+		.epoch = a->epoch,
+		.rank = rank,
+		.service = a->service,
+		.model = service ? service->spec.model : "",
+		.adapter = service ? service->spec.adapter : "",
+		.version = a->model_version,
+		.slots = service ? service->spec.slots_per_replica : 1,
+		.vms = a->vms.vms_val,
+		.vm_count = a->vms.vms_len,
+	};
 
-	for (u_int i = 0; i < a->vms.vms_len; i++)
-		json_array_append_new(
-			vms,
-			json_pack("{s:s,s:s}", "vm", a->vms.vms_val[i].name,
-				  "address", a->vms.vms_val[i].address));
-	return json_pack("{s:I,s:I,s:I,s:s,s:s,s:s,s:s,s:I,s:o}", "replica",
-			 (json_int_t)a->replica, "epoch", (json_int_t)a->epoch,
-			 "rank", (json_int_t)rank, "service", a->service,
-			 "model", service ? service->spec.model : "", "adapter",
-			 service ? service->spec.adapter : "", "version",
-			 a->model_version, "slots",
-			 (json_int_t)(service ? service->spec.slots_per_replica
-					      : 1),
-			 "vms", vms);
+	if (!has_weights(&seen->report, intent.model, intent.version) &&
+	    !take_load(placer))
+		return;
+	send_order(placer, seen, &intent);
 }
 
 static void reconcile_member(struct placer *placer,
-			     const struct assign_replica *a, u_int rank)
+			     const struct assign_replica *a, u_int rank,
+			     const struct view_vm *old_head)
 {
 	const char *name = a->vms.vms_val[rank].name;
-	const struct view_vm *seen = view_find(placer->control->view, name);
+	const struct view_vm *seen = find_alive(placer, name);
 	struct vm_orders *o = orders_of(placer, name);
 
 	o->releasing_since_ms = 0;
-	if (!seen || !view_alive(placer->control->view, seen, now_ms(placer)))
+	if (!seen || holds(seen, a) || !order_is_due(placer, o))
+		return;
+	/*
+	 * A head that serves under an older epoch goes first: it must know
+	 * that its members are no longer with it.
+	 */
+	if (old_head && old_head != seen &&
+	    orders_of(placer, old_head->report.name)->formed_epoch < a->epoch)
+		return;
+	order_form(placer, a, rank, seen);
+}
+
+static void open_head(struct placer *placer, const struct assign_replica *a)
+{
+	struct order_intent intent = {
+		.kind = ORDER_OPEN,
+		.replica = a->replica,
+		.epoch = a->epoch,
+		.service = a->service,
+	};
+	const struct view_vm *head = NULL;
+
+	for (u_int i = 0; i < a->vms.vms_len; i++) {
+		const struct view_vm *seen = find_alive(placer,
+							a->vms.vms_val[i].name);
+
+		if (!seen || !holds(seen, a) || !seen->report.ready)
+			return;
+		if (!i)
+			head = seen;
+	}
+	if (!head || head->report.serving)
 		return;
-	if (seen->report.replica == a->replica &&
-	    seen->report.epoch == a->epoch)
+	/* What was accepted before was the order to take part. */
+	if (!order_is_due(placer, orders_of(placer, head->report.name)) &&
+	    (orders_of(placer, head->report.name)->in_flight ||
+	     orders_of(placer, head->report.name)->kind != ORDER_FORM))
 		return;
-	if (o->in_flight || now_ms(placer) < o->next_ms)
+	send_order(placer, head, &intent);
+}
+
+/* A replica that was whole and of which a VM let go can't become so again. */
+static bool needs_new_epoch(const struct placer *placer,
+			    const struct assign_replica *a)
+{
+	gpointer number = GUINT_TO_POINTER(a->replica);
+	bool was_whole = g_hash_table_lookup(placer->whole, number) ==
+			 GSIZE_TO_POINTER(a->epoch);
+	bool let_go = false;
+
+	for (u_int i = 0; i < a->vms.vms_len; i++) {
+		const struct view_vm *seen = find_alive(placer,
+							a->vms.vms_val[i].name);
+
+		if (!seen || seen->report.leaving)
+			return false; /* the planner repairs it */
+		if (holds(seen, a) && seen->report.broken)
+			return true;
+		let_go |= !holds(seen, a);
+	}
+	return was_whole && let_go;
+}
+
+static void renew_epoch(struct placer *placer, const struct assign_replica *a)
+{
+	struct command command = { .body.kind = CMD_ASSIGN_REPLICA };
+	struct assign_replica *renewed = &command.body.command_body_u.assign;
+
+	if (placer->proposals)
 		return;
-	send_order(placer, o, seen->report.address, ORDER_FORM, a->epoch,
-		   form_body(placer, a, rank));
+	log_note(&placer_log,
+		 "replica %u of %s: a VM let go of epoch %" PRIu64 ", formed "
+		 "anew",
+		 a->replica, a->service, a->epoch);
+	*renewed = *a;
+	renewed->epoch = state_last_epoch(state_of(placer)) + 1;
+	propose(placer, &command);
 }
 
 static void reconcile_replica(void *ctx, const struct replica_state *replica)
 {
-	for (u_int i = 0; i < replica->assign.vms.vms_len; i++)
-		reconcile_member(ctx, &replica->assign, i);
+	struct placer *placer = ctx;
+	const struct assign_replica *a = &replica->assign;
+	const struct view_vm *old_head;
+
+	if (needs_new_epoch(placer, a)) {
+		renew_epoch(placer, a);
+		return;
+	}
+	old_head = find_head(placer, a->replica, 0, a->epoch - 1);
+	if (old_head && !find_alive(placer, old_head->report.name))
+		old_head = NULL;
+	for (u_int i = 0; i < a->vms.vms_len; i++)
+		reconcile_member(placer, a, i, old_head);
+	if (order_format(placer)->opens)
+		open_head(placer, a);
 }
 
 static void propose_free(struct placer *placer, const struct vm_state *held)
@@ -598,28 +895,65 @@
 	return now_ms(placer) - o->releasing_since_ms >= limits->drain_ms;
 }
 
+/*
+ * Whether the head of the replica that a VM let go of can serve no more: it
+ * said so itself, or it is not heard of and has stood still for too long.
+ */
+static bool head_is_done(struct placer *placer, const struct vm_state *held,
+			 const struct vm_orders *o)
+{
+	const struct view_vm *head = find_head(placer, held->replica,
+					       held->epoch, held->epoch);
+
+	if (!head || !strcmp(head->report.name, held->name))
+		return true;
+	if (find_alive(placer, head->report.name))
+		return orders_of(placer, head->report.name)->released_epoch >=
+		       held->epoch;
+	return now_ms(placer) - o->released_ms >=
+	       placer->control->opts.settings->limits.head_stall_ms +
+		       STALL_MARGIN_MS;
+}
+
+/* The head goes first, so that it takes nothing that cannot run. */
+static bool waits_for_head(struct placer *placer, const struct vm_state *held)
+{
+	const struct view_vm *head = find_head(placer, held->replica,
+					       held->epoch, held->epoch);
+
+	return head && strcmp(head->report.name, held->name) != 0 &&
+	       find_alive(placer, head->report.name) &&
+	       orders_of(placer, head->report.name)->released_epoch <
+		       held->epoch &&
+	       orders_of(placer, head->report.name)->formed_epoch <=
+		       held->epoch;
+}
+
 static void reconcile_releasing(void *ctx, const struct vm_state *held)
 {
 	struct placer *placer = ctx;
-	const struct view_vm *seen = view_find(placer->control->view,
-					       held->name);
+	const struct view_vm *seen = find_alive(placer, held->name);
+	struct order_intent intent = {
+		.kind = ORDER_RELEASE,
+		.replica = held->replica,
+		.epoch = held->epoch,
+	};
 	struct vm_orders *o;
 
-	if (!held->releasing || !seen ||
-	    !view_alive(placer->control->view, seen, now_ms(placer)))
+	if (!held->releasing || !seen)
 		return;
 	o = orders_of(placer, held->name);
 	if (o->in_flight)
 		return;
 	if (o->released_epoch >= held->epoch) {
-		propose_free(placer, held);
+		if (head_is_done(placer, held, o))
+			propose_free(placer, held);
 		return;
 	}
-	if (now_ms(placer) < o->next_ms || !drained(placer, o, seen))
+	if (now_ms(placer) < o->next_ms || waits_for_head(placer, held) ||
+	    !drained(placer, o, seen))
 		return;
-	send_order(placer, o, seen->report.address, ORDER_RELEASE, held->epoch,
-		   json_pack("{s:I,s:I}", "replica", (json_int_t)held->replica,
-			     "epoch", (json_int_t)held->epoch));
+	send_order(placer, seen, &intent);
 }
 
 /* A VM that nobody holds but that says it serves: left by an older order. */
@@ -627,17 +961,17 @@
 {
 	struct placer *placer = ctx;
 	const struct vm_report *r = &seen->report;
-	struct vm_orders *o;
+	struct order_intent intent = {
+		.kind = ORDER_RELEASE,
+		.replica = r->replica,
+		.epoch = r->epoch,
+	};
 
 	if (*r->service || !r->replica || state_vm(state_of(placer), r->name) ||
-	    !view_alive(placer->control->view, seen, now_ms(placer)))
-		return;
-	o = orders_of(placer, r->name);
-	if (o->in_flight || now_ms(placer) < o->next_ms)
+	    !find_alive(placer, r->name))
 		return;
-	send_order(placer, o, r->address, ORDER_RELEASE, r->epoch,
-		   json_pack("{s:I,s:I}", "replica", (json_int_t)r->replica,
-			     "epoch", (json_int_t)r->epoch));
+	if (order_is_due(placer, orders_of(placer, r->name)))
+		send_order(placer, seen, &intent);
 }
 
 void placer_tick(struct placer *placer)
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -10,6 +10,7 @@
 #include "common/log.h"
 #include "control/control.h"
 #include "entry/entry.h"
+#include "platform/platform.h"
 #include "settings/daemon.h"
 #include "settings/service.h"
 #include "wire/rpc_frame.h"
@@ -93,6 +94,14 @@
 
 /* ---- between the tasks ---- */
 
+static const struct {
+	const struct control_driver *control;
+	const struct entry_driver *entry;
+} drivers[] = {
+	[INTERFACE_NATIVE] = { NULL, NULL },
+	[INTERFACE_PLATFORM] = { &platform_control, &platform_entry },
+};
+
 static void on_config(void *ctx, struct config_update *update)
 {
 	struct daemon *d = ctx;
@@ -158,7 +167,10 @@
 	log_note(&daemon_log, "stopping: work in flight has %d ms",
 		 (int)d->settings.limits.drain_ms);
 	d->leaving = true;
-	entry_post_leave(d->entry, entry_left, d);
+	if (d->entry)
+		entry_post_leave(d->entry, entry_left, d);
+	else
+		entry_left(d);
 }
 
 static void on_quit(evutil_socket_t fd, short what, void *ctx)
@@ -176,6 +188,12 @@
 {
 	const struct cluster_settings *c = &d->settings.cluster;
 
+	if (!*c->key_file) {
+		log_warn(&daemon_log, "no key_file: whoever reaches the peers "
+				      "port is taken for a peer");
+		d->identity.keys[0] = g_bytes_new(c->name, strlen(c->name));
+		return RD_OK;
+	}
 	d->identity.keys[0] = key_file_load(c->key_file, why);
 	d->operator_keys = key_file_load(c->operator_keys_file, why);
 	d->endpoint_key = key_file_load(c->endpoint_key_file, why);
@@ -198,21 +216,26 @@
 static enum rd_result create_control(struct daemon *d, bool bootstrap,
 				     char **why)
 {
-	char *operator_keys = bytes_text(d->operator_keys);
+	char *operator_keys = d->operator_keys ? bytes_text(d->operator_keys)
+					       : NULL;
 	enum rd_result code = RD_OK;
 	struct control_opts opts = {
+		.driver = drivers[d->settings.node.interface].control,
 		.settings = &d->settings,
 		.clock = &clock_system,
 		.counters = d->counters,
 		.task = d->control_task,
 		.identity = &d->identity,
 		.operator_keys = operator_keys,
-		.listener = { on_config, on_digest, on_want_full, on_drain, d },
 		.bootstrap = bootstrap,
 		.fatal = on_fatal,
 		.fatal_ctx = d,
 	};
 
+	if (d->settings.node.roles & ROLE_ENTRY)
+		opts.listener = (struct control_listener){ on_config, on_digest,
+							   on_want_full,
+							   on_drain, d };
 	d->control = control_create(&opts, &code, why);
 	g_free(operator_keys);
 	return code;
@@ -221,6 +244,7 @@
 static enum rd_result create_entry(struct daemon *d, char **why)
 {
 	struct entry_opts opts = {
+		.driver = drivers[d->settings.node.interface].entry,
 		.settings = &d->settings,
 		.clock = &clock_system,
 		.counters = d->counters,
@@ -228,7 +252,8 @@
 		.control = d->control,
 	};
 
-	d->endpoint_key_text = bytes_text(d->endpoint_key);
+	if (d->endpoint_key)
+		d->endpoint_key_text = bytes_text(d->endpoint_key);
 	opts.endpoint_key = d->endpoint_key_text;
 	rpc_random(&opts.seed, sizeof(opts.seed));
 	d->entry = entry_create(&opts, why);
@@ -245,14 +270,15 @@
 	d->identity.node = (uint32_t)d->settings.node.id;
 	d->counters = counters_create();
 	d->control_task = task_create("control");
-	d->entry_task = task_create("entry");
 	code = create_control(d, bootstrap, why);
-	if (!code)
+	if (!code && d->settings.node.roles & ROLE_ENTRY) {
+		d->entry_task = task_create("entry");
 		code = create_entry(d, why);
+	}
 	if (code)
 		return code;
 	if (task_start(d->control_task, control_begin, d->control) ||
-	    task_start(d->entry_task, entry_begin, d->entry)) {
+	    (d->entry && task_start(d->entry_task, entry_begin, d->entry))) {
 		*why = g_strdup("cannot start a thread");
 		return RD_INTERNAL;
 	}
@@ -365,7 +391,8 @@
 	}
 	signal(SIGPIPE, SIG_IGN);
 	set_up_log(&d.settings);
-	code = (enum rd_result)run(&d, arguments.bootstrap);
+	code = (enum rd_result)run(&d, arguments.bootstrap ||
+					       d.settings.node.bootstrap);
 	clear(&d);
 	return (int)code;
 }
--- a/entry/announce.c
+++ b/entry/announce.c
@@ -146,6 +146,9 @@
 		*(bool_t *)((char *)report + booleans[i].offset) =
 			json_is_true(value);
 	}
+	/* The project's own engines serve as soon as they are ready. */
+	report->pool = (char *)"";
+	report->serving = report->ready;
 	return true;
 }
 
--- a/entry/booking.c
+++ b/entry/booking.c
@@ -7,7 +7,7 @@
 #include "entry/call.h"
 #include "wire/codec.h"
 
-#define RETRY_AFTER_S 1
+#define RETRY_AFTER_MS 1000
 #define WAIT_MS 100
 
 static const struct log booking_log = { "booking" };
@@ -83,7 +83,7 @@
 
 	if (entry_now_ms(call->entry) + WAIT_MS >= call->deadline_ms) {
 		call_refuse(call, RD_IN_FLIGHT, OUTCOME_UNKNOWN, NULL,
-			    RETRY_AFTER_S);
+			    RETRY_AFTER_MS);
 		return;
 	}
 	event_base_once(call->entry->base, -1, EV_TIMEOUT, claim_again,
@@ -120,7 +120,7 @@
 							  : OUTCOME_NOT_RUN;
 
 	call_refuse(call, code, outcome, detail && *detail ? detail : NULL,
-		    code == RD_OUTCOME_UNKNOWN ? 0 : RETRY_AFTER_S);
+		    code == RD_OUTCOME_UNKNOWN ? 0 : RETRY_AFTER_MS);
 }
 
 static void on_claimed(void *arg)
@@ -209,7 +209,7 @@
 		return;
 	case BOOKING_NOT_RUN:
 		call_refuse(call, call->refusal, OUTCOME_NOT_RUN, NULL,
-			    RETRY_AFTER_S);
+			    RETRY_AFTER_MS);
 		return;
 	default:
 		call_refuse(call, RD_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN, NULL, 0);
--- a/entry/call.h
+++ b/entry/call.h
@@ -8,15 +8,43 @@
 #ifndef ENTRY_CALL_H
 #define ENTRY_CALL_H
 
+#include "common/address.h"
 #include "entry/entry_internal.h"
-#include "entry/sse.h"
 
-#define CALL_ATTEMPTS_MAX 4
+struct call;
 
-enum call_kind {
-	CALL_CHAT,	  /* whole JSON answer */
-	CALL_CHAT_STREAM, /* server-sent events */
-	CALL_PLAIN,	  /* any call to a plain service */
+/** What the head of an endpoint's answer means. */
+enum answer_meaning {
+	ANSWER_PASS,	/* goes to the caller as it is */
+	ANSWER_NOT_RUN, /* the endpoint says that it did not run the call */
+	ANSWER_FAILED,	/* it ran and failed; another endpoint may not */
+	ANSWER_FOREIGN, /* belongs to another request */
+};
+
+/** How callers and endpoints are spoken to. */
+struct call_format {
+	/** Adds the headers that an endpoint gets. */
+	void (*request_headers)(const struct call *call, struct evkeyvalq *out);
+	/** Returns the body an endpoint gets: a reference, may be NULL. */
+	GBytes *(*request_body)(const struct call *call);
+	/** Takes the head of an answer; may keep what it needs of it. */
+	enum answer_meaning (*take_head)(struct call *call, int status,
+					 struct evkeyvalq *headers);
+	/** Adds the headers of the caller's answer. */
+	void (*answer_headers)(const struct call *call, struct evkeyvalq *out);
+	/** Moves whole events of a stream; returns the tokens in them. */
+	uint32_t (*move_events)(struct call *call, struct evbuffer *in,
+				struct evbuffer *out);
+	/** Whether a stream that the endpoint ended is complete. */
+	bool (*stream_complete)(const struct call *call);
+	/** Answers a caller with an error. */
+	void (*refuse)(struct evhttp_request *req,
+		       const struct problem *problem);
+	/** Adds last words to a stream that breaks off. May be NULL. */
+	void (*break_off)(const struct problem *problem, struct evbuffer *out);
+	/** Frees call->data. */
+	void (*free_data)(void *data);
+	bool unframed; /* an answer may end with its connection */
 };
 
 enum call_state {
@@ -32,7 +60,8 @@
 	struct entry_service *service;
 	struct evhttp_request *req; /* NULL once answered or left */
 	struct http_watch watch;
-	enum call_kind kind;
+	const struct call_format *format;
+	void *data; /* of the format */
 	enum call_state state;
 	enum rd_result refusal; /* why it did not run, if it did not */
 	int64_t parked_until_ms;
@@ -40,15 +69,17 @@
 	char *account;
 	uint32_t priority;
 	int64_t started_us;
-	int64_t deadline_ms;
+	int64_t deadline_ms; /* of the answer, or of a stream's first token */
+	int64_t whole_by_ms; /* of a stream's end; 0 for none */
+	bool needs_whole;    /* waiting must leave time for all tokens */
+	bool stream;	     /* an event stream is expected */
+	bool once_only;
+	uint32_t attempts_max;
 
 	enum evhttp_cmd_type method;
-	char *path; /* at the endpoint */
-	char *content_type;
+	char *path; /* at the endpoint, with the query */
 	GBytes *body;
-	json_t *chat; /* the parsed body of a chat call */
 
-	bool once_only;
 	char *booking_key; /* NULL without one */
 	uint64_t claim_id;
 	uint64_t body_hash;
@@ -57,37 +88,43 @@
 	bool admitted; /* the ticket was taken and must be finished */
 	struct router_request route;
 	uint32_t attempts;
+	bool may_have_run; /* at some endpoint */
 	uint32_t replica;
 	uint64_t epoch;
-	char address[64];
+	char address[ADDRESS_MAX];
 	struct upstream *upstream;
 	int64_t sent_us;
 	int64_t paced_us; /* when the pace was last measured */
 	uint32_t paced_tokens;
 	uint32_t counted; /* tokens taken off the router's account */
+	uint32_t tokens;  /* of a stream, passed on so far */
 
 	int status; /* of the endpoint's answer */
+	enum answer_meaning meaning;
 	char *answer_type;
 	struct evbuffer *answer; /* collected answer, or rest of an event */
 	bool answer_too_large;
-	struct sse sse;
 	bool started_reply; /* bytes have gone to the caller */
 	bool paused;
 };
 
-/** What a caller asked for, checked. Strings and references are taken over. */
+/** What a caller asked for, checked. `data` and `body` are taken over. */
 struct call_opts {
 	struct entry_service *service;
 	struct evhttp_request *req;
-	enum call_kind kind;
+	const struct call_format *format;
+	void *data;
+	bool stream;
+	bool needs_whole;
 	const char *id;
-	const struct account_spec *account;
+	const char *account;
+	uint32_t priority;
 	int64_t deadline_ms;
+	int64_t whole_by_ms;
 	const char *path;
-	const char *content_type;
 	GBytes *body;
-	json_t *chat;
 	bool once_only;
+	uint32_t attempts_max;
 	const char *booking_key;
 	struct router_request route;
 };
@@ -98,12 +135,13 @@
 /** Puts a call into its service's queue, or refuses it. */
 void call_enter(struct call *call);
 
-/** Sends a call to a replica chosen for it. */
-void call_dispatch(struct call *call, const struct router_choice *choice);
-
 /** Refuses a call; frees it. */
 void call_refuse(struct call *call, enum rd_result code, enum outcome outcome,
-		 const char *detail, int retry_after_s);
+		 const char *detail, int retry_after_ms);
+
+/** Ends a call that surely did not run. */
+void call_not_run(struct call *call, enum rd_result code, const char *detail,
+		  int retry_after_ms);
 
 /** Takes a waiting call out of the queue and refuses it as not run. */
 void call_give_up(struct call *call, enum rd_result code);
@@ -112,8 +150,8 @@
 void call_answer(struct call *call, int status, const char *type,
 		 const void *body, size_t size);
 
-/** The replica it is at lost a VM or its epoch: goes on elsewhere. */
-void call_replica_lost(struct call *call, const char *why);
+/** Ends the caller's stream as complete; frees the call. */
+void call_end_stream(struct call *call);
 
 /** Checks a call's times. */
 void call_tick(struct call *call, int64_t now_ms);
@@ -121,6 +159,20 @@
 /** Frees a call without answering; used when the entry ends. */
 void call_destroy(struct call *call);
 
+/* attempt.c: a call at an endpoint */
+
+/** Sends a call to a replica chosen for it. */
+void attempt_dispatch(struct call *call, const struct router_choice *choice);
+
+/** Takes a call from its endpoint; none of its callbacks follow. */
+void attempt_finish(struct call *call);
+
+/** The replica it is at lost a VM or its epoch: goes on elsewhere. */
+void attempt_replica_lost(struct call *call, const char *why);
+
+/** Looks for a replica for a parked call. */
+void attempt_tick_parked(struct call *call, int64_t now_ms);
+
 /* booking.c */
 void booking_begin(struct call *call);
 void booking_end(struct call *call, booking_outcome outcome, int status,
--- a/entry/callers.c
+++ b/entry/callers.c
@@ -5,7 +5,7 @@
 
 #include <radishdeal/prefix.h>
 
-#include "entry/call.h"
+#include "entry/native.h"
 
 #define CHAT_PATH "/v1/chat/completions"
 #define SERVICES_PATH "/services/"
@@ -14,6 +14,8 @@
 #define OUTPUT_TOKENS_MAX 1000000
 #define SHA256_BYTES 32
 #define BOOKING_KEY_MAX 255
+#define RETRY_AFTER_MS 1000
+#define ATTEMPTS_MAX 4
 
 static void refuse(struct entry *entry, struct evhttp_request *req,
 		   enum rd_result code, const char *detail, const char *id)
@@ -24,7 +26,7 @@
 
 	counters_add(entry->opts.counters, COUNTER_NOT_RUN, 1);
 	if (rd_result_info(code)->http_status == 503)
-		problem.retry_after_s = 1;
+		problem.retry_after_ms = RETRY_AFTER_MS;
 	if (code == RD_CUT_OFF || code == RD_DRAINING)
 		problem.more = json_pack("{s:o}", "addresses",
 					 addresses_json(entry));
@@ -181,11 +183,10 @@
 	struct call_opts opts = {
 		.req = req,
 		.id = id,
-		.kind = json_is_true(json_object_get(chat, "stream"))
-				? CALL_CHAT_STREAM
-				: CALL_CHAT,
+		.format = &native_engine_calls,
+		.stream = json_is_true(json_object_get(chat, "stream")),
 		.path = CHAT_PATH,
-		.content_type = "application/json",
+		.attempts_max = ATTEMPTS_MAX,
 	};
 
 	make_request_id(entry, req, id);
@@ -199,10 +200,12 @@
 		return;
 	}
 	opts.service = services_find(entry, name);
-	opts.account = account;
+	opts.account = account->name;
+	opts.priority = account->priority;
+	opts.needs_whole = !opts.stream;
 	opts.deadline_ms = deadline_of(entry, req, service);
 	opts.body = g_bytes_ref(body);
-	opts.chat = json_incref(chat);
+	opts.data = native_data_new("application/json", json_incref(chat));
 	describe_chat(chat, &opts.route);
 	call_start(entry, &opts);
 }
@@ -260,7 +263,12 @@
 	const char *key = http_header(req, "Idempotency-Key");
 	char id[REQUEST_ID_MAX];
 	enum rd_result code;
-	struct call_opts opts = { .req = req, .id = id, .kind = CALL_PLAIN };
+	struct call_opts opts = {
+		.req = req,
+		.id = id,
+		.format = &native_plain_calls,
+		.attempts_max = ATTEMPTS_MAX,
+	};
 	char *full;
 
 	make_request_id(entry, req, id);
@@ -277,10 +285,12 @@
 	}
 	full = query ? g_strdup_printf("%s?%s", path, query) : g_strdup(path);
 	opts.service = services_find(entry, name);
-	opts.account = account;
+	opts.account = account->name;
+	opts.priority = account->priority;
 	opts.deadline_ms = deadline_of(entry, req, service);
 	opts.path = full;
-	opts.content_type = type ? type : "application/octet-stream";
+	opts.data = native_data_new(type ? type : "application/octet-stream",
+				    NULL);
 	opts.body = http_body(req);
 	opts.once_only = service_once_only(service, http_method(req), path);
 	opts.booking_key = opts.once_only ? key : NULL;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -109,6 +109,10 @@
 {
 	if (!entry->leave_done)
 		return;
+	/* Callers still come until they have heard that this entry goes. */
+	if (entry_now_ms(entry) < entry->refuse_from_ms)
+		return;
+	entry->refusing = true;
 	if (g_hash_table_size(entry->calls) &&
 	    entry_now_ms(entry) < entry->leave_until_ms)
 		return;
@@ -128,6 +132,7 @@
 	if (view_version(entry->view) != entry->judged_version)
 		services_judge(entry);
 	tick_calls(entry);
+	services_watch(entry);
 	services_pump(entry);
 	if (entry_now_ms(entry) - entry->status_sent_ms >= STATUS_MS)
 		entry_send_status(entry);
@@ -188,6 +193,10 @@
 		.handle = announce_handle,
 	};
 
+	if (entry->opts.driver) {
+		entry->driver = entry->opts.driver->open(entry, why);
+		return entry->driver != NULL;
+	}
 	entry->callers = open_port(entry, settings->listen.callers, &callers,
 				   entry->callers_address, why);
 	if (!entry->callers)
@@ -207,6 +216,10 @@
 		.silence_ms = (int32_t)limits->vm_silence_ms,
 	};
 	struct view_opts view = { (int32_t)limits->vm_silence_ms };
+	struct repeats_opts repeats = {
+		.permille = (uint32_t)limits->repeat_permille,
+		.window_ms = (int32_t)limits->repeat_window_ms,
+	};
 
 	entry->opts = *opts;
 	entry->base = task_base(opts->task);
@@ -218,6 +231,7 @@
 						service_drop);
 	entry->calls = g_hash_table_new(NULL, NULL);
 	entry->pool = upstream_pool_create(entry->base);
+	repeats_init(&entry->repeats, &repeats);
 	entry->random = g_rand_new_with_seed(opts->seed);
 	if (open_ports(entry, why))
 		return entry;
@@ -236,9 +250,11 @@
 	entry->pump = evtimer_new(entry->base, on_pump, entry);
 	entry->tick = event_new(entry->base, -1, EV_PERSIST, on_tick, entry);
 	event_add(entry->tick, &tick);
-	entry->digest_timer = event_new(entry->base, -1, EV_PERSIST, on_digest,
-					entry);
-	event_add(entry->digest_timer, &digest);
+	if (entry->endpoints) {
+		entry->digest_timer = event_new(entry->base, -1, EV_PERSIST,
+						on_digest, entry);
+		event_add(entry->digest_timer, &digest);
+	}
 	entry_send_status(entry);
 }
 
@@ -282,6 +298,9 @@
 	free_events(entry);
 	drop_calls(entry);
 	upstream_pool_destroy(entry->pool);
+	if (entry->driver)
+		entry->opts.driver->close(entry->driver);
+	routes_destroy(entry->routes);
 	if (entry->callers)
 		evhttp_free(entry->callers);
 	if (entry->endpoints)
@@ -353,6 +372,30 @@
 			g_assert_not_reached();
 }
 
+static bool brings_deployment(const struct poll_reply *reply)
+{
+	for (u_int i = 0; i < reply->deltas.deltas_len; i++)
+		if (reply->deltas.deltas_val[i].cmd.body.kind == CMD_DEPLOY)
+			return true;
+	return reply->snapshot.snapshot_len != 0;
+}
+
+/* The routes point into the deployment, so they are made anew with it. */
+static void update_routes(struct entry *entry)
+{
+	const struct deployment *d = state_deployment(entry->config);
+
+	routes_destroy(entry->routes);
+	entry->routes = d ? routes_create(d) : NULL;
+	if (d)
+		log_info(&entry_log,
+			 "serves by deployment %" G_GUINT64_FORMAT ": %u "
+			 "routes, %u "
+			 "accounts",
+			 d->revision, d->routes.routes_len,
+			 d->accounts.accounts_len);
+}
+
 static bool older(const struct entry *entry, const struct poll_reply *reply)
 {
 	return reply->commit < state_index(entry->config);
@@ -364,6 +407,7 @@
 	struct message *m = arg;
 	struct entry *entry = m->entry;
 	struct poll_reply *reply = &m->update->reply;
+	uint32_t others = entry->other_count;
 	bool changed = false;
 
 	if (!older(entry, reply)) {
@@ -376,10 +420,12 @@
 					    m->update->lease_until_ms);
 		entry->ever_configured = true;
 	}
-	if (changed) {
-		services_update(entry);
+	if (changed && brings_deployment(reply))
+		update_routes(entry);
+	if (changed)
 		entry_send_status(entry);
-	}
+	if (changed || entry->other_count != others)
+		services_update(entry);
 	CODEC_FREE(poll_reply, reply);
 	g_free(m->update);
 	g_free(m);
@@ -452,6 +498,8 @@
 	entry->leave_arg = m->arg;
 	entry->leave_until_ms = entry_now_ms(entry) +
 				entry->opts.settings->limits.drain_ms;
+	entry->refuse_from_ms = entry_now_ms(entry) +
+				entry->opts.settings->limits.linger_ms;
 	g_free(m);
 }
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -12,7 +12,18 @@
 
 struct entry;
 
+/**
+ * A way to face callers other than the native one. Open and close are called
+ * as entry_create() and entry_destroy().
+ */
+struct entry_driver {
+	/** Opens its ports; NULL with *why set on failure. */
+	void *(*open)(struct entry *entry, char **why);
+	void (*close)(void *driver);
+};
+
 struct entry_opts {
+	const struct entry_driver *driver; /* NULL for the native one */
 	const struct daemon_settings *settings;
 	const struct clock_source *clock;
 	struct counters *counters;
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -10,6 +10,7 @@
 
 #include <radishdeal/admission.h>
 #include <radishdeal/evidence.h>
+#include <radishdeal/repeats.h>
 #include <radishdeal/router.h>
 
 #include "common/http.h"
@@ -30,6 +31,7 @@
 	struct router *router;
 	struct admission *admission;
 	GHashTable *plain; /* VM's name -> replica number; plain services */
+	GHashTable *plain_names; /* replica number -> VM's name */
 	uint32_t next_plain;
 };
 
@@ -39,7 +41,8 @@
 	struct state *config;
 	int64_t lease_until_ms;
 	bool ever_configured;
-	bool draining;
+	bool draining;		   /* no longer named to callers */
+	bool refusing;		   /* takes no new work */
 	struct entry_info *others; /* entries to name to callers */
 	uint32_t other_count;
 	struct home *home;
@@ -49,6 +52,9 @@
 	GHashTable *services; /* name -> struct entry_service */
 	GHashTable *calls;    /* set of struct call */
 	struct upstream_pool *pool;
+	struct routes *routes; /* of the deployment; NULL without one */
+	struct repeats repeats;
+	void *driver; /* of opts.driver; NULL without one */
 	struct evhttp *callers;
 	struct evhttp *endpoints;
 	char callers_address[64];
@@ -62,6 +68,7 @@
 	task_fn leave_done;
 	void *leave_arg;
 	int64_t leave_until_ms;
+	int64_t refuse_from_ms; /* while leaving */
 	int64_t status_sent_ms;
 };
 
@@ -91,6 +98,25 @@
 				    const char *name);
 void service_drop(gpointer service);
 
+/** The VM that serves a replica's requests, by name; borrowed, or NULL. */
+const char *services_head(const struct entry_service *service,
+			  uint32_t replica);
+
+/** Gives up on replicas that have answered nothing for too long. */
+void services_watch(struct entry *entry);
+
+/* routes.c */
+struct routes *routes_create(const struct deployment *deployment);
+void routes_destroy(struct routes *routes);
+
+/** The route with the longest prefix that begins the path, or NULL. */
+const struct route_spec *routes_find(const struct routes *routes,
+				     const char *host, const char *path);
+
+/** The account that holds a key, or NULL. */
+const struct client_account *routes_account(const struct routes *routes,
+					    const char *key);
+
 /* callers.c */
 void callers_handle(struct evhttp_request *req, void *ctx);
 
--- /dev/null
+++ b/entry/native.c
@@ -0,0 +1,144 @@
+/* The native interface: how its calls look at endpoints and to callers. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/native.h"
+
+struct native_data *native_data_new(const char *content_type, json_t *chat)
+{
+	struct native_data *data = g_new0(struct native_data, 1);
+
+	data->content_type = g_strdup(content_type);
+	data->chat = chat;
+	sse_init(&data->sse);
+	return data;
+}
+
+static void free_data(void *arg)
+{
+	struct native_data *data = arg;
+
+	g_free(data->content_type);
+	json_decref(data->chat);
+	sse_clear(&data->sse);
+	g_free(data);
+}
+
+static void request_headers(const struct call *call, struct evkeyvalq *out)
+{
+	const struct native_data *data = call->data;
+	char number[24];
+
+	evhttp_add_header(out, "Content-Type", data->content_type);
+	evhttp_add_header(out, "X-Request-Id", call->id);
+	snprintf(number, sizeof(number), "%u", call->replica);
+	evhttp_add_header(out, "X-Replica", number);
+	snprintf(number, sizeof(number), "%" PRIu64, call->epoch);
+	evhttp_add_header(out, "X-Epoch", number);
+	snprintf(number, sizeof(number), "%u", call->priority);
+	evhttp_add_header(out, "X-Priority", number);
+	snprintf(number, sizeof(number), "%" PRId64,
+		 call->deadline_ms - entry_now_ms(call->entry));
+	evhttp_add_header(out, "X-Deadline-Ms", number);
+	if (call->booking_key)
+		evhttp_add_header(out, "Idempotency-Key", call->booking_key);
+}
+
+/* The body of a stream that goes on: what the caller has already got. */
+static GBytes *request_body(const struct call *call)
+{
+	const struct native_data *data = call->data;
+	json_t *text, *body;
+	char *quoted, *dumped;
+
+	if (!call->tokens || !data->chat)
+		return g_bytes_ref(call->body);
+	quoted = g_strdup_printf("\"%s\"", data->sse.text->str);
+	text = json_loads(quoted, JSON_DECODE_ANY, NULL);
+	g_free(quoted);
+	body = json_copy(data->chat);
+	json_object_set_new(body, "resume",
+			    json_pack("{s:I,s:o}", "after",
+				      (json_int_t)call->tokens, "text",
+				      text ? text : json_string("")));
+	dumped = json_dumps(body, JSON_COMPACT);
+	json_decref(body);
+	return g_bytes_new_with_free_func(dumped, strlen(dumped), free, dumped);
+}
+
+/* An engine says so when it is not what the entry took it for. */
+static enum answer_meaning take_engine_head(struct call *call, int status,
+					    struct evkeyvalq *headers)
+{
+	(void)call;
+	(void)headers;
+	return status == HTTP_SERVUNAVAIL || status == 409 ? ANSWER_NOT_RUN
+							   : ANSWER_PASS;
+}
+
+static enum answer_meaning take_plain_head(struct call *call, int status,
+					   struct evkeyvalq *headers)
+{
+	(void)call;
+	(void)status;
+	(void)headers;
+	return ANSWER_PASS;
+}
+
+static void answer_headers(const struct call *call, struct evkeyvalq *out)
+{
+	if (call->stream && call->status == HTTP_OK) {
+		evhttp_add_header(out, "Content-Type", "text/event-stream");
+		evhttp_add_header(out, "Cache-Control", "no-store");
+	}
+	evhttp_add_header(out, "X-Request-Id", call->id);
+}
+
+static uint32_t move_events(struct call *call, struct evbuffer *in,
+			    struct evbuffer *out)
+{
+	struct native_data *data = call->data;
+
+	return sse_move(&data->sse, in, out);
+}
+
+static bool stream_complete(const struct call *call)
+{
+	const struct native_data *data = call->data;
+
+	return data->sse.done;
+}
+
+static void break_off(const struct problem *problem, struct evbuffer *out)
+{
+	char *text = http_problem_text(problem);
+
+	evbuffer_add_printf(out, "event: error\ndata: %s\n\n", text);
+	free(text);
+}
+
+const struct call_format native_engine_calls = {
+	.request_headers = request_headers,
+	.request_body = request_body,
+	.take_head = take_engine_head,
+	.answer_headers = answer_headers,
+	.move_events = move_events,
+	.stream_complete = stream_complete,
+	.refuse = http_send_problem,
+	.break_off = break_off,
+	.free_data = free_data,
+};
+
+const struct call_format native_plain_calls = {
+	.request_headers = request_headers,
+	.request_body = request_body,
+	.take_head = take_plain_head,
+	.answer_headers = answer_headers,
+	.move_events = move_events,
+	.stream_complete = stream_complete,
+	.refuse = http_send_problem,
+	.break_off = break_off,
+	.free_data = free_data,
+};
--- /dev/null
+++ b/entry/routes.c
@@ -0,0 +1,105 @@
+/* Which route a request takes, and whose key it carries. */
+#include <string.h>
+
+#include "entry/entry_internal.h"
+
+#define SHA256_BYTES 32
+
+struct routes {
+	GHashTable *places;   /* "host\nprefix" -> const struct route_spec */
+	GHashTable *accounts; /* key's hash -> const struct client_account */
+};
+
+static guint hash_key(gconstpointer key)
+{
+	guint n;
+
+	memcpy(&n, key, sizeof(n));
+	return n;
+}
+
+static gboolean same_key(gconstpointer a, gconstpointer b)
+{
+	return !memcmp(a, b, SHA256_BYTES);
+}
+
+static char *place_key(const char *host, size_t host_size, const char *path,
+		       size_t path_size)
+{
+	char *key = g_malloc(host_size + path_size + 2);
+
+	for (size_t i = 0; i < host_size; i++)
+		key[i] = g_ascii_tolower(host[i]);
+	key[host_size] = '\n';
+	memcpy(key + host_size + 1, path, path_size);
+	key[host_size + 1 + path_size] = '\0';
+	return key;
+}
+
+struct routes *routes_create(const struct deployment *deployment)
+{
+	struct routes *routes = g_new0(struct routes, 1);
+
+	routes->places = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       NULL);
+	routes->accounts = g_hash_table_new(hash_key, same_key);
+	for (u_int i = 0; i < deployment->routes.routes_len; i++) {
+		struct route_spec *r = &deployment->routes.routes_val[i];
+
+		g_hash_table_insert(routes->places,
+				    place_key(r->host, strlen(r->host),
+					      r->path_prefix,
+					      strlen(r->path_prefix)),
+				    r);
+	}
+	for (u_int i = 0; i < deployment->accounts.accounts_len; i++) {
+		struct client_account *a =
+			&deployment->accounts.accounts_val[i];
+
+		for (u_int j = 0; j < a->keys.keys_len; j++)
+			g_hash_table_insert(routes->accounts,
+					    a->keys.keys_val[j].sha256, a);
+	}
+	return routes;
+}
+
+void routes_destroy(struct routes *routes)
+{
+	if (!routes)
+		return;
+	g_hash_table_unref(routes->places);
+	g_hash_table_unref(routes->accounts);
+	g_free(routes);
+}
+
+const struct route_spec *routes_find(const struct routes *routes,
+				     const char *host, const char *path)
+{
+	size_t host_size = strcspn(host, ":");
+	char *key = place_key(host, host_size, path, strcspn(path, "?#"));
+	char *start = key + host_size + 1;
+	const struct route_spec *found = NULL;
+	char *slash;
+
+	/* Prefixes end with a slash: each is tried, the longest first. */
+	while (!found && (slash = strrchr(start, '/'))) {
+		slash[1] = '\0';
+		found = g_hash_table_lookup(routes->places, key);
+		slash[0] = '\0';
+	}
+	g_free(key);
+	return found;
+}
+
+const struct client_account *routes_account(const struct routes *routes,
+					    const char *key)
+{
+	uint8_t hash[SHA256_BYTES];
+	gsize size = sizeof(hash);
+	GChecksum *checksum = g_checksum_new(G_CHECKSUM_SHA256);
+
+	g_checksum_update(checksum, (const guchar *)key, -1);
+	g_checksum_get_digest(checksum, hash, &size);
+	g_checksum_free(checksum);
+	return g_hash_table_lookup(routes->accounts, hash);
+}
--- a/entry/services.c
+++ b/entry/services.c
@@ -16,6 +16,7 @@
 
 	router_destroy(s->router);
 	admission_destroy(s->admission);
+	g_hash_table_unref(s->plain_names);
 	g_hash_table_unref(s->plain);
 	g_free(s->name);
 	g_free(s);
@@ -26,6 +27,19 @@
 	return g_hash_table_lookup(entry->services, name);
 }
 
+const char *services_head(const struct entry_service *s, uint32_t replica)
+{
+	const struct replica_state *r;
+	const char *plain = g_hash_table_lookup(s->plain_names,
+						GUINT_TO_POINTER(replica));
+
+	if (plain)
+		return plain;
+	r = state_replica(s->entry->config, replica);
+	return r && r->assign.vms.vms_len ? r->assign.vms.vms_val[0].name
+					  : NULL;
+}
+
 static struct entry_service *add_service(struct entry *entry, const char *name)
 {
 	struct entry_service *s = g_new0(struct entry_service, 1);
@@ -41,6 +55,7 @@
 	s->router = router_create(&opts);
 	s->admission = admission_create();
 	s->plain = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->plain_names = g_hash_table_new(NULL, NULL);
 	s->next_plain = FIRST_PLAIN;
 	g_hash_table_insert(entry->services, s->name, s);
 	return s;
@@ -48,6 +63,37 @@
 
 /* ---- following the configuration ---- */
 
+static uint32_t count_entries(const struct entry *entry)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < entry->other_count; i++)
+		count += *entry->others[i].callers_address != '\0';
+	return MAX(count, 1);
+}
+
+/*
+ * Engines that do not report their load let an entry see only its own
+ * requests there, so each entry uses its part of the slots.
+ */
+static uint32_t local_slots(const struct entry *entry,
+			    const struct service_spec *spec)
+{
+	uint32_t entries = count_entries(entry);
+
+	if (!spec->engine.step_us)
+		return spec->slots_per_replica;
+	return (spec->slots_per_replica + entries - 1) / entries;
+}
+
+/* What all entries together may repeat, whatever the requests. */
+static void share_repeats(struct entry *entry)
+{
+	uint32_t slack = (uint32_t)entry->opts.settings->limits.repeat_slack;
+
+	repeats_set_slack(&entry->repeats, slack / count_entries(entry));
+}
+
 /* What an account may use here: its part of what it may use everywhere. */
 static uint32_t local_limit(const struct entry *entry, uint32_t limit)
 {
@@ -85,7 +131,7 @@
 
 	if (s && service && a->vms.vms_len)
 		router_put(s->router, a->replica, a->epoch,
-			   service->spec.slots_per_replica,
+			   local_slots(entry, &service->spec),
 			   a->vms.vms_val[0].address);
 }
 
@@ -143,6 +189,7 @@
 	g_hash_table_iter_init(&iter, entry->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		((struct entry_service *)value)->seen = false;
+	share_repeats(entry);
 	state_each_service(entry->config, update_service, entry);
 	state_each_replica(entry->config, put_replica, entry);
 	g_hash_table_iter_init(&iter, entry->services);
@@ -169,7 +216,7 @@
 			g_ptr_array_add(lost, call);
 	}
 	for (guint i = 0; i < lost->len; i++)
-		call_replica_lost(lost->pdata[i], why);
+		attempt_replica_lost(lost->pdata[i], why);
 	g_ptr_array_unref(lost);
 }
 
@@ -214,8 +261,11 @@
 	gpointer known = g_hash_table_lookup(s->plain, vm);
 
 	if (!known) {
+		char *name = g_strdup(vm);
+
 		known = GUINT_TO_POINTER(s->next_plain++);
-		g_hash_table_insert(s->plain, g_strdup(vm), known);
+		g_hash_table_insert(s->plain, name, known);
+		g_hash_table_insert(s->plain_names, known, name);
 	}
 	return GPOINTER_TO_UINT(known);
 }
@@ -237,7 +287,8 @@
 		return;
 	number = plain_number(s, r->name);
 	router_put(s->router, number, r->incarnation,
-		   service->spec.slots_per_replica, r->address);
+		   r->slots ? r->slots : service->spec.slots_per_replica,
+		   r->address);
 	router_set_fresh(s->router, number, good ? vm->fresh_until_ms : 0,
 			 good	      ? "whole"
 			 : !alive     ? "vm-silent"
@@ -330,6 +381,64 @@
 		     dropped, dropped_count);
 }
 
+/* ---- replicas that answer nothing ---- */
+
+struct watching {
+	struct entry_service *service;
+	int64_t now_ms;
+	GArray *silent; /* of uint32_t */
+};
+
+static void watch_replica(void *ctx, const struct router_replica *r)
+{
+	struct watching *w = ctx;
+	int64_t limit = w->service->entry->opts.settings->limits.stall_ms;
+	uint32_t id = r->id;
+
+	if (r->outstanding && w->now_ms - r->heard_ms >= limit &&
+	    w->now_ms >= r->suspect_until_ms)
+		g_array_append_val(w->silent, id);
+}
+
+static void watch_service(struct entry_service *s)
+{
+	struct watching w = {
+		.service = s,
+		.now_ms = entry_now_ms(s->entry),
+		.silent = g_array_new(FALSE, FALSE, sizeof(uint32_t)),
+	};
+
+	router_each(s->router, watch_replica, &w);
+	for (guint i = 0; i < w.silent->len; i++) {
+		uint32_t id = g_array_index(w.silent, uint32_t, i);
+
+		log_note(&services_log,
+			 "replica %u of %s: no byte of any answer for %d ms",
+			 id, s->name,
+			 (int)s->entry->opts.settings->limits.stall_ms);
+		router_suspect(s->router, id, w.now_ms);
+		lose_calls(s->entry, id, s, "stalled");
+	}
+	g_array_unref(w.silent);
+}
+
+/* Engines batch: one that is well sends something of some stream soon. */
+void services_watch(struct entry *entry)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, entry->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct entry_service *s = value;
+		const struct service_state *state = state_service(entry->config,
+								  s->name);
+
+		if (state && state->spec.engine.step_us)
+			watch_service(s);
+	}
+}
+
 /* ---- turns ---- */
 
 static void expire_waiting(struct entry_service *s)
@@ -377,7 +486,7 @@
 			      entry_now_us(entry) - started);
 		if (!choice.replica)
 			return;
-		call_dispatch(call, &choice);
+		attempt_dispatch(call, &choice);
 	}
 }
 
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -143,7 +143,8 @@
 	if (u->cancelled)
 		return;
 	u->end = UPSTREAM_BROKE;
-	if (answered && u->has_end)
+	/* evhttp tells of a reset as of no answer, so this one was closed. */
+	if (answered && (u->has_end || u->opts.unframed))
 		u->end = UPSTREAM_WHOLE;
 	else if (!answered && !u->bytes_left)
 		u->end = UPSTREAM_NOT_SENT;
@@ -176,11 +177,10 @@
 {
 	struct evkeyvalq *headers = evhttp_request_get_output_headers(u->req);
 
-	for (int i = 0; u->opts.headers && u->opts.headers[i]; i += 2)
-		if (u->opts.headers[i + 1])
-			evhttp_add_header(headers, u->opts.headers[i],
-					  u->opts.headers[i + 1]);
-	evhttp_add_header(headers, "Host", u->address);
+	if (u->opts.add_headers)
+		u->opts.add_headers(u->opts.ctx, headers);
+	if (!evhttp_find_header(headers, "Host"))
+		evhttp_add_header(headers, "Host", u->address);
 	if (u->opts.once_only)
 		evhttp_add_header(headers, "Connection", "close");
 }
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -31,10 +31,12 @@
 struct upstream_request {
 	const char *address;
 	enum evhttp_cmd_type method;
-	const char *path;	    /* with the query */
-	const char *const *headers; /* name, value, ..., NULL */
-	GBytes *body;		    /* may be NULL */
+	const char *path; /* with the query */
+	/** Adds the request's headers; called before the send returns. */
+	void (*add_headers)(void *ctx, struct evkeyvalq *out);
+	GBytes *body; /* may be NULL */
 	bool once_only;
+	bool unframed;	     /* an answer may end with its connection */
 	int idle_timeout_ms; /* without any byte of the answer */
 	/** Status and headers are there. May be NULL. */
 	void (*head)(void *ctx, int status, struct evkeyvalq *headers);
--- a/evidence/home.c
+++ b/evidence/home.c
@@ -50,13 +50,14 @@
 static bool same_status(const struct vm_report *a, const struct vm_report *b)
 {
 	return a->incarnation == b->incarnation && a->ready == b->ready &&
-	       a->leaving == b->leaving && a->replica == b->replica &&
-	       a->epoch == b->epoch && a->fencing == b->fencing &&
-	       !strcmp(a->address, b->address) &&
+	       a->serving == b->serving && a->broken == b->broken &&
+	       a->slots == b->slots && a->leaving == b->leaving &&
+	       a->replica == b->replica && a->epoch == b->epoch &&
+	       a->fencing == b->fencing && !strcmp(a->address, b->address) &&
 	       !strcmp(a->domain, b->domain) && !strcmp(a->model, b->model) &&
 	       !strcmp(a->adapter, b->adapter) &&
 	       !strcmp(a->model_version, b->model_version) &&
-	       !strcmp(a->service, b->service) &&
+	       !strcmp(a->service, b->service) && !strcmp(a->pool, b->pool) &&
 	       a->accelerators == b->accelerators;
 }
 
@@ -99,6 +100,17 @@
 	return status;
 }
 
+bool home_leave(struct home *home, const char *name)
+{
+	struct home_vm *vm = g_hash_table_lookup(home->vms, name);
+
+	if (!vm || vm->report.leaving)
+		return false;
+	vm->report.leaving = TRUE;
+	vm->changed = true;
+	return true;
+}
+
 static void find_lost(struct home *home, int64_t now_ms)
 {
 	GHashTableIter iter;
--- a/evidence/view.c
+++ b/evidence/view.c
@@ -322,7 +322,8 @@
 
 static enum replica_fault judge_vm(const struct view *view,
 				   const struct assign_replica *replica,
-				   const struct view_vm *vm, int64_t now_ms)
+				   const struct view_vm *vm, bool is_head,
+				   int64_t now_ms)
 {
 	if (!vm)
 		return REPLICA_VM_UNKNOWN;
@@ -333,7 +334,7 @@
 	if (vm->report.replica != replica->replica ||
 	    vm->report.epoch != replica->epoch)
 		return REPLICA_VM_OTHER_EPOCH;
-	if (!vm->report.ready)
+	if (!vm->report.ready || (is_head && !vm->report.serving))
 		return REPLICA_VM_NOT_READY;
 	return REPLICA_WHOLE;
 }
@@ -348,7 +349,8 @@
 	for (u_int i = 0; i < replica->vms.vms_len; i++) {
 		const char *name = replica->vms.vms_val[i].name;
 		const struct view_vm *vm = view_find(view, name);
-		enum replica_fault fault = judge_vm(view, replica, vm, now_ms);
+		enum replica_fault fault = judge_vm(view, replica, vm, !i,
+						    now_ms);
 
 		if (fault) {
 			*culprit = name;
--- a/include/radishdeal/evidence.h
+++ b/include/radishdeal/evidence.h
@@ -35,6 +35,12 @@
 bool home_announce(struct home *home, int64_t now_ms,
 		   const struct vm_report *report);
 
+/**
+ * Takes a VM's word that it is about to go. False if that was known, or if the
+ * VM is not.
+ */
+bool home_leave(struct home *home, const char *name);
+
 /**
  * Makes the next digest: changes since the last one, or everything if `full`.
  * The caller frees it with home_digest_clear().
--- a/include/radishdeal/placement.h
+++ b/include/radishdeal/placement.h
@@ -42,6 +42,7 @@
 	const char *model;
 	const char *adapter;
 	const char *version;
+	const char *pool;  /* only VMs of it; NULL or empty: any VM */
 	uint32_t replicas; /* wanted by the preset in force */
 	uint32_t vms_per_replica;
 	uint32_t accelerators_per_vm;
@@ -62,6 +63,7 @@
 	const char *name;
 	const char *domain;
 	const char *data_centre;
+	const char *pool;  /* it belongs to; NULL or empty: none */
 	const char *model; /* loaded weights, empty for none */
 	const char *adapter;
 	const char *version;
@@ -132,6 +134,22 @@
 				   const struct placement_decision *decision),
 		    void *ctx);
 
+/** A model's part of a pool of VMs. */
+struct division_part {
+	uint32_t share_permille; /* of the VMs */
+	uint32_t vms_per_replica;
+	uint32_t replicas; /* result */
+};
+
+/**
+ * Divides a pool between its models: how many replicas of each, so that each
+ * fits into one fabric domain and some VMs stay spare for repairs.
+ * `domain_vms` holds the usable VMs of each domain.
+ */
+void placement_divide(struct division_part *parts, uint32_t part_count,
+		      const uint32_t *domain_vms, uint32_t domain_count,
+		      uint32_t spare_permille);
+
 /** Accelerators by what they do, over all VMs that are alive. */
 struct placement_sums {
 	uint32_t alive;	   /* accelerators of VMs alive and not leaving */
--- a/include/radishdeal/router.h
+++ b/include/radishdeal/router.h
@@ -32,10 +32,12 @@
 	uint32_t id;
 	uint64_t epoch;
 	uint32_t slots;
-	char address[64];	/* of the head VM */
-	int64_t fresh_until_ms; /* 0: not usable */
-	const char *fault;	/* word for why not, if so */
-	bool suspect;		/* a connection failed; until new evidence */
+	char address[64];	  /* of the head VM */
+	int64_t fresh_until_ms;	  /* 0: not usable */
+	const char *fault;	  /* word for why not, if so */
+	int64_t suspect_until_ms; /* it failed; 0, or until this or new evidence
+				   */
+	int64_t heard_ms; /* last bytes of an answer, or sent to when idle */
 
 	uint32_t outstanding; /* own requests there */
 	uint64_t own_tokens;  /* estimated tokens they still need */
@@ -89,8 +91,11 @@
 void router_set_fresh(struct router *router, uint32_t id,
 		      int64_t fresh_until_ms, const char *fault);
 
-/** Marks a replica that refused a connection; cleared by router_trust(). */
-void router_suspect(struct router *router, uint32_t id);
+/**
+ * Marks a replica that failed. Nothing is sent there for a while, unless
+ * router_trust() tells earlier that it is well.
+ */
+void router_suspect(struct router *router, uint32_t id, int64_t now_ms);
 void router_trust(struct router *router, uint32_t id);
 
 /** Takes a lagging load report: running and waiting in all, step time. */
@@ -129,6 +134,9 @@
 void router_sent(struct router *router, uint32_t id, int64_t now_ms,
 		 const struct router_request *request);
 
+/** Notes that bytes of some answer came. */
+void router_heard(struct router *router, uint32_t id, int64_t now_ms);
+
 /** Takes tokens off what is still expected. */
 void router_progress(struct router *router, uint32_t id, uint32_t tokens);
 
--- a/include/radishdeal/state.h
+++ b/include/radishdeal/state.h
@@ -51,6 +51,15 @@
 /** Whether entries need a command (bookings stay with the voters). */
 bool state_concerns_entries(command_kind kind);
 
+/** Returns the deployment in force, or NULL before the first. */
+const struct deployment *state_deployment(const struct state *state);
+
+/**
+ * Lists what is wrong with a deployment, a line each naming route, service or
+ * account; NULL if nothing is.
+ */
+char *deployment_validate(const struct deployment *deployment);
+
 /** Lists what is wrong with a service, a line each; NULL if nothing is. */
 char *service_validate(const struct service_spec *spec, const char *preset);
 
--- /dev/null
+++ b/placement/division.c
@@ -0,0 +1,95 @@
+/* How a pool of VMs is divided between the models that it serves. */
+#include <string.h>
+
+#include <radishdeal/placement.h>
+
+#define PERMILLE 1000u
+
+struct division {
+	struct division_part *parts;
+	uint32_t part_count;
+	uint32_t *room; /* VMs left in each domain */
+	uint32_t domain_count;
+	uint32_t budget; /* VMs that may still be used */
+};
+
+/* Puts one replica into the domain with the most room; false if none fits. */
+static bool place_one(struct division *d, struct division_part *part)
+{
+	uint32_t size = part->vms_per_replica;
+	uint32_t best = 0;
+
+	if (!size || d->budget < size || !d->domain_count)
+		return false;
+	for (uint32_t i = 1; i < d->domain_count; i++)
+		if (d->room[i] > d->room[best])
+			best = i;
+	if (d->room[best] < size)
+		return false;
+	d->room[best] -= size;
+	d->budget -= size;
+	part->replicas++;
+	return true;
+}
+
+/* The VMs that a part still lacks of its share, in replicas. */
+static double lacking(const struct division_part *part, uint32_t vms)
+{
+	double due = (double)vms * part->share_permille / PERMILLE;
+
+	return due / part->vms_per_replica - part->replicas;
+}
+
+/* Large replicas first: what is left of a domain still holds small ones. */
+static struct division_part *next_part(const struct division *d, uint32_t vms,
+				       const bool *full, double least)
+{
+	struct division_part *best = NULL;
+
+	for (uint32_t i = 0; i < d->part_count; i++) {
+		struct division_part *part = &d->parts[i];
+
+		if (full[i] || !part->vms_per_replica ||
+		    lacking(part, vms) < least)
+			continue;
+		if (!best || part->vms_per_replica > best->vms_per_replica)
+			best = part;
+	}
+	return best;
+}
+
+static void place_all(struct division *d, uint32_t vms, double least)
+{
+	bool *full = g_new0(bool, d->part_count + 1);
+	struct division_part *part;
+
+	while ((part = next_part(d, vms, full, least)))
+		if (!place_one(d, part))
+			full[part - d->parts] = true;
+	g_free(full);
+}
+
+void placement_divide(struct division_part *parts, uint32_t part_count,
+		      const uint32_t *domain_vms, uint32_t domain_count,
+		      uint32_t spare_permille)
+{
+	struct division d = {
+		.parts = parts,
+		.part_count = part_count,
+		.room = g_memdup2(domain_vms,
+				  domain_count * sizeof(*domain_vms)),
+		.domain_count = domain_count,
+	};
+	uint32_t vms = 0, usable;
+
+	for (uint32_t i = 0; i < domain_count; i++)
+		vms += domain_vms[i];
+	usable = vms - vms * spare_permille / PERMILLE;
+	d.budget = usable;
+	for (uint32_t i = 0; i < part_count; i++)
+		parts[i].replicas = 0;
+	/* Whole replicas of each share, then what rounding left over. */
+	place_all(&d, usable, 1.0);
+	place_all(&d, usable, 0.2);
+	g_free(d.room);
+}
--- a/placement/model.c
+++ b/placement/model.c
@@ -23,6 +23,7 @@
 	struct vm *vm = data;
 
 	g_free(vm->name);
+	g_free(vm->pool);
 	g_free(vm);
 }
 
@@ -44,6 +45,7 @@
 	g_ptr_array_unref(service->replicas);
 	g_free(service->name);
 	g_free(service->version);
+	g_free(service->pool);
 	g_free(service);
 }
 
@@ -96,6 +98,14 @@
 	return hash ? hash : 1;
 }
 
+static void set_text(char **field, const char *text)
+{
+	if (*field && !strcmp(*field, text ? text : ""))
+		return;
+	g_free(*field);
+	*field = g_strdup(text ? text : "");
+}
+
 /* ---- services ---- */
 
 static gboolean collect(gpointer key, gpointer value, gpointer data)
@@ -114,6 +124,7 @@
 	service = g_new0(struct service, 1);
 	service->name = g_strdup(name);
 	service->version = g_strdup("");
+	service->pool = g_strdup("");
 	service->replicas = g_ptr_array_new();
 	service->removed = true;
 	g_tree_insert(p->services, service->name, service);
@@ -129,6 +140,7 @@
 
 	g_free(service->version);
 	service->version = g_strdup(from->version);
+	set_text(&service->pool, from->pool);
 	service->weights = model_weights(from->model, from->adapter,
 					 from->version);
 	service->wanted = from->replicas;
@@ -211,6 +223,7 @@
 		g_tree_insert(p->vms, vm->name, vm);
 	}
 	join_domain(vm, get_domain(p, from->domain, from->data_centre));
+	set_text(&vm->pool, from->pool);
 	vm->accelerators = from->accelerators;
 	vm->weights = model_weights(from->model, from->adapter, from->version);
 	if (from->leaving && !vm->leaving)
@@ -256,6 +269,8 @@
 	if (!vm->alive || vm->leaving || vm->straggling || vm->holder ||
 	    vm->taken || vm->accelerators < service->accelerators_per_vm)
 		return false;
+	if (*service->pool && (!vm->pool || strcmp(vm->pool, service->pool)))
+		return false;
 	/* One that was lost again and again must stay up longer each time. */
 	if (vm->recent_losses > 1 &&
 	    now_ms - vm->lost_ms <= p->opts.flap_forget_ms)
--- a/placement/placement_internal.h
+++ b/placement/placement_internal.h
@@ -15,6 +15,7 @@
 struct vm {
 	char *name;
 	struct domain *domain;
+	char *pool;
 	uint64_t weights; /* hash of what is loaded, 0 for nothing */
 	uint32_t accelerators;
 	bool alive, leaving, straggling;
@@ -42,6 +43,7 @@
 struct service {
 	char *name;
 	char *version;
+	char *pool; /* empty: any VM */
 	uint64_t weights;
 	uint32_t wanted, vms_per_replica, accelerators_per_vm;
 	bool cross_domain;
--- a/routing/router.c
+++ b/routing/router.c
@@ -15,6 +15,7 @@
 #define STRAGGLER_SHARE 4
 #define MEDIAN_MAX 256
 #define SAMPLE 2
+#define SUSPECT_MS 2000
 
 struct router {
 	struct router_opts opts;
@@ -91,7 +92,7 @@
 	r->prefill_us = DEFAULT_PREFILL_US;
 	r->fresh_until_ms = 0;
 	r->fault = "no-evidence";
-	r->suspect = false;
+	r->suspect_until_ms = 0;
 	forget_prefixes(r);
 }
 
@@ -138,12 +139,12 @@
 	r->fault = fault;
 }
 
-void router_suspect(struct router *router, uint32_t id)
+void router_suspect(struct router *router, uint32_t id, int64_t now_ms)
 {
 	struct router_replica *r = find(router, id);
 
 	if (r)
-		r->suspect = true;
+		r->suspect_until_ms = now_ms + SUSPECT_MS;
 }
 
 void router_trust(struct router *router, uint32_t id)
@@ -151,7 +152,15 @@
 	struct router_replica *r = find(router, id);
 
 	if (r)
-		r->suspect = false;
+		r->suspect_until_ms = 0;
+}
+
+void router_heard(struct router *router, uint32_t id, int64_t now_ms)
+{
+	struct router_replica *r = find(router, id);
+
+	if (r)
+		r->heard_ms = now_ms;
 }
 
 /* ---- this entry's share ---- */
@@ -368,7 +377,7 @@
 	if (now_ms >= r->fresh_until_ms)
 		leave_out(choice, r, &choice->stale,
 			  r->fresh_until_ms ? "stale" : r->fault);
-	else if (r->suspect)
+	else if (now_ms < r->suspect_until_ms)
 		leave_out(choice, r, &choice->suspects, "suspect");
 	else if (avoided(request, r->id))
 		leave_out(choice, r, &choice->avoided, "failed-before");
@@ -520,9 +529,10 @@
 {
 	struct router_replica *r = find(router, id);
 
-	(void)now_ms;
 	if (!r)
 		return;
+	if (!r->outstanding)
+		r->heard_ms = now_ms;
 	r->outstanding++;
 	r->own_tokens += request->output_tokens;
 	for (uint32_t i = 0; i < request->prefix_count; i++)
@@ -596,7 +606,7 @@
 		const struct router_replica *r = router->replicas->pdata[i];
 		uint32_t present = r->outstanding + r->others;
 
-		if (now_ms >= r->fresh_until_ms || r->suspect)
+		if (now_ms >= r->fresh_until_ms || now_ms < r->suspect_until_ms)
 			continue;
 		*slots += r->slots;
 		*free_slots += present < r->slots ? r->slots - present : 0;
--- a/settings/daemon.c
+++ b/settings/daemon.c
@@ -11,63 +11,72 @@
 #define FILE_BYTES_MAX (1024 * 1024)
 
 static const char *const role_names[] = { "entry", "control", NULL };
+static const char *const interface_names[] = { "native", "platform", NULL };
 static const char *const level_names[] = { "error", "warn",  "note",
 					   "info",  "debug", NULL };
 static const char *const format_names[] = { "key-value", "json", NULL };
 
 #define NODE(field) offsetof(struct node_settings, field)
-static const struct option_row node_options[] = { { .key = "id",
-						    .type = OPT_INT,
-						    .offset = NODE(id),
-						    .min = 1,
-						    .max = 65535,
-						    .required = TRUE,
-						    .help = "number of this "
-							    "VM, "
-							    "not used by any "
-							    "other" },
-						  { .key = "data_centre",
-						    .type = OPT_STRING,
-						    .offset = NODE(data_centre),
-						    .min = 1,
-						    .max = 63,
-						    .required = TRUE,
-						    .help = "data centre this "
-							    "VM "
-							    "stands in" },
-						  { .key = "roles",
-						    .type = OPT_FLAGS,
-						    .offset = NODE(roles),
-						    .choices = role_names,
-						    .required = TRUE,
-						    .help = "what this VM "
-							    "does" },
-						  { .key = "data_folder",
-						    .type = OPT_STRING,
-						    .offset = NODE(data_folder),
-						    .min = 1,
-						    .max = 4000,
-						    .required = TRUE,
-						    .help = "folder that holds "
-							    "everything this "
-							    "VM "
-							    "stores" },
-						  { 0 } };
+static const struct option_row node_options[] = {
+	{ .key = "id",
+	  .type = OPT_INT,
+	  .offset = NODE(id),
+	  .min = 1,
+	  .max = UINT16_MAX,
+	  .help = "number of this VM, not used by any other; taken from its "
+		  "IP address where there are seeds" },
+	{ .key = "interface",
+	  .type = OPT_CHOICE,
+	  .offset = NODE(interface),
+	  .choices = interface_names,
+	  .fallback = INTERFACE_NATIVE,
+	  .help = "what callers, endpoints and operators speak" },
+	{ .key = "bootstrap",
+	  .type = OPT_BOOL,
+	  .offset = NODE(bootstrap),
+	  .fallback = 0,
+	  .help = "whether the whole system starts for the first time" },
+	{ .key = "data_centre",
+	  .type = OPT_STRING,
+	  .offset = NODE(data_centre),
+	  .min = 1,
+	  .max = 63,
+	  .required = TRUE,
+	  .help = "data centre this VM stands in" },
+	{ .key = "roles",
+	  .type = OPT_FLAGS,
+	  .offset = NODE(roles),
+	  .choices = role_names,
+	  .required = TRUE,
+	  .help = "what this VM does" },
+	{ .key = "data_folder",
+	  .type = OPT_STRING,
+	  .offset = NODE(data_folder),
+	  .max = 4000,
+	  .help = "folder that holds everything this VM stores; needed for "
+		  "the control role" },
+	{ 0 }
+};
 static const struct option_group node_group = { "node",
 						sizeof(struct node_settings),
 						node_options };
 
 #define LISTEN(field) offsetof(struct listen_settings, field)
-#define LISTEN_OPTION(name, text)                                         \
+#define LISTEN_OPTION(name, need, text)                                   \
 	{                                                                 \
 		.key = #name, .type = OPT_STRING, .offset = LISTEN(name), \
-		.min = 1, .max = 63, .required = TRUE, .help = (text)     \
+		.max = 63, .required = (need), .help = (text)             \
 	}
 static const struct option_row listen_options[] = {
-	LISTEN_OPTION(callers, "IP:port for callers"),
-	LISTEN_OPTION(endpoints, "IP:port for endpoints' announcements"),
-	LISTEN_OPTION(operators, "IP:port for operators"),
-	LISTEN_OPTION(peers, "IP:port for the system's other processes"),
+	LISTEN_OPTION(callers, FALSE, "IP:port for callers"),
+	LISTEN_OPTION(endpoints, FALSE, "IP:port for endpoints' announcements"),
+	LISTEN_OPTION(operators, FALSE, "IP:port for operators"),
+	LISTEN_OPTION(peers, TRUE, "IP:port for the system's other processes"),
+	LISTEN_OPTION(directory, FALSE,
+		      "IP:port where callers ask for entries' addresses"),
+	LISTEN_OPTION(readiness, FALSE,
+		      "IP:port that says if this entry takes callers"),
+	LISTEN_OPTION(metrics, FALSE, "IP:port for metrics"),
 	{ 0 }
 };
 static const struct option_group listen_group = {
@@ -132,11 +141,12 @@
 	  .max = 63,
 	  .required = TRUE,
 	  .help = "name of the system; processes of another one are refused" },
-	KEY_OPTION(key_file, TRUE, "file with the key of the system"),
+	KEY_OPTION(key_file, FALSE, "file with the key of the system"),
 	KEY_OPTION(old_key_file, FALSE, "key accepted besides, while changing"),
-	KEY_OPTION(operator_keys_file, TRUE,
+	KEY_OPTION(operator_keys_file, FALSE,
 		   "file with operators' keys: name role key, a line each"),
-	KEY_OPTION(endpoint_key_file, TRUE, "key that endpoints announce with"),
+	KEY_OPTION(endpoint_key_file, FALSE,
+		   "key that endpoints announce with"),
 	{ .key = "election_ms",
 	  .type = OPT_INT,
 	  .offset = CLUSTER(election_ms),
@@ -168,14 +178,24 @@
 	  .fallback = 5000,
 	  .unit = "ms",
 	  .help = "a voter silent for this long is replaced by a learner" },
+	{ .key = "voters",
+	  .type = OPT_INT,
+	  .offset = CLUSTER(voters),
+	  .max = 31,
+	  .help = "voters that are wanted; 0: as many as peers are marked" },
+	{ .key = "seeds",
+	  .type = OPT_STRINGS,
+	  .offset = CLUSTER(seeds),
+	  .max = 64,
+	  .help = "IP:port of some control VMs; the other VMs are found "
+		  "through them, all with the same peers port" },
 	{ .key = "peer",
 	  .type = OPT_TABLES,
 	  .offset = CLUSTER(peers),
 	  .sub = &peer_group,
-	  .min = 1,
 	  .max = 1024,
-	  .required = TRUE,
-	  .help = "every VM of the system, this one too" },
+	  .help = "every VM of the system, this one too, unless there are "
+		  "seeds" },
 	{ 0 }
 };
 static const struct option_group cluster_group = {
@@ -224,6 +244,18 @@
 		     "how long a repair waits for a VM that may be pausing"),
 	LIMIT_OPTION(order_timeout_ms, 100, 60000, 1000, "ms",
 		     "time an engine has to accept an order"),
+	LIMIT_OPTION(stall_ms, 100, 600000, 1000, "ms",
+		     "an engine silent for this long, with work, is avoided"),
+	LIMIT_OPTION(head_stall_ms, 0, 600000, 0, "ms",
+		     "a head without one of its VMs stops serving after this"),
+	LIMIT_OPTION(repeat_permille, 0, 100000, 1000, NULL,
+		     "second sends allowed for 1,000 requests"),
+	LIMIT_OPTION(repeat_slack, 0, 1000000, 10000, NULL,
+		     "second sends allowed besides, over all entries"),
+	LIMIT_OPTION(repeat_window_ms, 1000, 600000, 10000, "ms",
+		     "over which second sends are counted"),
+	LIMIT_OPTION(linger_ms, 0, 3600000, 0, "ms",
+		     "how long a stopping entry still takes new requests"),
 	{ 0 }
 };
 static const struct option_group limit_group = { "limits",
@@ -307,14 +339,69 @@
 				  "%d is not among the peers", (int)s->node.id);
 }
 
-static void check_rules(const struct daemon_settings *s,
-			struct option_errors *errors)
+/** A key that a process cannot do without. */
+struct needed {
+	const char *key;
+	const char *value;
+	bool needed;
+};
+
+static void check_needed(const struct daemon_settings *s,
+			 struct option_errors *errors)
+{
+	bool native = s->node.interface == INTERFACE_NATIVE;
+	bool entry = s->node.roles & ROLE_ENTRY;
+	bool control = s->node.roles & ROLE_CONTROL;
+	bool listed = !daemon_settings_discovers(s);
+	const struct needed all[] = {
+		{ "node.data_folder", s->node.data_folder, control || native },
+		{ "listen.callers", s->listen.callers, entry || native },
+		{ "listen.endpoints", s->listen.endpoints, native },
+		{ "listen.operators", s->listen.operators, control || native },
+		{ "listen.directory", s->listen.directory, control && !native },
+		{ "listen.readiness", s->listen.readiness, entry && !native },
+		{ "cluster.key_file", s->cluster.key_file, listed },
+		{ "cluster.operator_keys_file", s->cluster.operator_keys_file,
+		  native },
+		{ "cluster.endpoint_key_file", s->cluster.endpoint_key_file,
+		  native },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(all); i++)
+		if (all[i].needed && !*all[i].value &&
+		    !option_errors_names(errors, strchr(all[i].key, '.') + 1))
+			option_errors_add(errors, 0, all[i].key, "is missing");
+	if (listed && !s->cluster.peers->len)
+		option_errors_add(errors, 0, "cluster.peer",
+				  "is missing, and there are no seeds");
+	if (!listed && s->cluster.peers->len)
+		option_errors_add(errors, 0, "cluster.seeds",
+				  "cannot stand beside cluster.peer");
+	if (listed && !s->node.id && !option_errors_names(errors, "id"))
+		option_errors_add(errors, 0, "node.id", "is missing");
+}
+
+static void check_addresses(const struct daemon_settings *s,
+			    struct option_errors *errors)
 {
 	check_address(errors, "listen.callers", s->listen.callers);
 	check_address(errors, "listen.endpoints", s->listen.endpoints);
 	check_address(errors, "listen.operators", s->listen.operators);
 	check_address(errors, "listen.peers", s->listen.peers);
-	check_peers(s, errors);
+	check_address(errors, "listen.directory", s->listen.directory);
+	check_address(errors, "listen.readiness", s->listen.readiness);
+	check_address(errors, "listen.metrics", s->listen.metrics);
+	for (guint i = 0; i < s->cluster.seeds->len; i++)
+		check_address(errors, "cluster.seeds",
+			      s->cluster.seeds->pdata[i]);
+}
+
+static void check_rules(const struct daemon_settings *s,
+			struct option_errors *errors)
+{
+	check_addresses(s, errors);
+	if (!daemon_settings_discovers(s))
+		check_peers(s, errors);
 	if (s->cluster.heartbeat_ms * 3 > s->cluster.election_ms)
 		option_errors_add(errors, 0, "cluster.heartbeat_ms",
 				  "is %d, must be at most a third of "
@@ -329,6 +416,66 @@
 				  (int)s->limits.vm_silence_ms);
 }
 
+/* ---- peers out of seeds ---- */
+
+static uint32_t node_of_address(const char *text)
+{
+	struct address address;
+
+	return address_parse(text, &address)
+		       ? ntohl(address.socket.sin_addr.s_addr)
+		       : 0;
+}
+
+bool daemon_settings_discovers(const struct daemon_settings *settings)
+{
+	return settings->cluster.seeds && settings->cluster.seeds->len;
+}
+
+void daemon_settings_node_address(const struct daemon_settings *settings,
+				  uint32_t node, char *out, size_t size)
+{
+	struct address own;
+
+	if (!address_parse(settings->listen.peers, &own))
+		memset(&own, 0, sizeof(own));
+	g_snprintf(out, size, "%u.%u.%u.%u:%u", node >> 24, node >> 16 & 255,
+		   node >> 8 & 255, node & 255, own.port);
+}
+
+static void add_peer(struct daemon_settings *s, uint32_t node,
+		     const char *data_centre, bool voter, bool control)
+{
+	struct peer_settings *peer = g_new0(struct peer_settings, 1);
+	char address[ADDRESS_MAX];
+
+	daemon_settings_node_address(s, node, address, sizeof(address));
+	peer->id = node;
+	peer->data_centre = g_strdup(data_centre);
+	peer->peers = g_strdup(address);
+	peer->voter = voter;
+	peer->control = control;
+	g_ptr_array_add(s->cluster.peers, peer);
+}
+
+static void peers_from_seeds(struct daemon_settings *s)
+{
+	bool control = s->node.roles & ROLE_CONTROL;
+
+	s->node.id = node_of_address(s->listen.peers);
+	for (guint i = 0; i < s->cluster.seeds->len; i++) {
+		uint32_t node = node_of_address(s->cluster.seeds->pdata[i]);
+
+		if (node == s->node.id)
+			add_peer(s, node, s->node.data_centre, true, true);
+		else
+			add_peer(s, node, "", true, true);
+	}
+	if (!daemon_settings_self(s))
+		add_peer(s, (uint32_t)s->node.id, s->node.data_centre, false,
+			 control);
+}
+
 enum rd_result daemon_settings_load(const char *path,
 				    struct daemon_settings *settings,
 				    char **errors)
@@ -345,8 +492,17 @@
 		text = g_strdup("");
 		(void)options_read_text(&top_group, text, settings, &found);
 		g_ptr_array_set_size(found.lines, 1);
-	} else if (options_read_text(&top_group, text, settings, &found)) {
-		check_rules(settings, &found);
+	} else {
+		bool whole = options_read_text(&top_group, text, settings,
+					       &found);
+
+		/* Listed with all other errors, but not for unread text. */
+		if (!option_errors_names(&found, "syntax"))
+			check_needed(settings, &found);
+		if (whole)
+			check_rules(settings, &found);
+		if (!found.lines->len && daemon_settings_discovers(settings))
+			peers_from_seeds(settings);
 	}
 	g_free(text);
 	*errors = found.lines->len ? option_errors_text(&found) : NULL;
@@ -373,6 +529,20 @@
 	return NULL;
 }
 
+uint32_t daemon_settings_voters(const struct daemon_settings *settings)
+{
+	const GPtrArray *peers = settings->cluster.peers;
+	uint32_t count = 0;
+
+	for (guint i = 0; i < peers->len; i++) {
+		const struct peer_settings *p = peers->pdata[i];
+
+		count += p->voter ? 1 : 0;
+	}
+	return settings->cluster.voters ? (uint32_t)settings->cluster.voters
+					: count;
+}
+
 void daemon_settings_print(GString *out)
 {
 	options_print(&top_group, out);
--- a/settings/daemon.h
+++ b/settings/daemon.h
@@ -21,8 +21,16 @@
 	ROLE_CONTROL = 1 << 1,
 };
 
+/** What callers, endpoints and operators speak. */
+enum interface_kind {
+	INTERFACE_NATIVE,
+	INTERFACE_PLATFORM,
+};
+
 struct node_settings {
-	int64_t id;
+	int64_t id;	   /* with seeds: the IP number of listen.peers */
+	int32_t interface; /* enum interface_kind */
+	bool bootstrap;	   /* the whole system starts for the first time */
 	char *data_centre;
 	uint32_t roles; /* of enum daemon_role */
 	char *data_folder;
@@ -33,6 +41,9 @@
 	char *endpoints;
 	char *operators;
 	char *peers;
+	char *directory; /* callers ask here for entries' addresses */
+	char *readiness; /* whether this entry takes callers */
+	char *metrics;
 };
 
 /** Another VM of the system, or this one. */
@@ -54,7 +65,9 @@
 	int64_t heartbeat_ms;
 	int64_t drift_permille;
 	int64_t replace_after_ms;
-	GPtrArray *peers; /* of struct peer_settings */
+	int64_t voters;	  /* wanted; 0: as many as peers are marked so */
+	GPtrArray *seeds; /* of char *: IP:port of some control VMs */
+	GPtrArray *peers; /* of struct peer_settings; made from the seeds */
 };
 
 struct limit_settings {
@@ -75,6 +88,12 @@
 	int64_t weight_loads;
 	int64_t pause_wait_ms;
 	int64_t order_timeout_ms;
+	int64_t stall_ms;
+	int64_t head_stall_ms;
+	int64_t repeat_permille;
+	int64_t repeat_slack;
+	int64_t repeat_window_ms;
+	int64_t linger_ms;
 };
 
 struct log_settings {
@@ -101,6 +120,19 @@
 const struct peer_settings *daemon_settings_self(
 	const struct daemon_settings *settings);
 
+/** Whether other VMs are found through seeds, not listed in the settings. */
+bool daemon_settings_discovers(const struct daemon_settings *settings);
+
+/** How many voters the state group is to have. */
+uint32_t daemon_settings_voters(const struct daemon_settings *settings);
+
+/**
+ * The peers address of a node in a system with seeds: its number is its IP
+ * address, and all VMs use one port.
+ */
+void daemon_settings_node_address(const struct daemon_settings *settings,
+				  uint32_t node, char *out, size_t size);
+
 /** Appends the reference of all keys. */
 void daemon_settings_print(GString *out);
 
--- a/settings/options.c
+++ b/settings/options.c
@@ -35,6 +35,18 @@
 	g_free(what);
 }
 
+gboolean option_errors_names(const struct option_errors *errors,
+			     const char *key)
+{
+	char *wanted = g_strdup_printf(": %s:", key);
+	gboolean found = FALSE;
+
+	for (guint i = 0; !found && i < errors->lines->len; i++)
+		found = strstr(errors->lines->pdata[i], wanted) != NULL;
+	g_free(wanted);
+	return found;
+}
+
 char *option_errors_text(const struct option_errors *errors)
 {
 	GString *out = g_string_new(NULL);
--- a/settings/options.h
+++ b/settings/options.h
@@ -68,6 +68,10 @@
 void option_errors_add(struct option_errors *errors, int line, const char *key,
 		       const char *fmt, ...) G_GNUC_PRINTF(4, 5);
 
+/** Whether some error was added for a key, whatever table it stands in. */
+gboolean option_errors_names(const struct option_errors *errors,
+			     const char *key);
+
 /** Joins the errors, one a line; the caller frees. */
 char *option_errors_text(const struct option_errors *errors);
 
--- a/settings/service.c
+++ b/settings/service.c
@@ -274,6 +274,7 @@
 	struct service_spec *spec = &to->spec;
 
 	spec->name = strdup(from->name);
+	spec->pool = strdup("");
 	spec->plain = (uint32_t)from->kind;
 	spec->model = strdup(from->model);
 	spec->adapter = strdup(from->adapter);
--- /dev/null
+++ b/state/deployment.c
@@ -0,0 +1,227 @@
+/*
+ * The deployment aggregate: services, routes and client accounts that come as
+ * one document under a revision. The highest revision is in force; one that
+ * is not higher changes nothing.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "state/state_internal.h"
+#include "wire/codec.h"
+
+void deployment_free(struct deployment *deployment)
+{
+	if (!deployment)
+		return;
+	CODEC_FREE(deployment, deployment);
+	free(deployment);
+}
+
+void deployment_restore(struct state *state,
+			const struct deployment *deployment)
+{
+	deployment_free(state->deployment);
+	state->deployment = calloc(1, sizeof(*state->deployment));
+	if (!CODEC_COPY(deployment, deployment, state->deployment))
+		g_assert_not_reached();
+}
+
+const struct deployment *state_deployment(const struct state *state)
+{
+	return state->deployment;
+}
+
+/* ---- the services it brings ---- */
+
+static void put_service(struct state *state, const struct service_spec *spec,
+			uint64_t revision)
+{
+	struct service_state *s = g_tree_lookup(state->services, spec->name);
+
+	if (s) {
+		CODEC_FREE(service_spec, &s->spec);
+		free(s->preset);
+	} else {
+		s = calloc(1, sizeof(*s));
+		s->name = strdup(spec->name);
+		s->text = strdup("");
+		g_tree_insert(state->services, s->name, s);
+	}
+	s->revision = revision;
+	s->removed = FALSE;
+	s->preset = strdup(spec->presets.presets_val[0].name);
+	if (!CODEC_COPY(service_spec, spec, &s->spec))
+		g_assert_not_reached();
+}
+
+static bool brings(const struct deployment *deployment, const char *service)
+{
+	for (u_int i = 0; i < deployment->services.services_len; i++)
+		if (!strcmp(deployment->services.services_val[i].name, service))
+			return true;
+	return false;
+}
+
+static gboolean remove_absent(gpointer key, gpointer value, gpointer data)
+{
+	const struct deployment *deployment = data;
+	struct service_state *s = value;
+
+	if (s->spec.deployed && !brings(deployment, key))
+		s->removed = TRUE;
+	return FALSE;
+}
+
+void deployment_apply(struct state *state, const struct command *command,
+		      struct apply_result *result)
+{
+	const struct deployment *d = &command->body.command_body_u.deploy;
+
+	state_result_set(result, RD_OK, "");
+	if (state->deployment && d->revision <= state->deployment->revision) {
+		result->revision = state->deployment->revision;
+		return;
+	}
+	deployment_restore(state, d);
+	for (u_int i = 0; i < d->services.services_len; i++)
+		put_service(state, &d->services.services_val[i], d->revision);
+	g_tree_foreach(state->services, remove_absent, (gpointer)d);
+	result->revision = d->revision;
+}
+
+/* ---- what makes a deployment valid ---- */
+
+static void complain(GString *out, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
+
+static void complain(GString *out, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (out->len)
+		g_string_append_c(out, '\n');
+	va_start(ap, fmt);
+	g_string_append_vprintf(out, fmt, ap);
+	va_end(ap);
+}
+
+/* Pools and plain services that a route may name. */
+static GHashTable *targets_of(const struct deployment *deployment)
+{
+	GHashTable *targets = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (u_int i = 0; i < deployment->services.services_len; i++) {
+		struct service_spec *s = &deployment->services.services_val[i];
+
+		g_hash_table_add(targets, s->plain ? s->name : s->pool);
+	}
+	return targets;
+}
+
+static void check_split(const struct route_spec *route, GHashTable *targets,
+			GString *out)
+{
+	uint64_t sum = 0;
+
+	for (u_int i = 0; i < route->split.split_len; i++) {
+		const struct split_part *part = &route->split.split_val[i];
+
+		sum += part->weight;
+		if (!g_hash_table_contains(targets, part->pool))
+			complain(out, "route %s: service \"%s\" is not known",
+				 route->name, part->pool);
+	}
+	if (!sum)
+		complain(out, "route %s: its weights add up to 0", route->name);
+}
+
+static void check_prefix(const struct route_spec *route, GString *out)
+{
+	size_t size = strlen(route->path_prefix);
+
+	if (!size || route->path_prefix[0] != '/' ||
+	    route->path_prefix[size - 1] != '/')
+		complain(out,
+			 "route %s: prefix \"%s\" must begin and end "
+			 "with a slash",
+			 route->name, route->path_prefix);
+}
+
+static void check_routes(const struct deployment *deployment, GString *out)
+{
+	GHashTable *targets = targets_of(deployment);
+	GHashTable *places = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   g_free, NULL);
+
+	for (u_int i = 0; i < deployment->routes.routes_len; i++) {
+		const struct route_spec *r = &deployment->routes.routes_val[i];
+
+		check_prefix(r, out);
+		check_split(r, targets, out);
+		if (!r->timeout_ms)
+			complain(out, "route %s: its timeout is 0", r->name);
+		if (!g_hash_table_add(places,
+				      g_strconcat(r->host, "\n", r->path_prefix,
+						  NULL)))
+			complain(out,
+				 "route %s: another has host %s and "
+				 "prefix %s",
+				 r->name, r->host, r->path_prefix);
+	}
+	g_hash_table_unref(places);
+	g_hash_table_unref(targets);
+}
+
+static guint hash_key(gconstpointer key)
+{
+	const struct key_hash *hash = key;
+	guint n;
+
+	memcpy(&n, hash->sha256, sizeof(n));
+	return n;
+}
+
+static gboolean same_key(gconstpointer a, gconstpointer b)
+{
+	return !memcmp(a, b, sizeof(struct key_hash));
+}
+
+static void check_accounts(const struct deployment *deployment, GString *out)
+{
+	GHashTable *holders = g_hash_table_new(hash_key, same_key);
+
+	for (u_int i = 0; i < deployment->accounts.accounts_len; i++) {
+		struct client_account *a =
+			&deployment->accounts.accounts_val[i];
+
+		for (u_int j = 0; j < a->keys.keys_len; j++) {
+			struct key_hash *key = &a->keys.keys_val[j];
+			const char *holder = g_hash_table_lookup(holders, key);
+
+			if (holder && strcmp(holder, a->name) != 0)
+				complain(out,
+					 "account %s: shares a key with "
+					 "account %s",
+					 a->name, holder);
+			g_hash_table_insert(holders, key, a->name);
+		}
+	}
+	g_hash_table_unref(holders);
+}
+
+char *deployment_validate(const struct deployment *deployment)
+{
+	GString *out = g_string_new(NULL);
+
+	for (u_int i = 0; i < deployment->services.services_len; i++) {
+		const struct service_spec *s =
+			&deployment->services.services_val[i];
+		char *reasons = service_validate(s, "");
+
+		if (reasons)
+			complain(out, "service %s: %s", s->name, reasons);
+		g_free(reasons);
+	}
+	check_routes(deployment, out);
+	check_accounts(deployment, out);
+	return g_string_free(out, out->len == 0);
+}
--- a/state/state.c
+++ b/state/state.c
@@ -56,6 +56,8 @@
 
 static void free_tables(struct state *state)
 {
+	deployment_free(state->deployment);
+	state->deployment = NULL;
 	g_tree_unref(state->services);
 	g_tree_unref(state->replicas);
 	g_tree_unref(state->vms);
@@ -113,6 +115,7 @@
 	{ service_switch_preset, CMD_SWITCH_PRESET, true },
 	{ service_rollback, CMD_ROLLBACK, true },
 	{ service_remove, CMD_REMOVE_SERVICE, true },
+	{ deployment_apply, CMD_DEPLOY, true },
 	{ replica_assign, CMD_ASSIGN_REPLICA, true },
 	{ replica_release, CMD_RELEASE_REPLICA, true },
 	{ vm_free, CMD_FREE_VM, true },
@@ -191,14 +194,29 @@
 	return flat;
 }
 
+/* The copy shares its insides; entries need no text to read back. */
+static void save_deployment(const struct state *state, bool with_text,
+			    struct deployment *copy, struct state_image *image)
+{
+	if (!state->deployment)
+		return;
+	*copy = *state->deployment;
+	if (!with_text)
+		copy->document.document_len = 0;
+	image->deployed.deployed_len = 1;
+	image->deployed.deployed_val = copy;
+}
+
 GBytes *state_save(const struct state *state, bool with_bookings)
 {
 	struct state_image image = { 0 };
+	struct deployment deployment;
 	GBytes *bytes;
 
 	image.index = state->index;
 	image.last_epoch = state->last_epoch;
 	image.time_ms = state->time_ms;
+	save_deployment(state, with_bookings, &deployment, &image);
 	image.services.services_val = flatten(state->services,
 					      sizeof(struct service_state),
 					      &image.services.services_len);
@@ -266,6 +284,8 @@
 	state->index = image.index;
 	state->last_epoch = image.last_epoch;
 	state->time_ms = image.time_ms;
+	if (image.deployed.deployed_len)
+		deployment_restore(state, image.deployed.deployed_val);
 	load_services(state, &image);
 	load_replicas(state, &image);
 	load_vms(state, &image);
--- a/state/state_internal.h
+++ b/state/state_internal.h
@@ -11,11 +11,12 @@
 struct state {
 	uint64_t index;
 	uint64_t last_epoch;
-	int64_t time_ms;	    /* greatest proposer's time seen */
-	GTree *services;	    /* name -> struct service_state */
-	GTree *replicas;	    /* number -> struct replica_state */
-	GTree *vms;		    /* name -> struct vm_state */
-	GHashTable *changes;	    /* change id -> struct change_record */
+	int64_t time_ms;	       /* greatest proposer's time seen */
+	struct deployment *deployment; /* NULL before the first */
+	GTree *services;	       /* name -> struct service_state */
+	GTree *replicas;	       /* number -> struct replica_state */
+	GTree *vms;		       /* name -> struct vm_state */
+	GHashTable *changes;	       /* change id -> struct change_record */
 	GQueue change_order;	    /* of struct change_record, oldest first */
 	GHashTable *bookings;	    /* ledger key -> struct booking_state */
 	GHashTable *booking_counts; /* service\naccount -> number */
@@ -39,6 +40,13 @@
 const struct revision_record *history_find(const struct service_state *service,
 					   uint64_t revision);
 
+/* deployment.c */
+void deployment_apply(struct state *state, const struct command *command,
+		      struct apply_result *result);
+void deployment_restore(struct state *state,
+			const struct deployment *deployment);
+void deployment_free(struct deployment *deployment);
+
 /* replica.c */
 void replica_assign(struct state *state, const struct command *command,
 		    struct apply_result *result);
--- a/test/test_cores.c
+++ b/test/test_cores.c
@@ -230,7 +230,7 @@
 {
 	struct routing *r = s->ctx;
 
-	router_suspect(r->router, (uint32_t)atoi(s->words[1]));
+	router_suspect(r->router, (uint32_t)atoi(s->words[1]), r->now_ms);
 }
 
 static void route_trust(struct script *s)
--- a/test/torture.c
+++ b/test/torture.c
@@ -355,6 +355,7 @@
 	}
 	command.body.kind = CMD_APPLY_SERVICE;
 	apply->spec.name = (char *)SERVICE;
+	apply->spec.pool = (char *)"";
 	apply->spec.model = (char *)"m";
 	apply->spec.adapter = (char *)"";
 	apply->spec.vms_per_replica = 1;
--- a/wire/radishdeal.h
+++ b/wire/radishdeal.h
@@ -41,8 +41,28 @@
 };
 typedef struct call_rule call_rule;
 
+struct engine_spec {
+	uint32_t step_us;
+	uint32_t step_request_us;
+	uint32_t step_context_ns;
+	uint32_t read_per_s;
+	uint32_t pairs_us;
+	uint32_t chunk_tokens;
+	uint32_t stride;
+	uint32_t pace_permille;
+	uint32_t memory_tokens;
+	uint32_t usual_prompt;
+	uint32_t usual_answer;
+};
+typedef struct engine_spec engine_spec;
+
 struct service_spec {
 	char *name;
+	char *pool;
+	bool_t deployed;
+	uint32_t share_permille;
+	uint32_t connections_max;
+	engine_spec engine;
 	uint32_t plain;
 	char *model;
 	char *adapter;
@@ -71,12 +91,93 @@
 };
 typedef struct service_spec service_spec;
 
+enum route_kind {
+	ROUTE_IDEMPOTENT = 0,
+	ROUTE_ONCE = 1,
+	ROUTE_STREAM = 2,
+};
+typedef enum route_kind route_kind;
+
+struct split_part {
+	char *pool;
+	uint32_t weight;
+};
+typedef struct split_part split_part;
+
+struct route_spec {
+	char *name;
+	char *host;
+	char *path_prefix;
+	route_kind kind;
+	bool_t resumable;
+	bool_t without_key;
+	uint32_t timeout_ms;
+	uint32_t target_ms;
+	uint32_t gap_ms;
+	uint32_t priority;
+	uint32_t attempts_max;
+	struct {
+		u_int split_len;
+		split_part *split_val;
+	} split;
+};
+typedef struct route_spec route_spec;
+
+struct key_hash {
+	char sha256[32];
+};
+typedef struct key_hash key_hash;
+
+struct client_account {
+	char *name;
+	bool_t has_priority;
+	uint32_t priority;
+	struct {
+		u_int keys_len;
+		key_hash *keys_val;
+	} keys;
+};
+typedef struct client_account client_account;
+
+struct caller_limits {
+	uint32_t header_bytes;
+	uint32_t body_bytes;
+	uint32_t header_ms;
+	uint32_t idle_ms;
+};
+typedef struct caller_limits caller_limits;
+
+struct deployment {
+	uint64_t revision;
+	uint32_t document_bytes;
+	struct {
+		u_int document_len;
+		char *document_val;
+	} document;
+	caller_limits limits;
+	uint32_t loads_per_s;
+	struct {
+		u_int services_len;
+		service_spec *services_val;
+	} services;
+	struct {
+		u_int routes_len;
+		route_spec *routes_val;
+	} routes;
+	struct {
+		u_int accounts_len;
+		client_account *accounts_val;
+	} accounts;
+};
+typedef struct deployment deployment;
+
 enum command_kind {
 	CMD_NOOP = 0,
 	CMD_APPLY_SERVICE = 1,
 	CMD_SWITCH_PRESET = 2,
 	CMD_ROLLBACK = 3,
 	CMD_REMOVE_SERVICE = 4,
+	CMD_DEPLOY = 5,
 	CMD_ASSIGN_REPLICA = 10,
 	CMD_RELEASE_REPLICA = 11,
 	CMD_FREE_VM = 12,
@@ -191,6 +292,7 @@
 		switch_preset preset;
 		rollback_service rollback;
 		char *service;
+		deployment deploy;
 		assign_replica assign;
 		release_replica release;
 		free_vm freed;
@@ -279,6 +381,10 @@
 	uint64_t index;
 	uint64_t last_epoch;
 	int64_t time_ms;
+	struct {
+		u_int deployed_len;
+		deployment *deployed_val;
+	} deployed;
 	struct {
 		u_int services_len;
 		service_state *services_val;
@@ -371,6 +477,10 @@
 		u_int entries_len;
 		entry_info *entries_val;
 	} entries;
+	struct {
+		u_int controls_len;
+		uint32_t *controls_val;
+	} controls;
 };
 typedef struct poll_reply poll_reply;
 
@@ -394,12 +504,16 @@
 	char *data_centre;
 	char *domain;
 	char *service;
+	char *pool;
+	uint32_t slots;
 	uint32_t accelerators;
 	uint64_t incarnation;
 	uint64_t sequence;
 	bool_t checks_fencing;
 	bool_t ready;
 	bool_t leaving;
+	bool_t serving;
+	bool_t broken;
 	uint32_t replica;
 	uint64_t epoch;
 	uint64_t fencing;
@@ -534,7 +648,15 @@
 extern  bool_t xdr_account_spec (XDR *, account_spec*);
 extern  bool_t xdr_preset_spec (XDR *, preset_spec*);
 extern  bool_t xdr_call_rule (XDR *, call_rule*);
+extern  bool_t xdr_engine_spec (XDR *, engine_spec*);
 extern  bool_t xdr_service_spec (XDR *, service_spec*);
+extern  bool_t xdr_route_kind (XDR *, route_kind*);
+extern  bool_t xdr_split_part (XDR *, split_part*);
+extern  bool_t xdr_route_spec (XDR *, route_spec*);
+extern  bool_t xdr_key_hash (XDR *, key_hash*);
+extern  bool_t xdr_client_account (XDR *, client_account*);
+extern  bool_t xdr_caller_limits (XDR *, caller_limits*);
+extern  bool_t xdr_deployment (XDR *, deployment*);
 extern  bool_t xdr_command_kind (XDR *, command_kind*);
 extern  bool_t xdr_apply_service (XDR *, apply_service*);
 extern  bool_t xdr_switch_preset (XDR *, switch_preset*);
@@ -584,7 +706,15 @@
 extern bool_t xdr_account_spec ();
 extern bool_t xdr_preset_spec ();
 extern bool_t xdr_call_rule ();
+extern bool_t xdr_engine_spec ();
 extern bool_t xdr_service_spec ();
+extern bool_t xdr_route_kind ();
+extern bool_t xdr_split_part ();
+extern bool_t xdr_route_spec ();
+extern bool_t xdr_key_hash ();
+extern bool_t xdr_client_account ();
+extern bool_t xdr_caller_limits ();
+extern bool_t xdr_deployment ();
 extern bool_t xdr_command_kind ();
 extern bool_t xdr_apply_service ();
 extern bool_t xdr_switch_preset ();
--- a/wire/radishdeal.x
+++ b/wire/radishdeal.x
@@ -30,8 +30,28 @@
 	string path_prefix<255>;
 };
 
+/* How a model engine spends its time; all zero where it is not known. */
+struct engine_spec {
+	uint32_t step_us;		/* of a decoding step, however full */
+	uint32_t step_request_us;	/* more for each request decoding */
+	uint32_t step_context_ns;	/* more for each 1,000 context tokens */
+	uint32_t read_per_s;		/* prompt tokens */
+	uint32_t pairs_us;		/* per million pairs of prompt tokens */
+	uint32_t chunk_tokens;		/* of a prompt, read in one step */
+	uint32_t stride;		/* steps in a pass */
+	uint32_t pace_permille;		/* factor on all times */
+	uint32_t memory_tokens;		/* of all requests together */
+	uint32_t usual_prompt;		/* mean tokens of a request */
+	uint32_t usual_answer;
+};
+
 struct service_spec {
 	string name<RD_NAME_MAX>;
+	string pool<RD_NAME_MAX>;	/* VMs it may use; empty is all */
+	bool deployed;			/* came with a deployment */
+	uint32_t share_permille;	/* of the pool's VMs; 0: see preset */
+	uint32_t connections_max;	/* to one endpoint; 0 is no limit */
+	engine_spec engine;
 	uint32_t plain;			/* 0 a model service, 1 a plain one */
 	string model<RD_NAME_MAX>;
 	string adapter<RD_NAME_MAX>;
@@ -50,6 +70,63 @@
 	call_rule once_only<64>;	/* calls that may not be repeated */
 };
 
+/* ---- deployments: services, routes and accounts as one document ---- */
+
+enum route_kind {
+	ROUTE_IDEMPOTENT = 0,		/* may be repeated */
+	ROUTE_ONCE = 1,			/* runs at most once */
+	ROUTE_STREAM = 2
+};
+
+struct split_part {
+	string pool<RD_NAME_MAX>;	/* or a plain service's name */
+	uint32_t weight;
+};
+
+struct route_spec {
+	string name<RD_NAME_MAX>;
+	string host<255>;
+	string path_prefix<1023>;
+	route_kind kind;
+	bool resumable;			/* streams only */
+	bool without_key;
+	uint32_t timeout_ms;
+	uint32_t target_ms;		/* to the first byte that counts */
+	uint32_t gap_ms;		/* longest good pause of a stream */
+	uint32_t priority;		/* 0 is served first */
+	uint32_t attempts_max;		/* endpoints one request may reach */
+	split_part split<64>;
+};
+
+struct key_hash {
+	opaque sha256[32];
+};
+
+struct client_account {
+	string name<RD_NAME_MAX>;
+	bool has_priority;		/* goes before the route's */
+	uint32_t priority;
+	key_hash keys<1024>;
+};
+
+struct caller_limits {
+	uint32_t header_bytes;
+	uint32_t body_bytes;
+	uint32_t header_ms;
+	uint32_t idle_ms;
+};
+
+struct deployment {
+	uint64_t revision;		/* the highest is in force */
+	uint32_t document_bytes;	/* before compression */
+	opaque document<RD_BLOB_MAX>;	/* as it came, zlib; not for entries */
+	caller_limits limits;
+	uint32_t loads_per_s;		/* of the weight store; 0 is no limit */
+	service_spec services<4096>;
+	route_spec routes<65536>;
+	client_account accounts<65536>;
+};
+
 /* ---- commands of the replicated log ---- */
 
 enum command_kind {
@@ -58,6 +135,7 @@
 	CMD_SWITCH_PRESET = 2,
 	CMD_ROLLBACK = 3,
 	CMD_REMOVE_SERVICE = 4,
+	CMD_DEPLOY = 5,
 	CMD_ASSIGN_REPLICA = 10,
 	CMD_RELEASE_REPLICA = 11,
 	CMD_FREE_VM = 12,
@@ -155,6 +233,8 @@
 	rollback_service rollback;
 case CMD_REMOVE_SERVICE:
 	string service<RD_NAME_MAX>;
+case CMD_DEPLOY:
+	deployment deploy;
 case CMD_ASSIGN_REPLICA:
 	assign_replica assign;
 case CMD_RELEASE_REPLICA:
@@ -240,6 +320,7 @@
 	uint64_t index;
 	uint64_t last_epoch;
 	int64_t time_ms;
+	deployment deployed<1>;
 	service_state services<4096>;
 	change_record changes<262144>;
 	replica_state replicas<65536>;
@@ -303,6 +384,7 @@
 	opaque snapshot<RD_BLOB_MAX>;	/* empty where deltas serve */
 	indexed_command deltas<4096>;
 	entry_info entries<1024>;
+	uint32_t controls<64>;		/* nodes of the state group */
 };
 
 struct propose_reply {
@@ -323,12 +405,16 @@
 	string data_centre<RD_NAME_MAX>;
 	string domain<RD_NAME_MAX>;
 	string service<RD_NAME_MAX>;	/* plain services only */
+	string pool<RD_NAME_MAX>;	/* VMs for models; empty is any */
+	uint32_t slots;			/* requests at once; 0 is not said */
 	uint32_t accelerators;
 	uint64_t incarnation;
 	uint64_t sequence;		/* counts announcements */
 	bool checks_fencing;
 	bool ready;
 	bool leaving;
+	bool serving;			/* as head, takes requests */
+	bool broken;			/* as head, has lost a member */
 	uint32_t replica;		/* held; 0 is none */
 	uint64_t epoch;
 	uint64_t fencing;		/* highest number obeyed */
--- a/wire/radishdeal_xdr.c
+++ b/wire/radishdeal_xdr.c
@@ -52,6 +52,36 @@
 	return TRUE;
 }
 
+bool_t
+xdr_engine_spec (XDR *xdrs, engine_spec *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint32_t (xdrs, &objp->step_us))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->step_request_us))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->step_context_ns))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->read_per_s))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->pairs_us))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->chunk_tokens))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->stride))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->pace_permille))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->memory_tokens))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->usual_prompt))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->usual_answer))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_service_spec (XDR *xdrs, service_spec *objp)
 {
@@ -59,6 +89,16 @@
 
 	 if (!xdr_string (xdrs, &objp->name, RD_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->pool, RD_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->deployed))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->share_permille))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->connections_max))
+		 return FALSE;
+	 if (!xdr_engine_spec (xdrs, &objp->engine))
+		 return FALSE;
 	 if (!xdr_uint32_t (xdrs, &objp->plain))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->model, RD_NAME_MAX))
@@ -97,6 +137,132 @@
 	return TRUE;
 }
 
+bool_t
+xdr_route_kind (XDR *xdrs, route_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_split_part (XDR *xdrs, split_part *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->pool, RD_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->weight))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_route_spec (XDR *xdrs, route_spec *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, RD_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->host, 255))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->path_prefix, 1023))
+		 return FALSE;
+	 if (!xdr_route_kind (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->resumable))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->without_key))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->timeout_ms))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->target_ms))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->gap_ms))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->attempts_max))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->split.split_val, (u_int *) &objp->split.split_len, 64,
+		sizeof (split_part), (xdrproc_t) xdr_split_part))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_key_hash (XDR *xdrs, key_hash *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_opaque (xdrs, objp->sha256, 32))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_client_account (XDR *xdrs, client_account *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, RD_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_priority))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->keys.keys_val, (u_int *) &objp->keys.keys_len, 1024,
+		sizeof (key_hash), (xdrproc_t) xdr_key_hash))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caller_limits (XDR *xdrs, caller_limits *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint32_t (xdrs, &objp->header_bytes))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->body_bytes))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->header_ms))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->idle_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_deployment (XDR *xdrs, deployment *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->document_bytes))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->document.document_val, (u_int *) &objp->document.document_len, RD_BLOB_MAX))
+		 return FALSE;
+	 if (!xdr_caller_limits (xdrs, &objp->limits))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->loads_per_s))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, 4096,
+		sizeof (service_spec), (xdrproc_t) xdr_service_spec))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->routes.routes_val, (u_int *) &objp->routes.routes_len, 65536,
+		sizeof (route_spec), (xdrproc_t) xdr_route_spec))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->accounts.accounts_val, (u_int *) &objp->accounts.accounts_len, 65536,
+		sizeof (client_account), (xdrproc_t) xdr_client_account))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_command_kind (XDR *xdrs, command_kind *objp)
 {
@@ -310,6 +476,10 @@
 		 if (!xdr_string (xdrs, &objp->command_body_u.service, RD_NAME_MAX))
 			 return FALSE;
 		break;
+	case CMD_DEPLOY:
+		 if (!xdr_deployment (xdrs, &objp->command_body_u.deploy))
+			 return FALSE;
+		break;
 	case CMD_ASSIGN_REPLICA:
 		 if (!xdr_assign_replica (xdrs, &objp->command_body_u.assign))
 			 return FALSE;
@@ -494,6 +664,9 @@
 		 return FALSE;
 	 if (!xdr_int64_t (xdrs, &objp->time_ms))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->deployed.deployed_val, (u_int *) &objp->deployed.deployed_len, 1,
+		sizeof (deployment), (xdrproc_t) xdr_deployment))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, 4096,
 		sizeof (service_state), (xdrproc_t) xdr_service_state))
 		 return FALSE;
@@ -640,6 +813,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, 1024,
 		sizeof (entry_info), (xdrproc_t) xdr_entry_info))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->controls.controls_val, (u_int *) &objp->controls.controls_len, 64,
+		sizeof (uint32_t), (xdrproc_t) xdr_uint32_t))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -688,13 +864,17 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->service, RD_NAME_MAX))
 			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->pool, RD_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_uint32_t (xdrs, &objp->slots))
+			 return FALSE;
 		 if (!xdr_uint32_t (xdrs, &objp->accelerators))
 			 return FALSE;
 		 if (!xdr_uint64_t (xdrs, &objp->incarnation))
 			 return FALSE;
 		 if (!xdr_uint64_t (xdrs, &objp->sequence))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->checks_fencing))
 				 return FALSE;
@@ -702,11 +882,17 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->leaving))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->serving))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->broken))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_BOOL(buf, objp->checks_fencing);
 		IXDR_PUT_BOOL(buf, objp->ready);
 		IXDR_PUT_BOOL(buf, objp->leaving);
+		IXDR_PUT_BOOL(buf, objp->serving);
+		IXDR_PUT_BOOL(buf, objp->broken);
 		}
 		 if (!xdr_uint32_t (xdrs, &objp->replica))
 			 return FALSE;
@@ -734,13 +920,17 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->service, RD_NAME_MAX))
 			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->pool, RD_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_uint32_t (xdrs, &objp->slots))
+			 return FALSE;
 		 if (!xdr_uint32_t (xdrs, &objp->accelerators))
 			 return FALSE;
 		 if (!xdr_uint64_t (xdrs, &objp->incarnation))
 			 return FALSE;
 		 if (!xdr_uint64_t (xdrs, &objp->sequence))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->checks_fencing))
 				 return FALSE;
@@ -748,11 +938,17 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->leaving))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->serving))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->broken))
+				 return FALSE;
 
 		} else {
 		objp->checks_fencing = IXDR_GET_BOOL(buf);
 		objp->ready = IXDR_GET_BOOL(buf);
 		objp->leaving = IXDR_GET_BOOL(buf);
+		objp->serving = IXDR_GET_BOOL(buf);
+		objp->broken = IXDR_GET_BOOL(buf);
 		}
 		 if (!xdr_uint32_t (xdrs, &objp->replica))
 			 return FALSE;
@@ -781,6 +977,10 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->service, RD_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->pool, RD_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->slots))
+		 return FALSE;
 	 if (!xdr_uint32_t (xdrs, &objp->accelerators))
 		 return FALSE;
 	 if (!xdr_uint64_t (xdrs, &objp->incarnation))
@@ -793,6 +993,10 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->serving))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->broken))
+		 return FALSE;
 	 if (!xdr_uint32_t (xdrs, &objp->replica))
 		 return FALSE;
 	 if (!xdr_uint64_t (xdrs, &objp->epoch))
