control: entries leave a leader that is cut off, and take images after a deployment

SIGHUP ended the process.

Change: a node that does not lead is not asked again on its own word; a hint names the leader; after a deployment entries get the image, made once; SIGHUP and a changed settings file bring new seeds.

--- a/control/control.c
+++ b/control/control.c
@@ -136,6 +136,7 @@
 		 (int)control->opts.settings->limits.config_lease_ms);
 	feed_lead(control->feed, control_now_ms(control));
 	placer_lead(control->placer);
+	peers_hint(control);
 }
 
 static void leader_tick(struct control *control)
@@ -472,6 +473,32 @@
 	task_post(control->opts.task, run_proposal, m);
 }
 
+struct seeds_message {
+	struct control *control;
+	uint32_t count;
+	uint32_t nodes[];
+};
+
+static void run_seeds(void *arg)
+{
+	struct seeds_message *m = arg;
+
+	for (uint32_t i = 0; i < m->count; i++)
+		(void)control_find_peer(m->control, m->nodes[i], true);
+	g_free(m);
+}
+
+void control_post_seeds(struct control *control, const uint32_t *nodes,
+			uint32_t count)
+{
+	struct seeds_message *m = g_malloc0(sizeof(*m) + count * sizeof(*nodes));
+
+	m->control = control;
+	m->count = count;
+	memcpy(m->nodes, nodes, count * sizeof(*nodes));
+	task_post(control->opts.task, run_seeds, m);
+}
+
 struct leave_message {
 	struct control *control;
 	task_fn done;
--- a/control/control.h
+++ b/control/control.h
@@ -104,6 +104,10 @@
 void control_post_proposal(struct control *control, GBytes *command,
 			   control_done_fn done, void *ctx);
 
+/** The settings name other control VMs now; `nodes` is copied. */
+void control_post_seeds(struct control *control, const uint32_t *nodes,
+			uint32_t count);
+
 /** Hands over leadership, then calls done(arg) on the control task. */
 void control_post_leave(struct control *control, task_fn done, void *arg);
 
--- a/control/control_internal.h
+++ b/control/control_internal.h
@@ -91,6 +91,8 @@
 struct follow *follow_create(struct control *control);
 void follow_destroy(struct follow *follow);
 void follow_now(struct follow *follow);
+/** The node that leads now says that there is something new. */
+void follow_hint(struct follow *follow, uint32_t leader);
 void follow_status(struct follow *follow, const struct entry_status *status);
 void follow_serve(struct control *control, const struct poll_request *request,
 		  struct poll_reply *reply);
--- a/control/feed.c
+++ b/control/feed.c
@@ -12,6 +12,8 @@
 	uint64_t last;
 	int64_t grace_until_ms; /* earlier leaders' leases */
 	GHashTable *entries;	/* node -> struct feed_entry */
+	GBytes *image;		/* of the state at image_index; NULL for none */
+	uint64_t image_index;
 };
 
 static void command_drop(gpointer data)
@@ -40,18 +42,23 @@
 		return;
 	g_queue_clear_full(&feed->commands, command_drop);
 	g_hash_table_unref(feed->entries);
+	if (feed->image)
+		g_bytes_unref(feed->image);
 	g_free(feed->nodes);
 	g_free(feed);
 }
 
 void feed_add(struct feed *feed, uint64_t index, const struct command *command)
 {
-	struct indexed_command *kept = g_new0(struct indexed_command, 1);
+	struct indexed_command *kept;
 	struct indexed_command added = { index, *command };
 
-	/* Entries need no text to read back. */
-	if (command->body.kind == CMD_DEPLOY)
-		added.cmd.body.command_body_u.deploy.document.document_len = 0;
+	/* It is most of the state; the image is as small as the command. */
+	if (command->body.kind == CMD_DEPLOY) {
+		feed_reset(feed, index);
+		return;
+	}
+	kept = g_new0(struct indexed_command, 1);
 	if (!CODEC_COPY(indexed_command, &added, kept))
 		g_assert_not_reached();
 	g_queue_push_tail(&feed->commands, kept);
@@ -130,9 +137,22 @@
 	reply->deltas.deltas_len = n;
 }
 
-static void add_image(const struct state *state, struct poll_reply *reply)
+/* Made once for all entries that ask at the same index. */
+static GBytes *current_image(struct feed *feed, const struct state *state)
+{
+	if (feed->image && feed->image_index == state_index(state))
+		return feed->image;
+	if (feed->image)
+		g_bytes_unref(feed->image);
+	feed->image = state_save(state, false);
+	feed->image_index = state_index(state);
+	return feed->image;
+}
+
+static void add_image(struct feed *feed, const struct state *state,
+		      struct poll_reply *reply)
 {
-	GBytes *image = state_save(state, false);
+	GBytes *image = current_image(feed, state);
 	gsize size;
 	const void *data;
 
@@ -142,7 +162,6 @@
 	reply->snapshot.snapshot_val = malloc(size);
 	memcpy(reply->snapshot.snapshot_val, data, size);
 	reply->snapshot.snapshot_len = (u_int)size;
-	g_bytes_unref(image);
 }
 
 static void add_entries(const struct feed *feed, int64_t now_ms,
@@ -181,7 +200,7 @@
 	reply->commit = state_index(state);
 	reply->lease_ms = (uint32_t)feed->opts.lease_ms;
 	if (request->applied < feed->base)
-		add_image(state, reply);
+		add_image(feed, state, reply);
 	else if (request->applied < feed->last)
 		add_deltas(feed, request->applied, reply);
 	add_entries(feed, now_ms, reply);
--- a/control/follow.c
+++ b/control/follow.c
@@ -7,7 +7,7 @@
 #include "wire/codec.h"
 
 #define TICK_MS 50
-#define POLL_TIMEOUT_MS 800
+#define POLL_TIMEOUT_MS 500
 /* Polls go out this many times within a lease. */
 #define POLLS_PER_LEASE 8
 
@@ -17,13 +17,20 @@
 	struct control *control;
 	struct event *tick;
 	struct entry_status status;
-	bool in_flight;
+	struct poll *in_flight; /* the newest one; NULL if it has ended */
 	bool wanted;
 	int64_t sent_ms;
-	uint32_t leader; /* as last told */
+	uint32_t leader; /* as last told; 0 if whoever was told is not it */
+	uint64_t term;	 /* of that leader */
 	guint next_peer; /* whom to ask while no leader is known */
 };
 
+/** A question on its way. */
+struct poll {
+	struct follow *follow;
+	uint32_t node; /* that was asked */
+};
+
 uint32_t follow_leader(const struct follow *follow)
 {
 	return follow->leader;
@@ -62,28 +69,47 @@
 	}
 	reply->code = RD_NOT_LEADER;
 	reply->leader = control_leader(control);
+	if (control->group)
+		reply->term = raft_term(group_raft(control->group));
 }
 
 /* ---- asking ---- */
 
-static void take_reply(struct follow *follow, struct poll_reply *reply)
+/*
+ * Whoever was asked does not lead. What it says of the leader may be old: it
+ * may be cut off, and have led itself.
+ */
+static void try_another(struct follow *follow, uint32_t asked,
+			const struct poll_reply *reply)
+{
+	if (follow->leader == asked)
+		follow->leader = 0;
+	if (reply->leader && reply->leader != asked &&
+	    reply->term >= follow->term) {
+		follow->leader = reply->leader;
+		follow->term = reply->term;
+	}
+	follow->next_peer++;
+	follow->wanted = true;
+}
+
+static void take_reply(struct follow *follow, uint32_t asked,
+		       struct poll_reply *reply)
 {
 	struct control *control = follow->control;
 	struct config_update *update;
 
 	/* Told without a leader too, so that a new one can be found. */
-	if (reply->leader)
-		follow->leader = reply->leader;
 	for (u_int i = 0; i < reply->controls.controls_len; i++)
 		(void)control_find_peer(control,
 					reply->controls.controls_val[i], true);
 	if (reply->code) {
-		/* Whoever was asked does not lead; ask the next one soon. */
-		follow->next_peer++;
-		follow->wanted = true;
+		try_another(follow, asked, reply);
 		CODEC_FREE(poll_reply, reply);
 		return;
 	}
+	follow->leader = reply->leader;
+	follow->term = reply->term;
 	if (control->group) {
 		for (u_int i = 0; i < reply->entries.entries_len; i++)
 			(void)control_find_peer(
@@ -104,12 +130,18 @@
 
 static void on_reply(void *ctx, const void *result, size_t size)
 {
-	struct follow *follow = ctx;
+	struct poll *poll = ctx;
+	struct follow *follow = poll->follow;
 	struct poll_reply reply = { 0 };
+	bool newest = follow->in_flight == poll;
+	uint32_t asked = poll->node;
 
-	follow->in_flight = false;
+	g_free(poll);
+	if (newest)
+		follow->in_flight = NULL;
 	if (!result) {
-		follow->leader = 0;
+		if (follow->leader == asked)
+			follow->leader = 0;
 		follow->next_peer++;
 		return;
 	}
@@ -117,7 +149,7 @@
 		log_warn(&follow_log, "a poll's reply cannot be decoded");
 		return;
 	}
-	take_reply(follow, &reply);
+	take_reply(follow, asked, &reply);
 }
 
 static void make_request(struct follow *follow, struct poll_request *request)
@@ -146,7 +178,7 @@
 	if (!control->group || !group_leads(control->group))
 		return false;
 	follow_serve(control, request, &reply);
-	take_reply(follow, &reply);
+	take_reply(follow, (uint32_t)control->opts.settings->node.id, &reply);
 	return true;
 }
 
@@ -172,6 +204,7 @@
 {
 	struct poll_request request = { 0 };
 	struct peer *peer;
+	struct poll *poll;
 	GBytes *bytes;
 
 	follow->wanted = false;
@@ -183,8 +216,14 @@
 	if (!peer)
 		return;
 	bytes = CODEC_ENCODE(poll_request, &request);
-	follow->in_flight = rpc_client_call(peer->client, RPC_POLL, bytes,
-					    POLL_TIMEOUT_MS, on_reply, follow);
+	poll = g_new(struct poll, 1);
+	*poll = (struct poll){ follow, peer->node };
+	follow->in_flight = poll;
+	if (!rpc_client_call(peer->client, RPC_POLL, bytes, POLL_TIMEOUT_MS,
+			     on_reply, poll)) {
+		follow->in_flight = NULL;
+		g_free(poll);
+	}
 	g_bytes_unref(bytes);
 }
 
@@ -211,6 +250,16 @@
 		event_active(follow->tick, EV_TIMEOUT, 0);
 }
 
+void follow_hint(struct follow *follow, uint32_t leader)
+{
+	if (follow->leader != leader) {
+		/* What the last leader was asked need not be waited for. */
+		follow->leader = leader;
+		follow->in_flight = NULL;
+	}
+	follow_now(follow);
+}
+
 void follow_status(struct follow *follow, const struct entry_status *status)
 {
 	bool advanced = status->applied > follow->status.applied;
--- a/control/peers.c
+++ b/control/peers.c
@@ -115,7 +115,7 @@
 		break;
 	case RPC_HINT:
 		rpc_call_drop(call);
-		follow_now(control->follow);
+		follow_hint(control->follow, node);
 		break;
 	default:
 		log_warn(&peers_log, "node %u called unknown procedure %u",
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 
 #include <event2/thread.h>
 
@@ -15,6 +16,9 @@
 #include "settings/service.h"
 #include "wire/rpc_frame.h"
 
+/* How often the settings file is looked at for changes without a signal. */
+#define SETTINGS_LOOK_S 2
+
 static const struct log daemon_log = { "daemon" };
 
 const char *argp_program_version = "radishdeald 0.1";
@@ -88,6 +92,10 @@
 	struct entry *entry;
 	struct event_base *base;
 	struct event *quit;
+	struct event *hangup;
+	struct event *look; /* for changed settings */
+	const char *settings_path;
+	struct stat settings_stat;
 	bool leaving;
 	int exit_status;
 };
@@ -182,6 +190,78 @@
 	event_base_loopbreak(d->base);
 }
 
+/* ---- settings that change ---- */
+
+static void tell_seeds(struct daemon *d, const struct daemon_settings *settings)
+{
+	const GPtrArray *peers = settings->cluster.peers;
+	uint32_t *nodes = g_new0(uint32_t, peers->len + 1);
+	uint32_t count = 0;
+
+	for (guint i = 0; i < peers->len; i++) {
+		const struct peer_settings *p = peers->pdata[i];
+
+		if (p->control && p->id != settings->node.id)
+			nodes[count++] = (uint32_t)p->id;
+	}
+	control_post_seeds(d->control, nodes, count);
+	g_free(nodes);
+}
+
+/* Seeds are taken over; all else counts from the next start on. */
+static void reload(struct daemon *d)
+{
+	struct daemon_settings fresh;
+	char *errors = NULL;
+
+	if (daemon_settings_load(d->settings_path, &fresh, &errors)) {
+		log_warn(&daemon_log, "changed settings are not used: %s",
+			 errors);
+		g_free(errors);
+	} else {
+		log_note(&daemon_log, "settings read again: seeds=%u",
+			 fresh.cluster.seeds->len);
+		if (daemon_settings_discovers(&fresh))
+			tell_seeds(d, &fresh);
+	}
+	daemon_settings_clear(&fresh);
+}
+
+static bool settings_changed(struct daemon *d)
+{
+	struct stat now;
+	bool changed;
+
+	if (stat(d->settings_path, &now))
+		return false;
+	changed = now.st_mtim.tv_sec != d->settings_stat.st_mtim.tv_sec ||
+		  now.st_mtim.tv_nsec != d->settings_stat.st_mtim.tv_nsec ||
+		  now.st_size != d->settings_stat.st_size ||
+		  now.st_ino != d->settings_stat.st_ino;
+	d->settings_stat = now;
+	return changed;
+}
+
+static void on_hangup(evutil_socket_t fd, short what, void *ctx)
+{
+	struct daemon *d = ctx;
+
+	(void)fd;
+	(void)what;
+	(void)settings_changed(d);
+	reload(d);
+}
+
+static void on_look(evutil_socket_t fd, short what, void *ctx)
+{
+	struct daemon *d = ctx;
+
+	(void)fd;
+	(void)what;
+	if (settings_changed(d))
+		reload(d);
+}
+
 /* ---- starting ---- */
 
 static enum rd_result load_keys(struct daemon *d, char **why)
@@ -317,6 +397,7 @@
 {
 	char *why = NULL;
 	struct event *term, *interrupt;
+	struct timeval look_every = { SETTINGS_LOOK_S, 0 };
 	enum rd_result code;
 
 	evthread_use_pthreads();
@@ -324,6 +405,9 @@
 	term = evsignal_new(d->base, SIGTERM, on_signal, d);
 	interrupt = evsignal_new(d->base, SIGINT, on_signal, d);
 	d->quit = event_new(d->base, -1, EV_PERSIST, on_quit, d);
+	d->hangup = evsignal_new(d->base, SIGHUP, on_hangup, d);
+	d->look = event_new(d->base, -1, EV_PERSIST, on_look, d);
+	event_add(d->hangup, NULL);
 	event_add(term, NULL);
 	event_add(interrupt, NULL);
 	code = start(d, bootstrap, &why);
@@ -332,12 +416,16 @@
 			rd_result_info(code)->name, code, why ? why : "");
 		d->exit_status = rd_result_info(code)->exit_status;
 	} else {
+		(void)settings_changed(d);
+		event_add(d->look, &look_every);
 		event_base_dispatch(d->base);
 	}
 	g_free(why);
 	stop(d);
 	event_free(term);
 	event_free(interrupt);
+	event_free(d->hangup);
+	event_free(d->look);
 	event_free(d->quit);
 	event_base_free(d->base);
 	return d->exit_status;
@@ -389,6 +477,7 @@
 		clear(&d);
 		return 0;
 	}
+	d.settings_path = arguments.settings;
 	signal(SIGPIPE, SIG_IGN);
 	set_up_log(&d.settings);
 	code = (enum rd_result)run(&d, arguments.bootstrap ||
--- a/entry/take.c
+++ b/entry/take.c
@@ -79,8 +79,7 @@
 	struct model_search *search = ctx;
 	const struct service_spec *spec = &service->spec;
 
-	if (spec->plain ? strcmp(spec->name, search->pool)
-			: strcmp(spec->pool, search->pool))
+	if (strcmp(spec->plain ? spec->name : spec->pool, search->pool) != 0)
 		return;
 	if (spec->plain || !search->model ||
 	    !strcmp(spec->model, search->model))
--- a/placement/model.c
+++ b/placement/model.c
@@ -269,7 +269,7 @@
 	if (!vm->alive || vm->leaving || vm->straggling || vm->holder ||
 	    vm->taken || vm->accelerators < service->accelerators_per_vm)
 		return false;
-	if (*service->pool && (!vm->pool || strcmp(vm->pool, service->pool)))
+	if (*service->pool && (!vm->pool || strcmp(vm->pool, service->pool) != 0))
 		return false;
 	/* One that was lost again and again must stay up longer each time. */
 	if (vm->recent_losses > 1 &&
