placement: groups are repaired out of loaded spares, and all weights are loaded before traffic

A new leader did nothing for five seconds, and the first leader came only after an election timeout.

Ruled out: the entries (their wait was nought while groups were whole).

Change: a quarter of the pool is kept spare, spread over the domains; the wanted number stays while spares are used up; a repair takes VMs that have the weights, else has others load them first; loads are counted by VM; a leader acts at once where engines refuse older ones; the first election of a new group comes at once; while the whole system starts loads are not rated.

--- a/consensus/election.c
+++ b/consensus/election.c
@@ -102,6 +102,8 @@
 {
 	if (raft->role == RAFT_LEADER)
 		return true;
+	if (raft_is_untouched(raft))
+		return false;
 	return now_ms - raft->contact_ms < raft->election_ms;
 }
 
--- a/consensus/raft.c
+++ b/consensus/raft.c
@@ -3,6 +3,9 @@
 #include "consensus/raft_internal.h"
 #include "wire/codec.h"
 
+/* The first election of a new group comes sooner by this factor. */
+#define FIRST_ELECTION_PART 8
+
 #define UNCOMMITTED_MAX 16384u
 
 const struct member_config *raft_current(const struct raft *raft)
@@ -27,11 +30,20 @@
 	return count;
 }
 
+bool raft_is_untouched(const struct raft *raft)
+{
+	return raft->term == 0;
+}
+
 void raft_reset_timer(struct raft *raft, int64_t now_ms)
 {
-	raft->deadline_ms = now_ms + g_rand_int_range(raft->random,
-						      raft->election_ms,
-						      2 * raft->election_ms);
+	int32_t least = raft->election_ms;
+
+	/* Nobody has led yet whom an election could disturb. */
+	if (raft_is_untouched(raft))
+		least = MAX(raft->election_ms / FIRST_ELECTION_PART, 1);
+	raft->deadline_ms = now_ms +
+			    g_rand_int_range(raft->random, least, 2 * least);
 }
 
 void raft_send(struct raft *raft, struct raft_message *message, bool after_sync)
--- a/consensus/raft_internal.h
+++ b/consensus/raft_internal.h
@@ -69,6 +69,9 @@
 void raft_set_term(struct raft *raft, uint64_t term, uint64_t vote);
 void raft_set_role(struct raft *raft, enum raft_role role, uint64_t leader);
 
+/* A member that knows of no term can have acknowledged no leader. */
+bool raft_is_untouched(const struct raft *raft);
+
 /* election.c */
 void raft_campaign(struct raft *raft, int64_t now_ms, bool pre, bool force);
 void raft_vote_synced(struct raft *raft, int64_t now_ms);
--- a/control/control.c
+++ b/control/control.c
@@ -296,6 +296,7 @@
 	/* Without a data folder the time of the start must grow instead. */
 	control->identity.incarnation = (uint64_t)(g_get_real_time() / 1000000);
 	control->base = task_base(opts->task);
+	control->started_ms = control_now_ms(control);
 	control->feed = make_feed(opts->settings);
 	control->view = view_create(&view_opts);
 	control->proposals = proposals_create(control);
@@ -491,7 +492,8 @@
 void control_post_seeds(struct control *control, const uint32_t *nodes,
 			uint32_t count)
 {
-	struct seeds_message *m = g_malloc0(sizeof(*m) + count * sizeof(*nodes));
+	struct seeds_message *m =
+		g_malloc0(sizeof(*m) + count * sizeof(*nodes));
 
 	m->control = control;
 	m->count = count;
--- a/control/control_internal.h
+++ b/control/control_internal.h
@@ -49,6 +49,7 @@
 	void *driver; /* of opts.driver; NULL without one */
 	struct placer *placer;
 	struct event *tick;
+	int64_t started_ms;
 	bool was_leading;
 	uint64_t led_term;
 	int64_t orphans_checked_ms;
--- a/control/orders.h
+++ b/control/orders.h
@@ -60,7 +60,8 @@
 	/** Further header lines, each with CR and LF; g_free(). May be NULL. */
 	char *(*headers)(const struct order_intent *intent);
 	enum order_result (*judge)(int status);
-	bool opens; /* a head waits for ORDER_OPEN before it serves */
+	bool fenced; /* all engines refuse orders of an older leader */
+	bool opens;  /* a head waits for ORDER_OPEN before it serves */
 };
 
 /** The project's own engine orders. */
--- a/control/placer.c
+++ b/control/placer.c
@@ -24,11 +24,15 @@
 #define DECISIONS_KEPT 256
 
 /* Of a pool's VMs: kept free so that a lost VM is replaced at once. */
-#define SPARE_PERMILLE 60
+#define SPARE_PERMILLE 250
 /* Starts of weight loads are counted over windows of this length. */
 #define LOAD_WINDOW_MS 5000
 /* On top of the time after which a head without a member gives up. */
 #define STALL_MARGIN_MS 500
+/* While the whole system starts, this many times as many loads at once. */
+#define FIRST_LOADS_X 2
+#define FIRST_LOADS_MS 8000
+#define FIRST_PRELOAD_MS 2500
 /* VMs announce themselves one by one when the whole system starts. */
 #define FIRST_START_MS 300
 
@@ -58,6 +62,7 @@
 	GHashTable *orders;	/* VM's name -> struct vm_orders */
 	GHashTable *known;	/* replica's number -> epoch + 1 */
 	GHashTable *whole;	/* replica's number -> epoch it was whole at */
+	GHashTable *wanted;	/* service's name -> replicas, if shared out */
 	GArray *loads;		/* int64_t: starts of loads in the window */
 	GHashTable *services;	/* name -> itself, as put into the planner */
 	GQueue decisions;	/* of char *, newest last */
@@ -87,6 +92,9 @@
 		.flap_wait_ms = FLAP_WAIT_MS,
 		.flap_forget_ms = FLAP_FORGET_MS,
 		.loads_max = (uint32_t)limits->weight_loads,
+		.loads_by_vm = control->opts.driver != NULL,
+		.spread = control->opts.driver != NULL,
+		.load_first = control->opts.driver != NULL,
 	};
 
 	placer->control = control;
@@ -95,6 +103,8 @@
 					       orders_drop);
 	placer->known = g_hash_table_new(NULL, NULL);
 	placer->whole = g_hash_table_new(NULL, NULL);
+	placer->wanted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       NULL);
 	placer->loads = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	placer->services = g_hash_table_new_full(g_str_hash, g_str_equal,
 						 g_free, NULL);
@@ -112,6 +122,7 @@
 	g_hash_table_unref(placer->orders);
 	g_hash_table_unref(placer->known);
 	g_hash_table_unref(placer->whole);
+	g_hash_table_unref(placer->wanted);
 	g_array_unref(placer->loads);
 	g_hash_table_unref(placer->services);
 	g_hash_table_unref(placer->last_wait);
@@ -143,28 +154,41 @@
 	return d ? d->loads_per_s * LOAD_WINDOW_MS / 1000 : 0;
 }
 
+static void count_loading(void *ctx, const struct view_vm *seen)
+{
+	struct placer *placer = ctx;
+	const struct vm_report *r = &seen->report;
+	int64_t now = now_ms(placer);
+
+	if (!*r->service && !r->ready)
+		g_array_append_val(placer->loads, now);
+}
+
 void placer_lead(struct placer *placer)
 {
 	const struct limit_settings *limits =
 		&placer->control->opts.settings->limits;
 	int64_t now = now_ms(placer);
 
+	g_hash_table_remove_all(placer->wanted);
 	placer->whole_system_starts = state_next_replica(state_of(placer)) == 1;
 	if (placer->whole_system_starts) {
 		placer->active_from_ms = now + FIRST_START_MS;
 		return;
 	}
 	/*
-	 * Orders of the last leader may be under way for ORDER_BOUND_MS, and
-	 * a VM not heard of may just not have been heard of yet.
+	 * Orders of the last leader may be under way for ORDER_BOUND_MS, but
+	 * for engines that all refuse an older leader; and a VM that this
+	 * process has not heard of since its start may just not have had the
+	 * time to be.
 	 */
 	placer->active_from_ms =
-		now + MAX(ORDER_BOUND_MS,
-			  limits->vm_silence_ms + 2 * limits->digest_ms);
-	/* The last leader may have started all the loads there may be. */
+		MAX(order_format(placer)->fenced ? now : now + ORDER_BOUND_MS,
+		    placer->control->started_ms + limits->vm_silence_ms +
+			    2 * limits->digest_ms);
+	/* What is loading now the last leader may have started just now. */
 	g_array_set_size(placer->loads, 0);
-	for (uint32_t i = 0; i < loads_per_window(placer); i++)
-		g_array_append_val(placer->loads, now);
+	view_each(placer->control->view, count_loading, placer);
 }
 
 /* ---- the weight store's limit ---- */
@@ -175,6 +199,13 @@
 	return !strcmp(r->model, model) && !strcmp(r->model_version, version);
 }
 
+/* Until the first requests come, loads are fast, and nothing waits yet. */
+static bool whole_system_starts(const struct placer *placer)
+{
+	return placer->whole_system_starts &&
+	       now_ms(placer) - placer->active_from_ms < FIRST_LOADS_MS;
+}
+
 /* Whether one more load may start now; counts it if so. */
 static bool take_load(struct placer *placer)
 {
@@ -184,7 +215,7 @@
 	while (placer->loads->len &&
 	       now - g_array_index(placer->loads, int64_t, 0) >= LOAD_WINDOW_MS)
 		g_array_remove_index(placer->loads, 0);
-	if (most && placer->loads->len >= most)
+	if (most && placer->loads->len >= most && !whole_system_starts(placer))
 		return false;
 	g_array_append_val(placer->loads, now);
 	return true;
@@ -300,23 +331,41 @@
 			    GUINT_TO_POINTER(count + 1));
 }
 
-static void divide(struct pool *pool)
+static GArray *domain_sizes(const struct pool *pool)
 {
-	guint n = g_hash_table_size(pool->domains);
-	uint32_t *vms = g_new0(uint32_t, n + 1);
+	GArray *vms = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	GHashTableIter iter;
 	gpointer value;
 
-	n = 0;
 	g_hash_table_iter_init(&iter, pool->domains);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		vms[n++] = GPOINTER_TO_UINT(value);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		uint32_t count = GPOINTER_TO_UINT(value);
+
+		g_array_append_val(vms, count);
+	}
+	return vms;
+}
+
+static uint32_t divide(struct pool *pool, const GArray *vms,
+		       const struct service_state *service,
+		       uint32_t spare_permille)
+{
 	placement_divide((struct division_part *)pool->parts->data,
-			 pool->parts->len, vms, n, SPARE_PERMILLE);
-	g_free(vms);
+			 pool->parts->len, (const uint32_t *)vms->data,
+			 vms->len, spare_permille);
+	for (guint i = 0; i < pool->services->len; i++)
+		if (pool->services->pdata[i] == service)
+			return g_array_index(pool->parts, struct division_part,
+					     i)
+				.replicas;
+	return 0;
 }
 
-/* The replicas wanted of a service that has a share of its pool. */
+/*
+ * The replicas wanted of a service that has a share of its pool. Spares are
+ * there to be used: as VMs get lost the number stays until it no longer fits
+ * at all, and it grows only where spares are left.
+ */
 static uint32_t share_of_pool(struct placer *placer,
 			      const struct service_state *service)
 {
@@ -327,16 +376,18 @@
 		.services = g_ptr_array_new(),
 		.domains = g_hash_table_new(g_str_hash, g_str_equal),
 	};
-	uint32_t wanted = 0;
+	uint32_t wanted = GPOINTER_TO_UINT(
+		g_hash_table_lookup(placer->wanted, service->name));
+	GArray *vms;
 
 	state_each_service(state_of(placer), add_part, &pool);
 	view_each(placer->control->view, add_domain, &pool);
-	divide(&pool);
-	for (guint i = 0; i < pool.services->len; i++)
-		if (pool.services->pdata[i] == service)
-			wanted = g_array_index(pool.parts, struct division_part,
-					       i)
-					 .replicas;
+	vms = domain_sizes(&pool);
+	wanted = MAX(wanted, divide(&pool, vms, service, SPARE_PERMILLE));
+	wanted = MIN(wanted, divide(&pool, vms, service, 0));
+	g_hash_table_replace(placer->wanted, g_strdup(service->name),
+			     GUINT_TO_POINTER(wanted));
+	g_array_unref(vms);
 	g_array_unref(pool.parts);
 	g_ptr_array_unref(pool.services);
 	g_hash_table_unref(pool.domains);
@@ -364,8 +415,10 @@
 
 	if (spec->plain)
 		return;
-	if (spec->share_permille)
+	if (spec->share_permille) {
 		s.replicas = share_of_pool(placer, service);
+		s.keep_whole = true;
+	}
 	placement_put_service(placer->placement, &s);
 	g_hash_table_add(placer->services, g_strdup(service->name));
 }
@@ -433,6 +486,14 @@
 static void update_model(struct placer *placer)
 {
 	const struct state *state = state_of(placer);
+	const struct deployment *d = state_deployment(state);
+
+	if (d && d->loads_at_once)
+		placement_set_loads_max(placer->placement,
+					d->loads_at_once *
+						(whole_system_starts(placer)
+							 ? FIRST_LOADS_X
+							 : 1));
 
 	state_each_service(state, put_service, placer);
 	g_hash_table_foreach_remove(placer->services, forget_service, placer);
@@ -664,8 +725,13 @@
 		.version = d->version,
 	};
 
+	/* Who is spare shows once all VMs have announced themselves. */
+	if (placer->whole_system_starts &&
+	    now_ms(placer) - placer->active_from_ms < FIRST_PRELOAD_MS)
+		return;
 	if (!seen || !service || !order_is_due(placer, o) || !take_load(placer))
 		return;
+	log_decision(placer, d);
 	intent.service = service->name;
 	intent.model = service->spec.model;
 	intent.adapter = service->spec.adapter;
@@ -674,6 +740,9 @@
 		  sizeof(o->preload_model));
 	g_strlcpy(o->preload_version, d->version, sizeof(o->preload_version));
 	placement_set_preloading(placer->placement, d->vms[0], true);
+	placement_set_preload_weights(placer->placement, d->vms[0],
+				      service->spec.model,
+				      service->spec.adapter, d->version);
 	send_order(placer, seen, &intent);
 }
 
@@ -681,7 +750,8 @@
 {
 	struct placer *placer = ctx;
 
-	log_decision(placer, d);
+	if (d->action != PLACEMENT_PRELOAD)
+		log_decision(placer, d);
 	if (d->action == PLACEMENT_FORM || d->action == PLACEMENT_REPAIR)
 		propose_assign(placer, d);
 	else if (d->action == PLACEMENT_RELEASE)
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -378,12 +378,14 @@
 	log_info(&attempt_log,
 		 "request %s: to replica %u epoch=%" PRIu64 " at %s "
 		 "service=%s cost_ms=%.1f cached=%u candidates=%u stale=%u "
-		 "suspect=%u full=%u failed=%u slow=%u left_out=%s",
+		 "suspect=%u full=%u failed=%u slow=%u left_out=%s "
+		 "after_ms=%" PRId64,
 		 call->id, choice->replica, choice->epoch, choice->address,
 		 call->service->name, choice->cost_ms, choice->cached_tokens,
 		 choice->candidates, choice->stale, choice->suspects,
 		 choice->full, choice->avoided, choice->slow,
-		 *choice->worst ? choice->worst : "-");
+		 *choice->worst ? choice->worst : "-",
+		 (call->sent_us - call->started_us) / 1000);
 }
 
 void attempt_dispatch(struct call *call, const struct router_choice *choice)
@@ -396,6 +398,7 @@
 		counters_time(entry->opts.counters, HISTOGRAM_QUEUE,
 			      entry_now_us(entry) - call->started_us);
 	}
+	call->sent_us = entry_now_us(entry);
 	log_choice(call, choice);
 	reset_answer(call);
 	call->attempts++;
@@ -403,7 +406,6 @@
 	call->replica = choice->replica;
 	call->epoch = choice->epoch;
 	g_strlcpy(call->address, choice->address, sizeof(call->address));
-	call->sent_us = entry_now_us(entry);
 	router_sent(call->service->router, choice->replica, entry_now_ms(entry),
 		    &call->route);
 	counters_add(entry->opts.counters, COUNTER_STREAMS, 1);
--- a/include/radishdeal/placement.h
+++ b/include/radishdeal/placement.h
@@ -26,16 +26,24 @@
 	int32_t flap_wait_ms;	/* times its recent losses: before it is used */
 	int32_t flap_forget_ms; /* a loss counts as recent for this long */
 	uint32_t loads_max;	/* replicas that may load weights at once */
-	bool repair_at_once;	/* baseline: no waiting for a pausing VM */
-	bool wait_for_own;	/* baseline: a replica waits for its own VM */
-	bool ignore_weights;	/* baseline: loaded weights do not matter */
-	bool no_preload;	/* baseline: spares load nothing ahead */
-	bool first_fit; /* baseline: domains and VMs in order of names */
+	bool loads_by_vm; /* counts VMs instead, to just reach loads_max */
+	bool spread;	  /* replicas go where most VMs are free, so that each
+			   * domain keeps spares */
+	bool load_first;  /* a repair waits until its VMs have loaded weights,
+			   * so that others may still come to its aid */
+	bool repair_at_once; /* baseline: no waiting for a pausing VM */
+	bool wait_for_own;   /* baseline: a replica waits for its own VM */
+	bool ignore_weights; /* baseline: loaded weights do not matter */
+	bool no_preload;     /* baseline: spares load nothing ahead */
+	bool first_fit;	     /* baseline: domains and VMs in order of names */
 };
 
 struct placement *placement_create(const struct placement_opts *opts);
 void placement_destroy(struct placement *placement);
 
+/** Changes how many loads there may be at once. */
+void placement_set_loads_max(struct placement *placement, uint32_t loads_max);
+
 /** What a service asks for. Strings are copied. */
 struct placement_service {
 	const char *name;
@@ -44,6 +52,7 @@
 	const char *version;
 	const char *pool;  /* only VMs of it; NULL or empty: any VM */
 	uint32_t replicas; /* wanted by the preset in force */
+	bool keep_whole;   /* replicas over what is wanted stay while whole */
 	uint32_t vms_per_replica;
 	uint32_t accelerators_per_vm;
 	bool cross_domain;
@@ -78,6 +87,11 @@
 void placement_put_vm(struct placement *placement, int64_t now_ms,
 		      const struct placement_vm *vm);
 
+/** Tells which weights a VM loads while it is preloading. */
+void placement_set_preload_weights(struct placement *placement, const char *vm,
+				   const char *model, const char *adapter,
+				   const char *version);
+
 /** Tells that a free VM was told to load weights and has not done so yet. */
 void placement_set_preloading(struct placement *placement, const char *vm,
 			      bool preloading);
--- a/placement/model.c
+++ b/placement/model.c
@@ -72,6 +72,11 @@
 	return p;
 }
 
+void placement_set_loads_max(struct placement *p, uint32_t loads_max)
+{
+	p->opts.loads_max = loads_max;
+}
+
 void placement_destroy(struct placement *p)
 {
 	if (!p)
@@ -147,6 +152,7 @@
 	service->vms_per_replica = from->vms_per_replica;
 	service->accelerators_per_vm = from->accelerators_per_vm;
 	service->cross_domain = from->cross_domain;
+	service->keep_whole = from->keep_whole;
 	service->downtime_weight = from->downtime_weight;
 	service->stranded_weight = from->stranded_weight;
 	service->removed = false;
@@ -237,6 +243,16 @@
 		note_loss(p, vm, from->lost_ms ? from->lost_ms : now_ms);
 }
 
+void placement_set_preload_weights(struct placement *p, const char *name,
+				   const char *model, const char *adapter,
+				   const char *version)
+{
+	struct vm *vm = model_vm(p, name);
+
+	if (vm)
+		vm->preload_weights = model_weights(model, adapter, version);
+}
+
 void placement_set_preloading(struct placement *p, const char *name,
 			      bool preloading)
 {
@@ -269,7 +285,8 @@
 	if (!vm->alive || vm->leaving || vm->straggling || vm->holder ||
 	    vm->taken || vm->accelerators < service->accelerators_per_vm)
 		return false;
-	if (*service->pool && (!vm->pool || strcmp(vm->pool, service->pool) != 0))
+	if (*service->pool &&
+	    (!vm->pool || strcmp(vm->pool, service->pool) != 0))
 		return false;
 	/* One that was lost again and again must stay up longer each time. */
 	if (vm->recent_losses > 1 &&
@@ -380,14 +397,15 @@
 	return missing;
 }
 
-bool model_loading(const struct replica *r)
+uint32_t model_loading(const struct replica *r)
 {
+	uint32_t loading = 0;
+
 	if (r->whole || model_missing(r))
-		return false;
+		return 0;
 	for (uint32_t i = 0; i < r->vm_count; i++)
-		if (r->vms[i]->weights != r->service->weights)
-			return true;
-	return false;
+		loading += r->vms[i]->weights != r->service->weights;
+	return loading;
 }
 
 /* ---- sums ---- */
--- a/placement/placement_internal.h
+++ b/placement/placement_internal.h
@@ -26,7 +26,8 @@
 	uint32_t holder; /* replica's number, 0 if free */
 	bool releasing;
 	bool preloading;
-	bool taken; /* by a decision of the current plan */
+	uint64_t preload_weights; /* hash of what it then loads */
+	bool taken;		  /* by a decision of the current plan */
 };
 
 struct domain {
@@ -46,7 +47,7 @@
 	char *pool; /* empty: any VM */
 	uint64_t weights;
 	uint32_t wanted, vms_per_replica, accelerators_per_vm;
-	bool cross_domain;
+	bool cross_domain, keep_whole;
 	uint32_t downtime_weight, stranded_weight;
 	bool removed;
 	GPtrArray *replicas; /* of struct replica, by number */
@@ -97,7 +98,7 @@
 /** How many VMs of a replica are gone. */
 uint32_t model_missing(const struct replica *replica);
 
-/** Whether a replica still has to load weights on some VM. */
-bool model_loading(const struct replica *replica);
+/** How many VMs of a replica still have to load weights. */
+uint32_t model_loading(const struct replica *replica);
 
 #endif
--- a/placement/plan.c
+++ b/placement/plan.c
@@ -132,6 +132,11 @@
 	char reason[PLACEMENT_REASON_MAX];
 
 	while (count_replicas(s, false) > s->wanted) {
+		const struct replica *worst = worst_replica(s);
+
+		if (s->keep_whole && !s->removed && worst->whole &&
+		    !model_missing(worst))
+			return;
 		snprintf(reason, sizeof(reason), "%u replicas, preset wants %u",
 			 count_replicas(s, false), s->wanted);
 		give_up(plan, worst_replica(s), reason);
@@ -161,182 +166,6 @@
 	}
 }
 
-/* ---- finding VMs ---- */
-
-/* Prefers loaded weights, then the VM with the fewest spare accelerators. */
-static int preference(const struct plan *plan, const struct service *s,
-		      const struct vm *vm)
-{
-	int points = (int)(vm->accelerators - s->accelerators_per_vm);
-
-	if (!plan->p->opts.ignore_weights && vm->weights != s->weights)
-		points += 1 << 16;
-	return points;
-}
-
-static bool picked(const struct pick *pick, const struct vm *vm)
-{
-	for (uint32_t i = 0; i < pick->count; i++)
-		if (pick->vms[i] == vm)
-			return true;
-	return false;
-}
-
-static struct vm *best_in_domain(const struct plan *plan,
-				 const struct domain *d,
-				 const struct service *s,
-				 const struct pick *pick)
-{
-	struct vm *best = NULL;
-
-	for (guint i = 0; i < d->vms->len; i++) {
-		struct vm *vm = d->vms->pdata[i];
-
-		if (!model_usable(plan->p, vm, s, plan->now_ms) ||
-		    picked(pick, vm))
-			continue;
-		if (!best)
-			best = vm;
-		else if (!plan->p->opts.first_fit &&
-			 preference(plan, s, vm) < preference(plan, s, best))
-			best = vm;
-	}
-	return best;
-}
-
-static void add_vm(struct pick *pick, const struct service *s, struct vm *vm)
-{
-	pick->vms[pick->count++] = vm;
-	pick->loads += vm->weights != s->weights ? 1 : 0;
-}
-
-/* Fills a pick from one domain; false if it has too few. */
-static bool fill_from(const struct plan *plan, const struct domain *d,
-		      const struct service *s, struct pick *pick)
-{
-	while (pick->count < s->vms_per_replica) {
-		struct vm *vm = best_in_domain(plan, d, s, pick);
-
-		if (!vm)
-			return false;
-		add_vm(pick, s, vm);
-	}
-	return true;
-}
-
-/*
- * Counts a domain's usable VMs, and those of them with the weights loaded,
- * once per plan and service; taking a VM keeps the counts.
- */
-static void count_domain(const struct plan *plan, struct domain *d,
-			 const struct service *s)
-{
-	if (d->counted_plan == plan->p->plans && d->counted_for == s)
-		return;
-	d->counted_plan = plan->p->plans;
-	d->counted_for = s;
-	d->usable = d->loaded = 0;
-	for (guint i = 0; i < d->vms->len; i++) {
-		const struct vm *vm = d->vms->pdata[i];
-
-		if (!model_usable(plan->p, vm, s, plan->now_ms))
-			continue;
-		d->usable++;
-		d->loaded += vm->weights == s->weights ? 1 : 0;
-	}
-}
-
-/*
- * Where to form: the domain with the fewest loads, then the one that leaves
- * the fewest VMs over that fill no further replica.
- */
-static bool pick_one_domain(const struct plan *plan, const struct service *s,
-			    struct pick *pick)
-{
-	uint32_t n = s->vms_per_replica;
-	uint32_t best_loads = UINT32_MAX, best_rest = UINT32_MAX;
-	struct domain *best = NULL;
-
-	g_assert(n);
-	for (guint i = 0; i < plan->p->domain_list->len; i++) {
-		struct domain *d = plan->p->domain_list->pdata[i];
-		uint32_t loads, rest;
-
-		count_domain(plan, d, s);
-		if (d->usable < n)
-			continue;
-		loads = plan->p->opts.ignore_weights ? n
-						     : n - MIN(n, d->loaded);
-		rest = d->usable % n;
-		if (best && (loads > best_loads ||
-			     (loads == best_loads && rest >= best_rest)))
-			continue;
-		best = d;
-		best_loads = loads;
-		best_rest = rest;
-		if (plan->p->opts.first_fit)
-			break;
-	}
-	memset(pick, 0, sizeof(*pick));
-	return best && fill_from(plan, best, s, pick);
-}
-
-/* Across domains: those of one data centre first, the fullest first. */
-static bool pick_across(const struct plan *plan, const struct service *s,
-			struct pick *pick)
-{
-	const char *centre = pick->count ? pick->vms[0]->domain->data_centre
-					 : NULL;
-
-	if (pick->count) {
-		const struct domain *home = pick->vms[0]->domain;
-
-		g_assert(home);
-		centre = home->data_centre;
-	}
-	for (int same_centre = 1; same_centre >= 0; same_centre--) {
-		for (guint i = 0; i < plan->p->domain_list->len; i++) {
-			const struct domain *d = plan->p->domain_list->pdata[i];
-
-			if (same_centre && centre &&
-			    strcmp(centre, d->data_centre) != 0)
-				continue;
-			if (fill_from(plan, d, s, pick))
-				return true;
-			if (!centre && pick->count)
-				centre = d->data_centre;
-		}
-	}
-	return false;
-}
-
-static void add_survivors(const struct replica *r, struct pick *pick)
-{
-	for (uint32_t i = 0; i < r->vm_count; i++)
-		if (model_serving(r->vms[i]) && !r->vms[i]->straggling)
-			add_vm(pick, r->service, r->vms[i]);
-}
-
-/* The domain that holds most of a replica's survivors. */
-static const struct domain *home_domain(const struct pick *survivors)
-{
-	const struct domain *best = NULL;
-	uint32_t best_count = 0;
-
-	for (uint32_t i = 0; i < survivors->count; i++) {
-		uint32_t count = 0;
-
-		for (uint32_t j = 0; j < survivors->count; j++)
-			count += survivors->vms[i]->domain ==
-				 survivors->vms[j]->domain;
-		if (count > best_count) {
-			best = survivors->vms[i]->domain;
-			best_count = count;
-		}
-	}
-	return best;
-}
-
 /* ---- needs ---- */
 
 static int64_t latest_loss_ms(const struct replica *r)
@@ -388,6 +217,12 @@
 		       s->accelerators_per_vm / 8.0;
 }
 
+/* What loads of so many VMs of one replica count for. */
+static uint32_t load_cost(const struct plan *plan, uint32_t vms)
+{
+	return plan->p->opts.loads_by_vm ? vms : MIN(vms, 1);
+}
+
 static void add_needs(struct plan *plan, struct service *s)
 {
 	uint32_t have = count_replicas(s, false);
@@ -400,8 +235,8 @@
 		need.replica = r;
 		if (!r->giving_up && need.missing)
 			g_array_append_val(plan->needs, need);
-		if (!r->giving_up && model_loading(r))
-			plan->loading++;
+		if (!r->giving_up)
+			plan->loading += load_cost(plan, model_loading(r));
 	}
 	need.replica = NULL;
 	need.missing = s->vms_per_replica;
@@ -430,7 +265,7 @@
 	if (!pick->loads)
 		return true;
 	if (plan->loading < plan->p->opts.loads_max) {
-		plan->loading++;
+		plan->loading += load_cost(plan, pick->loads);
 		return true;
 	}
 	plan_tell(plan, PLACEMENT_WAIT, need->service, need->replica, NULL,
@@ -463,12 +298,15 @@
 
 		if (!donor || donor == need->replica || donor->giving_up ||
 		    other->value > need->value ||
+		    (plan->p->opts.load_first &&
+		     donor->service != need->service) ||
 		    donor->service->accelerators_per_vm <
 			    need->service->accelerators_per_vm)
 			continue;
-		add_survivors(donor, &survivors);
+		pick_add_survivors(donor, &survivors);
 		if (survivors.count < lacking || !survivors.count ||
-		    survivors.vms[0]->taken || home_domain(&survivors) != home)
+		    survivors.vms[0]->taken ||
+		    pick_home_domain(&survivors) != home)
 			continue;
 		snprintf(reason, sizeof(reason),
 			 "its %u VMs left complete replica %u in domain %s",
@@ -480,6 +318,60 @@
 	return false;
 }
 
+/* Has the free VMs of a pick load what the replica needs. */
+static void load_pick(struct plan *plan, const struct need *need,
+		      const struct pick *pick)
+{
+	for (uint32_t i = 0; i < pick->count; i++) {
+		struct vm *vm = pick->vms[i];
+		struct pick one = { .vms = { vm }, .count = 1, .loads = 1 };
+
+		if (vm->weights == need->service->weights || vm->holder ||
+		    vm->preloading)
+			continue;
+		if (!may_load(plan, need, &one))
+			return;
+		plan_tell(plan, PLACEMENT_PRELOAD, need->service, need->replica,
+			  &one, "for the repair of replica %u",
+			  need->replica->id);
+	}
+}
+
+/*
+ * Weights take long to load, so a replica is put together again out of VMs
+ * that have them, wherever these are; only then do others load them, and the
+ * replica is left as it is meanwhile: its lost VM may come back.
+ */
+static void repair_loaded(struct plan *plan, const struct need *need,
+			  const struct pick *survivors)
+{
+	struct service *s = need->service;
+	const struct domain *home = pick_home_domain(survivors);
+	struct pick pick = *survivors, elsewhere = { 0 };
+	bool complete = home && pick_fill_from(plan, home, s, &pick);
+
+	if (complete && !pick.loads) {
+		repair_with(plan, need, &pick, "in its domain");
+		return;
+	}
+	if (pick_one_domain(plan, s, &elsewhere) && !elsewhere.loads) {
+		repair_with(plan, need, &elsewhere, "moved to one domain");
+		return;
+	}
+	if (home && take_from_broken(plan, need, home,
+				     s->vms_per_replica - survivors->count)) {
+		take(plan, survivors);
+		return;
+	}
+	plan_tell(plan, PLACEMENT_WAIT, s, need->replica, NULL,
+		  "%u of %u VMs lost, %u in its domain must load weights",
+		  need->missing, need->replica->vm_count, pick.loads);
+	if (!complete)
+		return;
+	take(plan, &pick);
+	load_pick(plan, need, &pick);
+}
+
 static void repair(struct plan *plan, const struct need *need)
 {
 	struct replica *r = need->replica;
@@ -506,12 +398,16 @@
 			  "waits for its own VM");
 		return;
 	}
-	add_survivors(r, &pick);
+	pick_add_survivors(r, &pick);
 	for (uint32_t i = 0; i < pick.count; i++)
 		if (pick.vms[i]->taken)
 			return; /* they complete another replica */
-	home = home_domain(&pick);
-	if (home && fill_from(plan, home, s, &pick)) {
+	if (plan->p->opts.load_first) {
+		repair_loaded(plan, need, &pick);
+		return;
+	}
+	home = pick_home_domain(&pick);
+	if (home && pick_fill_from(plan, home, s, &pick)) {
 		repair_with(plan, need, &pick, "in its domain");
 		return;
 	}
--- a/placement/plan.h
+++ b/placement/plan.h
@@ -43,6 +43,26 @@
 /** Marks a VM as used by this plan. */
 void plan_take(struct plan *plan, struct vm *vm);
 
+/* pick.c */
+
+/** Fills a pick from one domain; false if it has too few usable VMs. */
+bool pick_fill_from(const struct plan *plan, const struct domain *d,
+		    const struct service *s, struct pick *pick);
+
+/** Finds VMs for a whole replica in one domain. */
+bool pick_one_domain(const struct plan *plan, const struct service *s,
+		     struct pick *pick);
+
+/** Completes a pick from all domains, near ones first. */
+bool pick_across(const struct plan *plan, const struct service *s,
+		 struct pick *pick);
+
+/** Adds the VMs of a replica that still serve. */
+void pick_add_survivors(const struct replica *r, struct pick *pick);
+
+/** The domain that holds most of a pick, or NULL. */
+const struct domain *pick_home_domain(const struct pick *survivors);
+
 /** Decides which spares load ahead; the last part of a plan. */
 void plan_preload(struct plan *plan);
 
--- a/placement/preload.c
+++ b/placement/preload.c
@@ -33,8 +33,9 @@
 		if (!replicas || !s->weights ||
 		    !model_usable(plan->p, vm, s, plan->now_ms))
 			continue;
-		gain = (double)replicas * s->downtime_weight /
-		       (1 + spares_with(plan, d, s));
+		/* Larger replicas are hit more often. */
+		gain = (double)replicas * s->vms_per_replica *
+		       s->downtime_weight / (1 + spares_with(plan, d, s));
 		if (gain > best_gain) {
 			best = s;
 			best_gain = gain;
--- a/wire/radishdeal.h
+++ b/wire/radishdeal.h
@@ -156,6 +156,7 @@
 	} document;
 	caller_limits limits;
 	uint32_t loads_per_s;
+	uint32_t loads_at_once;
 	struct {
 		u_int services_len;
 		service_spec *services_val;
--- a/wire/radishdeal.x
+++ b/wire/radishdeal.x
@@ -122,6 +122,7 @@
 	opaque document<RD_BLOB_MAX>;	/* as it came, zlib; not for entries */
 	caller_limits limits;
 	uint32_t loads_per_s;		/* of the weight store; 0 is no limit */
+	uint32_t loads_at_once;		/* more only slow each other */
 	service_spec services<4096>;
 	route_spec routes<65536>;
 	client_account accounts<65536>;
--- a/wire/radishdeal_xdr.c
+++ b/wire/radishdeal_xdr.c
@@ -251,6 +251,8 @@
 		 return FALSE;
 	 if (!xdr_uint32_t (xdrs, &objp->loads_per_s))
 		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->loads_at_once))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, 4096,
 		sizeof (service_spec), (xdrproc_t) xdr_service_spec))
 		 return FALSE;
