--- a/control/announcements.c
+++ b/control/announcements.c
@@ -61,7 +61,11 @@
 
 void announcements_leave(struct announcements *a, const char *vm)
 {
-	if (!home_leave(a->home, vm))
+	struct control *control = a->control;
+	const struct view_vm *seen = view_find(control->view, vm);
+
+	if (!home_leave(a->home, control_now_ms(control),
+			seen ? &seen->report : NULL, vm))
 		return;
 	log_info(&announcements_log, "VM %s says it is about to go", vm);
 	send_digest(a);
--- a/control/control.c
+++ b/control/control.c
@@ -288,7 +288,7 @@
 {
 	struct control *control = g_new0(struct control, 1);
 	struct view_opts view_opts = {
-		.silence_ms = (int32_t)opts->settings->limits.vm_silence_ms,
+		.silence_ms = daemon_settings_home_silence_ms(opts->settings),
 	};
 
 	control->opts = *opts;
@@ -384,6 +384,15 @@
 			g_assert_not_reached();
 }
 
+bool control_in_touch(const struct control *control)
+{
+	const struct raft *raft = group_raft(control->group);
+
+	if (raft_role(raft) == RAFT_LEADER)
+		return group_leads(control->group);
+	return raft_leader(raft) || !raft_term(raft);
+}
+
 const struct state *control_newest_state(const struct control *control)
 {
 	/* Leading by a valid lease means that no other can be ahead. */
--- a/control/control_internal.h
+++ b/control/control_internal.h
@@ -76,6 +76,12 @@
 /** Keeps the entries of a leader's reply; NULL forgets them. */
 void control_take_entries(struct control *control, struct poll_reply *reply);
 
+/**
+ * Whether what is heard here reaches a leader: this member leads by a valid
+ * lease or follows one, or none has ever been.
+ */
+bool control_in_touch(const struct control *control);
+
 /** The state if it is surely the newest: only at a leader; else NULL. */
 const struct state *control_newest_state(const struct control *control);
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -215,7 +215,9 @@
 		.incarnation = control_incarnation(opts->control),
 		.silence_ms = (int32_t)limits->vm_silence_ms,
 	};
-	struct view_opts view = { (int32_t)limits->vm_silence_ms };
+	struct view_opts view = {
+		.silence_ms = daemon_settings_home_silence_ms(opts->settings),
+	};
 	struct repeats_opts repeats = {
 		.permille = (uint32_t)limits->repeat_permille,
 		.window_ms = (int32_t)limits->repeat_window_ms,
--- a/evidence/home.c
+++ b/evidence/home.c
@@ -75,10 +75,24 @@
 	       a->step_us / 1024 == b->step_us / 1024;
 }
 
+/* Who once said that it leaves stays so until it starts anew. */
+static const struct vm_report *stay_leaving(const struct vm_report *known,
+					    const struct vm_report *report,
+					    struct vm_report *leaving)
+{
+	if (!known || !known->leaving || report->leaving ||
+	    known->incarnation != report->incarnation)
+		return report;
+	*leaving = *report;
+	leaving->leaving = TRUE;
+	return leaving;
+}
+
 bool home_announce(struct home *home, int64_t now_ms,
 		   const struct vm_report *report)
 {
 	struct home_vm *vm = g_hash_table_lookup(home->vms, report->name);
+	struct vm_report leaving;
 	bool status;
 
 	if (vm && report->incarnation < vm->report.incarnation)
@@ -86,6 +100,7 @@
 	if (vm && report->incarnation == vm->report.incarnation &&
 	    report->sequence <= vm->report.sequence)
 		return false;
+	report = stay_leaving(vm ? &vm->report : NULL, report, &leaving);
 	status = !vm || !same_status(&vm->report, report);
 	if (!vm)
 		vm = g_new0(struct home_vm, 1);
@@ -100,15 +115,27 @@
 	return status;
 }
 
-bool home_leave(struct home *home, const char *name)
+bool home_leave(struct home *home, int64_t now_ms,
+		const struct vm_report *known, const char *name)
 {
 	struct home_vm *vm = g_hash_table_lookup(home->vms, name);
+	struct vm_report report;
 
-	if (!vm || vm->report.leaving)
+	if (vm) {
+		if (vm->report.leaving)
+			return false;
+		vm->report.leaving = TRUE;
+		vm->report.sequence++;
+		vm->changed = true;
+		return true;
+	}
+	if (!known || known->leaving)
 		return false;
-	vm->report.leaving = TRUE;
-	vm->changed = true;
-	return true;
+	report = *known;
+	report.leaving = TRUE;
+	/* Newer than what the VM's home has heard. */
+	report.sequence++;
+	return home_announce(home, now_ms, &report);
 }
 
 static void find_lost(struct home *home, int64_t now_ms)
--- a/evidence/view.c
+++ b/evidence/view.c
@@ -134,6 +134,7 @@
 			const struct vm_report *report, int64_t now_ms)
 {
 	struct view_vm *vm = get_vm(view, report->name);
+	bool leaving;
 
 	if (!vm->homes->len)
 		vm->since_ms = now_ms;
@@ -141,9 +142,13 @@
 		g_array_append_val(vm->homes, node);
 	if (vm->report.name && !is_newer(report, &vm->report))
 		return;
+	leaving = vm->report.name && vm->report.leaving &&
+		  vm->report.incarnation == report->incarnation;
 	CODEC_FREE(vm_report, &vm->report);
 	if (!CODEC_COPY(vm_report, report, &vm->report))
 		g_assert_not_reached();
+	/* Who once said that it leaves stays so until it starts anew. */
+	vm->report.leaving |= leaving;
 	view->version++;
 }
 
--- a/include/radishdeal/evidence.h
+++ b/include/radishdeal/evidence.h
@@ -36,10 +36,12 @@
 		   const struct vm_report *report);
 
 /**
- * Takes a VM's word that it is about to go. False if that was known, or if the
- * VM is not.
+ * Takes a VM's word that it is about to go. `known` is its last report as
+ * heard by other homes, NULL for none. False if it was known to leave, or if
+ * nothing is known of it.
  */
-bool home_leave(struct home *home, const char *name);
+bool home_leave(struct home *home, int64_t now_ms,
+		const struct vm_report *known, const char *name);
 
 /**
  * Makes the next digest: changes since the last one, or everything if `full`.
--- a/settings/daemon.c
+++ b/settings/daemon.c
@@ -224,6 +224,9 @@
 		     "time between an endpoint's announcements"),
 	LIMIT_OPTION(vm_silence_ms, 200, 600000, 1500, "ms",
 		     "a VM silent for longer is lost"),
+	LIMIT_OPTION(home_silence_ms, 0, 600000, 0, "ms",
+		     "a home silent for longer vouches for no VM; 0: as long "
+		     "as vm_silence_ms"),
 	LIMIT_OPTION(digest_ms, 20, 10000, 200, "ms",
 		     "time between evidence digests"),
 	LIMIT_OPTION(config_lease_ms, 200, 60000, 2000, "ms",
@@ -529,6 +532,14 @@
 	return NULL;
 }
 
+int32_t daemon_settings_home_silence_ms(const struct daemon_settings *settings)
+{
+	const struct limit_settings *limits = &settings->limits;
+
+	return (int32_t)(limits->home_silence_ms ? limits->home_silence_ms
+						 : limits->vm_silence_ms);
+}
+
 uint32_t daemon_settings_voters(const struct daemon_settings *settings)
 {
 	const GPtrArray *peers = settings->cluster.peers;
--- a/settings/daemon.h
+++ b/settings/daemon.h
@@ -78,6 +78,7 @@
 	int64_t address_max_age_s;
 	int64_t announce_ms;
 	int64_t vm_silence_ms;
+	int64_t home_silence_ms;
 	int64_t digest_ms;
 	int64_t config_lease_ms;
 	int64_t drain_ms;
@@ -123,6 +124,9 @@
 /** Whether other VMs are found through seeds, not listed in the settings. */
 bool daemon_settings_discovers(const struct daemon_settings *settings);
 
+/** After which silence of a home its VMs are lost. */
+int32_t daemon_settings_home_silence_ms(const struct daemon_settings *settings);
+
 /** How many voters the state group is to have. */
 uint32_t daemon_settings_voters(const struct daemon_settings *settings);
 
