placement: spares are kept for whom they stand by; entries share their load

Entries saw only their own requests at a replica.

Change: a spare whose weights stand by in its domain is not taken for others; repairs go before new replicas and have the store first; a new leader goes on with the replicas there are; entries tell their requests at each replica with their polls and learn of all others'.

--- a/control/control.c
+++ b/control/control.c
@@ -414,6 +414,8 @@
 
 	if (m->control->follow)
 		follow_status(m->control->follow, &m->status);
+	else if (m->status.loads)
+		g_array_unref(m->status.loads);
 	g_free(m);
 }
 
--- a/control/control.h
+++ b/control/control.h
@@ -87,9 +87,13 @@
 	char endpoints_address[64];
 	uint32_t free_permille;
 	bool draining;
+	GArray *loads; /* of struct replica_load; NULL for none */
 };
 
-/** From the entry: status, posted after each update and now and then. */
+/**
+ * From the entry: status, posted after each update and now and then. Takes
+ * the reference of its loads.
+ */
 void control_post_status(struct control *control,
 			 const struct entry_status *status);
 
--- a/control/feed.c
+++ b/control/feed.c
@@ -24,6 +24,14 @@
 	g_free(c);
 }
 
+static void entry_drop(gpointer data)
+{
+	struct feed_entry *e = data;
+
+	g_array_unref(e->loads);
+	g_free(e);
+}
+
 struct feed *feed_create(const struct feed_opts *opts)
 {
 	struct feed *feed = g_new0(struct feed, 1);
@@ -32,7 +40,7 @@
 	feed->nodes = g_memdup2(opts->nodes,
 				opts->node_count * sizeof(uint32_t));
 	g_queue_init(&feed->commands);
-	feed->entries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	feed->entries = g_hash_table_new_full(NULL, NULL, NULL, entry_drop);
 	return feed;
 }
 
@@ -100,6 +108,8 @@
 	if (!e) {
 		e = g_new0(struct feed_entry, 1);
 		e->node = request->node;
+		e->loads = g_array_new(FALSE, FALSE,
+				       sizeof(struct replica_load));
 		g_hash_table_insert(feed->entries, key, e);
 	}
 	/* A late poll of a process that was replaced says nothing. */
@@ -112,6 +122,9 @@
 	e->lease_until_ms = now_ms + sure_lease_ms(feed);
 	e->free_permille = request->free_permille;
 	e->draining = request->draining;
+	g_array_set_size(e->loads, 0);
+	g_array_append_vals(e->loads, request->loads.loads_val,
+			    request->loads.loads_len);
 	g_strlcpy(e->callers_address, request->callers_address,
 		  sizeof(e->callers_address));
 	g_strlcpy(e->endpoints_address, request->endpoints_address,
@@ -192,6 +205,47 @@
 	reply->entries.entries_len = n;
 }
 
+static void add_load(GArray *sums, const struct replica_load *load)
+{
+	for (guint i = 0; i < sums->len; i++) {
+		struct replica_load *sum =
+			&g_array_index(sums, struct replica_load, i);
+
+		if (sum->replica == load->replica &&
+		    sum->epoch == load->epoch) {
+			sum->requests += load->requests;
+			return;
+		}
+	}
+	g_array_append_vals(sums, load, 1);
+}
+
+/* What all entries but one have at replicas, as they last told. */
+static void add_loads(const struct feed *feed, int64_t now_ms, uint32_t asker,
+		      struct poll_reply *reply)
+{
+	GArray *sums = g_array_new(FALSE, FALSE, sizeof(struct replica_load));
+	GHashTableIter iter;
+	gpointer value;
+	gsize size;
+
+	g_hash_table_iter_init(&iter, feed->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct feed_entry *e = value;
+
+		if (e->node == asker || now_ms > e->lease_until_ms)
+			continue;
+		for (guint i = 0; i < e->loads->len; i++)
+			add_load(sums, &g_array_index(e->loads,
+						      struct replica_load, i));
+	}
+	size = sums->len * sizeof(struct replica_load);
+	reply->loads.loads_len = sums->len;
+	reply->loads.loads_val = malloc(size + 1);
+	memcpy(reply->loads.loads_val, sums->data, size);
+	g_array_unref(sums);
+}
+
 void feed_poll(struct feed *feed, int64_t now_ms, const struct state *state,
 	       const struct poll_request *request, struct poll_reply *reply)
 {
@@ -204,6 +258,7 @@
 	else if (request->applied < feed->last)
 		add_deltas(feed, request->applied, reply);
 	add_entries(feed, now_ms, reply);
+	add_loads(feed, now_ms, request->node, reply);
 }
 
 uint64_t feed_last(const struct feed *feed)
--- a/control/feed.h
+++ b/control/feed.h
@@ -72,6 +72,7 @@
 	char data_centre[64];
 	uint32_t free_permille;
 	bool draining;
+	GArray *loads; /* of struct replica_load */
 };
 
 /** Visits the entries heard of since this member leads. */
--- a/control/follow.c
+++ b/control/follow.c
@@ -168,6 +168,11 @@
 	request->data_centre = control->opts.settings->node.data_centre;
 	request->free_permille = follow->status.free_permille;
 	request->draining = follow->status.draining;
+	if (follow->status.loads) {
+		request->loads.loads_val =
+			(struct replica_load *)follow->status.loads->data;
+		request->loads.loads_len = follow->status.loads->len;
+	}
 }
 
 static bool ask_self(struct follow *follow, const struct poll_request *request)
@@ -264,6 +269,8 @@
 {
 	bool advanced = status->applied > follow->status.applied;
 
+	if (follow->status.loads)
+		g_array_unref(follow->status.loads);
 	follow->status = *status;
 	/* The leader waits for this to say that a change is in force. */
 	if (advanced)
@@ -287,5 +294,7 @@
 	if (!follow)
 		return;
 	event_free(follow->tick);
+	if (follow->status.loads)
+		g_array_unref(follow->status.loads);
 	g_free(follow);
 }
--- a/control/placer.c
+++ b/control/placer.c
@@ -22,6 +22,7 @@
 /* A load ahead that is not done by then may be decided on anew. */
 #define PRELOAD_LIMIT_MS 120000
 #define DECISIONS_KEPT 256
+#define WAIT_LOG_MS 5000
 
 /* Of a pool's VMs: kept free so that a lost VM is replaced at once. */
 #define SPARE_PERMILLE 250
@@ -66,7 +67,7 @@
 	GArray *loads;		/* int64_t: starts of loads in the window */
 	GHashTable *services;	/* name -> itself, as put into the planner */
 	GQueue decisions;	/* of char *, newest last */
-	GHashTable *last_wait;	/* replica or service -> reason last logged */
+	GHashTable *last_wait;	/* who waits and why -> int64_t: last logged */
 	int64_t active_from_ms; /* 0 while not leading */
 	int32_t proposals;
 	uint32_t next_replica;
@@ -361,6 +362,26 @@
 	return 0;
 }
 
+struct replica_count {
+	const char *service;
+	uint32_t count;
+};
+
+static void count_replica(void *ctx, const struct replica_state *replica)
+{
+	struct replica_count *c = ctx;
+
+	c->count += !strcmp(replica->assign.service, c->service);
+}
+
+static uint32_t count_replicas(const struct placer *placer, const char *service)
+{
+	struct replica_count c = { service, 0 };
+
+	state_each_replica(state_of(placer), count_replica, &c);
+	return c.count;
+}
+
 /*
  * The replicas wanted of a service that has a share of its pool. Spares are
  * there to be used: as VMs get lost the number stays until it no longer fits
@@ -376,10 +397,17 @@
 		.services = g_ptr_array_new(),
 		.domains = g_hash_table_new(g_str_hash, g_str_equal),
 	};
-	uint32_t wanted = GPOINTER_TO_UINT(
-		g_hash_table_lookup(placer->wanted, service->name));
+	gpointer known;
+	uint32_t wanted;
 	GArray *vms;
 
+	/* A new leader goes on with what there is. */
+	if (g_hash_table_lookup_extended(placer->wanted, service->name, NULL,
+					 &known))
+		wanted = GPOINTER_TO_UINT(known);
+	else
+		wanted = count_replicas(placer, service->name);
+
 	state_each_service(state_of(placer), add_part, &pool);
 	view_each(placer->control->view, add_domain, &pool);
 	vms = domain_sizes(&pool);
@@ -585,18 +613,21 @@
 		g_free(g_queue_pop_head(&placer->decisions));
 }
 
-/* A wait is logged when its kind of reason changes, not at each tick. */
+/* A wait is logged when it is new and now and then, not at each tick. */
 static bool wait_is_new(struct placer *placer,
 			const struct placement_decision *d)
 {
-	char *key = g_strdup_printf("%s/%u", d->service, d->replica);
-	const char *last = g_hash_table_lookup(placer->last_wait, key);
+	char *key = g_strdup_printf("%s/%u/%.16s", d->service, d->replica,
+				    d->reason);
+	int64_t now = now_ms(placer);
+	int64_t *last = g_hash_table_lookup(placer->last_wait, key);
 
-	if (last && !strncmp(last, d->reason, 16)) {
+	if (last && now - *last < WAIT_LOG_MS) {
 		g_free(key);
 		return false;
 	}
-	g_hash_table_replace(placer->last_wait, key, g_strdup(d->reason));
+	g_hash_table_replace(placer->last_wait, key,
+			     g_memdup2(&now, sizeof(now)));
 	return true;
 }
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -8,7 +8,7 @@
 #include "wire/codec.h"
 
 #define TICK_MS 50
-#define STATUS_MS 200
+#define STATUS_MS 100
 #define ENDPOINT_BODY_BYTES 65536
 #define ENDPOINT_HEADER_BYTES 8192
 #define PERMILLE 1000
@@ -57,6 +57,7 @@
 		.applied = state_index(entry->config),
 		.free_permille = free_permille(entry),
 		.draining = entry->draining,
+		.loads = services_loads(entry),
 	};
 
 	g_strlcpy(status.callers_address, entry->callers_address,
@@ -428,6 +429,8 @@
 		entry_send_status(entry);
 	if (changed || entry->other_count != others)
 		services_update(entry);
+	services_take_loads(entry, reply->loads.loads_val,
+			    reply->loads.loads_len);
 	CODEC_FREE(poll_reply, reply);
 	g_free(m->update);
 	g_free(m);
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -102,6 +102,13 @@
 const char *services_head(const struct entry_service *service,
 			  uint32_t replica);
 
+/** What this entry has at replicas whose engines report no load. */
+GArray *services_loads(const struct entry *entry);
+
+/** Takes what all other entries have there. */
+void services_take_loads(struct entry *entry, const struct replica_load *loads,
+			 uint32_t count);
+
 /** Gives up on replicas that have answered nothing for too long. */
 void services_watch(struct entry *entry);
 
--- a/entry/services.c
+++ b/entry/services.c
@@ -61,6 +61,16 @@
 	return s;
 }
 
+/* How the service's engine spends its time; all zero if that is not known. */
+static const struct engine_spec *engine_of(const struct entry_service *s)
+{
+	static const struct engine_spec unknown;
+	const struct service_state *state = state_service(s->entry->config,
+							  s->name);
+
+	return state ? &state->spec.engine : &unknown;
+}
+
 /* ---- following the configuration ---- */
 
 static uint32_t count_entries(const struct entry *entry)
@@ -72,20 +82,6 @@
 	return MAX(count, 1);
 }
 
-/*
- * Engines that do not report their load let an entry see only its own
- * requests there, so each entry uses its part of the slots.
- */
-static uint32_t local_slots(const struct entry *entry,
-			    const struct service_spec *spec)
-{
-	uint32_t entries = count_entries(entry);
-
-	if (!spec->engine.step_us)
-		return spec->slots_per_replica;
-	return (spec->slots_per_replica + entries - 1) / entries;
-}
-
 /* What all entries together may repeat, whatever the requests. */
 static void share_repeats(struct entry *entry)
 {
@@ -131,7 +127,7 @@
 
 	if (s && service && a->vms.vms_len)
 		router_put(s->router, a->replica, a->epoch,
-			   local_slots(entry, &service->spec),
+			   service->spec.slots_per_replica,
 			   a->vms.vms_val[0].address);
 }
 
@@ -348,6 +344,63 @@
 	router_trust(s->router, replica_of(s, report));
 }
 
+static void add_load(void *ctx, const struct router_replica *r)
+{
+	GArray *loads = ctx;
+	struct replica_load load = { r->id, r->epoch, r->outstanding };
+
+	if (r->outstanding)
+		g_array_append_val(loads, load);
+}
+
+GArray *services_loads(const struct entry *entry)
+{
+	GArray *loads = g_array_new(FALSE, FALSE, sizeof(struct replica_load));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, entry->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct entry_service *s = value;
+
+		if (engine_of(s)->step_us)
+			router_each(s->router, add_load, loads);
+	}
+	return loads;
+}
+
+static void forget_others_load(void *ctx, const struct router_replica *r)
+{
+	struct router *router = ctx;
+
+	router_others(router, r->id, r->epoch, 0);
+}
+
+void services_take_loads(struct entry *entry, const struct replica_load *loads,
+			 uint32_t count)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, entry->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct entry_service *s = value;
+
+		if (engine_of(s)->step_us)
+			router_each(s->router, forget_others_load, s->router);
+	}
+	for (uint32_t i = 0; i < count; i++) {
+		const struct replica_state *r =
+			state_replica(entry->config, loads[i].replica);
+		struct entry_service *s =
+			r ? services_find(entry, r->assign.service) : NULL;
+
+		if (s)
+			router_others(s->router, loads[i].replica,
+				      loads[i].epoch, loads[i].requests);
+	}
+}
+
 static guint read_hashes(json_t *list, uint64_t *out, guint max)
 {
 	guint n = 0;
--- a/include/radishdeal/router.h
+++ b/include/radishdeal/router.h
@@ -102,6 +102,13 @@
 void router_load(struct router *router, uint32_t id, uint32_t total,
 		 uint32_t step_us);
 
+/**
+ * Takes what all other entries have at a replica under an epoch; an older
+ * epoch's word says nothing.
+ */
+void router_others(struct router *router, uint32_t id, uint64_t epoch,
+		   uint32_t requests);
+
 /** Takes cache events: hashes now held, or no longer held. */
 void router_cache(struct router *router, uint32_t id, const uint64_t *stored,
 		  uint32_t stored_count, const uint64_t *dropped,
--- a/placement/pick.c
+++ b/placement/pick.c
@@ -26,6 +26,27 @@
 	return points;
 }
 
+bool pick_stands_by(const struct plan *plan, const struct domain *d,
+		      const struct vm *vm)
+{
+	for (guint i = 0; i < plan->p->service_list->len; i++) {
+		const struct service *s = plan->p->service_list->pdata[i];
+
+		if (!s->removed && vm->weights == s->weights &&
+		    model_replicas_in(d, s))
+			return true;
+	}
+	return false;
+}
+
+/* Where loads take long, spares are kept for the replicas they are for. */
+static bool is_kept(const struct plan *plan, const struct domain *d,
+		    const struct service *s, const struct vm *vm)
+{
+	return plan->p->opts.load_first && vm->weights &&
+	       vm->weights != s->weights && pick_stands_by(plan, d, vm);
+}
+
 static bool picked(const struct pick *pick, const struct vm *vm)
 {
 	for (uint32_t i = 0; i < pick->count; i++)
@@ -45,7 +66,7 @@
 		struct vm *vm = d->vms->pdata[i];
 
 		if (!model_usable(plan->p, vm, s, plan->now_ms) ||
-		    picked(pick, vm))
+		    picked(pick, vm) || is_kept(plan, d, s, vm))
 			continue;
 		if (!best)
 			best = vm;
@@ -91,7 +112,8 @@
 	for (guint i = 0; i < d->vms->len; i++) {
 		const struct vm *vm = d->vms->pdata[i];
 
-		if (!model_usable(plan->p, vm, s, plan->now_ms))
+		if (!model_usable(plan->p, vm, s, plan->now_ms) ||
+		    is_kept(plan, d, s, vm))
 			continue;
 		d->usable++;
 		d->loaded += vm->weights == s->weights ? 1 : 0;
--- a/placement/plan.c
+++ b/placement/plan.c
@@ -233,12 +233,14 @@
 
 		need.missing = model_missing(r);
 		need.replica = r;
+		need.first = plan->p->opts.load_first;
 		if (!r->giving_up && need.missing)
 			g_array_append_val(plan->needs, need);
 		if (!r->giving_up)
 			plan->loading += load_cost(plan, model_loading(r));
 	}
 	need.replica = NULL;
+	need.first = false;
 	need.missing = s->vms_per_replica;
 	for (; have < s->wanted; have++)
 		g_array_append_val(plan->needs, need);
@@ -248,6 +250,8 @@
 {
 	const struct need *x = a, *y = b;
 
+	if (x->first != y->first)
+		return x->first ? -1 : 1;
 	if (x->value != y->value)
 		return x->value > y->value ? -1 : 1;
 	if (x->missing != y->missing)
@@ -368,6 +372,7 @@
 		  need->missing, need->replica->vm_count, pick.loads);
 	if (!complete)
 		return;
+	plan->repair_waits = true;
 	take(plan, &pick);
 	load_pick(plan, need, &pick);
 }
@@ -445,6 +450,11 @@
 			return;
 		}
 	}
+	if (plan->repair_waits && pick.loads) {
+		plan_tell(plan, PLACEMENT_WAIT, s, NULL, NULL,
+			  "repairs have the weight store first");
+		return;
+	}
 	take(plan, &pick);
 	if (!may_load(plan, need, &pick))
 		return;
--- a/placement/plan.h
+++ b/placement/plan.h
@@ -13,6 +13,7 @@
 	struct service *service;
 	struct replica *replica; /* NULL for a new one */
 	uint32_t missing;	 /* VMs to find */
+	bool first;		 /* goes before others, whatever the value */
 	double value;		 /* price of leaving it */
 };
 
@@ -32,6 +33,7 @@
 	GPtrArray *taken;    /* VMs marked by this plan */
 	GPtrArray *given_up; /* replicas marked by this plan */
 	uint32_t loading;
+	bool repair_waits; /* some replica waits for weights to be loaded */
 };
 
 /** Tells of a decision; `replica` and `pick` may be NULL. */
@@ -57,6 +59,10 @@
 bool pick_across(const struct plan *plan, const struct service *s,
 		 struct pick *pick);
 
+/** Whether a spare's weights are some service's here, and worth keeping. */
+bool pick_stands_by(const struct plan *plan, const struct domain *d,
+		    const struct vm *vm);
+
 /** Adds the VMs of a replica that still serve. */
 void pick_add_survivors(const struct replica *r, struct pick *pick);
 
--- a/placement/preload.c
+++ b/placement/preload.c
@@ -44,20 +44,6 @@
 	return best;
 }
 
-/* Whether a spare's weights are some service's here, and so worth keeping. */
-static bool stands_by(const struct plan *plan, const struct domain *d,
-		      const struct vm *vm)
-{
-	for (guint i = 0; i < plan->p->service_list->len; i++) {
-		const struct service *s = plan->p->service_list->pdata[i];
-
-		if (!s->removed && vm->weights == s->weights &&
-		    model_replicas_in(d, s))
-			return true;
-	}
-	return false;
-}
-
 static uint32_t preloads_running(const struct plan *plan)
 {
 	uint32_t count = 0;
@@ -79,7 +65,7 @@
 		struct service *s;
 
 		if (vm->taken || vm->holder || vm->preloading || !vm->alive ||
-		    vm->leaving || stands_by(plan, d, vm))
+		    vm->leaving || pick_stands_by(plan, d, vm))
 			continue;
 		s = wants_spare(plan, d, vm);
 		if (!s)
--- a/routing/router.c
+++ b/routing/router.c
@@ -214,6 +214,15 @@
 		r->step_us = step_us;
 }
 
+void router_others(struct router *router, uint32_t id, uint64_t epoch,
+		   uint32_t requests)
+{
+	struct router_replica *r = find(router, id);
+
+	if (r && r->epoch == epoch)
+		r->others = requests;
+}
+
 static void remember_prefix(struct router *router, struct router_replica *r,
 			    uint64_t hash)
 {
--- a/wire/radishdeal.h
+++ b/wire/radishdeal.h
@@ -431,6 +431,13 @@
 };
 typedef struct prove_request prove_request;
 
+struct replica_load {
+	uint32_t replica;
+	uint64_t epoch;
+	uint32_t requests;
+};
+typedef struct replica_load replica_load;
+
 struct poll_request {
 	uint32_t node;
 	uint64_t incarnation;
@@ -441,6 +448,10 @@
 	char *data_centre;
 	uint32_t free_permille;
 	bool_t draining;
+	struct {
+		u_int loads_len;
+		replica_load *loads_val;
+	} loads;
 };
 typedef struct poll_request poll_request;
 
@@ -482,6 +493,10 @@
 		u_int controls_len;
 		uint32_t *controls_val;
 	} controls;
+	struct {
+		u_int loads_len;
+		replica_load *loads_val;
+	} loads;
 };
 typedef struct poll_reply poll_reply;
 
@@ -684,6 +699,7 @@
 extern  bool_t xdr_hello_request (XDR *, hello_request*);
 extern  bool_t xdr_hello_reply (XDR *, hello_reply*);
 extern  bool_t xdr_prove_request (XDR *, prove_request*);
+extern  bool_t xdr_replica_load (XDR *, replica_load*);
 extern  bool_t xdr_poll_request (XDR *, poll_request*);
 extern  bool_t xdr_indexed_command (XDR *, indexed_command*);
 extern  bool_t xdr_entry_info (XDR *, entry_info*);
@@ -742,6 +758,7 @@
 extern bool_t xdr_hello_request ();
 extern bool_t xdr_hello_reply ();
 extern bool_t xdr_prove_request ();
+extern bool_t xdr_replica_load ();
 extern bool_t xdr_poll_request ();
 extern bool_t xdr_indexed_command ();
 extern bool_t xdr_entry_info ();
--- a/wire/radishdeal.x
+++ b/wire/radishdeal.x
@@ -350,6 +350,13 @@
 	opaque proof[32];
 };
 
+/* What entries have at a replica. */
+struct replica_load {
+	uint32_t replica;
+	uint64_t epoch;
+	uint32_t requests;
+};
+
 struct poll_request {
 	uint32_t node;
 	uint64_t incarnation;
@@ -360,6 +367,7 @@
 	string data_centre<RD_NAME_MAX>;
 	uint32_t free_permille;		/* spare share of the entry */
 	bool draining;
+	replica_load loads<65536>;	/* of this entry's own requests */
 };
 
 struct indexed_command {
@@ -386,6 +394,7 @@
 	indexed_command deltas<4096>;
 	entry_info entries<1024>;
 	uint32_t controls<64>;		/* nodes of the state group */
+	replica_load loads<65536>;	/* of all other entries together */
 };
 
 struct propose_reply {
--- a/wire/radishdeal_xdr.c
+++ b/wire/radishdeal_xdr.c
@@ -734,6 +734,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_replica_load (XDR *xdrs, replica_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint32_t (xdrs, &objp->replica))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->requests))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_poll_request (XDR *xdrs, poll_request *objp)
 {
@@ -757,6 +771,9 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->draining))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, 65536,
+		sizeof (replica_load), (xdrproc_t) xdr_replica_load))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -818,6 +835,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->controls.controls_val, (u_int *) &objp->controls.controls_len, 64,
 		sizeof (uint32_t), (xdrproc_t) xdr_uint32_t))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, 65536,
+		sizeof (replica_load), (xdrproc_t) xdr_replica_load))
+		 return FALSE;
 	return TRUE;
 }
 
