--- a/control/announcements.c
+++ b/control/announcements.c
@@ -12,9 +12,16 @@
 	struct control *control;
 	struct home *home;
 	struct event *timer;
+	GHashTable *returning; /* name -> struct returning */
 	bool want_full;
 };
 
+/** A VM that was lost and says something again. */
+struct returning {
+	uint64_t incarnation;
+	uint64_t sequence; /* of the first announcement since */
+};
+
 static void send_digest(struct announcements *a)
 {
 	struct control *control = a->control;
@@ -41,11 +48,42 @@
 	send_digest(ctx);
 }
 
+/*
+ * One announcement after a silence may have been held up on its way, and its
+ * sender be gone since. So a VM that was lost must be heard twice, unless it
+ * was started anew.
+ */
+static bool may_be_late(struct announcements *a, const struct vm_report *report)
+{
+	struct control *control = a->control;
+	const struct view_vm *seen = view_find(control->view, report->name);
+	struct returning *first;
+
+	if (!seen || seen->report.incarnation != report->incarnation ||
+	    view_alive(control->view, seen, control_now_ms(control))) {
+		g_hash_table_remove(a->returning, report->name);
+		return false;
+	}
+	first = g_hash_table_lookup(a->returning, report->name);
+	if (first && first->incarnation == report->incarnation)
+		return report->sequence <= first->sequence;
+	first = g_new(struct returning, 1);
+	*first = (struct returning){ report->incarnation, report->sequence };
+	g_hash_table_replace(a->returning, g_strdup(report->name), first);
+	return true;
+}
+
 void announcements_take(struct announcements *a, const struct vm_report *report)
 {
 	struct counters *counters = a->control->opts.counters;
 
 	counters_add(counters, COUNTER_ANNOUNCES, 1);
+	if (may_be_late(a, report)) {
+		log_info(&announcements_log,
+			 "VM %s was lost; one announcement may be a late one",
+			 report->name);
+		return;
+	}
 	if (!home_announce(a->home, control_now_ms(a->control), report))
 		return;
 	log_info(&announcements_log,
@@ -89,6 +127,8 @@
 	a->control = control;
 	a->home = home_create(&opts);
 	a->want_full = true;
+	a->returning = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     g_free);
 	return a;
 }
 
@@ -110,5 +150,6 @@
 	if (a->timer)
 		event_free(a->timer);
 	home_destroy(a->home);
+	g_hash_table_unref(a->returning);
 	g_free(a);
 }
--- a/placement/preload.c
+++ b/placement/preload.c
@@ -1,6 +1,28 @@
 /* Spare VMs load weights ahead of need, with what the store has left. */
 #include "placement/plan.h"
 
+/* Spares with a service's weights in all domains, or soon to have them. */
+static uint32_t all_spares_with(const struct plan *plan,
+				const struct service *s)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < plan->p->domain_list->len; i++) {
+		const struct domain *d = plan->p->domain_list->pdata[i];
+
+		for (guint j = 0; j < d->vms->len; j++) {
+			const struct vm *vm = d->vms->pdata[j];
+
+			if (vm->holder || !vm->alive || vm->leaving)
+				continue;
+			count += vm->weights == s->weights ||
+				 (vm->preloading &&
+				  vm->preload_weights == s->weights);
+		}
+	}
+	return count;
+}
+
 static uint32_t spares_with(const struct plan *plan, const struct domain *d,
 			    const struct service *s)
 {
@@ -9,8 +31,10 @@
 	for (guint i = 0; i < d->vms->len; i++) {
 		const struct vm *vm = d->vms->pdata[i];
 
-		count += model_usable(plan->p, vm, s, plan->now_ms) &&
-			 vm->weights == s->weights;
+		count += (model_usable(plan->p, vm, s, plan->now_ms) &&
+			  vm->weights == s->weights) ||
+			 (vm->preloading && !vm->holder &&
+			  vm->preload_weights == s->weights);
 	}
 	return count;
 }
@@ -36,6 +60,10 @@
 		/* Larger replicas are hit more often. */
 		gain = (double)replicas * s->vms_per_replica *
 		       s->downtime_weight / (1 + spares_with(plan, d, s));
+		/* Spares elsewhere help too: replicas move whole. */
+		if (plan->p->opts.load_first)
+			gain *= (double)s->replicas->len * s->vms_per_replica /
+				(1 + all_spares_with(plan, s));
 		if (gain > best_gain) {
 			best = s;
 			best_gain = gain;
