--- a/consensus/raft.c
+++ b/consensus/raft.c
@@ -43,7 +43,8 @@
 	if (raft_is_untouched(raft))
 		least = MAX(raft->election_ms / FIRST_ELECTION_PART, 1);
 	raft->deadline_ms = now_ms +
-			    g_rand_int_range(raft->random, least, 2 * least);
+			    g_rand_int_range(raft->random, least,
+					     least + MAX(least / 2, 1));
 }
 
 void raft_send(struct raft *raft, struct raft_message *message, bool after_sync)
