--- a/control/orders.c
+++ b/control/orders.c
@@ -19,6 +19,7 @@
 		[ORDER_OPEN] = "open",
 		[ORDER_RELEASE] = "release",
 		[ORDER_LOAD] = "load",
+		[ORDER_WARM] = "warm",
 	};
 
 	return names[kind];
--- a/control/orders.h
+++ b/control/orders.h
@@ -26,6 +26,7 @@
 	ORDER_OPEN,    /* as its head, begin to serve */
 	ORDER_RELEASE, /* hold nothing of a replica any more */
 	ORDER_LOAD,    /* load weights ahead of need */
+	ORDER_WARM,    /* keep loaded weights ready in memory, alone */
 };
 
 /** Returns a word for a kind. */
@@ -61,7 +62,8 @@
 	char *(*headers)(const struct order_intent *intent);
 	enum order_result (*judge)(int status);
 	bool fenced; /* all engines refuse orders of an older leader */
-	bool opens;  /* a head waits for ORDER_OPEN before it serves */
+	bool warms; /* knows ORDER_WARM */
+	bool opens; /* a head waits for ORDER_OPEN before it serves */
 };
 
 /** The project's own engine orders. */
--- a/control/placer.c
+++ b/control/placer.c
@@ -53,6 +53,8 @@
 	uint64_t formed_epoch;	 /* it accepted to take part under it */
 	int64_t releasing_since_ms;
 	int64_t preload_until_ms; /* 0 unless told to load ahead */
+	uint64_t warm_incarnation; /* of the VM when it was told to be warm */
+	char warm_model[64];
 	char preload_model[64];
 	char preload_version[64];
 };
@@ -161,7 +163,7 @@
 	const struct vm_report *r = &seen->report;
 	int64_t now = now_ms(placer);
 
-	if (!*r->service && !r->ready)
+	if (r->replica && !r->ready)
 		g_array_append_val(placer->loads, now);
 }
 
@@ -682,6 +684,8 @@
 	o->backoff_ms = 0;
 	/* Time for the VM's announcement to say so. */
 	o->next_ms = now + ORDER_BOUND_MS;
+	if (o->kind == ORDER_WARM)
+		o->next_ms = now;
 	if (o->kind == ORDER_FORM)
 		o->formed_epoch = MAX(o->formed_epoch, o->epoch);
 	if (o->kind != ORDER_RELEASE)
@@ -1075,6 +1079,50 @@
 		send_order(placer, seen, &intent);
 }
 
+struct spare {
+	struct placer *placer;
+	const struct view_vm *vm;
+};
+
+static void warm_for(void *ctx, const struct service_state *service)
+{
+	struct spare *spare = ctx;
+	const struct vm_report *r = &spare->vm->report;
+	const struct service_spec *spec = &service->spec;
+	struct vm_orders *o = orders_of(spare->placer, r->name);
+	struct order_intent intent = {
+		.kind = ORDER_WARM,
+		.epoch = state_last_epoch(state_of(spare->placer)),
+		.service = service->name,
+		.model = spec->model,
+		.adapter = spec->adapter,
+	};
+
+	if (spec->plain || strcmp(spec->pool, r->pool) != 0 ||
+	    strcmp(spec->model, r->model) != 0 ||
+	    (o->warm_incarnation == r->incarnation &&
+	     !strcmp(o->warm_model, r->model)) ||
+	    !order_is_due(spare->placer, o))
+		return;
+	o->warm_incarnation = r->incarnation;
+	g_strlcpy(o->warm_model, r->model, sizeof(o->warm_model));
+	send_order(spare->placer, spare->vm, &intent);
+}
+
+/* Spares have their weights ready in memory, so that they join at once. */
+static void reconcile_spare(void *ctx, const struct view_vm *seen)
+{
+	struct placer *placer = ctx;
+	const struct vm_report *r = &seen->report;
+	struct spare spare = { placer, seen };
+
+	if (*r->service || !*r->model || r->replica || r->leaving ||
+	    state_vm(state_of(placer), r->name) || !find_alive(placer, r->name))
+		return;
+	if (!orders_of(placer, r->name)->preload_until_ms)
+		state_each_service(state_of(placer), warm_for, &spare);
+}
+
 void placer_tick(struct placer *placer)
 {
 	const struct state *state = state_of(placer);
@@ -1093,4 +1141,6 @@
 	state_each_replica(state, reconcile_replica, placer);
 	state_each_vm(state, reconcile_releasing, placer);
 	view_each(placer->control->view, reconcile_stray, placer);
+	if (order_format(placer)->warms)
+		view_each(placer->control->view, reconcile_spare, placer);
 }
--- a/storage/storage.c
+++ b/storage/storage.c
@@ -595,7 +595,7 @@
 	char name[NAME_BYTES];
 	int error = 0;
 
-	/* Oldest first, so that a crash leaves no gap. */
+	/* Oldest first, each for good, so that a crash leaves no gap. */
 	while (!error && s->segments->len > 1) {
 		struct segment *first = &g_array_index(s->segments,
 						       struct segment, 0);
@@ -604,6 +604,8 @@
 			break;
 		segment_name(name, first->sequence);
 		error = fs->remove(fs->ctx, name);
+		if (!error)
+			error = fs->sync_names(fs->ctx);
 		if (!error)
 			g_array_remove_index(s->segments, 0);
 	}
--- a/test/memory_fs.c
+++ b/test/memory_fs.c
@@ -269,14 +269,65 @@
 	file->synced = file->data->len;
 }
 
+static gint compare_names(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+/* The names of both tables, in order, so that a seed gives one outcome. */
+static GPtrArray *all_names(const struct memory_fs *fs)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *sorted = g_ptr_array_new();
+	GHashTable *tables[] = { fs->names, fs->durable };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(tables); i++) {
+		GHashTableIter iter;
+		gpointer key;
+
+		g_hash_table_iter_init(&iter, tables[i]);
+		while (g_hash_table_iter_next(&iter, &key, NULL))
+			if (g_hash_table_add(seen, key))
+				g_ptr_array_add(sorted, key);
+	}
+	g_ptr_array_sort(sorted, compare_names);
+	g_hash_table_unref(seen);
+	return sorted;
+}
+
+/* Each new, renamed or removed name is kept or lost by itself. */
+static void lose_names(struct memory_fs *fs)
+{
+	GHashTable *kept = new_names();
+	GPtrArray *names = all_names(fs);
+
+	for (guint i = 0; i < names->len; i++) {
+		struct file *now = g_hash_table_lookup(fs->names,
+						       names->pdata[i]);
+		struct file *synced = g_hash_table_lookup(fs->durable,
+							  names->pdata[i]);
+		struct file *file = now;
+
+		if (now != synced && g_rand_boolean(fs->random))
+			file = synced;
+		if (file)
+			g_hash_table_insert(kept, g_strdup(names->pdata[i]),
+					    file_ref(file));
+	}
+	g_ptr_array_unref(names);
+	g_hash_table_unref(fs->names);
+	fs->names = kept;
+	g_hash_table_remove_all(fs->durable);
+	copy_names(fs->names, fs->durable);
+}
+
 void memory_fs_crash(struct memory_fs *fs)
 {
 	GHashTableIter iter;
 	gpointer value;
 
 	g_ptr_array_set_size(fs->handles, 0);
-	g_hash_table_remove_all(fs->names);
-	copy_names(fs->durable, fs->names);
+	lose_names(fs);
 	g_hash_table_iter_init(&iter, fs->names);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		tear(fs, value);
@@ -300,11 +351,6 @@
 	return file ? file->data : NULL;
 }
 
-static gint compare_names(gconstpointer a, gconstpointer b)
-{
-	return strcmp(*(char *const *)a, *(char *const *)b);
-}
-
 void memory_fs_names(struct memory_fs *fs, const char *prefix, GPtrArray *names)
 {
 	GHashTableIter iter;
