--- a/bench/bench_routing.c
+++ b/bench/bench_routing.c
@@ -308,7 +308,7 @@
 			w->t.refused++;
 		g_free(r);
 	}
-	while ((ticket = admission_peek(entry->admission))) {
+	while ((ticket = admission_peek(entry->admission, w->now_us / 1000))) {
 		struct request *r = ticket->ctx;
 		struct router_choice c;
 
@@ -407,7 +407,8 @@
 	for (int i = 0; i < ENTRIES; i++) {
 		struct admission_ticket *t;
 
-		while ((t = admission_peek(w->entries[i].admission))) {
+		while ((t = admission_peek(w->entries[i].admission,
+					   w->now_us / 1000))) {
 			admission_leave(w->entries[i].admission, t);
 			g_free(t->ctx);
 		}
--- a/control/orders.c
+++ b/control/orders.c
@@ -15,10 +15,8 @@
 const char *order_kind_name(enum order_kind kind)
 {
 	static const char *const names[] = {
-		[ORDER_FORM] = "form",
-		[ORDER_OPEN] = "open",
-		[ORDER_RELEASE] = "release",
-		[ORDER_LOAD] = "load",
+		[ORDER_FORM] = "form",	     [ORDER_OPEN] = "open",
+		[ORDER_RELEASE] = "release", [ORDER_LOAD] = "load",
 		[ORDER_WARM] = "warm",
 	};
 
--- a/control/orders.h
+++ b/control/orders.h
@@ -62,8 +62,8 @@
 	char *(*headers)(const struct order_intent *intent);
 	enum order_result (*judge)(int status);
 	bool fenced; /* all engines refuse orders of an older leader */
-	bool warms; /* knows ORDER_WARM */
-	bool opens; /* a head waits for ORDER_OPEN before it serves */
+	bool warms;  /* knows ORDER_WARM */
+	bool opens;  /* a head waits for ORDER_OPEN before it serves */
 };
 
 /** The project's own engine orders. */
--- a/control/placer.c
+++ b/control/placer.c
@@ -52,7 +52,7 @@
 	int64_t released_ms;	 /* when it did */
 	uint64_t formed_epoch;	 /* it accepted to take part under it */
 	int64_t releasing_since_ms;
-	int64_t preload_until_ms; /* 0 unless told to load ahead */
+	int64_t preload_until_ms;  /* 0 unless told to load ahead */
 	uint64_t warm_incarnation; /* of the VM when it was told to be warm */
 	char warm_model[64];
 	char preload_model[64];
--- a/entry/call.c
+++ b/entry/call.c
@@ -62,6 +62,7 @@
 	call->started_us = entry_now_us(entry);
 	call->deadline_ms = opts->deadline_ms;
 	call->whole_by_ms = opts->whole_by_ms;
+	call->prompt_until_ms = opts->prompt_until_ms;
 	call->method = evhttp_request_get_command(opts->req);
 	call->path = g_strdup(opts->path);
 	call->body = opts->body;
@@ -251,6 +252,7 @@
 
 	call->state = CALL_WAITING;
 	call->ticket.ctx = call;
+	call->ticket.prompt_until_ms = call->prompt_until_ms;
 	if (admission_enter(call->service->admission, now, &call->ticket,
 			    call->account, cost, until, &retry_ms)) {
 		call_not_run(call, RD_OVERLOADED, NULL, (int)retry_ms);
--- a/entry/services.c
+++ b/entry/services.c
@@ -390,8 +390,8 @@
 			router_each(s->router, forget_others_load, s->router);
 	}
 	for (uint32_t i = 0; i < count; i++) {
-		const struct replica_state *r =
-			state_replica(entry->config, loads[i].replica);
+		const struct replica_state *r = state_replica(entry->config,
+							      loads[i].replica);
 		struct entry_service *s =
 			r ? services_find(entry, r->assign.service) : NULL;
 
@@ -525,11 +525,13 @@
 	expire_waiting(s);
 	if (!admits(s)) {
 		/* What has not begun when maintenance starts does not begin. */
-		while ((ticket = admission_peek(s->admission)))
+		while ((ticket = admission_peek(s->admission,
+						entry_now_ms(s->entry))))
 			call_give_up(ticket->ctx, RD_MAINTENANCE);
 		return;
 	}
-	while ((ticket = admission_peek(s->admission))) {
+	while ((ticket = admission_peek(s->admission,
+					entry_now_ms(s->entry)))) {
 		struct call *call = ticket->ctx;
 		int64_t started = entry_now_us(entry);
 
--- a/entry/take.c
+++ b/entry/take.c
@@ -122,8 +122,8 @@
 	struct entry *entry = t->entry;
 	int64_t patience = request->patience_ms ? request->patience_ms
 						: PATIENCE_MAX_MS;
-	int64_t until = entry_now_ms(entry) +
-			MIN(patience, (int64_t)route->timeout_ms);
+	int64_t now = entry_now_ms(entry);
+	int64_t until = now + MIN(patience, (int64_t)route->timeout_ms);
 	bool stream = route->kind == ROUTE_STREAM;
 	struct call_opts opts = {
 		.service = t->service,
@@ -138,6 +138,8 @@
 				    : route->priority,
 		.deadline_ms = until,
 		.whole_by_ms = until,
+		.prompt_until_ms = route->target_ms ? now + route->target_ms / 2
+						    : 0,
 		.path = request->target,
 		.body = http_body(request->req),
 		.once_only = route->kind == ROUTE_ONCE ||
--- a/include/radishdeal/admission.h
+++ b/include/radishdeal/admission.h
@@ -7,6 +7,11 @@
  * not use is lent at once. A request that by the present pace cannot be
  * served before its deadline is refused when it comes.
  *
+ * Under overload not all can be in time, and serving them in the order in
+ * which they came would make all of them late. So a request whose objective
+ * has passed while it waited stands back behind those that can still meet
+ * theirs.
+ *
  * A decision core: time is passed in. One thread owns an instance.
  */
 #ifndef RADISHDEAL_ADMISSION_H
@@ -28,7 +33,9 @@
 	double cost;  /* tokens, estimated */
 	double start; /* virtual time at which its turn begins */
 	int64_t entered_ms;
-	int64_t until_ms; /* refused if it still waits then */
+	int64_t prompt_until_ms; /* in time until then; 0: until until_ms */
+	int64_t until_ms;	 /* refused if it still waits then */
+	bool late;		 /* its objective has passed */
 	GList link;
 	bool waiting;
 	void *ctx;
@@ -54,7 +61,8 @@
 			       int64_t until_ms, int64_t *retry_ms);
 
 /** Returns whose turn it is, without taking it; NULL if nobody may go. */
-struct admission_ticket *admission_peek(struct admission *admission);
+struct admission_ticket *admission_peek(struct admission *admission,
+					int64_t now_ms);
 
 /** Takes a ticket out as being served from now on. */
 void admission_take(struct admission *admission,
--- a/placement/pick.c
+++ b/placement/pick.c
@@ -27,7 +27,7 @@
 }
 
 bool pick_stands_by(const struct plan *plan, const struct domain *d,
-		      const struct vm *vm)
+		    const struct vm *vm)
 {
 	for (guint i = 0; i < plan->p->service_list->len; i++) {
 		const struct service *s = plan->p->service_list->pdata[i];
@@ -85,7 +85,7 @@
 
 /* Fills a pick from one domain; false if it has too few. */
 bool pick_fill_from(const struct plan *plan, const struct domain *d,
-		      const struct service *s, struct pick *pick)
+		    const struct service *s, struct pick *pick)
 {
 	while (pick->count < s->vms_per_replica) {
 		struct vm *vm = best_in_domain(plan, d, s, pick);
@@ -125,7 +125,7 @@
  * the fewest VMs over that fill no further replica.
  */
 bool pick_one_domain(const struct plan *plan, const struct service *s,
-			    struct pick *pick)
+		     struct pick *pick)
 {
 	uint32_t n = s->vms_per_replica;
 	bool spread = plan->p->opts.spread;
@@ -158,7 +158,7 @@
 
 /* Across domains: those of one data centre first, the fullest first. */
 bool pick_across(const struct plan *plan, const struct service *s,
-			struct pick *pick)
+		 struct pick *pick)
 {
 	const char *centre = pick->count ? pick->vms[0]->domain->data_centre
 					 : NULL;
--- a/routing/admission.c
+++ b/routing/admission.c
@@ -13,7 +13,8 @@
 	uint32_t priority;
 	uint32_t limit;
 	uint32_t serving;
-	GQueue queue; /* of struct admission_ticket */
+	GQueue queue; /* of struct admission_ticket that can be in time */
+	GQueue late;  /* of those that no longer can */
 	double queued_cost;
 	double finish; /* virtual time its last ticket ends at */
 };
@@ -67,6 +68,7 @@
 	account->name = g_strdup(name);
 	account->weight = 1;
 	g_queue_init(&account->queue);
+	g_queue_init(&account->late);
 	g_ptr_array_add(a->accounts, account);
 	g_hash_table_insert(a->by_name, account->name, account);
 	return account;
@@ -82,9 +84,15 @@
 	account->limit = limit;
 }
 
-static bool may_go(const struct admission_account *account)
+static const GQueue *queue_of(const struct admission_account *account,
+			      bool late)
 {
-	return account->queue.length &&
+	return late ? &account->late : &account->queue;
+}
+
+static bool may_go(const struct admission_account *account, bool late)
+{
+	return queue_of(account, late)->length &&
 	       (!account->limit || account->serving < account->limit);
 }
 
@@ -164,6 +172,7 @@
 	ticket->start = MAX(a->virtual_time, account->finish);
 	account->finish = ticket->start + cost / account->weight;
 	account->queued_cost += cost;
+	ticket->late = false;
 	ticket->link = (GList){ .data = ticket };
 	g_queue_push_tail_link(&account->queue, &ticket->link);
 	ticket->waiting = true;
@@ -174,33 +183,68 @@
 /* ---- turns ---- */
 
 static bool goes_before(const struct admission_account *x,
-			const struct admission_account *y)
+			const struct admission_account *y, bool late)
 {
-	const struct admission_ticket *tx = x->queue.head->data;
-	const struct admission_ticket *ty = y->queue.head->data;
+	const struct admission_ticket *tx = queue_of(x, late)->head->data;
+	const struct admission_ticket *ty = queue_of(y, late)->head->data;
 
 	if (x->priority != y->priority)
 		return x->priority < y->priority;
 	return tx->start < ty->start;
 }
 
-struct admission_ticket *admission_peek(struct admission *a)
+/* Tickets are in the order in which they came, so late ones stand first. */
+static void stand_back(struct admission_account *account, int64_t now_ms)
+{
+	while (account->queue.length) {
+		struct admission_ticket *ticket = account->queue.head->data;
+
+		if (!ticket->prompt_until_ms ||
+		    now_ms <= ticket->prompt_until_ms)
+			return;
+		g_queue_unlink(&account->queue, &ticket->link);
+		g_queue_push_tail_link(&account->late, &ticket->link);
+		/* Those that come now need not wait for it. */
+		account->queued_cost -= ticket->cost;
+		ticket->late = true;
+	}
+}
+
+static struct admission_account *first_account(const struct admission *a,
+					       bool late)
 {
 	struct admission_account *best = NULL;
 
 	for (guint i = 0; i < a->accounts->len; i++) {
 		struct admission_account *account = a->accounts->pdata[i];
 
-		if (may_go(account) && (!best || goes_before(account, best)))
+		if (may_go(account, late) &&
+		    (!best || goes_before(account, best, late)))
 			best = account;
 	}
-	return best ? best->queue.head->data : NULL;
+	return best;
+}
+
+struct admission_ticket *admission_peek(struct admission *a, int64_t now_ms)
+{
+	struct admission_account *account;
+
+	for (guint i = 0; i < a->accounts->len; i++)
+		stand_back(a->accounts->pdata[i], now_ms);
+	account = first_account(a, false);
+	if (account)
+		return account->queue.head->data;
+	account = first_account(a, true);
+	return account ? account->late.head->data : NULL;
 }
 
 static void unlink_ticket(struct admission *a, struct admission_ticket *ticket)
 {
-	g_queue_unlink(&ticket->account->queue, &ticket->link);
-	ticket->account->queued_cost -= ticket->cost;
+	g_queue_unlink(ticket->late ? &ticket->account->late
+				    : &ticket->account->queue,
+		       &ticket->link);
+	if (!ticket->late)
+		ticket->account->queued_cost -= ticket->cost;
 	ticket->waiting = false;
 	a->waiting--;
 	if (!a->waiting)
@@ -237,19 +281,31 @@
 	note_time(a, now_ms);
 }
 
+static struct admission_ticket *find_expired(const GQueue *queue,
+					     int64_t now_ms)
+{
+	for (GList *l = queue->head; l; l = l->next) {
+		struct admission_ticket *ticket = l->data;
+
+		if (now_ms >= ticket->until_ms)
+			return ticket;
+	}
+	return NULL;
+}
+
 struct admission_ticket *admission_expired(struct admission *a, int64_t now_ms)
 {
 	for (guint i = 0; i < a->accounts->len; i++) {
 		struct admission_account *account = a->accounts->pdata[i];
+		struct admission_ticket *ticket = find_expired(&account->late,
+							       now_ms);
 
-		for (GList *l = account->queue.head; l; l = l->next) {
-			struct admission_ticket *ticket = l->data;
-
-			if (now_ms < ticket->until_ms)
-				continue;
-			admission_leave(a, ticket);
-			return ticket;
-		}
+		if (!ticket)
+			ticket = find_expired(&account->queue, now_ms);
+		if (!ticket)
+			continue;
+		admission_leave(a, ticket);
+		return ticket;
 	}
 	return NULL;
 }
@@ -269,5 +325,7 @@
 	const struct admission_account *account =
 		g_hash_table_lookup(a->by_name, name);
 
-	return account ? account->serving + account->queue.length : 0;
+	return account ? account->serving + account->queue.length +
+				 account->late.length
+		       : 0;
 }
--- a/test/test_cores.c
+++ b/test/test_cores.c
@@ -270,7 +270,7 @@
 			      (uint32_t)script_number(s, "limit", 0));
 }
 
-/* enter TICKET ACCOUNT [cost=] [until=] */
+/* enter TICKET ACCOUNT [cost=] [until=] [prompt=] */
 static void admit_enter(struct script *s)
 {
 	struct routing *r = s->ctx;
@@ -280,6 +280,7 @@
 	enum rd_result code;
 
 	t->ctx = name;
+	t->prompt_until_ms = script_number(s, "prompt", 0);
 	g_hash_table_insert(r->tickets, name, t);
 	code = admission_enter(r->admission, r->now_ms, t, s->words[2],
 			       (double)script_number(s, "cost", 10),
@@ -295,7 +296,8 @@
 	int count = s->word_count > 1 ? atoi(s->words[1]) : 1;
 
 	while (count--) {
-		struct admission_ticket *t = admission_peek(r->admission);
+		struct admission_ticket *t = admission_peek(r->admission,
+							    r->now_ms);
 
 		script_print(s, "next: %s", t ? (char *)t->ctx : "nobody");
 		if (t)
