control: the placer in four files

placer.c had grown to 1,146 lines with four jobs: deciding, what the planner knows, how a pool is shared out, and ordering VMs.

--- /dev/null
+++ b/control/placer_model.c
@@ -0,0 +1,169 @@
+/* What the planner knows: services, VMs, replicas, as the log and views say. */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "control/placer_internal.h"
+/* While the whole system starts, this many times as many loads at once. */
+#define FIRST_LOADS_X 2
+
+/* A load ahead ends with the VM's word that it has loaded, or in time. */
+static void follow_preload(struct placer *placer, const struct vm_report *r)
+{
+	struct vm_orders *o = g_hash_table_lookup(placer->orders, r->name);
+
+	if (!o || !o->preload_until_ms)
+		return;
+	if (r->replica || o->preload_until_ms < placer_now_ms(placer) ||
+	    placer_has_weights(r, o->preload_model, o->preload_version))
+		o->preload_until_ms = 0;
+	placement_set_preloading(placer->placement, r->name,
+				 o->preload_until_ms != 0);
+}
+
+static void put_vm(void *ctx, const struct view_vm *seen)
+{
+	struct placer *placer = ctx;
+	const struct vm_report *r = &seen->report;
+	const struct vm_state *held = state_vm(placer_state(placer), r->name);
+	struct placement_vm vm = {
+		.name = r->name,
+		.domain = r->domain,
+		.data_centre = r->data_centre,
+		.pool = r->pool,
+		.model = r->model,
+		.adapter = r->adapter,
+		.version = r->model_version,
+		.accelerators = r->accelerators,
+		.alive = view_alive(placer->control->view, seen,
+				    placer_now_ms(placer)),
+		.leaving = r->leaving,
+		.lost_ms = seen->lost_ms,
+	};
+
+	if (*r->service)
+		return; /* a plain service's endpoint, not ours to place */
+	placement_put_vm(placer->placement, placer_now_ms(placer), &vm);
+	placement_hold(placer->placement, r->name, held ? held->replica : 0,
+		       held && held->releasing);
+	follow_preload(placer, r);
+}
+
+static void put_held(void *ctx, const struct vm_state *held)
+{
+	struct placer *placer = ctx;
+
+	placement_hold(placer->placement, held->name, held->replica,
+		       held->releasing);
+}
+
+static void put_service(void *ctx, const struct service_state *service)
+{
+	struct placer *placer = ctx;
+	const struct preset_spec *preset = service_preset(service);
+	const struct service_spec *spec = &service->spec;
+	struct placement_service s = {
+		.name = service->name,
+		.model = spec->model,
+		.adapter = spec->adapter,
+		.version = preset->model_version,
+		.pool = spec->pool,
+		.replicas = preset->replicas,
+		.vms_per_replica = spec->vms_per_replica,
+		.accelerators_per_vm = spec->accelerators_per_vm,
+		.cross_domain = spec->cross_domain != 0,
+		.downtime_weight = spec->downtime_weight,
+		.stranded_weight = spec->stranded_weight,
+	};
+
+	if (spec->plain)
+		return;
+	if (spec->share_permille) {
+		s.replicas = placer_share(placer, service);
+		s.keep_whole = true;
+	}
+	placement_put_service(placer->placement, &s);
+	g_hash_table_add(placer->services, g_strdup(service->name));
+}
+
+static uint32_t load_of(const struct view *view, const char *vm)
+{
+	const struct view_vm *seen = view_find(view, vm);
+
+	return seen ? seen->report.load.running + seen->report.load.waiting : 0;
+}
+
+static void put_replica(void *ctx, const struct replica_state *replica)
+{
+	struct placer *placer = ctx;
+	const struct assign_replica *a = &replica->assign;
+	gpointer number = GUINT_TO_POINTER(a->replica);
+	gpointer epoch = GSIZE_TO_POINTER(a->epoch + 1);
+	const struct view *view = placer->control->view;
+	const char *vms[PLACEMENT_VMS_MAX], *culprit;
+	int64_t fresh_until_ms;
+	bool is_whole;
+
+	if (g_hash_table_lookup(placer->known, number) != epoch) {
+		for (u_int i = 0; i < a->vms.vms_len; i++)
+			vms[i] = a->vms.vms_val[i].name;
+		placement_put_replica(placer->placement, placer_now_ms(placer),
+				      a->replica, a->epoch, a->service,
+				      a->model_version, vms, a->vms.vms_len);
+		g_hash_table_insert(placer->known, number, epoch);
+	}
+	is_whole = view_judge(view, a, placer_now_ms(placer), &culprit,
+			      &fresh_until_ms) == REPLICA_WHOLE;
+	placement_set_whole(placer->placement, a->replica, is_whole);
+	if (is_whole)
+		g_hash_table_insert(placer->whole, number,
+				    GSIZE_TO_POINTER(a->epoch));
+	placement_set_busy(placer->placement, a->replica,
+			   load_of(view, a->vms.vms_val[0].name) > 0);
+}
+
+static gboolean forget_replica(gpointer key, gpointer value, gpointer data)
+{
+	struct placer *placer = data;
+	const struct replica_state *r = state_replica(placer_state(placer),
+						      GPOINTER_TO_UINT(key));
+
+	(void)value;
+	if (r && !r->released)
+		return FALSE;
+	placement_remove_replica(placer->placement, GPOINTER_TO_UINT(key));
+	return TRUE;
+}
+
+static gboolean forget_service(gpointer key, gpointer value, gpointer data)
+{
+	struct placer *placer = data;
+
+	(void)value;
+	if (state_service(placer_state(placer), key))
+		return FALSE;
+	placement_remove_service(placer->placement, key);
+	return TRUE;
+}
+
+void placer_update_model(struct placer *placer)
+{
+	const struct state *state = placer_state(placer);
+	const struct deployment *d = state_deployment(state);
+
+	if (d && d->loads_at_once)
+		placement_set_loads_max(placer->placement,
+					d->loads_at_once *
+						(placer_first_start(placer)
+							 ? FIRST_LOADS_X
+							 : 1));
+
+	state_each_service(state, put_service, placer);
+	g_hash_table_foreach_remove(placer->services, forget_service, placer);
+	view_each(placer->control->view, put_vm, placer);
+	state_each_vm(state, put_held, placer);
+	g_hash_table_foreach_remove(placer->known, forget_replica, placer);
+	state_each_replica(state, put_replica, placer);
+}
+
--- /dev/null
+++ b/control/placer_share.c
@@ -0,0 +1,137 @@
+/* How many replicas each model of a pool is to have. */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "control/placer_internal.h"
+
+/* Of a pool's VMs: kept free so that a lost VM is replaced at once. */
+#define SPARE_PERMILLE 250
+
+struct pool {
+	struct placer *placer;
+	const char *name;
+	GArray *parts;	     /* of struct division_part */
+	GPtrArray *services; /* of const struct service_state, in that order */
+	GHashTable *domains; /* name -> count of usable VMs */
+};
+
+static void add_part(void *ctx, const struct service_state *service)
+{
+	struct pool *pool = ctx;
+	struct division_part part = {
+		.share_permille = service->spec.share_permille,
+		.vms_per_replica = service->spec.vms_per_replica,
+	};
+
+	if (!part.share_permille || strcmp(service->spec.pool, pool->name) != 0)
+		return;
+	g_array_append_val(pool->parts, part);
+	g_ptr_array_add(pool->services, (gpointer)service);
+}
+
+static void add_domain(void *ctx, const struct view_vm *vm)
+{
+	struct pool *pool = ctx;
+	guint count;
+
+	if (strcmp(vm->report.pool, pool->name) != 0 || vm->report.leaving ||
+	    !view_alive(pool->placer->control->view, vm, placer_now_ms(pool->placer)))
+		return;
+	count = GPOINTER_TO_UINT(
+		g_hash_table_lookup(pool->domains, vm->report.domain));
+	g_hash_table_insert(pool->domains, vm->report.domain,
+			    GUINT_TO_POINTER(count + 1));
+}
+
+static GArray *domain_sizes(const struct pool *pool)
+{
+	GArray *vms = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, pool->domains);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		uint32_t count = GPOINTER_TO_UINT(value);
+
+		g_array_append_val(vms, count);
+	}
+	return vms;
+}
+
+static uint32_t divide(struct pool *pool, const GArray *vms,
+		       const struct service_state *service,
+		       uint32_t spare_permille)
+{
+	placement_divide((struct division_part *)pool->parts->data,
+			 pool->parts->len, (const uint32_t *)vms->data,
+			 vms->len, spare_permille);
+	for (guint i = 0; i < pool->services->len; i++)
+		if (pool->services->pdata[i] == service)
+			return g_array_index(pool->parts, struct division_part,
+					     i)
+				.replicas;
+	return 0;
+}
+
+struct replica_count {
+	const char *service;
+	uint32_t count;
+};
+
+static void count_replica(void *ctx, const struct replica_state *replica)
+{
+	struct replica_count *c = ctx;
+
+	c->count += !strcmp(replica->assign.service, c->service);
+}
+
+static uint32_t count_replicas(const struct placer *placer, const char *service)
+{
+	struct replica_count c = { service, 0 };
+
+	state_each_replica(placer_state(placer), count_replica, &c);
+	return c.count;
+}
+
+/*
+ * The replicas wanted of a service that has a share of its pool. Spares are
+ * there to be used: as VMs get lost the number stays until it no longer fits
+ * at all, and it grows only where spares are left.
+ */
+uint32_t placer_share(struct placer *placer,
+			      const struct service_state *service)
+{
+	struct pool pool = {
+		.placer = placer,
+		.name = service->spec.pool,
+		.parts = g_array_new(FALSE, TRUE, sizeof(struct division_part)),
+		.services = g_ptr_array_new(),
+		.domains = g_hash_table_new(g_str_hash, g_str_equal),
+	};
+	gpointer known;
+	uint32_t wanted;
+	GArray *vms;
+
+	/* A new leader goes on with what there is. */
+	if (g_hash_table_lookup_extended(placer->wanted, service->name, NULL,
+					 &known))
+		wanted = GPOINTER_TO_UINT(known);
+	else
+		wanted = count_replicas(placer, service->name);
+
+	state_each_service(placer_state(placer), add_part, &pool);
+	view_each(placer->control->view, add_domain, &pool);
+	vms = domain_sizes(&pool);
+	wanted = MAX(wanted, divide(&pool, vms, service, SPARE_PERMILLE));
+	wanted = MIN(wanted, divide(&pool, vms, service, 0));
+	g_hash_table_replace(placer->wanted, g_strdup(service->name),
+			     GUINT_TO_POINTER(wanted));
+	g_array_unref(vms);
+	g_array_unref(pool.parts);
+	g_ptr_array_unref(pool.services);
+	g_hash_table_unref(pool.domains);
+	return wanted;
+}
+
--- /dev/null
+++ b/control/reconcile.c
@@ -0,0 +1,430 @@
+/* Bringing the VMs to what the log says, by orders. */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "control/placer_internal.h"
+#include "wire/codec.h"
+
+#define ORDER_BACKOFF_MS 200
+#define ORDER_BACKOFF_MAX_MS 5000
+/* On top of the time after which a head without a member gives up. */
+#define STALL_MARGIN_MS 500
+
+static const struct log placer_log = { "placer" };
+
+/* ---- orders ---- */
+
+static bool order_may_send(void *ctx)
+{
+	struct vm_orders *o = ctx;
+	struct control *control = o->placer->control;
+
+	/* The clock is read again here: this process may have been paused. */
+	if (o->placer->active_from_ms && group_leads(control->group)) {
+		counters_add(control->opts.counters, COUNTER_ORDERS, 1);
+		return true;
+	}
+	counters_add(control->opts.counters, COUNTER_ORDERS_LATE, 1);
+	log_warn(&placer_log, "order to %s withheld: the lease has run out",
+		 o->name);
+	return false;
+}
+
+static void note_accepted(struct vm_orders *o, int64_t now)
+{
+	o->backoff_ms = 0;
+	/* Time for the VM's announcement to say so. */
+	o->next_ms = now + ORDER_BOUND_MS;
+	if (o->kind == ORDER_WARM)
+		o->next_ms = now;
+	if (o->kind == ORDER_FORM)
+		o->formed_epoch = MAX(o->formed_epoch, o->epoch);
+	if (o->kind != ORDER_RELEASE)
+		return;
+	if (o->released_epoch < o->epoch)
+		o->released_ms = now;
+	o->released_epoch = MAX(o->released_epoch, o->epoch);
+}
+
+static void order_done(void *ctx, enum order_result result)
+{
+	static const char *const names[] = { "accepted", "stale", "refused",
+					     "withheld", "lost" };
+	struct vm_orders *o = ctx;
+	int64_t now = placer_now_ms(o->placer);
+
+	o->in_flight = false;
+	log_info(&placer_log, "order %s to %s epoch %" PRIu64 ": %s",
+		 order_kind_name(o->kind), o->name, o->epoch, names[result]);
+	if (result == ORDER_STALE)
+		counters_add(o->placer->control->opts.counters,
+			     COUNTER_ORDERS_REFUSED, 1);
+	if (result == ORDER_ACCEPTED) {
+		note_accepted(o, now);
+		return;
+	}
+	o->backoff_ms = CLAMP(o->backoff_ms * 2, ORDER_BACKOFF_MS,
+			      ORDER_BACKOFF_MAX_MS);
+	/* One that was lost may still be under way. */
+	o->next_ms = now +
+		     (result == ORDER_LOST ? ORDER_BOUND_MS : o->backoff_ms);
+}
+
+void placer_send_order(struct placer *placer, const struct view_vm *to,
+		       struct order_intent *intent)
+{
+	struct vm_orders *o = placer_orders(placer, to->report.name);
+	struct order order = {
+		.format = placer_order_format(placer),
+		.address = to->report.address,
+		.intent = intent,
+		.timeout_ms = (int)placer->control->opts.settings->limits
+				      .order_timeout_ms,
+		.may_send = order_may_send,
+		.done = order_done,
+		.ctx = o,
+	};
+
+	o->in_flight = true;
+	o->kind = intent->kind;
+	o->epoch = intent->epoch;
+	intent->vm = to->report.name;
+	intent->term = raft_term(group_raft(placer->control->group));
+	order_send(placer->control->base, &order);
+}
+
+bool placer_order_is_due(struct placer *placer, const struct vm_orders *o)
+{
+	return !o->in_flight && placer_now_ms(placer) >= o->next_ms;
+}
+
+/* ---- bringing VMs to what the log says ---- */
+
+const struct view_vm *placer_find_alive(const struct placer *placer,
+					const char *name)
+{
+	const struct view *view = placer->control->view;
+	const struct view_vm *seen = view_find(view, name);
+
+	return seen && view_alive(view, seen, placer_now_ms(placer)) ? seen : NULL;
+}
+
+static bool holds(const struct view_vm *seen, const struct assign_replica *a)
+{
+	return seen->report.replica == a->replica &&
+	       seen->report.epoch == a->epoch;
+}
+
+/** Looks for the VM that serves a replica under some epoch. */
+struct head_search {
+	uint32_t replica;
+	uint64_t least_epoch, most_epoch;
+	const struct view_vm *head;
+};
+
+static void search_head(void *ctx, const struct view_vm *seen)
+{
+	struct head_search *search = ctx;
+	const struct vm_report *r = &seen->report;
+
+	if (r->serving && r->replica == search->replica &&
+	    r->epoch >= search->least_epoch && r->epoch <= search->most_epoch)
+		search->head = seen;
+}
+
+/* Who served it, by its last word, alive or not; NULL if nobody did. */
+static const struct view_vm *find_head(const struct placer *placer,
+				       uint32_t replica, uint64_t least_epoch,
+				       uint64_t most_epoch)
+{
+	struct head_search search = { replica, least_epoch, most_epoch, NULL };
+
+	view_each(placer->control->view, search_head, &search);
+	return search.head;
+}
+
+static void order_form(struct placer *placer, const struct assign_replica *a,
+		       u_int rank, const struct view_vm *seen)
+{
+	const struct service_state *service = state_service(placer_state(placer),
+							    a->service);
+	struct order_intent intent = {
+		.kind = ORDER_FORM,
+		.replica = a->replica,
+		.epoch = a->epoch,
+		.rank = rank,
+		.service = a->service,
+		.model = service ? service->spec.model : "",
+		.adapter = service ? service->spec.adapter : "",
+		.version = a->model_version,
+		.slots = service ? service->spec.slots_per_replica : 1,
+		.vms = a->vms.vms_val,
+		.vm_count = a->vms.vms_len,
+	};
+
+	if (!placer_has_weights(&seen->report, intent.model, intent.version) &&
+	    !placer_take_load(placer))
+		return;
+	placer_send_order(placer, seen, &intent);
+}
+
+static void reconcile_member(struct placer *placer,
+			     const struct assign_replica *a, u_int rank,
+			     const struct view_vm *old_head)
+{
+	const char *name = a->vms.vms_val[rank].name;
+	const struct view_vm *seen = placer_find_alive(placer, name);
+	struct vm_orders *o = placer_orders(placer, name);
+
+	o->releasing_since_ms = 0;
+	if (!seen || holds(seen, a) || !placer_order_is_due(placer, o))
+		return;
+	/*
+	 * A head that serves under an older epoch goes first: it must know
+	 * that its members are no longer with it.
+	 */
+	if (old_head && old_head != seen &&
+	    placer_orders(placer, old_head->report.name)->formed_epoch < a->epoch)
+		return;
+	order_form(placer, a, rank, seen);
+}
+
+static void open_head(struct placer *placer, const struct assign_replica *a)
+{
+	struct order_intent intent = {
+		.kind = ORDER_OPEN,
+		.replica = a->replica,
+		.epoch = a->epoch,
+		.service = a->service,
+	};
+	const struct view_vm *head = NULL;
+
+	for (u_int i = 0; i < a->vms.vms_len; i++) {
+		const struct view_vm *seen = placer_find_alive(placer,
+							a->vms.vms_val[i].name);
+
+		if (!seen || !holds(seen, a) || !seen->report.ready)
+			return;
+		if (!i)
+			head = seen;
+	}
+	if (!head || head->report.serving)
+		return;
+	/* What was accepted before was the order to take part. */
+	if (!placer_order_is_due(placer, placer_orders(placer, head->report.name)) &&
+	    (placer_orders(placer, head->report.name)->in_flight ||
+	     placer_orders(placer, head->report.name)->kind != ORDER_FORM))
+		return;
+	placer_send_order(placer, head, &intent);
+}
+
+/* A replica that was whole and of which a VM let go can't become so again. */
+static bool needs_new_epoch(const struct placer *placer,
+			    const struct assign_replica *a)
+{
+	gpointer number = GUINT_TO_POINTER(a->replica);
+	bool was_whole = g_hash_table_lookup(placer->whole, number) ==
+			 GSIZE_TO_POINTER(a->epoch);
+	bool let_go = false;
+
+	for (u_int i = 0; i < a->vms.vms_len; i++) {
+		const struct view_vm *seen = placer_find_alive(placer,
+							a->vms.vms_val[i].name);
+
+		if (!seen || seen->report.leaving)
+			return false; /* the planner repairs it */
+		if (holds(seen, a) && seen->report.broken)
+			return true;
+		let_go |= !holds(seen, a);
+	}
+	return was_whole && let_go;
+}
+
+static void renew_epoch(struct placer *placer, const struct assign_replica *a)
+{
+	struct command command = { .body.kind = CMD_ASSIGN_REPLICA };
+	struct assign_replica *renewed = &command.body.command_body_u.assign;
+
+	if (placer->proposals)
+		return;
+	log_note(&placer_log,
+		 "replica %u of %s: a VM let go of epoch %" PRIu64 ", formed "
+		 "anew",
+		 a->replica, a->service, a->epoch);
+	*renewed = *a;
+	renewed->epoch = state_last_epoch(placer_state(placer)) + 1;
+	placer_propose(placer, &command);
+}
+
+void placer_reconcile_replica(void *ctx, const struct replica_state *replica)
+{
+	struct placer *placer = ctx;
+	const struct assign_replica *a = &replica->assign;
+	const struct view_vm *old_head;
+
+	if (needs_new_epoch(placer, a)) {
+		renew_epoch(placer, a);
+		return;
+	}
+	old_head = find_head(placer, a->replica, 0, a->epoch - 1);
+	if (old_head && !placer_find_alive(placer, old_head->report.name))
+		old_head = NULL;
+	for (u_int i = 0; i < a->vms.vms_len; i++)
+		reconcile_member(placer, a, i, old_head);
+	if (placer_order_format(placer)->opens)
+		open_head(placer, a);
+}
+
+static void propose_free(struct placer *placer, const struct vm_state *held)
+{
+	struct command command = { .body.kind = CMD_FREE_VM };
+	struct free_vm *change = &command.body.command_body_u.freed;
+
+	change->vm = held->name;
+	change->replica = held->replica;
+	change->epoch = held->epoch;
+	placer_propose(placer, &command);
+}
+
+static bool drained(struct placer *placer, struct vm_orders *o,
+		    const struct view_vm *seen)
+{
+	const struct limit_settings *limits =
+		&placer->control->opts.settings->limits;
+
+	if (!o->releasing_since_ms)
+		o->releasing_since_ms = placer_now_ms(placer);
+	/* Entries stop within a digest; the load report must be later. */
+	if (placer_now_ms(placer) - o->releasing_since_ms <
+	    limits->announce_ms + 2 * limits->digest_ms)
+		return false;
+	if (!(seen->report.load.running + seen->report.load.waiting))
+		return true;
+	return placer_now_ms(placer) - o->releasing_since_ms >= limits->drain_ms;
+}
+
+/*
+ * Whether the head of the replica that a VM let go of can serve no more: it
+ * said so itself, or it is not heard of and has stood still for too long.
+ */
+static bool head_is_done(struct placer *placer, const struct vm_state *held,
+			 const struct vm_orders *o)
+{
+	const struct view_vm *head = find_head(placer, held->replica,
+					       held->epoch, held->epoch);
+
+	if (!head || !strcmp(head->report.name, held->name))
+		return true;
+	if (placer_find_alive(placer, head->report.name))
+		return placer_orders(placer, head->report.name)->released_epoch >=
+		       held->epoch;
+	return placer_now_ms(placer) - o->released_ms >=
+	       placer->control->opts.settings->limits.head_stall_ms +
+		       STALL_MARGIN_MS;
+}
+
+/* The head goes first, so that it takes nothing that cannot run. */
+static bool waits_for_head(struct placer *placer, const struct vm_state *held)
+{
+	const struct view_vm *head = find_head(placer, held->replica,
+					       held->epoch, held->epoch);
+
+	return head && strcmp(head->report.name, held->name) != 0 &&
+	       placer_find_alive(placer, head->report.name) &&
+	       placer_orders(placer, head->report.name)->released_epoch <
+		       held->epoch &&
+	       placer_orders(placer, head->report.name)->formed_epoch <=
+		       held->epoch;
+}
+
+void placer_reconcile_releasing(void *ctx, const struct vm_state *held)
+{
+	struct placer *placer = ctx;
+	const struct view_vm *seen = placer_find_alive(placer, held->name);
+	struct order_intent intent = {
+		.kind = ORDER_RELEASE,
+		.replica = held->replica,
+		.epoch = held->epoch,
+	};
+	struct vm_orders *o;
+
+	if (!held->releasing || !seen)
+		return;
+	o = placer_orders(placer, held->name);
+	if (o->in_flight)
+		return;
+	if (o->released_epoch >= held->epoch) {
+		if (head_is_done(placer, held, o))
+			propose_free(placer, held);
+		return;
+	}
+	if (placer_now_ms(placer) < o->next_ms || waits_for_head(placer, held) ||
+	    !drained(placer, o, seen))
+		return;
+	placer_send_order(placer, seen, &intent);
+}
+
+/* A VM that nobody holds but that says it serves: left by an older order. */
+void placer_reconcile_stray(void *ctx, const struct view_vm *seen)
+{
+	struct placer *placer = ctx;
+	const struct vm_report *r = &seen->report;
+	struct order_intent intent = {
+		.kind = ORDER_RELEASE,
+		.replica = r->replica,
+		.epoch = r->epoch,
+	};
+
+	if (*r->service || !r->replica || state_vm(placer_state(placer), r->name) ||
+	    !placer_find_alive(placer, r->name))
+		return;
+	if (placer_order_is_due(placer, placer_orders(placer, r->name)))
+		placer_send_order(placer, seen, &intent);
+}
+
+struct spare {
+	struct placer *placer;
+	const struct view_vm *vm;
+};
+
+static void warm_for(void *ctx, const struct service_state *service)
+{
+	struct spare *spare = ctx;
+	const struct vm_report *r = &spare->vm->report;
+	const struct service_spec *spec = &service->spec;
+	struct vm_orders *o = placer_orders(spare->placer, r->name);
+	struct order_intent intent = {
+		.kind = ORDER_WARM,
+		.epoch = state_last_epoch(placer_state(spare->placer)),
+		.service = service->name,
+		.model = spec->model,
+		.adapter = spec->adapter,
+	};
+
+	if (spec->plain || strcmp(spec->pool, r->pool) != 0 ||
+	    strcmp(spec->model, r->model) != 0 ||
+	    (o->warm_incarnation == r->incarnation &&
+	     !strcmp(o->warm_model, r->model)) ||
+	    !placer_order_is_due(spare->placer, o))
+		return;
+	o->warm_incarnation = r->incarnation;
+	g_strlcpy(o->warm_model, r->model, sizeof(o->warm_model));
+	placer_send_order(spare->placer, spare->vm, &intent);
+}
+
+/* Spares have their weights ready in memory, so that they join at once. */
+void placer_reconcile_spare(void *ctx, const struct view_vm *seen)
+{
+	struct placer *placer = ctx;
+	const struct vm_report *r = &seen->report;
+	struct spare spare = { placer, seen };
+
+	if (*r->service || !*r->model || r->replica || r->leaving ||
+	    state_vm(placer_state(placer), r->name) || !placer_find_alive(placer, r->name))
+		return;
+	if (!placer_orders(placer, r->name)->preload_until_ms)
+		state_each_service(placer_state(placer), warm_for, &spare);
+}
+
