test: the platform's parts without sockets, by scripts; hosts compare without case

Cause: the adapter had no test of its own. The first run of the script 'invalid' found that two routes with one host in two spellings were taken, while requests match hosts without regard to case.

Change: test_platform runs scripts over documents, announcements, orders, routes, events and the allowance for repeats; the check compares hosts as the lookup does.

--- a/control/placer_model.c
+++ b/control/placer_model.c
@@ -166,4 +166,3 @@
 	g_hash_table_foreach_remove(placer->known, forget_replica, placer);
 	state_each_replica(state, put_replica, placer);
 }
-
--- a/control/placer_share.c
+++ b/control/placer_share.c
@@ -37,7 +37,8 @@
 	guint count;
 
 	if (strcmp(vm->report.pool, pool->name) != 0 || vm->report.leaving ||
-	    !view_alive(pool->placer->control->view, vm, placer_now_ms(pool->placer)))
+	    !view_alive(pool->placer->control->view, vm,
+			placer_now_ms(pool->placer)))
 		return;
 	count = GPOINTER_TO_UINT(
 		g_hash_table_lookup(pool->domains, vm->report.domain));
@@ -101,7 +102,7 @@
  * at all, and it grows only where spares are left.
  */
 uint32_t placer_share(struct placer *placer,
-			      const struct service_state *service)
+		      const struct service_state *service)
 {
 	struct pool pool = {
 		.placer = placer,
@@ -134,4 +135,3 @@
 	g_hash_table_unref(pool.domains);
 	return wanted;
 }
-
--- a/control/reconcile.c
+++ b/control/reconcile.c
@@ -108,7 +108,8 @@
 	const struct view *view = placer->control->view;
 	const struct view_vm *seen = view_find(view, name);
 
-	return seen && view_alive(view, seen, placer_now_ms(placer)) ? seen : NULL;
+	return seen && view_alive(view, seen, placer_now_ms(placer)) ? seen
+								     : NULL;
 }
 
 static bool holds(const struct view_vm *seen, const struct assign_replica *a)
@@ -148,8 +149,8 @@
 static void order_form(struct placer *placer, const struct assign_replica *a,
 		       u_int rank, const struct view_vm *seen)
 {
-	const struct service_state *service = state_service(placer_state(placer),
-							    a->service);
+	const struct service_state *service =
+		state_service(placer_state(placer), a->service);
 	struct order_intent intent = {
 		.kind = ORDER_FORM,
 		.replica = a->replica,
@@ -186,7 +187,8 @@
 	 * that its members are no longer with it.
 	 */
 	if (old_head && old_head != seen &&
-	    placer_orders(placer, old_head->report.name)->formed_epoch < a->epoch)
+	    placer_orders(placer, old_head->report.name)->formed_epoch <
+		    a->epoch)
 		return;
 	order_form(placer, a, rank, seen);
 }
@@ -202,8 +204,8 @@
 	const struct view_vm *head = NULL;
 
 	for (u_int i = 0; i < a->vms.vms_len; i++) {
-		const struct view_vm *seen = placer_find_alive(placer,
-							a->vms.vms_val[i].name);
+		const struct view_vm *seen =
+			placer_find_alive(placer, a->vms.vms_val[i].name);
 
 		if (!seen || !holds(seen, a) || !seen->report.ready)
 			return;
@@ -213,7 +215,8 @@
 	if (!head || head->report.serving)
 		return;
 	/* What was accepted before was the order to take part. */
-	if (!placer_order_is_due(placer, placer_orders(placer, head->report.name)) &&
+	if (!placer_order_is_due(placer,
+				 placer_orders(placer, head->report.name)) &&
 	    (placer_orders(placer, head->report.name)->in_flight ||
 	     placer_orders(placer, head->report.name)->kind != ORDER_FORM))
 		return;
@@ -230,8 +233,8 @@
 	bool let_go = false;
 
 	for (u_int i = 0; i < a->vms.vms_len; i++) {
-		const struct view_vm *seen = placer_find_alive(placer,
-							a->vms.vms_val[i].name);
+		const struct view_vm *seen =
+			placer_find_alive(placer, a->vms.vms_val[i].name);
 
 		if (!seen || seen->report.leaving)
 			return false; /* the planner repairs it */
@@ -302,7 +305,8 @@
 		return false;
 	if (!(seen->report.load.running + seen->report.load.waiting))
 		return true;
-	return placer_now_ms(placer) - o->releasing_since_ms >= limits->drain_ms;
+	return placer_now_ms(placer) - o->releasing_since_ms >=
+	       limits->drain_ms;
 }
 
 /*
@@ -318,8 +322,8 @@
 	if (!head || !strcmp(head->report.name, held->name))
 		return true;
 	if (placer_find_alive(placer, head->report.name))
-		return placer_orders(placer, head->report.name)->released_epoch >=
-		       held->epoch;
+		return placer_orders(placer, head->report.name)
+			       ->released_epoch >= held->epoch;
 	return placer_now_ms(placer) - o->released_ms >=
 	       placer->control->opts.settings->limits.head_stall_ms +
 		       STALL_MARGIN_MS;
@@ -360,8 +364,8 @@
 			propose_free(placer, held);
 		return;
 	}
-	if (placer_now_ms(placer) < o->next_ms || waits_for_head(placer, held) ||
-	    !drained(placer, o, seen))
+	if (placer_now_ms(placer) < o->next_ms ||
+	    waits_for_head(placer, held) || !drained(placer, o, seen))
 		return;
 	placer_send_order(placer, seen, &intent);
 }
@@ -377,7 +381,8 @@
 		.epoch = r->epoch,
 	};
 
-	if (*r->service || !r->replica || state_vm(placer_state(placer), r->name) ||
+	if (*r->service || !r->replica ||
+	    state_vm(placer_state(placer), r->name) ||
 	    !placer_find_alive(placer, r->name))
 		return;
 	if (placer_order_is_due(placer, placer_orders(placer, r->name)))
@@ -422,9 +427,9 @@
 	struct spare spare = { placer, seen };
 
 	if (*r->service || !*r->model || r->replica || r->leaving ||
-	    state_vm(placer_state(placer), r->name) || !placer_find_alive(placer, r->name))
+	    state_vm(placer_state(placer), r->name) ||
+	    !placer_find_alive(placer, r->name))
 		return;
 	if (!placer_orders(placer, r->name)->preload_until_ms)
 		state_each_service(placer_state(placer), warm_for, &spare);
 }
-
--- a/state/deployment.c
+++ b/state/deployment.c
@@ -146,6 +146,16 @@
 			 route->name, route->path_prefix);
 }
 
+/* Hosts are compared without regard to case. */
+static char *place_of(const struct route_spec *route)
+{
+	char *host = g_ascii_strdown(route->host, -1);
+	char *place = g_strconcat(host, "\n", route->path_prefix, NULL);
+
+	g_free(host);
+	return place;
+}
+
 static void check_routes(const struct deployment *deployment, GString *out)
 {
 	GHashTable *targets = targets_of(deployment);
@@ -159,9 +169,7 @@
 		check_split(r, targets, out);
 		if (!r->timeout_ms)
 			complain(out, "route %s: its timeout is 0", r->name);
-		if (!g_hash_table_add(places,
-				      g_strconcat(r->host, "\n", r->path_prefix,
-						  NULL)))
+		if (!g_hash_table_add(places, place_of(r)))
 			complain(out,
 				 "route %s: another has host %s and "
 				 "prefix %s",
--- a/test/script.c
+++ b/test/script.c
@@ -1,4 +1,5 @@
 #include <setjmp.h>
+#include <dirent.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
@@ -133,3 +134,26 @@
 	g_free(expected_path);
 	assert_true(same);
 }
+
+void script_folder(const char *folder, const struct script_command *commands,
+		   void (*run)(const char *path,
+			       const struct script_command *commands))
+{
+	DIR *dir = opendir(folder);
+	struct dirent *entry;
+	int count = 0;
+
+	assert_non_null(dir);
+	while ((entry = readdir(dir))) {
+		char *path;
+
+		if (!g_str_has_suffix(entry->d_name, ".script"))
+			continue;
+		path = g_build_filename(folder, entry->d_name, NULL);
+		run(path, commands);
+		g_free(path);
+		count++;
+	}
+	closedir(dir);
+	assert_true(count > 0);
+}
--- a/test/script.h
+++ b/test/script.h
@@ -37,6 +37,14 @@
 void script_check(const char *path, const struct script_command *commands,
 		  void *ctx);
 
+/**
+ * Has run() check each script of a folder; fails the current cmocka test if
+ * there is none.
+ */
+void script_folder(const char *folder, const struct script_command *commands,
+		   void (*run)(const char *path,
+			       const struct script_command *commands));
+
 /** Appends a line to the output. */
 void script_print(struct script *script, const char *fmt, ...)
 	G_GNUC_PRINTF(2, 3);
--- a/test/test_cores.c
+++ b/test/test_cores.c
@@ -1,5 +1,4 @@
 /* Scripts over the decision cores, in given time. */
-#include <dirent.h>
 #include <errno.h>
 #include <setjmp.h>
 #include <stdarg.h>
@@ -376,32 +375,6 @@
 	{ 0 }
 };
 
-/* ---- running all scripts of a folder ---- */
-
-static void run_folder(const char *folder,
-		       const struct script_command *commands,
-		       void (*run)(const char *path,
-				   const struct script_command *commands))
-{
-	DIR *dir = opendir(folder);
-	struct dirent *entry;
-	int count = 0;
-
-	assert_non_null(dir);
-	while ((entry = readdir(dir))) {
-		char *path;
-
-		if (!g_str_has_suffix(entry->d_name, ".script"))
-			continue;
-		path = g_build_filename(folder, entry->d_name, NULL);
-		run(path, commands);
-		g_free(path);
-		count++;
-	}
-	closedir(dir);
-	assert_true(count > 0);
-}
-
 static void run_planning(const char *path,
 			 const struct script_command *commands)
 {
@@ -432,19 +405,19 @@
 static void test_placement(void **state)
 {
 	(void)state;
-	run_folder("test/cases/placement", place_commands, run_planning);
+	script_folder("test/cases/placement", place_commands, run_planning);
 }
 
 static void test_routing(void **state)
 {
 	(void)state;
-	run_folder("test/cases/routing", route_commands, run_routing);
+	script_folder("test/cases/routing", route_commands, run_routing);
 }
 
 static void test_settings(void **state)
 {
 	(void)state;
-	run_folder("test/cases/settings", settings_commands, run_plain);
+	script_folder("test/cases/settings", settings_commands, run_plain);
 }
 
 /* ---- storage against a disk that fails ---- */
--- /dev/null
+++ b/test/test_platform.c
@@ -0,0 +1,384 @@
+/*
+ * The users' platform without sockets: documents, announcements, orders,
+ * routes, events and the allowance for repeats, by scripts.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include <radishdeal/evidence.h>
+#include <radishdeal/repeats.h>
+#include <radishdeal/state.h>
+
+#include "entry/entry_internal.h"
+#include "platform/config.h"
+#include "platform/engine.h"
+#include "platform/events.h"
+#include "test/script.h"
+#include "wire/codec.h"
+
+/** What a script works on. */
+struct world {
+	struct state *state;
+	struct routes *routes;
+	struct event_reader events;
+	struct evbuffer *in, *out;
+	struct repeats repeats;
+	struct home *home;
+	struct view *view;
+	int64_t now_ms;
+	uint64_t index;
+};
+
+/* The rest of a line from a word on, as it was written. */
+static char *rest_of(const struct script *s, int from)
+{
+	return g_strjoinv(" ", (char **)s->words + from);
+}
+
+static char *case_file(const struct script *s, const char *name)
+{
+	char *folder = g_path_get_dirname(s->path);
+	char *path = g_build_filename(folder, name, NULL);
+
+	g_free(folder);
+	return path;
+}
+
+/* ---- documents ---- */
+
+static void apply(struct world *w, const struct deployment *deployment)
+{
+	struct command command = {
+		.change_id = (char *)"",
+		.operator_name = (char *)"",
+		.body.kind = CMD_DEPLOY,
+	};
+	struct apply_result result = { 0 };
+
+	command.body.command_body_u.deploy = *deployment;
+	state_apply(w->state, ++w->index, &command, &result);
+	state_result_clear(&result);
+	routes_destroy(w->routes);
+	w->routes = routes_create(state_deployment(w->state));
+}
+
+static void print_services(struct script *s, const struct deployment *d)
+{
+	for (u_int i = 0; i < d->services.services_len; i++) {
+		const struct service_spec *spec = &d->services.services_val[i];
+
+		script_print(s,
+			     "  service %s pool=%s model=%s vms=%u slots=%u "
+			     "share=%u plain=%u step_us=%u",
+			     spec->name, spec->pool, spec->model,
+			     spec->vms_per_replica, spec->slots_per_replica,
+			     spec->share_permille, spec->plain,
+			     spec->engine.step_us);
+	}
+}
+
+/* deploy FILE [version=]: the file's VERSION is replaced by the number. */
+static void deploy(struct script *s)
+{
+	struct world *w = s->ctx;
+	char *path = case_file(s, s->words[1]);
+	char *raw = NULL, *why = NULL;
+	struct deployment d = { 0 };
+	enum rd_result code;
+	char **parts;
+	char *text;
+
+	if (!g_file_get_contents(path, &raw, NULL, NULL))
+		script_fail(s, "%s: cannot be read", path);
+	parts = g_strsplit(raw, "VERSION", 2);
+	text = g_strjoinv(script_value(s, "version", "1"), parts);
+	code = config_decode(text, strlen(text), &d, &why);
+	if (code) {
+		script_print(s, "%d %s: %s", (int)code,
+			     rd_result_info(code)->name, why);
+	} else {
+		apply(w, &d);
+		script_print(s, "held: %d",
+			     (int)state_deployment(w->state)->revision);
+	}
+	CODEC_FREE(deployment, &d);
+	g_strfreev(parts);
+	g_free(text);
+	g_free(raw);
+	g_free(why);
+	g_free(path);
+}
+
+static void show(struct script *s)
+{
+	struct world *w = s->ctx;
+	const struct deployment *d = state_deployment(w->state);
+
+	script_print(s, "revision %d: %u services, %u routes, %u accounts",
+		     (int)d->revision, d->services.services_len,
+		     d->routes.routes_len, d->accounts.accounts_len);
+	print_services(s, d);
+}
+
+/* Through an image, with its text and without it. */
+static void reload(struct script *s)
+{
+	struct world *w = s->ctx;
+	bool with_text = script_number(s, "text", 1) != 0;
+	GBytes *image = state_save(w->state, with_text);
+	GBytes *text;
+
+	assert_true(state_load(w->state, image));
+	g_bytes_unref(image);
+	routes_destroy(w->routes);
+	w->routes = routes_create(state_deployment(w->state));
+	text = config_document(state_deployment(w->state));
+	script_print(s, "text: %s", text ? "held" : "not held");
+	if (text)
+		g_bytes_unref(text);
+}
+
+static void readback(struct script *s)
+{
+	struct world *w = s->ctx;
+	GBytes *text = config_document(state_deployment(w->state));
+	gsize size;
+	const char *data = g_bytes_get_data(text, &size);
+
+	script_print(s, "%.*s...", 24, data);
+	script_print(s, "%zu bytes", size);
+	g_bytes_unref(text);
+}
+
+static void route(struct script *s)
+{
+	struct world *w = s->ctx;
+	const struct route_spec *r = routes_find(w->routes, s->words[1],
+						 s->words[2]);
+
+	script_print(s, "%s %s: %s", s->words[1], s->words[2],
+		     r ? r->name : "no route");
+}
+
+static void key(struct script *s)
+{
+	struct world *w = s->ctx;
+	const struct client_account *a = routes_account(w->routes, s->words[1]);
+
+	script_print(s, "%s: %s", s->words[1], a ? a->name : "no account");
+}
+
+/* ---- announcements and evidence ---- */
+
+static void announce(struct script *s)
+{
+	struct world *w = s->ctx;
+	char *text = rest_of(s, 2);
+	json_t *body = json_loads(text, 0, NULL);
+	struct vm_report r;
+	char *why;
+
+	if (!body)
+		script_fail(s, "the announcement is no JSON");
+	why = announcement_decode(s->words[1], body, &r);
+	if (why)
+		script_print(s, "refused: %s", why);
+	else
+		script_print(s,
+			     "%s at %s service=%s pool=%s domain=%s replica=%u "
+			     "epoch=%d ready=%d serving=%d broken=%d "
+			     "leaving=%d weights=%s slots=%u%s",
+			     r.name, r.address, r.service, r.pool, r.domain,
+			     r.replica, (int)r.epoch, r.ready, r.serving,
+			     r.broken, r.leaving, r.model, r.slots,
+			     home_announce(w->home, w->now_ms, &r) ? " news"
+								   : "");
+	g_free(why);
+	free(text);
+	json_decref(body);
+}
+
+static void take_digest(struct script *s)
+{
+	struct world *w = s->ctx;
+	struct digest d;
+
+	w->now_ms = script_number(s, "at", w->now_ms);
+	home_digest(w->home, w->now_ms, false, &d);
+	(void)view_merge(w->view, w->now_ms, &d);
+	home_digest_clear(&d);
+	view_tick(w->view, w->now_ms);
+}
+
+static void leave(struct script *s)
+{
+	struct world *w = s->ctx;
+	const struct view_vm *seen = view_find(w->view, s->words[1]);
+
+	script_print(s, "%s leaves: %s", s->words[1],
+		     home_leave(w->home, w->now_ms, seen ? &seen->report : NULL,
+				s->words[1])
+			     ? "news"
+			     : "nothing new");
+}
+
+static void vm(struct script *s)
+{
+	struct world *w = s->ctx;
+	const struct view_vm *seen = view_find(w->view, s->words[1]);
+
+	script_print(s, "%s: %s leaving=%d", s->words[1],
+		     seen && view_alive(w->view, seen, w->now_ms) ? "alive"
+								  : "lost",
+		     seen ? seen->report.leaving : 0);
+}
+
+/* ---- orders ---- */
+
+static void order(struct script *s)
+{
+	static const char *const kinds[] = { "form", "open", "release", "load",
+					     "warm" };
+	struct vm_ref vms[] = { { .name = (char *)"i-1" },
+				{ .name = (char *)"i-2" } };
+	struct order_intent intent = {
+		.vm = "i-2",
+		.replica = 7,
+		.epoch = 12,
+		.term = 3,
+		.model = "m1",
+		.vms = vms,
+		.vm_count = G_N_ELEMENTS(vms),
+	};
+	char *body, *headers;
+
+	for (int i = 0; i < (int)G_N_ELEMENTS(kinds); i++)
+		if (!strcmp(kinds[i], s->words[1]))
+			intent.kind = (enum order_kind)i;
+	if (intent.kind == ORDER_OPEN || intent.kind == ORDER_RELEASE)
+		intent.model = NULL;
+	body = platform_orders.body(&intent);
+	headers = platform_orders.headers(&intent);
+	script_print(s, "%s: %s %s", s->words[1], g_strchomp(headers), body);
+	free(body);
+	g_free(headers);
+}
+
+static void judge(struct script *s)
+{
+	static const char *const names[] = { "accepted", "stale", "refused",
+					     "withheld", "lost" };
+
+	script_print(s, "%s: %s", s->words[1],
+		     names[platform_orders.judge(atoi(s->words[1]))]);
+}
+
+/* ---- streams ---- */
+
+/* feed TEXT: "/" stands for a line's end. */
+static void feed_stream(struct script *s)
+{
+	struct world *w = s->ctx;
+	char *text = rest_of(s, 1);
+	uint32_t moved;
+
+	g_strdelimit(text, "/", '\n');
+	evbuffer_add(w->in, text, strlen(text));
+	moved = event_reader_move(&w->events, w->in, w->out);
+	script_print(s, "moved %u, %zu bytes wait, last id %s", moved,
+		     evbuffer_get_length(w->in),
+		     event_reader_last(&w->events)
+			     ? event_reader_last(&w->events)
+			     : "none");
+	g_free(text);
+}
+
+/* ---- repeats ---- */
+
+static void requests(struct script *s)
+{
+	struct world *w = s->ctx;
+
+	for (int i = atoi(s->words[1]); i > 0; i--)
+		repeats_request(&w->repeats, w->now_ms);
+}
+
+static void repeat(struct script *s)
+{
+	struct world *w = s->ctx;
+	int allowed = 0;
+
+	for (int i = atoi(s->words[1]); i > 0; i--)
+		allowed += repeats_take(&w->repeats, w->now_ms);
+	script_print(s, "%d of %s repeats allowed", allowed, s->words[1]);
+}
+
+static void at(struct script *s)
+{
+	((struct world *)s->ctx)->now_ms = atoll(s->words[1]);
+}
+
+static const struct script_command commands[] = {
+	{ "deploy", 1, deploy },
+	{ "show", 0, show },
+	{ "reload", 0, reload },
+	{ "readback", 0, readback },
+	{ "route", 2, route },
+	{ "key", 1, key },
+	{ "announce", 2, announce },
+	{ "digest", 0, take_digest },
+	{ "leave", 1, leave },
+	{ "vm", 1, vm },
+	{ "order", 1, order },
+	{ "judge", 1, judge },
+	{ "feed", 1, feed_stream },
+	{ "requests", 1, requests },
+	{ "repeat", 1, repeat },
+	{ "at", 1, at },
+	{ 0 },
+};
+
+static void run_case(const char *path, const struct script_command *table)
+{
+	struct home_opts home = { 1, 1, 3000 };
+	struct view_opts view = { 6000 };
+	struct repeats_opts repeats = { 200, 10000 };
+	struct world w = { .state = state_create() };
+
+	w.in = evbuffer_new();
+	w.out = evbuffer_new();
+	w.home = home_create(&home);
+	w.view = view_create(&view);
+	event_reader_init(&w.events);
+	repeats_init(&w.repeats, &repeats);
+	repeats_set_slack(&w.repeats, 2);
+	script_check(path, table, &w);
+	routes_destroy(w.routes);
+	state_destroy(w.state);
+	evbuffer_free(w.in);
+	evbuffer_free(w.out);
+	home_destroy(w.home);
+	view_destroy(w.view);
+	event_reader_clear(&w.events);
+}
+
+static void test_platform(void **state)
+{
+	(void)state;
+	script_folder("test/cases/platform", commands, run_case);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_platform),
+	};
+
+	return cmocka_run_group_tests_name("platform", tests, NULL, NULL);
+}
