--- a/common/fetch.c
+++ b/common/fetch.c
@@ -62,7 +62,6 @@
 	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
 	gsize size = 0;
 
-	evhttp_add_header(headers, "Host", r->address);
 	evhttp_add_header(headers, "Connection", "close");
 	if (r->key) {
 		char *bearer = g_strdup_printf("Bearer %s", r->key);
@@ -74,6 +73,8 @@
 		evhttp_add_header(headers, "Content-Type", r->type);
 	for (int i = 0; r->headers && r->headers[i]; i += 2)
 		evhttp_add_header(headers, r->headers[i], r->headers[i + 1]);
+	if (!evhttp_find_header(headers, "Host"))
+		evhttp_add_header(headers, "Host", r->address);
 	if (r->body)
 		size = r->body_size < 0 ? strlen(r->body) : (gsize)r->body_size;
 	evbuffer_add(evhttp_request_get_output_buffer(req), r->body, size);
--- a/control/control.c
+++ b/control/control.c
@@ -272,6 +272,11 @@
 {
 	const struct control_driver *driver = control->opts.driver;
 
+	if (*control->opts.settings->listen.metrics) {
+		control->metrics = metrics_open(control, why);
+		if (!control->metrics)
+			return RD_IO;
+	}
 	if (!driver) {
 		control->operators = operators_create(control, why);
 		return control->operators ? RD_OK : RD_IO;
@@ -350,6 +355,8 @@
 	fs_folder_close(control->folder);
 	proposals_destroy(control->proposals);
 	operators_destroy(control->operators);
+	if (control->metrics)
+		evhttp_free(control->metrics);
 	if (control->driver)
 		control->opts.driver->close(control->driver);
 	announcements_destroy(control->announcements);
--- a/control/control_internal.h
+++ b/control/control_internal.h
@@ -42,6 +42,7 @@
 	struct view *view;
 	struct follow *follow;
 	struct proposals *proposals;
+	struct evhttp *metrics;	     /* NULL without an address for it */
 	struct operators *operators; /* NULL unless the interface is native */
 	struct announcements *announcements; /* NULL if entries are homes */
 	struct entry_info *entries;	     /* as the leader last told */
@@ -127,6 +128,11 @@
 /** Some process missed a digest. */
 void announcements_want_full(struct announcements *a);
 
+/* metrics.c */
+void metrics_answer(const struct control *control, struct evhttp_request *req);
+/** Opens listen.metrics; NULL with *why set on failure. */
+struct evhttp *metrics_open(struct control *control, char **why);
+
 /* placer.c: placement while this member leads */
 struct placer *placer_create(struct control *control);
 void placer_destroy(struct placer *placer);
--- /dev/null
+++ b/control/metrics.c
@@ -0,0 +1,53 @@
+/* Counters on an address of their own, for whoever collects them. */
+#include <errno.h>
+#include <string.h>
+
+#include "common/http.h"
+#include "control/control_internal.h"
+
+#define METRICS_PATH "/metrics"
+#define HEADER_BYTES 8192
+#define BODY_BYTES 1024
+#define TIMEOUT_S 30
+
+void metrics_answer(const struct control *control, struct evhttp_request *req)
+{
+	GString *text = g_string_new(NULL);
+
+	counters_print(control->opts.counters, text);
+	http_send_text(req, HTTP_OK, "text/plain; version=0.0.4", text->str);
+	g_string_free(text, TRUE);
+}
+
+static void handle(struct evhttp_request *req, void *ctx)
+{
+	const char *path =
+		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+	struct problem problem = { .code = RD_NO_ROUTE };
+
+	if (path && !strcmp(path, METRICS_PATH))
+		metrics_answer(ctx, req);
+	else
+		http_send_problem(req, &problem);
+}
+
+struct evhttp *metrics_open(struct control *control, char **why)
+{
+	const char *address = control->opts.settings->listen.metrics;
+	struct http_listen_opts opts = {
+		.base = control->base,
+		.address = address,
+		.header_bytes = HEADER_BYTES,
+		.body_bytes = BODY_BYTES,
+		.timeout_s = TIMEOUT_S,
+		.handle = handle,
+		.ctx = control,
+	};
+	int port;
+	struct evhttp *http = http_listen(&opts, &port);
+
+	if (!http)
+		*why = g_strdup_printf("listen.metrics %s: %s", address,
+				       g_strerror(errno));
+	return http;
+}
--- a/control/operators.c
+++ b/control/operators.c
@@ -479,11 +479,7 @@
 
 static void get_metrics(const struct request *r)
 {
-	GString *text = g_string_new(NULL);
-
-	counters_print(r->operators->control->opts.counters, text);
-	http_send_text(r->req, 200, "text/plain; version=0.0.4", text->str);
-	g_string_free(text, TRUE);
+	metrics_answer(r->operators->control, r->req);
 }
 
 /* ---- routes ---- */
