--- a/control/feed.c
+++ b/control/feed.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/pack.h"
 #include "control/feed.h"
 #include "wire/codec.h"
 
@@ -12,7 +13,8 @@
 	uint64_t last;
 	int64_t grace_until_ms; /* earlier leaders' leases */
 	GHashTable *entries;	/* node -> struct feed_entry */
-	GBytes *image;		/* of the state at image_index; NULL for none */
+	GBytes *image;	      /* packed, of the state at image_index, or NULL */
+	uint32_t image_bytes; /* before it was packed */
 	uint64_t image_index;
 };
 
@@ -153,12 +155,23 @@
 /* Made once for all entries that ask at the same index. */
 static GBytes *current_image(struct feed *feed, const struct state *state)
 {
+	GBytes *raw;
+	gsize size;
+	const void *data;
+
 	if (feed->image && feed->image_index == state_index(state))
 		return feed->image;
 	if (feed->image)
 		g_bytes_unref(feed->image);
-	feed->image = state_save(state, false);
+	feed->image = NULL;
+	raw = state_save(state, false);
+	if (!raw)
+		return NULL;
+	data = g_bytes_get_data(raw, &size);
+	feed->image = pack(data, size);
+	feed->image_bytes = (uint32_t)size;
 	feed->image_index = state_index(state);
+	g_bytes_unref(raw);
 	return feed->image;
 }
 
@@ -175,6 +188,7 @@
 	reply->snapshot.snapshot_val = malloc(size);
 	memcpy(reply->snapshot.snapshot_val, data, size);
 	reply->snapshot.snapshot_len = (u_int)size;
+	reply->snapshot_bytes = feed->image_bytes;
 }
 
 static void add_entries(const struct feed *feed, int64_t now_ms,
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -91,7 +91,8 @@
 		 (entry_now_us(call->entry) - call->sent_us) / 1000);
 	avoid_replica(call);
 	attempt_finish(call);
-	if (!may_try_again(call) || !repeats_take(&call->entry->repeats, now)) {
+	if (!may_try_again(call) ||
+	    !repeats_take(&call->service->repeats, now)) {
 		fail(call, why);
 		return;
 	}
--- a/entry/call.c
+++ b/entry/call.c
@@ -72,7 +72,7 @@
 	call->route = opts->route;
 	call->answer = evbuffer_new();
 	g_hash_table_add(entry->calls, call);
-	repeats_request(&entry->repeats, entry_now_ms(entry));
+	repeats_request(&call->service->repeats, entry_now_ms(entry));
 	call->watch = (struct http_watch){ on_caller_left, call };
 	http_watch(opts->req, &call->watch);
 	if (call->booking_key)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -4,6 +4,7 @@
 
 #include "common/address.h"
 #include "common/log.h"
+#include "common/pack.h"
 #include "entry/call.h"
 #include "wire/codec.h"
 
@@ -219,10 +220,6 @@
 	struct view_opts view = {
 		.silence_ms = daemon_settings_home_silence_ms(opts->settings),
 	};
-	struct repeats_opts repeats = {
-		.permille = (uint32_t)limits->repeat_permille,
-		.window_ms = (int32_t)limits->repeat_window_ms,
-	};
 
 	entry->opts = *opts;
 	entry->base = task_base(opts->task);
@@ -234,7 +231,6 @@
 						service_drop);
 	entry->calls = g_hash_table_new(NULL, NULL);
 	entry->pool = upstream_pool_create(entry->base);
-	repeats_init(&entry->repeats, &repeats);
 	entry->random = g_rand_new_with_seed(opts->seed);
 	if (open_ports(entry, why))
 		return entry;
@@ -339,11 +335,15 @@
 
 static bool apply_image(struct entry *entry, const struct poll_reply *reply)
 {
-	GBytes *image = g_bytes_new(reply->snapshot.snapshot_val,
-				    reply->snapshot.snapshot_len);
-	bool ok = state_load(entry->config, image);
+	GBytes *image = unpack(reply->snapshot.snapshot_val,
+			       reply->snapshot.snapshot_len,
+			       reply->snapshot_bytes);
+	bool ok = image && state_load(entry->config, image);
 
-	g_bytes_unref(image);
+	if (!ok)
+		log_error(&entry_log, "an image of the state cannot be read");
+	if (image)
+		g_bytes_unref(image);
 	return ok;
 }
 
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -27,7 +27,8 @@
 	char *name;
 	bool seen; /* in the configuration just applied */
 	uint64_t revision;
-	double mean_output; /* tokens of an answer, smoothed */
+	double mean_output;	/* tokens of an answer, smoothed */
+	struct repeats repeats; /* its part of what its pool may repeat */
 	struct router *router;
 	struct admission *admission;
 	GHashTable *plain; /* VM's name -> replica number; plain services */
@@ -53,8 +54,7 @@
 	GHashTable *calls;    /* set of struct call */
 	struct upstream_pool *pool;
 	struct routes *routes; /* of the deployment; NULL without one */
-	struct repeats repeats;
-	void *driver; /* of opts.driver; NULL without one */
+	void *driver;	       /* of opts.driver; NULL without one */
 	struct evhttp *callers;
 	struct evhttp *endpoints;
 	char callers_address[64];
--- a/entry/services.c
+++ b/entry/services.c
@@ -49,6 +49,11 @@
 		.subset = (uint32_t)entry->opts.settings->limits.subset,
 		.prefix_max = PREFIXES_PER_REPLICA,
 	};
+	const struct limit_settings *limits = &entry->opts.settings->limits;
+	struct repeats_opts repeats = {
+		.permille = (uint32_t)limits->repeat_permille,
+		.window_ms = (int32_t)limits->repeat_window_ms,
+	};
 
 	s->entry = entry;
 	s->name = g_strdup(name);
@@ -57,6 +62,7 @@
 	s->plain = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->plain_names = g_hash_table_new(NULL, NULL);
 	s->next_plain = FIRST_PLAIN;
+	repeats_init(&s->repeats, &repeats);
 	g_hash_table_insert(entry->services, s->name, s);
 	return s;
 }
@@ -82,12 +88,31 @@
 	return MAX(count, 1);
 }
 
-/* What all entries together may repeat, whatever the requests. */
-static void share_repeats(struct entry *entry)
+struct pool_count {
+	const char *pool;
+	uint32_t count;
+};
+
+static void count_of_pool(void *ctx, const struct service_state *service)
+{
+	struct pool_count *c = ctx;
+
+	c->count += *c->pool && !strcmp(service->spec.pool, c->pool);
+}
+
+/*
+ * What may be repeated whatever the requests is counted for a pool over all
+ * entries; each service of it has its part here.
+ */
+static void share_repeats(struct entry *entry, struct entry_service *s,
+			  const struct service_spec *spec)
 {
 	uint32_t slack = (uint32_t)entry->opts.settings->limits.repeat_slack;
+	struct pool_count c = { spec->pool, 0 };
 
-	repeats_set_slack(&entry->repeats, slack / count_entries(entry));
+	state_each_service(entry->config, count_of_pool, &c);
+	repeats_set_slack(&s->repeats,
+			  slack / count_entries(entry) / MAX(c.count, 1));
 }
 
 /* What an account may use here: its part of what it may use everywhere. */
@@ -107,6 +132,7 @@
 		s = add_service(entry, service->name);
 	s->seen = true;
 	s->revision = service->revision;
+	share_repeats(entry, s, &service->spec);
 	for (u_int i = 0; i < service->spec.accounts.accounts_len; i++) {
 		const struct account_spec *a =
 			&service->spec.accounts.accounts_val[i];
@@ -185,7 +211,6 @@
 	g_hash_table_iter_init(&iter, entry->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		((struct entry_service *)value)->seen = false;
-	share_repeats(entry);
 	state_each_service(entry->config, update_service, entry);
 	state_each_replica(entry->config, put_replica, entry);
 	g_hash_table_iter_init(&iter, entry->services);
--- a/settings/daemon.c
+++ b/settings/daemon.c
@@ -178,11 +178,12 @@
 	  .fallback = 5000,
 	  .unit = "ms",
 	  .help = "a voter silent for this long is replaced by a learner" },
-	{ .key = "voters",
+	{ .key = "tolerated_losses",
 	  .type = OPT_INT,
-	  .offset = CLUSTER(voters),
-	  .max = 31,
-	  .help = "voters that are wanted; 0: as many as peers are marked" },
+	  .offset = CLUSTER(tolerated_losses),
+	  .max = 15,
+	  .help = "voters that may be lost at once, so that twice as many and "
+		  "one vote; 0: as many vote as peers are marked" },
 	{ .key = "seeds",
 	  .type = OPT_STRINGS,
 	  .offset = CLUSTER(seeds),
@@ -550,8 +551,9 @@
 
 		count += p->voter ? 1 : 0;
 	}
-	return settings->cluster.voters ? (uint32_t)settings->cluster.voters
-					: count;
+	return settings->cluster.tolerated_losses
+		       ? 2 * (uint32_t)settings->cluster.tolerated_losses + 1
+		       : count;
 }
 
 void daemon_settings_print(GString *out)
--- a/settings/daemon.h
+++ b/settings/daemon.h
@@ -65,8 +65,8 @@
 	int64_t heartbeat_ms;
 	int64_t drift_permille;
 	int64_t replace_after_ms;
-	int64_t voters;	  /* wanted; 0: as many as peers are marked so */
-	GPtrArray *seeds; /* of char *: IP:port of some control VMs */
+	int64_t tolerated_losses; /* of voters at once; 0: see the peers */
+	GPtrArray *seeds;	  /* of char *: IP:port of some control VMs */
 	GPtrArray *peers; /* of struct peer_settings; made from the seeds */
 };
 
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -200,7 +200,8 @@
 				       "operators = \"%s\"\ndirectory = "
 				       "\"%s\"\n",
 				       control, directory);
-	g_string_append(text, "[cluster]\nname = \"test\"\nvoters = 3\n"
+	g_string_append(text, "[cluster]\nname = \"test\"\ntolerated_losses = "
+			      "1\n"
 			      "replace_after_ms = 2000\nseeds = [");
 	for (int i = 1; i <= CONTROLS; i++)
 		g_string_append_printf(text, "%s\"%s.%d:%d\"",
--- a/wire/radishdeal.h
+++ b/wire/radishdeal.h
@@ -481,6 +481,7 @@
 		u_int snapshot_len;
 		char *snapshot_val;
 	} snapshot;
+	uint32_t snapshot_bytes;
 	struct {
 		u_int deltas_len;
 		indexed_command *deltas_val;
--- a/wire/radishdeal.x
+++ b/wire/radishdeal.x
@@ -390,7 +390,8 @@
 	uint64_t term;
 	uint64_t commit;
 	uint32_t lease_ms;
-	opaque snapshot<RD_BLOB_MAX>;	/* empty where deltas serve */
+	opaque snapshot<RD_BLOB_MAX>;	/* zlib; empty where deltas serve */
+	uint32_t snapshot_bytes;	/* before compression */
 	indexed_command deltas<4096>;
 	entry_info entries<1024>;
 	uint32_t controls<64>;		/* nodes of the state group */
--- a/wire/radishdeal_xdr.c
+++ b/wire/radishdeal_xdr.c
@@ -826,6 +826,8 @@
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->snapshot.snapshot_val, (u_int *) &objp->snapshot.snapshot_len, RD_BLOB_MAX))
 		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->snapshot_bytes))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->deltas.deltas_val, (u_int *) &objp->deltas.deltas_len, 4096,
 		sizeof (indexed_command), (xdrproc_t) xdr_indexed_command))
 		 return FALSE;
