--- a/test/test_cores.c
+++ b/test/test_cores.c
@@ -39,6 +39,9 @@
 		.flap_forget_ms = 60000,
 		.loads_max = (uint32_t)script_number(s, "loads", 4),
 		.no_preload = script_number(s, "preload", 0) == 0,
+		.load_first = script_number(s, "load_first", 0) != 0,
+		.spread = script_number(s, "spread", 0) != 0,
+		.loads_by_vm = script_number(s, "by_vm", 0) != 0,
 	};
 
 	placement_destroy(p->placement);
@@ -59,6 +62,8 @@
 		.cross_domain = script_number(s, "cross", 0) != 0,
 		.downtime_weight = (uint32_t)script_number(s, "down", 10),
 		.stranded_weight = 1,
+		.pool = script_value(s, "pool", ""),
+		.keep_whole = script_number(s, "keep_whole", 0) != 0,
 	};
 
 	placement_put_service(p->placement, &service);
@@ -74,6 +79,7 @@
 		.name = s->words[1],
 		.domain = s->words[2],
 		.data_centre = "a",
+		.pool = script_value(s, "pool", ""),
 		.model = loaded,
 		.adapter = "",
 		.version = *loaded ? "1" : "",
@@ -131,14 +137,43 @@
 	placement_plan(p->placement, p->now_ms, print_decision, p);
 }
 
+/* divide SPARE SHARE:SIZE[,SHARE:SIZE] ROOM[,ROOM] */
+static void place_divide(struct script *s)
+{
+	char **parts = g_strsplit(s->words[2], ",", 0);
+	char **rooms = g_strsplit(s->words[3], ",", 0);
+	uint32_t part_count = g_strv_length(parts);
+	uint32_t room_count = g_strv_length(rooms);
+	struct division_part *division = g_new0(struct division_part,
+						part_count + 1);
+	uint32_t *vms = g_new0(uint32_t, room_count + 1);
+	GString *line = g_string_new("divided:");
+
+	for (uint32_t i = 0; i < part_count; i++) {
+		division[i].share_permille = (uint32_t)atoi(parts[i]);
+		division[i].vms_per_replica =
+			(uint32_t)atoi(strchr(parts[i], ':') + 1);
+	}
+	for (uint32_t i = 0; i < room_count; i++)
+		vms[i] = (uint32_t)atoi(rooms[i]);
+	placement_divide(division, part_count, vms, room_count,
+			 (uint32_t)atoi(s->words[1]));
+	for (uint32_t i = 0; i < part_count; i++)
+		g_string_append_printf(line, " %u of %u", division[i].replicas,
+				       division[i].vms_per_replica);
+	script_print(s, "%s", line->str);
+	g_string_free(line, TRUE);
+	g_free(division);
+	g_free(vms);
+	g_strfreev(parts);
+	g_strfreev(rooms);
+}
+
 static const struct script_command place_commands[] = {
-	{ "opts", 0, place_opts },
-	{ "service", 1, place_service },
-	{ "vm", 2, place_vm },
-	{ "replica", 3, place_replica },
-	{ "at", 1, place_at },
-	{ "plan", 0, place_plan },
-	{ 0 }
+	{ "divide", 3, place_divide },	 { "opts", 0, place_opts },
+	{ "service", 1, place_service }, { "vm", 2, place_vm },
+	{ "replica", 3, place_replica }, { "at", 1, place_at },
+	{ "plan", 0, place_plan },	 { 0 }
 };
 
 /* ---- routing ---- */
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -15,6 +15,7 @@
 #include <radishdeal/repeats.h>
 #include <radishdeal/state.h>
 
+#include "control/feed.h"
 #include "entry/entry_internal.h"
 #include "platform/config.h"
 #include "platform/engine.h"
@@ -29,6 +30,7 @@
 	struct event_reader events;
 	struct evbuffer *in, *out;
 	struct repeats repeats;
+	struct feed *feed;
 	struct home *home;
 	struct view *view;
 	int64_t now_ms;
@@ -299,6 +301,58 @@
 	g_free(text);
 }
 
+/* ---- what entries are told ---- */
+
+/* poll NODE applied= [load=REPLICA:REQUESTS] */
+static void poll_feed(struct script *s)
+{
+	struct world *w = s->ctx;
+	const char *load = script_value(s, "load", NULL);
+	struct replica_load own = { .epoch = 1 };
+	struct poll_request request = {
+		.node = (uint32_t)atoi(s->words[1]),
+		.incarnation = 1,
+		.applied = (uint64_t)script_number(s, "applied", 0),
+		.callers_address = (char *)"10.0.0.1:1",
+		.endpoints_address = (char *)"",
+		.data_centre = (char *)"a",
+	};
+	struct poll_reply reply = { 0 };
+
+	if (load) {
+		own.replica = (uint32_t)atoi(load);
+		own.requests = (uint32_t)atoi(strchr(load, ':') + 1);
+		request.loads.loads_val = &own;
+		request.loads.loads_len = 1;
+	}
+	feed_poll(w->feed, w->now_ms, w->state, &request, &reply);
+	script_print(s, "node %s: %s, %u deltas, %u entries, %u at %u replicas",
+		     s->words[1],
+		     reply.snapshot.snapshot_len ? "an image" : "no image",
+		     reply.deltas.deltas_len, reply.entries.entries_len,
+		     reply.loads.loads_len ? reply.loads.loads_val[0].requests
+					   : 0,
+		     reply.loads.loads_len);
+	CODEC_FREE(poll_reply, &reply);
+}
+
+/* Hands the last applied command's kind on, as the log would. */
+static void feed_command(struct script *s)
+{
+	struct world *w = s->ctx;
+	struct command command = {
+		.change_id = (char *)"",
+		.operator_name = (char *)"",
+		.body.kind = !strcmp(s->words[1], "deploy") ? CMD_DEPLOY
+							    : CMD_FREE_VM,
+	};
+	struct free_vm *freed = &command.body.command_body_u.freed;
+
+	if (command.body.kind == CMD_FREE_VM)
+		freed->vm = (char *)"i-1";
+	feed_add(w->feed, w->index, &command);
+}
+
 /* ---- repeats ---- */
 
 static void requests(struct script *s)
@@ -338,6 +392,8 @@
 	{ "order", 1, order },
 	{ "judge", 1, judge },
 	{ "feed", 1, feed_stream },
+	{ "poll", 1, poll_feed },
+	{ "committed", 1, feed_command },
 	{ "requests", 1, requests },
 	{ "repeat", 1, repeat },
 	{ "at", 1, at },
@@ -348,6 +404,7 @@
 {
 	struct home_opts home = { 1, 1, 3000 };
 	struct view_opts view = { 6000 };
+	struct feed_opts feed = { .lease_ms = 1000, .keep = 8, .open = true };
 	struct repeats_opts repeats = { 200, 10000 };
 	struct world w = { .state = state_create() };
 
@@ -355,6 +412,7 @@
 	w.out = evbuffer_new();
 	w.home = home_create(&home);
 	w.view = view_create(&view);
+	w.feed = feed_create(&feed);
 	event_reader_init(&w.events);
 	repeats_init(&w.repeats, &repeats);
 	repeats_set_slack(&w.repeats, 2);
@@ -363,6 +421,7 @@
 	state_destroy(w.state);
 	evbuffer_free(w.in);
 	evbuffer_free(w.out);
+	feed_destroy(w.feed);
 	home_destroy(w.home);
 	view_destroy(w.view);
 	event_reader_clear(&w.events);
