--- a/control/follow.c
+++ b/control/follow.c
@@ -7,7 +7,7 @@
 #include "wire/codec.h"
 
 #define TICK_MS 50
-#define POLL_TIMEOUT_MS 1000
+#define POLL_TIMEOUT_MS 800
 /* Polls go out this many times within a lease. */
 #define POLLS_PER_LEASE 8
 
