entry: a body is framed for every method

Cause: evhttp sends the body of a GET, DELETE or OPTIONS without its length, so an endpoint took a body that looks like a request for one: a request that no client sent ran (found by reading, shown by the script: the endpoint saw two requests for one).

One place says what is wrong with services and deployments; the native call formats are made from one table.

--- a/common/http.c
+++ b/common/http.c
@@ -125,6 +125,13 @@
 	return g_bytes_new_take(data, size);
 }
 
+bool http_framing_unknown(struct evhttp_request *req)
+{
+	const char *coding = http_header(req, "Transfer-Encoding");
+
+	return coding && g_ascii_strcasecmp(coding, "chunked") != 0;
+}
+
 const char *http_method(struct evhttp_request *req)
 {
 	switch (evhttp_request_get_command(req)) {
--- a/common/http.h
+++ b/common/http.h
@@ -56,6 +56,12 @@
 /** Copies the request's body out; NUL-terminated behind its size. */
 GBytes *http_body(struct evhttp_request *req);
 
+/**
+ * Whether the request frames its body in a way that evhttp does not know, so
+ * that what follows on the connection cannot be told from another request.
+ */
+bool http_framing_unknown(struct evhttp_request *req);
+
 /** Returns the method's name. */
 const char *http_method(struct evhttp_request *req);
 
--- a/entry/addresses.c
+++ b/entry/addresses.c
@@ -5,7 +5,6 @@
 
 #include "entry/entry_internal.h"
 
-#define HOMES 2
 /* An entry with less than this free takes no new callers. */
 #define FREE_PERMILLE_MIN 50u
 
--- a/entry/native.c
+++ b/entry/native.c
@@ -119,26 +119,16 @@
 	free(text);
 }
 
-const struct call_format native_engine_calls = {
-	.request_headers = request_headers,
-	.request_body = request_body,
-	.take_head = take_engine_head,
-	.answer_headers = answer_headers,
-	.move_events = move_events,
-	.stream_complete = stream_complete,
-	.refuse = http_send_problem,
-	.break_off = break_off,
-	.free_data = free_data,
-};
-
-const struct call_format native_plain_calls = {
-	.request_headers = request_headers,
-	.request_body = request_body,
-	.take_head = take_plain_head,
-	.answer_headers = answer_headers,
-	.move_events = move_events,
-	.stream_complete = stream_complete,
-	.refuse = http_send_problem,
-	.break_off = break_off,
-	.free_data = free_data,
-};
+/* Engines and plain endpoints differ in what a status says of a call. */
+#define NATIVE_CALLS(head)                                                    \
+	{                                                                     \
+		.request_headers = request_headers,                           \
+		.request_body = request_body, .take_head = (head),            \
+		.answer_headers = answer_headers, .move_events = move_events, \
+		.stream_complete = stream_complete,                           \
+		.refuse = http_send_problem, .break_off = break_off,          \
+		.free_data = free_data,                                       \
+	}
+
+const struct call_format native_engine_calls = NATIVE_CALLS(take_engine_head);
+const struct call_format native_plain_calls = NATIVE_CALLS(take_plain_head);
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -195,15 +195,21 @@
 static void add_body(struct upstream *u)
 {
 	struct evbuffer *out = evhttp_request_get_output_buffer(u->req);
+	char length[24];
 	gsize size;
 	const void *data;
 
 	if (!u->opts.body)
 		return;
 	data = g_bytes_get_data(u->opts.body, &size);
-	if (size)
-		evbuffer_add_reference(out, data, size, unref_bytes,
-				       g_bytes_ref(u->opts.body));
+	if (!size)
+		return;
+	/* evhttp states it for some methods only, and sends it for all. */
+	g_snprintf(length, sizeof(length), "%zu", size);
+	evhttp_add_header(evhttp_request_get_output_headers(u->req),
+			  "Content-Length", length);
+	evbuffer_add_reference(out, data, size, unref_bytes,
+			       g_bytes_ref(u->opts.body));
 }
 
 struct upstream *upstream_send(struct upstream_pool *pool,
--- a/state/deployment.c
+++ b/state/deployment.c
@@ -91,19 +91,6 @@
 
 /* ---- what makes a deployment valid ---- */
 
-static void complain(GString *out, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
-
-static void complain(GString *out, const char *fmt, ...)
-{
-	va_list ap;
-
-	if (out->len)
-		g_string_append_c(out, '\n');
-	va_start(ap, fmt);
-	g_string_append_vprintf(out, fmt, ap);
-	va_end(ap);
-}
-
 /* Pools and plain services that a route may name. */
 static GHashTable *targets_of(const struct deployment *deployment)
 {
@@ -127,11 +114,13 @@
 
 		sum += part->weight;
 		if (!g_hash_table_contains(targets, part->pool))
-			complain(out, "route %s: service \"%s\" is not known",
-				 route->name, part->pool);
+			state_complain(out,
+				       "route %s: service \"%s\" is not known",
+				       route->name, part->pool);
 	}
 	if (!sum)
-		complain(out, "route %s: its weights add up to 0", route->name);
+		state_complain(out, "route %s: its weights add up to 0",
+			       route->name);
 }
 
 static void check_prefix(const struct route_spec *route, GString *out)
@@ -140,10 +129,10 @@
 
 	if (!size || route->path_prefix[0] != '/' ||
 	    route->path_prefix[size - 1] != '/')
-		complain(out,
-			 "route %s: prefix \"%s\" must begin and end "
-			 "with a slash",
-			 route->name, route->path_prefix);
+		state_complain(out,
+			       "route %s: prefix \"%s\" must begin and end "
+			       "with a slash",
+			       route->name, route->path_prefix);
 }
 
 /* Hosts are compared without regard to case. */
@@ -168,12 +157,13 @@
 		check_prefix(r, out);
 		check_split(r, targets, out);
 		if (!r->timeout_ms)
-			complain(out, "route %s: its timeout is 0", r->name);
+			state_complain(out, "route %s: its timeout is 0",
+				       r->name);
 		if (!g_hash_table_add(places, place_of(r)))
-			complain(out,
-				 "route %s: another has host %s and "
-				 "prefix %s",
-				 r->name, r->host, r->path_prefix);
+			state_complain(out,
+				       "route %s: another has host %s and "
+				       "prefix %s",
+				       r->name, r->host, r->path_prefix);
 	}
 	g_hash_table_unref(places);
 	g_hash_table_unref(targets);
@@ -206,10 +196,10 @@
 			const char *holder = g_hash_table_lookup(holders, key);
 
 			if (holder && strcmp(holder, a->name) != 0)
-				complain(out,
-					 "account %s: shares a key with "
-					 "account %s",
-					 a->name, holder);
+				state_complain(out,
+					       "account %s: shares a key with "
+					       "account %s",
+					       a->name, holder);
 			g_hash_table_insert(holders, key, a->name);
 		}
 	}
@@ -226,7 +216,7 @@
 		char *reasons = service_validate(s, "");
 
 		if (reasons)
-			complain(out, "service %s: %s", s->name, reasons);
+			state_complain(out, "service %s: %s", s->name, reasons);
 		g_free(reasons);
 	}
 	check_routes(deployment, out);
--- a/state/service.c
+++ b/state/service.c
@@ -15,19 +15,6 @@
 
 /* ---- what makes a service valid ---- */
 
-static void complain(GString *out, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
-
-static void complain(GString *out, const char *fmt, ...)
-{
-	va_list ap;
-
-	if (out->len)
-		g_string_append_c(out, '\n');
-	va_start(ap, fmt);
-	g_string_append_vprintf(out, fmt, ap);
-	va_end(ap);
-}
-
 static bool name_allowed(const char *name)
 {
 	if (!*name)
@@ -51,24 +38,25 @@
 			  GString *out)
 {
 	if (!spec->presets.presets_len)
-		complain(out, "preset: at least one is needed");
+		state_complain(out, "preset: at least one is needed");
 	for (u_int i = 0; i < spec->presets.presets_len; i++) {
 		const struct preset_spec *p = &spec->presets.presets_val[i];
 
 		if (!name_allowed(p->name))
-			complain(out, "preset %u: name \"%s\" is not allowed",
-				 i + 1, p->name);
+			state_complain(out,
+				       "preset %u: name \"%s\" is not allowed",
+				       i + 1, p->name);
 		if (find_preset(spec, p->name) != p)
-			complain(out, "preset %s: named twice", p->name);
+			state_complain(out, "preset %s: named twice", p->name);
 		if (p->admit && !p->replicas)
-			complain(out,
-				 "preset %s: admits work but has no "
-				 "replicas",
-				 p->name);
+			state_complain(out,
+				       "preset %s: admits work but has no "
+				       "replicas",
+				       p->name);
 	}
 	if (*preset && !find_preset(spec, preset))
-		complain(out, "preset: \"%s\" is not one of the presets",
-			 preset);
+		state_complain(out, "preset: \"%s\" is not one of the presets",
+			       preset);
 }
 
 static void check_accounts(const struct service_spec *spec, GString *out)
@@ -77,24 +65,26 @@
 		const struct account_spec *a = &spec->accounts.accounts_val[i];
 
 		if (!name_allowed(a->name))
-			complain(out, "account %u: name \"%s\" is not allowed",
-				 i + 1, a->name);
+			state_complain(out,
+				       "account %u: name \"%s\" is not allowed",
+				       i + 1, a->name);
 		if (!a->weight)
-			complain(out, "account %s: weight must not be 0",
-				 a->name);
+			state_complain(out, "account %s: weight must not be 0",
+				       a->name);
 		for (u_int j = 0; j < i; j++) {
 			const struct account_spec *b =
 				&spec->accounts.accounts_val[j];
 
 			if (!strcmp(a->name, b->name))
-				complain(out, "account %s: named twice",
-					 a->name);
+				state_complain(out, "account %s: named twice",
+					       a->name);
 			if (!memcmp(a->key_sha256, b->key_sha256,
 				    sizeof(a->key_sha256)))
-				complain(out,
-					 "account %s: has the key of account "
-					 "%s",
-					 a->name, b->name);
+				state_complain(out,
+					       "account %s: has the key of "
+					       "account "
+					       "%s",
+					       a->name, b->name);
 		}
 	}
 }
@@ -104,17 +94,17 @@
 	GString *out = g_string_new(NULL);
 
 	if (!name_allowed(spec->name))
-		complain(out, "name: \"%s\" is not allowed", spec->name);
+		state_complain(out, "name: \"%s\" is not allowed", spec->name);
 	if (!spec->vms_per_replica ||
 	    spec->vms_per_replica > VMS_PER_REPLICA_MAX)
-		complain(out, "vms_per_replica: is %u, must be 1 to %u",
-			 spec->vms_per_replica, VMS_PER_REPLICA_MAX);
+		state_complain(out, "vms_per_replica: is %u, must be 1 to %u",
+			       spec->vms_per_replica, VMS_PER_REPLICA_MAX);
 	if (spec->plain && spec->vms_per_replica != 1)
-		complain(out, "vms_per_replica: a plain service has 1");
+		state_complain(out, "vms_per_replica: a plain service has 1");
 	if (!spec->plain && !*spec->model)
-		complain(out, "model: a model service needs one");
+		state_complain(out, "model: a model service needs one");
 	if (!spec->slots_per_replica)
-		complain(out, "slots_per_replica: must not be 0");
+		state_complain(out, "slots_per_replica: must not be 0");
 	check_presets(spec, preset, out);
 	check_accounts(spec, out);
 	return g_string_free(out, out->len == 0);
--- a/state/state.c
+++ b/state/state.c
@@ -96,6 +96,17 @@
 		result->answer.content_type = strdup("");
 }
 
+void state_complain(GString *out, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (out->len)
+		g_string_append_c(out, '\n');
+	va_start(ap, fmt);
+	g_string_append_vprintf(out, fmt, ap);
+	va_end(ap);
+}
+
 void state_result_clear(struct apply_result *result)
 {
 	CODEC_FREE(apply_result, result);
--- a/state/state_internal.h
+++ b/state/state_internal.h
@@ -23,6 +23,9 @@
 	GQueue booking_order;	    /* of struct booking_state, oldest first */
 };
 
+/** Adds a line to what is wrong with something. */
+void state_complain(GString *out, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
+
 /* service.c */
 void service_apply(struct state *state, const struct command *command,
 		   struct apply_result *result);
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -446,6 +446,44 @@
 	g_free(address);
 }
 
+/* Sends text as it is, "|" for a line's end, and reads to the close. */
+static void raw(struct script *s)
+{
+	struct world *w = s->ctx;
+	char *address_text = address_of(w, NODES, PORT_CALLERS);
+	char *joined = g_strjoinv(" ", s->words + 1);
+	char **lines = g_strsplit(joined, "|", 0);
+	char *text = g_strjoinv("\r\n", lines);
+	GString *got = g_string_new(NULL);
+	struct timeval limit = { ASK_TIMEOUT_MS / 1000, 0 };
+	struct address address;
+	int before, fd = socket(AF_INET, SOCK_STREAM, 0);
+	char buffer[4096];
+	ssize_t n;
+
+	g_mutex_lock(&w->lock);
+	before = w->seen.requests;
+	g_mutex_unlock(&w->lock);
+	assert_true(address_parse(address_text, &address));
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	assert_int_equal(connect(fd, (struct sockaddr *)&address.socket,
+				 sizeof(address.socket)),
+			 0);
+	assert_int_equal(write(fd, text, strlen(text)), strlen(text));
+	while ((n = read(fd, buffer, sizeof(buffer))) > 0)
+		g_string_append_len(got, buffer, n);
+	close(fd);
+	g_mutex_lock(&w->lock);
+	script_print(s, "%.12s, %s, endpoint saw %d more", got->str,
+		     n ? "kept open" : "closed", w->seen.requests - before);
+	g_mutex_unlock(&w->lock);
+	g_string_free(got, TRUE);
+	g_strfreev(lines);
+	g_free(text);
+	g_free(joined);
+	g_free(address_text);
+}
+
 /* resolve NODE want=COUNT: how many addresses a directory gives */
 static void resolve(struct script *s)
 {
@@ -509,13 +547,21 @@
 }
 
 static const struct script_command commands[] = {
-	{ "start", 0, start },	   { "endpoint", 0, endpoint },
-	{ "kill", 1, kill_node },  { "restart", 1, restart },
-	{ "wipe", 1, wipe },	   { "terminate", 1, terminate },
-	{ "hangup", 1, hang_up },  { "put", 2, put },
-	{ "held", 1, held },	   { "ask", 2, ask },
-	{ "resolve", 1, resolve }, { "ready", 0, ready },
-	{ "metrics", 2, metrics }, { 0 },
+	{ "start", 0, start },
+	{ "endpoint", 0, endpoint },
+	{ "kill", 1, kill_node },
+	{ "restart", 1, restart },
+	{ "wipe", 1, wipe },
+	{ "terminate", 1, terminate },
+	{ "hangup", 1, hang_up },
+	{ "put", 2, put },
+	{ "held", 1, held },
+	{ "ask", 2, ask },
+	{ "raw", 1, raw },
+	{ "resolve", 1, resolve },
+	{ "ready", 0, ready },
+	{ "metrics", 2, metrics },
+	{ 0 },
 };
 
 /* ---- running ---- */
