--- a/control/feed.c
+++ b/control/feed.c
@@ -256,7 +256,8 @@
 	size = sums->len * sizeof(struct replica_load);
 	reply->loads.loads_len = sums->len;
 	reply->loads.loads_val = malloc(size + 1);
-	memcpy(reply->loads.loads_val, sums->data, size);
+	if (size)
+		memcpy(reply->loads.loads_val, sums->data, size);
 	g_array_unref(sums);
 }
 
