control: a VM is released from what it says it holds

Change: a release names the epoch that the VM says it holds; the VM is free once it accepted that of the log and says that it holds none; a head that serves under any older epoch is waited for.

--- a/control/reconcile.c
+++ b/control/reconcile.c
@@ -5,6 +5,7 @@
 
 #include "common/log.h"
 #include "control/placer_internal.h"
+#include "control/release.h"
 #include "wire/codec.h"
 
 #define ORDER_BACKOFF_MS 200
@@ -316,14 +317,14 @@
 static bool head_is_done(struct placer *placer, const struct vm_state *held,
 			 const struct vm_orders *o)
 {
-	const struct view_vm *head = find_head(placer, held->replica,
-					       held->epoch, held->epoch);
+	const struct view_vm *head = find_head(placer, held->replica, 0,
+					       held->epoch);
 
 	if (!head || !strcmp(head->report.name, held->name))
 		return true;
 	if (placer_find_alive(placer, head->report.name))
 		return placer_orders(placer, head->report.name)
-			       ->released_epoch >= held->epoch;
+			       ->released_epoch >= head->report.epoch;
 	return placer_now_ms(placer) - o->released_ms >=
 	       placer->control->opts.settings->limits.head_stall_ms +
 		       STALL_MARGIN_MS;
@@ -332,13 +333,13 @@
 /* The head goes first, so that it takes nothing that cannot run. */
 static bool waits_for_head(struct placer *placer, const struct vm_state *held)
 {
-	const struct view_vm *head = find_head(placer, held->replica,
-					       held->epoch, held->epoch);
+	const struct view_vm *head = find_head(placer, held->replica, 0,
+					       held->epoch);
 
 	return head && strcmp(head->report.name, held->name) != 0 &&
 	       placer_find_alive(placer, head->report.name) &&
 	       placer_orders(placer, head->report.name)->released_epoch <
-		       held->epoch &&
+		       head->report.epoch &&
 	       placer_orders(placer, head->report.name)->formed_epoch <=
 		       held->epoch;
 }
@@ -350,7 +351,6 @@
 	struct order_intent intent = {
 		.kind = ORDER_RELEASE,
 		.replica = held->replica,
-		.epoch = held->epoch,
 	};
 	struct vm_orders *o;
 
@@ -359,7 +359,7 @@
 	o = placer_orders(placer, held->name);
 	if (o->in_flight)
 		return;
-	if (o->released_epoch >= held->epoch) {
+	if (release_confirmed(held, &seen->report, o->released_epoch)) {
 		if (head_is_done(placer, held, o))
 			propose_free(placer, held);
 		return;
@@ -367,6 +367,7 @@
 	if (placer_now_ms(placer) < o->next_ms ||
 	    waits_for_head(placer, held) || !drained(placer, o, seen))
 		return;
+	intent.epoch = release_epoch(held, &seen->report);
 	placer_send_order(placer, seen, &intent);
 }
 
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -16,6 +16,7 @@
 #include <radishdeal/state.h>
 
 #include "control/feed.h"
+#include "control/release.h"
 #include "entry/entry_internal.h"
 #include "platform/config.h"
 #include "platform/engine.h"
@@ -353,6 +354,25 @@
 	feed_add(w->feed, w->index, &command);
 }
 
+/* ---- letting go ---- */
+
+/* release LOG-EPOCH REPORTED-REPLICA REPORTED-EPOCH RELEASED-EPOCH */
+static void release(struct script *s)
+{
+	struct vm_state held = { .replica = 4,
+				 .epoch = (uint64_t)atoll(s->words[1]) };
+	struct vm_report report = {
+		.replica = (uint32_t)atoi(s->words[2]),
+		.epoch = (uint64_t)atoll(s->words[3]),
+	};
+
+	if (release_confirmed(&held, &report, (uint64_t)atoll(s->words[4])))
+		script_print(s, "holds nothing of replica 4");
+	else
+		script_print(s, "to release epoch %d",
+			     (int)release_epoch(&held, &report));
+}
+
 /* ---- repeats ---- */
 
 static void requests(struct script *s)
@@ -394,6 +414,7 @@
 	{ "feed", 1, feed_stream },
 	{ "poll", 1, poll_feed },
 	{ "committed", 1, feed_command },
+	{ "release", 4, release },
 	{ "requests", 1, requests },
 	{ "repeat", 1, repeat },
 	{ "at", 1, at },
