common: http_listen says why it could not listen

Change: http_listen() makes the text, with the setting's name before the address where one is given. The texts are the same as before.

--- a/common/http.c
+++ b/common/http.c
@@ -215,7 +215,8 @@
 				 &timeout, &timeout);
 }
 
-struct evhttp *http_listen(const struct http_listen_opts *opts, int *port)
+static struct evhttp *open_server(const struct http_listen_opts *opts,
+				  int *port)
 {
 	struct address address;
 	struct evhttp *http = NULL;
@@ -246,3 +247,16 @@
 	close(fd);
 	return NULL;
 }
+
+struct evhttp *http_listen(const struct http_listen_opts *opts, int *port,
+			   char **why)
+{
+	struct evhttp *http = open_server(opts, port);
+
+	if (!http && why)
+		*why = g_strdup_printf("%s%s%s: %s",
+				       opts->setting ? opts->setting : "",
+				       opts->setting ? " " : "", opts->address,
+				       g_strerror(errno));
+	return http;
+}
--- a/common/http.h
+++ b/common/http.h
@@ -86,6 +86,7 @@
 
 struct http_listen_opts {
 	struct event_base *base;
+	const char *setting; /* that gave the address; NULL if none did */
 	const char *address;
 	size_t header_bytes, body_bytes;
 	int timeout_s;
@@ -93,7 +94,12 @@
 	void *ctx;
 };
 
-/** Opens an HTTP server; NULL with errno set on failure. */
-struct evhttp *http_listen(const struct http_listen_opts *opts, int *port);
+/**
+ * Opens an HTTP server on the address; `port` is the one it got. NULL if it
+ * cannot, with errno set; `why`, which may be NULL, then says so, and its
+ * text is the caller's to free.
+ */
+struct evhttp *http_listen(const struct http_listen_opts *opts, int *port,
+			   char **why);
 
 #endif
--- a/control/metrics.c
+++ b/control/metrics.c
@@ -1,5 +1,4 @@
 /* Counters on an address of their own, for whoever collects them. */
-#include <errno.h>
 #include <string.h>
 
 #include "common/http.h"
@@ -33,10 +32,10 @@
 
 struct evhttp *metrics_open(struct control *control, char **why)
 {
-	const char *address = control->opts.settings->listen.metrics;
 	struct http_listen_opts opts = {
 		.base = control->base,
-		.address = address,
+		.setting = "listen.metrics",
+		.address = control->opts.settings->listen.metrics,
 		.header_bytes = HEADER_BYTES,
 		.body_bytes = BODY_BYTES,
 		.timeout_s = TIMEOUT_S,
@@ -44,10 +43,6 @@
 		.ctx = control,
 	};
 	int port;
-	struct evhttp *http = http_listen(&opts, &port);
 
-	if (!http)
-		*why = g_strdup_printf("listen.metrics %s: %s", address,
-				       g_strerror(errno));
-	return http;
+	return http_listen(&opts, &port, why);
 }
--- a/control/operators.c
+++ b/control/operators.c
@@ -1,5 +1,4 @@
 /* The operators' API: HTTP and JSON, keys with roles. */
-#include <errno.h>
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
@@ -581,11 +580,11 @@
 struct operators *operators_create(struct control *control, char **why)
 {
 	struct operators *o = g_new0(struct operators, 1);
-	const char *address = control->opts.settings->listen.operators;
 	int port;
 	struct http_listen_opts opts = {
 		.base = control->base,
-		.address = address,
+		.setting = "listen.operators",
+		.address = control->opts.settings->listen.operators,
 		.header_bytes = HEADER_BYTES,
 		.body_bytes = BODY_BYTES,
 		.timeout_s = TIMEOUT_S,
@@ -598,11 +597,9 @@
 	o->waits = g_ptr_array_new();
 	if (!parse_keys(o, control->opts.operator_keys, why))
 		goto fail;
-	o->http = http_listen(&opts, &port);
+	o->http = http_listen(&opts, &port, why);
 	if (o->http)
 		return o;
-	*why = g_strdup_printf("listen.operators %s: %s", address,
-			       g_strerror(errno));
 fail:
 	operators_destroy(o);
 	return NULL;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -1,4 +1,3 @@
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -169,11 +168,9 @@
 	opts.base = entry->base;
 	opts.address = address;
 	opts.ctx = entry;
-	http = http_listen(&opts, &port);
-	if (!http) {
-		*why = g_strdup_printf("%s: %s", address, g_strerror(errno));
+	http = http_listen(&opts, &port, why);
+	if (!http)
 		return NULL;
-	}
 	(void)address_parse(address, &parsed);
 	g_snprintf(out, ADDRESS_MAX, "%s:%d", parsed.host, port);
 	return http;
--- a/test/fakes/announcer.c
+++ b/test/fakes/announcer.c
@@ -202,7 +202,7 @@
 	struct evhttp *http;
 
 	g_snprintf(wanted, sizeof(wanted), "%s:0", host);
-	http = http_listen(&opts, &port);
+	http = http_listen(&opts, &port, NULL);
 	if (!http) {
 		perror("listen");
 		exit(1);
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -162,7 +162,7 @@
 
 	w->base = event_base_new();
 	opts.base = w->base;
-	w->endpoint = http_listen(&opts, &w->endpoint_port);
+	w->endpoint = http_listen(&opts, &w->endpoint_port, NULL);
 	assert_non_null(w->endpoint);
 	w->server = g_thread_new("endpoint", run_endpoint, w);
 	w->beater = g_thread_new("beats", run_beats, w);
