--- a/Makefile
+++ b/Makefile
@@ -16,10 +16,11 @@
 LDLIBS := $(shell pkg-config --libs $(PKGS)) -lm -lpthread
 
 # The coordination parts, without sockets: what others embed.
-CORE_SRC := common/result.c wire/radishdeal_xdr.c wire/codec.c \
+CORE_COMMON := common/result.c common/key_hash.c
+CORE_SRC := $(CORE_COMMON) wire/radishdeal_xdr.c wire/codec.c \
 	$(wildcard consensus/*.c state/*.c evidence/*.c placement/*.c \
 	routing/*.c)
-DAEMON_SRC := $(filter-out common/result.c,$(wildcard common/*.c)) \
+DAEMON_SRC := $(filter-out $(CORE_COMMON),$(wildcard common/*.c)) \
 	$(filter-out wire/radishdeal_xdr.c wire/codec.c,$(wildcard wire/*.c)) \
 	$(wildcard settings/*.c storage/*.c control/*.c entry/*.c \
 	platform/*.c)
--- a/entry/callers.c
+++ b/entry/callers.c
@@ -5,6 +5,7 @@
 
 #include <radishdeal/prefix.h>
 
+#include "common/key_hash.h"
 #include "entry/native.h"
 
 #define CHAT_PATH "/v1/chat/completions"
@@ -12,7 +13,6 @@
 #define BYTES_PER_TOKEN 4
 #define DEFAULT_OUTPUT_TOKENS 256
 #define OUTPUT_TOKENS_MAX 1000000
-#define SHA256_BYTES 32
 #define BOOKING_KEY_MAX 255
 #define RETRY_AFTER_MS 1000
 #define ATTEMPTS_MAX 4
@@ -55,17 +55,12 @@
 				const struct account_spec **account)
 {
 	const char *key = http_bearer(req);
-	uint8_t hash[SHA256_BYTES];
-	gsize size = sizeof(hash);
+	uint8_t hash[KEY_HASH_BYTES];
 	struct key_search search = { .hash = hash };
-	GChecksum *checksum;
 
 	if (!key)
 		return RD_NO_KEY;
-	checksum = g_checksum_new(G_CHECKSUM_SHA256);
-	g_checksum_update(checksum, (const guchar *)key, -1);
-	g_checksum_get_digest(checksum, hash, &size);
-	g_checksum_free(checksum);
+	key_hash_make(key, hash);
 	*account = service ? service_account_by_key(service, hash) : NULL;
 	if (*account)
 		return RD_OK;
--- a/entry/routes.c
+++ b/entry/routes.c
@@ -1,28 +1,14 @@
 /* Which route a request takes, and whose key it carries. */
 #include <string.h>
 
+#include "common/key_hash.h"
 #include "entry/entry_internal.h"
 
-#define SHA256_BYTES 32
-
 struct routes {
 	GHashTable *places;   /* "host\nprefix" -> const struct route_spec */
 	GHashTable *accounts; /* key's hash -> const struct client_account */
 };
 
-static guint hash_key(gconstpointer key)
-{
-	guint n;
-
-	memcpy(&n, key, sizeof(n));
-	return n;
-}
-
-static gboolean same_key(gconstpointer a, gconstpointer b)
-{
-	return !memcmp(a, b, SHA256_BYTES);
-}
-
 static char *place_key(const char *host, size_t host_size, const char *path,
 		       size_t path_size)
 {
@@ -42,7 +28,7 @@
 
 	routes->places = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       NULL);
-	routes->accounts = g_hash_table_new(hash_key, same_key);
+	routes->accounts = g_hash_table_new(key_hash_code, key_hash_equal);
 	for (u_int i = 0; i < deployment->routes.routes_len; i++) {
 		struct route_spec *r = &deployment->routes.routes_val[i];
 
@@ -94,12 +80,8 @@
 const struct client_account *routes_account(const struct routes *routes,
 					    const char *key)
 {
-	uint8_t hash[SHA256_BYTES];
-	gsize size = sizeof(hash);
-	GChecksum *checksum = g_checksum_new(G_CHECKSUM_SHA256);
+	uint8_t hash[KEY_HASH_BYTES];
 
-	g_checksum_update(checksum, (const guchar *)key, -1);
-	g_checksum_get_digest(checksum, hash, &size);
-	g_checksum_free(checksum);
+	key_hash_make(key, hash);
 	return g_hash_table_lookup(routes->accounts, hash);
 }
--- a/state/deployment.c
+++ b/state/deployment.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/key_hash.h"
 #include "state/state_internal.h"
 #include "wire/codec.h"
 
@@ -169,23 +170,9 @@
 	g_hash_table_unref(targets);
 }
 
-static guint hash_key(gconstpointer key)
-{
-	const struct key_hash *hash = key;
-	guint n;
-
-	memcpy(&n, hash->sha256, sizeof(n));
-	return n;
-}
-
-static gboolean same_key(gconstpointer a, gconstpointer b)
-{
-	return !memcmp(a, b, sizeof(struct key_hash));
-}
-
 static void check_accounts(const struct deployment *deployment, GString *out)
 {
-	GHashTable *holders = g_hash_table_new(hash_key, same_key);
+	GHashTable *holders = g_hash_table_new(key_hash_code, key_hash_equal);
 
 	for (u_int i = 0; i < deployment->accounts.accounts_len; i++) {
 		struct client_account *a =
@@ -193,14 +180,15 @@
 
 		for (u_int j = 0; j < a->keys.keys_len; j++) {
 			struct key_hash *key = &a->keys.keys_val[j];
-			const char *holder = g_hash_table_lookup(holders, key);
+			const char *holder = g_hash_table_lookup(holders,
+								 key->sha256);
 
 			if (holder && strcmp(holder, a->name) != 0)
 				state_complain(out,
 					       "account %s: shares a key with "
 					       "account %s",
 					       a->name, holder);
-			g_hash_table_insert(holders, key, a->name);
+			g_hash_table_insert(holders, key->sha256, a->name);
 		}
 	}
 	g_hash_table_unref(holders);
