control: entries' loads are summed by sorting

Cause: each poll's answer looked up every load of every other entry in a list of the sums so far: quadratic in the replicas with requests.

Change: the loads are sorted and neighbours added up. The replicas in the answer now stand in order.

--- a/control/feed.c
+++ b/control/feed.c
@@ -219,26 +219,36 @@
 	reply->entries.entries_len = n;
 }
 
-static void add_load(GArray *sums, const struct replica_load *load)
+static gint compare_loads(gconstpointer a, gconstpointer b)
 {
-	for (guint i = 0; i < sums->len; i++) {
-		struct replica_load *sum =
-			&g_array_index(sums, struct replica_load, i);
-
-		if (sum->replica == load->replica &&
-		    sum->epoch == load->epoch) {
-			sum->requests += load->requests;
-			return;
-		}
+	const struct replica_load *x = a, *y = b;
+
+	if (x->replica != y->replica)
+		return x->replica < y->replica ? -1 : 1;
+	return x->epoch < y->epoch ? -1 : x->epoch > y->epoch;
+}
+
+/* Leaves one load of each replica, the sum of those there were. */
+static void sum_loads(GArray *loads)
+{
+	struct replica_load *all = (struct replica_load *)loads->data;
+	guint sums = 0;
+
+	g_array_sort(loads, compare_loads);
+	for (guint i = 0; i < loads->len; i++) {
+		if (sums && !compare_loads(&all[sums - 1], &all[i]))
+			all[sums - 1].requests += all[i].requests;
+		else
+			all[sums++] = all[i];
 	}
-	g_array_append_vals(sums, load, 1);
+	g_array_set_size(loads, sums);
 }
 
 /* What all entries but one have at replicas, as they last told. */
 static void add_loads(const struct feed *feed, int64_t now_ms, uint32_t asker,
 		      struct poll_reply *reply)
 {
-	GArray *sums = g_array_new(FALSE, FALSE, sizeof(struct replica_load));
+	GArray *loads = g_array_new(FALSE, FALSE, sizeof(struct replica_load));
 	GHashTableIter iter;
 	gpointer value;
 	gsize size;
@@ -249,16 +259,15 @@
 
 		if (e->node == asker || now_ms > e->lease_until_ms)
 			continue;
-		for (guint i = 0; i < e->loads->len; i++)
-			add_load(sums, &g_array_index(e->loads,
-						      struct replica_load, i));
+		g_array_append_vals(loads, e->loads->data, e->loads->len);
 	}
-	size = sums->len * sizeof(struct replica_load);
-	reply->loads.loads_len = sums->len;
+	sum_loads(loads);
+	size = loads->len * sizeof(struct replica_load);
+	reply->loads.loads_len = loads->len;
 	reply->loads.loads_val = malloc(size + 1);
 	if (size)
-		memcpy(reply->loads.loads_val, sums->data, size);
-	g_array_unref(sums);
+		memcpy(reply->loads.loads_val, loads->data, size);
+	g_array_unref(loads);
 }
 
 void feed_poll(struct feed *feed, int64_t now_ms, const struct state *state,
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -319,6 +319,7 @@
 		.data_centre = (char *)"a",
 	};
 	struct poll_reply reply = { 0 };
+	GString *loads = g_string_new(NULL);
 
 	if (load) {
 		own.replica = (uint32_t)atoi(load);
@@ -327,13 +328,15 @@
 		request.loads.loads_len = 1;
 	}
 	feed_poll(w->feed, w->now_ms, w->state, &request, &reply);
-	script_print(s, "node %s: %s, %u deltas, %u entries, %u at %u replicas",
+	for (u_int i = 0; i < reply.loads.loads_len; i++)
+		g_string_append_printf(loads, "%s%u", i ? "+" : "",
+				       reply.loads.loads_val[i].requests);
+	script_print(s, "node %s: %s, %u deltas, %u entries, %s at %u replicas",
 		     s->words[1],
 		     reply.snapshot.snapshot_len ? "an image" : "no image",
 		     reply.deltas.deltas_len, reply.entries.entries_len,
-		     reply.loads.loads_len ? reply.loads.loads_val[0].requests
-					   : 0,
-		     reply.loads.loads_len);
+		     loads->len ? loads->str : "0", reply.loads.loads_len);
+	g_string_free(loads, TRUE);
 	CODEC_FREE(poll_reply, &reply);
 }
 
