entry: what its files each had is there once

Cause: RETRY_AFTER_MS was defined in five files, the length of an event was found by the same code in entry/sse.c and platform/events.c, and services_watch() looked up an engine beside engine_of().

Change: one of each.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -9,7 +9,6 @@
 #include "common/log.h"
 #include "entry/call.h"
 
-#define RETRY_AFTER_MS 1000
 /* A stream without a token for this long is continued elsewhere. */
 #define STALL_LIMIT_MS 5000
 /* Above this much unread answer the endpoint is not read from. */
--- a/entry/booking.c
+++ b/entry/booking.c
@@ -7,7 +7,6 @@
 #include "entry/call.h"
 #include "wire/codec.h"
 
-#define RETRY_AFTER_MS 1000
 #define WAIT_MS 100
 
 static const struct log booking_log = { "booking" };
--- a/entry/call.c
+++ b/entry/call.c
@@ -9,7 +9,6 @@
 #include "common/log.h"
 #include "entry/call.h"
 
-#define RETRY_AFTER_MS 1000
 #define OUTPUT_SMOOTHING 0.05
 
 static const struct log call_log = { "call" };
--- a/entry/call.h
+++ b/entry/call.h
@@ -11,6 +11,9 @@
 #include "common/address.h"
 #include "entry/entry_internal.h"
 
+/* Told to callers whose request may come again soon. */
+#define RETRY_AFTER_MS 1000
+
 struct call;
 
 /** What the head of an endpoint's answer means. */
--- a/entry/callers.c
+++ b/entry/callers.c
@@ -14,7 +14,6 @@
 #define DEFAULT_OUTPUT_TOKENS 256
 #define OUTPUT_TOKENS_MAX 1000000
 #define BOOKING_KEY_MAX 255
-#define RETRY_AFTER_MS 1000
 #define ATTEMPTS_MAX 4
 
 static void refuse(struct entry *entry, struct evhttp_request *req,
--- a/entry/services.c
+++ b/entry/services.c
@@ -509,10 +509,8 @@
 	g_hash_table_iter_init(&iter, entry->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct entry_service *s = value;
-		const struct service_state *state = state_service(entry->config,
-								  s->name);
 
-		if (state && state->spec.engine.step_us)
+		if (engine_of(s)->step_us)
 			watch_service(s);
 	}
 }
--- a/entry/sse.c
+++ b/entry/sse.c
@@ -49,8 +49,7 @@
 	return take_content(sse, content + strlen(CONTENT_KEY), event + size);
 }
 
-/* The length of the first event with its empty line, 0 if it is not whole. */
-static size_t event_length(struct evbuffer *in)
+size_t sse_event_length(struct evbuffer *in)
 {
 	struct evbuffer_ptr at = evbuffer_search(in, "\n\n", 2, NULL);
 
@@ -62,7 +61,7 @@
 	uint32_t before = sse->tokens;
 	size_t size;
 
-	while (!sse->done && (size = event_length(in))) {
+	while (!sse->done && (size = sse_event_length(in))) {
 		const char *event =
 			(const char *)evbuffer_pullup(in, (ev_ssize_t)size);
 
--- a/entry/sse.h
+++ b/entry/sse.h
@@ -24,6 +24,12 @@
 
 #define SSE_EVENT_MAX 65536
 
+/**
+ * The bytes of the first event of a stream's next part, with the empty line
+ * that ends it; 0 if it is not whole yet.
+ */
+size_t sse_event_length(struct evbuffer *in);
+
 void sse_init(struct sse *sse);
 void sse_clear(struct sse *sse);
 
--- a/entry/take.c
+++ b/entry/take.c
@@ -3,7 +3,6 @@
 #include "common/log.h"
 #include "entry/take.h"
 
-#define RETRY_AFTER_MS 1000
 #define NO_ACCOUNT ""
 /* How long a request without a stated patience is kept, at most. */
 #define PATIENCE_MAX_MS 600000
