placement: pick_across reads the home domain once

Cause: the data centre was read at the declaration too, before the assertion that there is a domain.

Change: that reading is gone.

--- a/placement/pick.c
+++ b/placement/pick.c
@@ -160,8 +160,7 @@
 bool pick_across(const struct plan *plan, const struct service *s,
 		 struct pick *pick)
 {
-	const char *centre = pick->count ? pick->vms[0]->domain->data_centre
-					 : NULL;
+	const char *centre = NULL;
 
 	if (pick->count) {
 		const struct domain *home = pick->vms[0]->domain;
