test, bench: a question to a node and a series of windows are code once

Cause: three commands of test_platform_proc made the same request but for port and path; three measurements of bench_capacity kept the same arrays.

Change: get_until() and struct series. What is asked, asserted and printed is the same.

--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -115,12 +115,25 @@
 	wait_endpoints(c, vms / 4 * 4);
 }
 
+/** Windows, each of another size of a system. */
+struct series {
+	double x[POINTS_MAX], cpu[POINTS_MAX], rss[POINTS_MAX],
+		bytes[POINTS_MAX];
+	int n;
+};
+
+static void series_add(struct series *s, double x, const struct window *w)
+{
+	s->x[s->n] = x;
+	s->cpu[s->n] = w->cpu_us_s;
+	s->rss[s->n] = w->rss_kb;
+	s->bytes[s->n++] = w->bytes_s;
+}
+
 static void by_entries(void)
 {
 	static const int sizes[] = { 3, 4, 6, 9, 12 };
-	double x[POINTS_MAX], cpu[POINTS_MAX], rss[POINTS_MAX],
-		bytes[POINTS_MAX];
-	int n = 0;
+	struct series s = { 0 };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
 		struct cluster *c = cluster_create(false);
@@ -129,22 +142,17 @@
 		cluster_start(c, sizes[i]);
 		watch(c, NULL, NULL, &w);
 		cluster_destroy(c);
-		x[n] = sizes[i];
-		cpu[n] = w.cpu_us_s;
-		rss[n] = w.rss_kb;
-		bytes[n++] = w.bytes_s;
+		series_add(&s, sizes[i], &w);
 	}
-	print_slope("entry_cpu_by_entries", x, cpu, n, "us/s");
-	print_slope("entry_rss_by_entries", x, rss, n, "KB");
-	print_slope("entry_bytes_by_entries", x, bytes, n, "B/s");
+	print_slope("entry_cpu_by_entries", s.x, s.cpu, s.n, "us/s");
+	print_slope("entry_rss_by_entries", s.x, s.rss, s.n, "KB");
+	print_slope("entry_bytes_by_entries", s.x, s.bytes, s.n, "B/s");
 }
 
 static void by_endpoints(void)
 {
 	static const int sizes[] = { 40, 100, 200, 400 };
-	double x[POINTS_MAX], cpu[POINTS_MAX], rss[POINTS_MAX],
-		bytes[POINTS_MAX];
-	int n = 0;
+	struct series s = { 0 };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
 		struct cluster *c = cluster_create(false);
@@ -154,14 +162,11 @@
 		start_engine(c, sizes[i]);
 		watch(c, NULL, NULL, &w);
 		cluster_destroy(c);
-		x[n] = sizes[i];
-		cpu[n] = w.cpu_us_s;
-		rss[n] = w.rss_kb;
-		bytes[n++] = w.bytes_s;
+		series_add(&s, sizes[i], &w);
 	}
-	print_slope("entry_cpu_by_endpoints", x, cpu, n, "us/s");
-	print_slope("entry_rss_by_endpoints", x, rss, n, "KB");
-	print_slope("entry_bytes_by_endpoints", x, bytes, n, "B/s");
+	print_slope("entry_cpu_by_endpoints", s.x, s.cpu, s.n, "us/s");
+	print_slope("entry_rss_by_endpoints", s.x, s.rss, s.n, "KB");
+	print_slope("entry_bytes_by_endpoints", s.x, s.bytes, s.n, "B/s");
 }
 
 /* ---- open streams ---- */
@@ -270,8 +275,7 @@
 static void by_changes(void)
 {
 	static const int rates[] = { 0, 20, 50, 100 };
-	double x[POINTS_MAX], cpu[POINTS_MAX], bytes[POINTS_MAX];
-	int n = 0;
+	struct series s = { 0 };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(rates); i++) {
 		struct cluster *c = cluster_create(false);
@@ -283,12 +287,10 @@
 		changing.leader = cluster_wait_leader(c);
 		watch(c, make_changes, &changing, &w);
 		cluster_destroy(c);
-		x[n] = changing.made / w.seconds;
-		cpu[n] = w.cpu_us_s;
-		bytes[n++] = w.bytes_s;
+		series_add(&s, changing.made / w.seconds, &w);
 	}
-	print_slope("node_cpu_by_changes", x, cpu, n, "us/s per 1/s");
-	print_slope("node_bytes_by_changes", x, bytes, n, "B/s per 1/s");
+	print_slope("node_cpu_by_changes", s.x, s.cpu, s.n, "us/s per 1/s");
+	print_slope("node_bytes_by_changes", s.x, s.bytes, s.n, "B/s per 1/s");
 }
 
 /* ---- the cores, in given time ---- */
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -335,6 +335,23 @@
 	}
 }
 
+/* Asks one port of a node until the wanted status comes. */
+static void get_until(struct script *s, int node, enum port port,
+		      const char *path, const char *wanted,
+		      struct fetch_answer *answer)
+{
+	char *address = address_of(s->ctx, node, port);
+	struct fetch_request request = {
+		.address = address,
+		.method = "GET",
+		.path = path,
+		.timeout_ms = ASK_TIMEOUT_MS,
+	};
+
+	ask_until(s, &request, wanted, answer);
+	g_free(address);
+}
+
 /* put NODE FILE version= [want=] */
 static void put(struct script *s)
 {
@@ -487,63 +504,40 @@
 /* resolve NODE want=COUNT: how many addresses a directory gives */
 static void resolve(struct script *s)
 {
-	struct world *w = s->ctx;
-	char *address = address_of(w, atoi(s->words[1]), PORT_DIRECTORY);
-	struct fetch_request request = {
-		.address = address,
-		.method = "GET",
-		.path = "/v1/resolve?name=shop.example&zone=a",
-		.timeout_ms = ASK_TIMEOUT_MS,
-	};
 	struct fetch_answer answer;
 	json_t *body;
 
-	ask_until(s, &request, script_value(s, "want", "200"), &answer);
+	get_until(s, atoi(s->words[1]), PORT_DIRECTORY,
+		  "/v1/resolve?name=shop.example&zone=a",
+		  script_value(s, "want", "200"), &answer);
 	body = json_loads(answer.body ? answer.body : "", 0, NULL);
 	script_print(s, "node %s: %d, %zu addresses", s->words[1],
 		     answer.status,
 		     json_array_size(json_object_get(body, "addresses")));
 	json_decref(body);
 	fetch_clear(&answer);
-	g_free(address);
 }
 
 static void ready(struct script *s)
 {
-	struct world *w = s->ctx;
-	char *address = address_of(w, NODES, PORT_READY);
-	struct fetch_request request = {
-		.address = address,
-		.method = "GET",
-		.path = "/v1/readiness",
-		.timeout_ms = ASK_TIMEOUT_MS,
-	};
 	struct fetch_answer answer;
 
-	ask_until(s, &request, script_value(s, "want", "200"), &answer);
+	get_until(s, NODES, PORT_READY, "/v1/readiness",
+		  script_value(s, "want", "200"), &answer);
 	script_print(s, "ready: %d", answer.status);
 	fetch_clear(&answer);
-	g_free(address);
 }
 
 static void metrics(struct script *s)
 {
-	struct world *w = s->ctx;
-	char *address = address_of(w, atoi(s->words[1]), PORT_METRICS);
-	struct fetch_request request = {
-		.address = address,
-		.method = "GET",
-		.path = "/metrics",
-		.timeout_ms = ASK_TIMEOUT_MS,
-	};
 	struct fetch_answer answer;
 
-	ask_until(s, &request, "200", &answer);
+	get_until(s, atoi(s->words[1]), PORT_METRICS, "/metrics", "200",
+		  &answer);
 	script_print(s, "node %s has metrics: %s", s->words[1],
 		     answer.body && strstr(answer.body, s->words[2]) ? "yes"
 								     : "no");
 	fetch_clear(&answer);
-	g_free(address);
 }
 
 static const struct script_command commands[] = {
