placement: spares hold one model in memory and another on disk

Spares whose domain had lost its replica of their model loaded another model's weights over theirs, 16 s each, and a spare could help one model only. Change: reports tell weights in memory and on disk apart; a spare that has any service's weights loads nothing over them; what the store has left puts the weights of the other model on the disks of VMs that have one in memory. Pools are divided by work in replicas, ready for measured demand. Entries log prompt, load of the replica and time to the first event.

--- a/control/placer.c
+++ b/control/placer.c
@@ -46,6 +46,7 @@
 		.loads_by_vm = control->opts.driver != NULL,
 		.spread = control->opts.driver != NULL,
 		.load_first = control->opts.driver != NULL,
+		.stage_all = control->opts.driver != NULL,
 	};
 
 	placer->control = control;
@@ -168,7 +169,14 @@
 bool placer_has_weights(const struct vm_report *r, const char *model,
 			const char *version)
 {
-	return !strcmp(r->model, model) && !strcmp(r->model_version, version);
+	if (strcmp(r->model_version, version) != 0)
+		return false;
+	if (!strcmp(r->model, model))
+		return true;
+	for (u_int i = 0; i < r->staged.staged_len; i++)
+		if (!strcmp(r->staged.staged_val[i], model))
+			return true;
+	return false;
 }
 
 /* Until the first requests come, loads are fast, and nothing waits yet. */
@@ -353,6 +361,7 @@
 	intent.model = service->spec.model;
 	intent.adapter = service->spec.adapter;
 	o->preload_until_ms = placer_now_ms(placer) + PRELOAD_LIMIT_MS;
+	o->preload_incarnation = seen->report.incarnation;
 	g_strlcpy(o->preload_model, service->spec.model,
 		  sizeof(o->preload_model));
 	g_strlcpy(o->preload_version, d->version, sizeof(o->preload_version));
--- a/control/placer_internal.h
+++ b/control/placer_internal.h
@@ -23,7 +23,8 @@
 	int64_t released_ms;	 /* when it did */
 	uint64_t formed_epoch;	 /* it accepted to take part under it */
 	int64_t releasing_since_ms;
-	int64_t preload_until_ms;  /* 0 unless told to load ahead */
+	int64_t preload_until_ms;     /* 0 unless told to load ahead */
+	uint64_t preload_incarnation; /* of the VM then */
 	uint64_t warm_incarnation; /* of the VM when it was told to be warm */
 	char warm_model[64];
 	char preload_model[64];
@@ -61,7 +62,7 @@
 /** Whether the whole system starts, and no requests are likely yet. */
 bool placer_first_start(const struct placer *placer);
 
-/** Whether a VM has weights on its disk. */
+/** Whether a VM has weights at hand, in memory or on its disk. */
 bool placer_has_weights(const struct vm_report *r, const char *model,
 			const char *version);
 
--- a/control/placer_model.c
+++ b/control/placer_model.c
@@ -7,13 +7,15 @@
 #define FIRST_LOADS_X 2
 
 /* A load ahead ends with the VM's word that it has loaded, or in time. */
-static void follow_preload(struct placer *placer, const struct vm_report *r)
+static void follow_preload(struct placer *placer, const struct vm_report *r,
+			   bool alive)
 {
 	struct vm_orders *o = g_hash_table_lookup(placer->orders, r->name);
 
 	if (!o || !o->preload_until_ms)
 		return;
-	if (r->replica || o->preload_until_ms < placer_now_ms(placer) ||
+	if (!alive || r->incarnation != o->preload_incarnation ||
+	    o->preload_until_ms < placer_now_ms(placer) ||
 	    placer_has_weights(r, o->preload_model, o->preload_version))
 		o->preload_until_ms = 0;
 	placement_set_preloading(placer->placement, r->name,
@@ -33,6 +35,8 @@
 		.model = r->model,
 		.adapter = r->adapter,
 		.version = r->model_version,
+		.staged = (const char *const *)r->staged.staged_val,
+		.staged_count = r->staged.staged_len,
 		.accelerators = r->accelerators,
 		.alive = view_alive(placer->control->view, seen,
 				    placer_now_ms(placer)),
@@ -45,7 +49,7 @@
 	placement_put_vm(placer->placement, placer_now_ms(placer), &vm);
 	placement_hold(placer->placement, r->name, held ? held->replica : 0,
 		       held && held->releasing);
-	follow_preload(placer, r);
+	follow_preload(placer, r, vm.alive);
 }
 
 static void put_held(void *ctx, const struct vm_state *held)
--- a/control/placer_share.c
+++ b/control/placer_share.c
@@ -24,11 +24,13 @@
 {
 	struct pool *pool = ctx;
 	struct division_part part = {
-		.share_permille = service->spec.share_permille,
+		.work = (double)service->spec.share_permille /
+			MAX(service->spec.vms_per_replica, 1),
 		.vms_per_replica = service->spec.vms_per_replica,
 	};
 
-	if (!part.share_permille || strcmp(service->spec.pool, pool->name) != 0)
+	if (!service->spec.share_permille ||
+	    strcmp(service->spec.pool, pool->name) != 0)
 		return;
 	g_array_append_val(pool->parts, part);
 	g_ptr_array_add(pool->services, (gpointer)service);
--- a/control/reconcile.c
+++ b/control/reconcile.c
@@ -412,6 +412,7 @@
 struct spare {
 	struct placer *placer;
 	const struct view_vm *vm;
+	const char *staged; /* the newest weights on its disk */
 };
 
 static void warm_for(void *ctx, const struct service_state *service)
@@ -429,13 +430,13 @@
 	};
 
 	if (spec->plain || strcmp(spec->pool, r->pool) != 0 ||
-	    strcmp(spec->model, r->model) != 0 ||
+	    strcmp(spec->model, spare->staged) != 0 ||
 	    (o->warm_incarnation == r->incarnation &&
-	     !strcmp(o->warm_model, r->model)) ||
+	     !strcmp(o->warm_model, spare->staged)) ||
 	    !placer_order_is_due(spare->placer, o))
 		return;
 	o->warm_incarnation = r->incarnation;
-	g_strlcpy(o->warm_model, r->model, sizeof(o->warm_model));
+	g_strlcpy(o->warm_model, spare->staged, sizeof(o->warm_model));
 	placer_send_order(spare->placer, spare->vm, &intent);
 }
 
@@ -444,12 +445,14 @@
 {
 	struct placer *placer = ctx;
 	const struct vm_report *r = &seen->report;
-	struct spare spare = { placer, seen };
+	u_int staged = r->staged.staged_len;
+	struct spare spare = { placer, seen, NULL };
 
-	if (*r->service || !*r->model || r->replica || r->leaving ||
+	if (*r->service || *r->model || !staged || r->replica || r->leaving ||
 	    state_vm(placer_state(placer), r->name) ||
 	    !placer_find_alive(placer, r->name))
 		return;
+	spare.staged = r->staged.staged_val[staged - 1];
 	if (!placer_orders(placer, r->name)->preload_until_ms)
 		state_each_service(placer_state(placer), warm_for, &spare);
 }
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -179,8 +179,9 @@
 		evhttp_add_header(headers, "Connection", "close");
 	evhttp_send_reply_start(call->req, HTTP_OK, "OK");
 	call->started_reply = true;
+	call->first_us = entry_now_us(call->entry);
 	counters_time(call->entry->opts.counters, HISTOGRAM_FIRST_TOKEN,
-		      entry_now_us(call->entry) - call->started_us);
+		      call->first_us - call->started_us);
 }
 
 static void forward(struct call *call, struct evbuffer *events)
@@ -377,11 +378,13 @@
 {
 	log_info(&attempt_log,
 		 "request %s: to replica %u epoch=%" PRIu64 " at %s "
-		 "service=%s cost_ms=%.1f cached=%u candidates=%u stale=%u "
+		 "service=%s prompt=%u present=%u cost_ms=%.1f cached=%u "
+		 "candidates=%u stale=%u "
 		 "suspect=%u full=%u failed=%u slow=%u left_out=%s "
 		 "after_ms=%" PRId64,
 		 call->id, choice->replica, choice->epoch, choice->address,
-		 call->service->name, choice->cost_ms, choice->cached_tokens,
+		 call->service->name, call->route.prompt_tokens,
+		 choice->present, choice->cost_ms, choice->cached_tokens,
 		 choice->candidates, choice->stale, choice->suspects,
 		 choice->full, choice->avoided, choice->slow,
 		 *choice->worst ? choice->worst : "-",
--- a/entry/call.c
+++ b/entry/call.c
@@ -212,8 +212,10 @@
 				(call->tokens - service->mean_output);
 	count_end(call, COUNTER_ANSWERED);
 	log_info(&call_log,
-		 "request %s: whole, replica %u tokens=%u ms=%" PRId64,
-		 call->id, call->replica, call->tokens,
+		 "request %s: whole, service=%s replica %u tokens=%u "
+		 "first_ms=%" PRId64 " ms=%" PRId64,
+		 call->id, service->name, call->replica, call->tokens,
+		 (call->first_us - call->started_us) / 1000,
 		 (entry_now_us(call->entry) - call->started_us) / 1000);
 	unwatch(call);
 	evhttp_send_reply_end(call->req);
--- a/entry/call.h
+++ b/entry/call.h
@@ -98,6 +98,7 @@
 	char address[ADDRESS_MAX];
 	struct upstream *upstream;
 	int64_t sent_us;
+	int64_t first_us; /* when a stream's head went to the caller */
 	int64_t paced_us; /* when the pace was last measured */
 	uint32_t paced_tokens;
 	uint32_t counted; /* tokens taken off the router's account */
--- a/evidence/home.c
+++ b/evidence/home.c
@@ -47,6 +47,16 @@
 	g_free(home);
 }
 
+static bool same_staged(const struct vm_report *a, const struct vm_report *b)
+{
+	if (a->staged.staged_len != b->staged.staged_len)
+		return false;
+	for (u_int i = 0; i < a->staged.staged_len; i++)
+		if (strcmp(a->staged.staged_val[i], b->staged.staged_val[i]))
+			return false;
+	return true;
+}
+
 static bool same_status(const struct vm_report *a, const struct vm_report *b)
 {
 	return a->incarnation == b->incarnation && a->ready == b->ready &&
@@ -58,7 +68,7 @@
 	       !strcmp(a->adapter, b->adapter) &&
 	       !strcmp(a->model_version, b->model_version) &&
 	       !strcmp(a->service, b->service) && !strcmp(a->pool, b->pool) &&
-	       a->accelerators == b->accelerators;
+	       a->accelerators == b->accelerators && same_staged(a, b);
 }
 
 /* Loads are told in powers of two, so that small changes cost nothing. */
--- a/evidence/view.c
+++ b/evidence/view.c
@@ -130,10 +130,33 @@
 	return a->sequence > b->sequence;
 }
 
+/*
+ * Weights stay in a VM's memory while it belongs to no replica or joins the
+ * next one, though it then says nothing of them.
+ */
+static char *still_loaded(const struct vm_report *known,
+			  const struct vm_report *report)
+{
+	if (!known->name || *report->model ||
+	    known->incarnation != report->incarnation)
+		return NULL;
+	return g_strdup(known->model);
+}
+
+static void keep_loaded(struct vm_report *report, char *model)
+{
+	if (!model)
+		return;
+	free(report->model);
+	report->model = strdup(model);
+	g_free(model);
+}
+
 static void take_report(struct view *view, uint32_t node,
 			const struct vm_report *report, int64_t now_ms)
 {
 	struct view_vm *vm = get_vm(view, report->name);
+	char *loaded;
 	bool leaving;
 
 	if (!vm->homes->len)
@@ -144,9 +167,11 @@
 		return;
 	leaving = vm->report.name && vm->report.leaving &&
 		  vm->report.incarnation == report->incarnation;
+	loaded = still_loaded(&vm->report, report);
 	CODEC_FREE(vm_report, &vm->report);
 	if (!CODEC_COPY(vm_report, report, &vm->report))
 		g_assert_not_reached();
+	keep_loaded(&vm->report, loaded);
 	/* Who once said that it leaves stays so until it starts anew. */
 	vm->report.leaving |= leaving;
 	view->version++;
--- a/include/radishdeal/placement.h
+++ b/include/radishdeal/placement.h
@@ -17,6 +17,7 @@
 
 #define PLACEMENT_VMS_MAX 64
 #define PLACEMENT_REASON_MAX 160
+#define PLACEMENT_STAGED_MAX 8
 
 struct placement;
 
@@ -27,6 +28,8 @@
 	int32_t flap_forget_ms; /* a loss counts as recent for this long */
 	uint32_t loads_max;	/* replicas that may load weights at once */
 	bool loads_by_vm; /* counts VMs instead, to just reach loads_max */
+	bool stage_all;	  /* VMs that have weights in memory load those of
+			   * others to their disk, so that they can change */
 	bool spread;	  /* replicas go where most VMs are free, so that each
 			   * domain keeps spares */
 	bool load_first;  /* a repair waits until its VMs have loaded weights,
@@ -76,6 +79,8 @@
 	const char *model; /* loaded weights, empty for none */
 	const char *adapter;
 	const char *version;
+	const char *const *staged; /* models at hand on its disk */
+	uint32_t staged_count;
 	uint32_t accelerators;
 	bool alive;
 	bool leaving;
@@ -150,15 +155,16 @@
 
 /** A model's part of a pool of VMs. */
 struct division_part {
-	uint32_t share_permille; /* of the VMs */
+	double work; /* in replicas that it keeps busy, on any common scale */
 	uint32_t vms_per_replica;
 	uint32_t replicas; /* result */
 };
 
 /**
- * Divides a pool between its models: how many replicas of each, so that each
- * fits into one fabric domain and some VMs stay spare for repairs.
- * `domain_vms` holds the usable VMs of each domain.
+ * Divides a pool between its models: how many replicas of each, so that the
+ * busiest is as little busy as can be, each replica fits into one fabric
+ * domain, and some VMs stay spare for repairs. `domain_vms` holds the usable
+ * VMs of each domain.
  */
 void placement_divide(struct division_part *parts, uint32_t part_count,
 		      const uint32_t *domain_vms, uint32_t domain_count,
--- a/include/radishdeal/router.h
+++ b/include/radishdeal/router.h
@@ -123,6 +123,7 @@
 	uint64_t epoch;
 	const char *address; /* borrowed until the next change */
 	double cost_ms;
+	uint32_t present; /* requests there, as far as is known */
 	uint32_t cached_tokens;
 	uint32_t candidates;
 	uint32_t stale, suspects, full, avoided, slow;
--- a/placement/division.c
+++ b/placement/division.c
@@ -1,4 +1,5 @@
 /* How a pool of VMs is divided between the models that it serves. */
+#include <math.h>
 #include <string.h>
 
 #include <radishdeal/placement.h>
@@ -32,38 +33,43 @@
 	return true;
 }
 
-/* The VMs that a part still lacks of its share, in replicas. */
-static double lacking(const struct division_part *part, uint32_t vms)
+/* How busy each replica of a part is; one without any has all before it. */
+static double busy(const struct division_part *part)
 {
-	double due = (double)vms * part->share_permille / PERMILLE;
-
-	return due / part->vms_per_replica - part->replicas;
+	return part->replicas ? part->work / part->replicas : HUGE_VAL;
 }
 
 /* Large replicas first: what is left of a domain still holds small ones. */
-static struct division_part *next_part(const struct division *d, uint32_t vms,
-				       const bool *full, double least)
+static bool goes_before(const struct division_part *x,
+			const struct division_part *y)
+{
+	if (busy(x) != busy(y))
+		return busy(x) > busy(y);
+	return x->vms_per_replica > y->vms_per_replica;
+}
+
+static struct division_part *next_part(const struct division *d,
+				       const bool *full)
 {
 	struct division_part *best = NULL;
 
 	for (uint32_t i = 0; i < d->part_count; i++) {
 		struct division_part *part = &d->parts[i];
 
-		if (full[i] || !part->vms_per_replica ||
-		    lacking(part, vms) < least)
+		if (full[i])
 			continue;
-		if (!best || part->vms_per_replica > best->vms_per_replica)
+		if (!best || goes_before(part, best))
 			best = part;
 	}
 	return best;
 }
 
-static void place_all(struct division *d, uint32_t vms, double least)
+static void place_all(struct division *d)
 {
 	bool *full = g_new0(bool, d->part_count + 1);
 	struct division_part *part;
 
-	while ((part = next_part(d, vms, full, least)))
+	while ((part = next_part(d, full)))
 		if (!place_one(d, part))
 			full[part - d->parts] = true;
 	g_free(full);
@@ -80,16 +86,13 @@
 				  domain_count * sizeof(*domain_vms)),
 		.domain_count = domain_count,
 	};
-	uint32_t vms = 0, usable;
+	uint32_t vms = 0;
 
 	for (uint32_t i = 0; i < domain_count; i++)
 		vms += domain_vms[i];
-	usable = vms - vms * spare_permille / PERMILLE;
-	d.budget = usable;
+	d.budget = vms - vms * spare_permille / PERMILLE;
 	for (uint32_t i = 0; i < part_count; i++)
 		parts[i].replicas = 0;
-	/* Whole replicas of each share, then what rounding left over. */
-	place_all(&d, usable, 1.0);
-	place_all(&d, usable, 0.2);
+	place_all(&d);
 	g_free(d.room);
 }
--- a/placement/model.c
+++ b/placement/model.c
@@ -232,6 +232,10 @@
 	set_text(&vm->pool, from->pool);
 	vm->accelerators = from->accelerators;
 	vm->weights = model_weights(from->model, from->adapter, from->version);
+	vm->staged_count = MIN(from->staged_count, PLACEMENT_STAGED_MAX);
+	for (uint32_t i = 0; i < vm->staged_count; i++)
+		vm->staged[i] = model_weights(from->staged[i], from->adapter,
+					      from->version);
 	if (from->leaving && !vm->leaving)
 		vm->leaving_since_ms = now_ms;
 	vm->leaving = from->leaving;
@@ -388,6 +392,16 @@
 		r->busy = busy;
 }
 
+bool model_has(const struct vm *vm, uint64_t weights)
+{
+	if (vm->weights == weights)
+		return true;
+	for (uint32_t i = 0; i < vm->staged_count; i++)
+		if (vm->staged[i] == weights)
+			return true;
+	return false;
+}
+
 uint32_t model_missing(const struct replica *r)
 {
 	uint32_t missing = 0;
@@ -404,7 +418,7 @@
 	if (r->whole || model_missing(r))
 		return 0;
 	for (uint32_t i = 0; i < r->vm_count; i++)
-		loading += r->vms[i]->weights != r->service->weights;
+		loading += !model_has(r->vms[i], r->service->weights);
 	return loading;
 }
 
--- a/placement/pick.c
+++ b/placement/pick.c
@@ -5,6 +5,7 @@
 
 /* How far a VM is from having the weights; above any spare accelerators. */
 enum {
+	NEAR = 1 << 15,	 /* it has them on its disk */
 	SOON = 1 << 16,	 /* it loads them already */
 	EMPTY = 1 << 17, /* it has loaded nothing */
 	OTHER = 1 << 18, /* it has loaded others, which some replica may want */
@@ -19,6 +20,8 @@
 
 	if (plan->p->opts.ignore_weights || vm->weights == s->weights)
 		return points;
+	if (model_has(vm, s->weights))
+		return points + NEAR;
 	if (vm->preloading)
 		points += vm->preload_weights == s->weights ? SOON : TAKEN;
 	else
@@ -44,7 +47,7 @@
 		    const struct service *s, const struct vm *vm)
 {
 	return plan->p->opts.load_first && vm->weights &&
-	       vm->weights != s->weights && pick_stands_by(plan, d, vm);
+	       !model_has(vm, s->weights) && pick_stands_by(plan, d, vm);
 }
 
 static bool picked(const struct pick *pick, const struct vm *vm)
@@ -80,7 +83,7 @@
 static void add_vm(struct pick *pick, const struct service *s, struct vm *vm)
 {
 	pick->vms[pick->count++] = vm;
-	pick->loads += vm->weights != s->weights ? 1 : 0;
+	pick->loads += model_has(vm, s->weights) ? 0 : 1;
 }
 
 /* Fills a pick from one domain; false if it has too few. */
@@ -116,7 +119,7 @@
 		    is_kept(plan, d, s, vm))
 			continue;
 		d->usable++;
-		d->loaded += vm->weights == s->weights ? 1 : 0;
+		d->loaded += model_has(vm, s->weights) ? 1 : 0;
 	}
 }
 
--- a/placement/placement_internal.h
+++ b/placement/placement_internal.h
@@ -16,7 +16,9 @@
 	char *name;
 	struct domain *domain;
 	char *pool;
-	uint64_t weights; /* hash of what is loaded, 0 for nothing */
+	uint64_t weights; /* hash of what is in memory, 0 for nothing */
+	uint64_t staged[PLACEMENT_STAGED_MAX]; /* of what is on its disk */
+	uint32_t staged_count;
 	uint32_t accelerators;
 	bool alive, leaving, straggling;
 	int64_t leaving_since_ms;
@@ -95,6 +97,9 @@
 /** Whether a VM that a replica holds still serves it. */
 bool model_serving(const struct vm *vm);
 
+/** Whether a VM has weights at hand, in memory or on its disk. */
+bool model_has(const struct vm *vm, uint64_t weights);
+
 /** How many VMs of a replica are gone. */
 uint32_t model_missing(const struct replica *replica);
 
--- a/placement/plan.c
+++ b/placement/plan.c
@@ -47,7 +47,7 @@
 		return;
 	if (!vm->holder && d && d->counted_plan == plan->p->plans) {
 		d->usable -= MIN(d->usable, 1);
-		if (vm->weights == d->counted_for->weights)
+		if (model_has(vm, d->counted_for->weights))
 			d->loaded -= MIN(d->loaded, 1);
 	}
 	vm->taken = true;
@@ -330,7 +330,7 @@
 		struct vm *vm = pick->vms[i];
 		struct pick one = { .vms = { vm }, .count = 1, .loads = 1 };
 
-		if (vm->weights == need->service->weights || vm->holder ||
+		if (model_has(vm, need->service->weights) || vm->holder ||
 		    vm->preloading)
 			continue;
 		if (!may_load(plan, need, &one))
--- a/placement/preload.c
+++ b/placement/preload.c
@@ -15,7 +15,7 @@
 
 			if (vm->holder || !vm->alive || vm->leaving)
 				continue;
-			count += vm->weights == s->weights ||
+			count += model_has(vm, s->weights) ||
 				 (vm->preloading &&
 				  vm->preload_weights == s->weights);
 		}
@@ -32,7 +32,7 @@
 		const struct vm *vm = d->vms->pdata[i];
 
 		count += (model_usable(plan->p, vm, s, plan->now_ms) &&
-			  vm->weights == s->weights) ||
+			  model_has(vm, s->weights)) ||
 			 (vm->preloading && !vm->holder &&
 			  vm->preload_weights == s->weights);
 	}
@@ -85,6 +85,21 @@
 	return count;
 }
 
+/* Whether a spare need not load anything for now. */
+static bool is_useful(const struct plan *plan, const struct domain *d,
+		      const struct vm *vm)
+{
+	if (!plan->p->opts.stage_all)
+		return pick_stands_by(plan, d, vm);
+	for (guint i = 0; i < plan->p->service_list->len; i++) {
+		const struct service *s = plan->p->service_list->pdata[i];
+
+		if (!s->removed && s->weights && model_has(vm, s->weights))
+			return true;
+	}
+	return false;
+}
+
 static void preload_in(struct plan *plan, struct domain *d, uint32_t *budget)
 {
 	for (guint i = 0; i < d->vms->len && *budget; i++) {
@@ -93,7 +108,7 @@
 		struct service *s;
 
 		if (vm->taken || vm->holder || vm->preloading || !vm->alive ||
-		    vm->leaving || pick_stands_by(plan, d, vm))
+		    vm->leaving || is_useful(plan, d, vm))
 			continue;
 		s = wants_spare(plan, d, vm);
 		if (!s)
@@ -106,6 +121,67 @@
 	}
 }
 
+/* ---- weights of other models, for VMs that have some in memory ---- */
+
+/* Repairs that must load weights find the store free for so many VMs. */
+#define STORE_RESERVE 2
+
+/* The service of a VM's pool with most replicas whose weights it lacks. */
+static const struct service *lacks(const struct plan *plan, const struct vm *vm)
+{
+	const struct service *best = NULL;
+
+	for (guint i = 0; i < plan->p->service_list->len; i++) {
+		const struct service *s = plan->p->service_list->pdata[i];
+
+		if (s->removed || !s->weights || model_has(vm, s->weights) ||
+		    (*s->pool && g_strcmp0(s->pool, vm->pool) != 0))
+			continue;
+		if (!best || s->wanted * s->vms_per_replica >
+				     best->wanted * best->vms_per_replica)
+			best = s;
+	}
+	return best;
+}
+
+static bool may_stage(const struct vm *vm, bool held)
+{
+	return vm->alive && !vm->leaving && !vm->taken && !vm->preloading &&
+	       !vm->releasing && vm->weights && !vm->holder == !held;
+}
+
+static void stage_in(struct plan *plan, const struct domain *d, bool held,
+		     uint32_t *budget)
+{
+	for (guint i = 0; i < d->vms->len && *budget; i++) {
+		struct vm *vm = d->vms->pdata[i];
+		struct pick pick = { .vms = { vm }, .count = 1 };
+		const struct service *s;
+
+		if (!may_stage(vm, held))
+			continue;
+		s = lacks(plan, vm);
+		if (!s)
+			continue;
+		(*budget)--;
+		plan_tell(plan, PLACEMENT_PRELOAD, s, NULL, &pick,
+			  "to its disk, so that the VM can serve either");
+	}
+}
+
+/*
+ * With the weights of one model in memory and those of another on its disk a
+ * VM replaces any that is lost at once. Spares get them first.
+ */
+static void stage_others(struct plan *plan, uint32_t budget)
+{
+	budget -= MIN(budget, STORE_RESERVE);
+	for (int held = 0; held <= 1; held++)
+		for (guint i = 0; i < plan->p->domain_list->len && budget; i++)
+			stage_in(plan, plan->p->domain_list->pdata[i], held,
+				 &budget);
+}
+
 /* Uses what the weight store has left once all replicas have theirs. */
 void plan_preload(struct plan *plan)
 {
@@ -117,4 +193,6 @@
 		return;
 	for (guint i = 0; i < plan->p->domain_list->len && budget; i++)
 		preload_in(plan, plan->p->domain_list->pdata[i], &budget);
+	if (plan->p->opts.stage_all)
+		stage_others(plan, budget);
 }
--- a/routing/router.c
+++ b/routing/router.c
@@ -526,6 +526,7 @@
 		choice->replica = r->id;
 		choice->epoch = r->epoch;
 		choice->address = r->address;
+		choice->present = r->outstanding + r->others;
 		choice->cached_tokens = cached_tokens(r, request);
 	}
 	g_ptr_array_unref(usables);
--- a/test/test_cores.c
+++ b/test/test_cores.c
@@ -137,7 +137,7 @@
 	placement_plan(p->placement, p->now_ms, print_decision, p);
 }
 
-/* divide SPARE SHARE:SIZE[,SHARE:SIZE] ROOM[,ROOM] */
+/* divide SPARE WORK:SIZE[,WORK:SIZE] ROOM[,ROOM] */
 static void place_divide(struct script *s)
 {
 	char **parts = g_strsplit(s->words[2], ",", 0);
@@ -150,7 +150,7 @@
 	GString *line = g_string_new("divided:");
 
 	for (uint32_t i = 0; i < part_count; i++) {
-		division[i].share_permille = (uint32_t)atoi(parts[i]);
+		division[i].work = atof(parts[i]);
 		division[i].vms_per_replica =
 			(uint32_t)atoi(strchr(parts[i], ':') + 1);
 	}
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -193,15 +193,16 @@
 	if (why)
 		script_print(s, "refused: %s", why);
 	else
-		script_print(s,
-			     "%s at %s service=%s pool=%s domain=%s replica=%u "
-			     "epoch=%d ready=%d serving=%d broken=%d "
-			     "leaving=%d weights=%s slots=%u%s",
-			     r.name, r.address, r.service, r.pool, r.domain,
-			     r.replica, (int)r.epoch, r.ready, r.serving,
-			     r.broken, r.leaving, r.model, r.slots,
-			     home_announce(w->home, w->now_ms, &r) ? " news"
-								   : "");
+		script_print(
+			s,
+			"%s at %s service=%s pool=%s domain=%s replica=%u "
+			"epoch=%d ready=%d serving=%d broken=%d "
+			"leaving=%d weights=%s staged=%u slots=%u%s",
+			r.name, r.address, r.service, r.pool, r.domain,
+			r.replica, (int)r.epoch, r.ready, r.serving, r.broken,
+			r.leaving, r.model, r.staged.staged_len, r.slots,
+			home_announce(w->home, w->now_ms, &r) ? " news" : "");
+	announcement_clear(&r);
 	g_free(why);
 	free(text);
 	json_decref(body);
--- a/wire/radishdeal.h
+++ b/wire/radishdeal.h
@@ -515,6 +515,8 @@
 };
 typedef struct load_report load_report;
 
+typedef char *weights_name;
+
 struct vm_report {
 	char *name;
 	char *address;
@@ -537,6 +539,10 @@
 	char *model;
 	char *adapter;
 	char *model_version;
+	struct {
+		u_int staged_len;
+		weights_name *staged_val;
+	} staged;
 	load_report load;
 };
 typedef struct vm_report vm_report;
@@ -707,6 +713,7 @@
 extern  bool_t xdr_poll_reply (XDR *, poll_reply*);
 extern  bool_t xdr_propose_reply (XDR *, propose_reply*);
 extern  bool_t xdr_load_report (XDR *, load_report*);
+extern  bool_t xdr_weights_name (XDR *, weights_name*);
 extern  bool_t xdr_vm_report (XDR *, vm_report*);
 extern  bool_t xdr_vm_name (XDR *, vm_name*);
 extern  bool_t xdr_digest (XDR *, digest*);
@@ -766,6 +773,7 @@
 extern bool_t xdr_poll_reply ();
 extern bool_t xdr_propose_reply ();
 extern bool_t xdr_load_report ();
+extern bool_t xdr_weights_name ();
 extern bool_t xdr_vm_report ();
 extern bool_t xdr_vm_name ();
 extern bool_t xdr_digest ();
--- a/wire/radishdeal.x
+++ b/wire/radishdeal.x
@@ -410,6 +410,8 @@
 	uint32_t step_us;		/* time of a decoding step */
 };
 
+typedef string weights_name<RD_NAME_MAX>;
+
 struct vm_report {
 	string name<RD_NAME_MAX>;
 	string address<RD_NAME_MAX>;
@@ -432,6 +434,7 @@
 	string model<RD_NAME_MAX>;	/* loaded weights */
 	string adapter<RD_NAME_MAX>;
 	string model_version<RD_NAME_MAX>;
+	weights_name staged<8>;		/* models near at hand, on its disk */
 	load_report load;
 };
 
--- a/wire/radishdeal_xdr.c
+++ b/wire/radishdeal_xdr.c
@@ -871,6 +871,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_weights_name (XDR *xdrs, weights_name *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, RD_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_vm_report (XDR *xdrs, vm_report *objp)
 {
@@ -930,6 +940,9 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->model_version, RD_NAME_MAX))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->staged.staged_val, (u_int *) &objp->staged.staged_len, 8,
+			sizeof (weights_name), (xdrproc_t) xdr_weights_name))
+			 return FALSE;
 		 if (!xdr_load_report (xdrs, &objp->load))
 			 return FALSE;
 		return TRUE;
@@ -986,6 +999,9 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->model_version, RD_NAME_MAX))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->staged.staged_val, (u_int *) &objp->staged.staged_len, 8,
+			sizeof (weights_name), (xdrproc_t) xdr_weights_name))
+			 return FALSE;
 		 if (!xdr_load_report (xdrs, &objp->load))
 			 return FALSE;
 	 return TRUE;
@@ -1033,6 +1049,9 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->model_version, RD_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->staged.staged_val, (u_int *) &objp->staged.staged_len, 8,
+		sizeof (weights_name), (xdrproc_t) xdr_weights_name))
+		 return FALSE;
 	 if (!xdr_load_report (xdrs, &objp->load))
 		 return FALSE;
 	return TRUE;
