--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -226,7 +226,7 @@
 	       call->meaning == ANSWER_PASS;
 }
 
-static void on_head(void *ctx, int status, struct evkeyvalq *headers)
+static bool on_head(void *ctx, int status, struct evkeyvalq *headers)
 {
 	struct call *call = ctx;
 	const char *type = evhttp_find_header(headers, "Content-Type");
@@ -235,6 +235,8 @@
 	g_free(call->answer_type);
 	call->answer_type = g_strdup(type ? type : "");
 	call->meaning = call->format->take_head(call, status, headers);
+	/* Behind an answer to another request this one's is still to come. */
+	return call->meaning != ANSWER_FOREIGN;
 }
 
 static void on_data(void *ctx, struct evbuffer *data)
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -24,6 +24,7 @@
 	bool bytes_left; /* some of the request may have left the process */
 	bool has_end;	 /* the answer states where it ends */
 	bool cancelled;
+	bool spoiled; /* what comes on the connection is not this answer */
 	enum upstream_end end;
 	struct evbuffer_cb_entry *watch;
 };
@@ -86,7 +87,7 @@
 	if (u->cancelled)
 		return;
 	/* Calls begun by `end` may want the connection, so it goes first. */
-	release(u, end == UPSTREAM_WHOLE && !opts.once_only);
+	release(u, end == UPSTREAM_WHOLE && !opts.once_only && !u->spoiled);
 	opts.end(opts.ctx, end);
 }
 
@@ -120,8 +121,9 @@
 		return -1;
 	u->has_end = states_its_end(req);
 	if (u->opts.head)
-		u->opts.head(u->opts.ctx, evhttp_request_get_response_code(req),
-			     evhttp_request_get_input_headers(req));
+		u->spoiled = !u->opts.head(
+			u->opts.ctx, evhttp_request_get_response_code(req),
+			evhttp_request_get_input_headers(req));
 	return 0;
 }
 
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -38,8 +38,11 @@
 	bool once_only;
 	bool unframed;	     /* an answer may end with its connection */
 	int idle_timeout_ms; /* without any byte of the answer */
-	/** Status and headers are there. May be NULL. */
-	void (*head)(void *ctx, int status, struct evkeyvalq *headers);
+	/**
+	 * Status and headers are there; returns whether the connection may be
+	 * used again. May be NULL.
+	 */
+	bool (*head)(void *ctx, int status, struct evkeyvalq *headers);
 	/** Bytes of the body; drains what it takes. */
 	void (*data)(void *ctx, struct evbuffer *data);
 	/** Called last, once, unless cancelled. */
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -8,6 +8,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
+
+#include <event2/keyvalq_struct.h>
 
 #include <cmocka.h>
 
@@ -18,6 +21,7 @@
 #include "control/feed.h"
 #include "control/release.h"
 #include "entry/entry_internal.h"
+#include "platform/answers.h"
 #include "platform/config.h"
 #include "platform/engine.h"
 #include "platform/events.h"
@@ -208,6 +212,30 @@
 	json_decref(body);
 }
 
+/* answer ID STATUS [Header:value ...]; ID - for a request without one */
+static void judge_answer(struct script *s)
+{
+	static const char *const names[] = {
+		[ANSWER_PASS] = "pass",
+		[ANSWER_NOT_RUN] = "not run",
+		[ANSWER_FAILED] = "failed",
+		[ANSWER_FOREIGN] = "of another request",
+	};
+	const char *id = strcmp(s->words[1], "-") ? s->words[1] : NULL;
+	struct evkeyvalq headers;
+
+	TAILQ_INIT(&headers);
+	for (int i = 3; i < s->word_count; i++) {
+		char **parts = g_strsplit(s->words[i], ":", 2);
+
+		evhttp_add_header(&headers, parts[0], parts[1]);
+		g_strfreev(parts);
+	}
+	script_print(s, "%s",
+		     names[answer_judge(id, atoi(s->words[2]), &headers)]);
+	evhttp_clear_headers(&headers);
+}
+
 static void take_digest(struct script *s)
 {
 	struct world *w = s->ctx;
@@ -409,7 +437,7 @@
 	{ "readback", 0, readback },
 	{ "route", 2, route },
 	{ "key", 1, key },
-	{ "announce", 2, announce },
+	{ "announce", 2, announce },	 { "answer", 2, judge_answer },
 	{ "digest", 0, take_digest },
 	{ "leave", 1, leave },
 	{ "vm", 1, vm },
