placement, control: pools are divided by what callers ask for

Change: entries tell the leader arrivals and prompt sizes of each service; routing/engine.c works out from the engine's stated figures how long the first event takes at a load; a pool is divided so that the longest is as short as can be, a replica at a time. Numbers change only where that gets a quarter shorter. Before any request the stated shares, which are of the VMs' time, stand in. One division a pool and tick in place of one a service. Spares 170 permille in place of 250, as each now serves either model. Fewer spares lose more than they serve while a loss costs a whole replica.

--- a/control/control.c
+++ b/control/control.c
@@ -410,6 +410,12 @@
 
 /* ---- messages from other tasks ---- */
 
+void entry_status_clear(struct entry_status *status)
+{
+	g_clear_pointer(&status->loads, g_array_unref);
+	g_clear_pointer(&status->demands, g_array_unref);
+}
+
 struct status_message {
 	struct control *control;
 	struct entry_status status;
@@ -421,8 +427,8 @@
 
 	if (m->control->follow)
 		follow_status(m->control->follow, &m->status);
-	else if (m->status.loads)
-		g_array_unref(m->status.loads);
+	else
+		entry_status_clear(&m->status);
 	g_free(m);
 }
 
--- a/control/control.h
+++ b/control/control.h
@@ -87,12 +87,16 @@
 	char endpoints_address[64];
 	uint32_t free_permille;
 	bool draining;
-	GArray *loads; /* of struct replica_load; NULL for none */
+	GArray *loads;	 /* of struct replica_load; NULL for none */
+	GArray *demands; /* of struct service_demand; NULL for none */
 };
 
+/** Drops the lists of a status. */
+void entry_status_clear(struct entry_status *status);
+
 /**
  * From the entry: status, posted after each update and now and then. Takes
- * the reference of its loads.
+ * the references of its lists.
  */
 void control_post_status(struct control *control,
 			 const struct entry_status *status);
--- a/control/feed.c
+++ b/control/feed.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "common/pack.h"
+#include "control/demands.h"
 #include "control/feed.h"
 #include "wire/codec.h"
 
@@ -31,6 +32,7 @@
 	struct feed_entry *e = data;
 
 	g_array_unref(e->loads);
+	g_array_unref(e->demands);
 	g_free(e);
 }
 
@@ -112,6 +114,7 @@
 		e->node = request->node;
 		e->loads = g_array_new(FALSE, FALSE,
 				       sizeof(struct replica_load));
+		e->demands = demands_create();
 		g_hash_table_insert(feed->entries, key, e);
 	}
 	/* A late poll of a process that was replaced says nothing. */
@@ -127,6 +130,9 @@
 	g_array_set_size(e->loads, 0);
 	g_array_append_vals(e->loads, request->loads.loads_val,
 			    request->loads.loads_len);
+	g_array_set_size(e->demands, 0);
+	for (u_int i = 0; i < request->demands.demands_len; i++)
+		demands_add(e->demands, &request->demands.demands_val[i]);
 	g_strlcpy(e->callers_address, request->callers_address,
 		  sizeof(e->callers_address));
 	g_strlcpy(e->endpoints_address, request->endpoints_address,
@@ -285,6 +291,29 @@
 	add_loads(feed, now_ms, request->node, reply);
 }
 
+void feed_demand(const struct feed *feed, int64_t now_ms, const char *service,
+		 struct service_demand *sum)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	memset(sum, 0, sizeof(*sum));
+	g_hash_table_iter_init(&iter, feed->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct feed_entry *e = value;
+
+		if (now_ms > e->lease_until_ms)
+			continue;
+		for (guint i = 0; i < e->demands->len; i++) {
+			const struct service_demand *d = &g_array_index(
+				e->demands, struct service_demand, i);
+
+			if (!strcmp(d->service, service))
+				demands_sum(sum, d);
+		}
+	}
+}
+
 uint64_t feed_last(const struct feed *feed)
 {
 	return feed->last;
--- a/control/feed.h
+++ b/control/feed.h
@@ -41,6 +41,10 @@
 void feed_poll(struct feed *feed, int64_t now_ms, const struct state *state,
 	       const struct poll_request *request, struct poll_reply *reply);
 
+/** What callers ask of a service, over all entries; without its name. */
+void feed_demand(const struct feed *feed, int64_t now_ms, const char *service,
+		 struct service_demand *sum);
+
 /** Index of the last command that concerns entries. */
 uint64_t feed_last(const struct feed *feed);
 
@@ -72,7 +76,8 @@
 	char data_centre[64];
 	uint32_t free_permille;
 	bool draining;
-	GArray *loads; /* of struct replica_load */
+	GArray *loads;	 /* of struct replica_load */
+	GArray *demands; /* of struct service_demand */
 };
 
 /** Visits the entries heard of since this member leads. */
--- a/control/follow.c
+++ b/control/follow.c
@@ -173,6 +173,11 @@
 			(struct replica_load *)follow->status.loads->data;
 		request->loads.loads_len = follow->status.loads->len;
 	}
+	if (follow->status.demands) {
+		request->demands.demands_val =
+			(struct service_demand *)follow->status.demands->data;
+		request->demands.demands_len = follow->status.demands->len;
+	}
 }
 
 static bool ask_self(struct follow *follow, const struct poll_request *request)
@@ -269,8 +274,7 @@
 {
 	bool advanced = status->applied > follow->status.applied;
 
-	if (follow->status.loads)
-		g_array_unref(follow->status.loads);
+	entry_status_clear(&follow->status);
 	follow->status = *status;
 	/* The leader waits for this to say that a change is in force. */
 	if (advanced)
@@ -294,7 +298,6 @@
 	if (!follow)
 		return;
 	event_free(follow->tick);
-	if (follow->status.loads)
-		g_array_unref(follow->status.loads);
+	entry_status_clear(&follow->status);
 	g_free(follow);
 }
--- a/control/placer.c
+++ b/control/placer.c
@@ -57,8 +57,8 @@
 	placer->whole = g_hash_table_new(NULL, NULL);
 	placer->wanted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       NULL);
-	placer->shares = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					       g_free);
+	placer->divided = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						NULL);
 	placer->heads = g_hash_table_new_full(
 		NULL, NULL, NULL, (GDestroyNotify)g_ptr_array_unref);
 	placer->loads = g_array_new(FALSE, FALSE, sizeof(int64_t));
@@ -79,7 +79,7 @@
 	g_hash_table_unref(placer->known);
 	g_hash_table_unref(placer->whole);
 	g_hash_table_unref(placer->wanted);
-	g_hash_table_unref(placer->shares);
+	g_hash_table_unref(placer->divided);
 	g_hash_table_unref(placer->heads);
 	g_array_unref(placer->loads);
 	g_hash_table_unref(placer->services);
--- a/control/placer_internal.h
+++ b/control/placer_internal.h
@@ -38,7 +38,7 @@
 	GHashTable *known;	/* replica's number -> epoch + 1 */
 	GHashTable *whole;	/* replica's number -> epoch it was whole at */
 	GHashTable *wanted;	/* service's name -> replicas, if shared out */
-	GHashTable *shares;	/* service's name -> struct share, of a tick */
+	GHashTable *divided;	/* names of pools divided in this tick */
 	GHashTable *heads;	/* replica's number -> its heads, of a tick */
 	GArray *loads;		/* int64_t: starts of loads in the window */
 	GHashTable *services;	/* name -> itself, as put into the planner */
--- a/control/placer_share.c
+++ b/control/placer_share.c
@@ -1,39 +1,58 @@
-/* How many replicas each model of a pool is to have. */
+/*
+ * How many replicas each model of a pool is to have: as many as its callers'
+ * demand needs, by what its engine's figures say of the wait.
+ */
+#include <math.h>
 #include <string.h>
 
+#include <radishdeal/engine.h>
+
+#include "control/feed.h"
 #include "control/placer_internal.h"
 
+#define PERMILLE 1000
+#define MS_PER_KS 1e6
 /* Of a pool's VMs: kept free so that a lost VM is replaced at once. */
-#define SPARE_PERMILLE 250
+#define SPARE_PERMILLE 170
+/* Of what a pool can carry: taken as its load before any request came. */
+#define FIRST_LOAD 0.6
+/* Demand is taken for higher than it was, for its waves and for losses. */
+#define DEMAND_MARGIN 1.5
+/* VMs change their model only for a worst strain below this share of it. */
+#define WORTH_MOVING 0.75
 
-/** The replicas that a service could have of its pool. */
-struct share {
-	uint32_t with_spares; /* if some VMs are kept free */
-	uint32_t at_most;     /* if all are used */
+/** A service that shares a pool. */
+struct sharer {
+	const struct service_state *service;
+	struct engine_load load; /* on all its replicas together */
+	uint32_t wanted;
 };
 
 struct pool {
 	struct placer *placer;
 	const char *name;
-	GArray *parts;	     /* of struct division_part */
-	GPtrArray *services; /* of const struct service_state, in that order */
+	GArray *sharers;     /* of struct sharer */
 	GHashTable *domains; /* name -> count of usable VMs */
+	GArray *rooms;	     /* of uint32_t: those counts */
+	uint32_t vms;
 };
 
-static void add_part(void *ctx, const struct service_state *service)
+static struct sharer *sharer_at(const struct pool *pool, guint i)
+{
+	return &g_array_index(pool->sharers, struct sharer, i);
+}
+
+/* ---- who shares it ---- */
+
+static void add_sharer(void *ctx, const struct service_state *service)
 {
 	struct pool *pool = ctx;
-	struct division_part part = {
-		.work = (double)service->spec.share_permille /
-			MAX(service->spec.vms_per_replica, 1),
-		.vms_per_replica = service->spec.vms_per_replica,
-	};
+	struct sharer sharer = { .service = service };
 
 	if (!service->spec.share_permille ||
 	    strcmp(service->spec.pool, pool->name) != 0)
 		return;
-	g_array_append_val(pool->parts, part);
-	g_ptr_array_add(pool->services, (gpointer)service);
+	g_array_append_val(pool->sharers, sharer);
 }
 
 static void add_domain(void *ctx, const struct view_vm *vm)
@@ -49,11 +68,11 @@
 		g_hash_table_lookup(pool->domains, vm->report.domain));
 	g_hash_table_insert(pool->domains, vm->report.domain,
 			    GUINT_TO_POINTER(count + 1));
+	pool->vms++;
 }
 
-static GArray *domain_sizes(const struct pool *pool)
+static void find_rooms(struct pool *pool)
 {
-	GArray *vms = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	GHashTableIter iter;
 	gpointer value;
 
@@ -61,66 +80,112 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		uint32_t count = GPOINTER_TO_UINT(value);
 
-		g_array_append_val(vms, count);
+		g_array_append_val(pool->rooms, count);
 	}
-	return vms;
 }
 
-static const struct division_part *part_at(const GArray *parts, guint i)
+/* ---- what is asked of them ---- */
+
+/* The stated shares are of the VMs' time. */
+static void take_stated(const struct pool *pool, struct sharer *sharer)
 {
-	return &g_array_index(parts, struct division_part, i);
+	const struct service_spec *spec = &sharer->service->spec;
+	double vms = (double)spec->share_permille / PERMILLE * pool->vms;
+	struct engine_load one = {
+		.requests_per_ms = 1,
+		.prompt_tokens = spec->engine.usual_prompt,
+		.answer_tokens = spec->engine.usual_answer,
+	};
+	double each = engine_utilization(&spec->engine, &one,
+					 spec->slots_per_replica);
+
+	sharer->load = one;
+	sharer->load.requests_per_ms = 0;
+	if (each > 0)
+		sharer->load.requests_per_ms = FIRST_LOAD * vms /
+					       spec->vms_per_replica / each;
 }
 
-/* Notes the shares of all services of a pool. */
-static void divide(struct placer *placer, const char *name)
+/* Returns whether anything was asked of it. */
+static bool take_measured(const struct pool *pool, struct sharer *sharer)
 {
-	struct pool pool = {
-		.placer = placer,
-		.name = name,
-		.parts = g_array_new(FALSE, TRUE, sizeof(struct division_part)),
-		.services = g_ptr_array_new(),
-		.domains = g_hash_table_new(g_str_hash, g_str_equal),
+	const struct placer *placer = pool->placer;
+	const struct service_spec *spec = &sharer->service->spec;
+	struct service_demand demand;
+
+	feed_demand(placer->control->feed, placer_now_ms(placer),
+		    sharer->service->name, &demand);
+	sharer->load = (struct engine_load){
+		.requests_per_ms = DEMAND_MARGIN * demand.requests_per_ks /
+				   MS_PER_KS,
+		.prompt_tokens = demand.prompt_tokens,
+		.answer_tokens = spec->engine.usual_answer,
 	};
-	GArray *vms, *all;
+	return demand.requests_per_ks != 0;
+}
 
-	state_each_service(placer_state(placer), add_part, &pool);
-	view_each(placer->control->view, add_domain, &pool);
-	vms = domain_sizes(&pool);
-	all = g_array_copy(pool.parts);
-	placement_divide((struct division_part *)pool.parts->data,
-			 pool.parts->len, (const uint32_t *)vms->data, vms->len,
-			 SPARE_PERMILLE);
-	placement_divide((struct division_part *)all->data, all->len,
-			 (const uint32_t *)vms->data, vms->len, 0);
-	for (guint i = 0; i < pool.services->len; i++) {
-		const struct service_state *service = pool.services->pdata[i];
-		struct share share = {
-			part_at(pool.parts, i)->replicas,
-			part_at(all, i)->replicas,
-		};
-
-		g_hash_table_insert(placer->shares, service->name,
-				    g_memdup2(&share, sizeof(share)));
+static void find_loads(struct pool *pool)
+{
+	bool any = false;
+
+	for (guint i = 0; i < pool->sharers->len; i++)
+		any |= take_measured(pool, sharer_at(pool, i));
+	for (guint i = 0; !any && i < pool->sharers->len; i++)
+		take_stated(pool, sharer_at(pool, i));
+}
+
+/* ---- dividing ---- */
+
+static double strain(const void *ctx, uint32_t replicas)
+{
+	const struct sharer *sharer = ctx;
+	const struct service_spec *spec = &sharer->service->spec;
+	struct engine_load each = sharer->load;
+
+	/* Without a word on its engine, by the share of the VMs. */
+	if (!engine_is_known(&spec->engine))
+		return (double)spec->share_permille / spec->vms_per_replica /
+		       replicas;
+	each.requests_per_ms /= replicas;
+	return engine_first_ms(&spec->engine, &each, spec->slots_per_replica);
+}
+
+/* Tells the replicas of each service, in their order. */
+static uint32_t *divide(const struct pool *pool, uint32_t spare_permille)
+{
+	guint n = pool->sharers->len;
+	struct division_part *parts = g_new0(struct division_part, n + 1);
+	uint32_t *counts = g_new0(uint32_t, n + 1);
+
+	for (guint i = 0; i < n; i++) {
+		const struct sharer *sharer = sharer_at(pool, i);
+
+		parts[i].strain = strain;
+		parts[i].ctx = sharer;
+		parts[i].vms_per_replica =
+			sharer->service->spec.vms_per_replica;
 	}
-	g_array_unref(all);
-	g_array_unref(vms);
-	g_array_unref(pool.parts);
-	g_ptr_array_unref(pool.services);
-	g_hash_table_unref(pool.domains);
+	placement_divide(parts, n, (const uint32_t *)pool->rooms->data,
+			 pool->rooms->len, spare_permille);
+	for (guint i = 0; i < n; i++)
+		counts[i] = parts[i].replicas;
+	g_free(parts);
+	return counts;
 }
 
-static const struct share *find_share(struct placer *placer,
-				      const struct service_state *service)
+static double worst_strain(const struct pool *pool, const uint32_t *counts)
 {
-	const struct share *share = g_hash_table_lookup(placer->shares,
-							service->name);
+	double worst = 0;
 
-	if (share)
-		return share;
-	divide(placer, service->spec.pool);
-	return g_hash_table_lookup(placer->shares, service->name);
+	for (guint i = 0; i < pool->sharers->len; i++)
+		worst = MAX(worst,
+			    counts[i] ? strain(sharer_at(pool, i), counts[i])
+				      : HUGE_VAL);
+	return worst;
 }
 
+/* ---- what there is ---- */
+
 struct replica_count {
 	const char *service;
 	uint32_t count;
@@ -133,41 +198,98 @@
 	c->count += !strcmp(replica->assign.service, c->service);
 }
 
-static uint32_t count_replicas(const struct placer *placer, const char *service)
+/* A new leader goes on with what there is. */
+static uint32_t wanted_before(const struct placer *placer, const char *service)
 {
 	struct replica_count c = { service, 0 };
+	gpointer known;
 
+	if (g_hash_table_lookup_extended(placer->wanted, service, NULL, &known))
+		return GPOINTER_TO_UINT(known);
 	state_each_replica(placer_state(placer), count_replica, &c);
 	return c.count;
 }
 
+static bool fits(const struct pool *pool, const uint32_t *counts)
+{
+	uint32_t vms = 0;
+
+	for (guint i = 0; i < pool->sharers->len; i++)
+		vms += counts[i] *
+		       sharer_at(pool, i)->service->spec.vms_per_replica;
+	return vms <= pool->vms;
+}
+
 /*
- * The replicas wanted of a service that has a share of its pool. Spares are
- * there to be used: as VMs get lost the number stays until it no longer fits
- * at all, and it grows only where spares are left.
+ * Spares are there to be used: as VMs get lost the numbers stay until they no
+ * longer fit at all. They change when callers would be served much sooner.
  */
-uint32_t placer_share(struct placer *placer,
-		      const struct service_state *service)
+static void decide(struct pool *pool)
 {
-	const struct share *share = find_share(placer, service);
-	gpointer known;
-	uint32_t wanted;
+	guint n = pool->sharers->len;
+	uint32_t *now = g_new0(uint32_t, n + 1);
+	uint32_t *wanted = divide(pool, SPARE_PERMILLE);
+
+	for (guint i = 0; i < n; i++)
+		now[i] = wanted_before(pool->placer,
+				       sharer_at(pool, i)->service->name);
+	if (!fits(pool, now)) {
+		g_free(wanted);
+		wanted = divide(pool, 0);
+	} else if (worst_strain(pool, wanted) >
+		   WORTH_MOVING * worst_strain(pool, now)) {
+		memcpy(wanted, now, n * sizeof(*now));
+	}
+	for (guint i = 0; i < n; i++)
+		sharer_at(pool, i)->wanted = wanted[i];
+	g_free(wanted);
+	g_free(now);
+}
+
+static void keep(const struct pool *pool)
+{
+	GHashTable *wanted = pool->placer->wanted;
+
+	for (guint i = 0; i < pool->sharers->len; i++) {
+		const struct sharer *sharer = sharer_at(pool, i);
 
-	/* A new leader goes on with what there is. */
-	if (g_hash_table_lookup_extended(placer->wanted, service->name, NULL,
-					 &known))
-		wanted = GPOINTER_TO_UINT(known);
-	else
-		wanted = count_replicas(placer, service->name);
+		g_hash_table_replace(wanted, g_strdup(sharer->service->name),
+				     GUINT_TO_POINTER(sharer->wanted));
+	}
+	g_hash_table_add(pool->placer->divided, g_strdup(pool->name));
+}
+
+static void divide_pool(struct placer *placer, const char *name)
+{
+	struct pool pool = {
+		.placer = placer,
+		.name = name,
+		.sharers = g_array_new(FALSE, TRUE, sizeof(struct sharer)),
+		.domains = g_hash_table_new(g_str_hash, g_str_equal),
+		.rooms = g_array_new(FALSE, FALSE, sizeof(uint32_t)),
+	};
+
+	state_each_service(placer_state(placer), add_sharer, &pool);
+	view_each(placer->control->view, add_domain, &pool);
+	find_rooms(&pool);
+	find_loads(&pool);
+	decide(&pool);
+	keep(&pool);
+	g_array_unref(pool.rooms);
+	g_hash_table_unref(pool.domains);
+	g_array_unref(pool.sharers);
+}
 
-	wanted = MAX(wanted, share->with_spares);
-	wanted = MIN(wanted, share->at_most);
-	g_hash_table_replace(placer->wanted, g_strdup(service->name),
-			     GUINT_TO_POINTER(wanted));
-	return wanted;
+uint32_t placer_share(struct placer *placer,
+		      const struct service_state *service)
+{
+	if (!g_hash_table_contains(placer->divided, service->spec.pool))
+		divide_pool(placer, service->spec.pool);
+	return GPOINTER_TO_UINT(
+		g_hash_table_lookup(placer->wanted, service->name));
 }
 
 void placer_forget_shares(struct placer *placer)
 {
-	g_hash_table_remove_all(placer->shares);
+	g_hash_table_remove_all(placer->divided);
 }
--- a/entry/call.c
+++ b/entry/call.c
@@ -72,6 +72,8 @@
 	call->answer = evbuffer_new();
 	g_hash_table_add(entry->calls, call);
 	repeats_request(&call->service->repeats, entry_now_ms(entry));
+	demand_add(&call->service->demand, entry_now_ms(entry),
+		   call->route.prompt_tokens);
 	call->watch = (struct http_watch){ on_caller_left, call };
 	http_watch(opts->req, &call->watch);
 	if (call->booking_key)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -58,6 +58,7 @@
 		.free_permille = free_permille(entry),
 		.draining = entry->draining,
 		.loads = services_loads(entry),
+		.demands = services_demands(entry),
 	};
 
 	g_strlcpy(status.callers_address, entry->callers_address,
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -9,6 +9,7 @@
 #include <jansson.h>
 
 #include <radishdeal/admission.h>
+#include <radishdeal/demand.h>
 #include <radishdeal/evidence.h>
 #include <radishdeal/repeats.h>
 #include <radishdeal/router.h>
@@ -29,6 +30,7 @@
 	uint64_t revision;
 	double mean_output;	/* tokens of an answer, smoothed */
 	struct repeats repeats; /* its part of what its pool may repeat */
+	struct demand demand;
 	struct router *router;
 	struct admission *admission;
 	GHashTable *plain; /* VM's name -> replica number; plain services */
@@ -105,6 +107,9 @@
 /** What this entry has at replicas whose engines report no load. */
 GArray *services_loads(const struct entry *entry);
 
+/** What callers lately asked of services whose engines are known. */
+GArray *services_demands(const struct entry *entry);
+
 /** Takes what all other entries have there. */
 void services_take_loads(struct entry *entry, const struct replica_load *loads,
 			 uint32_t count);
--- a/entry/services.c
+++ b/entry/services.c
@@ -1,7 +1,10 @@
 /* The services of the configuration: their routers, queues and replicas. */
 #include <string.h>
 
+#include <radishdeal/engine.h>
+
 #include "common/log.h"
+#include "control/demands.h"
 #include "entry/call.h"
 
 #define PREFIXES_PER_REPLICA 4096
@@ -388,12 +391,32 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct entry_service *s = value;
 
-		if (engine_of(s)->step_us)
+		if (engine_is_known(engine_of(s)))
 			router_each(s->router, add_load, loads);
 	}
 	return loads;
 }
 
+GArray *services_demands(const struct entry *entry)
+{
+	GArray *demands = demands_create();
+	int64_t now = entry_now_ms(entry);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, entry->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct entry_service *s = value;
+		struct service_demand told = { .service = s->name };
+
+		demand_rate(&s->demand, now, &told.requests_per_ks,
+			    &told.prompt_tokens);
+		if (told.requests_per_ks && engine_is_known(engine_of(s)))
+			demands_add(demands, &told);
+	}
+	return demands;
+}
+
 static void forget_others_load(void *ctx, const struct router_replica *r)
 {
 	struct router *router = ctx;
@@ -411,7 +434,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct entry_service *s = value;
 
-		if (engine_of(s)->step_us)
+		if (engine_is_known(engine_of(s)))
 			router_each(s->router, forget_others_load, s->router);
 	}
 	for (uint32_t i = 0; i < count; i++) {
@@ -510,7 +533,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct entry_service *s = value;
 
-		if (engine_of(s)->step_us)
+		if (engine_is_known(engine_of(s)))
 			watch_service(s);
 	}
 }
--- a/include/radishdeal/engine.h
+++ b/include/radishdeal/engine.h
@@ -27,10 +27,25 @@
 /** Time in ms to read a prompt. */
 double engine_read_ms(const struct engine_spec *engine, double prompt_tokens);
 
+/** What one replica is asked for. */
+struct engine_load {
+	double requests_per_ms;
+	double prompt_tokens; /* of one request */
+	double answer_tokens;
+};
+
+/**
+ * The share of a replica's time that a load needs with `slots` requests in
+ * its batch, where it works fastest; above 1 it cannot keep up.
+ */
+double engine_utilization(const struct engine_spec *engine,
+			  const struct engine_load *load, double slots);
+
 /**
- * Time in ms that a replica gives to one request of the usual size if it
- * always has `running` of them.
+ * Expected time in ms from a request's arrival to its first event. Overloaded
+ * replicas take longer than any other, the more so the more they lack.
  */
-double engine_usual_ms(const struct engine_spec *engine, double running);
+double engine_first_ms(const struct engine_spec *engine,
+		       const struct engine_load *load, double slots);
 
 #endif
--- a/include/radishdeal/placement.h
+++ b/include/radishdeal/placement.h
@@ -155,14 +155,16 @@
 
 /** A model's part of a pool of VMs. */
 struct division_part {
-	double work; /* in replicas that it keeps busy, on any common scale */
+	/** How bad it is to have so many; falls as they grow in number. */
+	double (*strain)(const void *ctx, uint32_t replicas);
+	const void *ctx;
 	uint32_t vms_per_replica;
 	uint32_t replicas; /* result */
 };
 
 /**
  * Divides a pool between its models: how many replicas of each, so that the
- * busiest is as little busy as can be, each replica fits into one fabric
+ * worst strain is as small as can be, each replica fits into one fabric
  * domain, and some VMs stay spare for repairs. `domain_vms` holds the usable
  * VMs of each domain.
  */
--- a/placement/division.c
+++ b/placement/division.c
@@ -33,18 +33,18 @@
 	return true;
 }
 
-/* How busy each replica of a part is; one without any has all before it. */
-static double busy(const struct division_part *part)
+static double strain(const struct division_part *part)
 {
-	return part->replicas ? part->work / part->replicas : HUGE_VAL;
+	return part->replicas ? part->strain(part->ctx, part->replicas)
+			      : HUGE_VAL;
 }
 
 /* Large replicas first: what is left of a domain still holds small ones. */
 static bool goes_before(const struct division_part *x,
 			const struct division_part *y)
 {
-	if (busy(x) != busy(y))
-		return busy(x) > busy(y);
+	if (strain(x) != strain(y))
+		return strain(x) > strain(y);
 	return x->vms_per_replica > y->vms_per_replica;
 }
 
--- a/routing/engine.c
+++ b/routing/engine.c
@@ -1,3 +1,5 @@
+#include <glib.h>
+
 #include <radishdeal/engine.h>
 
 #define US_PER_MS 1e3
@@ -6,6 +8,8 @@
 #define TOKENS_PER_K 1e3
 #define PAIRS_PER_M 1e6
 #define PERMILLE 1e3
+/* Above what a replica that keeps up takes. */
+#define OVERLOADED_MS 1e5
 
 bool engine_is_known(const struct engine_spec *engine)
 {
@@ -37,10 +41,51 @@
 	return pace(engine) * ms;
 }
 
-double engine_usual_ms(const struct engine_spec *engine, double running)
+/* Time in ms that each request adds to a step. */
+static double request_step_ms(const struct engine_spec *engine,
+			      const struct engine_load *load)
+{
+	double context = load->prompt_tokens + load->answer_tokens / 2;
+
+	return engine_step_ms(engine, 1, context) -
+	       engine_step_ms(engine, 0, context);
+}
+
+double engine_utilization(const struct engine_spec *engine,
+			  const struct engine_load *load, double slots)
+{
+	double step = engine_step_ms(engine, 0, 0) +
+		      slots * request_step_ms(engine, load);
+	double read = engine_read_ms(engine, load->prompt_tokens);
+
+	return load->requests_per_ms *
+	       (read + load->answer_tokens * step / slots);
+}
+
+double engine_first_ms(const struct engine_spec *engine,
+		       const struct engine_load *load, double slots)
 {
-	double prompt = engine->usual_prompt, answer = engine->usual_answer;
-	double step = engine_step_ms(engine, running, prompt + answer / 2);
+	double read = engine_read_ms(engine, load->prompt_tokens);
+	double writing = 1 - load->requests_per_ms * read;
+	double fixed = engine_step_ms(engine, 0, 0);
+	double each = request_step_ms(engine, load);
+	double tokens, running, pass;
 
-	return engine_read_ms(engine, prompt) + answer * step / running;
+	if (writing <= 0)
+		goto overloaded;
+	/*
+	 * With n requests in the batch a step takes fixed + n * each, and n
+	 * grows until it yields the tokens that are asked for.
+	 */
+	tokens = load->requests_per_ms * load->answer_tokens / writing;
+	if (tokens * each >= 1)
+		goto overloaded;
+	running = tokens * fixed / (1 - tokens * each);
+	if (running > slots)
+		goto overloaded;
+	pass = MAX(engine->stride, 1) * (fixed + running * each) / writing;
+	/* Half a pass until it is read, and one that makes the first event. */
+	return 1.5 * pass + read;
+overloaded:
+	return OVERLOADED_MS * engine_utilization(engine, load, slots);
 }
--- a/test/test_cores.c
+++ b/test/test_cores.c
@@ -10,6 +10,8 @@
 #include <cmocka.h>
 
 #include <radishdeal/admission.h>
+#include <radishdeal/demand.h>
+#include <radishdeal/engine.h>
 #include <radishdeal/placement.h>
 #include <radishdeal/router.h>
 
@@ -42,6 +44,7 @@
 		.load_first = script_number(s, "load_first", 0) != 0,
 		.spread = script_number(s, "spread", 0) != 0,
 		.loads_by_vm = script_number(s, "by_vm", 0) != 0,
+		.stage_all = script_number(s, "stage_all", 0) != 0,
 	};
 
 	placement_destroy(p->placement);
@@ -69,12 +72,14 @@
 	placement_put_service(p->placement, &service);
 }
 
-/* vm NAME DOMAIN [state=dead|leaving|straggling] [loaded=SERVICE] */
+/* vm NAME DOMAIN [state=dead|leaving|straggling] [loaded=SERVICE]
+ * [staged=SERVICE] */
 static void place_vm(struct script *s)
 {
 	struct planning *p = s->ctx;
 	const char *state = script_value(s, "state", "");
 	const char *loaded = script_value(s, "loaded", "");
+	const char *staged = script_value(s, "staged", "");
 	struct placement_vm vm = {
 		.name = s->words[1],
 		.domain = s->words[2],
@@ -82,7 +87,9 @@
 		.pool = script_value(s, "pool", ""),
 		.model = loaded,
 		.adapter = "",
-		.version = *loaded ? "1" : "",
+		.version = *loaded || *staged ? "1" : "",
+		.staged = &staged,
+		.staged_count = *staged ? 1 : 0,
 		.accelerators = (uint32_t)script_number(s, "acc", 8),
 		.alive = strcmp(state, "dead") != 0,
 		.leaving = !strcmp(state, "leaving"),
@@ -137,6 +144,13 @@
 	placement_plan(p->placement, p->now_ms, print_decision, p);
 }
 
+static double busy(const void *ctx, uint32_t replicas)
+{
+	const double *work = ctx;
+
+	return *work / replicas;
+}
+
 /* divide SPARE WORK:SIZE[,WORK:SIZE] ROOM[,ROOM] */
 static void place_divide(struct script *s)
 {
@@ -147,10 +161,13 @@
 	struct division_part *division = g_new0(struct division_part,
 						part_count + 1);
 	uint32_t *vms = g_new0(uint32_t, room_count + 1);
+	double *work = g_new0(double, part_count + 1);
 	GString *line = g_string_new("divided:");
 
 	for (uint32_t i = 0; i < part_count; i++) {
-		division[i].work = atof(parts[i]);
+		work[i] = atof(parts[i]);
+		division[i].strain = busy;
+		division[i].ctx = &work[i];
 		division[i].vms_per_replica =
 			(uint32_t)atoi(strchr(parts[i], ':') + 1);
 	}
@@ -165,6 +182,7 @@
 	g_string_free(line, TRUE);
 	g_free(division);
 	g_free(vms);
+	g_free(work);
 	g_strfreev(parts);
 	g_strfreev(rooms);
 }
@@ -182,6 +200,7 @@
 	struct router *router;
 	struct admission *admission;
 	GHashTable *tickets; /* name -> struct admission_ticket */
+	struct demand demand;
 	gint64 now_ms;
 };
 
@@ -294,6 +313,45 @@
 	((struct routing *)s->ctx)->now_ms = atoll(s->words[1]);
 }
 
+/* asked TOKENS: a request came */
+static void demand_asked(struct script *s)
+{
+	struct routing *r = s->ctx;
+
+	demand_add(&r->demand, r->now_ms, (uint32_t)atoi(s->words[1]));
+}
+
+static void demand_told(struct script *s)
+{
+	struct routing *r = s->ctx;
+	uint32_t per_ks, prompt;
+
+	demand_rate(&r->demand, r->now_ms, &per_ks, &prompt);
+	script_print(s, "asked: %u in 1000 s of %u tokens", per_ks, prompt);
+}
+
+/* engine REQUESTS_PER_S PROMPT ANSWER [pace=PERMILLE]: what a load does */
+static void engine_takes(struct script *s)
+{
+	const struct engine_spec engine = {
+		.step_us = 6000,
+		.step_request_us = 250,
+		.read_per_s = 50000,
+		.pairs_us = 1000,
+		.stride = 5,
+		.pace_permille = (uint32_t)script_number(s, "pace", 1000),
+	};
+	const struct engine_load load = {
+		.requests_per_ms = atof(s->words[1]) / 1000,
+		.prompt_tokens = atof(s->words[2]),
+		.answer_tokens = atof(s->words[3]),
+	};
+
+	script_print(s, "first event after %.1f ms, busy for %.3f",
+		     engine_first_ms(&engine, &load, 20),
+		     engine_utilization(&engine, &load, 20));
+}
+
 static void admit_account(struct script *s)
 {
 	struct routing *r = s->ctx;
@@ -369,6 +427,9 @@
 	{ "load", 2, route_load },
 	{ "cache-reset", 1, route_cache_reset },
 	{ "at", 1, route_at },
+	{ "asked", 1, demand_asked },
+	{ "told", 0, demand_told },
+	{ "engine", 3, engine_takes },
 	{ "account", 1, admit_account },
 	{ "enter", 2, admit_enter },
 	{ "next", 0, admit_next },
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -333,12 +333,36 @@
 
 /* ---- what entries are told ---- */
 
-/* poll NODE applied= [load=REPLICA:REQUESTS] */
+/* demand=SERVICE:REQUESTS_PER_KS:PROMPT */
+static void read_demand(const char *text, struct service_demand *demand)
+{
+	char **parts = g_strsplit(text, ":", 3);
+
+	demand->service = g_strdup(parts[0]);
+	demand->requests_per_ks = (uint32_t)atoi(parts[1]);
+	demand->prompt_tokens = (uint32_t)atoi(parts[2]);
+	g_strfreev(parts);
+}
+
+/* demand SERVICE: what all entries tell of it */
+static void sum_demand(struct script *s)
+{
+	struct world *w = s->ctx;
+	struct service_demand sum;
+
+	feed_demand(w->feed, w->now_ms, s->words[1], &sum);
+	script_print(s, "%s: %u in 1000 s of %u tokens", s->words[1],
+		     sum.requests_per_ks, sum.prompt_tokens);
+}
+
+/* poll NODE applied= [load=REPLICA:REQUESTS] [demand=...] */
 static void poll_feed(struct script *s)
 {
 	struct world *w = s->ctx;
 	const char *load = script_value(s, "load", NULL);
+	const char *demand = script_value(s, "demand", NULL);
 	struct replica_load own = { .epoch = 1 };
+	struct service_demand asked = { 0 };
 	struct poll_request request = {
 		.node = (uint32_t)atoi(s->words[1]),
 		.incarnation = 1,
@@ -356,6 +380,11 @@
 		request.loads.loads_val = &own;
 		request.loads.loads_len = 1;
 	}
+	if (demand) {
+		read_demand(demand, &asked);
+		request.demands.demands_val = &asked;
+		request.demands.demands_len = 1;
+	}
 	feed_poll(w->feed, w->now_ms, w->state, &request, &reply);
 	for (u_int i = 0; i < reply.loads.loads_len; i++)
 		g_string_append_printf(loads, "%s%u", i ? "+" : "",
@@ -366,6 +395,7 @@
 		     reply.deltas.deltas_len, reply.entries.entries_len,
 		     loads->len ? loads->str : "0", reply.loads.loads_len);
 	g_string_free(loads, TRUE);
+	g_free(asked.service);
 	CODEC_FREE(poll_reply, &reply);
 }
 
@@ -437,7 +467,9 @@
 	{ "readback", 0, readback },
 	{ "route", 2, route },
 	{ "key", 1, key },
-	{ "announce", 2, announce },	 { "answer", 2, judge_answer },
+	{ "demand", 1, sum_demand },
+	{ "announce", 2, announce },
+	{ "answer", 2, judge_answer },
 	{ "digest", 0, take_digest },
 	{ "leave", 1, leave },
 	{ "vm", 1, vm },
--- a/wire/radishdeal.h
+++ b/wire/radishdeal.h
@@ -438,6 +438,13 @@
 };
 typedef struct replica_load replica_load;
 
+struct service_demand {
+	char *service;
+	uint32_t requests_per_ks;
+	uint32_t prompt_tokens;
+};
+typedef struct service_demand service_demand;
+
 struct poll_request {
 	uint32_t node;
 	uint64_t incarnation;
@@ -452,6 +459,10 @@
 		u_int loads_len;
 		replica_load *loads_val;
 	} loads;
+	struct {
+		u_int demands_len;
+		service_demand *demands_val;
+	} demands;
 };
 typedef struct poll_request poll_request;
 
@@ -707,6 +718,7 @@
 extern  bool_t xdr_hello_reply (XDR *, hello_reply*);
 extern  bool_t xdr_prove_request (XDR *, prove_request*);
 extern  bool_t xdr_replica_load (XDR *, replica_load*);
+extern  bool_t xdr_service_demand (XDR *, service_demand*);
 extern  bool_t xdr_poll_request (XDR *, poll_request*);
 extern  bool_t xdr_indexed_command (XDR *, indexed_command*);
 extern  bool_t xdr_entry_info (XDR *, entry_info*);
@@ -767,6 +779,7 @@
 extern bool_t xdr_hello_reply ();
 extern bool_t xdr_prove_request ();
 extern bool_t xdr_replica_load ();
+extern bool_t xdr_service_demand ();
 extern bool_t xdr_poll_request ();
 extern bool_t xdr_indexed_command ();
 extern bool_t xdr_entry_info ();
--- a/wire/radishdeal.x
+++ b/wire/radishdeal.x
@@ -357,6 +357,13 @@
 	uint32_t requests;
 };
 
+/* What callers lately asked of a service at an entry. */
+struct service_demand {
+	string service<RD_NAME_MAX>;
+	uint32_t requests_per_ks;	/* arrivals in 1,000 s */
+	uint32_t prompt_tokens;		/* of one request, mean */
+};
+
 struct poll_request {
 	uint32_t node;
 	uint64_t incarnation;
@@ -368,6 +375,7 @@
 	uint32_t free_permille;		/* spare share of the entry */
 	bool draining;
 	replica_load loads<65536>;	/* of this entry's own requests */
+	service_demand demands<4096>;
 };
 
 struct indexed_command {
--- a/wire/radishdeal_xdr.c
+++ b/wire/radishdeal_xdr.c
@@ -748,6 +748,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_service_demand (XDR *xdrs, service_demand *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, RD_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->requests_per_ks))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->prompt_tokens))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_poll_request (XDR *xdrs, poll_request *objp)
 {
@@ -774,6 +788,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, 65536,
 		sizeof (replica_load), (xdrproc_t) xdr_replica_load))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, 4096,
+		sizeof (service_demand), (xdrproc_t) xdr_service_demand))
+		 return FALSE;
 	return TRUE;
 }
 
