control: all VMs have both models at hand before traffic

Cause: before the first request loads take a tenth of their time and do not count, but at most 12 were asked for at once, so only half of the VMs had loaded anything but their own model by then. Change: 96 at once while the whole system starts.

--- a/control/placer_model.c
+++ b/control/placer_model.c
@@ -4,7 +4,7 @@
 #include "control/placer_internal.h"
 
 /* While the whole system starts, this many times as many loads at once. */
-#define FIRST_LOADS_X 2
+#define FIRST_LOADS_X 16
 
 /* A load ahead ends with the VM's word that it has loaded, or in time. */
 static void follow_preload(struct placer *placer, const struct vm_report *r,
