entry: requests wait for the configuration after a start, replicas are presumed

Ruled out: the election itself, 15 ms once it begins; it waits out the last leader's lease. Change: an entry that knows no configuration yet holds requests, up to 1.5 s and half of the caller's patience. That a replica was whole under its epoch is part of the replicated state (CMD_CONFIRM_REPLICA, format 2 of data folders), and an entry that starts anew goes by it for presume_ms, until it hears of the VMs; whatever is stalled is found as ever.

--- a/control/demands.c
+++ b/control/demands.c
@@ -31,9 +31,9 @@
 {
 	uint64_t rate = (uint64_t)sum->requests_per_ks +
 			demand->requests_per_ks;
-	uint64_t tokens =
-		(uint64_t)sum->requests_per_ks * sum->prompt_tokens +
-		(uint64_t)demand->requests_per_ks * demand->prompt_tokens;
+	uint64_t tokens = (uint64_t)sum->requests_per_ks * sum->prompt_tokens +
+			  (uint64_t)demand->requests_per_ks *
+				  demand->prompt_tokens;
 
 	if (!rate)
 		return;
--- a/control/placer_model.c
+++ b/control/placer_model.c
@@ -96,6 +96,19 @@
 	return seen ? seen->report.load.running + seen->report.load.waiting : 0;
 }
 
+/* Entries that start anew go by it until VMs have announced themselves. */
+static void confirm(struct placer *placer, const struct replica_state *replica)
+{
+	struct command command = { .body.kind = CMD_CONFIRM_REPLICA };
+	struct confirm_replica *change = &command.body.command_body_u.confirm;
+
+	if (replica->confirmed)
+		return;
+	change->replica = replica->assign.replica;
+	change->epoch = replica->assign.epoch;
+	placer_propose(placer, &command);
+}
+
 static void put_replica(void *ctx, const struct replica_state *replica)
 {
 	struct placer *placer = ctx;
@@ -115,9 +128,12 @@
 				      a->model_version, vms, a->vms.vms_len);
 		g_hash_table_insert(placer->known, number, epoch);
 	}
-	is_whole = view_judge(view, a, placer_now_ms(placer), &culprit,
+	is_whole = view_judge(view, a, placer_now_ms(placer), 0, &culprit,
 			      &fresh_until_ms) == REPLICA_WHOLE;
 	placement_set_whole(placer->placement, a->replica, is_whole);
+	if (is_whole && g_hash_table_lookup(placer->whole, number) !=
+				GSIZE_TO_POINTER(a->epoch))
+		confirm(placer, replica);
 	if (is_whole)
 		g_hash_table_insert(placer->whole, number,
 				    GSIZE_TO_POINTER(a->epoch));
--- a/control/views.c
+++ b/control/views.c
@@ -137,7 +137,7 @@
 	const char *culprit;
 	int64_t fresh;
 	enum replica_fault fault = view_judge(
-		control->view, a, control_now_ms(control), &culprit, &fresh);
+		control->view, a, control_now_ms(control), 0, &culprit, &fresh);
 	json_t *vms = json_array();
 
 	for (u_int i = 0; i < a->vms.vms_len; i++)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -4,7 +4,7 @@
 #include "common/address.h"
 #include "common/log.h"
 #include "common/pack.h"
-#include "entry/call.h"
+#include "entry/take.h"
 #include "wire/codec.h"
 
 #define TICK_MS 50
@@ -133,6 +133,7 @@
 	view_tick(entry->view, entry_now_ms(entry));
 	if (view_version(entry->view) != entry->judged_version)
 		services_judge(entry);
+	early_tick(entry, entry_now_ms(entry));
 	tick_calls(entry);
 	services_watch(entry);
 	services_pump(entry);
@@ -229,6 +230,8 @@
 						service_drop);
 	entry->calls = g_hash_table_new(NULL, NULL);
 	entry->pool = upstream_pool_create(entry->base);
+	entry->began_ms = entry_now_ms(entry);
+	g_queue_init(&entry->early);
 	entry->random = g_rand_new_with_seed(opts->seed);
 	if (open_ports(entry, why))
 		return entry;
@@ -293,6 +296,7 @@
 	if (!entry)
 		return;
 	free_events(entry);
+	early_drop(entry);
 	drop_calls(entry);
 	upstream_pool_destroy(entry->pool);
 	if (entry->driver)
@@ -427,6 +431,8 @@
 		entry_send_status(entry);
 	if (changed || entry->other_count != others)
 		services_update(entry);
+	if (entry->routes)
+		early_go_on(entry);
 	services_take_loads(entry, reply->loads.loads_val,
 			    reply->loads.loads_len);
 	CODEC_FREE(poll_reply, reply);
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -56,7 +56,9 @@
 	GHashTable *calls;    /* set of struct call */
 	struct upstream_pool *pool;
 	struct routes *routes; /* of the deployment; NULL without one */
-	void *driver;	       /* of opts.driver; NULL without one */
+	GQueue early;	       /* of struct early, while there is none */
+	int64_t began_ms;
+	void *driver; /* of opts.driver; NULL without one */
 	struct evhttp *callers;
 	struct evhttp *endpoints;
 	char callers_address[64];
--- a/entry/services.c
+++ b/entry/services.c
@@ -247,8 +247,19 @@
 /* A replica whose VM is leaving finishes what it has. */
 static bool loses_calls(enum replica_fault fault)
 {
-	return fault == REPLICA_VM_SILENT || fault == REPLICA_VM_OTHER_EPOCH ||
-	       fault == REPLICA_VM_UNKNOWN;
+	return fault == REPLICA_VM_SILENT || fault == REPLICA_VM_OTHER_EPOCH;
+}
+
+/*
+ * After a start nothing is known of VMs until they announce themselves; until
+ * then what was whole before is taken to be so.
+ */
+static int64_t presumed_until_ms(const struct entry *entry,
+				 const struct replica_state *replica)
+{
+	int64_t for_ms = entry->opts.settings->limits.presume_ms;
+
+	return replica->confirmed && for_ms ? entry->began_ms + for_ms : 0;
 }
 
 static void judge_replica(void *ctx, const struct replica_state *replica)
@@ -266,7 +277,8 @@
 	if (!r)
 		return;
 	was_whole = r->fresh_until_ms != 0;
-	fault = view_judge(entry->view, a, entry_now_ms(entry), &culprit,
+	fault = view_judge(entry->view, a, entry_now_ms(entry),
+			   presumed_until_ms(entry, replica), &culprit,
 			   &fresh_until_ms);
 	router_set_fresh(s->router, a->replica, fresh_until_ms,
 			 replica_fault_name(fault));
--- a/entry/take.c
+++ b/entry/take.c
@@ -121,7 +121,8 @@
 	struct entry *entry = t->entry;
 	int64_t patience = request->patience_ms ? request->patience_ms
 						: PATIENCE_MAX_MS;
-	int64_t now = entry_now_ms(entry);
+	int64_t now = request->arrived_ms ? request->arrived_ms
+					  : entry_now_ms(entry);
 	int64_t until = now + MIN(patience, (int64_t)route->timeout_ms);
 	bool stream = route->kind == ROUTE_STREAM;
 	struct call_opts opts = {
@@ -157,15 +158,21 @@
 	return *call->account ? call->account : NULL;
 }
 
-void entry_take(struct entry *entry, const struct caller_request *request)
+void entry_take_again(struct entry *entry, const struct caller_request *request)
 {
 	struct taking t = { .entry = entry, .request = request };
-	enum rd_result code;
+	enum rd_result code = admit(&t);
 
-	counters_add(entry->opts.counters, COUNTER_REQUESTS, 1);
-	code = admit(&t);
 	if (code)
 		refuse(&t, code);
 	else
 		start(&t);
 }
+
+void entry_take(struct entry *entry, const struct caller_request *request)
+{
+	counters_add(entry->opts.counters, COUNTER_REQUESTS, 1);
+	if (!entry->routes && early_hold(entry, request))
+		return;
+	entry_take_again(entry, request);
+}
--- a/entry/take.h
+++ b/entry/take.h
@@ -19,12 +19,31 @@
 	const char *key;     /* of the client account; NULL without one */
 	const char *model;   /* NULL without one */
 	int64_t patience_ms; /* the caller waits this long; 0: not said */
+	int64_t arrived_ms;  /* at this entry; 0: now */
 	struct router_request route;
 };
 
 /** Starts a call, or refuses the request. */
 void entry_take(struct entry *entry, const struct caller_request *request);
 
+/** The same for a request that was held: it is not held once more. */
+void entry_take_again(struct entry *entry,
+		      const struct caller_request *request);
+
+/* early.c: requests that come before any configuration */
+
+/** Holds a request; false if it should be refused at once. */
+bool early_hold(struct entry *entry, const struct caller_request *request);
+
+/** Takes all that are held: there is a configuration now. */
+void early_go_on(struct entry *entry);
+
+/** Refuses those that have waited too long. */
+void early_tick(struct entry *entry, int64_t now_ms);
+
+/** Drops all without an answer; used when the entry ends. */
+void early_drop(struct entry *entry);
+
 /** The account's name of a taken call, for endpoints; NULL without one. */
 const char *entry_account_name(const struct call *call);
 
--- a/evidence/view.c
+++ b/evidence/view.c
@@ -371,9 +371,11 @@
 
 enum replica_fault view_judge(const struct view *view,
 			      const struct assign_replica *replica,
-			      int64_t now_ms, const char **culprit,
-			      int64_t *fresh_until_ms)
+			      int64_t now_ms, int64_t presumed_until_ms,
+			      const char **culprit, int64_t *fresh_until_ms)
 {
+	bool presumed = now_ms < presumed_until_ms;
+
 	*culprit = NULL;
 	*fresh_until_ms = INT64_MAX;
 	for (u_int i = 0; i < replica->vms.vms_len; i++) {
@@ -382,6 +384,11 @@
 		enum replica_fault fault = judge_vm(view, replica, vm, !i,
 						    now_ms);
 
+		if (fault == REPLICA_VM_UNKNOWN && presumed) {
+			*fresh_until_ms = MIN(*fresh_until_ms,
+					      presumed_until_ms);
+			continue;
+		}
 		if (fault) {
 			*culprit = name;
 			*fresh_until_ms = 0;
--- a/include/radishdeal/evidence.h
+++ b/include/radishdeal/evidence.h
@@ -111,12 +111,13 @@
 
 /**
  * Judges whether a replica is whole: each of its VMs alive, ready and under
- * the replica's epoch. Sets the VM at fault (or NULL) and until when the
+ * the replica's epoch. VMs of which nothing was heard yet count as such until
+ * `presumed_until_ms`. Sets the VM at fault (or NULL) and until when the
  * evidence serves.
  */
 enum replica_fault view_judge(const struct view *view,
 			      const struct assign_replica *replica,
-			      int64_t now_ms, const char **culprit,
-			      int64_t *fresh_until_ms);
+			      int64_t now_ms, int64_t presumed_until_ms,
+			      const char **culprit, int64_t *fresh_until_ms);
 
 #endif
--- a/routing/demand.c
+++ b/routing/demand.c
@@ -44,7 +44,7 @@
 	}
 	if (!requests)
 		return;
-	*requests_per_ks = (uint32_t)(requests * PER_KS /
-				      (uint64_t)(now - oldest));
+	*requests_per_ks =
+		(uint32_t)(requests * PER_KS / (uint64_t)(now - oldest));
 	*prompt_tokens = (uint32_t)(tokens / requests);
 }
--- a/settings/daemon.c
+++ b/settings/daemon.c
@@ -252,6 +252,12 @@
 		     "an engine silent for this long, with work, is avoided"),
 	LIMIT_OPTION(head_stall_ms, 0, 600000, 0, "ms",
 		     "a head without one of its VMs stops serving after this"),
+	LIMIT_OPTION(early_wait_ms, 0, 60000, 1500, "ms",
+		     "after a start, requests wait so long at most for the "
+		     "configuration to come"),
+	LIMIT_OPTION(presume_ms, 0, 60000, 0, "ms",
+		     "after a start, replicas that were whole before count as "
+		     "whole until their VMs are heard of, so long at most"),
 	LIMIT_OPTION(repeat_permille, 0, 100000, 1000, NULL,
 		     "second sends allowed for 1,000 requests"),
 	LIMIT_OPTION(repeat_slack, 0, 1000000, 10000, NULL,
--- a/settings/daemon.h
+++ b/settings/daemon.h
@@ -91,6 +91,8 @@
 	int64_t order_timeout_ms;
 	int64_t stall_ms;
 	int64_t head_stall_ms;
+	int64_t early_wait_ms;
+	int64_t presume_ms;
 	int64_t repeat_permille;
 	int64_t repeat_slack;
 	int64_t repeat_window_ms;
--- a/state/replica.c
+++ b/state/replica.c
@@ -88,6 +88,7 @@
 	if (!CODEC_COPY(assign_replica, assign, &replica->assign))
 		g_assert_not_reached();
 	replica->released = FALSE;
+	replica->confirmed = FALSE;
 	state->last_epoch = assign->epoch;
 	for (u_int i = 0; i < assign->vms.vms_len; i++)
 		vm_take(state, assign->vms.vms_val[i].name, assign->replica,
@@ -113,6 +114,23 @@
 	state_result_set(result, RD_OK, "");
 }
 
+void replica_confirm(struct state *state, const struct command *command,
+		     struct apply_result *result)
+{
+	const struct confirm_replica *change =
+		&command->body.command_body_u.confirm;
+	gpointer number = GUINT_TO_POINTER(change->replica);
+	struct replica_state *replica = g_tree_lookup(state->replicas, number);
+
+	if (!replica || replica->released ||
+	    replica->assign.epoch != change->epoch) {
+		state_result_set(result, RD_STALE_EPOCH, "");
+		return;
+	}
+	replica->confirmed = TRUE;
+	state_result_set(result, RD_OK, "");
+}
+
 const struct replica_state *state_replica(const struct state *state,
 					  uint32_t replica)
 {
--- a/state/state.c
+++ b/state/state.c
@@ -129,6 +129,7 @@
 	{ deployment_apply, CMD_DEPLOY, true },
 	{ replica_assign, CMD_ASSIGN_REPLICA, true },
 	{ replica_release, CMD_RELEASE_REPLICA, true },
+	{ replica_confirm, CMD_CONFIRM_REPLICA, true },
 	{ vm_free, CMD_FREE_VM, true },
 	{ booking_claim, CMD_CLAIM_BOOKING, false },
 	{ booking_finish, CMD_FINISH_BOOKING, false },
--- a/state/state_internal.h
+++ b/state/state_internal.h
@@ -53,6 +53,8 @@
 /* replica.c */
 void replica_assign(struct state *state, const struct command *command,
 		    struct apply_result *result);
+void replica_confirm(struct state *state, const struct command *command,
+		     struct apply_result *result);
 void replica_release(struct state *state, const struct command *command,
 		     struct apply_result *result);
 
--- a/storage/storage.c
+++ b/storage/storage.c
@@ -7,7 +7,7 @@
 #include "storage/storage.h"
 #include "wire/codec.h"
 
-#define FOLDER_FORMAT 1u
+#define FOLDER_FORMAT 2u
 #define META_NAME "meta"
 #define NAME_BYTES 64
 #define SEGMENT_PREFIX "log-"
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -236,6 +236,88 @@
 	evhttp_clear_headers(&headers);
 }
 
+static struct command *replica_command(struct script *s, command_kind kind,
+				       struct command *command)
+{
+	memset(command, 0, sizeof(*command));
+	command->change_id = (char *)"";
+	command->operator_name = (char *)"placement";
+	command->body.kind = kind;
+	if (kind == CMD_CONFIRM_REPLICA) {
+		struct confirm_replica *c =
+			&command->body.command_body_u.confirm;
+
+		c->replica = (uint32_t)atoi(s->words[1]);
+		c->epoch = (uint64_t)atoi(s->words[2]);
+	} else {
+		struct assign_replica *a = &command->body.command_body_u.assign;
+
+		a->replica = (uint32_t)atoi(s->words[1]);
+		a->epoch = (uint64_t)atoi(s->words[2]);
+		a->service = s->words[3];
+		a->model_version = (char *)"1";
+	}
+	return command;
+}
+
+static void apply_replica(struct script *s, const struct command *command)
+{
+	struct world *w = s->ctx;
+	struct apply_result result = { 0 };
+
+	state_apply(w->state, ++w->index, command, &result);
+	script_print(s, "%s", rd_result_info(result.code)->name);
+	state_result_clear(&result);
+}
+
+/* assign REPLICA EPOCH SERVICE VM... */
+static void assign(struct script *s)
+{
+	struct command command;
+	struct assign_replica *a = &replica_command(s, CMD_ASSIGN_REPLICA,
+						    &command)
+					    ->body.command_body_u.assign;
+	struct vm_ref vms[SCRIPT_WORDS_MAX];
+
+	a->vms.vms_val = vms;
+	for (int i = 4; i < s->word_count; i++)
+		vms[a->vms.vms_len++] = (struct vm_ref){
+			.name = s->words[i],
+			.address = (char *)"10.0.0.1:80",
+			.domain = (char *)"d",
+			.data_centre = (char *)"a",
+		};
+	apply_replica(s, &command);
+}
+
+/* confirm REPLICA EPOCH: it was whole */
+static void confirm(struct script *s)
+{
+	struct command command;
+
+	apply_replica(s, replica_command(s, CMD_CONFIRM_REPLICA, &command));
+}
+
+/* whole REPLICA [presumed=MS] */
+static void whole(struct script *s)
+{
+	struct world *w = s->ctx;
+	const struct replica_state *r =
+		state_replica(w->state, (uint32_t)atoi(s->words[1]));
+	const char *culprit;
+	int64_t fresh_ms;
+	enum replica_fault fault;
+
+	if (!r)
+		script_fail(s, "no such replica");
+	fault = view_judge(w->view, &r->assign, w->now_ms,
+			   script_number(s, "presumed", 0), &culprit,
+			   &fresh_ms);
+	script_print(s, "%s at %d until %d%s", replica_fault_name(fault),
+		     (int)w->now_ms, (int)fresh_ms,
+		     r->confirmed ? ", was whole before" : "");
+}
+
 static void take_digest(struct script *s)
 {
 	struct world *w = s->ctx;
@@ -470,6 +552,9 @@
 	{ "demand", 1, sum_demand },
 	{ "announce", 2, announce },
 	{ "answer", 2, judge_answer },
+	{ "assign", 4, assign },
+	{ "confirm", 2, confirm },
+	{ "whole", 1, whole },
 	{ "digest", 0, take_digest },
 	{ "leave", 1, leave },
 	{ "vm", 1, vm },
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -48,6 +48,11 @@
 	int requests;
 };
 
+struct late_ask {
+	char *address, *path;
+	struct fetch_answer answer;
+};
+
 struct world {
 	char *folder;
 	char network[24]; /* first three parts of the addresses */
@@ -60,6 +65,8 @@
 	GThread *server, *beater;
 	GMutex lock;
 	struct seen seen;
+	struct late_ask late;
+	GThread *asker;
 	volatile gint stop;
 	int requests;
 };
@@ -208,6 +215,7 @@
 				       i > 1 ? ", " : "", w->network, i,
 				       w->ports[PORT_CONTROL]);
 	g_string_append(text, "]\n[limits]\nlinger_ms = 500\n"
+			      "early_wait_ms = 20000\n"
 			      "drain_ms = 3000\n[log]\nlevel = \"note\"\n");
 	g_free(peers);
 	g_free(control);
@@ -422,6 +430,55 @@
 }
 
 /* ask METHOD PATH key= want= [id=] */
+/* ---- a request on a thread of its own ---- */
+
+/* Tries until somebody listens; what is answered first counts. */
+static gpointer run_late_ask(gpointer ctx)
+{
+	struct late_ask *late = ctx;
+	const char *headers[] = {
+		"Host", "shop.example",	    "X-Api-Key", "k1", "Attempt-Id",
+		"late", "Request-Deadline", "60000",	 NULL
+	};
+	struct fetch_request request = {
+		.address = late->address,
+		.method = "GET",
+		.path = late->path,
+		.headers = headers,
+		.body = "",
+		.timeout_ms = WAIT_MS,
+	};
+
+	while (!fetch(&request, &late->answer) || !late->answer.status) {
+		fetch_clear(&late->answer);
+		usleep(POLL_US);
+	}
+	return NULL;
+}
+
+/* begin PATH: sends a request to the entry, and does not wait for it */
+static void begin(struct script *s)
+{
+	struct world *w = s->ctx;
+
+	w->late.address = address_of(w, NODES, PORT_CALLERS);
+	w->late.path = g_strdup(s->words[1]);
+	w->asker = g_thread_new("late ask", run_late_ask, &w->late);
+}
+
+/* end: its answer */
+static void end(struct script *s)
+{
+	struct world *w = s->ctx;
+
+	g_thread_join(w->asker);
+	script_print(s, "%s: %d %s", w->late.path, w->late.answer.status,
+		     w->late.answer.body ? w->late.answer.body : "");
+	fetch_clear(&w->late.answer);
+	g_free(w->late.address);
+	g_free(w->late.path);
+}
+
 static void ask(struct script *s)
 {
 	struct world *w = s->ctx;
@@ -552,6 +609,8 @@
 	{ "held", 1, held },
 	{ "ask", 2, ask },
 	{ "raw", 1, raw },
+	{ "begin", 1, begin },
+	{ "end", 0, end },
 	{ "resolve", 1, resolve },
 	{ "ready", 0, ready },
 	{ "metrics", 2, metrics },
--- a/wire/radishdeal.h
+++ b/wire/radishdeal.h
@@ -182,6 +182,7 @@
 	CMD_ASSIGN_REPLICA = 10,
 	CMD_RELEASE_REPLICA = 11,
 	CMD_FREE_VM = 12,
+	CMD_CONFIRM_REPLICA = 13,
 	CMD_CLAIM_BOOKING = 20,
 	CMD_FINISH_BOOKING = 21,
 	CMD_EXPIRE_BOOKINGS = 22,
@@ -234,6 +235,12 @@
 };
 typedef struct release_replica release_replica;
 
+struct confirm_replica {
+	uint32_t replica;
+	uint64_t epoch;
+};
+typedef struct confirm_replica confirm_replica;
+
 struct free_vm {
 	char *vm;
 	uint32_t replica;
@@ -297,6 +304,7 @@
 		assign_replica assign;
 		release_replica release;
 		free_vm freed;
+		confirm_replica confirm;
 		claim_booking claim;
 		finish_booking finish;
 		expire_bookings expire;
@@ -359,6 +367,7 @@
 struct replica_state {
 	assign_replica assign;
 	bool_t released;
+	bool_t confirmed;
 };
 typedef struct replica_state replica_state;
 
@@ -698,6 +707,7 @@
 extern  bool_t xdr_vm_ref (XDR *, vm_ref*);
 extern  bool_t xdr_assign_replica (XDR *, assign_replica*);
 extern  bool_t xdr_release_replica (XDR *, release_replica*);
+extern  bool_t xdr_confirm_replica (XDR *, confirm_replica*);
 extern  bool_t xdr_free_vm (XDR *, free_vm*);
 extern  bool_t xdr_claim_booking (XDR *, claim_booking*);
 extern  bool_t xdr_booking_answer (XDR *, booking_answer*);
@@ -759,6 +769,7 @@
 extern bool_t xdr_vm_ref ();
 extern bool_t xdr_assign_replica ();
 extern bool_t xdr_release_replica ();
+extern bool_t xdr_confirm_replica ();
 extern bool_t xdr_free_vm ();
 extern bool_t xdr_claim_booking ();
 extern bool_t xdr_booking_answer ();
--- a/wire/radishdeal.x
+++ b/wire/radishdeal.x
@@ -140,6 +140,7 @@
 	CMD_ASSIGN_REPLICA = 10,
 	CMD_RELEASE_REPLICA = 11,
 	CMD_FREE_VM = 12,
+	CMD_CONFIRM_REPLICA = 13,
 	CMD_CLAIM_BOOKING = 20,
 	CMD_FINISH_BOOKING = 21,
 	CMD_EXPIRE_BOOKINGS = 22
@@ -182,6 +183,12 @@
 	uint64_t epoch;
 };
 
+/* All its VMs were ready under the epoch, and its head served. */
+struct confirm_replica {
+	uint32_t replica;
+	uint64_t epoch;
+};
+
 struct free_vm {
 	string vm<RD_NAME_MAX>;
 	uint32_t replica;
@@ -242,6 +249,8 @@
 	release_replica release;
 case CMD_FREE_VM:
 	free_vm freed;
+case CMD_CONFIRM_REPLICA:
+	confirm_replica confirm;
 case CMD_CLAIM_BOOKING:
 	claim_booking claim;
 case CMD_FINISH_BOOKING:
@@ -301,6 +310,7 @@
 struct replica_state {
 	assign_replica assign;
 	bool released;
+	bool confirmed;			/* was whole under its epoch */
 };
 
 struct vm_state {
--- a/wire/radishdeal_xdr.c
+++ b/wire/radishdeal_xdr.c
@@ -362,6 +362,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_confirm_replica (XDR *xdrs, confirm_replica *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint32_t (xdrs, &objp->replica))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->epoch))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_free_vm (XDR *xdrs, free_vm *objp)
 {
@@ -494,6 +506,10 @@
 		 if (!xdr_free_vm (xdrs, &objp->command_body_u.freed))
 			 return FALSE;
 		break;
+	case CMD_CONFIRM_REPLICA:
+		 if (!xdr_confirm_replica (xdrs, &objp->command_body_u.confirm))
+			 return FALSE;
+		break;
 	case CMD_CLAIM_BOOKING:
 		 if (!xdr_claim_booking (xdrs, &objp->command_body_u.claim))
 			 return FALSE;
@@ -620,6 +636,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->released))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->confirmed))
+		 return FALSE;
 	return TRUE;
 }
 
