routing: replicas are compared by the expected first event, late requests keep out of the way

Entries compared two replicas drawn at random by a cost that ignores prompts not read yet, so several long prompts met at one replica while others had none (larger model at 9 to 12 requests: p50 250 ms, p90 620 ms). Requests that had become late took all free places at once: after all processes had been killed, 300 that waited put 374 ms of reading before whoever came next. And a request counted as able to be in time until half its objective, though a first event takes 170 to 300 ms once it is sent. Change: router_first_event_ms() works out the first event by the engine's stated figures, with the prompts that this entry knows to be unread and an estimate of the others'; the best of three drawn at random is taken. A late request is sent where nothing of this entry's is unread, and leaves two fifths of the places. What first events take lately (routing/estimate.c) says when a request can no longer be in time.

--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -329,10 +329,11 @@
 				router_put(r, j, 1, 16, "127.0.0.1:1");
 				router_set_fresh(r, j, INT64_MAX, "whole");
 			}
-			router_choose(r, 1, true, &request, &choice);
+			router_choose(r, 1, ROUTER_FILL_ALL, &request, &choice);
 			started = thread_us();
 			for (int j = 0; j < 2000; j++)
-				router_choose(r, 1, true, &request, &choice);
+				router_choose(r, 1, ROUTER_FILL_ALL, &request,
+					      &choice);
 			us[with] = (thread_us() - started) / 2000;
 			router_destroy(r);
 		}
--- a/bench/bench_routing.c
+++ b/bench/bench_routing.c
@@ -312,8 +312,8 @@
 		struct request *r = ticket->ctx;
 		struct router_choice c;
 
-		router_choose(entry->router, w->now_us / 1000, true, &r->route,
-			      &c);
+		router_choose(entry->router, w->now_us / 1000, ROUTER_FILL_ALL,
+			      &r->route, &c);
 		if (!c.replica)
 			return;
 		admission_take(entry->admission, ticket);
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -14,6 +14,7 @@
 /* Above this much unread answer the endpoint is not read from. */
 #define OUTPUT_HIGH_BYTES 65536u
 #define PACE_TOKENS 16u
+#define US_PER_MS 1000
 
 static const struct log attempt_log = { "call" };
 
@@ -26,11 +27,20 @@
 	counters_add(call->entry->opts.counters, COUNTER_STREAMS, -1);
 }
 
+static void note_read(struct call *call)
+{
+	if (call->unread)
+		router_read(call->service->router, call->replica, call->epoch,
+			    call->route.prompt_tokens);
+	call->unread = false;
+}
+
 void attempt_finish(struct call *call)
 {
 	uint32_t expected = call->route.output_tokens;
 
 	drop_upstream(call);
+	note_read(call);
 	if (call->replica)
 		router_done(call->service->router, call->replica, call->epoch,
 			    expected - MIN(expected, call->counted));
@@ -59,8 +69,9 @@
 	struct entry *entry = call->entry;
 	struct router_choice choice;
 
-	router_choose(call->service->router, entry_now_ms(entry), false,
-		      &call->route, &choice);
+	call->route.after_reads = false;
+	router_choose(call->service->router, entry_now_ms(entry),
+		      ROUTER_FILL_ANY, &call->route, &choice);
 	if (!choice.replica)
 		return false;
 	counters_add(entry->opts.counters,
@@ -141,6 +152,7 @@
 
 	router_progress(call->service->router, call->replica, tokens);
 	call->counted += tokens;
+	note_read(call);
 	if (!call->paced_us) {
 		call->paced_us = now_us;
 		call->paced_tokens = 0;
@@ -180,6 +192,8 @@
 	evhttp_send_reply_start(call->req, HTTP_OK, "OK");
 	call->started_reply = true;
 	call->first_us = entry_now_us(call->entry);
+	estimate_add(&call->service->first,
+		     (double)(call->first_us - call->sent_us) / US_PER_MS);
 	counters_time(call->entry->opts.counters, HISTOGRAM_FIRST_TOKEN,
 		      call->first_us - call->started_us);
 }
@@ -413,6 +427,7 @@
 	g_strlcpy(call->address, choice->address, sizeof(call->address));
 	router_sent(call->service->router, choice->replica, entry_now_ms(entry),
 		    &call->route);
+	call->unread = true;
 	counters_add(entry->opts.counters, COUNTER_STREAMS, 1);
 	send_request(call);
 }
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -10,6 +10,7 @@
 
 #include <radishdeal/admission.h>
 #include <radishdeal/demand.h>
+#include <radishdeal/estimate.h>
 #include <radishdeal/evidence.h>
 #include <radishdeal/repeats.h>
 #include <radishdeal/router.h>
@@ -31,6 +32,9 @@
 	double mean_output;	/* tokens of an answer, smoothed */
 	struct repeats repeats; /* its part of what its pool may repeat */
 	struct demand demand;
+	struct estimate first; /* from sending to the answer's first bytes */
+	struct engine_spec engine; /* for the policy */
+	struct router_policy policy;
 	struct router *router;
 	struct admission *admission;
 	GHashTable *plain; /* VM's name -> replica number; plain services */
--- a/entry/services.c
+++ b/entry/services.c
@@ -8,6 +8,11 @@
 #include "entry/call.h"
 
 #define PREFIXES_PER_REPLICA 4096
+/* Replicas compared for a request; of all, entries would take the same. */
+#define SAMPLE 3
+/* Of a replica's slots, for requests that are late already: the rest is for
+ * those that can still be in time. */
+#define LATE_FILL_PERMILLE 600u
 /* Numbers of plain services' endpoints, apart from those of replicas. */
 #define FIRST_PLAIN 1u
 
@@ -43,7 +48,8 @@
 					  : NULL;
 }
 
-static struct entry_service *add_service(struct entry *entry, const char *name)
+static struct entry_service *add_service(struct entry *entry, const char *name,
+					 const struct engine_spec *engine)
 {
 	struct entry_service *s = g_new0(struct entry_service, 1);
 	struct router_opts opts = {
@@ -60,6 +66,15 @@
 
 	s->entry = entry;
 	s->name = g_strdup(name);
+	s->engine = *engine;
+	s->policy = (struct router_policy){
+		.name = "first event",
+		.cost = router_first_event_ms,
+		.sample = SAMPLE,
+		.ctx = &s->engine,
+	};
+	if (engine_is_known(engine))
+		opts.policy = &s->policy;
 	s->router = router_create(&opts);
 	s->admission = admission_create();
 	s->plain = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -132,7 +147,8 @@
 	struct entry_service *s = services_find(entry, service->name);
 
 	if (!s)
-		s = add_service(entry, service->name);
+		s = add_service(entry, service->name, &service->spec.engine);
+	s->engine = service->spec.engine;
 	s->seen = true;
 	s->revision = service->revision;
 	share_repeats(entry, s, &service->spec);
@@ -591,9 +607,13 @@
 	while ((ticket = admission_peek(s->admission,
 					entry_now_ms(s->entry)))) {
 		struct call *call = ticket->ctx;
+
+		call->route.after_reads = ticket->late;
 		int64_t started = entry_now_us(entry);
 
-		router_choose(s->router, entry_now_ms(entry), true,
+		router_choose(s->router, entry_now_ms(entry),
+			      ticket->late ? LATE_FILL_PERMILLE
+					   : ROUTER_FILL_ALL,
 			      &call->route, &choice);
 		counters_time(entry->opts.counters, HISTOGRAM_DECISION,
 			      entry_now_us(entry) - started);
--- a/entry/take.c
+++ b/entry/take.c
@@ -6,6 +6,8 @@
 #define NO_ACCOUNT ""
 /* How long a request without a stated patience is kept, at most. */
 #define PATIENCE_MAX_MS 600000
+/* What a request spends between its caller and here, both ways. */
+#define CALLER_MS 15
 
 static const struct log take_log = { "take" };
 
@@ -114,6 +116,18 @@
 	return find_service(t);
 }
 
+/* Until when it must be sent so that its first event comes in time. */
+static int64_t prompt_until_ms(const struct taking *t, int64_t now)
+{
+	int64_t target = t->route->target_ms;
+	double first = estimate_most_ms(&t->service->first);
+
+	if (!target)
+		return 0;
+	first = CLAMP(first, (double)target / 4, (double)target * 3 / 4);
+	return now + target - (int64_t)first - CALLER_MS;
+}
+
 static void start(const struct taking *t)
 {
 	const struct caller_request *request = t->request;
@@ -138,8 +152,7 @@
 				    : route->priority,
 		.deadline_ms = until,
 		.whole_by_ms = until,
-		.prompt_until_ms = route->target_ms ? now + route->target_ms / 2
-						    : 0,
+		.prompt_until_ms = prompt_until_ms(t, now),
 		.path = request->target,
 		.body = http_body(request->req),
 		.once_only = route->kind == ROUTE_ONCE ||
--- a/examples/embed.c
+++ b/examples/embed.c
@@ -70,7 +70,7 @@
 	router_put(router, 2, 1, 16, "10.0.0.2:8000");
 	router_set_fresh(router, 1, 0, "vm-silent");
 	router_set_fresh(router, 2, 10000, "whole");
-	router_choose(router, 7000, true, &request, &choice);
+	router_choose(router, 7000, ROUTER_FILL_ALL, &request, &choice);
 	printf("route to replica %u, left out %s\n", choice.replica,
 	       choice.worst);
 
--- a/include/radishdeal/router.h
+++ b/include/radishdeal/router.h
@@ -25,6 +25,7 @@
 	uint32_t prefix_tokens;		    /* tokens in each part */
 	uint32_t avoid_count;
 	uint32_t avoid[4]; /* replicas that failed it before */
+	bool after_reads;  /* only where nothing of this entry is unread */
 };
 
 /** A replica as the router sees it. */
@@ -39,13 +40,15 @@
 				   */
 	int64_t heard_ms; /* last bytes of an answer, or sent to when idle */
 
-	uint32_t outstanding; /* own requests there */
-	uint64_t own_tokens;  /* estimated tokens they still need */
-	uint32_t others;      /* requests of other entries, by reports */
-	double step_us;	      /* time of a decoding step, smoothed */
-	double prefill_us;    /* time to read one prompt token, smoothed */
-	int64_t probed_ms;    /* when a straggler was last tried */
-	int64_t paced_ms;     /* when step_us was last measured */
+	uint32_t outstanding;	/* own requests there */
+	uint64_t own_tokens;	/* estimated tokens they still need */
+	uint32_t unread;	/* of them, without a first event yet */
+	uint64_t unread_tokens; /* of their prompts */
+	uint32_t others;	/* requests of other entries, by reports */
+	double step_us;		/* time of a decoding step, smoothed */
+	double prefill_us;	/* time to read one prompt token, smoothed */
+	int64_t probed_ms;	/* when a straggler was last tried */
+	int64_t paced_ms;	/* when step_us was last measured */
 
 	GHashTable *prefixes; /* hash -> last use */
 	GQueue prefix_order;  /* hashes, least recent first */
@@ -67,6 +70,13 @@
 
 extern const struct router_policy router_policy_cost;
 
+/**
+ * Cost where the engine's figures are known: expected time in ms to the first
+ * event. `ctx` is the struct engine_spec.
+ */
+double router_first_event_ms(void *ctx, const struct router_replica *replica,
+			     const struct router_request *request);
+
 struct router;
 
 struct router_opts {
@@ -126,22 +136,31 @@
 	uint32_t present; /* requests there, as far as is known */
 	uint32_t cached_tokens;
 	uint32_t candidates;
-	uint32_t stale, suspects, full, avoided, slow;
+	uint32_t stale, suspects, full, avoided, slow; /* full or unread */
 	char worst[64]; /* id and fault of one candidate left out */
 };
 
+/** Any replica, also one whose slots are all taken. */
+#define ROUTER_FILL_ANY 0u
+/** A replica with a free slot. */
+#define ROUTER_FILL_ALL 1000u
+
 /**
- * Chooses. With `only_free`, replicas without a free slot are left out.
+ * Chooses. Replicas with `fill_permille` of their slots taken are left out.
  * Nothing is counted until router_sent().
  */
-void router_choose(struct router *router, int64_t now_ms, bool only_free,
-		   const struct router_request *request,
+void router_choose(struct router *router, int64_t now_ms,
+		   uint32_t fill_permille, const struct router_request *request,
 		   struct router_choice *choice);
 
 /** Counts a request as sent. */
 void router_sent(struct router *router, uint32_t id, int64_t now_ms,
 		 const struct router_request *request);
 
+/** Counts a request's prompt as read: its first event came, or never will. */
+void router_read(struct router *router, uint32_t id, uint64_t epoch,
+		 uint32_t prompt_tokens);
+
 /** Notes that bytes of some answer came. */
 void router_heard(struct router *router, uint32_t id, int64_t now_ms);
 
--- a/routing/router.c
+++ b/routing/router.c
@@ -87,6 +87,8 @@
 	r->epoch = epoch;
 	r->outstanding = 0;
 	r->own_tokens = 0;
+	r->unread = 0;
+	r->unread_tokens = 0;
 	r->others = 0;
 	r->step_us = DEFAULT_STEP_US;
 	r->prefill_us = DEFAULT_PREFILL_US;
@@ -379,8 +381,16 @@
 			   why);
 }
 
+static bool is_full(const struct router_replica *r, uint32_t fill_permille)
+{
+	uint64_t present = (uint64_t)r->outstanding + r->others;
+
+	return fill_permille &&
+	       present * ROUTER_FILL_ALL >= (uint64_t)r->slots * fill_permille;
+}
+
 static bool usable(const struct router_replica *r, int64_t now_ms,
-		   bool only_free, const struct router_request *request,
+		   uint32_t fill_permille, const struct router_request *request,
 		   struct router_choice *choice)
 {
 	if (now_ms >= r->fresh_until_ms)
@@ -390,7 +400,8 @@
 		leave_out(choice, r, &choice->suspects, "suspect");
 	else if (avoided(request, r->id))
 		leave_out(choice, r, &choice->avoided, "failed-before");
-	else if (only_free && r->outstanding + r->others >= r->slots)
+	else if (is_full(r, fill_permille) ||
+		 (request->after_reads && r->unread))
 		leave_out(choice, r, &choice->full, "full");
 	else
 		return true;
@@ -423,14 +434,15 @@
 	best->cost = cost;
 }
 
-static void collect(struct router *router, int64_t now_ms, bool only_free,
+static void collect(struct router *router, int64_t now_ms,
+		    uint32_t fill_permille,
 		    const struct router_request *request,
 		    struct router_choice *choice, GPtrArray *usables)
 {
 	for (guint i = 0; i < router->mine->len; i++) {
 		struct router_replica *r = router->mine->pdata[i];
 
-		if (usable(r, now_ms, only_free, request, choice))
+		if (usable(r, now_ms, fill_permille, request, choice))
 			g_ptr_array_add(usables, r);
 	}
 	choice->candidates = usables->len;
@@ -505,8 +517,8 @@
 	return best.replica;
 }
 
-void router_choose(struct router *router, int64_t now_ms, bool only_free,
-		   const struct router_request *request,
+void router_choose(struct router *router, int64_t now_ms,
+		   uint32_t fill_permille, const struct router_request *request,
 		   struct router_choice *choice)
 {
 	GPtrArray *usables;
@@ -518,7 +530,7 @@
 	if (router->median_stale)
 		update_median(router);
 	usables = g_ptr_array_sized_new(router->mine->len);
-	collect(router, now_ms, only_free, request, choice, usables);
+	collect(router, now_ms, fill_permille, request, choice, usables);
 	r = drop_stragglers(router, now_ms, usables, choice);
 	if (!r)
 		r = best_of(router, usables, request, &choice->cost_ms);
@@ -545,10 +557,23 @@
 		r->heard_ms = now_ms;
 	r->outstanding++;
 	r->own_tokens += request->output_tokens;
+	r->unread++;
+	r->unread_tokens += request->prompt_tokens;
 	for (uint32_t i = 0; i < request->prefix_count; i++)
 		remember_prefix(router, r, request->prefix[i]);
 }
 
+void router_read(struct router *router, uint32_t id, uint64_t epoch,
+		 uint32_t prompt_tokens)
+{
+	struct router_replica *r = find(router, id);
+
+	if (!r || r->epoch != epoch || !r->unread)
+		return;
+	r->unread--;
+	r->unread_tokens -= MIN(r->unread_tokens, prompt_tokens);
+}
+
 static void take_tokens(struct router_replica *r, uint32_t tokens)
 {
 	r->own_tokens -= MIN(r->own_tokens, tokens);
--- a/test/test_cores.c
+++ b/test/test_cores.c
@@ -12,6 +12,7 @@
 #include <radishdeal/admission.h>
 #include <radishdeal/demand.h>
 #include <radishdeal/engine.h>
+#include <radishdeal/estimate.h>
 #include <radishdeal/placement.h>
 #include <radishdeal/router.h>
 
@@ -201,13 +202,34 @@
 	struct admission *admission;
 	GHashTable *tickets; /* name -> struct admission_ticket */
 	struct demand demand;
+	struct estimate estimate;
 	gint64 now_ms;
 };
 
+/* A step of 6 ms and 0.25 for each request, 50 prompt tokens a ms. */
+static struct engine_spec plain_engine = {
+	.step_us = 6000,
+	.step_request_us = 250,
+	.read_per_s = 50000,
+	.pairs_us = 1000,
+	.stride = 5,
+	.pace_permille = 1000,
+	.usual_prompt = 1000,
+	.usual_answer = 100,
+};
+
+static const struct router_policy first_event = {
+	.name = "first event",
+	.cost = router_first_event_ms,
+	.ctx = &plain_engine,
+};
+
+/* opts [subset=] [prefixes=] [engine=1] */
 static void route_opts(struct script *s)
 {
 	struct routing *r = s->ctx;
 	struct router_opts opts = {
+		.policy = script_number(s, "engine", 0) ? &first_event : NULL,
 		.seed = 1,
 		.entry = 1,
 		.subset = (uint32_t)script_number(s, "subset", 0),
@@ -238,6 +260,7 @@
 	request->prompt_tokens = (uint32_t)script_number(s, "prompt", 100);
 	request->output_tokens = (uint32_t)script_number(s, "out", 10);
 	request->prefix_tokens = 64;
+	request->after_reads = script_number(s, "after_reads", 0) != 0;
 	for (; prefix && *prefix; prefix++)
 		request->prefix[request->prefix_count++] = (uint64_t)*prefix;
 	if (avoid)
@@ -251,7 +274,8 @@
 	struct router_choice c;
 
 	fill_request(s, &request);
-	router_choose(r->router, r->now_ms, script_number(s, "free", 1) != 0,
+	router_choose(r->router, r->now_ms,
+		      (uint32_t)script_number(s, "fill", ROUTER_FILL_ALL),
 		      &request, &c);
 	script_print(s,
 		     "replica %u cached=%u candidates=%u stale=%u suspect=%u "
@@ -270,6 +294,33 @@
 	router_done(r->router, (uint32_t)atoi(s->words[1]), 1, 10);
 }
 
+/* read ID PROMPT: the first event of a request came */
+static void route_read(struct script *s)
+{
+	struct routing *r = s->ctx;
+
+	router_read(r->router, (uint32_t)atoi(s->words[1]), 1,
+		    (uint32_t)atoi(s->words[2]));
+}
+
+/* others ID REQUESTS: what other entries have there */
+static void route_others(struct script *s)
+{
+	struct routing *r = s->ctx;
+
+	router_others(r->router, (uint32_t)atoi(s->words[1]), 1,
+		      (uint32_t)atoi(s->words[2]));
+}
+
+/* took MS: from sending to a first event */
+static void note_took(struct script *s)
+{
+	struct routing *r = s->ctx;
+
+	estimate_add(&r->estimate, atof(s->words[1]));
+	script_print(s, "most within %.1f ms", estimate_most_ms(&r->estimate));
+}
+
 static void route_pace(struct script *s)
 {
 	struct routing *r = s->ctx;
@@ -333,20 +384,14 @@
 /* engine REQUESTS_PER_S PROMPT ANSWER [pace=PERMILLE]: what a load does */
 static void engine_takes(struct script *s)
 {
-	const struct engine_spec engine = {
-		.step_us = 6000,
-		.step_request_us = 250,
-		.read_per_s = 50000,
-		.pairs_us = 1000,
-		.stride = 5,
-		.pace_permille = (uint32_t)script_number(s, "pace", 1000),
-	};
+	struct engine_spec engine = plain_engine;
 	const struct engine_load load = {
 		.requests_per_ms = atof(s->words[1]) / 1000,
 		.prompt_tokens = atof(s->words[2]),
 		.answer_tokens = atof(s->words[3]),
 	};
 
+	engine.pace_permille = (uint32_t)script_number(s, "pace", 1000);
 	script_print(s, "first event after %.1f ms, busy for %.3f",
 		     engine_first_ms(&engine, &load, 20),
 		     engine_utilization(&engine, &load, 20));
@@ -421,6 +466,9 @@
 	{ "replica", 1, route_replica },
 	{ "choose", 0, route_choose },
 	{ "done", 1, route_done },
+	{ "read", 2, route_read },
+	{ "others", 2, route_others },
+	{ "took", 1, note_took },
 	{ "pace", 2, route_pace },
 	{ "suspect", 1, route_suspect },
 	{ "trust", 1, route_trust },
