control: a replica's answers show that it is whole, and their absence that it is not

And VMs that are cut off from control only (srv_cut, a fifth of them for 10 s) were taken for lost, with every replica they are in, though answers came all the while. Ruled out: a shorter silence (announcements come each 1.2 s and may be late). Change: entries tell the leader, with the load of each replica, for how long no byte of any answer came. Under 0.6 s all its VMs are there, and neither the planner nor the entry take it for broken. From 0.8 s on the leader opens a connection to each of its VMs; one that takes none in 0.4 s is lost for it until its home can tell.

--- a/control/feed.c
+++ b/control/feed.c
@@ -234,6 +234,12 @@
 	return x->epoch < y->epoch ? -1 : x->epoch > y->epoch;
 }
 
+static void add_load(struct replica_load *sum, const struct replica_load *load)
+{
+	sum->quiet_ms = MIN(sum->quiet_ms, load->quiet_ms);
+	sum->requests += load->requests;
+}
+
 /* Leaves one load of each replica, the sum of those there were. */
 static void sum_loads(GArray *loads)
 {
@@ -243,13 +249,51 @@
 	g_array_sort(loads, compare_loads);
 	for (guint i = 0; i < loads->len; i++) {
 		if (sums && !compare_loads(&all[sums - 1], &all[i]))
-			all[sums - 1].requests += all[i].requests;
+			add_load(&all[sums - 1], &all[i]);
 		else
 			all[sums++] = all[i];
 	}
 	g_array_set_size(loads, sums);
 }
 
+static const struct replica_load *find_load(const struct feed_entry *e,
+					    uint32_t replica, uint64_t epoch)
+{
+	for (guint i = 0; i < e->loads->len; i++) {
+		const struct replica_load *load =
+			&g_array_index(e->loads, struct replica_load, i);
+
+		if (load->replica == replica && load->epoch == epoch)
+			return load;
+	}
+	return NULL;
+}
+
+bool feed_load(const struct feed *feed, int64_t now_ms, uint32_t replica,
+	       uint64_t epoch, struct replica_load *sum)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	*sum = (struct replica_load){ replica, epoch, 0, UINT32_MAX };
+	g_hash_table_iter_init(&iter, feed->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct feed_entry *e = value;
+		const struct replica_load *found =
+			now_ms <= e->lease_until_ms
+				? find_load(e, replica, epoch)
+				: NULL;
+		struct replica_load load;
+
+		if (!found)
+			continue;
+		load = *found;
+		load.quiet_ms += (uint32_t)(now_ms - e->heard_ms);
+		add_load(sum, &load);
+	}
+	return sum->requests != 0;
+}
+
 /* What all entries but one have at replicas, as they last told. */
 static void add_loads(const struct feed *feed, int64_t now_ms, uint32_t asker,
 		      struct poll_reply *reply)
--- a/control/feed.h
+++ b/control/feed.h
@@ -45,6 +45,13 @@
 void feed_demand(const struct feed *feed, int64_t now_ms, const char *service,
 		 struct service_demand *sum);
 
+/**
+ * What all entries have at a replica under an epoch, and for how long none of
+ * them got a byte of any answer from it. False if they have nothing there.
+ */
+bool feed_load(const struct feed *feed, int64_t now_ms, uint32_t replica,
+	       uint64_t epoch, struct replica_load *sum);
+
 /** Index of the last command that concerns entries. */
 uint64_t feed_last(const struct feed *feed);
 
--- a/control/placer.c
+++ b/control/placer.c
@@ -394,6 +394,7 @@
 	    placer_now_ms(placer) < placer->active_from_ms ||
 	    !group_leads(placer->control->group))
 		return;
+	placer_watch(placer);
 	placer_update_model(placer);
 	if (!placer->proposals) {
 		placer->next_replica = state_next_replica(state);
--- a/control/placer_internal.h
+++ b/control/placer_internal.h
@@ -23,6 +23,8 @@
 	int64_t released_ms;	 /* when it did */
 	uint64_t formed_epoch;	 /* it accepted to take part under it */
 	int64_t releasing_since_ms;
+	bool probing;		      /* a connection is being opened */
+	int64_t probed_ms;	      /* when it last was */
 	int64_t preload_until_ms;     /* 0 unless told to load ahead */
 	uint64_t preload_incarnation; /* of the VM then */
 	uint64_t warm_incarnation; /* of the VM when it was told to be warm */
@@ -72,6 +74,15 @@
 /** Proposes a command of its own to the log. */
 void placer_propose(struct placer *placer, struct command *command);
 
+/* placer_watch.c: what entries' traffic says of replicas */
+
+/** Whether answers come from a replica: then all its VMs are there. */
+bool placer_moves(const struct placer *placer, uint32_t replica,
+		  uint64_t epoch);
+
+/** Looks into replicas from which no answers come. */
+void placer_watch(struct placer *placer);
+
 /* placer_model.c: what the planner knows */
 void placer_update_model(struct placer *placer);
 
--- a/control/placer_model.c
+++ b/control/placer_model.c
@@ -39,7 +39,9 @@
 		.staged_count = r->staged.staged_len,
 		.accelerators = r->accelerators,
 		.alive = view_alive(placer->control->view, seen,
-				    placer_now_ms(placer)),
+				    placer_now_ms(placer)) ||
+			 (held &&
+			  placer_moves(placer, held->replica, held->epoch)),
 		.leaving = r->leaving,
 		.lost_ms = seen->lost_ms,
 	};
--- /dev/null
+++ b/control/placer_watch.c
@@ -0,0 +1,80 @@
+/*
+ * What entries' traffic says of replicas, sooner and surer than what VMs say
+ * of themselves: answers come only from a replica of which no VM is missing,
+ * and if none come a VM may be lost.
+ */
+#include "common/log.h"
+#include "control/feed.h"
+#include "control/placer_internal.h"
+#include "control/probe.h"
+
+/* Bytes of an answer within this time show that all VMs are there. */
+#define MOVING_MS 600
+/* All entries' requests at a replica without any byte for so long. */
+#define STALLED_MS 800
+/* A VM that does not take a connection in this time is taken to be lost. */
+#define PROBE_TIMEOUT_MS 400
+#define PROBE_EVERY_MS 1500
+
+static const struct log watch_log = { "watch" };
+
+bool placer_moves(const struct placer *placer, uint32_t replica, uint64_t epoch)
+{
+	struct replica_load load;
+
+	return feed_load(placer->control->feed, placer_now_ms(placer), replica,
+			 epoch, &load) &&
+	       load.quiet_ms < MOVING_MS;
+}
+
+static void on_probed(void *ctx, bool reachable)
+{
+	struct vm_orders *o = ctx;
+	struct placer *placer = o->placer;
+	const struct limit_settings *limits =
+		&placer->control->opts.settings->limits;
+
+	o->probing = false;
+	if (reachable)
+		return;
+	log_note(&watch_log,
+		 "VM %s: no connection within %d ms, and its replica answers "
+		 "nothing: taken to be lost for %d ms",
+		 o->name, PROBE_TIMEOUT_MS, (int)limits->vm_silence_ms);
+	view_doubt(placer->control->view, o->name, placer_now_ms(placer),
+		   limits->vm_silence_ms);
+}
+
+static void probe(struct placer *placer, const char *name)
+{
+	const struct view_vm *seen = placer_find_alive(placer, name);
+	struct vm_orders *o = placer_orders(placer, name);
+	int64_t now = placer_now_ms(placer);
+
+	if (!seen || o->probing || now - o->probed_ms < PROBE_EVERY_MS)
+		return;
+	o->probing = true;
+	o->probed_ms = now;
+	probe_send(placer->control->base, seen->report.address,
+		   PROBE_TIMEOUT_MS, on_probed, o);
+}
+
+static void watch_replica(void *ctx, const struct replica_state *replica)
+{
+	struct placer *placer = ctx;
+	const struct assign_replica *a = &replica->assign;
+	struct replica_load load;
+
+	if (!replica->confirmed ||
+	    !feed_load(placer->control->feed, placer_now_ms(placer), a->replica,
+		       a->epoch, &load) ||
+	    load.quiet_ms < STALLED_MS)
+		return;
+	for (u_int i = 0; i < a->vms.vms_len; i++)
+		probe(placer, a->vms.vms_val[i].name);
+}
+
+void placer_watch(struct placer *placer)
+{
+	state_each_replica(placer_state(placer), watch_replica, placer);
+}
--- a/entry/services.c
+++ b/entry/services.c
@@ -10,6 +10,8 @@
 #define PREFIXES_PER_REPLICA 4096
 /* Replicas compared for a request; of all, entries would take the same. */
 #define SAMPLE 3
+/* Bytes of an answer show for so long that a replica is whole. */
+#define MOVING_MS 600
 /* Of a replica's slots, for requests that are late already: the rest is for
  * those that can still be in time. */
 #define LATE_FILL_PERMILLE 600u
@@ -278,6 +280,15 @@
 	return replica->confirmed && for_ms ? entry->began_ms + for_ms : 0;
 }
 
+/*
+ * A replica of which a VM is missing answers nothing. So one whose answers
+ * come is whole, though its VMs may be cut off from their homes.
+ */
+static int64_t moves_until_ms(const struct router_replica *r)
+{
+	return r->outstanding ? r->answered_ms + MOVING_MS : 0;
+}
+
 static void judge_replica(void *ctx, const struct replica_state *replica)
 {
 	struct entry *entry = ctx;
@@ -296,6 +307,11 @@
 	fault = view_judge(entry->view, a, entry_now_ms(entry),
 			   presumed_until_ms(entry, replica), &culprit,
 			   &fresh_until_ms);
+	if (fault == REPLICA_VM_SILENT &&
+	    moves_until_ms(r) > entry_now_ms(entry)) {
+		fault = REPLICA_WHOLE;
+		fresh_until_ms = moves_until_ms(r);
+	}
 	router_set_fresh(s->router, a->replica, fresh_until_ms,
 			 replica_fault_name(fault));
 	if (was_whole == !fault)
@@ -400,18 +416,39 @@
 	router_trust(s->router, replica_of(s, report));
 }
 
+struct load_list {
+	GArray *loads; /* of struct replica_load */
+	int64_t now_ms;
+};
+
+/* Since the last byte of an answer, or since an idle one got something. */
+static uint32_t quiet_ms(const struct router_replica *r, int64_t now_ms)
+{
+	if (now_ms - r->answered_ms < MOVING_MS)
+		return (uint32_t)MAX(0, now_ms - r->answered_ms);
+	return (uint32_t)MAX(MOVING_MS, now_ms - r->heard_ms);
+}
+
 static void add_load(void *ctx, const struct router_replica *r)
 {
-	GArray *loads = ctx;
-	struct replica_load load = { r->id, r->epoch, r->outstanding };
+	struct load_list *list = ctx;
+	struct replica_load load = {
+		.replica = r->id,
+		.epoch = r->epoch,
+		.requests = r->outstanding,
+		.quiet_ms = quiet_ms(r, list->now_ms),
+	};
 
 	if (r->outstanding)
-		g_array_append_val(loads, load);
+		g_array_append_val(list->loads, load);
 }
 
 GArray *services_loads(const struct entry *entry)
 {
-	GArray *loads = g_array_new(FALSE, FALSE, sizeof(struct replica_load));
+	struct load_list list = {
+		.loads = g_array_new(FALSE, FALSE, sizeof(struct replica_load)),
+		.now_ms = entry_now_ms(entry),
+	};
 	GHashTableIter iter;
 	gpointer value;
 
@@ -420,9 +457,9 @@
 		const struct entry_service *s = value;
 
 		if (engine_is_known(engine_of(s)))
-			router_each(s->router, add_load, loads);
+			router_each(s->router, add_load, &list);
 	}
-	return loads;
+	return list.loads;
 }
 
 GArray *services_demands(const struct entry *entry)
--- a/evidence/view.c
+++ b/evidence/view.c
@@ -306,7 +306,20 @@
 		int64_t now_ms)
 {
 	(void)view;
-	return vm->homes->len && now_ms < vm->fresh_until_ms;
+	return vm->homes->len && now_ms < vm->fresh_until_ms &&
+	       now_ms >= vm->doubted_until_ms;
+}
+
+void view_doubt(struct view *view, const char *name, int64_t now_ms,
+		int64_t for_ms)
+{
+	struct view_vm *vm = g_tree_lookup(view->vms, name);
+
+	if (!vm)
+		return;
+	vm->doubted_until_ms = now_ms + for_ms;
+	vm->lost_ms = now_ms;
+	view->version++;
 }
 
 struct visiting {
--- a/include/radishdeal/evidence.h
+++ b/include/radishdeal/evidence.h
@@ -63,11 +63,12 @@
 /** What a view knows of a VM. */
 struct view_vm {
 	struct vm_report report;
-	int64_t fresh_until_ms; /* unless heard of again */
-	int64_t since_ms;	/* alive without a break since */
-	int64_t lost_ms;	/* when it was last found lost, 0 if never */
-	uint32_t losses;	/* how often it was lost */
-	GArray *homes;		/* node numbers that vouch for it */
+	int64_t fresh_until_ms;	  /* unless heard of again */
+	int64_t since_ms;	  /* alive without a break since */
+	int64_t lost_ms;	  /* when it was last found lost, 0 if never */
+	uint32_t losses;	  /* how often it was lost */
+	int64_t doubted_until_ms; /* not taken for alive until then */
+	GArray *homes;		  /* node numbers that vouch for it */
 };
 
 struct view *view_create(const struct view_opts *opts);
@@ -89,6 +90,10 @@
 bool view_alive(const struct view *view, const struct view_vm *vm,
 		int64_t now_ms);
 
+/** Takes a VM for lost for a while, whatever its homes say. */
+void view_doubt(struct view *view, const char *name, int64_t now_ms,
+		int64_t for_ms);
+
 /** Visits every VM, by name. */
 void view_each(const struct view *view,
 	       void (*visit)(void *ctx, const struct view_vm *vm), void *ctx);
--- a/include/radishdeal/router.h
+++ b/include/radishdeal/router.h
@@ -40,6 +40,7 @@
 				   */
 	int64_t heard_ms; /* last bytes of an answer, or sent to when idle */
 
+	int64_t answered_ms;	/* last bytes of an answer */
 	uint32_t outstanding;	/* own requests there */
 	uint64_t own_tokens;	/* estimated tokens they still need */
 	uint32_t unread;	/* of them, without a first event yet */
--- a/routing/router.c
+++ b/routing/router.c
@@ -87,6 +87,7 @@
 	r->epoch = epoch;
 	r->outstanding = 0;
 	r->own_tokens = 0;
+	r->answered_ms = 0;
 	r->unread = 0;
 	r->unread_tokens = 0;
 	r->others = 0;
@@ -161,8 +162,10 @@
 {
 	struct router_replica *r = find(router, id);
 
-	if (r)
-		r->heard_ms = now_ms;
+	if (!r)
+		return;
+	r->heard_ms = now_ms;
+	r->answered_ms = now_ms;
 }
 
 /* ---- this entry's share ---- */
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
+#include <unistd.h>
 
 #include <event2/keyvalq_struct.h>
 
@@ -18,7 +19,9 @@
 #include <radishdeal/repeats.h>
 #include <radishdeal/state.h>
 
+#include "common/address.h"
 #include "control/feed.h"
+#include "control/probe.h"
 #include "control/release.h"
 #include "entry/entry_internal.h"
 #include "platform/answers.h"
@@ -318,6 +321,14 @@
 		     r->confirmed ? ", was whole before" : "");
 }
 
+/* doubt VM MS */
+static void doubt(struct script *s)
+{
+	struct world *w = s->ctx;
+
+	view_doubt(w->view, s->words[1], w->now_ms, atoll(s->words[2]));
+}
+
 static void take_digest(struct script *s)
 {
 	struct world *w = s->ctx;
@@ -437,7 +448,22 @@
 		     sum.requests_per_ks, sum.prompt_tokens);
 }
 
-/* poll NODE applied= [load=REPLICA:REQUESTS] [demand=...] */
+/* traffic REPLICA: what all entries have there */
+static void sum_traffic(struct script *s)
+{
+	struct world *w = s->ctx;
+	struct replica_load load;
+	bool any = feed_load(w->feed, w->now_ms, (uint32_t)atoi(s->words[1]), 1,
+			     &load);
+
+	if (any)
+		script_print(s, "replica %s: %u requests, quiet for %u ms",
+			     s->words[1], load.requests, load.quiet_ms);
+	else
+		script_print(s, "replica %s: nothing there", s->words[1]);
+}
+
+/* poll NODE applied= [load=REPLICA:REQUESTS] [quiet=MS] [demand=...] */
 static void poll_feed(struct script *s)
 {
 	struct world *w = s->ctx;
@@ -459,6 +485,7 @@
 	if (load) {
 		own.replica = (uint32_t)atoi(load);
 		own.requests = (uint32_t)atoi(strchr(load, ':') + 1);
+		own.quiet_ms = (uint32_t)script_number(s, "quiet", 0);
 		request.loads.loads_val = &own;
 		request.loads.loads_len = 1;
 	}
@@ -552,6 +579,8 @@
 	{ "demand", 1, sum_demand },
 	{ "announce", 2, announce },
 	{ "answer", 2, judge_answer },
+	{ "doubt", 2, doubt },
+	{ "traffic", 1, sum_traffic },
 	{ "assign", 4, assign },
 	{ "confirm", 2, confirm },
 	{ "whole", 1, whole },
@@ -597,6 +626,42 @@
 	event_reader_clear(&w.events);
 }
 
+/* ---- whether somebody listens ---- */
+
+static void on_probed(void *ctx, bool reachable)
+{
+	*(int *)ctx = reachable;
+}
+
+static int probe_port(struct event_base *base, int port)
+{
+	char *address = g_strdup_printf("127.0.0.1:%d", port);
+	int reachable = -1;
+
+	probe_send(base, address, 2000, on_probed, &reachable);
+	event_base_dispatch(base);
+	g_free(address);
+	return reachable;
+}
+
+static void test_probe(void **state)
+{
+	struct event_base *base = event_base_new();
+	struct address address;
+	int fd, port;
+
+	(void)state;
+	assert_true(address_parse("127.0.0.1:0", &address));
+	fd = address_listen(&address, 1);
+	assert_true(fd >= 0);
+	port = address_local_port(fd);
+	assert_int_equal(probe_port(base, port), true);
+	close(fd);
+	assert_int_equal(probe_port(base, port), false);
+	assert_int_equal(probe_port(base, 0), false);
+	event_base_free(base);
+}
+
 static void test_platform(void **state)
 {
 	(void)state;
@@ -607,6 +672,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_platform),
+		cmocka_unit_test(test_probe),
 	};
 
 	return cmocka_run_group_tests_name("platform", tests, NULL, NULL);
--- a/wire/radishdeal.h
+++ b/wire/radishdeal.h
@@ -444,6 +444,7 @@
 	uint32_t replica;
 	uint64_t epoch;
 	uint32_t requests;
+	uint32_t quiet_ms;
 };
 typedef struct replica_load replica_load;
 
--- a/wire/radishdeal.x
+++ b/wire/radishdeal.x
@@ -365,6 +365,7 @@
 	uint32_t replica;
 	uint64_t epoch;
 	uint32_t requests;
+	uint32_t quiet_ms;		/* since the last byte of any answer */
 };
 
 /* What callers lately asked of a service at an entry. */
--- a/wire/radishdeal_xdr.c
+++ b/wire/radishdeal_xdr.c
@@ -763,6 +763,8 @@
 		 return FALSE;
 	 if (!xdr_uint32_t (xdrs, &objp->requests))
 		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->quiet_ms))
+		 return FALSE;
 	return TRUE;
 }
 
