evidence: what a VM last said goes before its silence

Change: leaving, readiness and epoch of the last word are judged before silence, and of several VMs at fault silence is the least.

--- a/evidence/view.c
+++ b/evidence/view.c
@@ -370,8 +370,10 @@
 {
 	if (!vm)
 		return REPLICA_VM_UNKNOWN;
-	if (!view_alive(view, vm, now_ms))
-		return REPLICA_VM_SILENT;
+	/*
+	 * What it last said goes before its silence: one that left must not
+	 * be taken for one that is only cut off.
+	 */
 	if (vm->report.leaving)
 		return REPLICA_VM_LEAVING;
 	if (vm->report.replica != replica->replica ||
@@ -379,7 +381,7 @@
 		return REPLICA_VM_OTHER_EPOCH;
 	if (!vm->report.ready || (is_head && !vm->report.serving))
 		return REPLICA_VM_NOT_READY;
-	return REPLICA_WHOLE;
+	return view_alive(view, vm, now_ms) ? REPLICA_WHOLE : REPLICA_VM_SILENT;
 }
 
 enum replica_fault view_judge(const struct view *view,
@@ -388,6 +390,7 @@
 			      const char **culprit, int64_t *fresh_until_ms)
 {
 	bool presumed = now_ms < presumed_until_ms;
+	enum replica_fault worst = REPLICA_WHOLE;
 
 	*culprit = NULL;
 	*fresh_until_ms = INT64_MAX;
@@ -400,14 +403,16 @@
 		if (fault == REPLICA_VM_UNKNOWN && presumed) {
 			*fresh_until_ms = MIN(*fresh_until_ms,
 					      presumed_until_ms);
-			continue;
-		}
-		if (fault) {
+		} else if (!fault) {
+			*fresh_until_ms = MIN(*fresh_until_ms,
+					      vm->fresh_until_ms);
+		} else if (!worst || worst == REPLICA_VM_SILENT) {
+			/* Silence says less than anything that was said. */
+			worst = fault;
 			*culprit = name;
-			*fresh_until_ms = 0;
-			return fault;
 		}
-		*fresh_until_ms = MIN(*fresh_until_ms, vm->fresh_until_ms);
 	}
-	return REPLICA_WHOLE;
+	if (worst)
+		*fresh_until_ms = 0;
+	return worst;
 }
