control: VMs whose replica answers count in the pool, shortages must last

Change: a VM that is silent but whose replica answers counts as alive there too, and a pool must have been too small for 6 s before it is divided anew.

--- a/control/placer.c
+++ b/control/placer.c
@@ -59,6 +59,8 @@
 					       NULL);
 	placer->divided = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						NULL);
+	placer->shortages = g_hash_table_new_full(g_str_hash, g_str_equal,
+						  g_free, g_free);
 	placer->heads = g_hash_table_new_full(
 		NULL, NULL, NULL, (GDestroyNotify)g_ptr_array_unref);
 	placer->loads = g_array_new(FALSE, FALSE, sizeof(int64_t));
@@ -79,6 +81,7 @@
 	g_hash_table_unref(placer->known);
 	g_hash_table_unref(placer->whole);
 	g_hash_table_unref(placer->wanted);
+	g_hash_table_unref(placer->shortages);
 	g_hash_table_unref(placer->divided);
 	g_hash_table_unref(placer->heads);
 	g_array_unref(placer->loads);
@@ -142,6 +145,7 @@
 	int64_t now = placer_now_ms(placer);
 
 	g_hash_table_remove_all(placer->wanted);
+	g_hash_table_remove_all(placer->shortages);
 	placer->whole_system_starts =
 		state_next_replica(placer_state(placer)) == 1;
 	if (placer->whole_system_starts) {
--- a/control/placer_internal.h
+++ b/control/placer_internal.h
@@ -46,6 +46,7 @@
 	GHashTable *services;	/* name -> itself, as put into the planner */
 	GQueue decisions;	/* of char *, newest last */
 	GHashTable *last_wait;	/* who waits and why -> int64_t: last logged */
+	GHashTable *shortages;	/* pool's name -> int64_t: too small since */
 	int64_t active_from_ms; /* 0 while not leading */
 	int32_t proposals;
 	uint32_t next_replica;
@@ -76,9 +77,8 @@
 
 /* placer_watch.c: what entries' traffic says of replicas */
 
-/** Whether answers come from a replica: then all its VMs are there. */
-bool placer_moves(const struct placer *placer, uint32_t replica,
-		  uint64_t epoch);
+/** Whether a VM is alive by its own word, or by its replica's answers. */
+bool placer_is_alive(const struct placer *placer, const struct view_vm *vm);
 
 /** Looks into replicas from which no answers come. */
 void placer_watch(struct placer *placer);
--- a/control/placer_model.c
+++ b/control/placer_model.c
@@ -38,10 +38,7 @@
 		.staged = (const char *const *)r->staged.staged_val,
 		.staged_count = r->staged.staged_len,
 		.accelerators = r->accelerators,
-		.alive = view_alive(placer->control->view, seen,
-				    placer_now_ms(placer)) ||
-			 (held &&
-			  placer_moves(placer, held->replica, held->epoch)),
+		.alive = placer_is_alive(placer, seen),
 		.leaving = r->leaving,
 		.lost_ms = seen->lost_ms,
 	};
--- a/control/placer_share.c
+++ b/control/placer_share.c
@@ -20,6 +20,8 @@
 #define DEMAND_MARGIN 1.5
 /* VMs change their model only for a worst strain below this share of it. */
 #define WORTH_MOVING 0.75
+/* Too few VMs for longer than this are divided anew. */
+#define SHORTAGE_MS 6000
 
 /** A service that shares a pool. */
 struct sharer {
@@ -61,8 +63,7 @@
 	guint count;
 
 	if (strcmp(vm->report.pool, pool->name) != 0 || vm->report.leaving ||
-	    !view_alive(pool->placer->control->view, vm,
-			placer_now_ms(pool->placer)))
+	    !placer_is_alive(pool->placer, vm))
 		return;
 	count = GPOINTER_TO_UINT(
 		g_hash_table_lookup(pool->domains, vm->report.domain));
@@ -220,6 +221,23 @@
 	return vms <= pool->vms;
 }
 
+/*
+ * Whether a pool has been too small for long. A domain that goes dark, or VMs
+ * that are cut off, often come back within seconds.
+ */
+static bool is_lasting_shortage(const struct pool *pool)
+{
+	GHashTable *shortages = pool->placer->shortages;
+	int64_t now = placer_now_ms(pool->placer);
+	int64_t *since = g_hash_table_lookup(shortages, pool->name);
+
+	if (since)
+		return now - *since >= SHORTAGE_MS;
+	g_hash_table_insert(shortages, g_strdup(pool->name),
+			    g_memdup2(&now, sizeof(now)));
+	return false;
+}
+
 /*
  * Spares are there to be used: as VMs get lost the numbers stay until they no
  * longer fit at all. They change when callers would be served much sooner.
@@ -233,7 +251,11 @@
 	for (guint i = 0; i < n; i++)
 		now[i] = wanted_before(pool->placer,
 				       sharer_at(pool, i)->service->name);
-	if (!fits(pool, now)) {
+	if (fits(pool, now))
+		g_hash_table_remove(pool->placer->shortages, pool->name);
+	if (!fits(pool, now) && !is_lasting_shortage(pool)) {
+		memcpy(wanted, now, n * sizeof(*now));
+	} else if (!fits(pool, now)) {
 		g_free(wanted);
 		wanted = divide(pool, 0);
 	} else if (worst_strain(pool, wanted) >
--- a/control/placer_watch.c
+++ b/control/placer_watch.c
@@ -18,7 +18,7 @@
 
 static const struct log watch_log = { "watch" };
 
-bool placer_moves(const struct placer *placer, uint32_t replica, uint64_t epoch)
+static bool moves(const struct placer *placer, uint32_t replica, uint64_t epoch)
 {
 	struct replica_load load;
 
@@ -27,6 +27,15 @@
 	       load.quiet_ms < MOVING_MS;
 }
 
+bool placer_is_alive(const struct placer *placer, const struct view_vm *vm)
+{
+	const struct vm_state *held = state_vm(placer_state(placer),
+					       vm->report.name);
+
+	return view_alive(placer->control->view, vm, placer_now_ms(placer)) ||
+	       (held && moves(placer, held->replica, held->epoch));
+}
+
 static void on_probed(void *ctx, bool reachable)
 {
 	struct vm_orders *o = ctx;
