common, ctl, docs: structured logs that wait for nobody, and radishdealctl explain

Cause: a line was written to standard error where it was made, so a reader that stands still stopped the process; lines were text; the log of a failed request could not be put together over processes. Change: lines are JSON objects (format = "json"), made out of the messages' key=value words; a thread of its own writes them to standard output, 20 ms together, out of at most 1 MB. Lines about requests that go well are dropped first; drops are told in the log and as a metric. Requests that are refused or leave an endpoint are logged as notes, which are kept longest. Tests: test_log (a reader that stands still: 50,000 lines, each read in the end or counted; JSON; a story over two files).

--- a/common/counters.h
+++ b/common/counters.h
@@ -55,6 +55,8 @@
 	  "orders refused as stale")                                           \
 	X(ORDERS_LATE, "orders_withheld_total", "counter",                     \
 	  "orders not sent because the lease had run out")                     \
+	X(LOG_DROPPED, "log_lines_dropped", "gauge",                           \
+	  "log lines not written, as their reader was slow")                   \
 	X(RPC_BYTES, "rpc_bytes_sent_total", "counter",                        \
 	  "bytes sent to other processes of the system")
 
--- a/common/log.c
+++ b/common/log.c
@@ -1,15 +1,19 @@
 #define G_LOG_USE_STRUCTURED 1
+#include <inttypes.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
 
-#include <jansson.h>
-
 #include "common/log.h"
+#include "common/log_json.h"
+#include "common/log_sink.h"
+
+#define WAITING_BYTES_MAX (1u << 20)
 
 static GLogLevelFlags lowest_level = G_LOG_LEVEL_MESSAGE;
 static enum log_format line_format = LOG_FORMAT_KEY_VALUE;
+static struct log_sink *sink; /* NULL: lines go to standard error at once */
 
 static const char *level_name(GLogLevelFlags level)
 {
@@ -44,38 +48,82 @@
 	snprintf(out, size, "%s.%03ldZ", day, ts.tv_nsec / 1000000);
 }
 
-static void write_json(const char *when, const char *level, const char *object,
+/* Requests that go well are the many; all else is kept longer. */
+static enum log_kind kind_of(GLogLevelFlags level)
+{
+	return (level & G_LOG_LEVEL_MASK) >= G_LOG_LEVEL_INFO ? LOG_KIND_TRAFFIC
+							      : LOG_KIND_KEPT;
+}
+
+static char *make_line(const char *level, const char *object,
 		       const char *message)
 {
-	json_t *line = json_pack("{s:s,s:s,s:s,s:s}", "time", when, "level",
-				 level, "object", object, "message", message);
-	char *text = line ? json_dumps(line, JSON_COMPACT) : NULL;
-
-	if (text)
-		fprintf(stderr, "%s\n", text);
-	free(text);
-	json_decref(line);
+	char when[48];
+
+	format_time(when, sizeof(when));
+	if (line_format == LOG_FORMAT_JSON)
+		return log_json_line(when, level, object, message);
+	return g_strdup_printf("%s %s %s: %s\n", when, level, object, message);
 }
 
 static GLogWriterOutput writer(GLogLevelFlags level, const GLogField *fields,
 			       gsize n, gpointer ctx)
 {
-	const char *message = field_text(fields, n, "MESSAGE");
-	const char *object = field_text(fields, n, "RD_OBJECT");
-	char when[48];
+	char *line;
 
 	(void)ctx;
 	if (!log_enabled(level))
 		return G_LOG_WRITER_HANDLED;
-	format_time(when, sizeof(when));
-	if (line_format == LOG_FORMAT_JSON)
-		write_json(when, level_name(level), object, message);
-	else
-		fprintf(stderr, "%s %s %s: %s\n", when, level_name(level),
-			object, message);
+	line = make_line(level_name(level), field_text(fields, n, "RD_OBJECT"),
+			 field_text(fields, n, "MESSAGE"));
+	if (line && sink)
+		log_sink_write(sink, kind_of(level), line, strlen(line));
+	else if (line)
+		fputs(line, stderr);
+	g_free(line);
 	return G_LOG_WRITER_HANDLED;
 }
 
+static char *dropped_line(const uint64_t *counts)
+{
+	char message[96];
+
+	g_snprintf(message, sizeof(message),
+		   "lines dropped, the reader is slow traffic=%" PRIu64
+		   " others=%" PRIu64,
+		   counts[LOG_KIND_TRAFFIC], counts[LOG_KIND_KEPT]);
+	return make_line("warn", "log", message);
+}
+
+void log_start(int fd)
+{
+	struct log_sink_opts opts = {
+		.fd = fd,
+		.most_bytes = WAITING_BYTES_MAX,
+		.dropped_line = dropped_line,
+	};
+
+	g_assert(!sink);
+	sink = log_sink_create(&opts);
+}
+
+void log_stop(void)
+{
+	struct log_sink *old = sink;
+
+	sink = NULL;
+	log_sink_destroy(old);
+}
+
+uint64_t log_dropped(void)
+{
+	uint64_t count = 0;
+
+	for (int i = 0; sink && i < LOG_KIND_COUNT; i++)
+		count += log_sink_dropped(sink, (enum log_kind)i);
+	return count;
+}
+
 void log_setup(GLogLevelFlags lowest, enum log_format format)
 {
 	lowest_level = lowest;
--- a/common/log.h
+++ b/common/log.h
@@ -9,6 +9,8 @@
 #ifndef COMMON_LOG_H
 #define COMMON_LOG_H
 
+#include <stdint.h>
+
 #include <glib.h>
 
 enum log_format {
@@ -24,6 +26,18 @@
 /** Installs the writer for the process: lowest level shown and format. */
 void log_setup(GLogLevelFlags lowest, enum log_format format);
 
+/**
+ * From now on lines go to a file descriptor by a thread of their own, so that
+ * nobody who logs waits for its reader. Called before other threads start.
+ */
+void log_start(int fd);
+
+/** Writes out what waits; called after all other threads have ended. */
+void log_stop(void);
+
+/** Lines dropped since log_start(), as the reader was slow. */
+uint64_t log_dropped(void);
+
 /** Writes one line. `fields` is NULL or `key=value ...` text. */
 void log_line(const struct log *log, GLogLevelFlags level, const char *fmt, ...)
 	G_GNUC_PRINTF(3, 4);
--- a/control/metrics.c
+++ b/control/metrics.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "common/http.h"
+#include "common/log.h"
 #include "control/control_internal.h"
 
 #define METRICS_PATH "/metrics"
@@ -13,6 +14,8 @@
 {
 	GString *text = g_string_new(NULL);
 
+	counters_set(control->opts.counters, COUNTER_LOG_DROPPED,
+		     (int64_t)log_dropped());
 	counters_print(control->opts.counters, text);
 	http_send_text(req, HTTP_OK, "text/plain; version=0.0.4", text->str);
 	g_string_free(text, TRUE);
--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -6,6 +6,7 @@
 #include <rpc/rpc.h>
 
 #include "ctl/ctl.h"
+#include "ctl/explain.h"
 #include "settings/service.h"
 #include "wire/codec.h"
 
@@ -382,6 +383,12 @@
 			  NULL);
 }
 
+static int run_explain(struct ctl *ctl, char **arguments)
+{
+	(void)ctl;
+	return explain_request(arguments[0], arguments + 1);
+}
+
 const struct ctl_command ctl_commands[] = {
 	{ "status", "", 0, "leader, entries, leases",
 	  "Shows the leader and, for each entry, the last change it has\n"
@@ -445,6 +452,12 @@
 	{ "watch", "", 0, "replicas, again and again",
 	  "Prints the table of replicas each second until stopped.",
 	  run_watch },
+	{ "explain", "REQUEST-ID FILE...", CTL_AT_LEAST(2),
+	  "a request's way, from logs",
+	  "Reads JSON logs of any processes and prints what each decided\n"
+	  "about the request, what became of its replicas meanwhile, and a\n"
+	  "verdict. Asks no process.",
+	  run_explain },
 	{ "check", "FILE", 1, "checks a service's file, all errors",
 	  "Exits with 78 and lists every error if there is one.", run_check },
 	{ 0 }
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -24,13 +24,17 @@
 	bool all;	       /* members in all states */
 };
 
+/** For a command that takes so many arguments or more. */
+#define CTL_AT_LEAST(n) (-(n))
+
 /** A command: `words` stand in front of its arguments. */
 struct ctl_command {
 	const char *words;
 	const char *arguments; /* as shown in help */
-	int count;	       /* of arguments */
+	int count;	       /* of arguments, or CTL_AT_LEAST() */
 	const char *summary;
 	const char *help; /* as long as a manual page needs */
+	/** `arguments` end with NULL. */
 	int (*run)(struct ctl *ctl, char **arguments);
 };
 
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -200,6 +200,17 @@
 	return true;
 }
 
+static bool fits(const struct ctl_command *c, int count)
+{
+	return c->count < 0 ? count >= -c->count : count == c->count;
+}
+
+static bool asks_somebody(const struct ctl_command *c)
+{
+	return strcmp(c->words, "check") != 0 &&
+	       strcmp(c->words, "explain") != 0;
+}
+
 static int run(struct arguments *a)
 {
 	const struct ctl_command *c;
@@ -214,13 +225,14 @@
 	c = find(a->words, &used);
 	if (!c)
 		return unknown(a->words);
-	if ((int)a->words->len - used != c->count) {
+	if (!fits(c, (int)a->words->len - used)) {
 		fprintf(stderr, "radishdealctl: usage: %s %s\n", c->words,
 			c->arguments);
 		return EXIT_USAGE;
 	}
-	if (!load_access(a, strcmp(c->words, "check") != 0))
+	if (!load_access(a, asks_somebody(c)))
 		return EXIT_USAGE;
+	g_ptr_array_add(a->words, NULL);
 	return c->run(&a->ctl, (char **)a->words->pdata + used);
 }
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
+#include <unistd.h>
 
 #include <event2/thread.h>
 
@@ -451,6 +452,7 @@
 
 	log_setup(levels[settings->log.level],
 		  (enum log_format)settings->log.format);
+	log_start(STDOUT_FILENO);
 }
 
 int main(int argc, char **argv)
@@ -483,5 +485,6 @@
 	code = (enum rd_result)run(&d, arguments.bootstrap ||
 					       d.settings.node.bootstrap);
 	clear(&d);
+	log_stop();
 	return (int)code;
 }
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -95,9 +95,9 @@
 {
 	int64_t now = entry_now_ms(call->entry);
 
-	log_info(&attempt_log,
-		 "request %s: replica %u %s, attempt %u tokens=%u ms=%" PRId64,
-		 call->id, call->replica, why, call->attempts, call->tokens,
+	log_note(&attempt_log,
+		 "request %s: %s replica=%u attempt=%u tokens=%u ms=%" PRId64,
+		 call->id, why, call->replica, call->attempts, call->tokens,
 		 (entry_now_us(call->entry) - call->sent_us) / 1000);
 	avoid_replica(call);
 	attempt_finish(call);
@@ -289,7 +289,7 @@
 		return;
 	}
 	log_info(&attempt_log,
-		 "request %s: whole, replica %u status=%d bytes=%zu "
+		 "request %s: whole replica=%u status=%d bytes=%zu "
 		 "ms=%" PRId64,
 		 call->id, call->replica, call->status, size,
 		 (entry_now_us(call->entry) - call->started_us) / 1000);
@@ -305,8 +305,9 @@
 static void said_not_run(struct call *call)
 {
 	log_info(&attempt_log,
-		 "request %s: replica %u status=%d did not run it", call->id,
-		 call->replica, call->status);
+		 "request %s: not run by the endpoint replica=%u "
+		 "status=%d",
+		 call->id, call->replica, call->status);
 	if (may_try_again(call)) {
 		try_again(call, "says it did not run it");
 		return;
@@ -393,7 +394,7 @@
 		       const struct router_choice *choice)
 {
 	log_info(&attempt_log,
-		 "request %s: to replica %u epoch=%" PRIu64 " at %s "
+		 "request %s: sent replica=%u epoch=%" PRIu64 " at=%s "
 		 "service=%s prompt=%u present=%u cost_ms=%.1f cached=%u "
 		 "candidates=%u stale=%u "
 		 "suspect=%u full=%u failed=%u slow=%u left_out=%s "
--- a/entry/call.c
+++ b/entry/call.c
@@ -164,9 +164,10 @@
 		.close = call->entry->draining,
 	};
 
-	log_info(&call_log,
+	log_note(&call_log,
 		 "request %s: refused code=%s outcome=%s account=%s "
-		 "after_ms=%" PRId64 " attempts=%u retry_after_ms=%d detail=%s",
+		 "after_ms=%" PRId64 " attempts=%u retry_after_ms=%d "
+		 "detail=\"%s\"",
 		 call->id, rd_result_info(code)->name,
 		 outcome == OUTCOME_NOT_RUN ? "not-run" : "unknown",
 		 call->account,
@@ -214,7 +215,7 @@
 				(call->tokens - service->mean_output);
 	count_end(call, COUNTER_ANSWERED);
 	log_info(&call_log,
-		 "request %s: whole, service=%s replica %u tokens=%u "
+		 "request %s: whole service=%s replica=%u tokens=%u "
 		 "first_ms=%" PRId64 " ms=%" PRId64,
 		 call->id, service->name, call->replica, call->tokens,
 		 (call->first_us - call->started_us) / 1000,
--- a/entry/services.c
+++ b/entry/services.c
@@ -317,9 +317,12 @@
 	if (was_whole == !fault)
 		return;
 	log_note(&services_log,
-		 "replica %u epoch %" G_GUINT64_FORMAT " of %s: %s%s%s",
+		 "replica judged replica=%u epoch=%" G_GUINT64_FORMAT " service"
+		 "=%s "
+		 "state=%"
+		 "s vm=%s",
 		 a->replica, a->epoch, a->service, replica_fault_name(fault),
-		 culprit ? " " : "", culprit ? culprit : "");
+		 culprit ? culprit : "-");
 	if (loses_calls(fault))
 		lose_calls(entry, a->replica, s, replica_fault_name(fault));
 }
@@ -579,7 +582,8 @@
 		uint32_t id = g_array_index(w.silent, uint32_t, i);
 
 		log_note(&services_log,
-			 "replica %u of %s: no byte of any answer for %d ms",
+			 "replica stalled replica=%u service=%s "
+			 "silent_ms=%d",
 			 id, s->name,
 			 (int)s->entry->opts.settings->limits.stall_ms);
 		router_suspect(s->router, id, w.now_ms);
--- a/entry/take.c
+++ b/entry/take.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <string.h>
 
 #include "common/log.h"
@@ -22,6 +23,7 @@
 static void refuse(const struct taking *t, enum rd_result code)
 {
 	const struct caller_request *request = t->request;
+	const struct deployment *d = state_deployment(t->entry->config);
 	struct problem problem = {
 		.code = code,
 		.outcome = OUTCOME_NOT_RUN,
@@ -32,9 +34,11 @@
 	if (rd_result_info(code)->http_status == 503)
 		problem.retry_after_ms = RETRY_AFTER_MS;
 	counters_add(t->entry->opts.counters, COUNTER_NOT_RUN, 1);
-	log_info(&take_log, "request %s: refused code=%s host=%s target=%s",
-		 request->id, rd_result_info(code)->name, request->host,
-		 request->target);
+	log_note(&take_log,
+		 "request %s: refused code=%s outcome=not-run revision=%" PRIu64
+		 " host=%s target=%s",
+		 request->id, rd_result_info(code)->name, d ? d->revision : 0,
+		 request->host, request->target);
 	request->format->refuse(request->req, &problem);
 	request->format->free_data(request->data);
 }
--- /dev/null
+++ b/test/test_log.c
@@ -0,0 +1,191 @@
+/* Logs: lines as JSON, a reader that stands still, and what is told of one
+ * request. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "common/log_json.h"
+#include "common/log_sink.h"
+
+#define MOST_BYTES 4096u
+#define LINES 50000
+
+static void expect_line(const char *message, const char *members)
+{
+	char *line = log_json_line("T", "note", "call", message);
+	char *expected = g_strdup_printf("{\"time\":\"T\",\"level\":\"note\","
+					 "\"object\":\"call\",%s}\n",
+					 members);
+
+	assert_string_equal(line, expected);
+	g_free(expected);
+	g_free(line);
+}
+
+static void test_json(void **state)
+{
+	(void)state;
+	expect_line("started", "\"event\":\"started\"");
+	expect_line("request a1: sent replica=7 at=10.0.0.1:80 after_ms=-3",
+		    "\"request\":\"a1\",\"replica\":7,\"at\":\"10.0.0.1:80\","
+		    "\"after_ms\":-3,\"event\":\"sent\"");
+	expect_line("refused code=cut-off detail=\"broke off\" last=1",
+		    "\"code\":\"cut-off\",\"detail\":\"broke off\",\"last\":1,"
+		    "\"event\":\"refused\"");
+	/* What only looks like a field, and numbers that JSON has not. */
+	expect_line("a = b ==x id=007 x=",
+		    "\"id\":\"007\",\"x\":\"\",\"event\":\"a = b ==x\"");
+	expect_line("request of nobody: x", "\"event\":\"request of nobody: "
+					    "x\"");
+	/* A line stays one line, whatever callers send. */
+	expect_line("target=/a\n{}\"", "\"target\":\"/a\\n{}\\\"\",\"event\":"
+				       "\"\"");
+}
+
+static char *dropped_line(const uint64_t *counts)
+{
+	return g_strdup_printf("dropped %d %d\n",
+			       (int)counts[LOG_KIND_TRAFFIC],
+			       (int)counts[LOG_KIND_KEPT]);
+}
+
+static gpointer read_all(gpointer ctx)
+{
+	GString *text = g_string_new(NULL);
+	char piece[8192];
+	ssize_t n;
+
+	while ((n = read(*(int *)ctx, piece, sizeof(piece))) > 0)
+		g_string_append_len(text, piece, n);
+	return text;
+}
+
+static guint count_lines(const GString *text, const char *line)
+{
+	char **lines = g_strsplit(text->str, "\n", -1);
+	guint count = 0;
+
+	for (char **l = lines; *l; l++)
+		count += !strcmp(*l, line);
+	g_strfreev(lines);
+	return count;
+}
+
+static uint64_t sum_dropped(const GString *text, int kind)
+{
+	char **lines = g_strsplit(text->str, "\n", -1);
+	uint64_t sum = 0;
+
+	for (char **l = lines; *l; l++) {
+		int counts[LOG_KIND_COUNT];
+
+		if (sscanf(*l, "dropped %d %d", &counts[0], &counts[1]) == 2)
+			sum += (uint64_t)counts[kind];
+	}
+	g_strfreev(lines);
+	return sum;
+}
+
+/* Nobody reads until all is written: writing never waits, and each line is
+ * either read in the end or counted as dropped. */
+static void test_slow_reader(void **state)
+{
+	int pipes[2];
+	struct log_sink_opts opts = {
+		.most_bytes = MOST_BYTES,
+		.dropped_line = dropped_line,
+	};
+	struct log_sink *sink;
+	GThread *reader;
+	GString *text;
+
+	(void)state;
+	assert_int_equal(pipe(pipes), 0);
+	opts.fd = pipes[1];
+	sink = log_sink_create(&opts);
+	for (int i = 0; i < LINES; i++) {
+		log_sink_write(sink, LOG_KIND_TRAFFIC, "traffic\n", 8);
+		if (i % 1000 == 0)
+			log_sink_write(sink, LOG_KIND_KEPT, "kept\n", 5);
+	}
+	assert_true(log_sink_dropped(sink, LOG_KIND_TRAFFIC) > 0);
+	reader = g_thread_new("reader", read_all, &pipes[0]);
+	log_sink_destroy(sink);
+	close(pipes[1]);
+	text = g_thread_join(reader);
+	assert_int_equal(count_lines(text, "traffic") +
+				 sum_dropped(text, LOG_KIND_TRAFFIC),
+			 LINES);
+	/* Half of the buffer is theirs alone, and they fit into it. */
+	assert_int_equal(count_lines(text, "kept"), LINES / 1000);
+	assert_int_equal(sum_dropped(text, LOG_KIND_KEPT), 0);
+	g_string_free(text, TRUE);
+	close(pipes[0]);
+}
+
+static char *program(const char *name)
+{
+	char *self = g_file_read_link("/proc/self/exe", NULL);
+	char *tests = g_path_get_dirname(self);
+	char *path = g_build_filename(tests, "..", name, NULL);
+
+	g_free(self);
+	g_free(tests);
+	return path;
+}
+
+static char *explain(const char *id, int *status)
+{
+	char *argv[] = { program("radishdealctl"),
+			 (char *)"explain",
+			 (char *)id,
+			 (char *)"test/cases/explain/entry-1.log",
+			 (char *)"test/cases/explain/control-1.log",
+			 NULL };
+	char *out = NULL;
+	int wait_status = 0;
+
+	assert_true(g_spawn_sync(NULL, argv, NULL, G_SPAWN_STDERR_TO_DEV_NULL,
+				 NULL, NULL, &out, NULL, &wait_status, NULL));
+	*status = WEXITSTATUS(wait_status);
+	g_free(argv[0]);
+	return out;
+}
+
+static void test_explain(void **state)
+{
+	char *expected, *out;
+	int status;
+
+	(void)state;
+	assert_true(g_file_get_contents("test/cases/explain/584b.expected",
+					&expected, NULL, NULL));
+	out = explain("584b", &status);
+	assert_int_equal(status, 0);
+	assert_string_equal(out, expected);
+	g_free(out);
+	g_free(expected);
+	out = explain("none", &status);
+	assert_int_equal(status, 1);
+	assert_string_equal(out, "");
+	g_free(out);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_json),
+		cmocka_unit_test(test_slow_reader),
+		cmocka_unit_test(test_explain),
+	};
+
+	return cmocka_run_group_tests_name("log", tests, NULL, NULL);
+}
