--- a/common/log_json.h
+++ b/common/log_json.h
@@ -9,7 +9,8 @@
 #ifndef COMMON_LOG_JSON_H
 #define COMMON_LOG_JSON_H
 
-/** Returns the line with its end, to be freed by g_free(); NULL if it cannot be.
+/** Returns the line with its end, to be freed by g_free(); NULL if it cannot
+ * be.
  */
 char *log_json_line(const char *when, const char *level, const char *object,
 		    const char *message);
--- a/ctl/explain.c
+++ b/ctl/explain.c
@@ -25,7 +25,7 @@
 };
 
 struct explain {
-	GPtrArray *records; /* of struct record: all that was read */
+	GPtrArray *records;   /* of struct record: all that was read */
 	GHashTable *replicas; /* numbers, as text, that the request was at */
 	GHashTable *vms;      /* names of VMs that made one of them unusable */
 	int64_t from_us, to_us;
@@ -89,7 +89,7 @@
 	}
 	record = g_new0(struct record, 1);
 	record->time_us = g_date_time_to_unix(time) * G_USEC_PER_SEC +
-			 g_date_time_get_microsecond(time);
+			  g_date_time_get_microsecond(time);
 	record->process = process_of(line, json, file);
 	record->line = value;
 	record->order = x->records->len;
@@ -171,8 +171,9 @@
 		const struct record *record = x->records->pdata[i];
 		const char *vm = text_of(record->line, "vm");
 
-		if (record->time_us >= x->from_us && record->time_us <= x->to_us &&
-		    names_replica(x, record) && strlen(vm) > 1)
+		if (record->time_us >= x->from_us &&
+		    record->time_us <= x->to_us && names_replica(x, record) &&
+		    strlen(vm) > 1)
 			g_hash_table_add(x->vms, (gpointer)vm);
 	}
 }
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -33,6 +33,8 @@
 		router_read(call->service->router, call->replica, call->epoch,
 			    call->route.prompt_tokens);
 	call->unread = false;
+	call->service->late_unread -= call->late_unread ? 1 : 0;
+	call->late_unread = false;
 }
 
 void attempt_finish(struct call *call)
@@ -429,6 +431,8 @@
 	router_sent(call->service->router, choice->replica, entry_now_ms(entry),
 		    &call->route);
 	call->unread = true;
+	call->late_unread = call->route.after_reads;
+	call->service->late_unread += call->late_unread ? 1 : 0;
 	counters_add(entry->opts.counters, COUNTER_STREAMS, 1);
 	send_request(call);
 }
--- a/entry/call.h
+++ b/entry/call.h
@@ -101,6 +101,7 @@
 	int64_t first_us; /* when a stream's head went to the caller */
 	int64_t paced_us; /* when the pace was last measured */
 	uint32_t paced_tokens;
+	bool late_unread; /* counted as such at the service */
 	bool unread;	  /* sent, without a first event yet */
 	uint32_t counted; /* tokens taken off the router's account */
 	uint32_t tokens;  /* of a stream, passed on so far */
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -32,6 +32,7 @@
 	double mean_output;	/* tokens of an answer, smoothed */
 	struct repeats repeats; /* its part of what its pool may repeat */
 	struct demand demand;
+	uint32_t late_unread;  /* late requests sent, without a first event */
 	struct estimate first; /* from sending to the answer's first bytes */
 	struct engine_spec engine; /* for the policy */
 	struct router_policy policy;
--- a/entry/services.c
+++ b/entry/services.c
@@ -631,12 +631,41 @@
 	return service && service_preset(service)->admit;
 }
 
-static void pump_service(struct entry_service *s)
+/* Late requests must not stand between others and their first events. */
+static bool late_must_wait(const struct entry_service *s)
+{
+	return s->late_unread >= router_late_limit(s->router,
+						   entry_now_ms(s->entry),
+						   count_entries(s->entry));
+}
+
+/* Sends whose turn it is; false if there is no place for it now. */
+static bool send_next(struct entry_service *s, struct admission_ticket *ticket)
 {
 	struct entry *entry = s->entry;
-	struct admission_ticket *ticket;
+	struct call *call = ticket->ctx;
+	bool engine = engine_is_known(engine_of(s));
+	int64_t started = entry_now_us(entry);
 	struct router_choice choice;
 
+	if (engine && ticket->late && late_must_wait(s))
+		return false;
+	call->route.after_reads = engine && ticket->late;
+	router_choose(s->router, entry_now_ms(entry),
+		      ticket->late ? LATE_FILL_PERMILLE : ROUTER_FILL_ALL,
+		      &call->route, &choice);
+	counters_time(entry->opts.counters, HISTOGRAM_DECISION,
+		      entry_now_us(entry) - started);
+	if (!choice.replica)
+		return false;
+	attempt_dispatch(call, &choice);
+	return true;
+}
+
+static void pump_service(struct entry_service *s)
+{
+	struct admission_ticket *ticket;
+
 	expire_waiting(s);
 	if (!admits(s)) {
 		/* What has not begun when maintenance starts does not begin. */
@@ -645,23 +674,9 @@
 			call_give_up(ticket->ctx, RD_MAINTENANCE);
 		return;
 	}
-	while ((ticket = admission_peek(s->admission,
-					entry_now_ms(s->entry)))) {
-		struct call *call = ticket->ctx;
-
-		call->route.after_reads = ticket->late;
-		int64_t started = entry_now_us(entry);
-
-		router_choose(s->router, entry_now_ms(entry),
-			      ticket->late ? LATE_FILL_PERMILLE
-					   : ROUTER_FILL_ALL,
-			      &call->route, &choice);
-		counters_time(entry->opts.counters, HISTOGRAM_DECISION,
-			      entry_now_us(entry) - started);
-		if (!choice.replica)
-			return;
-		attempt_dispatch(call, &choice);
-	}
+	do
+		ticket = admission_peek(s->admission, entry_now_ms(s->entry));
+	while (ticket && send_next(s, ticket));
 }
 
 void services_pump(struct entry *entry)
--- a/include/radishdeal/router.h
+++ b/include/radishdeal/router.h
@@ -191,6 +191,10 @@
 void router_capacity(const struct router *router, int64_t now_ms,
 		     uint32_t *free_slots, uint32_t *slots);
 
+/** How many late requests one entry may have unread at all replicas. */
+uint32_t router_late_limit(const struct router *router, int64_t now_ms,
+			   uint32_t entries);
+
 /** Visits all replicas by number. */
 void router_each(const struct router *router,
 		 void (*visit)(void *ctx, const struct router_replica *r),
--- a/routing/router.c
+++ b/routing/router.c
@@ -16,6 +16,8 @@
 #define MEDIAN_MAX 256
 #define SAMPLE 2
 #define SUSPECT_MS 2000
+/* Late prompts that all entries together may have unread at one replica. */
+#define LATE_UNREAD 4u
 
 struct router {
 	struct router_opts opts;
@@ -651,6 +653,20 @@
 	}
 }
 
+uint32_t router_late_limit(const struct router *router, int64_t now_ms,
+			   uint32_t entries)
+{
+	uint32_t usable_count = 0;
+
+	for (guint i = 0; i < router->replicas->len; i++) {
+		const struct router_replica *r = router->replicas->pdata[i];
+
+		usable_count += now_ms < r->fresh_until_ms &&
+				now_ms >= r->suspect_until_ms;
+	}
+	return MAX(1, LATE_UNREAD * usable_count / MAX(entries, 1));
+}
+
 void router_each(const struct router *router,
 		 void (*visit)(void *ctx, const struct router_replica *r),
 		 void *ctx)
--- a/test/test_cores.c
+++ b/test/test_cores.c
@@ -312,6 +312,16 @@
 		      (uint32_t)atoi(s->words[2]));
 }
 
+/* late-limit ENTRIES: late requests that this one may have unread */
+static void route_late_limit(struct script *s)
+{
+	struct routing *r = s->ctx;
+
+	script_print(s, "%u late",
+		     router_late_limit(r->router, r->now_ms,
+				       (uint32_t)atoi(s->words[1])));
+}
+
 /* took MS: from sending to a first event */
 static void note_took(struct script *s)
 {
@@ -468,6 +478,7 @@
 	{ "done", 1, route_done },
 	{ "read", 2, route_read },
 	{ "others", 2, route_others },
+	{ "late-limit", 1, route_late_limit },
 	{ "took", 1, note_took },
 	{ "pace", 2, route_pace },
 	{ "suspect", 1, route_suspect },
--- a/test/test_log.c
+++ b/test/test_log.c
@@ -41,8 +41,8 @@
 		    "\"code\":\"cut-off\",\"detail\":\"broke off\",\"last\":1,"
 		    "\"event\":\"refused\"");
 	/* What only looks like a field, and numbers that JSON has not. */
-	expect_line("a = b ==x id=007 x=",
-		    "\"id\":\"007\",\"x\":\"\",\"event\":\"a = b ==x\"");
+	expect_line("a = b ==x id=007 x=", "\"id\":\"007\",\"x\":\"\","
+					   "\"event\":\"a = b ==x\"");
 	expect_line("request of nobody: x", "\"event\":\"request of nobody: "
 					    "x\"");
 	/* A line stays one line, whatever callers send. */
@@ -52,8 +52,7 @@
 
 static char *dropped_line(const uint64_t *counts)
 {
-	return g_strdup_printf("dropped %d %d\n",
-			       (int)counts[LOG_KIND_TRAFFIC],
+	return g_strdup_printf("dropped %d %d\n", (int)counts[LOG_KIND_TRAFFIC],
 			       (int)counts[LOG_KIND_KEPT]);
 }
 
