--- a/control/control.c
+++ b/control/control.c
@@ -412,8 +412,12 @@
 
 void entry_status_clear(struct entry_status *status)
 {
-	g_clear_pointer(&status->loads, g_array_unref);
-	g_clear_pointer(&status->demands, g_array_unref);
+	if (status->loads)
+		g_array_unref(status->loads);
+	if (status->demands)
+		g_array_unref(status->demands);
+	status->loads = NULL;
+	status->demands = NULL;
 }
 
 struct status_message {
--- a/ctl/explain.c
+++ b/ctl/explain.c
@@ -84,7 +84,8 @@
 
 	if (!json_is_object(value) || !time) {
 		json_decref(value);
-		g_clear_pointer(&time, g_date_time_unref);
+		if (time)
+			g_date_time_unref(time);
 		return;
 	}
 	record = g_new0(struct record, 1);
--- a/evidence/home.c
+++ b/evidence/home.c
@@ -52,7 +52,8 @@
 	if (a->staged.staged_len != b->staged.staged_len)
 		return false;
 	for (u_int i = 0; i < a->staged.staged_len; i++)
-		if (strcmp(a->staged.staged_val[i], b->staged.staged_val[i]))
+		if (strcmp(a->staged.staged_val[i], b->staged.staged_val[i]) !=
+		    0)
 			return false;
 	return true;
 }
