entry: a stream whose event does not end is broken off

Cause: the readers of both stream formats noted an event over 64 KB, and nobody looked; the entry kept all of it until the request's time was over. Test: cases/platform-proc/endless, 504 after 30 s before, 502 at once after.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -14,6 +14,8 @@
 /* Above this much unread answer the endpoint is not read from. */
 #define OUTPUT_HIGH_BYTES 65536u
 #define PACE_TOKENS 16u
+/* Bytes of an event that has not ended; no engine sends such. */
+#define UNFINISHED_EVENT_MAX 65536u
 #define US_PER_MS 1000
 
 static const struct log attempt_log = { "call" };
@@ -234,6 +236,10 @@
 	if (evbuffer_get_length(events) && call->req)
 		forward(call, events);
 	evbuffer_free(events);
+	if (evbuffer_get_length(call->answer) > UNFINISHED_EVENT_MAX) {
+		drop_upstream(call);
+		broke(call, "sent an event that is too long");
+	}
 }
 
 static bool is_stream(const struct call *call)
--- a/entry/sse.c
+++ b/entry/sse.c
@@ -69,7 +69,5 @@
 			sse->tokens++;
 		evbuffer_remove_buffer(in, out, size);
 	}
-	if (evbuffer_get_length(in) > SSE_EVENT_MAX)
-		sse->too_long = true;
 	return sse->tokens - before;
 }
--- a/entry/sse.h
+++ b/entry/sse.h
@@ -18,12 +18,9 @@
 struct sse {
 	uint32_t tokens; /* events with content */
 	bool done;	 /* the closing [DONE] came */
-	bool too_long;	 /* an event exceeds SSE_EVENT_MAX */
 	GString *text;	 /* content so far, as JSON-escaped text */
 };
 
-#define SSE_EVENT_MAX 65536
-
 /**
  * The bytes of the first event of a stream's next part, with the empty line
  * that ends it; 0 if it is not whole yet.
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -11,11 +11,13 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <cmocka.h>
 
+#include <event2/buffer.h>
 #include <event2/thread.h>
 
 #include "common/address.h"
@@ -24,6 +26,8 @@
 #include "test/cluster.h"
 #include "test/script.h"
 
+#define ENDLESS "/events/"
+#define ENDLESS_BYTES 200000
 #define CONTROLS 3
 #define NODES 4 /* the last is the entry */
 #define WAIT_MS 30000
@@ -78,6 +82,19 @@
 
 /* ---- the endpoint ---- */
 
+/* An event that goes on for longer than anybody should keep of it. */
+static void send_endless(struct evhttp_request *req)
+{
+	struct evbuffer *piece = evbuffer_new();
+
+	evbuffer_add_printf(piece, "id: 1\ndata: %0*d", ENDLESS_BYTES, 0);
+	evhttp_add_header(evhttp_request_get_output_headers(req),
+			  "Content-Type", "text/event-stream");
+	evhttp_send_reply_start(req, 200, "OK");
+	evhttp_send_reply_chunk(req, piece);
+	evbuffer_free(piece);
+}
+
 static void serve(struct evhttp_request *req, void *ctx)
 {
 	struct world *w = ctx;
@@ -99,6 +116,10 @@
 	if (id)
 		evhttp_add_header(out, "Attempt-Id", id);
 	evhttp_add_header(out, "Response-Seal", "seal");
+	if (g_str_has_prefix(evhttp_request_get_uri(req), ENDLESS)) {
+		send_endless(req);
+		return;
+	}
 	http_send_text(req, 200, "text/plain", "whole");
 }
 
@@ -240,6 +261,8 @@
 	pid = fork();
 	assert_true(pid >= 0);
 	if (!pid) {
+		/* One that is left over would keep its ports. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		if (!freopen(log, "a", stdout) || dup2(1, 2) < 0)
 			_exit(1);
 		execl(program, program, "--settings", path, (char *)NULL);
