routing, evidence, entry, state: what stood twice stands once

That answers show a replica to be whole for 0.6 s stood in the entry and in the placer, and had to agree; the passes of a first event stood in engine.c and first_event.c; a replica under the epoch that a change names was looked up by the same lines in two changes; held requests ended by the same lines in two loops; demand_init() had no caller.

--- a/control/placer_watch.c
+++ b/control/placer_watch.c
@@ -8,8 +8,6 @@
 #include "control/placer_internal.h"
 #include "control/probe.h"
 
-/* Bytes of an answer within this time show that all VMs are there. */
-#define MOVING_MS 600
 /* All entries' requests at a replica without any byte for so long. */
 #define STALLED_MS 800
 /* A VM that does not take a connection in this time is taken to be lost. */
@@ -24,7 +22,7 @@
 
 	return feed_load(placer->control->feed, placer_now_ms(placer), replica,
 			 epoch, &load) &&
-	       load.quiet_ms < MOVING_MS;
+	       load.quiet_ms < EVIDENCE_MOVING_MS;
 }
 
 bool placer_is_alive(const struct placer *placer, const struct view_vm *vm)
--- a/entry/early.c
+++ b/entry/early.c
@@ -31,11 +31,16 @@
 	g_free(early);
 }
 
-static void take_out(struct early *early)
+/* Takes or refuses it, by what is known now. */
+static void end_wait(struct early *early)
 {
-	g_queue_remove(&early->entry->early, early);
+	struct entry *entry = early->entry;
+
+	g_queue_remove(&entry->early, early);
 	http_unwatch(early->request.req,
-		     (int)early->entry->opts.settings->limits.slow_sender_s);
+		     (int)entry->opts.settings->limits.slow_sender_s);
+	entry_take_again(entry, &early->request);
+	g_free(early);
 }
 
 bool early_hold(struct entry *entry, const struct caller_request *request)
@@ -68,11 +73,8 @@
 {
 	struct early *early;
 
-	while ((early = g_queue_peek_head(&entry->early))) {
-		take_out(early);
-		entry_take_again(entry, &early->request);
-		g_free(early);
-	}
+	while ((early = g_queue_peek_head(&entry->early)))
+		end_wait(early);
 }
 
 void early_tick(struct entry *entry, int64_t now_ms)
@@ -83,11 +85,8 @@
 		struct early *early = link->data;
 
 		link = link->next;
-		if (now_ms < early->until_ms)
-			continue;
-		take_out(early);
-		entry_take_again(entry, &early->request);
-		g_free(early);
+		if (now_ms >= early->until_ms)
+			end_wait(early);
 	}
 }
 
--- a/entry/services.c
+++ b/entry/services.c
@@ -1,4 +1,5 @@
 /* The services of the configuration: their routers, queues and replicas. */
+#include <inttypes.h>
 #include <string.h>
 
 #include <radishdeal/engine.h>
@@ -10,8 +11,6 @@
 #define PREFIXES_PER_REPLICA 4096
 /* Replicas compared for a request; of all, entries would take the same. */
 #define SAMPLE 3
-/* Bytes of an answer show for so long that a replica is whole. */
-#define MOVING_MS 600
 /* Of a replica's slots, for requests that are late already: the rest is for
  * those that can still be in time. */
 #define LATE_FILL_PERMILLE 600u
@@ -286,7 +285,7 @@
  */
 static int64_t moves_until_ms(const struct router_replica *r)
 {
-	return r->outstanding ? r->answered_ms + MOVING_MS : 0;
+	return r->outstanding ? r->answered_ms + EVIDENCE_MOVING_MS : 0;
 }
 
 static void judge_replica(void *ctx, const struct replica_state *replica)
@@ -317,10 +316,8 @@
 	if (was_whole == !fault)
 		return;
 	log_note(&services_log,
-		 "replica judged replica=%u epoch=%" G_GUINT64_FORMAT " service"
-		 "=%s "
-		 "state=%"
-		 "s vm=%s",
+		 "replica judged replica=%u epoch=%" PRIu64 " service=%s "
+		 "state=%s vm=%s",
 		 a->replica, a->epoch, a->service, replica_fault_name(fault),
 		 culprit ? culprit : "-");
 	if (loses_calls(fault))
@@ -427,9 +424,9 @@
 /* Since the last byte of an answer, or since an idle one got something. */
 static uint32_t quiet_ms(const struct router_replica *r, int64_t now_ms)
 {
-	if (now_ms - r->answered_ms < MOVING_MS)
+	if (now_ms - r->answered_ms < EVIDENCE_MOVING_MS)
 		return (uint32_t)MAX(0, now_ms - r->answered_ms);
-	return (uint32_t)MAX(MOVING_MS, now_ms - r->heard_ms);
+	return (uint32_t)MAX(EVIDENCE_MOVING_MS, now_ms - r->heard_ms);
 }
 
 static void add_load(void *ctx, const struct router_replica *r)
--- a/include/radishdeal/demand.h
+++ b/include/radishdeal/demand.h
@@ -19,13 +19,11 @@
 	uint64_t prompt_tokens;
 };
 
+/** All zero: nothing was asked. */
 struct demand {
 	struct demand_slot slots[DEMAND_SLOTS];
 };
 
-/** A demand without any request; also right for a zeroed one. */
-void demand_init(struct demand *demand);
-
 /** Counts a request taken from a caller. */
 void demand_add(struct demand *demand, int64_t now_ms, uint32_t prompt_tokens);
 
--- a/include/radishdeal/engine.h
+++ b/include/radishdeal/engine.h
@@ -14,6 +14,9 @@
 
 #include "wire/radishdeal.h"
 
+/** A request waits for half a pass, and the next makes its first event. */
+#define ENGINE_FIRST_EVENT_PASSES 1.5
+
 /** Whether the service says how its engine spends its time. */
 bool engine_is_known(const struct engine_spec *engine);
 
--- a/include/radishdeal/evidence.h
+++ b/include/radishdeal/evidence.h
@@ -17,6 +17,9 @@
 
 #include "wire/radishdeal.h"
 
+/** Bytes of an answer show for so long that a replica is whole. */
+#define EVIDENCE_MOVING_MS 600
+
 struct home;
 
 struct home_opts {
--- a/routing/demand.c
+++ b/routing/demand.c
@@ -1,5 +1,3 @@
-#include <string.h>
-
 #include <glib.h>
 
 #include <radishdeal/demand.h>
@@ -7,11 +5,6 @@
 #define MS_PER_S 1000
 #define PER_KS 1000u
 
-void demand_init(struct demand *demand)
-{
-	memset(demand, 0, sizeof(*demand));
-}
-
 void demand_add(struct demand *demand, int64_t now_ms, uint32_t prompt_tokens)
 {
 	int64_t number = now_ms / MS_PER_S;
--- a/routing/engine.c
+++ b/routing/engine.c
@@ -84,8 +84,7 @@
 	if (running > slots)
 		goto overloaded;
 	pass = MAX(engine->stride, 1) * (fixed + running * each) / writing;
-	/* Half a pass until it is read, and one that makes the first event. */
-	return 1.5 * pass + read;
+	return ENGINE_FIRST_EVENT_PASSES * pass + read;
 overloaded:
 	return OVERLOADED_MS * engine_utilization(engine, load, slots);
 }
--- a/routing/first_event.c
+++ b/routing/first_event.c
@@ -4,8 +4,6 @@
 
 /* Of other entries' requests at a replica, those whose prompts are unread. */
 #define OTHERS_UNREAD 0.15
-/* A request waits for half a pass, and the next one makes its first event. */
-#define PASSES 1.5
 
 double router_first_event_ms(void *ctx, const struct router_replica *r,
 			     const struct router_request *request)
@@ -19,6 +17,7 @@
 		      engine_read_ms(engine, engine->usual_prompt) *
 			      OTHERS_UNREAD * r->others;
 
-	return PASSES * stride * engine_step_ms(engine, present, context) +
+	return ENGINE_FIRST_EVENT_PASSES * stride *
+		       engine_step_ms(engine, present, context) +
 	       read;
 }
--- a/state/replica.c
+++ b/state/replica.c
@@ -96,16 +96,27 @@
 	result->revision = assign->epoch;
 }
 
+/* The replica if it is not released and still under the epoch, or NULL. */
+static struct replica_state *find_current(const struct state *state,
+					  uint32_t number, uint64_t epoch)
+{
+	struct replica_state *replica = g_tree_lookup(state->replicas,
+						      GUINT_TO_POINTER(number));
+
+	return replica && !replica->released && replica->assign.epoch == epoch
+		       ? replica
+		       : NULL;
+}
+
 void replica_release(struct state *state, const struct command *command,
 		     struct apply_result *result)
 {
 	const struct release_replica *change =
 		&command->body.command_body_u.release;
-	gpointer number = GUINT_TO_POINTER(change->replica);
-	struct replica_state *replica = g_tree_lookup(state->replicas, number);
+	struct replica_state *replica = find_current(state, change->replica,
+						     change->epoch);
 
-	if (!replica || replica->released ||
-	    replica->assign.epoch != change->epoch) {
+	if (!replica) {
 		state_result_set(result, RD_STALE_EPOCH, "");
 		return;
 	}
@@ -119,11 +130,10 @@
 {
 	const struct confirm_replica *change =
 		&command->body.command_body_u.confirm;
-	gpointer number = GUINT_TO_POINTER(change->replica);
-	struct replica_state *replica = g_tree_lookup(state->replicas, number);
+	struct replica_state *replica = find_current(state, change->replica,
+						     change->epoch);
 
-	if (!replica || replica->released ||
-	    replica->assign.epoch != change->epoch) {
+	if (!replica) {
 		state_result_set(result, RD_STALE_EPOCH, "");
 		return;
 	}
