test: the reader of HTTP responses is a module of its own

Moved from test/jobs.c to test/response.c without the counting of tokens, so that other programs can read responses on kept connections.

--- a/test/jobs.c
+++ b/test/jobs.c
@@ -9,6 +9,7 @@
 
 #include "common/address.h"
 #include "test/jobs.h"
+#include "test/response.h"
 
 #define READ_TIMEOUT_S 60
 
@@ -46,88 +47,32 @@
 struct response_reader {
 	struct job *job;
 	int fd;
-	GString *raw; /* received and not parsed yet */
-	GString *body;
-	bool head_done;
-	bool chunked;
-	gssize remaining; /* size of the body; -1 if not stated */
-	bool complete;
+	struct response response;
 	size_t scanned; /* bytes of the body searched for tokens */
 	bool done_seen, error_seen;
 };
 
-static void parse_head(struct response_reader *r)
-{
-	char *end = strstr(r->raw->str, "\r\n\r\n");
-	char *length, *head;
-
-	if (!end)
-		return;
-	*end = '\0';
-	head = g_ascii_strdown(r->raw->str, -1);
-	sscanf(head, "http/1.%*d %d", &r->job->status);
-	r->chunked = strstr(head, "transfer-encoding: chunked") != NULL;
-	length = strstr(head, "content-length: ");
-	r->remaining = r->chunked ? 0 : -1;
-	if (length)
-		r->remaining = atol(length + strlen("content-length: "));
-	g_free(head);
-	g_string_erase(r->raw, 0, end - r->raw->str + 4);
-	r->head_done = true;
-	if (length && !r->remaining)
-		r->complete = true;
-}
-
-static bool parse_chunk(struct response_reader *r)
-{
-	char *end = strstr(r->raw->str, "\r\n");
-	gsize size, head;
-
-	if (!end)
-		return false;
-	size = strtoul(r->raw->str, NULL, 16);
-	head = (gsize)(end - r->raw->str) + 2;
-	if (r->raw->len < head + size + 2)
-		return false;
-	g_string_append_len(r->body, r->raw->str + head, (gssize)size);
-	g_string_erase(r->raw, 0, (gssize)(head + size + 2));
-	r->complete = size == 0;
-	return !r->complete;
-}
-
-static void parse_body(struct response_reader *r)
-{
-	if (r->chunked) {
-		while (parse_chunk(r))
-			;
-		return;
-	}
-	g_string_append_len(r->body, r->raw->str, (gssize)r->raw->len);
-	if (r->remaining >= 0 && (gssize)r->body->len >= r->remaining)
-		r->complete = true;
-	g_string_truncate(r->raw, 0);
-}
-
 /* Counts the tokens w0, w1, w2, ... up to the first gap. */
 static void count_tokens(struct response_reader *r)
 {
+	const char *body = r->response.body->str;
 	char expected[32];
 	const char *found;
 
 	for (;;) {
 		g_snprintf(expected, sizeof(expected), "\"w%d \"",
 			   r->job->tokens_received);
-		found = strstr(r->body->str + r->scanned, expected);
+		found = strstr(body + r->scanned, expected);
 		if (!found)
 			break;
-		r->scanned = (size_t)(found - r->body->str) + strlen(expected);
+		r->scanned = (size_t)(found - body) + strlen(expected);
 		if (!r->job->tokens_received)
 			r->job->first_us = g_get_monotonic_time();
 		r->job->tokens_received++;
 	}
-	if (strstr(r->body->str + r->scanned, "data: [DONE]"))
+	if (strstr(body + r->scanned, "data: [DONE]"))
 		r->done_seen = true;
-	if (strstr(r->body->str + r->scanned, "event: error"))
+	if (strstr(body + r->scanned, "event: error"))
 		r->error_seen = true;
 }
 
@@ -141,11 +86,8 @@
 	n = recv(r->fd, buffer, sizeof(buffer), 0);
 	if (n <= 0)
 		return false;
-	g_string_append_len(r->raw, buffer, n);
-	if (!r->head_done)
-		parse_head(r);
-	if (r->head_done)
-		parse_body(r);
+	response_add(&r->response, buffer, (size_t)n);
+	r->job->status = r->response.status;
 	if (r->job->stream)
 		count_tokens(r);
 	return true;
@@ -174,16 +116,17 @@
 {
 	struct job *job = r->job;
 
-	if (!r->head_done)
+	if (!r->response.head_done)
 		return JOB_NO_ANSWER;
 	if (job->status != 200)
-		return r->complete ? JOB_REFUSED : JOB_NO_ANSWER;
-	if (!r->complete || r->error_seen)
+		return r->response.complete ? JOB_REFUSED : JOB_NO_ANSWER;
+	if (!r->response.complete || r->error_seen)
 		return JOB_ABORTED;
 	if (!job->tokens)
 		return JOB_COMPLETE;
 	if (!job->stream)
-		job->tokens_received = count_answer_tokens(r->body->str);
+		job->tokens_received =
+			count_answer_tokens(r->response.body->str);
 	else if (!r->done_seen)
 		return JOB_TRUNCATED;
 	return job->tokens_received == job->tokens ? JOB_COMPLETE
@@ -193,9 +136,7 @@
 static void *run_job(void *arg)
 {
 	struct job *job = arg;
-	struct response_reader r = { .job = job,
-				     .raw = g_string_new(NULL),
-				     .body = g_string_new(NULL) };
+	struct response_reader r = { .job = job };
 	char *request = g_strdup_printf("%s %s HTTP/1.1\r\nHost: "
 					"%s\r\nAuthorization: Bearer %s\r\n"
 					"Connection: "
@@ -205,18 +146,19 @@
 					job->key, job->headers,
 					strlen(job->body), job->body);
 
+	response_init(&r.response);
 	r.fd = connect_address(job->address);
 	job->result = JOB_NO_ANSWER;
 	if (r.fd >= 0 && send_all(r.fd, request, strlen(request))) {
-		while (!r.complete && read_more(&r))
+		while (!r.response.complete && read_more(&r))
 			;
 		job->result = classify_result(&r);
 	}
 	if (r.fd >= 0)
 		close(r.fd);
 	job->ended_us = g_get_monotonic_time();
-	job->answer = g_string_free(r.body, FALSE);
-	g_string_free(r.raw, TRUE);
+	job->answer = g_strdup(r.response.body->str);
+	response_clear(&r.response);
 	g_free(request);
 	return NULL;
 }
