--- a/test/cluster.c
+++ b/test/cluster.c
@@ -579,7 +579,9 @@
 
 void cluster_apply_service(struct cluster *c, const char *text)
 {
-	const char *path = "/v1/services?change_id=first&base=0&wait_ms=9000";
+	char *path = g_strdup_printf(
+		"/v1/services?change_id=service-%d&base=0&wait_ms=9000",
+		++c->services);
 	struct fetch_response answer;
 
 	if (!cluster_operator_request(c, cluster_wait_leader(c), "POST", path,
@@ -588,6 +590,7 @@
 		cluster_fail("applying the service failed: %s",
 			     answer.body ? answer.body : "");
 	fetch_clear(&answer);
+	g_free(path);
 }
 
 static bool field_matches(json_t *row, const char *key, const char *expected)
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -43,6 +43,7 @@
 	char *second_account_key; /* of account "label" */
 	char *limits;		  /* lines for [limits], for cluster_start() */
 	char *cluster_lines;	  /* lines for [cluster], likewise */
+	int services;		  /* applied so far */
 };
 
 /** Creates the folder, the keys and, with `proxied`, the fault proxy. */
--- a/test/fakes/fake_service.c
+++ b/test/fakes/fake_service.c
@@ -1,6 +1,7 @@
 /*
  * Fake plain service: one process acts as all its endpoints. Each run of a
  * booking appends a line to a file: key, endpoint, runs of the key so far.
+ * A query `bytes=N` makes the answer about N bytes longer.
  */
 #include <argp.h>
 #include <signal.h>
@@ -17,6 +18,7 @@
 	struct event_base *base;
 	const char *name;
 	FILE *runs;
+	FILE *log; /* of calls, in the form of the engine's; NULL for none */
 	GHashTable *counts; /* key -> runs */
 	GPtrArray *endpoints;
 	int delay_ms;
@@ -36,7 +38,7 @@
 
 struct arguments {
 	const char *host, *name, *prefix, *entries, *key_file, *control_file,
-		*runs_file;
+		*runs_file, *log_file;
 	int count, delay_ms;
 };
 
@@ -50,6 +52,7 @@
 	{ "control", 'c', "FILE", 0, "file to write the control address to",
 	  0 },
 	{ "runs", 'r', "FILE", 0, "file to which each run is appended", 0 },
+	{ "log", 'o', "FILE", 0, "log of calls", 0 },
 	{ "count", 'm', "N", 0, "number of endpoints", 0 },
 	{ "delay-ms", 'd', "MS", 0, "duration of a call", 0 },
 	{ 0 }
@@ -81,6 +84,9 @@
 	case 'r':
 		a->runs_file = arg;
 		break;
+	case 'o':
+		a->log_file = arg;
+		break;
 	case 'm':
 		a->count = atoi(arg);
 		break;
@@ -114,21 +120,37 @@
 	struct endpoint *endpoint;
 	struct evhttp_request *req;
 	struct http_disconnect_watch watch;
-	char *key;
+	char *key, *id;
 	int runs;
+	int padding; /* bytes */
 	bool disconnected;
 };
 
+static void log_call(const struct pending *p, const char *event)
+{
+	fake_log(p->endpoint->service->log,
+		 json_pack("{s:I,s:s,s:s,s:s}", "t_us",
+			   (json_int_t)fake_now_us(), "event", event, "vm",
+			   p->endpoint->name, "request", p->id));
+}
+
 static void answer_call(struct pending *p)
 {
 	json_t *body = json_pack("{s:s,s:s,s:i}", "key", p->key, "endpoint",
 				 p->endpoint->name, "run", p->runs);
+	char *padding = g_strnfill((gsize)p->padding, 'x');
 
+	if (p->padding)
+		json_object_set_new(body, "padding", json_string(padding));
+	g_free(padding);
 	p->endpoint->running--;
-	if (!p->disconnected)
+	if (!p->disconnected) {
+		log_call(p, "served");
 		http_unwatch_disconnect(p->req, 600);
+	}
 	http_send_json(p->req, 200, body);
 	g_free(p->key);
+	g_free(p->id);
 	g_free(p);
 }
 
@@ -143,6 +165,7 @@
 {
 	struct pending *p = ctx;
 
+	log_call(p, "cancelled");
 	p->disconnected = true;
 }
 
@@ -173,11 +196,17 @@
 	struct pending *p = g_new0(struct pending, 1);
 	struct timeval delay = { e->service->delay_ms / 1000,
 				 (e->service->delay_ms % 1000) * 1000 };
+	const char *id = http_header(req, "X-Request-Id");
+	char *padding = http_query(req, "bytes");
 
 	p->endpoint = e;
 	p->req = req;
 	p->key = g_strdup(key);
+	p->id = g_strdup(id ? id : "-");
 	p->runs = count_run(e, key);
+	p->padding = padding ? atoi(padding) : 0;
+	g_free(padding);
+	log_call(p, "begun");
 	e->running++;
 	p->watch = (struct http_disconnect_watch){ on_disconnect, p };
 	http_watch_disconnect(req, &p->watch);
@@ -310,6 +339,8 @@
 		perror(a.runs_file);
 		return 1;
 	}
+	if (a.log_file)
+		service.log = fopen(a.log_file, "a");
 	entries = g_strsplit(a.entries, ",", 0);
 	key = fake_read_key(a.key_file);
 	for (int i = 0; i < a.count; i++)
