soak: seeded series of stops, signals and restarts of real daemons

`make soak SEED=1 SEEDS=20` starts four daemons with a model service and a plain one, and 48 callers that each go on using their connection until the daemon closes it. From the seed it draws stops (one, several at once, in a row), repeated SIGTERM and SIGINT after 0 ms to 6 s, SIGHUP, edited settings, restarts, a stop soon after a start, and changes of a preset.

--- a/Makefile
+++ b/Makefile
@@ -36,15 +36,18 @@
 	$(wildcard test/*.c)))
 FAKE_OBJ := $(patsubst %.c,$B/%.o,$(filter-out test/fakes/fake_%,\
 	$(wildcard test/fakes/*.c)))
+SOAK_BIN := $(patsubst %.c,$B/%,$(wildcard soak/soak_*.c))
+SOAK_OBJ := $(patsubst %.c,$B/%.o,$(filter-out soak/soak_%,\
+	$(wildcard soak/*.c)))
 EXAMPLE_BIN := $(patsubst examples/%.c,$B/examples/%,$(wildcard examples/*.c))
 
 PROGRAMS := $B/radishdeald $B/radishdealctl
 
 .PHONY: all programs check demo measure clean packages lint format wire \
-	torture tests doc
+	torture soak tests doc
 programs: $(PROGRAMS)
 all: $(PROGRAMS) $B/libradishdeal.a $(FAKE_BIN) $(EXAMPLE_BIN)
-tests: all $(TEST_BIN) $(BENCH_BIN)
+tests: all $(TEST_BIN) $(BENCH_BIN) $(SOAK_BIN)
 
 $B/wire/radishdeal_xdr.o: WARNINGS := -w
 
@@ -72,7 +75,7 @@
 $B/radishdealctl: $(CTL_SRC:%.c=$B/%.o) $(LIBS)
 	$(CXX) $(LDFLAGS) $^ $(LDLIBS) -o $@
 
-$(TEST_BIN): $B/test/%: $B/test/%.o $(HELPER_OBJ) $(LIBS)
+$(TEST_BIN): $B/test/%: $B/test/%.o $(SOAK_OBJ) $(HELPER_OBJ) $(LIBS)
 	$(CXX) $(LDFLAGS) $^ $(LDLIBS) -lcmocka -o $@
 
 $(FAKE_BIN): $B/test/fakes/%: $B/test/fakes/%.o $(FAKE_OBJ) $(LIBS)
@@ -81,6 +84,9 @@
 $(BENCH_BIN): $B/bench/%: $B/bench/%.o $B/bench/meter.o $(HELPER_OBJ) $(LIBS)
 	$(CXX) $(LDFLAGS) $^ $(LDLIBS) -lcmocka -o $@
 
+$(SOAK_BIN): $B/%: $B/%.o $(SOAK_OBJ) $(HELPER_OBJ) $(LIBS)
+	$(CXX) $(LDFLAGS) $^ $(LDLIBS) -lcmocka -o $@
+
 # Linked with libradishdeal.a alone, as a check that it needs no other module.
 $(EXAMPLE_BIN): $B/examples/%: $B/examples/%.o $B/libradishdeal.a
 	$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
@@ -141,6 +147,12 @@
 torture: tests
 	$B/bench/bench_torture $(SEED) $(SEEDS)
 
+# Stops real processes in series, SECONDS long for each of SEEDS seeds.
+SECONDS ?= 20
+soak: SEEDS = 1
+soak: tests
+	$B/soak/soak_stops $(SEED) $(SEEDS) $(SECONDS)
+
 wire:
 	sh wire/regenerate.sh
 
--- /dev/null
+++ b/soak/soak.c
@@ -0,0 +1,241 @@
+/* A run: sets up the cluster, and has the parts do their work in turn. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "soak/soak.h"
+
+#define TICK_US 2000
+#define MODEL_REPLICAS 4
+
+enum phase {
+	PHASE_SERIES,  /* callers send, daemons are stopped and restarted */
+	PHASE_ANSWERS, /* the open requests end */
+	PHASE_STOP,    /* all daemons are stopped once */
+};
+
+struct run {
+	struct soak *soak;
+	struct callers *callers;
+	struct schedule *schedule;
+	enum phase phase;
+};
+
+int64_t soak_now_us(void)
+{
+	return clock_now_us(&clock_system);
+}
+
+void soak_process_free(gpointer process)
+{
+	g_free(process);
+}
+
+void soak_request_free(gpointer request)
+{
+	struct request *r = request;
+
+	g_free(r->end);
+	g_free(r);
+}
+
+/* ---- set-up ---- */
+
+static char *service_text(const struct cluster *c, const char *name, bool plain)
+{
+	char *hash = cluster_key_hash(c->account_key);
+	char *text = g_strdup_printf(
+		"name = \"%s\"\nkind = \"%s\"\nmodel = \"%s\"\n"
+		"vms_per_replica = 1\naccelerators_per_vm = %d\n"
+		"slots_per_replica = 16\ndeadline_ms = 20000\n"
+		"once_only = [%s]\nbooking_max = 10000\n"
+		"[[presets]]\nname = \"ordinary\"\nreplicas = %d\n"
+		"version = \"1\"\n"
+		"[[presets]]\nname = \"peak\"\nreplicas = %d\n"
+		"version = \"1\"\n"
+		"[[accounts]]\nname = \"studio\"\nkey_sha256 = \"%s\"\n",
+		name, plain ? "plain" : "model", plain ? "" : "tuner",
+		plain ? 0 : 8, plain ? "\"POST /bookings\"" : "",
+		plain ? 1 : MODEL_REPLICAS, plain ? 1 : MODEL_REPLICAS + 1,
+		hash);
+
+	g_free(hash);
+	return text;
+}
+
+static void apply_service(struct cluster *c, const char *name, bool plain)
+{
+	char *text = service_text(c, name, plain);
+
+	cluster_apply_service(c, text);
+	g_free(text);
+}
+
+static void start_endpoints(struct cluster *c)
+{
+	char *engine_log = cluster_path(c, "engine.jsonl");
+	char *plain_log = cluster_path(c, "plain.jsonl");
+	char *runs = cluster_path(c, "plain.runs");
+	const char *const engine[] = { "--domains", "a/a1:3,b/b1:3",
+				       "--step-us", "25000",
+				       "--log",	    engine_log,
+				       NULL };
+	const char *const plain[] = { "--count",    "3",     "--runs",
+				      runs,	    "--log", plain_log,
+				      "--delay-ms", "60",    NULL };
+
+	cluster_start_fake(c, "fake_engine", "engine", engine);
+	cluster_start_fake(c, "fake_service", "plain", plain);
+	g_free(engine_log);
+	g_free(plain_log);
+	g_free(runs);
+}
+
+static struct cluster *create_cluster(void)
+{
+	struct cluster *c = cluster_create(false);
+
+	g_free(c->limits);
+	c->limits = g_strdup_printf("linger_ms = %d\ndrain_ms = %d\n"
+				    "vm_silence_ms = 3200\n"
+				    "home_silence_ms = 6500\n"
+				    "config_lease_ms = 1500\n"
+				    "queue_ms = 1400\nstall_ms = 1000\n"
+				    "presume_ms = 2800\nbody_bytes = "
+				    "16777216\n",
+				    SOAK_LINGER_MS, SOAK_DRAIN_MS);
+	cluster_start(c, SOAK_NODES);
+	start_endpoints(c);
+	apply_service(c, "assistant", false);
+	apply_service(c, "queue", true);
+	cluster_wait_healthy(c, MODEL_REPLICAS);
+	return c;
+}
+
+static void init_soak(struct soak *soak, const struct soak_opts *opts)
+{
+	*soak = (struct soak){ .opts = *opts };
+	soak->cluster = create_cluster();
+	g_mutex_init(&soak->lock);
+	soak->processes = g_ptr_array_new_with_free_func(soak_process_free);
+	soak->requests = g_ptr_array_new_with_free_func(soak_request_free);
+	soak->endpoint_runs = g_hash_table_new_full(g_str_hash, g_str_equal,
+						    g_free, g_free);
+	soak->began_us = soak_now_us();
+	for (int node = 1; node <= SOAK_NODES; node++)
+		processes_add(soak, node);
+}
+
+static void clear_soak(struct soak *soak)
+{
+	cluster_destroy(soak->cluster);
+	g_mutex_clear(&soak->lock);
+	g_ptr_array_unref(soak->processes);
+	g_ptr_array_unref(soak->requests);
+	g_hash_table_unref(soak->endpoint_runs);
+}
+
+/* ---- the run ---- */
+
+static int64_t elapsed_ms(const struct soak *soak)
+{
+	return (soak_now_us() - soak->began_us) / 1000;
+}
+
+static void stop_all(struct soak *soak)
+{
+	for (int node = 1; node <= SOAK_NODES; node++)
+		if (soak->current[node] &&
+		    !process_stop_us(soak->current[node]))
+			processes_signal(soak, node, SIGTERM);
+}
+
+/* Returns false at the end of the run. */
+static bool tick(struct run *run)
+{
+	struct soak *soak = run->soak;
+
+	processes_poll(soak);
+	switch (run->phase) {
+	case PHASE_SERIES:
+		schedule_run_due(run->schedule);
+		if (elapsed_ms(soak) < soak->opts.duration_ms)
+			break;
+		callers_finish(run->callers);
+		run->phase = PHASE_ANSWERS;
+		break;
+	case PHASE_ANSWERS:
+		if (callers_running(run->callers))
+			break;
+		stop_all(soak);
+		run->phase = PHASE_STOP;
+		break;
+	case PHASE_STOP:
+		return processes_running(soak) > 0;
+	}
+	return true;
+}
+
+static void run_phases(struct soak *soak)
+{
+	struct run run = { .soak = soak };
+
+	run.callers = callers_create(soak);
+	run.schedule = schedule_create(soak);
+	while (tick(&run))
+		g_usleep(TICK_US);
+	schedule_free(run.schedule);
+	callers_free(run.callers);
+}
+
+static void read_logs(struct soak *soak)
+{
+	static const char *const names[] = { "engine.jsonl", "plain.jsonl" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		char *path = cluster_path(soak->cluster, names[i]);
+
+		endpoints_read_log(soak->endpoint_runs, path);
+		g_free(path);
+	}
+}
+
+static void print_result(const struct soak *soak,
+			 const struct soak_result *result)
+{
+	printf("seed %u: %d requests, %d complete, %d refused, %d excused; "
+	       "%d stops, %d repeated signals; %u findings\n",
+	       soak->opts.seed, result->requests, result->complete,
+	       result->refused, result->excused, result->stops,
+	       result->repeated_signals, result->findings->len);
+	for (guint i = 0; i < result->findings->len; i++)
+		printf("seed %u: %s\n", soak->opts.seed,
+		       (const char *)result->findings->pdata[i]);
+	fflush(stdout);
+}
+
+void soak_run(const struct soak_opts *opts, struct soak_result *result)
+{
+	struct soak soak;
+
+	printf("seed %u: starts\n", opts->seed);
+	fflush(stdout);
+	init_soak(&soak, opts);
+	run_phases(&soak);
+	read_logs(&soak);
+	*result = (struct soak_result){
+		.findings = g_ptr_array_new_with_free_func(g_free),
+	};
+	check_records(&soak, result);
+	print_result(&soak, result);
+	if (result->findings->len)
+		setenv("KEEP", "1", 1);
+	clear_soak(&soak);
+	unsetenv("KEEP");
+}
+
+void soak_result_clear(struct soak_result *result)
+{
+	g_ptr_array_unref(result->findings);
+}
--- /dev/null
+++ b/soak/soak.h
@@ -0,0 +1,158 @@
+/**
+ * @file
+ * A seeded run of real daemons that are stopped, signalled again and restarted
+ * while callers go on using their connections.
+ *
+ * struct soak owns the records: a process per start of a daemon, a request per
+ * request sent, and an endpoint_run per request that reached an endpoint. The
+ * main thread starts, signals and reaps the daemons and writes their records.
+ * Each caller has a thread, which owns its requests until callers_free().
+ * check.c only reads, after the run.
+ */
+#ifndef SOAK_SOAK_H
+#define SOAK_SOAK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "test/cluster.h"
+
+#define SOAK_NODES 4
+#define SOAK_SIGNALS_MAX 64
+#define SOAK_GRACE_MS 8000
+#define SOAK_LINGER_MS 3000
+#define SOAK_DRAIN_MS 7000
+
+struct soak_opts {
+	uint32_t seed;
+	int duration_ms;
+	int callers;
+};
+
+/* ---- records ---- */
+
+struct sent_signal {
+	int number;
+	int64_t at_us;
+};
+
+/** One start of a daemon. */
+struct process {
+	int node;
+	int start; /* of this node, from 1 */
+	int64_t started_us;
+	int64_t exited_us; /* 0 while it runs */
+	int wait_status;
+	bool up;     /* its port for callers has accepted a connection */
+	bool killed; /* with SIGKILL, after the grace period */
+	struct sent_signal signals[SOAK_SIGNALS_MAX];
+	int signal_count;
+};
+
+enum request_kind {
+	REQUEST_STREAM,
+	REQUEST_CHAT,
+	REQUEST_CALL,
+	REQUEST_BOOKING,  /* once only, with an idempotency key */
+	REQUEST_ONCE,	  /* once only, without a key */
+	REQUEST_UPLOAD,	  /* long body, sent in pieces */
+	REQUEST_DOWNLOAD, /* long response, read slowly */
+	REQUEST_KINDS
+};
+
+struct request {
+	char id[32];
+	enum request_kind kind;
+	struct process *process;
+	int64_t begun_us;
+	int64_t sent_us;  /* last byte handed to the kernel; 0 before */
+	int64_t ended_us; /* response complete, or connection ended */
+	int64_t deadline_us;
+	bool complete;
+	bool gave_up; /* the connection was open, long after the deadline */
+	bool not_run; /* a response that says so */
+	int status;
+	size_t received; /* bytes of the response */
+	char *end;	 /* how it ended, for reports */
+};
+
+/** What the endpoints' logs say of one request. */
+struct endpoint_run {
+	int begun, served, broken, cancelled; /* number of such events */
+	int64_t ended_us;		      /* latest event but `begun` */
+};
+
+struct soak {
+	struct soak_opts opts;
+	struct cluster *cluster;
+	int64_t began_us;
+	GPtrArray *processes;	   /* of struct process */
+	GPtrArray *requests;	   /* of struct request */
+	GHashTable *endpoint_runs; /* request id -> struct endpoint_run */
+	GMutex lock;		   /* of `current` */
+	struct process *current[SOAK_NODES + 1]; /* by node; NULL when down */
+};
+
+struct soak_result {
+	int requests, complete, refused, excused;
+	int stops, repeated_signals;
+	GPtrArray *findings; /* of char *; empty if all checks passed */
+};
+
+/* ---- soak.c ---- */
+
+/** Runs one seed; prints the findings. soak_result_clear() frees. */
+void soak_run(const struct soak_opts *opts, struct soak_result *result);
+void soak_result_clear(struct soak_result *result);
+
+/** The clock of all records, the same as that of the endpoints' logs. */
+int64_t soak_now_us(void);
+
+void soak_process_free(gpointer process);
+void soak_request_free(gpointer request);
+
+/* ---- processes.c ---- */
+
+/** Adds the record of a daemon that has just been started. */
+void processes_add(struct soak *soak, int node);
+void processes_signal(struct soak *soak, int node, int number);
+/** Reaps daemons that ended; kills those that outlast the grace period. */
+void processes_poll(struct soak *soak);
+int processes_running(const struct soak *soak);
+/** Time of the first SIGTERM or SIGINT, 0 if there was none. */
+int64_t process_stop_us(const struct process *process);
+
+/* ---- schedule.c ---- */
+
+struct schedule;
+
+/** Draws all actions from the seed; times count from now. */
+struct schedule *schedule_create(struct soak *soak);
+void schedule_run_due(struct schedule *schedule);
+void schedule_free(struct schedule *schedule);
+
+/* ---- callers.c ---- */
+
+struct callers;
+
+struct callers *callers_create(struct soak *soak);
+/** Makes all callers end after their open request; connections stay open. */
+void callers_finish(struct callers *callers);
+/** Returns how many have not ended. */
+int callers_running(struct callers *callers);
+/** Closes the connections; moves the callers' requests to struct soak. */
+void callers_free(struct callers *callers);
+
+/* ---- endpoints.c ---- */
+
+/** Adds what a log of a fake says to a table of struct endpoint_run. */
+void endpoints_read_log(GHashTable *runs, const char *path);
+
+/* ---- check.c ---- */
+
+/** Applies all checks to the records of a finished run. */
+void check_records(const struct soak *soak, struct soak_result *result);
+
+#endif
