daemon, entry: log the signals of a stop, its phases and what it drops

Change: a line for the start, each stop signal, each phase of a stop with the open requests by state, and the end; one warning if a process ends with responses that aren't complete. Responses are counted until their last byte is in the socket. The counter stop_signals_total. The stop of an entry moves to entry/shutdown.c.

--- a/common/counters.h
+++ b/common/counters.h
@@ -34,6 +34,8 @@
 	X(IN_FLIGHT, "streams_open", "gauge",                                \
 	  "requests in flight at endpoints")                                 \
 	X(QUEUED, "requests_queued", "gauge", "requests waiting for a slot") \
+	X(STOP_SIGNALS, "stop_signals_total", "counter",                     \
+	  "signals received that ask this process to stop")                  \
 	X(ANNOUNCEMENTS, "announcements_total", "counter",                   \
 	  "announcements taken from endpoints")                              \
 	X(ANNOUNCEMENTS_REFUSED, "announcements_refused_total", "counter",   \
--- a/common/http.c
+++ b/common/http.c
@@ -217,6 +217,34 @@
 				 &timeout, &timeout);
 }
 
+static void on_response_sent(struct evhttp_request *req, void *arg)
+{
+	uint32_t *unsent = arg;
+
+	evhttp_connection_set_closecb(evhttp_request_get_connection(req), NULL,
+				      NULL);
+	(*unsent)--;
+}
+
+static void on_response_lost(struct evhttp_connection *conn, void *arg)
+{
+	uint32_t *unsent = arg;
+
+	evhttp_connection_set_closecb(conn, NULL, NULL);
+	(*unsent)--;
+}
+
+void http_track_response(struct evhttp_request *req, uint32_t *unsent)
+{
+	struct evhttp_connection *conn = evhttp_request_get_connection(req);
+
+	if (!conn)
+		return;
+	(*unsent)++;
+	evhttp_request_set_on_complete_cb(req, on_response_sent, unsent);
+	evhttp_connection_set_closecb(conn, on_response_lost, unsent);
+}
+
 static struct evhttp *open_server(const struct http_listen_opts *opts,
 				  int *port)
 {
--- a/common/http.h
+++ b/common/http.h
@@ -8,6 +8,7 @@
 #define COMMON_HTTP_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 #include <event2/event.h>
 #include <event2/http.h>
@@ -100,6 +101,13 @@
  */
 void http_unwatch_disconnect(struct evhttp_request *req, int timeout_s);
 
+/**
+ * Counts a response in *unsent until all of it was written to the connection's
+ * socket, or the connection is closed. Call it after http_unwatch_disconnect()
+ * and before the response is completed; `unsent` must outlive the connection.
+ */
+void http_track_response(struct evhttp_request *req, uint32_t *unsent);
+
 struct http_listen_opts {
 	struct event_base *base;
 	const char *setting; /* key of the address, for errors; or NULL */
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -3,6 +3,7 @@
  * tasks, and stops them in order on a signal.
  */
 #include <argp.h>
+#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -100,6 +101,8 @@
 	struct event *settings_poll;
 	const char *settings_path;
 	struct stat settings_stat;
+	int64_t started_ms;
+	int64_t stop_began_ms;
 	bool stopping;
 	int exit_status;
 };
@@ -166,20 +169,28 @@
 	control_post_handover(d->control, on_control_stopped, d);
 }
 
+/* `fd` is the number of the signal. */
 static void on_signal(evutil_socket_t fd, short what, void *ctx)
 {
 	struct daemon *d = ctx;
+	int64_t now_ms = clock_now_ms(&clock_system);
 
-	(void)fd;
 	(void)what;
+	counters_add(d->counters, COUNTER_STOP_SIGNALS, 1);
 	if (d->stopping) {
+		log_note(&daemon_log,
+			 "signal while stopping: ending at once signal=%s "
+			 "elapsed_ms=%" PRId64,
+			 sigabbrev_np(fd), now_ms - d->stop_began_ms);
 		event_base_loopbreak(d->base);
 		return;
 	}
 	log_note(&daemon_log,
-		 "stopping: requests in flight have %d ms to complete",
-		 (int)d->settings.limits.drain_ms);
+		 "stopping signal=%s uptime_ms=%" PRId64 " drain_ms=%" PRId64,
+		 sigabbrev_np(fd), now_ms - d->started_ms,
+		 d->settings.limits.drain_ms);
 	d->stopping = true;
+	d->stop_began_ms = now_ms;
 	if (d->entry)
 		entry_post_shutdown(d->entry, on_entry_stopped, d);
 	else
@@ -401,6 +412,13 @@
 	daemon_settings_clear(&d->settings);
 }
 
+static const char *role_names(uint32_t roles)
+{
+	if (roles == (ROLE_ENTRY | ROLE_CONTROL))
+		return "entry,control";
+	return roles & ROLE_ENTRY ? "entry" : "control";
+}
+
 static int run(struct daemon *d, bool bootstrap)
 {
 	char *why = NULL;
@@ -408,6 +426,7 @@
 	struct timeval poll_interval = { SETTINGS_POLL_S, 0 };
 	enum rd_result code;
 
+	d->started_ms = clock_now_ms(&clock_system);
 	evthread_use_pthreads();
 	d->base = event_base_new();
 	term = evsignal_new(d->base, SIGTERM, on_signal, d);
@@ -427,8 +446,13 @@
 	} else {
 		(void)settings_changed(d);
 		event_add(d->settings_poll, &poll_interval);
+		log_note(&daemon_log, "started pid=%d roles=%s", (int)getpid(),
+			 role_names(d->settings.node.roles));
 		event_base_dispatch(d->base);
 	}
+	log_note(&daemon_log,
+		 "process ends uptime_ms=%" PRId64 " exit_status=%d",
+		 clock_now_ms(&clock_system) - d->started_ms, d->exit_status);
 	g_free(why);
 	stop_tasks(d);
 	event_free(term);
--- a/entry/call.c
+++ b/entry/call.c
@@ -123,11 +123,13 @@
 
 /* ---- responding to the caller ---- */
 
-static void unwatch_caller(struct call *call)
+/* Call it before the last part of the response is given to evhttp. */
+static void release_caller(struct call *call)
 {
 	http_unwatch_disconnect(
 		call->req,
 		(int)call->entry->opts.settings->limits.slow_sender_s);
+	http_track_response(call->req, &call->entry->unsent_responses);
 }
 
 static void count_outcome(struct call *call, enum counter which)
@@ -190,7 +192,7 @@
 		count_outcome(call, outcome == OUTCOME_NOT_RUN
 					    ? COUNTER_NOT_RUN
 					    : COUNTER_OUTCOME_UNKNOWN);
-		unwatch_caller(call);
+		release_caller(call);
 		call->format->send_error(call->req, &problem);
 		call->req = NULL;
 	}
@@ -212,7 +214,7 @@
 		evbuffer_add(evhttp_request_get_output_buffer(call->req), body,
 			     size);
 		count_outcome(call, COUNTER_COMPLETED);
-		unwatch_caller(call);
+		release_caller(call);
 		evhttp_send_reply(call->req, status, NULL, NULL);
 		call->req = NULL;
 	}
@@ -232,7 +234,7 @@
 		 call->id, service->name, call->replica, call->tokens,
 		 (call->first_byte_us - call->started_us) / 1000,
 		 (entry_now_us(call->entry) - call->started_us) / 1000);
-	unwatch_caller(call);
+	release_caller(call);
 	evhttp_send_reply_end(call->req);
 	call->req = NULL;
 	call_destroy(call);
--- a/entry/callers.c
+++ b/entry/callers.c
@@ -31,6 +31,7 @@
 	if (code == RD_CUT_OFF || code == RD_DRAINING)
 		problem.extension_members = json_pack("{s:o}", "addresses",
 						      addresses_json(entry));
+	http_track_response(req, &entry->unsent_responses);
 	http_send_problem(req, &problem);
 	json_decref(problem.extension_members);
 }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -4,6 +4,7 @@
 #include "common/address.h"
 #include "common/log.h"
 #include "common/pack.h"
+#include "entry/shutdown.h"
 #include "entry/take.h"
 #include "wire/codec.h"
 
@@ -113,26 +114,6 @@
 	g_ptr_array_unref(calls);
 }
 
-static void check_shutdown(struct entry *entry)
-{
-	if (!entry->shutdown_done)
-		return;
-	/*
-	 * Callers that have not yet learned of the shutdown still send their
-	 * requests here, so these are accepted for limits.linger_ms.
-	 */
-	if (entry_now_ms(entry) < entry->reject_from_ms)
-		return;
-	entry->rejecting_requests = true;
-	if (g_hash_table_size(entry->calls) &&
-	    entry_now_ms(entry) < entry->shutdown_deadline_ms)
-		return;
-	log_note(&entry_log, "drain finished: %u calls still open",
-		 g_hash_table_size(entry->calls));
-	entry->shutdown_done(entry->shutdown_arg);
-	entry->shutdown_done = NULL;
-}
-
 static void on_tick(evutil_socket_t fd, short what, void *ctx)
 {
 	struct entry *entry = ctx;
@@ -148,7 +129,7 @@
 	services_dispatch_queued(entry);
 	if (entry_now_ms(entry) - entry->status_sent_ms >= STATUS_MS)
 		entry_send_status(entry);
-	check_shutdown(entry);
+	shutdown_tick(entry);
 }
 
 static void on_digest(evutil_socket_t fd, short what, void *ctx)
@@ -306,6 +287,7 @@
 	if (!entry)
 		return;
 	free_events(entry);
+	shutdown_log_dropped(entry);
 	early_drop(entry);
 	drop_calls(entry);
 	upstream_pool_destroy(entry->pool);
@@ -519,16 +501,8 @@
 static void run_shutdown(void *arg)
 {
 	struct message *m = arg;
-	struct entry *entry = m->entry;
 
-	entry->draining = true;
-	entry_send_status(entry);
-	entry->shutdown_done = m->done;
-	entry->shutdown_arg = m->arg;
-	entry->shutdown_deadline_ms = entry_now_ms(entry) +
-				      entry->opts.settings->limits.drain_ms;
-	entry->reject_from_ms = entry_now_ms(entry) +
-				entry->opts.settings->limits.linger_ms;
+	shutdown_begin(m->entry, m->done, m->arg);
 	g_free(m);
 }
 
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -64,6 +64,7 @@
 	struct upstream_pool *pool;
 	struct routes *routes; /* of the deployment; NULL before there is one */
 	GQueue held_requests;  /* of struct held_request */
+	uint32_t unsent_responses; /* complete, but not all of it sent */
 	int64_t started_ms;
 	void *driver;		  /* of opts.driver; NULL for none */
 	struct evhttp *callers;	  /* native interface; NULL with a driver */
@@ -78,7 +79,8 @@
 	GRand *random;
 	task_fn shutdown_done;
 	void *shutdown_arg;
-	int64_t shutdown_deadline_ms;
+	int64_t shutdown_began_ms;
+	int64_t shutdown_deadline_ms; /* end of limits.drain_ms */
 	int64_t reject_from_ms; /* end of limits.linger_ms, during shutdown */
 	int64_t status_sent_ms;
 };
--- /dev/null
+++ b/entry/shutdown.c
@@ -0,0 +1,119 @@
+/* The planned stop of an entry. */
+#include <inttypes.h>
+
+#include "common/log.h"
+#include "entry/call.h"
+#include "entry/shutdown.h"
+
+static const struct log shutdown_log = { "shutdown" };
+
+/** Requests without a complete response, by how far they have come. */
+struct open_requests {
+	uint32_t queued;	   /* waiting for a slot */
+	uint32_t sent;		   /* at an endpoint, no response yet */
+	uint32_t responding;	   /* the response has started */
+	uint32_t awaiting_replica; /* to be retried */
+	uint32_t booking;	   /* waiting for the booking ledger */
+	uint32_t held;		   /* waiting for a configuration */
+	uint32_t unsent;	   /* complete, but not all of it sent */
+	int64_t oldest_ms;	   /* age of the oldest call */
+};
+
+static void count_call(const struct call *call, struct open_requests *open)
+{
+	int64_t age_ms = (entry_now_us(call->entry) - call->started_us) / 1000;
+
+	open->oldest_ms = MAX(open->oldest_ms, age_ms);
+	if (call->response_started)
+		open->responding++;
+	else if (call->state == CALL_QUEUED)
+		open->queued++;
+	else if (call->state == CALL_DISPATCHED)
+		open->sent++;
+	else if (call->state == CALL_AWAITING_REPLICA)
+		open->awaiting_replica++;
+	else
+		open->booking++;
+}
+
+static void count_open(const struct entry *entry, struct open_requests *open)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	*open = (struct open_requests){
+		.held = entry->held_requests.length,
+		.unsent = entry->unsent_responses,
+	};
+	g_hash_table_iter_init(&iter, entry->calls);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		count_call(key, open);
+}
+
+static void log_phase(const struct entry *entry, const char *phase)
+{
+	struct open_requests open;
+
+	count_open(entry, &open);
+	log_note(&shutdown_log,
+		 "%s elapsed_ms=%" PRId64 " queued=%u sent=%u responding=%u "
+		 "awaiting_replica=%u booking=%u held=%u unsent=%u "
+		 "oldest_ms=%" PRId64,
+		 phase, entry_now_ms(entry) - entry->shutdown_began_ms,
+		 open.queued, open.sent, open.responding, open.awaiting_replica,
+		 open.booking, open.held, open.unsent, open.oldest_ms);
+}
+
+void shutdown_begin(struct entry *entry, task_fn done, void *arg)
+{
+	const struct limit_settings *limits = &entry->opts.settings->limits;
+	int64_t now = entry_now_ms(entry);
+
+	entry->draining = true;
+	entry_send_status(entry);
+	entry->shutdown_done = done;
+	entry->shutdown_arg = arg;
+	entry->shutdown_began_ms = now;
+	entry->shutdown_deadline_ms = now + limits->drain_ms;
+	entry->reject_from_ms = now + limits->linger_ms;
+	log_phase(entry, "stop began; no longer advertised to callers");
+}
+
+void shutdown_tick(struct entry *entry)
+{
+	if (!entry->shutdown_done)
+		return;
+	/*
+	 * Callers that have not yet learned of the shutdown still send their
+	 * requests here, so these are accepted for limits.linger_ms.
+	 */
+	if (entry_now_ms(entry) < entry->reject_from_ms)
+		return;
+	if (!entry->rejecting_requests)
+		log_phase(entry, "stop: rejecting new requests");
+	entry->rejecting_requests = true;
+	if (g_hash_table_size(entry->calls) &&
+	    entry_now_ms(entry) < entry->shutdown_deadline_ms)
+		return;
+	log_phase(entry, "stop finished");
+	entry->shutdown_done(entry->shutdown_arg);
+	entry->shutdown_done = NULL;
+}
+
+void shutdown_log_dropped(const struct entry *entry)
+{
+	struct open_requests open;
+	uint32_t dropped;
+
+	count_open(entry, &open);
+	dropped = g_hash_table_size(entry->calls) + open.held + open.unsent;
+	if (!dropped)
+		return;
+	log_warn(&shutdown_log,
+		 "process ends without completing responses dropped=%u "
+		 "queued=%u sent=%u responding=%u awaiting_replica=%u "
+		 "booking=%u held=%u unsent=%u oldest_ms=%" PRId64,
+		 dropped, open.queued, open.sent, open.responding,
+		 open.awaiting_replica, open.booking, open.held, open.unsent,
+		 open.oldest_ms);
+}
--- /dev/null
+++ b/entry/shutdown.h
@@ -0,0 +1,21 @@
+/**
+ * @file
+ * The planned stop of an entry: it goes on accepting requests for
+ * limits.linger_ms, rejects further ones, and ends once no call is left or
+ * limits.drain_ms has passed. Everything here runs on the entry task.
+ */
+#ifndef ENTRY_SHUTDOWN_H
+#define ENTRY_SHUTDOWN_H
+
+#include "entry/entry_internal.h"
+
+/** Starts the stop; done(arg) is called once, from shutdown_tick(). */
+void shutdown_begin(struct entry *entry, task_fn done, void *arg);
+
+/** Advances the stop, if there is one. */
+void shutdown_tick(struct entry *entry);
+
+/** Logs the requests that the end of the entry leaves without a response. */
+void shutdown_log_dropped(const struct entry *entry);
+
+#endif
--- a/entry/take.c
+++ b/entry/take.c
@@ -39,6 +39,7 @@
 		 " host=%s target=%s",
 		 request->id, rd_result_info(code)->name, d ? d->revision : 0,
 		 request->host, request->target);
+	http_track_response(request->req, &r->entry->unsent_responses);
 	request->format->send_error(request->req, &problem);
 	request->format->free_data(request->data);
 }
