test: scripts can stop nodes by signals and read late

What the scripts lacked to reproduce the requests lost around stops:

- test_proc: "signal" sends a series of signals to a node or a fake, "check-running", "wait-metric", "await-outcome" (a final response that fits a request that was not run, or one that may have run), and "get" with receive= and held=, whose client reads nothing until "release"; plain endpoints with large answers (size=).
- test_platform_proc: "wait-metric", and "request-begin ... once=1", which isn't repeated, so that "request-end" prints "no answer".

"wait-tokens" of a stream that has ended with fewer tokens now prints that at once; it waited 60 s and ended the program before. Both fail the test.

The same scripts run with the same checks.

--- a/test/fakes/fake_service.c
+++ b/test/fakes/fake_service.c
@@ -20,6 +20,7 @@
 	GHashTable *counts; /* key -> runs */
 	GPtrArray *endpoints;
 	int delay_ms;
+	char *padding; /* added to each answer; NULL for none */
 };
 
 struct endpoint {
@@ -37,7 +38,7 @@
 struct arguments {
 	const char *host, *name, *prefix, *entries, *key_file, *control_file,
 		*runs_file;
-	int count, delay_ms;
+	int count, delay_ms, body_bytes;
 };
 
 static const struct argp_option options[] = {
@@ -52,6 +53,7 @@
 	{ "runs", 'r', "FILE", 0, "file to which each run is appended", 0 },
 	{ "count", 'm', "N", 0, "number of endpoints", 0 },
 	{ "delay-ms", 'd', "MS", 0, "duration of a call", 0 },
+	{ "body-bytes", 'b', "N", 0, "bytes added to each answer", 0 },
 	{ 0 }
 };
 
@@ -87,6 +89,9 @@
 	case 'd':
 		a->delay_ms = atoi(arg);
 		break;
+	case 'b':
+		a->body_bytes = atoi(arg);
+		break;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
@@ -124,6 +129,9 @@
 	json_t *body = json_pack("{s:s,s:s,s:i}", "key", p->key, "endpoint",
 				 p->endpoint->name, "run", p->runs);
 
+	if (p->endpoint->service->padding)
+		json_object_set_new(body, "padding",
+				    json_string(p->endpoint->service->padding));
 	p->endpoint->running--;
 	if (!p->disconnected)
 		http_unwatch_disconnect(p->req, 600);
@@ -303,6 +311,8 @@
 	service.base = event_base_new();
 	service.name = a.name;
 	service.delay_ms = a.delay_ms;
+	if (a.body_bytes)
+		service.padding = g_strnfill((gsize)a.body_bytes, 'x');
 	service.counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       NULL);
 	service.runs = fopen(a.runs_file, "a");
--- a/test/jobs.c
+++ b/test/jobs.c
@@ -11,8 +11,9 @@
 #include "test/jobs.h"
 
 #define READ_TIMEOUT_S 60
+#define RELEASE_POLL_US 1000
 
-static int connect_address(const char *text)
+static int connect_address(const char *text, int receive_bytes)
 {
 	struct address address;
 	struct timeval timeout = { READ_TIMEOUT_S, 0 };
@@ -22,6 +23,9 @@
 		return -1;
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+	if (receive_bytes)
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+			   sizeof(receive_bytes));
 	if (!connect(fd, (struct sockaddr *)&address.socket,
 		     sizeof(address.socket)))
 		return fd;
@@ -190,6 +194,12 @@
 						   : JOB_TRUNCATED;
 }
 
+static void wait_for_release(const struct job *job)
+{
+	while (g_atomic_int_get(&job->held))
+		usleep(RELEASE_POLL_US);
+}
+
 static void *run_job(void *arg)
 {
 	struct job *job = arg;
@@ -205,9 +215,10 @@
 					job->key, job->headers,
 					strlen(job->body), job->body);
 
-	r.fd = connect_address(job->address);
+	r.fd = connect_address(job->address, job->receive_bytes);
 	job->result = JOB_NO_ANSWER;
 	if (r.fd >= 0 && send_all(r.fd, request, strlen(request))) {
+		wait_for_release(job);
 		while (!r.complete && read_more(&r))
 			;
 		job->result = classify_result(&r);
@@ -218,6 +229,7 @@
 	job->answer = g_string_free(r.body, FALSE);
 	g_string_free(r.raw, TRUE);
 	g_free(request);
+	g_atomic_int_set(&job->ended, 1);
 	return NULL;
 }
 
@@ -235,14 +247,22 @@
 	job->stream = opts->stream;
 	job->tokens = opts->tokens;
 	job->read_pause_ms = opts->read_pause_ms;
+	job->receive_bytes = opts->receive_bytes;
+	job->held = opts->held;
 	job->started_us = g_get_monotonic_time();
 	if (pthread_create(&job->thread, NULL, run_job, job))
 		abort();
 	return job;
 }
 
+void job_release(struct job *job)
+{
+	g_atomic_int_set(&job->held, 0);
+}
+
 void job_join(struct job *job)
 {
+	job_release(job);
 	if (!job->joined)
 		pthread_join(job->thread, NULL);
 	job->joined = true;
--- a/test/jobs.h
+++ b/test/jobs.h
@@ -4,7 +4,7 @@
  * its own.
  *
  * The thread owns the job until job_join() returns. Before that, only
- * `tokens_received` may be read.
+ * `tokens_received` and `ended` may be read and job_release() called.
  */
 #ifndef TEST_JOBS_H
 #define TEST_JOBS_H
@@ -32,12 +32,15 @@
 	char *headers; /* lines ending in CRLF */
 	char *method;
 	bool stream;
-	int tokens;	   /* expected; 0 to accept any body */
-	int read_pause_ms; /* pause before each read, for a slow client */
+	int tokens;	    /* expected; 0 to accept any body */
+	int read_pause_ms;  /* pause before each read, for a slow client */
+	int receive_bytes;  /* size of the receive buffer; 0 for the default */
+	volatile gint held; /* read nothing until job_release() */
 
 	pthread_t thread;
 	bool joined;
 	volatile int tokens_received; /* in order, without gaps */
+	volatile gint ended;
 	enum job_result result;
 	int status;
 	char *answer; /* response body as far as it was received */
@@ -49,6 +52,9 @@
 /** Starts a request; copies the strings of `opts`. */
 struct job *job_start(const struct job *opts);
 
+/** Lets a job that was started with `held` read its response. */
+void job_release(struct job *job);
+
 /** Waits until the request has ended. */
 void job_join(struct job *job);
 
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -1,6 +1,7 @@
 /*
- * Scripts for interface = "platform" with real processes: three control VMs, an
- * entry, and an endpoint of a plain service that runs in this program.
+ * Runs one script for interface = "platform" with real processes: three control
+ * VMs, an entry, and an endpoint of a plain service that runs in this program.
+ * usage: test_platform_proc SCRIPT
  */
 #include <errno.h>
 #include <setjmp.h>
@@ -55,6 +56,7 @@
 /** A request that is sent on a thread of its own. */
 struct background_request {
 	char *address, *path;
+	bool once; /* not retried */
 	struct fetch_response answer;
 };
 
@@ -464,7 +466,7 @@
 
 /* ---- a request in the background ---- */
 
-/* Retries until it gets a response; the first response is the result. */
+/* Retries, unless `once`, until it gets a response, which is the result. */
 static gpointer run_background_request(gpointer ctx)
 {
 	struct background_request *background = ctx;
@@ -483,19 +485,22 @@
 
 	while (!fetch(&request, &background->answer) ||
 	       !background->answer.status) {
+		if (background->once)
+			break;
 		fetch_clear(&background->answer);
 		usleep(POLL_US);
 	}
 	return NULL;
 }
 
-/* request-begin PATH: sends a request to the entry, without waiting. */
+/* request-begin PATH [once=1]: sends a request to the entry in a thread. */
 static void do_request_begin(struct script *s)
 {
 	struct platform_test *test = s->ctx;
 
 	test->background.address = address_of(test, NODES, PORT_CALLERS);
 	test->background.path = g_strdup(s->words[1]);
+	test->background.once = script_number(s, "once", 0);
 	test->background_thread = g_thread_new(
 		"request", run_background_request, &test->background);
 }
@@ -504,12 +509,17 @@
 static void do_request_end(struct script *s)
 {
 	struct platform_test *test = s->ctx;
+	const struct fetch_response *answer = &test->background.answer;
 
 	g_thread_join(test->background_thread);
-	script_print(s, "%s: %d %s", test->background.path,
-		     test->background.answer.status,
-		     test->background.answer.body ? test->background.answer.body
-						  : "");
+	if (!answer->status)
+		script_print(s, "%s: no answer", test->background.path);
+	else if (answer->status != 200)
+		script_print(s, "%s: %d", test->background.path,
+			     answer->status);
+	else
+		script_print(s, "%s: 200 %s", test->background.path,
+			     answer->body);
 	fetch_clear(&test->background.answer);
 	g_free(test->background.address);
 	g_free(test->background.path);
@@ -640,6 +650,28 @@
 	fetch_clear(&answer);
 }
 
+/* wait-metric NODE NAME VALUE: waits until a counter has the value. */
+static void do_wait_metric(struct script *s)
+{
+	char *line = g_strdup_printf("\nradishdeal_%s %s\n", s->words[2],
+				     s->words[3]);
+	gint64 deadline = cluster_now_ms() + WAIT_MS;
+	bool found = false;
+
+	while (!found && cluster_now_ms() < deadline) {
+		struct fetch_response answer;
+
+		get_until(s, atoi(s->words[1]), PORT_METRICS, "/metrics", "200",
+			  &answer);
+		found = answer.body && strstr(answer.body, line);
+		fetch_clear(&answer);
+		usleep(POLL_US);
+	}
+	if (!found)
+		script_print(s, "%s is not %s", s->words[2], s->words[3]);
+	g_free(line);
+}
+
 static const struct script_command commands[] = {
 	{ "start", 0, do_start },
 	{ "start-endpoint", 0, do_start_endpoint },
@@ -657,6 +689,7 @@
 	{ "resolve", 1, do_resolve },
 	{ "readiness", 0, do_readiness },
 	{ "metrics", 2, do_metrics },
+	{ "wait-metric", 3, do_wait_metric },
 	{ 0 },
 };
 
@@ -704,35 +737,54 @@
 	g_free(test->folder);
 }
 
-static void run_case(const char *path, const struct script_command *table)
+static const char *script_path;
+
+static int set_up(void **state)
 {
-	struct platform_test test = { .folder = g_dir_make_tmp("radishdeal-"
-							       "XXXXXX",
-							       NULL) };
+	static struct platform_test test_storage;
+	struct platform_test *test = &test_storage;
 
-	g_mutex_init(&test.lock);
-	choose_ports(&test);
-	script_check(path, table, &test);
-	for (int i = 1; i <= NODES; i++)
-		(void)stop_node(&test, i, SIGKILL);
-	stop_endpoint(&test);
-	remove_folder(&test);
-	g_mutex_clear(&test.lock);
+	test->folder = g_dir_make_tmp("radishdeal-XXXXXX", NULL);
+	g_mutex_init(&test->lock);
+	choose_ports(test);
+	*state = test;
+	return 0;
+}
+
+static void test_script(void **state)
+{
+	script_check(script_path, commands, *state);
 }
 
-static void test_platform_proc(void **state)
+static int tear_down(void **state)
 {
-	(void)state;
-	script_check_folder("test/cases/platform-proc", commands, run_case);
+	struct platform_test *test = *state;
+
+	for (int i = 1; i <= NODES; i++)
+		(void)stop_node(test, i, SIGKILL);
+	stop_endpoint(test);
+	remove_folder(test);
+	g_mutex_clear(&test->lock);
+	return 0;
 }
 
-int main(void)
+int main(int argc, char **argv)
 {
-	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_platform_proc),
+	struct CMUnitTest test = {
+		.test_func = test_script,
+		.setup_func = set_up,
+		.teardown_func = tear_down,
 	};
+	char *name;
 
+	if (argc != 2) {
+		fprintf(stderr, "usage: test_platform_proc SCRIPT\n");
+		return 1;
+	}
 	signal(SIGPIPE, SIG_IGN);
 	evthread_use_pthreads();
-	return cmocka_run_group_tests_name("platform_proc", tests, NULL, NULL);
+	script_path = argv[1];
+	name = g_path_get_basename(script_path);
+	test.name = name;
+	return _cmocka_run_group_tests("platform_proc", &test, 1, NULL, NULL);
 }
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <cmocka.h>
@@ -27,6 +28,7 @@
 struct proc_test {
 	struct cluster *cluster;
 	GHashTable *jobs;	/* name -> struct job */
+	GHashTable *fakes;	/* name -> pid */
 	GPtrArray *engine_logs; /* of char * */
 	char *runs;	       /* file to which fake_service appends each run */
 	GHashTable *revisions; /* service -> revision accepted last */
@@ -116,6 +118,15 @@
 	cluster_start(cluster_of(s), atoi(s->words[1]));
 }
 
+static void start_fake(struct script *s, const char *program, const char *name,
+		       const char *const *arguments)
+{
+	pid_t pid = cluster_start_fake(cluster_of(s), program, name, arguments);
+
+	g_hash_table_insert(test_of(s)->fakes, g_strdup(name),
+			    GINT_TO_POINTER(pid));
+}
+
 /* engine NAME DOMAINS [OPTION...]: starts fake_engine. */
 static void do_engine(struct script *s)
 {
@@ -132,22 +143,22 @@
 
 	for (int i = 3; i < s->word_count; i++)
 		arguments[n++] = s->words[i];
-	cluster_start_fake(cluster_of(s), "fake_engine", s->words[1],
-			   arguments);
+	start_fake(s, "fake_engine", s->words[1], arguments);
 	g_ptr_array_add(test->engine_logs, log);
 }
 
-/* plain-endpoints N [delay=MS]: starts fake_service. */
+/* plain-endpoints N [delay=MS] [size=BYTES]: starts fake_service. */
 static void do_plain_endpoints(struct script *s)
 {
 	struct proc_test *test = test_of(s);
 	const char *delay = script_value(s, "delay", "5");
 	const char *const arguments[] = {
-		"--count", s->words[1], "--delay-ms", delay,
-		"--runs",  test->runs,	NULL,
+		"--count", s->words[1],	   "--delay-ms",
+		delay,	   "--body-bytes", script_value(s, "size", "0"),
+		"--runs",  test->runs,	   NULL,
 	};
 
-	cluster_start_fake(cluster_of(s), "fake_service", "plain", arguments);
+	start_fake(s, "fake_service", "plain", arguments);
 }
 
 /* ---- changes by operators ---- */
@@ -379,6 +390,56 @@
 	cluster_signal_node(cluster_of(s), node_of(s, s->words[1]), SIGTERM);
 }
 
+static int signal_number(struct script *s, const char *name)
+{
+	static const struct {
+		const char *name;
+		int number;
+	} signals[] = {
+		{ "SIGTERM", SIGTERM }, { "SIGINT", SIGINT },
+		{ "SIGHUP", SIGHUP },	{ "SIGSTOP", SIGSTOP },
+		{ "SIGCONT", SIGCONT },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++)
+		if (!strcmp(name, signals[i].name))
+			return signals[i].number;
+	script_fail(s, "unknown signal %s", name);
+}
+
+/*
+ * signal TARGET SIGNAL... [gap=MS]: sends signals to a node or a fake, `gap`
+ * apart.
+ */
+static void do_signal(struct script *s)
+{
+	gpointer fake = g_hash_table_lookup(test_of(s)->fakes, s->words[1]);
+	pid_t pid =
+		fake ? GPOINTER_TO_INT(fake)
+		     : cluster_of(s)->nodes[node_of(s, s->words[1]) - 1].pid;
+	useconds_t gap = (useconds_t)script_number(s, "gap", 0) * 1000;
+
+	for (int i = 2; i < s->word_count; i++) {
+		if (g_str_has_prefix(s->words[i], "gap="))
+			continue;
+		if (i > 2)
+			usleep(gap);
+		kill(pid, signal_number(s, s->words[i]));
+	}
+}
+
+/* check-running NODE: prints whether the process still exists. */
+static void do_check_running(struct script *s)
+{
+	int node = atoi(s->words[1]);
+	siginfo_t info = { 0 };
+
+	waitid(P_PID, (id_t)cluster_of(s)->nodes[node - 1].pid, &info,
+	       WEXITED | WNOHANG | WNOWAIT);
+	script_print(s, "node %d %s", node,
+		     info.si_pid ? "has ended" : "is running");
+}
+
 static void do_wait_exit(struct script *s)
 {
 	script_print(s, "exit status %d",
@@ -560,6 +621,28 @@
 	script_print(s, "node %s serves", s->words[1]);
 }
 
+static bool metric_reached(struct script *s)
+{
+	char *line = g_strdup_printf("\nradishdeal_%s ", s->words[2]);
+	struct fetch_response answer;
+	const char *found = NULL;
+	bool reached;
+
+	if (cluster_operator_request(cluster_of(s), atoi(s->words[1]), "GET",
+				     "/v1/metrics", NULL, &answer))
+		found = strstr(answer.body, line);
+	reached = found && atoi(found + strlen(line)) >= atoi(s->words[3]);
+	fetch_clear(&answer);
+	g_free(line);
+	return reached;
+}
+
+/* wait-metric NODE NAME VALUE: waits until a counter has reached a value. */
+static void do_wait_metric(struct script *s)
+{
+	wait_until(s, metric_reached, "value of a counter");
+}
+
 static void do_print_revision(struct script *s)
 {
 	struct cluster *c = cluster_of(s);
@@ -692,6 +775,8 @@
 		.key = (char *)account_key_of(s),
 		.method = (char *)"GET",
 		.path = (char *)script_value(s, "path", "/services/queue/"),
+		.receive_bytes = (int)script_number(s, "receive", 0),
+		.held = (gint)script_number(s, "held", 0),
 	};
 
 	keep_job(s, &opts);
@@ -762,14 +847,54 @@
 				     names[i]);
 }
 
+/*
+ * await-outcome NAME...: prints whether the response is a final one of those
+ * that fit a request that was not run, or one that may have run.
+ */
+static void do_await_outcome(struct script *s)
+{
+	for (int i = 1; i < s->word_count; i++) {
+		struct job *job = find_job(s, s->words[i]);
+		char *text;
+
+		job_join(job);
+		text = job_describe(job);
+		if (job->status == 503 && !strcmp(text, "refused draining "
+							"not-run"))
+			script_print(s, "%s: draining, not run", job->name);
+		else if ((job->status == 502 || job->status == 504) &&
+			 g_str_has_suffix(text, " unknown"))
+			script_print(s, "%s: may have run", job->name);
+		else
+			script_print(s, "%s: %s, status %d", job->name, text,
+				     job->status);
+		g_free(text);
+	}
+}
+
+/* release NAME...: lets held jobs read their responses. */
+static void do_release(struct script *s)
+{
+	for (int i = 1; i < s->word_count; i++)
+		job_release(find_job(s, s->words[i]));
+}
+
 static bool has_tokens(struct script *s)
 {
-	return find_job(s, s->words[1])->tokens_received >= atoi(s->words[2]);
+	struct job *job = find_job(s, s->words[1]);
+
+	return g_atomic_int_get(&job->ended) ||
+	       job->tokens_received >= atoi(s->words[2]);
 }
 
 static void do_wait_tokens(struct script *s)
 {
+	const struct job *job = find_job(s, s->words[1]);
+
 	wait_until(s, has_tokens, "tokens received");
+	if (job->tokens_received < atoi(s->words[2]))
+		script_print(s, "%s ended with %d tokens", job->name,
+			     job->tokens_received);
 }
 
 /* disconnect [after=MS]: starts a stream and closes its connection. */
@@ -888,6 +1013,8 @@
 	{ "restart", 1, do_restart },
 	{ "wipe", 1, do_wipe },
 	{ "terminate", 1, do_terminate },
+	{ "signal", 2, do_signal },
+	{ "check-running", 1, do_check_running },
 	{ "wait-exit", 1, do_wait_exit },
 	{ "isolate", 2, do_isolate },
 	{ "link", 3, do_link },
@@ -900,6 +1027,7 @@
 	{ "wait-leader", 0, do_wait_leader },
 	{ "wait-applied", 1, do_wait_applied },
 	{ "wait-serving", 2, do_wait_serving },
+	{ "wait-metric", 3, do_wait_metric },
 	{ "print-revision", 1, do_print_revision },
 	{ "stream", 1, do_stream },
 	{ "chat", 1, do_chat },
@@ -909,6 +1037,8 @@
 	{ "book-many", 2, do_book_many },
 	{ "await", 1, do_await },
 	{ "await-all", 1, do_await_all },
+	{ "await-outcome", 1, do_await_outcome },
+	{ "release", 1, do_release },
 	{ "wait-tokens", 2, do_wait_tokens },
 	{ "disconnect", 0, do_disconnect },
 	{ "wait-idle", 0, do_wait_idle },
@@ -922,32 +1052,51 @@
 
 static const char *script_path;
 
+static int set_up(void **state)
+{
+	struct proc_test *test = g_new0(struct proc_test, 1);
+
+	test->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   (GDestroyNotify)job_free);
+	test->fakes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    NULL);
+	test->engine_logs = g_ptr_array_new_with_free_func(g_free);
+	test->revisions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						NULL);
+	test->runs = g_strdup_printf("%s/radishdeal-runs-%d", g_get_tmp_dir(),
+				     (int)getpid());
+	*state = test;
+	return 0;
+}
+
 static void test_script(void **state)
 {
-	struct proc_test test = {
-		.jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      (GDestroyNotify)job_free),
-		.engine_logs = g_ptr_array_new_with_free_func(g_free),
-		.revisions = g_hash_table_new_full(g_str_hash, g_str_equal,
-						   g_free, NULL),
-	};
+	script_check(script_path, commands, *state);
+}
 
-	(void)state;
-	test.runs = g_strdup_printf("%s/radishdeal-runs-%d", g_get_tmp_dir(),
-				    (int)getpid());
-	script_check(script_path, commands, &test);
-	g_hash_table_unref(test.jobs);
-	if (test.cluster)
-		cluster_destroy(test.cluster);
-	g_ptr_array_unref(test.engine_logs);
-	g_hash_table_unref(test.revisions);
-	unlink(test.runs);
-	g_free(test.runs);
+static int tear_down(void **state)
+{
+	struct proc_test *test = *state;
+
+	if (test->cluster)
+		cluster_destroy(test->cluster);
+	g_hash_table_unref(test->jobs);
+	g_hash_table_unref(test->fakes);
+	g_ptr_array_unref(test->engine_logs);
+	g_hash_table_unref(test->revisions);
+	unlink(test->runs);
+	g_free(test->runs);
+	g_free(test);
+	return 0;
 }
 
 int main(int argc, char **argv)
 {
-	struct CMUnitTest test = { .test_func = test_script };
+	struct CMUnitTest test = {
+		.test_func = test_script,
+		.setup_func = set_up,
+		.teardown_func = tear_down,
+	};
 	char *name;
 
 	if (argc != 2) {
