test: script commands for uploads, kept connections and starts

- Clients: upload=BYTES, behind=BYTES (a further request behind the first one), kept=1 (a connection that has served a request), and hold=send or hold=read in place of held=1; "wait-sent", "await-answer" and "check-closes" (does the response announce the end of the connection).
- Processes: "signal-until-exit", "restart-held" and "finish-start" (a daemon that waits for its settings, which come through a FIFO), and "change-settings".

"wait-serving" of a node that has ended prints that at once; it waited 60 s and ended the program before.

--- a/test/jobs.c
+++ b/test/jobs.c
@@ -71,6 +71,7 @@
 	head = g_ascii_strdown(r->raw->str, -1);
 	sscanf(head, "http/1.%*d %d", &r->job->status);
 	r->chunked = strstr(head, "transfer-encoding: chunked") != NULL;
+	r->job->closes = strstr(head, "connection: close") != NULL;
 	length = strstr(head, "content-length: ");
 	r->remaining = r->chunked ? 0 : -1;
 	if (length)
@@ -194,31 +195,85 @@
 						   : JOB_TRUNCATED;
 }
 
-static void wait_for_release(const struct job *job)
+static void wait_for_release(const struct job *job, enum job_hold at)
 {
-	while (g_atomic_int_get(&job->held))
+	while (job->hold == at && !g_atomic_int_get(&job->released))
 		usleep(RELEASE_POLL_US);
 }
 
+static char *format_request(const struct job *job)
+{
+	char *upload = g_strnfill((gsize)job->upload_bytes, 'u');
+	const char *body = job->upload_bytes ? upload : job->body;
+	char *behind = g_strnfill((gsize)job->behind_bytes, 'b');
+	GString *text = g_string_new(NULL);
+
+	g_string_printf(text,
+			"%s %s HTTP/1.1\r\nHost: %s\r\n"
+			"Authorization: Bearer %s\r\n%s%s"
+			"Content-Length: %zu\r\n\r\n%s",
+			job->method, job->path, job->address, job->key,
+			job->behind_bytes || job->kept ? ""
+						       : "Connection: "
+							 "close\r\n",
+			job->headers, strlen(body), body);
+	if (job->behind_bytes)
+		g_string_append_printf(text,
+				       "POST %s HTTP/1.1\r\nHost: %s\r\n"
+				       "Authorization: Bearer %s\r\n"
+				       "Content-Length: %d\r\n\r\n%s",
+				       job->path, job->address, job->key,
+				       job->behind_bytes, behind);
+	g_free(upload);
+	g_free(behind);
+	return g_string_free(text, FALSE);
+}
+
+static bool send_request(const struct job *job, int fd)
+{
+	char *text = format_request(job);
+	size_t size = strlen(text);
+	size_t half = job->hold == JOB_HOLD_SEND ? size / 2 : 0;
+	bool sent = send_all(fd, text, half);
+
+	wait_for_release(job, JOB_HOLD_SEND);
+	sent = sent && send_all(fd, text + half, size - half);
+	g_free(text);
+	return sent;
+}
+
+/* Makes a request whose response leaves the connection open. */
+static bool use_connection(struct response_reader *r)
+{
+	char *text = g_strdup_printf("GET /v1/addresses HTTP/1.1\r\n"
+				     "Host: %s\r\n\r\n",
+				     r->job->address);
+	bool sent = send_all(r->fd, text, strlen(text));
+
+	g_free(text);
+	while (sent && !r->complete)
+		if (!read_more(r))
+			return false;
+	g_string_truncate(r->body, 0);
+	r->head_done = false;
+	r->complete = false;
+	r->job->status = 0;
+	return sent;
+}
+
 static void *run_job(void *arg)
 {
 	struct job *job = arg;
 	struct response_reader r = { .job = job,
 				     .raw = g_string_new(NULL),
 				     .body = g_string_new(NULL) };
-	char *request = g_strdup_printf("%s %s HTTP/1.1\r\nHost: "
-					"%s\r\nAuthorization: Bearer %s\r\n"
-					"Connection: "
-					"close\r\n%sContent-Length: "
-					"%zu\r\n\r\n%s",
-					job->method, job->path, job->address,
-					job->key, job->headers,
-					strlen(job->body), job->body);
 
 	r.fd = connect_address(job->address, job->receive_bytes);
 	job->result = JOB_NO_ANSWER;
-	if (r.fd >= 0 && send_all(r.fd, request, strlen(request))) {
-		wait_for_release(job);
+	if (r.fd >= 0 && (!job->kept || use_connection(&r)) &&
+	    send_request(job, r.fd)) {
+		g_atomic_int_set(&job->sent, 1);
+		wait_for_release(job, JOB_HOLD_READ);
 		while (!r.complete && read_more(&r))
 			;
 		job->result = classify_result(&r);
@@ -228,7 +283,6 @@
 	job->ended_us = g_get_monotonic_time();
 	job->answer = g_string_free(r.body, FALSE);
 	g_string_free(r.raw, TRUE);
-	g_free(request);
 	g_atomic_int_set(&job->ended, 1);
 	return NULL;
 }
@@ -248,7 +302,10 @@
 	job->tokens = opts->tokens;
 	job->read_pause_ms = opts->read_pause_ms;
 	job->receive_bytes = opts->receive_bytes;
-	job->held = opts->held;
+	job->upload_bytes = opts->upload_bytes;
+	job->behind_bytes = opts->behind_bytes;
+	job->kept = opts->kept;
+	job->hold = opts->hold;
 	job->started_us = g_get_monotonic_time();
 	if (pthread_create(&job->thread, NULL, run_job, job))
 		abort();
@@ -257,7 +314,7 @@
 
 void job_release(struct job *job)
 {
-	g_atomic_int_set(&job->held, 0);
+	g_atomic_int_set(&job->released, 1);
 }
 
 void job_join(struct job *job)
--- a/test/jobs.h
+++ b/test/jobs.h
@@ -4,7 +4,7 @@
  * its own.
  *
  * The thread owns the job until job_join() returns. Before that, only
- * `tokens_received` and `ended` may be read and job_release() called.
+ * `tokens_received`, `sent` and `ended` may be read and job_release() called.
  */
 #ifndef TEST_JOBS_H
 #define TEST_JOBS_H
@@ -23,6 +23,13 @@
 	JOB_NO_ANSWER, /* no connection, or closed during head or error */
 };
 
+/** Where a client pauses until job_release(). */
+enum job_hold {
+	JOB_HOLD_NONE,
+	JOB_HOLD_SEND, /* after half of the request */
+	JOB_HOLD_READ, /* before it reads the response */
+};
+
 struct job {
 	char *name;
 	char *address;
@@ -32,17 +39,23 @@
 	char *headers; /* lines ending in CRLF */
 	char *method;
 	bool stream;
-	int tokens;	    /* expected; 0 to accept any body */
-	int read_pause_ms;  /* pause before each read, for a slow client */
-	int receive_bytes;  /* size of the receive buffer; 0 for the default */
-	volatile gint held; /* read nothing until job_release() */
+	int tokens;	   /* expected; 0 to accept any body */
+	int read_pause_ms; /* pause before each read, for a slow client */
+	int receive_bytes; /* size of the receive buffer; 0 for the default */
+	int upload_bytes;  /* size of a generated body, instead of `body` */
+	int behind_bytes;  /* size of a further request that is sent behind */
+	bool kept;	   /* the connection has already served a request */
+	enum job_hold hold;
+	volatile gint released;
 
 	pthread_t thread;
 	bool joined;
 	volatile int tokens_received; /* in order, without gaps */
+	volatile gint sent;	      /* the whole request */
 	volatile gint ended;
 	enum job_result result;
 	int status;
+	bool closes;  /* the response announces the end of the connection */
 	char *answer; /* response body as far as it was received */
 	int64_t started_us;
 	int64_t first_us; /* first token of a stream; 0 before */
@@ -52,7 +65,7 @@
 /** Starts a request; copies the strings of `opts`. */
 struct job *job_start(const struct job *opts);
 
-/** Lets a job that was started with `held` read its response. */
+/** Lets a client that pauses continue. */
 void job_release(struct job *job);
 
 /** Waits until the request has ended. */
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -2,6 +2,7 @@
  * Runs one test script against a cluster of real processes.
  * usage: test_proc SCRIPT
  */
+#include <fcntl.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -9,6 +10,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -23,6 +25,7 @@
 
 #define POLL_US 20000
 #define CHANGE_WAIT_MS 15000
+#define SIGNAL_INTERVAL_US 200
 
 /** State of the script that runs. */
 struct proc_test {
@@ -33,6 +36,7 @@
 	char *runs;	       /* file to which fake_service appends each run */
 	GHashTable *revisions; /* service -> revision accepted last */
 	int changes;
+	int settings_pipe; /* read by a starting daemon; -1 for none */
 };
 
 static struct proc_test *test_of(struct script *s)
@@ -380,6 +384,58 @@
 	cluster_start_node(cluster_of(s), atoi(s->words[1]));
 }
 
+/*
+ * restart-held NODE: starts a daemon that waits for its settings until
+ * `finish-start`.
+ */
+static void do_restart_held(struct script *s)
+{
+	struct proc_test *test = test_of(s);
+	struct cluster *c = cluster_of(s);
+	const char *path = c->nodes[atoi(s->words[1]) - 1].settings;
+	char *moved = g_strdup_printf("%s.moved", path);
+	gint64 deadline = cluster_now_ms() + CLUSTER_WAIT_MS;
+
+	assert_int_equal(rename(path, moved), 0);
+	assert_int_equal(mkfifo(path, 0600), 0);
+	cluster_start_node(c, atoi(s->words[1]));
+	while ((test->settings_pipe = open(path, O_WRONLY | O_NONBLOCK)) < 0) {
+		if (cluster_now_ms() > deadline)
+			cluster_fail("the daemon did not read its settings");
+		usleep(POLL_US);
+	}
+	assert_int_equal(rename(moved, path), 0);
+	g_free(moved);
+}
+
+static void do_finish_start(struct script *s)
+{
+	struct proc_test *test = test_of(s);
+	char *text = NULL;
+	gsize size = 0;
+
+	assert_true(g_file_get_contents(
+		cluster_of(s)->nodes[atoi(s->words[1]) - 1].settings, &text,
+		&size, NULL));
+	/* Fails if the daemon has ended, which the script checks later. */
+	if (write(test->settings_pipe, text, size) < 0)
+		perror("settings");
+	close(test->settings_pipe);
+	test->settings_pipe = -1;
+	g_free(text);
+}
+
+/* change-settings NODE TEXT: appends a line to the settings file. */
+static void do_change_settings(struct script *s)
+{
+	FILE *file = fopen(cluster_of(s)->nodes[atoi(s->words[1]) - 1].settings,
+			   "a");
+
+	assert_non_null(file);
+	fprintf(file, "%s\n", s->words[2]);
+	fclose(file);
+}
+
 static void do_wipe(struct script *s)
 {
 	cluster_wipe_node(cluster_of(s), atoi(s->words[1]));
@@ -428,16 +484,42 @@
 	}
 }
 
-/* check-running NODE: prints whether the process still exists. */
-static void do_check_running(struct script *s)
+static bool has_ended(struct script *s, int node)
 {
-	int node = atoi(s->words[1]);
 	siginfo_t info = { 0 };
 
 	waitid(P_PID, (id_t)cluster_of(s)->nodes[node - 1].pid, &info,
 	       WEXITED | WNOHANG | WNOWAIT);
+	return info.si_pid != 0;
+}
+
+/* check-running NODE: prints whether the process still exists. */
+static void do_check_running(struct script *s)
+{
+	int node = atoi(s->words[1]);
+
 	script_print(s, "node %d %s", node,
-		     info.si_pid ? "has ended" : "is running");
+		     has_ended(s, node) ? "has ended" : "is running");
+}
+
+/*
+ * signal-until-exit NODE SIGNAL: sends a signal again and again until the
+ * process has ended.
+ */
+static void do_signal_until_exit(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+	int node = node_of(s, s->words[1]);
+	int number = signal_number(s, s->words[2]);
+	gint64 deadline = cluster_now_ms() + CLUSTER_WAIT_MS;
+
+	while (!has_ended(s, node)) {
+		if (cluster_now_ms() > deadline)
+			cluster_fail("node %d did not exit", node);
+		kill(c->nodes[node - 1].pid, number);
+		usleep(SIGNAL_INTERVAL_US);
+	}
+	script_print(s, "exit status %d", cluster_wait_node_exit(c, node));
 }
 
 static void do_wait_exit(struct script *s)
@@ -597,7 +679,10 @@
 	script_print(s, "node %s has applied all commits", s->words[1]);
 }
 
-/* Whether an entry serves requests: any response but status 503. */
+/*
+ * Whether an entry serves requests: any response but status 503. Also holds
+ * when it has ended.
+ */
 static bool node_serves(struct script *s)
 {
 	struct cluster *c = cluster_of(s);
@@ -612,13 +697,14 @@
 	bool serves = fetch(&request, &answer) && answer.status != 503;
 
 	fetch_clear(&answer);
-	return serves;
+	return serves || has_ended(s, atoi(s->words[1]));
 }
 
 static void do_wait_serving(struct script *s)
 {
 	wait_until(s, node_serves, "entry serves requests");
-	script_print(s, "node %s serves", s->words[1]);
+	script_print(s, "node %s %s", s->words[1],
+		     has_ended(s, atoi(s->words[1])) ? "has ended" : "serves");
 }
 
 static bool metric_reached(struct script *s)
@@ -743,6 +829,21 @@
 	s->words[1] = prefix;
 }
 
+/* receive=, upload= and behind=BYTES, kept=1, hold=send|read */
+static void read_connection_options(const struct script *s, struct job *opts)
+{
+	const char *hold = script_value(s, "hold", "");
+
+	opts->receive_bytes = (int)script_number(s, "receive", 0);
+	opts->upload_bytes = (int)script_number(s, "upload", 0);
+	opts->behind_bytes = (int)script_number(s, "behind", 0);
+	opts->kept = script_number(s, "kept", 0);
+	if (!strcmp(hold, "send"))
+		opts->hold = JOB_HOLD_SEND;
+	else if (!strcmp(hold, "read"))
+		opts->hold = JOB_HOLD_READ;
+}
+
 static void do_book(struct script *s)
 {
 	const char *key = script_value(s, "key", NULL);
@@ -762,6 +863,7 @@
 		.headers = headers,
 	};
 
+	read_connection_options(s, &opts);
 	keep_job(s, &opts);
 	g_free(headers);
 }
@@ -775,10 +877,10 @@
 		.key = (char *)account_key_of(s),
 		.method = (char *)"GET",
 		.path = (char *)script_value(s, "path", "/services/queue/"),
-		.receive_bytes = (int)script_number(s, "receive", 0),
-		.held = (gint)script_number(s, "held", 0),
 	};
 
+	read_connection_options(s, &opts);
+
 	keep_job(s, &opts);
 }
 
@@ -872,6 +974,41 @@
 	}
 }
 
+/* await-answer NAME...: prints whether the response is complete. */
+static void do_await_answer(struct script *s)
+{
+	for (int i = 1; i < s->word_count; i++) {
+		struct job *job = find_job(s, s->words[i]);
+
+		job_join(job);
+		script_print(s, "%s: %s", job->name,
+			     job->result == JOB_COMPLETE ||
+					     job->result == JOB_REFUSED
+				     ? "answered"
+				     : "no complete answer");
+	}
+}
+
+static bool request_sent(struct script *s)
+{
+	return g_atomic_int_get(&find_job(s, s->words[1])->sent);
+}
+
+static void do_wait_sent(struct script *s)
+{
+	wait_until(s, request_sent, "request sent");
+}
+
+/* check-closes NAME: prints whether the response announces the end. */
+static void do_check_closes(struct script *s)
+{
+	struct job *job = find_job(s, s->words[1]);
+
+	job_join(job);
+	script_print(s, "%s: connection %s", job->name,
+		     job->closes ? "closes" : "stays open");
+}
+
 /* release NAME...: lets held jobs read their responses. */
 static void do_release(struct script *s)
 {
@@ -1011,9 +1148,13 @@
 	{ "pause", 1, do_pause },
 	{ "continue", 1, do_continue },
 	{ "restart", 1, do_restart },
+	{ "restart-held", 1, do_restart_held },
+	{ "finish-start", 1, do_finish_start },
+	{ "change-settings", 2, do_change_settings },
 	{ "wipe", 1, do_wipe },
 	{ "terminate", 1, do_terminate },
 	{ "signal", 2, do_signal },
+	{ "signal-until-exit", 2, do_signal_until_exit },
 	{ "check-running", 1, do_check_running },
 	{ "wait-exit", 1, do_wait_exit },
 	{ "isolate", 2, do_isolate },
@@ -1038,7 +1179,10 @@
 	{ "await", 1, do_await },
 	{ "await-all", 1, do_await_all },
 	{ "await-outcome", 1, do_await_outcome },
+	{ "await-answer", 1, do_await_answer },
 	{ "release", 1, do_release },
+	{ "wait-sent", 1, do_wait_sent },
+	{ "check-closes", 1, do_check_closes },
 	{ "wait-tokens", 2, do_wait_tokens },
 	{ "disconnect", 0, do_disconnect },
 	{ "wait-idle", 0, do_wait_idle },
@@ -1065,6 +1209,7 @@
 						NULL);
 	test->runs = g_strdup_printf("%s/radishdeal-runs-%d", g_get_tmp_dir(),
 				     (int)getpid());
+	test->settings_pipe = -1;
 	*state = test;
 	return 0;
 }
