--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -2,6 +2,7 @@
  * Runs one test script against a cluster of real processes.
  * usage: test_proc SCRIPT
  */
+#include <fcntl.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -9,6 +10,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <cmocka.h>
@@ -22,15 +25,18 @@
 
 #define POLL_US 20000
 #define CHANGE_WAIT_MS 15000
+#define SIGNAL_INTERVAL_US 200
 
 /** State of the script that runs. */
 struct proc_test {
 	struct cluster *cluster;
 	GHashTable *jobs;	/* name -> struct job */
+	GHashTable *fakes;	/* name -> pid */
 	GPtrArray *engine_logs; /* of char * */
 	char *runs;	       /* file to which fake_service appends each run */
 	GHashTable *revisions; /* service -> revision accepted last */
 	int changes;
+	int settings_pipe; /* read by a starting daemon; -1 for none */
 };
 
 static struct proc_test *test_of(struct script *s)
@@ -116,6 +122,15 @@
 	cluster_start(cluster_of(s), atoi(s->words[1]));
 }
 
+static void start_fake(struct script *s, const char *program, const char *name,
+		       const char *const *arguments)
+{
+	pid_t pid = cluster_start_fake(cluster_of(s), program, name, arguments);
+
+	g_hash_table_insert(test_of(s)->fakes, g_strdup(name),
+			    GINT_TO_POINTER(pid));
+}
+
 /* engine NAME DOMAINS [OPTION...]: starts fake_engine. */
 static void do_engine(struct script *s)
 {
@@ -132,22 +147,22 @@
 
 	for (int i = 3; i < s->word_count; i++)
 		arguments[n++] = s->words[i];
-	cluster_start_fake(cluster_of(s), "fake_engine", s->words[1],
-			   arguments);
+	start_fake(s, "fake_engine", s->words[1], arguments);
 	g_ptr_array_add(test->engine_logs, log);
 }
 
-/* plain-endpoints N [delay=MS]: starts fake_service. */
+/* plain-endpoints N [delay=MS] [size=BYTES]: starts fake_service. */
 static void do_plain_endpoints(struct script *s)
 {
 	struct proc_test *test = test_of(s);
 	const char *delay = script_value(s, "delay", "5");
 	const char *const arguments[] = {
-		"--count", s->words[1], "--delay-ms", delay,
-		"--runs",  test->runs,	NULL,
+		"--count", s->words[1],	   "--delay-ms",
+		delay,	   "--body-bytes", script_value(s, "size", "0"),
+		"--runs",  test->runs,	   NULL,
 	};
 
-	cluster_start_fake(cluster_of(s), "fake_service", "plain", arguments);
+	start_fake(s, "fake_service", "plain", arguments);
 }
 
 /* ---- changes by operators ---- */
@@ -369,6 +384,58 @@
 	cluster_start_node(cluster_of(s), atoi(s->words[1]));
 }
 
+/*
+ * restart-held NODE: starts a daemon that waits for its settings until
+ * `finish-start`.
+ */
+static void do_restart_held(struct script *s)
+{
+	struct proc_test *test = test_of(s);
+	struct cluster *c = cluster_of(s);
+	const char *path = c->nodes[atoi(s->words[1]) - 1].settings;
+	char *moved = g_strdup_printf("%s.moved", path);
+	gint64 deadline = cluster_now_ms() + CLUSTER_WAIT_MS;
+
+	assert_int_equal(rename(path, moved), 0);
+	assert_int_equal(mkfifo(path, 0600), 0);
+	cluster_start_node(c, atoi(s->words[1]));
+	while ((test->settings_pipe = open(path, O_WRONLY | O_NONBLOCK)) < 0) {
+		if (cluster_now_ms() > deadline)
+			cluster_fail("the daemon did not read its settings");
+		usleep(POLL_US);
+	}
+	assert_int_equal(rename(moved, path), 0);
+	g_free(moved);
+}
+
+static void do_finish_start(struct script *s)
+{
+	struct proc_test *test = test_of(s);
+	char *text = NULL;
+	gsize size = 0;
+
+	assert_true(g_file_get_contents(
+		cluster_of(s)->nodes[atoi(s->words[1]) - 1].settings, &text,
+		&size, NULL));
+	/* Fails if the daemon has ended, which the script checks later. */
+	if (write(test->settings_pipe, text, size) < 0)
+		perror("settings");
+	close(test->settings_pipe);
+	test->settings_pipe = -1;
+	g_free(text);
+}
+
+/* change-settings NODE TEXT: appends a line to the settings file. */
+static void do_change_settings(struct script *s)
+{
+	FILE *file = fopen(cluster_of(s)->nodes[atoi(s->words[1]) - 1].settings,
+			   "a");
+
+	assert_non_null(file);
+	fprintf(file, "%s\n", s->words[2]);
+	fclose(file);
+}
+
 static void do_wipe(struct script *s)
 {
 	cluster_wipe_node(cluster_of(s), atoi(s->words[1]));
@@ -379,6 +446,82 @@
 	cluster_signal_node(cluster_of(s), node_of(s, s->words[1]), SIGTERM);
 }
 
+static int signal_number(struct script *s, const char *name)
+{
+	static const struct {
+		const char *name;
+		int number;
+	} signals[] = {
+		{ "SIGTERM", SIGTERM }, { "SIGINT", SIGINT },
+		{ "SIGHUP", SIGHUP },	{ "SIGSTOP", SIGSTOP },
+		{ "SIGCONT", SIGCONT },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++)
+		if (!strcmp(name, signals[i].name))
+			return signals[i].number;
+	script_fail(s, "unknown signal %s", name);
+}
+
+/*
+ * signal TARGET SIGNAL... [gap=MS]: sends signals to a node or a fake, `gap`
+ * apart.
+ */
+static void do_signal(struct script *s)
+{
+	gpointer fake = g_hash_table_lookup(test_of(s)->fakes, s->words[1]);
+	pid_t pid =
+		fake ? GPOINTER_TO_INT(fake)
+		     : cluster_of(s)->nodes[node_of(s, s->words[1]) - 1].pid;
+	useconds_t gap = (useconds_t)script_number(s, "gap", 0) * 1000;
+
+	for (int i = 2; i < s->word_count; i++) {
+		if (g_str_has_prefix(s->words[i], "gap="))
+			continue;
+		if (i > 2)
+			usleep(gap);
+		kill(pid, signal_number(s, s->words[i]));
+	}
+}
+
+static bool has_ended(struct script *s, int node)
+{
+	siginfo_t info = { 0 };
+
+	waitid(P_PID, (id_t)cluster_of(s)->nodes[node - 1].pid, &info,
+	       WEXITED | WNOHANG | WNOWAIT);
+	return info.si_pid != 0;
+}
+
+/* check-running NODE: prints whether the process still exists. */
+static void do_check_running(struct script *s)
+{
+	int node = atoi(s->words[1]);
+
+	script_print(s, "node %d %s", node,
+		     has_ended(s, node) ? "has ended" : "is running");
+}
+
+/*
+ * signal-until-exit NODE SIGNAL: sends a signal again and again until the
+ * process has ended.
+ */
+static void do_signal_until_exit(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+	int node = node_of(s, s->words[1]);
+	int number = signal_number(s, s->words[2]);
+	gint64 deadline = cluster_now_ms() + CLUSTER_WAIT_MS;
+
+	while (!has_ended(s, node)) {
+		if (cluster_now_ms() > deadline)
+			cluster_fail("node %d did not exit", node);
+		kill(c->nodes[node - 1].pid, number);
+		usleep(SIGNAL_INTERVAL_US);
+	}
+	script_print(s, "exit status %d", cluster_wait_node_exit(c, node));
+}
+
 static void do_wait_exit(struct script *s)
 {
 	script_print(s, "exit status %d",
@@ -536,7 +679,10 @@
 	script_print(s, "node %s has applied all commits", s->words[1]);
 }
 
-/* Whether an entry serves requests: any response but status 503. */
+/*
+ * Whether an entry serves requests: any response but status 503. Also holds
+ * when it has ended.
+ */
 static bool node_serves(struct script *s)
 {
 	struct cluster *c = cluster_of(s);
@@ -551,13 +697,36 @@
 	bool serves = fetch(&request, &answer) && answer.status != 503;
 
 	fetch_clear(&answer);
-	return serves;
+	return serves || has_ended(s, atoi(s->words[1]));
 }
 
 static void do_wait_serving(struct script *s)
 {
 	wait_until(s, node_serves, "entry serves requests");
-	script_print(s, "node %s serves", s->words[1]);
+	script_print(s, "node %s %s", s->words[1],
+		     has_ended(s, atoi(s->words[1])) ? "has ended" : "serves");
+}
+
+static bool metric_reached(struct script *s)
+{
+	char *line = g_strdup_printf("\nradishdeal_%s ", s->words[2]);
+	struct fetch_response answer;
+	const char *found = NULL;
+	bool reached;
+
+	if (cluster_operator_request(cluster_of(s), atoi(s->words[1]), "GET",
+				     "/v1/metrics", NULL, &answer))
+		found = strstr(answer.body, line);
+	reached = found && atoi(found + strlen(line)) >= atoi(s->words[3]);
+	fetch_clear(&answer);
+	g_free(line);
+	return reached;
+}
+
+/* wait-metric NODE NAME VALUE: waits until a counter has reached a value. */
+static void do_wait_metric(struct script *s)
+{
+	wait_until(s, metric_reached, "value of a counter");
 }
 
 static void do_print_revision(struct script *s)
@@ -660,6 +829,21 @@
 	s->words[1] = prefix;
 }
 
+/* receive=, upload= and behind=BYTES, kept=1, hold=send|read */
+static void read_connection_options(const struct script *s, struct job *opts)
+{
+	const char *hold = script_value(s, "hold", "");
+
+	opts->receive_bytes = (int)script_number(s, "receive", 0);
+	opts->upload_bytes = (int)script_number(s, "upload", 0);
+	opts->behind_bytes = (int)script_number(s, "behind", 0);
+	opts->kept = script_number(s, "kept", 0);
+	if (!strcmp(hold, "send"))
+		opts->hold = JOB_HOLD_SEND;
+	else if (!strcmp(hold, "read"))
+		opts->hold = JOB_HOLD_READ;
+}
+
 static void do_book(struct script *s)
 {
 	const char *key = script_value(s, "key", NULL);
@@ -679,6 +863,7 @@
 		.headers = headers,
 	};
 
+	read_connection_options(s, &opts);
 	keep_job(s, &opts);
 	g_free(headers);
 }
@@ -694,6 +879,8 @@
 		.path = (char *)script_value(s, "path", "/services/queue/"),
 	};
 
+	read_connection_options(s, &opts);
+
 	keep_job(s, &opts);
 }
 
@@ -762,14 +949,89 @@
 				     names[i]);
 }
 
+/*
+ * await-outcome NAME...: prints whether the response is a final one of those
+ * that fit a request that was not run, or one that may have run.
+ */
+static void do_await_outcome(struct script *s)
+{
+	for (int i = 1; i < s->word_count; i++) {
+		struct job *job = find_job(s, s->words[i]);
+		char *text;
+
+		job_join(job);
+		text = job_describe(job);
+		if (job->status == 503 && !strcmp(text, "refused draining "
+							"not-run"))
+			script_print(s, "%s: draining, not run", job->name);
+		else if ((job->status == 502 || job->status == 504) &&
+			 g_str_has_suffix(text, " unknown"))
+			script_print(s, "%s: may have run", job->name);
+		else
+			script_print(s, "%s: %s, status %d", job->name, text,
+				     job->status);
+		g_free(text);
+	}
+}
+
+/* await-answer NAME...: prints whether the response is complete. */
+static void do_await_answer(struct script *s)
+{
+	for (int i = 1; i < s->word_count; i++) {
+		struct job *job = find_job(s, s->words[i]);
+
+		job_join(job);
+		script_print(s, "%s: %s", job->name,
+			     job->result == JOB_COMPLETE ||
+					     job->result == JOB_REFUSED
+				     ? "answered"
+				     : "no complete answer");
+	}
+}
+
+static bool request_sent(struct script *s)
+{
+	return g_atomic_int_get(&find_job(s, s->words[1])->sent);
+}
+
+static void do_wait_sent(struct script *s)
+{
+	wait_until(s, request_sent, "request sent");
+}
+
+/* check-closes NAME: prints whether the response announces the end. */
+static void do_check_closes(struct script *s)
+{
+	struct job *job = find_job(s, s->words[1]);
+
+	job_join(job);
+	script_print(s, "%s: connection %s", job->name,
+		     job->closes ? "closes" : "stays open");
+}
+
+/* release NAME...: lets held jobs read their responses. */
+static void do_release(struct script *s)
+{
+	for (int i = 1; i < s->word_count; i++)
+		job_release(find_job(s, s->words[i]));
+}
+
 static bool has_tokens(struct script *s)
 {
-	return find_job(s, s->words[1])->tokens_received >= atoi(s->words[2]);
+	struct job *job = find_job(s, s->words[1]);
+
+	return g_atomic_int_get(&job->ended) ||
+	       job->tokens_received >= atoi(s->words[2]);
 }
 
 static void do_wait_tokens(struct script *s)
 {
+	const struct job *job = find_job(s, s->words[1]);
+
 	wait_until(s, has_tokens, "tokens received");
+	if (job->tokens_received < atoi(s->words[2]))
+		script_print(s, "%s ended with %d tokens", job->name,
+			     job->tokens_received);
 }
 
 /* disconnect [after=MS]: starts a stream and closes its connection. */
@@ -886,8 +1148,14 @@
 	{ "pause", 1, do_pause },
 	{ "continue", 1, do_continue },
 	{ "restart", 1, do_restart },
+	{ "restart-held", 1, do_restart_held },
+	{ "finish-start", 1, do_finish_start },
+	{ "change-settings", 2, do_change_settings },
 	{ "wipe", 1, do_wipe },
 	{ "terminate", 1, do_terminate },
+	{ "signal", 2, do_signal },
+	{ "signal-until-exit", 2, do_signal_until_exit },
+	{ "check-running", 1, do_check_running },
 	{ "wait-exit", 1, do_wait_exit },
 	{ "isolate", 2, do_isolate },
 	{ "link", 3, do_link },
@@ -900,6 +1168,7 @@
 	{ "wait-leader", 0, do_wait_leader },
 	{ "wait-applied", 1, do_wait_applied },
 	{ "wait-serving", 2, do_wait_serving },
+	{ "wait-metric", 3, do_wait_metric },
 	{ "print-revision", 1, do_print_revision },
 	{ "stream", 1, do_stream },
 	{ "chat", 1, do_chat },
@@ -909,6 +1178,11 @@
 	{ "book-many", 2, do_book_many },
 	{ "await", 1, do_await },
 	{ "await-all", 1, do_await_all },
+	{ "await-outcome", 1, do_await_outcome },
+	{ "await-answer", 1, do_await_answer },
+	{ "release", 1, do_release },
+	{ "wait-sent", 1, do_wait_sent },
+	{ "check-closes", 1, do_check_closes },
 	{ "wait-tokens", 2, do_wait_tokens },
 	{ "disconnect", 0, do_disconnect },
 	{ "wait-idle", 0, do_wait_idle },
@@ -922,32 +1196,52 @@
 
 static const char *script_path;
 
+static int set_up(void **state)
+{
+	struct proc_test *test = g_new0(struct proc_test, 1);
+
+	test->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   (GDestroyNotify)job_free);
+	test->fakes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    NULL);
+	test->engine_logs = g_ptr_array_new_with_free_func(g_free);
+	test->revisions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						NULL);
+	test->runs = g_strdup_printf("%s/radishdeal-runs-%d", g_get_tmp_dir(),
+				     (int)getpid());
+	test->settings_pipe = -1;
+	*state = test;
+	return 0;
+}
+
 static void test_script(void **state)
 {
-	struct proc_test test = {
-		.jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      (GDestroyNotify)job_free),
-		.engine_logs = g_ptr_array_new_with_free_func(g_free),
-		.revisions = g_hash_table_new_full(g_str_hash, g_str_equal,
-						   g_free, NULL),
-	};
+	script_check(script_path, commands, *state);
+}
 
-	(void)state;
-	test.runs = g_strdup_printf("%s/radishdeal-runs-%d", g_get_tmp_dir(),
-				    (int)getpid());
-	script_check(script_path, commands, &test);
-	g_hash_table_unref(test.jobs);
-	if (test.cluster)
-		cluster_destroy(test.cluster);
-	g_ptr_array_unref(test.engine_logs);
-	g_hash_table_unref(test.revisions);
-	unlink(test.runs);
-	g_free(test.runs);
+static int tear_down(void **state)
+{
+	struct proc_test *test = *state;
+
+	if (test->cluster)
+		cluster_destroy(test->cluster);
+	g_hash_table_unref(test->jobs);
+	g_hash_table_unref(test->fakes);
+	g_ptr_array_unref(test->engine_logs);
+	g_hash_table_unref(test->revisions);
+	unlink(test->runs);
+	g_free(test->runs);
+	g_free(test);
+	return 0;
 }
 
 int main(int argc, char **argv)
 {
-	struct CMUnitTest test = { .test_func = test_script };
+	struct CMUnitTest test = {
+		.test_func = test_script,
+		.setup_func = set_up,
+		.teardown_func = tear_down,
+	};
 	char *name;
 
 	if (argc != 2) {
