--- a/soak/callers.c
+++ b/soak/callers.c
@@ -20,14 +20,15 @@
 #define GIVE_UP_MS 8000
 #define RECEIVE_TIMEOUT_US 200000
 /*
- * Every so many callers read slowly. A download takes up to 6.5 s, and is
- * larger than what the kernel buffers of a connection.
+ * Every so many callers read slowly, READ_BYTES in an interval: a download
+ * takes up to 5.5 s, and is larger than what the kernel buffers of a
+ * connection.
  */
 #define SLOW_EVERY 6
-#define SLOW_BUFFER_BYTES 65536
+#define SLOW_BUFFER_BYTES 131072
 #define READ_BYTES 49152
 #define DOWNLOAD_MIN_BYTES 2000000
-#define DOWNLOAD_MAX_BYTES 15000000
+#define DOWNLOAD_MAX_BYTES 13000000
 #define UPLOAD_MIN_BYTES 300000
 #define UPLOAD_MAX_BYTES 2000000
 #define PIECE_BYTES 32768
