--- a/test/cluster.c
+++ b/test/cluster.c
@@ -579,9 +579,10 @@
 
 void cluster_apply_service(struct cluster *c, const char *text)
 {
-	char *path = g_strdup_printf(
-		"/v1/services?change_id=service-%d&base=0&wait_ms=9000",
-		++c->services);
+	char *path = g_strdup_printf("/v1/"
+				     "services?change_id=service-%d&base=0&"
+				     "wait_ms=9000",
+				     ++c->services);
 	struct fetch_response answer;
 
 	if (!cluster_operator_request(c, cluster_wait_leader(c), "POST", path,
