daemon: a repeated stop signal no longer cuts a stop short

Callers: all requests that an entry had open were lost at once: started streams broke midway, waiting requests got no answer.

Cause: on_signal() took any SIGTERM or SIGINT after the first as an order to leave the event loop, as an interactive program may. To a supervisor a stop signal is a request that it may repeat: to a process and its group, or when two planned stops overlap. The class: a command that may be repeated was not idempotent.

Change: a further signal is logged, counted and ignored. A stop is bounded by drain_ms; a process that must end at once gets SIGKILL.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -169,7 +169,7 @@
 	control_post_handover(d->control, on_control_stopped, d);
 }
 
-/* `fd` is the number of the signal. */
+/* A stop that has begun goes on as it is. `fd` is the number of the signal. */
 static void on_signal(evutil_socket_t fd, short what, void *ctx)
 {
 	struct daemon *d = ctx;
@@ -179,10 +179,9 @@
 	counters_add(d->counters, COUNTER_STOP_SIGNALS, 1);
 	if (d->stopping) {
 		log_note(&daemon_log,
-			 "signal while stopping: ending at once signal=%s "
+			 "already stopping; signal ignored signal=%s "
 			 "elapsed_ms=%" PRId64,
 			 sigabbrev_np(fd), now_ms - d->stop_began_ms);
-		event_base_loopbreak(d->base);
 		return;
 	}
 	log_note(&daemon_log,
