entry: a stop ends only when the responses are sent

Callers that read slowly got a truncated response from a stopping process.

Cause: a call counts as finished once its last byte is in the connection's output buffer; the stop looked at the calls alone and ended the process with those bytes unsent. The class: the end of something looks at one container and not at all places where accepted work is.

Change: a stop waits until each tracked response is in its socket, for 500 ms after drain_ms at most.

--- a/entry/shutdown.c
+++ b/entry/shutdown.c
@@ -5,6 +5,9 @@
 #include "entry/call.h"
 #include "entry/shutdown.h"
 
+/* After limits.drain_ms, time for the last responses to reach their sockets. */
+#define FLUSH_MS 500
+
 static const struct log shutdown_log = { "shutdown" };
 
 /** Requests without a complete response, by how far they have come. */
@@ -95,6 +98,9 @@
 	if (g_hash_table_size(entry->calls) &&
 	    entry_now_ms(entry) < entry->shutdown_deadline_ms)
 		return;
+	if (entry->unsent_responses &&
+	    entry_now_ms(entry) < entry->shutdown_deadline_ms + FLUSH_MS)
+		return;
 	log_phase(entry, "stop finished");
 	entry->shutdown_done(entry->shutdown_arg);
 	entry->shutdown_done = NULL;
--- a/entry/shutdown.h
+++ b/entry/shutdown.h
@@ -2,7 +2,8 @@
  * @file
  * The planned stop of an entry: it goes on accepting requests for
  * limits.linger_ms, rejects further ones, and ends once no call is left or
- * limits.drain_ms has passed. Everything here runs on the entry task.
+ * limits.drain_ms has passed, and all responses are in their sockets.
+ * Everything here runs on the entry task.
  */
 #ifndef ENTRY_SHUTDOWN_H
 #define ENTRY_SHUTDOWN_H
