entry: a stop answers the requests held without a configuration

Callers whose request an entry held, as it had no configuration yet, were cut off without an answer when it was stopped.

Change: when an entry begins to reject requests, it decides those it holds.

--- a/entry/shutdown.c
+++ b/entry/shutdown.c
@@ -4,6 +4,7 @@
 #include "common/log.h"
 #include "entry/call.h"
 #include "entry/shutdown.h"
+#include "entry/take.h"
 
 /* After limits.drain_ms, time for the last responses to reach their sockets. */
 #define FLUSH_MS 500
@@ -82,6 +83,13 @@
 	log_phase(entry, "stop began; no longer advertised to callers");
 }
 
+static void start_rejecting(struct entry *entry)
+{
+	log_phase(entry, "stop: rejecting new requests");
+	entry->rejecting_requests = true;
+	early_release(entry);
+}
+
 void shutdown_tick(struct entry *entry)
 {
 	if (!entry->shutdown_done)
@@ -93,8 +101,7 @@
 	if (entry_now_ms(entry) < entry->reject_from_ms)
 		return;
 	if (!entry->rejecting_requests)
-		log_phase(entry, "stop: rejecting new requests");
-	entry->rejecting_requests = true;
+		start_rejecting(entry);
 	if (g_hash_table_size(entry->calls) &&
 	    entry_now_ms(entry) < entry->shutdown_deadline_ms)
 		return;
