entry: the end of drain_ms answers the requests that are still open

Callers whose requests were open when drain_ms ended, queued, sent or waiting for another replica, had their connections closed without a response, and could not know whether the request had run.

Cause: the process ended and drop_calls() freed the calls silently, although each of them had a truthful final response.

Change: at the end of drain_ms each call is ended: as draining and not run if it was never sent, as of unknown outcome otherwise. A stream that has started can only be cut off visibly, as before.

--- a/entry/call.c
+++ b/entry/call.c
@@ -287,17 +287,36 @@
 
 /* ---- deadlines ---- */
 
-static void handle_deadline(struct call *call)
+/* `sent` is the result of a call that may have run, `not_sent` of others. */
+static void end_early(struct call *call, enum rd_result sent,
+		      enum rd_result not_sent)
 {
 	bool may_have_run = call->may_have_run || call->upstream;
 
 	attempt_finish(call);
-	if (call->booking_key)
-		booking_end(call, BOOKING_UNKNOWN, 0, "", "", 0);
-	else if (may_have_run)
-		call_fail(call, RD_DEADLINE, OUTCOME_UNKNOWN, NULL, 0);
+	if (may_have_run)
+		call_fail(call, sent, OUTCOME_UNKNOWN, NULL, 0);
 	else
-		call_fail_not_run(call, RD_NO_REPLICA, NULL, RETRY_AFTER_MS);
+		call_fail(call, not_sent, OUTCOME_NOT_RUN, NULL,
+			  RETRY_AFTER_MS);
+}
+
+static void handle_deadline(struct call *call)
+{
+	if (call->booking_key) {
+		attempt_finish(call);
+		booking_end(call, BOOKING_UNKNOWN, 0, "", "", 0);
+		return;
+	}
+	end_early(call, RD_DEADLINE, RD_NO_REPLICA);
+}
+
+void call_end_for_shutdown(struct call *call)
+{
+	/* A response that waits to be recorded shows that the call has run. */
+	if (call->state == CALL_RECORDING)
+		call->may_have_run = true;
+	end_early(call, RD_OUTCOME_UNKNOWN, RD_DRAINING);
 }
 
 void call_tick(struct call *call, int64_t now_ms)
--- a/entry/call.h
+++ b/entry/call.h
@@ -190,6 +190,12 @@
 /** Checks a call's deadlines and retries one that awaits a replica. */
 void call_tick(struct call *call, int64_t now_ms);
 
+/**
+ * Ends a call whose entry stops before it is complete, and frees it. The ledger
+ * keeps the claim of a booking: the control task expires it.
+ */
+void call_end_for_shutdown(struct call *call);
+
 /**
  * Frees a call without a response; used when the caller has gone or the entry
  * is destroyed.
--- a/entry/shutdown.c
+++ b/entry/shutdown.c
@@ -90,23 +90,40 @@
 	early_release(entry);
 }
 
+/* Gives every call that is still open its final response. */
+static void end_calls(struct entry *entry)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	log_phase(entry, "stop: drain_ms have passed; ending open requests");
+	for (;;) {
+		g_hash_table_iter_init(&iter, entry->calls);
+		if (!g_hash_table_iter_next(&iter, &key, NULL))
+			return;
+		call_end_for_shutdown(key);
+	}
+}
+
 void shutdown_tick(struct entry *entry)
 {
-	if (!entry->shutdown_done)
-		return;
+	int64_t now = entry_now_ms(entry);
+
 	/*
 	 * Callers that have not yet learned of the shutdown still send their
 	 * requests here, so these are accepted for limits.linger_ms.
 	 */
-	if (entry_now_ms(entry) < entry->reject_from_ms)
+	if (!entry->shutdown_done || now < entry->reject_from_ms)
 		return;
 	if (!entry->rejecting_requests)
 		start_rejecting(entry);
-	if (g_hash_table_size(entry->calls) &&
-	    entry_now_ms(entry) < entry->shutdown_deadline_ms)
-		return;
+	if (g_hash_table_size(entry->calls)) {
+		if (now < entry->shutdown_deadline_ms)
+			return;
+		end_calls(entry);
+	}
 	if (entry->unsent_responses &&
-	    entry_now_ms(entry) < entry->shutdown_deadline_ms + FLUSH_MS)
+	    now < entry->shutdown_deadline_ms + FLUSH_MS)
 		return;
 	log_phase(entry, "stop finished");
 	entry->shutdown_done(entry->shutdown_arg);
--- a/entry/shutdown.h
+++ b/entry/shutdown.h
@@ -1,9 +1,10 @@
 /**
  * @file
- * The planned stop of an entry: it goes on accepting requests for
- * limits.linger_ms, rejects further ones, and ends once no call is left or
- * limits.drain_ms has passed, and all responses are in their sockets.
- * Everything here runs on the entry task.
+ * The planned stop of an entry. It goes on accepting requests for
+ * limits.linger_ms and rejects further ones. Calls have until limits.drain_ms
+ * to complete; those that are open then get a final response, except started
+ * streams, which are visibly cut off. The stop ends when no call is open and
+ * all responses are in their sockets. Everything here runs on the entry task.
  */
 #ifndef ENTRY_SHUTDOWN_H
 #define ENTRY_SHUTDOWN_H
