settings, deploy: a stop ends within its supervisor's grace period

An entry on the platform waited 7 s for its calls whatever grace period the platform gave; with a shorter one than 8 s it would have been killed with calls open and unanswered.

The drain ends a second before it (three on a control VM, for the handover), and a stopping entry accepts requests for half of the drain at most, so that the last one has time.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -187,7 +187,7 @@
 	log_note(&daemon_log,
 		 "stopping signal=%s uptime_ms=%" PRId64 " drain_ms=%" PRId64,
 		 sigabbrev_np(fd), now_ms - d->started_ms,
-		 d->settings.limits.drain_ms);
+		 daemon_settings_drain_ms(&d->settings));
 	d->stopping = true;
 	d->stop_began_ms = now_ms;
 	if (d->entry)
--- a/entry/shutdown.c
+++ b/entry/shutdown.c
@@ -70,7 +70,7 @@
 
 void shutdown_begin(struct entry *entry, task_fn done, void *arg)
 {
-	const struct limit_settings *limits = &entry->opts.settings->limits;
+	const struct daemon_settings *settings = entry->opts.settings;
 	int64_t now = entry_now_ms(entry);
 
 	entry->draining = true;
@@ -78,8 +78,8 @@
 	entry->shutdown_done = done;
 	entry->shutdown_arg = arg;
 	entry->shutdown_began_ms = now;
-	entry->shutdown_deadline_ms = now + limits->drain_ms;
-	entry->reject_from_ms = now + limits->linger_ms;
+	entry->shutdown_deadline_ms = now + daemon_settings_drain_ms(settings);
+	entry->reject_from_ms = now + daemon_settings_linger_ms(settings);
 	log_phase(entry, "stop began; no longer advertised to callers");
 }
 
--- a/settings/daemon.c
+++ b/settings/daemon.c
@@ -9,6 +9,11 @@
 
 #define KEY_MIN_BYTES 16
 #define KEY_FILE_MAX_BYTES (1024 * 1024)
+#define MS_PER_S 1000
+/* Part of grace_s for the last responses and the exit. */
+#define STOP_RESERVE_MS 1000
+/* Part of grace_s for the handover of leadership. */
+#define HANDOVER_RESERVE_MS 2000
 
 static const char *const role_names[] = { "entry", "control", NULL };
 static const char *const interface_names[] = { "native", "platform", NULL };
@@ -238,6 +243,9 @@
 		     "by the leader"),
 	LIMIT_OPTION(drain_ms, 0, 3600000, 30000, "ms",
 		     "how long a planned stop waits for requests in flight"),
+	LIMIT_OPTION(grace_s, 0, 3600, 0, "s",
+		     "time after SIGTERM at which the supervisor kills the "
+		     "process; drain_ms is cut to end in time; 0: never"),
 	LIMIT_OPTION(queue_ms, 0, 600000, 10000, "ms",
 		     "how long a request may wait for a free slot"),
 	LIMIT_OPTION(subset, 0, 100000, 64, NULL,
@@ -560,6 +568,25 @@
 						 : limits->vm_silence_ms);
 }
 
+int64_t daemon_settings_drain_ms(const struct daemon_settings *settings)
+{
+	const struct limit_settings *limits = &settings->limits;
+	int64_t grace_ms = limits->grace_s * MS_PER_S;
+	int64_t reserve_ms = STOP_RESERVE_MS;
+
+	if (!grace_ms)
+		return limits->drain_ms;
+	if (settings->node.roles & ROLE_CONTROL)
+		reserve_ms += HANDOVER_RESERVE_MS;
+	return MIN(limits->drain_ms, MAX(0, grace_ms - reserve_ms));
+}
+
+int64_t daemon_settings_linger_ms(const struct daemon_settings *settings)
+{
+	return MIN(settings->limits.linger_ms,
+		   daemon_settings_drain_ms(settings) / 2);
+}
+
 uint32_t daemon_settings_voter_count(const struct daemon_settings *settings)
 {
 	const GPtrArray *peers = settings->cluster.peers;
--- a/settings/daemon.h
+++ b/settings/daemon.h
@@ -87,6 +87,7 @@
 	int64_t digest_ms;
 	int64_t config_lease_ms;
 	int64_t drain_ms;
+	int64_t grace_s; /* 0: a stop may take any time */
 	int64_t queue_ms;
 	int64_t subset;
 	int64_t segment_bytes;
@@ -140,6 +141,15 @@
 int32_t daemon_settings_monitor_timeout_ms(
 	const struct daemon_settings *settings);
 
+/** How long a planned stop may wait for calls, within limits.grace_s. */
+int64_t daemon_settings_drain_ms(const struct daemon_settings *settings);
+
+/**
+ * How long a stopping entry accepts requests. The last one accepted has at
+ * least half of the drain to complete.
+ */
+int64_t daemon_settings_linger_ms(const struct daemon_settings *settings);
+
 /** Returns the number of voters that the consensus group should have. */
 uint32_t daemon_settings_voter_count(const struct daemon_settings *settings);
 
