entry, deploy: a stopping entry rejects requests on time

A request that is accepted late in a stop may be cut off at the end of the drain. The platform excuses that only for one sent at most 3 s after the SIGTERM, but an entry accepted requests for 3.0 s from when its task had learned of the signal, and until the next 50 ms tick.

--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -45,6 +45,16 @@
 	uint32_t next_plain_number;
 };
 
+/** The planned stop of an entry; all zero unless there is one. */
+struct shutdown {
+	task_fn done; /* NULL once called */
+	void *arg;
+	int64_t began_ms;
+	int64_t reject_from_ms; /* end of limits.linger_ms */
+	int64_t deadline_ms;	/* end of limits.drain_ms */
+	bool lingered;		/* reject_from_ms has been handled */
+};
+
 struct entry {
 	struct entry_opts opts;
 	struct event_base *base;
@@ -52,7 +62,6 @@
 	int64_t lease_until_ms;
 	bool ever_configured;
 	bool draining;			  /* not advertised to callers */
-	bool rejecting_requests;	  /* no new requests are admitted */
 	struct entry_info *known_entries; /* reported by control */
 	uint32_t known_entry_count;
 	struct monitor *monitor;
@@ -77,11 +86,7 @@
 	uint64_t next_claim;
 	uint64_t next_request;
 	GRand *random;
-	task_fn shutdown_done;
-	void *shutdown_arg;
-	int64_t shutdown_began_ms;
-	int64_t shutdown_deadline_ms; /* end of limits.drain_ms */
-	int64_t reject_from_ms; /* end of limits.linger_ms, during shutdown */
+	struct shutdown shutdown;
 	int64_t status_sent_ms;
 };
 
--- a/entry/shutdown.c
+++ b/entry/shutdown.c
@@ -63,7 +63,7 @@
 		 "%s elapsed_ms=%" PRId64 " queued=%u sent=%u responding=%u "
 		 "awaiting_replica=%u booking=%u held=%u unsent=%u "
 		 "oldest_ms=%" PRId64,
-		 phase, entry_now_ms(entry) - entry->shutdown_began_ms,
+		 phase, entry_now_ms(entry) - entry->shutdown.began_ms,
 		 open.queued, open.sent, open.responding, open.awaiting_replica,
 		 open.booking, open.held, open.unsent, open.oldest_ms);
 }
@@ -75,18 +75,26 @@
 
 	entry->draining = true;
 	entry_send_status(entry);
-	entry->shutdown_done = done;
-	entry->shutdown_arg = arg;
-	entry->shutdown_began_ms = now;
-	entry->shutdown_deadline_ms = now + daemon_settings_drain_ms(settings);
-	entry->reject_from_ms = now + daemon_settings_linger_ms(settings);
+	entry->shutdown = (struct shutdown){
+		.done = done,
+		.arg = arg,
+		.began_ms = now,
+		.reject_from_ms = now + daemon_settings_linger_ms(settings),
+		.deadline_ms = now + daemon_settings_drain_ms(settings),
+	};
 	log_phase(entry, "stop began; no longer advertised to callers");
 }
 
+bool shutdown_rejects(const struct entry *entry)
+{
+	return entry->shutdown.reject_from_ms &&
+	       entry_now_ms(entry) >= entry->shutdown.reject_from_ms;
+}
+
 static void start_rejecting(struct entry *entry)
 {
 	log_phase(entry, "stop: rejecting new requests");
-	entry->rejecting_requests = true;
+	entry->shutdown.lingered = true;
 	early_release(entry);
 }
 
@@ -113,21 +121,21 @@
 	 * Callers that have not yet learned of the shutdown still send their
 	 * requests here, so these are accepted for limits.linger_ms.
 	 */
-	if (!entry->shutdown_done || now < entry->reject_from_ms)
+	if (!entry->shutdown.done || !shutdown_rejects(entry))
 		return;
-	if (!entry->rejecting_requests)
+	if (!entry->shutdown.lingered)
 		start_rejecting(entry);
 	if (g_hash_table_size(entry->calls)) {
-		if (now < entry->shutdown_deadline_ms)
+		if (now < entry->shutdown.deadline_ms)
 			return;
 		end_calls(entry);
 	}
 	if (entry->unsent_responses &&
-	    now < entry->shutdown_deadline_ms + FLUSH_MS)
+	    now < entry->shutdown.deadline_ms + FLUSH_MS)
 		return;
 	log_phase(entry, "stop finished");
-	entry->shutdown_done(entry->shutdown_arg);
-	entry->shutdown_done = NULL;
+	entry->shutdown.done(entry->shutdown.arg);
+	entry->shutdown.done = NULL;
 }
 
 void shutdown_log_dropped(const struct entry *entry)
--- a/entry/shutdown.h
+++ b/entry/shutdown.h
@@ -14,6 +14,9 @@
 /** Starts the stop; done(arg) is called once, from shutdown_tick(). */
 void shutdown_begin(struct entry *entry, task_fn done, void *arg);
 
+/** Whether new requests are to be rejected because of a stop. */
+bool shutdown_rejects(const struct entry *entry);
+
 /** Advances the stop, if there is one. */
 void shutdown_tick(struct entry *entry);
 
--- a/entry/take.c
+++ b/entry/take.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "common/log.h"
+#include "entry/shutdown.h"
 #include "entry/take.h"
 
 #define NO_ACCOUNT ""
@@ -116,7 +117,7 @@
 	code = find_account(r);
 	if (code)
 		return code;
-	if (entry->rejecting_requests)
+	if (shutdown_rejects(entry))
 		return RD_DRAINING;
 	return find_service(r);
 }
