--- a/entry/shutdown.h
+++ b/entry/shutdown.h
@@ -1,8 +1,10 @@
 /**
  * @file
- * The planned stop of an entry: it goes on accepting requests for
- * limits.linger_ms, rejects further ones, and ends once no call is left or
- * limits.drain_ms has passed. Everything here runs on the entry task.
+ * The planned stop of an entry. It goes on accepting requests for
+ * limits.linger_ms and rejects further ones. Calls have until limits.drain_ms
+ * to complete; those that are open then get a final response, except started
+ * streams, which are visibly cut off. The stop ends when no call is open and
+ * all responses are in their sockets. Everything here runs on the entry task.
  */
 #ifndef ENTRY_SHUTDOWN_H
 #define ENTRY_SHUTDOWN_H
@@ -12,6 +14,9 @@
 /** Starts the stop; done(arg) is called once, from shutdown_tick(). */
 void shutdown_begin(struct entry *entry, task_fn done, void *arg);
 
+/** Whether new requests are to be rejected because of a stop. */
+bool shutdown_rejects(const struct entry *entry);
+
 /** Advances the stop, if there is one. */
 void shutdown_tick(struct entry *entry);
 
