--- a/soak/check.c
+++ b/soak/check.c
@@ -156,7 +156,7 @@
 		 (stop_us && p->exited_us - stop_us > SOAK_GRACE_MS * 1000))
 		report_process(result, soak, p, "OUTLASTED-GRACE-PERIOD");
 	else if (ended_before_it_was_up(p))
-		return;
+		result->early_ends++;
 	else if (!stop_us)
 		report_process(result, soak, p, "ENDED-WITHOUT-SIGNAL");
 	else if (p->wait_status)
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -97,14 +97,16 @@
 	struct cluster *c = cluster_create(false);
 
 	g_free(c->limits);
-	c->limits = g_strdup_printf("linger_ms = %d\ndrain_ms = %d\n"
+	c->limits = g_strdup_printf("grace_s = %d\nlinger_ms = %d\n"
+				    "drain_ms = %d\n"
 				    "vm_silence_ms = 3200\n"
 				    "home_silence_ms = 6500\n"
 				    "config_lease_ms = 1500\n"
 				    "queue_ms = 1400\nstall_ms = 1000\n"
 				    "presume_ms = 2800\nbody_bytes = "
 				    "16777216\n",
-				    SOAK_LINGER_MS, SOAK_DRAIN_MS);
+				    SOAK_GRACE_MS / 1000, SOAK_LINGER_MS,
+				    SOAK_DRAIN_MS);
 	cluster_start(c, SOAK_NODES);
 	start_endpoints(c);
 	apply_service(c, "assistant", false);
@@ -205,10 +207,11 @@
 			 const struct soak_result *result)
 {
 	printf("seed %u: %d requests, %d complete, %d refused, %d excused; "
-	       "%d stops, %d repeated signals; %u findings\n",
+	       "%d stops, %d repeated signals, %d early ends; %u findings\n",
 	       soak->opts.seed, result->requests, result->complete,
 	       result->refused, result->excused, result->stops,
-	       result->repeated_signals, result->findings->len);
+	       result->repeated_signals, result->early_ends,
+	       result->findings->len);
 	for (guint i = 0; i < result->findings->len; i++)
 		printf("seed %u: %s\n", soak->opts.seed,
 		       (const char *)result->findings->pdata[i]);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -22,7 +22,7 @@
 #define SOAK_NODES 4
 #define SOAK_SIGNALS_MAX 64
 #define SOAK_GRACE_MS 8000
-#define SOAK_LINGER_MS 3000
+#define SOAK_LINGER_MS 2900
 #define SOAK_DRAIN_MS 7000
 
 struct soak_opts {
@@ -98,6 +98,7 @@
 struct soak_result {
 	int requests, complete, refused, excused;
 	int stops, repeated_signals;
+	int early_ends;	     /* by a signal, before the process had a handler */
 	GPtrArray *findings; /* of char *; empty if all checks passed */
 };
 
