daemon: signals during the start wait for their handlers

A SIGHUP that arrived before run() had installed its handler, for instance from a tool that had just written the settings, ended the process by its default action; a SIGTERM ended it without the orderly stop. Nothing was logged in either case.

SIGTERM, SIGINT and SIGHUP are blocked from the start of main() and unblocked once the handlers are in place, before any task's thread starts. The log's writer thread keeps them blocked.

The tests hold the daemon at the reading of its settings, which come from a FIFO, and send the signal there. Before the change both failed: the process ended without the line "settings reloaded" or "stopping: ". Both pass now.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -401,6 +401,17 @@
 	daemon_settings_clear(&d->settings);
 }
 
+static void mask_signals(int how)
+{
+	sigset_t signals;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	sigaddset(&signals, SIGHUP);
+	pthread_sigmask(how, &signals, NULL);
+}
+
 static int run(struct daemon *d, bool bootstrap)
 {
 	char *why = NULL;
@@ -419,6 +430,7 @@
 	event_add(d->hangup_event, NULL);
 	event_add(term, NULL);
 	event_add(interrupt, NULL);
+	mask_signals(SIG_UNBLOCK);
 	code = start_tasks(d, bootstrap, &why);
 	if (code) {
 		fprintf(stderr, "radishdeald: %s (%d): %s\n",
@@ -470,6 +482,8 @@
 	char *errors = NULL;
 	enum rd_result code;
 
+	/* Their default action would end the process until run() is ready. */
+	mask_signals(SIG_BLOCK);
 	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
 	if (arguments.print) {
 		print_reference();
