daemon: settings changed during the start are seen

The state of the settings file was first taken after the tasks had started, so a change between the reading of the file and that moment was taken for what had been read: the seeds written then took effect only with the next change, a SIGHUP or a restart.

The state is taken before the file is read. A change in between is now seen twice at most, and reading the same seeds again changes nothing.

The test holds the daemon at the reading of its key, which comes from a FIFO, and writes the settings there. Before the change it failed, with no line "settings reloaded" within 20 s; it passes now.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -437,7 +437,6 @@
 			rd_result_info(code)->name, code, why ? why : "");
 		d->exit_status = rd_result_info(code)->exit_status;
 	} else {
-		(void)settings_changed(d);
 		event_add(d->settings_poll, &poll_interval);
 		event_base_dispatch(d->base);
 	}
@@ -489,6 +488,9 @@
 		print_reference();
 		return 0;
 	}
+	d.settings_path = arguments.settings;
+	/* Before the load, so that a change from here on is seen. */
+	(void)settings_changed(&d);
 	code = daemon_settings_load(arguments.settings, &d.settings, &errors);
 	if (code) {
 		fprintf(stderr, "%s\n", errors);
@@ -501,7 +503,6 @@
 		clear_daemon(&d);
 		return 0;
 	}
-	d.settings_path = arguments.settings;
 	signal(SIGPIPE, SIG_IGN);
 	init_log(&d.settings);
 	code = (enum rd_result)run(&d, arguments.bootstrap ||
--- a/test/test_daemon.c
+++ b/test/test_daemon.c
@@ -230,6 +230,21 @@
 	assert_int_equal(wait_for_exit(test), 0);
 }
 
+static void test_settings_changed_during_start_not_seen(void **state)
+{
+	struct daemon_test *test = *state;
+	char *changed = g_strdup_printf("%s# changed\n", test->text);
+	int fd;
+
+	make_fifo(test, "cluster.key");
+	start_daemon(test);
+	fd = wait_for_reader(test, "cluster.key");
+	write_file(test, "settings.toml", changed);
+	feed(fd, KEY);
+	assert_true(wait_for_log(test, "settings reloaded"));
+	g_free(changed);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -239,6 +254,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_terminate_before_handlers_skipped_stop, setup,
 			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_settings_changed_during_start_not_seen, setup,
+			teardown),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
