consensus: a transfer goes to a voter that replies

What callers and operators saw: when one control VM had just stopped and the leader was stopped next, the group could be without a leader for an election timeout. A leader that hands over chose the first voter whose log was complete as far as it knew, and a voter that has stopped keeps its record: the leader then stepped down for a message that nobody received. Meanwhile bookings and operators' changes wait and no lease is renewed.

The record must now hold a reply to a message sent after the transfer was started. A stopping leader repeats raft_transfer_leadership() on each tick, which would move that start, and which already moved the deadline, so that proposals were refused for as long as the order was repeated and no voter took over; a repetition during a transfer now changes nothing.

Ruled out: a duplicate of the message to the next leader. Its term is older than that leader's own by then, and it is rejected.

--- a/consensus/leader.c
+++ b/consensus/leader.c
@@ -261,7 +261,9 @@
 			.term = raft->term,
 		};
 
+		/* One that has stopped may have matched the log before. */
 		if (p->match != log_last(&raft->log) ||
+		    p->acked_send_ms < raft->transfer_started_ms ||
 		    !raft_is_voter(raft_latest_config(raft), p->id))
 			continue;
 		raft_send(raft, &timeout_now, true);
--- a/consensus/raft.c
+++ b/consensus/raft.c
@@ -291,7 +291,10 @@
 {
 	if (raft->role != RAFT_LEADER)
 		return RD_NOT_LEADER;
+	if (raft->transferring)
+		return RD_OK;
 	raft->transferring = true;
+	raft->transfer_started_ms = now_ms;
 	raft->transfer_deadline_ms = now_ms + raft->election_ms;
 	raft_broadcast(raft, now_ms, true);
 	return RD_OK;
--- a/consensus/raft_internal.h
+++ b/consensus/raft_internal.h
@@ -56,7 +56,7 @@
 	GHashTable *votes; /* ids of members that granted a vote or pre-vote */
 	GArray *progress;  /* of struct progress, on the leader */
 	bool transferring;
-	int64_t transfer_deadline_ms;
+	int64_t transfer_started_ms, transfer_deadline_ms;
 };
 
 /* raft.c */
