control: a stop answers the operators' changes that it accepted

What operators saw: a change that was being committed, or that waited to be in force, when its control VM got a SIGTERM ended with a closed connection and no answer; on the platform the same happened to a document. The stop waited for the transfer of leadership and for nothing else. What then failed the pending changes, in operators_destroy() and proposals_destroy(), wrote answers into buffers that no event loop sent any more, and called them "not-run" although they may have run. Peers lost the replies to forwarded proposals, and the message that starts the next leader's election could be lost in the same way.

The stop (control/handover.c, moved out of control.c) now ends when - this member no longer leads, - no proposal, its own or a peer's, is without a result, - the answers and the bytes to peers are passed to the kernel. Changes that wait to be in force are answered change-unknown once leadership has moved, since only the next leader can tell. After the 2 s that the stop had before, the rest is given up with change-unknown, or no-quorum if it certainly was not accepted, and 0.5 s remain to send that. New changes are refused with no-quorum during the stop, so that operators ask another VM; reads and announcements are still served.

Ruled out: losing an acknowledged change. Answers were sent only after commit before, too.

--- a/common/http.c
+++ b/common/http.c
@@ -48,6 +48,37 @@
 	return text;
 }
 
+static _Thread_local unsigned unsent_responses;
+
+static void on_response_lost(struct evhttp_connection *conn, void *arg)
+{
+	(void)arg;
+	evhttp_connection_set_closecb(conn, NULL, NULL);
+	unsent_responses--;
+}
+
+static void on_response_sent(struct evhttp_request *req, void *arg)
+{
+	on_response_lost(evhttp_request_get_connection(req), arg);
+}
+
+void http_send_reply(struct evhttp_request *req, int status, const char *reason)
+{
+	struct evhttp_connection *conn = evhttp_request_get_connection(req);
+
+	if (conn) {
+		unsent_responses++;
+		evhttp_request_set_on_complete_cb(req, on_response_sent, NULL);
+		evhttp_connection_set_closecb(conn, on_response_lost, NULL);
+	}
+	evhttp_send_reply(req, status, reason, NULL);
+}
+
+unsigned http_unsent_responses(void)
+{
+	return unsent_responses;
+}
+
 static void send_text(struct evhttp_request *req, int status,
 		      const char *reason, const char *type, const char *text)
 {
@@ -57,7 +88,7 @@
 	evhttp_remove_header(headers, "Content-Type");
 	evhttp_add_header(headers, "Content-Type", type);
 	evbuffer_add(out, text, strlen(text));
-	evhttp_send_reply(req, status, reason, NULL);
+	http_send_reply(req, status, reason);
 }
 
 void http_send_problem(struct evhttp_request *req,
--- a/common/http.h
+++ b/common/http.h
@@ -49,6 +49,19 @@
 void http_send_text(struct evhttp_request *req, int status, const char *type,
 		    const char *text);
 
+/**
+ * Sends a response whose headers and body are in the request's output, and ends
+ * the request. Replaces a watch of its connection.
+ */
+void http_send_reply(struct evhttp_request *req, int status,
+		     const char *reason);
+
+/**
+ * Returns how many responses of the functions above, on the calling thread,
+ * have bytes that are not passed to the kernel yet.
+ */
+unsigned http_unsent_responses(void);
+
 /** Returns the value of a request header, or NULL. */
 const char *http_header(struct evhttp_request *req, const char *name);
 
--- a/control/control.c
+++ b/control/control.c
@@ -9,7 +9,6 @@
 #define TICK_MS 50
 #define FEED_COMMANDS_MAX 1024
 #define PROPOSAL_TIMEOUT_MS 4000
-#define HANDOVER_TIMEOUT_MS 2000
 #define ORPHAN_CHECK_INTERVAL_MS 1000
 /*
  * Bookings in flight get the outcome "unknown" once their entry has not polled
@@ -161,21 +160,6 @@
 	placer_tick(control->placer);
 }
 
-static void check_handover(struct control *control)
-{
-	bool leads = control->group &&
-		     raft_role(group_raft(control->group)) == RAFT_LEADER;
-
-	if (!control->handover_done)
-		return;
-	if (leads && control_now_ms(control) < control->handover_deadline_ms) {
-		group_transfer_leadership(control->group);
-		return;
-	}
-	control->handover_done(control->handover_arg);
-	control->handover_done = NULL;
-}
-
 static void on_tick(evutil_socket_t fd, short what, void *ctx)
 {
 	struct control *control = ctx;
@@ -197,7 +181,7 @@
 	peers_tick(control);
 	if (control->operators)
 		operators_tick(control->operators);
-	check_handover(control);
+	handover_tick(control);
 }
 
 /* ---- creation and destruction ---- */
@@ -541,30 +525,3 @@
 	memcpy(m->nodes, nodes, count * sizeof(*nodes));
 	task_post(control->opts.task, run_seeds, m);
 }
-
-struct handover_message {
-	struct control *control;
-	task_fn done;
-	void *arg;
-};
-
-static void run_handover(void *arg)
-{
-	struct handover_message *m = arg;
-
-	m->control->handover_done = m->done;
-	m->control->handover_arg = m->arg;
-	m->control->handover_deadline_ms = control_now_ms(m->control) +
-					   HANDOVER_TIMEOUT_MS;
-	g_free(m);
-}
-
-void control_post_handover(struct control *control, task_fn done, void *arg)
-{
-	struct handover_message *m = g_new(struct handover_message, 1);
-
-	m->control = control;
-	m->done = done;
-	m->arg = arg;
-	task_post(control->opts.task, run_handover, m);
-}
--- a/control/control.h
+++ b/control/control.h
@@ -141,8 +141,11 @@
 			uint32_t count);
 
 /**
- * Transfers leadership to another member, if this one leads. Calls done(arg) on
- * the control task once it no longer leads, at the latest after 2 s.
+ * Stops accepting operators' changes, transfers leadership to another member,
+ * if this one leads, and answers what was accepted. Calls done(arg) on the
+ * control task once the answers are sent, at the latest after 2.5 s. A
+ * repetition gives no more time; until the end it replaces the earlier call's
+ * `done`.
  */
 void control_post_handover(struct control *control, task_fn done, void *arg);
 
--- a/control/control_internal.h
+++ b/control/control_internal.h
@@ -56,6 +56,7 @@
 	bool leader_duties_active;
 	uint64_t leading_term; /* term for which they were started */
 	int64_t orphans_checked_ms;
+	bool stopping; /* since control_post_handover() */
 	task_fn handover_done;
 	void *handover_arg;
 	int64_t handover_deadline_ms;
@@ -105,6 +106,8 @@
 void peers_send_raft(struct control *control, uint64_t member, GBytes *bytes);
 /** Notifies all processes, this one included, to poll the leader now. */
 void peers_notify_update(struct control *control);
+/** Whether bytes to peers, or replies to their calls, are not sent yet. */
+bool peers_unsent(const struct control *control);
 /** Removes discovered peers whose expiry has passed. */
 void peers_tick(struct control *control);
 /** Sends a digest to all peers; requests a full one if a peer lacks one. */
@@ -138,12 +141,24 @@
  */
 void proposals_submit(struct proposals *proposals, GBytes *command,
 		      int timeout_ms, control_done_fn done, void *ctx);
+/** Whether a submitted command has no result yet. */
+bool proposals_pending(const struct proposals *proposals);
+/**
+ * Ends all submissions at once, as if their timeouts had passed. A result that
+ * arrives later is ignored.
+ */
+void proposals_give_up(struct proposals *proposals);
 
 /* operators.c: the operator API */
 struct operators *operators_create(struct control *control, char **why);
 void operators_destroy(struct operators *operators);
 /** Answers waiting changes that are in force or whose wait has timed out. */
 void operators_tick(struct operators *operators);
+/** Answers all waiting changes with RD_CHANGE_UNKNOWN. */
+void operators_end_waits(struct operators *operators);
+
+/* handover.c: the stop of the control task */
+void handover_tick(struct control *control);
 
 /* announcements.c: VMs that announce themselves to this control VM */
 struct announcements *announcements_create(struct control *control);
--- a/control/group.c
+++ b/control/group.c
@@ -646,6 +646,16 @@
 
 /* ---- queries ---- */
 
+bool group_has_proposals(const struct group *group)
+{
+	return g_hash_table_size(group->proposals) > 0;
+}
+
+bool group_has_deferred(const struct group *group)
+{
+	return !group->failed && group->deferred->len > 0;
+}
+
 const struct raft *group_raft(const struct group *group)
 {
 	return group->raft;
--- a/control/group.h
+++ b/control/group.h
@@ -104,6 +104,11 @@
 /** Transfers leadership to another voter; used before a planned stop. */
 void group_transfer_leadership(struct group *group);
 
+/** Whether a proposal has no outcome yet. */
+bool group_has_proposals(const struct group *group);
+/** Whether messages wait for a sync before they are sent. */
+bool group_has_deferred(const struct group *group);
+
 const struct raft *group_raft(const struct group *group);
 const struct state *group_state(const struct group *group);
 uint64_t group_member_id(const struct group *group);
--- a/control/operators.c
+++ b/control/operators.c
@@ -223,6 +223,23 @@
 						      i - 1);
 }
 
+static void send_unknown(struct pending_change *change)
+{
+	struct problem problem = { .code = RD_CHANGE_UNKNOWN,
+				   .outcome = OUTCOME_UNKNOWN };
+
+	unwatch_client(change);
+	http_send_problem(change->req, &problem);
+	g_free(change);
+}
+
+void operators_end_waits(struct operators *o)
+{
+	for (guint i = 0; i < o->waiting_changes->len; i++)
+		send_unknown(o->waiting_changes->pdata[i]);
+	g_ptr_array_set_size(o->waiting_changes, 0);
+}
+
 static void on_change_done(void *ctx, enum rd_result code,
 			   const struct apply_result *result)
 {
@@ -299,6 +316,10 @@
 	char *id, *base;
 	GBytes *bytes;
 
+	if (control->stopping) {
+		send_error(r->req, RD_NO_QUORUM, "this VM is stopping");
+		return;
+	}
 	if (needs_leader(r)) {
 		send_not_leader(r);
 		return;
@@ -628,13 +649,7 @@
 {
 	if (!o)
 		return;
-	for (guint i = 0; i < o->waiting_changes->len; i++) {
-		struct pending_change *change = o->waiting_changes->pdata[i];
-
-		unwatch_client(change);
-		send_error(change->req, RD_CHANGE_UNKNOWN, NULL);
-		g_free(change);
-	}
+	operators_end_waits(o);
 	g_ptr_array_unref(o->waiting_changes);
 	if (o->http)
 		evhttp_free(o->http);
--- a/control/peers.c
+++ b/control/peers.c
@@ -245,6 +245,17 @@
 	}
 }
 
+bool peers_unsent(const struct control *control)
+{
+	for (guint i = 0; i < control->peers->len; i++) {
+		const struct peer *peer = control->peers->pdata[i];
+
+		if (rpc_client_unsent(peer->client))
+			return true;
+	}
+	return rpc_server_unsent(control->server);
+}
+
 void peers_close(struct control *control)
 {
 	if (control->peers)
--- a/control/proposals.c
+++ b/control/proposals.c
@@ -20,7 +20,7 @@
 	int64_t deadline_ms;
 	struct event *retry_timer;
 	bool may_be_accepted;
-	control_done_fn done;
+	control_done_fn done; /* NULL once given up */
 	void *ctx;
 };
 
@@ -28,7 +28,8 @@
 			      const struct apply_result *result)
 {
 	g_hash_table_remove(s->owner->pending, s);
-	s->done(s->ctx, code, result);
+	if (s->done)
+		s->done(s->ctx, code, result);
 	event_free(s->retry_timer);
 	g_bytes_unref(s->command);
 	g_free(s);
@@ -38,7 +39,7 @@
 {
 	struct timeval delay = { 0, RETRY_DELAY_MS * 1000 };
 
-	if (control_now_ms(s->owner->control) >= s->deadline_ms)
+	if (!s->done || control_now_ms(s->owner->control) >= s->deadline_ms)
 		finish_submission(s,
 				  s->may_be_accepted ? RD_CHANGE_UNKNOWN
 						     : RD_NO_QUORUM,
@@ -120,6 +121,37 @@
 	submit_once(s);
 }
 
+bool proposals_pending(const struct proposals *proposals)
+{
+	return g_hash_table_size(proposals->pending) > 0;
+}
+
+static void give_up(struct submission *s)
+{
+	control_done_fn done = s->done;
+
+	if (evtimer_pending(s->retry_timer, NULL)) {
+		finish_submission(s,
+				  s->may_be_accepted ? RD_CHANGE_UNKNOWN
+						     : RD_NO_QUORUM,
+				  NULL);
+		return;
+	}
+	/* An attempt is in flight and holds the submission. */
+	s->done = NULL;
+	if (done)
+		done(s->ctx, RD_CHANGE_UNKNOWN, NULL);
+}
+
+void proposals_give_up(struct proposals *proposals)
+{
+	GList *all = g_hash_table_get_keys(proposals->pending);
+
+	for (GList *link = all; link; link = link->next)
+		give_up(link->data);
+	g_list_free(all);
+}
+
 struct proposals *proposals_create(struct control *control)
 {
 	struct proposals *proposals = g_new0(struct proposals, 1);
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -298,6 +298,33 @@
 	change_service(s, "preset", "preset");
 }
 
+static void keep_job(struct script *s, const struct job *opts)
+{
+	g_hash_table_insert(test_of(s)->jobs, g_strdup(opts->name),
+			    job_start(opts));
+}
+
+/* submit NAME SERVICE PRESET [node=N] [base=N] [wait=MS]: a change of preset */
+static void do_submit(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+	int node = node_of(s, script_value(s, "node", "leader"));
+	char *path = g_strdup_printf(
+		"/v1/services/%s/preset?change_id=%s&base=%d&wait_ms=%d&"
+		"preset=%s",
+		s->words[2], s->words[1], (int)script_number(s, "base", 1),
+		(int)script_number(s, "wait", 0), s->words[3]);
+	struct job opts = {
+		.name = s->words[1],
+		.address = c->nodes[node - 1].operators,
+		.key = c->operator_key,
+		.path = path,
+	};
+
+	keep_job(s, &opts);
+	g_free(path);
+}
+
 static void do_rollback(struct script *s)
 {
 	change_service(s, "rollback", "to");
@@ -560,6 +587,44 @@
 	script_print(s, "node %s serves", s->words[1]);
 }
 
+static bool has_revision(struct script *s)
+{
+	char *path = g_strdup_printf("/v1/services/%s", s->words[1]);
+	int leader = cluster_find_leader(cluster_of(s));
+	json_t *body = leader ? cluster_get(cluster_of(s), leader, path) : NULL;
+	json_int_t revision = json_integer_value(json_object_get(body, "revisio"
+								       "n"));
+
+	json_decref(body);
+	g_free(path);
+	return revision == atoi(s->words[2]);
+}
+
+static void do_wait_revision(struct script *s)
+{
+	wait_until(s, has_revision, "revision of the service");
+}
+
+static bool has_logged(struct script *s)
+{
+	char *name = g_strdup_printf("node%s.log", s->words[1]);
+	char *path = cluster_path(cluster_of(s), name);
+	char *text = NULL;
+	bool found = g_file_get_contents(path, &text, NULL, NULL) &&
+		     strstr(text, s->words[2]);
+
+	g_free(text);
+	g_free(path);
+	g_free(name);
+	return found;
+}
+
+/* wait-log NODE WORD: waits until the node's log has the word. */
+static void do_wait_log(struct script *s)
+{
+	wait_until(s, has_logged, "word in the node's log");
+}
+
 static void do_print_revision(struct script *s)
 {
 	struct cluster *c = cluster_of(s);
@@ -577,12 +642,6 @@
 
 /* ---- requests of clients ---- */
 
-static void keep_job(struct script *s, const struct job *opts)
-{
-	g_hash_table_insert(test_of(s)->jobs, g_strdup(opts->name),
-			    job_start(opts));
-}
-
 static const char *account_key_of(struct script *s)
 {
 	const char *account = script_value(s, "account", "studio");
@@ -880,6 +939,7 @@
 	{ "apply-model", 1, do_apply_model },
 	{ "apply-plain", 1, do_apply_plain },
 	{ "preset", 2, do_preset },
+	{ "submit", 3, do_submit },
 	{ "rollback", 2, do_rollback },
 	{ "switch-presets", 2, do_switch_presets },
 	{ "kill", 1, do_kill },
@@ -900,6 +960,8 @@
 	{ "wait-leader", 0, do_wait_leader },
 	{ "wait-applied", 1, do_wait_applied },
 	{ "wait-serving", 2, do_wait_serving },
+	{ "wait-revision", 2, do_wait_revision },
+	{ "wait-log", 2, do_wait_log },
 	{ "print-revision", 1, do_print_revision },
 	{ "stream", 1, do_stream },
 	{ "chat", 1, do_chat },
--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -115,6 +115,12 @@
 bool rpc_client_send(struct rpc_client *client, enum rpc_proc proc,
 		     GBytes *args);
 
+/** Whether bytes of calls have not been passed to the kernel yet. */
+bool rpc_client_unsent(const struct rpc_client *client);
+
+/** Whether bytes of replies have not been passed to the kernel yet. */
+bool rpc_server_unsent(const struct rpc_server *server);
+
 /** Returns the total bytes written by all RPC connections of this process. */
 uint64_t rpc_bytes_sent(void);
 
--- a/wire/rpc_client.c
+++ b/wire/rpc_client.c
@@ -350,3 +350,9 @@
 	write_call(client, proc, args);
 	return true;
 }
+
+bool rpc_client_unsent(const struct rpc_client *client)
+{
+	return client->bev &&
+	       evbuffer_get_length(bufferevent_get_output(client->bev)) > 0;
+}
--- a/wire/rpc_server.c
+++ b/wire/rpc_server.c
@@ -291,6 +291,17 @@
 	rpc_call_discard(call);
 }
 
+bool rpc_server_unsent(const struct rpc_server *server)
+{
+	for (guint i = 0; i < server->conns->len; i++) {
+		const struct server_conn *conn = server->conns->pdata[i];
+
+		if (evbuffer_get_length(bufferevent_get_output(conn->bev)) > 0)
+			return true;
+	}
+	return false;
+}
+
 uint64_t rpc_bytes_sent(void)
 {
 	return rpc_frame_bytes_written();
