control: a waiting change is answered when leadership moves

It is answered change-unknown, outcome unknown, as soon as this member isn't the leader. A leader that only waits for its lease to be renewed keeps its waiting changes.

The script wait-moved pauses the leader until another leads, while an entry is paused so that the change can't be in force. Before: "waiting: refused laggards unknown", after the 10 s of the wait.

--- a/control/operators.c
+++ b/control/operators.c
@@ -190,9 +190,20 @@
 	g_free(change);
 }
 
+static void send_unknown(struct pending_change *change)
+{
+	struct problem problem = { .code = RD_CHANGE_UNKNOWN,
+				   .outcome = OUTCOME_UNKNOWN };
+
+	unwatch_client(change);
+	http_send_problem(change->req, &problem);
+	g_free(change);
+}
+
 /*
- * Answers a change that is in force on all entries or whose wait has timed
- * out. Returns whether it has to wait further.
+ * Answers a change that is in force on all entries, whose wait has timed out,
+ * or that only another member, the new leader, can tell more about. Returns
+ * whether it has to wait further.
  */
 static bool update_waiting_change(struct operators *o,
 				  struct pending_change *change)
@@ -200,13 +211,15 @@
 	struct control *control = o->control;
 	GArray *laggards = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	int64_t now = control_now_ms(control);
-	bool leads = control->group && group_is_ready_leader(control->group);
+	bool leads = group_is_ready_leader(control->group);
 	bool done = leads &&
 		    feed_in_force(control->feed, now, change->index, laggards);
 	bool waiting = false;
 
 	if (done)
 		send_accepted(change, laggards);
+	else if (raft_role(group_raft(control->group)) != RAFT_LEADER)
+		send_unknown(change);
 	else if (now >= change->wait_deadline_ms)
 		send_laggards(change, laggards);
 	else
@@ -223,16 +236,6 @@
 						      i - 1);
 }
 
-static void send_unknown(struct pending_change *change)
-{
-	struct problem problem = { .code = RD_CHANGE_UNKNOWN,
-				   .outcome = OUTCOME_UNKNOWN };
-
-	unwatch_client(change);
-	http_send_problem(change->req, &problem);
-	g_free(change);
-}
-
 void operators_end_waits(struct operators *o)
 {
 	for (guint i = 0; i < o->waiting_changes->len; i++)
