ctl: a change of unknown outcome is not reported as unanswered

What operators saw: a VM had answered change-unknown (for instance because it was stopping), no later one decided the change, and radishdealctl ended with "no VM answered", without the change id. Repeating the command then makes a second change with an id of its own; a rollback or a switch may by then run against what another operator has done since.

Only a closed connection counted as "may have been accepted"; the answer that says so did not. It does now, and the command ends with the change id and the base with which to repeat it.

--- a/ctl/request.c
+++ b/ctl/request.c
@@ -118,13 +118,18 @@
 	return 0;
 }
 
-/* Whether another VM may accept a change that this one did not. */
-static bool must_try_next(const struct fetch_response *answer)
+/*
+ * Whether another VM may decide a change that this one did not. Sets
+ * *maybe_accepted if this one may have accepted it.
+ */
+static bool must_try_next(const struct fetch_response *answer,
+			  bool *maybe_accepted)
 {
 	json_t *body = json_loads(answer->body ? answer->body : "", 0, NULL);
 	int code = (int)json_integer_value(json_object_get(body, "code"));
 
 	json_decref(body);
+	*maybe_accepted |= code == RD_CHANGE_UNKNOWN;
 	return code == RD_NOT_LEADER || code == RD_NO_QUORUM ||
 	       code == RD_CHANGE_UNKNOWN;
 }
@@ -144,7 +149,7 @@
 		r.address = ctl->addresses->pdata[i];
 		ok = fetch(&r, &answer);
 		*maybe_accepted |= !ok && answer.sent;
-		if (ok && !must_try_next(&answer)) {
+		if (ok && !must_try_next(&answer, maybe_accepted)) {
 			*exit_status =
 				answer.status == 200
 					? print_accepted(ctl, answer.body)
