ctl: an interrupted change names its change id

What operators saw: ^C (or SIGTERM, or a closed terminal) while a change waits for its answer ended radishdealctl without a word. The change may have been accepted, but its generated id was lost with the process, so the command could only be repeated as a second change.

It now prints how to repeat the same change and then ends by the same signal; a second ^C ends it at once. A signal that was ignored (nohup) stays ignored.

The new test's operators' port stays silent; SIGINT is sent once the request has arrived there. Before, the id was missing from the output; it passes now.

--- a/ctl/request.c
+++ b/ctl/request.c
@@ -1,4 +1,5 @@
 /* Requests to the operators' ports. */
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -169,6 +170,30 @@
 	return uuid;
 }
 
+static char *interrupt_text; /* set while the signals are handled */
+
+static void on_interrupt(int signal_number)
+{
+	(void)!write(STDERR_FILENO, interrupt_text, strlen(interrupt_text));
+	/* SA_RESETHAND: ends the process once this handler has returned. */
+	raise(signal_number);
+}
+
+/* Makes an interrupted change print how to repeat it without a second one. */
+static void handle_interrupts(void (*handler)(int))
+{
+	static const int signals[] = { SIGINT, SIGTERM, SIGHUP };
+	struct sigaction action = { .sa_handler = handler,
+				    .sa_flags = (int)SA_RESETHAND };
+	struct sigaction old;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++) {
+		sigaction(signals[i], NULL, &old);
+		if (old.sa_handler != SIG_IGN)
+			sigaction(signals[i], &action, NULL);
+	}
+}
+
 int ctl_change(struct ctl *ctl, const char *method, const char *path,
 	       const char *query, const char *body, const char *service)
 {
@@ -192,11 +217,20 @@
 	bool maybe_accepted = false;
 	int exit_status = -1;
 
+	interrupt_text = g_strdup_printf("radishdealctl: interrupted; the "
+					 "change may have been "
+					 "accepted; repeat the command with "
+					 "--change-id %s --base "
+					 "%" G_GINT64_FORMAT "\n",
+					 id, base);
+	handle_interrupts(on_interrupt);
 	for (int i = 0; i < ATTEMPTS_MAX; i++) {
 		if (try_addresses(ctl, &request, &maybe_accepted, &exit_status))
 			break;
 		usleep(ATTEMPT_INTERVAL_US);
 	}
+	handle_interrupts(SIG_DFL);
+	g_free(interrupt_text);
 	if (exit_status < 0 && maybe_accepted) {
 		fprintf(stderr,
 			"radishdealctl: no answer, so the change may have been "
--- a/test/test_ctl.c
+++ b/test/test_ctl.c
@@ -163,11 +163,34 @@
 	g_free(errors);
 }
 
+static void test_interrupt_kept_change_id_secret(void **state)
+{
+	struct ctl_test *test = *state;
+	gint64 deadline = g_get_monotonic_time() + WAIT_US;
+	char *errors;
+	int status;
+
+	test->port.silent = true;
+	start_change(test);
+	while (!g_atomic_int_get(&test->port.requests)) {
+		assert_true(g_get_monotonic_time() < deadline);
+		usleep(POLL_US);
+	}
+	kill(test->pid, SIGINT);
+	errors = wait_for_end(test, &status);
+	assert_non_null(strstr(errors, REPEAT));
+	assert_true(WIFSIGNALED(status));
+	assert_int_equal(WTERMSIG(status), SIGINT);
+	g_free(errors);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(
 			test_unknown_answer_reported_as_none, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_interrupt_kept_change_id_secret, setup, teardown),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
