daemon: a failed data folder leaves the entry time to complete

What callers saw: when the data folder of a VM with both roles failed (a full or broken disk), the process ended at once and cut off all requests of its entry, which don't need the folder. During a stop the failure cut the drain short in the same way.

The failure now starts the stop that a SIGTERM starts, and one during a stop lets it go on; the exit status remains that of the failure. The member takes no part in the group from the moment of the failure on, as before, so it has no leadership to hand over, and its proposals end after their 5 s even though nothing else is processed.

Ruled out: acting on a stale configuration meanwhile. The entry keeps its lease by polling the leader, or loses it, as one on another VM does.

--- a/control/control.h
+++ b/control/control.h
@@ -71,7 +71,7 @@
 	const char *operator_keys;	     /* one "name role key" per line */
 	struct control_listener listener;
 	bool bootstrap; /* create a new consensus group */
-	/** Storage failed; the process must exit. */
+	/** Storage failed; the process must stop, after its requests. */
 	void (*fatal)(void *ctx, enum rd_result code);
 	void *fatal_ctx;
 };
--- a/control/group.c
+++ b/control/group.c
@@ -333,9 +333,9 @@
 
 void group_process(struct group *group)
 {
+	expire_proposals(group);
 	if (group->failed)
 		return;
-	expire_proposals(group);
 	raft_tick(group->raft, now_ms(group));
 	if (!sync_storage(group))
 		return;
@@ -646,6 +646,11 @@
 
 /* ---- queries ---- */
 
+bool group_failed(const struct group *group)
+{
+	return group->failed;
+}
+
 bool group_has_proposals(const struct group *group)
 {
 	return g_hash_table_size(group->proposals) > 0;
--- a/control/group.h
+++ b/control/group.h
@@ -70,7 +70,8 @@
 
 /**
  * Advances timers, syncs pending writes, sends messages that waited for the
- * sync and applies committed entries. Does nothing after a storage failure.
+ * sync and applies committed entries. After a storage failure it only ends the
+ * proposals whose time is over.
  */
 void group_process(struct group *group);
 
@@ -104,6 +105,8 @@
 /** Transfers leadership to another voter; used before a planned stop. */
 void group_transfer_leadership(struct group *group);
 
+/** Whether its storage has failed, so that it takes no further part. */
+bool group_failed(const struct group *group);
 /** Whether a proposal has no outcome yet. */
 bool group_has_proposals(const struct group *group);
 /** Whether messages wait for a sync before they are sent. */
--- a/control/handover.c
+++ b/control/handover.c
@@ -9,6 +9,12 @@
 /* Time after that for sending the answers to what did not complete. */
 #define SEND_TIMEOUT_MS 500
 
+static bool must_hand_over(const struct control *control)
+{
+	return control->group && !group_failed(control->group) &&
+	       raft_role(group_raft(control->group)) == RAFT_LEADER;
+}
+
 static bool work_pending(const struct control *control)
 {
 	return proposals_pending(control->proposals) ||
@@ -28,8 +34,7 @@
 
 	if (!control->handover_done)
 		return;
-	if (!expired && control->group &&
-	    raft_role(group_raft(control->group)) == RAFT_LEADER) {
+	if (!expired && must_hand_over(control)) {
 		group_transfer_leadership(control->group);
 		return;
 	}
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -96,6 +96,7 @@
 	struct entry *entry;
 	struct event_base *base;
 	struct event *quit_event;
+	struct event *failed_event;
 	struct event *hangup_event;
 	struct event *settings_poll;
 	const char *settings_path;
@@ -147,7 +148,7 @@
 	struct daemon *d = ctx;
 
 	d->exit_status = rd_result_info(code)->exit_status;
-	event_active(d->quit_event, EV_READ, 0);
+	event_active(d->failed_event, EV_READ, 0);
 }
 
 /* ---- stopping ---- */
@@ -186,6 +187,15 @@
 		on_entry_stopped(d);
 }
 
+/* The entry can still complete its requests; a stop in progress goes on. */
+static void on_failed(evutil_socket_t fd, short what, void *ctx)
+{
+	struct daemon *d = ctx;
+
+	if (!d->stopping)
+		on_signal(fd, what, d);
+}
+
 static void on_quit(evutil_socket_t fd, short what, void *ctx)
 {
 	struct daemon *d = ctx;
@@ -424,6 +434,7 @@
 	term = evsignal_new(d->base, SIGTERM, on_signal, d);
 	interrupt = evsignal_new(d->base, SIGINT, on_signal, d);
 	d->quit_event = event_new(d->base, -1, EV_PERSIST, on_quit, d);
+	d->failed_event = event_new(d->base, -1, EV_PERSIST, on_failed, d);
 	d->hangup_event = evsignal_new(d->base, SIGHUP, on_hangup, d);
 	d->settings_poll = event_new(d->base, -1, EV_PERSIST, on_settings_poll,
 				     d);
@@ -447,6 +458,7 @@
 	event_free(d->hangup_event);
 	event_free(d->settings_poll);
 	event_free(d->quit_event);
+	event_free(d->failed_event);
 	event_base_free(d->base);
 	return d->exit_status;
 }
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -2,6 +2,7 @@
  * Runs one test script against a cluster of real processes.
  * usage: test_proc SCRIPT
  */
+#include <errno.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -9,6 +10,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <cmocka.h>
@@ -412,6 +414,19 @@
 		     cluster_wait_node_exit(cluster_of(s), atoi(s->words[1])));
 }
 
+/* limit-files NODE N: lets a running daemon open no file or socket from N on.
+ */
+static void do_limit_files(struct script *s)
+{
+	rlim_t files = (rlim_t)atoi(s->words[2]);
+	struct rlimit limit = { files, files };
+	int node = node_of(s, s->words[1]);
+
+	if (prlimit(cluster_of(s)->nodes[node - 1].pid, RLIMIT_NOFILE, &limit,
+		    NULL))
+		script_fail(s, "prlimit: %s", g_strerror(errno));
+}
+
 /* isolate NODE FAULT: sets a fault on all links to and from a daemon. */
 static void do_isolate(struct script *s)
 {
@@ -949,6 +964,7 @@
 	{ "wipe", 1, do_wipe },
 	{ "terminate", 1, do_terminate },
 	{ "wait-exit", 1, do_wait_exit },
+	{ "limit-files", 2, do_limit_files },
 	{ "isolate", 2, do_isolate },
 	{ "link", 3, do_link },
 	{ "vm", 3, do_vm },
