--- a/common/http.c
+++ b/common/http.c
@@ -48,6 +48,44 @@
 	return text;
 }
 
+static _Thread_local unsigned unsent_responses;
+
+static void on_response_lost(struct evhttp_connection *conn, void *arg)
+{
+	(void)arg;
+	evhttp_connection_set_closecb(conn, NULL, NULL);
+	/* Servers are freed on another thread, whose count is 0. */
+	if (unsent_responses)
+		unsent_responses--;
+}
+
+static void on_response_sent(struct evhttp_request *req, void *arg)
+{
+	on_response_lost(evhttp_request_get_connection(req), arg);
+}
+
+void http_track_response(struct evhttp_request *req)
+{
+	struct evhttp_connection *conn = evhttp_request_get_connection(req);
+
+	if (!conn)
+		return;
+	unsent_responses++;
+	evhttp_request_set_on_complete_cb(req, on_response_sent, NULL);
+	evhttp_connection_set_closecb(conn, on_response_lost, NULL);
+}
+
+void http_send_reply(struct evhttp_request *req, int status, const char *reason)
+{
+	http_track_response(req);
+	evhttp_send_reply(req, status, reason, NULL);
+}
+
+unsigned http_unsent_responses(void)
+{
+	return unsent_responses;
+}
+
 static void send_text(struct evhttp_request *req, int status,
 		      const char *reason, const char *type, const char *text)
 {
@@ -57,7 +95,7 @@
 	evhttp_remove_header(headers, "Content-Type");
 	evhttp_add_header(headers, "Content-Type", type);
 	evbuffer_add(out, text, strlen(text));
-	evhttp_send_reply(req, status, reason, NULL);
+	http_send_reply(req, status, reason);
 }
 
 void http_send_problem(struct evhttp_request *req,
@@ -217,34 +255,6 @@
 				 &timeout, &timeout);
 }
 
-static void on_response_sent(struct evhttp_request *req, void *arg)
-{
-	uint32_t *unsent = arg;
-
-	evhttp_connection_set_closecb(evhttp_request_get_connection(req), NULL,
-				      NULL);
-	(*unsent)--;
-}
-
-static void on_response_lost(struct evhttp_connection *conn, void *arg)
-{
-	uint32_t *unsent = arg;
-
-	evhttp_connection_set_closecb(conn, NULL, NULL);
-	(*unsent)--;
-}
-
-void http_track_response(struct evhttp_request *req, uint32_t *unsent)
-{
-	struct evhttp_connection *conn = evhttp_request_get_connection(req);
-
-	if (!conn)
-		return;
-	(*unsent)++;
-	evhttp_request_set_on_complete_cb(req, on_response_sent, unsent);
-	evhttp_connection_set_closecb(conn, on_response_lost, unsent);
-}
-
 static struct evhttp *open_server(const struct http_listen_opts *opts,
 				  int *port)
 {
--- a/common/http.h
+++ b/common/http.h
@@ -50,6 +50,26 @@
 void http_send_text(struct evhttp_request *req, int status, const char *type,
 		    const char *text);
 
+/**
+ * Sends a response whose headers and body are in the request's output, and ends
+ * the request. Replaces a watch of its connection.
+ */
+void http_send_reply(struct evhttp_request *req, int status,
+		     const char *reason);
+
+/**
+ * Counts a response in http_unsent_responses(); the functions above do so
+ * themselves. Call it before the last part of a response is given to evhttp.
+ * Replaces a watch of its connection.
+ */
+void http_track_response(struct evhttp_request *req);
+
+/**
+ * Returns how many responses of the calling thread are complete, but not yet
+ * written to their sockets as a whole.
+ */
+unsigned http_unsent_responses(void);
+
 /** Returns the value of a request header, or NULL. */
 const char *http_header(struct evhttp_request *req, const char *name);
 
@@ -101,13 +121,6 @@
  */
 void http_unwatch_disconnect(struct evhttp_request *req, int timeout_s);
 
-/**
- * Counts a response in *unsent until all of it was written to the connection's
- * socket, or the connection is closed. Call it after http_unwatch_disconnect()
- * and before the response is completed; `unsent` must outlive the connection.
- */
-void http_track_response(struct evhttp_request *req, uint32_t *unsent);
-
 struct http_listen_opts {
 	struct event_base *base;
 	const char *setting; /* key of the address, for errors; or NULL */
--- a/control/operators.c
+++ b/control/operators.c
@@ -190,9 +190,20 @@
 	g_free(change);
 }
 
+static void send_unknown(struct pending_change *change)
+{
+	struct problem problem = { .code = RD_CHANGE_UNKNOWN,
+				   .outcome = OUTCOME_UNKNOWN };
+
+	unwatch_client(change);
+	http_send_problem(change->req, &problem);
+	g_free(change);
+}
+
 /*
- * Answers a change that is in force on all entries or whose wait has timed
- * out. Returns whether it has to wait further.
+ * Answers a change that is in force on all entries, whose wait has timed out,
+ * or that only another member, the new leader, can tell more about. Returns
+ * whether it has to wait further.
  */
 static bool update_waiting_change(struct operators *o,
 				  struct pending_change *change)
@@ -200,13 +211,15 @@
 	struct control *control = o->control;
 	GArray *laggards = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	int64_t now = control_now_ms(control);
-	bool leads = control->group && group_is_ready_leader(control->group);
+	bool leads = group_is_ready_leader(control->group);
 	bool done = leads &&
 		    feed_in_force(control->feed, now, change->index, laggards);
 	bool waiting = false;
 
 	if (done)
 		send_accepted(change, laggards);
+	else if (raft_role(group_raft(control->group)) != RAFT_LEADER)
+		send_unknown(change);
 	else if (now >= change->wait_deadline_ms)
 		send_laggards(change, laggards);
 	else
@@ -223,6 +236,13 @@
 						      i - 1);
 }
 
+void operators_end_waits(struct operators *o)
+{
+	for (guint i = 0; i < o->waiting_changes->len; i++)
+		send_unknown(o->waiting_changes->pdata[i]);
+	g_ptr_array_set_size(o->waiting_changes, 0);
+}
+
 static void on_change_done(void *ctx, enum rd_result code,
 			   const struct apply_result *result)
 {
@@ -299,6 +319,10 @@
 	char *id, *base;
 	GBytes *bytes;
 
+	if (control->stopping) {
+		send_error(r->req, RD_NO_QUORUM, "this VM is stopping");
+		return;
+	}
 	if (needs_leader(r)) {
 		send_not_leader(r);
 		return;
@@ -628,13 +652,7 @@
 {
 	if (!o)
 		return;
-	for (guint i = 0; i < o->waiting_changes->len; i++) {
-		struct pending_change *change = o->waiting_changes->pdata[i];
-
-		unwatch_client(change);
-		send_error(change->req, RD_CHANGE_UNKNOWN, NULL);
-		g_free(change);
-	}
+	operators_end_waits(o);
 	g_ptr_array_unref(o->waiting_changes);
 	if (o->http)
 		evhttp_free(o->http);
--- a/ctl/request.c
+++ b/ctl/request.c
@@ -1,4 +1,5 @@
 /* Requests to the operators' ports. */
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -118,13 +119,18 @@
 	return 0;
 }
 
-/* Whether another VM may accept a change that this one did not. */
-static bool must_try_next(const struct fetch_response *answer)
+/*
+ * Whether another VM may decide a change that this one did not. Sets
+ * *maybe_accepted if this one may have accepted it.
+ */
+static bool must_try_next(const struct fetch_response *answer,
+			  bool *maybe_accepted)
 {
 	json_t *body = json_loads(answer->body ? answer->body : "", 0, NULL);
 	int code = (int)json_integer_value(json_object_get(body, "code"));
 
 	json_decref(body);
+	*maybe_accepted |= code == RD_CHANGE_UNKNOWN;
 	return code == RD_NOT_LEADER || code == RD_NO_QUORUM ||
 	       code == RD_CHANGE_UNKNOWN;
 }
@@ -144,7 +150,7 @@
 		r.address = ctl->addresses->pdata[i];
 		ok = fetch(&r, &answer);
 		*maybe_accepted |= !ok && answer.sent;
-		if (ok && !must_try_next(&answer)) {
+		if (ok && !must_try_next(&answer, maybe_accepted)) {
 			*exit_status =
 				answer.status == 200
 					? print_accepted(ctl, answer.body)
@@ -164,6 +170,30 @@
 	return uuid;
 }
 
+static char *interrupt_text; /* set while the signals are handled */
+
+static void on_interrupt(int signal_number)
+{
+	(void)!write(STDERR_FILENO, interrupt_text, strlen(interrupt_text));
+	/* SA_RESETHAND: ends the process once this handler has returned. */
+	raise(signal_number);
+}
+
+/* Makes an interrupted change print how to repeat it without a second one. */
+static void handle_interrupts(void (*handler)(int))
+{
+	static const int signals[] = { SIGINT, SIGTERM, SIGHUP };
+	struct sigaction action = { .sa_handler = handler,
+				    .sa_flags = (int)SA_RESETHAND };
+	struct sigaction old;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++) {
+		sigaction(signals[i], NULL, &old);
+		if (old.sa_handler != SIG_IGN)
+			sigaction(signals[i], &action, NULL);
+	}
+}
+
 int ctl_change(struct ctl *ctl, const char *method, const char *path,
 	       const char *query, const char *body, const char *service)
 {
@@ -187,11 +217,20 @@
 	bool maybe_accepted = false;
 	int exit_status = -1;
 
+	interrupt_text = g_strdup_printf("radishdealctl: interrupted; the "
+					 "change may have been "
+					 "accepted; repeat the command with "
+					 "--change-id %s --base "
+					 "%" G_GINT64_FORMAT "\n",
+					 id, base);
+	handle_interrupts(on_interrupt);
 	for (int i = 0; i < ATTEMPTS_MAX; i++) {
 		if (try_addresses(ctl, &request, &maybe_accepted, &exit_status))
 			break;
 		usleep(ATTEMPT_INTERVAL_US);
 	}
+	handle_interrupts(SIG_DFL);
+	g_free(interrupt_text);
 	if (exit_status < 0 && maybe_accepted) {
 		fprintf(stderr,
 			"radishdealctl: no answer, so the change may have been "
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -97,6 +97,7 @@
 	struct entry *entry;
 	struct event_base *base;
 	struct event *quit_event;
+	struct event *failed_event;
 	struct event *hangup_event;
 	struct event *settings_poll;
 	const char *settings_path;
@@ -150,7 +151,7 @@
 	struct daemon *d = ctx;
 
 	d->exit_status = rd_result_info(code)->exit_status;
-	event_active(d->quit_event, EV_READ, 0);
+	event_active(d->failed_event, EV_READ, 0);
 }
 
 /* ---- stopping ---- */
@@ -169,24 +170,13 @@
 	control_post_handover(d->control, on_control_stopped, d);
 }
 
-/* A stop that has begun goes on as it is. `fd` is the number of the signal. */
-static void on_signal(evutil_socket_t fd, short what, void *ctx)
+static void begin_stop(struct daemon *d, const char *cause)
 {
-	struct daemon *d = ctx;
 	int64_t now_ms = clock_now_ms(&clock_system);
 
-	(void)what;
-	counters_add(d->counters, COUNTER_STOP_SIGNALS, 1);
-	if (d->stopping) {
-		log_note(&daemon_log,
-			 "already stopping; signal ignored signal=%s "
-			 "elapsed_ms=%" PRId64,
-			 sigabbrev_np(fd), now_ms - d->stop_began_ms);
-		return;
-	}
 	log_note(&daemon_log,
-		 "stopping signal=%s uptime_ms=%" PRId64 " drain_ms=%" PRId64,
-		 sigabbrev_np(fd), now_ms - d->started_ms,
+		 "stopping cause=%s uptime_ms=%" PRId64 " drain_ms=%" PRId64,
+		 cause, now_ms - d->started_ms,
 		 daemon_settings_drain_ms(&d->settings));
 	d->stopping = true;
 	d->stop_began_ms = now_ms;
@@ -196,6 +186,34 @@
 		on_entry_stopped(d);
 }
 
+/* A stop that has begun goes on as it is. `fd` is the number of the signal. */
+static void on_signal(evutil_socket_t fd, short what, void *ctx)
+{
+	struct daemon *d = ctx;
+	const char *name = sigabbrev_np(fd);
+
+	(void)what;
+	counters_add(d->counters, COUNTER_STOP_SIGNALS, 1);
+	if (!d->stopping)
+		begin_stop(d, name);
+	else
+		log_note(&daemon_log,
+			 "already stopping; signal ignored signal=%s "
+			 "elapsed_ms=%" PRId64,
+			 name, clock_now_ms(&clock_system) - d->stop_began_ms);
+}
+
+/* The entry can still complete its requests; a stop in progress goes on. */
+static void on_failed(evutil_socket_t fd, short what, void *ctx)
+{
+	struct daemon *d = ctx;
+
+	(void)fd;
+	(void)what;
+	if (!d->stopping)
+		begin_stop(d, "storage-failed");
+}
+
 static void on_quit(evutil_socket_t fd, short what, void *ctx)
 {
 	struct daemon *d = ctx;
@@ -418,6 +436,17 @@
 	return roles & ROLE_ENTRY ? "entry" : "control";
 }
 
+static void mask_signals(int how)
+{
+	sigset_t signals;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	sigaddset(&signals, SIGHUP);
+	pthread_sigmask(how, &signals, NULL);
+}
+
 static int run(struct daemon *d, bool bootstrap)
 {
 	char *why = NULL;
@@ -431,19 +460,20 @@
 	term = evsignal_new(d->base, SIGTERM, on_signal, d);
 	interrupt = evsignal_new(d->base, SIGINT, on_signal, d);
 	d->quit_event = event_new(d->base, -1, EV_PERSIST, on_quit, d);
+	d->failed_event = event_new(d->base, -1, EV_PERSIST, on_failed, d);
 	d->hangup_event = evsignal_new(d->base, SIGHUP, on_hangup, d);
 	d->settings_poll = event_new(d->base, -1, EV_PERSIST, on_settings_poll,
 				     d);
 	event_add(d->hangup_event, NULL);
 	event_add(term, NULL);
 	event_add(interrupt, NULL);
+	mask_signals(SIG_UNBLOCK);
 	code = start_tasks(d, bootstrap, &why);
 	if (code) {
 		fprintf(stderr, "radishdeald: %s (%d): %s\n",
 			rd_result_info(code)->name, code, why ? why : "");
 		d->exit_status = rd_result_info(code)->exit_status;
 	} else {
-		(void)settings_changed(d);
 		event_add(d->settings_poll, &poll_interval);
 		log_note(&daemon_log, "started pid=%d roles=%s", (int)getpid(),
 			 role_names(d->settings.node.roles));
@@ -459,6 +489,7 @@
 	event_free(d->hangup_event);
 	event_free(d->settings_poll);
 	event_free(d->quit_event);
+	event_free(d->failed_event);
 	event_base_free(d->base);
 	return d->exit_status;
 }
@@ -493,11 +524,16 @@
 	char *errors = NULL;
 	enum rd_result code;
 
+	/* Their default action would end the process until run() is ready. */
+	mask_signals(SIG_BLOCK);
 	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
 	if (arguments.print) {
 		print_reference();
 		return 0;
 	}
+	d.settings_path = arguments.settings;
+	/* Before the load, so that a change from here on is seen. */
+	(void)settings_changed(&d);
 	code = daemon_settings_load(arguments.settings, &d.settings, &errors);
 	if (code) {
 		fprintf(stderr, "%s\n", errors);
@@ -510,7 +546,6 @@
 		clear_daemon(&d);
 		return 0;
 	}
-	d.settings_path = arguments.settings;
 	signal(SIGPIPE, SIG_IGN);
 	init_log(&d.settings);
 	code = (enum rd_result)run(&d, arguments.bootstrap ||
--- a/entry/call.c
+++ b/entry/call.c
@@ -123,13 +123,11 @@
 
 /* ---- responding to the caller ---- */
 
-/* Call it before the last part of the response is given to evhttp. */
-static void release_caller(struct call *call)
+static void unwatch_caller(struct call *call)
 {
 	http_unwatch_disconnect(
 		call->req,
 		(int)call->entry->opts.settings->limits.slow_sender_s);
-	http_track_response(call->req, &call->entry->unsent_responses);
 }
 
 static void count_outcome(struct call *call, enum counter which)
@@ -192,7 +190,7 @@
 		count_outcome(call, outcome == OUTCOME_NOT_RUN
 					    ? COUNTER_NOT_RUN
 					    : COUNTER_OUTCOME_UNKNOWN);
-		release_caller(call);
+		unwatch_caller(call);
 		call->format->send_error(call->req, &problem);
 		call->req = NULL;
 	}
@@ -214,8 +212,8 @@
 		evbuffer_add(evhttp_request_get_output_buffer(call->req), body,
 			     size);
 		count_outcome(call, COUNTER_COMPLETED);
-		release_caller(call);
-		evhttp_send_reply(call->req, status, NULL, NULL);
+		unwatch_caller(call);
+		http_send_reply(call->req, status, NULL);
 		call->req = NULL;
 	}
 	call_destroy(call);
@@ -234,7 +232,8 @@
 		 call->id, service->name, call->replica, call->tokens,
 		 (call->first_byte_us - call->started_us) / 1000,
 		 (entry_now_us(call->entry) - call->started_us) / 1000);
-	release_caller(call);
+	unwatch_caller(call);
+	http_track_response(call->req);
 	evhttp_send_reply_end(call->req);
 	call->req = NULL;
 	call_destroy(call);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -287,7 +287,6 @@
 	if (!entry)
 		return;
 	free_events(entry);
-	shutdown_log_dropped(entry);
 	early_drop(entry);
 	drop_calls(entry);
 	upstream_pool_destroy(entry->pool);
--- a/entry/shutdown.c
+++ b/entry/shutdown.c
@@ -47,7 +47,7 @@
 
 	*open = (struct open_requests){
 		.held = entry->held_requests.length,
-		.unsent = entry->unsent_responses,
+		.unsent = http_unsent_responses(),
 	};
 	g_hash_table_iter_init(&iter, entry->calls);
 	while (g_hash_table_iter_next(&iter, &key, NULL))
@@ -130,28 +130,15 @@
 			return;
 		end_calls(entry);
 	}
-	if (entry->unsent_responses &&
+	if (http_unsent_responses() &&
 	    now < entry->shutdown.deadline_ms + FLUSH_MS)
 		return;
 	log_phase(entry, "stop finished");
+	if (http_unsent_responses())
+		log_warn(&shutdown_log,
+			 "slow callers do not get their whole response "
+			 "unsent=%u",
+			 http_unsent_responses());
 	entry->shutdown.done(entry->shutdown.arg);
 	entry->shutdown.done = NULL;
 }
-
-void shutdown_log_dropped(const struct entry *entry)
-{
-	struct open_requests open;
-	uint32_t dropped;
-
-	count_open(entry, &open);
-	dropped = g_hash_table_size(entry->calls) + open.held + open.unsent;
-	if (!dropped)
-		return;
-	log_warn(&shutdown_log,
-		 "process ends without completing responses dropped=%u "
-		 "queued=%u sent=%u responding=%u awaiting_replica=%u "
-		 "booking=%u held=%u unsent=%u oldest_ms=%" PRId64,
-		 dropped, open.queued, open.sent, open.responding,
-		 open.awaiting_replica, open.booking, open.held, open.unsent,
-		 open.oldest_ms);
-}
