--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -73,7 +73,6 @@
 	struct upstream_pool *pool;
 	struct routes *routes; /* of the deployment; NULL before there is one */
 	GQueue held_requests;  /* of struct held_request */
-	uint32_t unsent_responses; /* complete, but not all of it sent */
 	int64_t started_ms;
 	void *driver;		  /* of opts.driver; NULL for none */
 	struct evhttp *callers;	  /* native interface; NULL with a driver */
--- a/entry/shutdown.h
+++ b/entry/shutdown.h
@@ -20,7 +20,4 @@
 /** Advances the stop, if there is one. */
 void shutdown_tick(struct entry *entry);
 
-/** Logs the requests that the end of the entry leaves without a response. */
-void shutdown_log_dropped(const struct entry *entry);
-
 #endif
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -3,6 +3,7 @@
  * usage: test_proc SCRIPT
  */
 #include <fcntl.h>
+#include <errno.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -12,6 +13,7 @@
 #include <string.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <cmocka.h>
@@ -313,6 +315,33 @@
 	change_service(s, "preset", "preset");
 }
 
+static void keep_job(struct script *s, const struct job *opts)
+{
+	g_hash_table_insert(test_of(s)->jobs, g_strdup(opts->name),
+			    job_start(opts));
+}
+
+/* submit NAME SERVICE PRESET [node=N] [base=N] [wait=MS]: a change of preset */
+static void do_submit(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+	int node = node_of(s, script_value(s, "node", "leader"));
+	char *path = g_strdup_printf(
+		"/v1/services/%s/preset?change_id=%s&base=%d&wait_ms=%d&"
+		"preset=%s",
+		s->words[2], s->words[1], (int)script_number(s, "base", 1),
+		(int)script_number(s, "wait", 0), s->words[3]);
+	struct job opts = {
+		.name = s->words[1],
+		.address = c->nodes[node - 1].operators,
+		.key = c->operator_key,
+		.path = path,
+	};
+
+	keep_job(s, &opts);
+	g_free(path);
+}
+
 static void do_rollback(struct script *s)
 {
 	change_service(s, "rollback", "to");
@@ -528,6 +557,19 @@
 		     cluster_wait_node_exit(cluster_of(s), atoi(s->words[1])));
 }
 
+/* limit-files NODE N: lets a running daemon open no file or socket from N on.
+ */
+static void do_limit_files(struct script *s)
+{
+	rlim_t files = (rlim_t)atoi(s->words[2]);
+	struct rlimit limit = { files, files };
+	int node = node_of(s, s->words[1]);
+
+	if (prlimit(cluster_of(s)->nodes[node - 1].pid, RLIMIT_NOFILE, &limit,
+		    NULL))
+		script_fail(s, "prlimit: %s", g_strerror(errno));
+}
+
 /* isolate NODE FAULT: sets a fault on all links to and from a daemon. */
 static void do_isolate(struct script *s)
 {
@@ -729,6 +771,44 @@
 	wait_until(s, metric_reached, "value of a counter");
 }
 
+static bool has_revision(struct script *s)
+{
+	char *path = g_strdup_printf("/v1/services/%s", s->words[1]);
+	int leader = cluster_find_leader(cluster_of(s));
+	json_t *body = leader ? cluster_get(cluster_of(s), leader, path) : NULL;
+	json_int_t revision = json_integer_value(json_object_get(body, "revisio"
+								       "n"));
+
+	json_decref(body);
+	g_free(path);
+	return revision == atoi(s->words[2]);
+}
+
+static void do_wait_revision(struct script *s)
+{
+	wait_until(s, has_revision, "revision of the service");
+}
+
+static bool has_logged(struct script *s)
+{
+	char *name = g_strdup_printf("node%s.log", s->words[1]);
+	char *path = cluster_path(cluster_of(s), name);
+	char *text = NULL;
+	bool found = g_file_get_contents(path, &text, NULL, NULL) &&
+		     strstr(text, s->words[2]);
+
+	g_free(text);
+	g_free(path);
+	g_free(name);
+	return found;
+}
+
+/* wait-log NODE WORD: waits until the node's log has the word. */
+static void do_wait_log(struct script *s)
+{
+	wait_until(s, has_logged, "word in the node's log");
+}
+
 static void do_print_revision(struct script *s)
 {
 	struct cluster *c = cluster_of(s);
@@ -746,12 +826,6 @@
 
 /* ---- requests of clients ---- */
 
-static void keep_job(struct script *s, const struct job *opts)
-{
-	g_hash_table_insert(test_of(s)->jobs, g_strdup(opts->name),
-			    job_start(opts));
-}
-
 static const char *account_key_of(struct script *s)
 {
 	const char *account = script_value(s, "account", "studio");
@@ -1142,6 +1216,7 @@
 	{ "apply-model", 1, do_apply_model },
 	{ "apply-plain", 1, do_apply_plain },
 	{ "preset", 2, do_preset },
+	{ "submit", 3, do_submit },
 	{ "rollback", 2, do_rollback },
 	{ "switch-presets", 2, do_switch_presets },
 	{ "kill", 1, do_kill },
@@ -1157,6 +1232,7 @@
 	{ "signal-until-exit", 2, do_signal_until_exit },
 	{ "check-running", 1, do_check_running },
 	{ "wait-exit", 1, do_wait_exit },
+	{ "limit-files", 2, do_limit_files },
 	{ "isolate", 2, do_isolate },
 	{ "link", 3, do_link },
 	{ "vm", 3, do_vm },
@@ -1169,6 +1245,8 @@
 	{ "wait-applied", 1, do_wait_applied },
 	{ "wait-serving", 2, do_wait_serving },
 	{ "wait-metric", 3, do_wait_metric },
+	{ "wait-revision", 2, do_wait_revision },
+	{ "wait-log", 2, do_wait_log },
 	{ "print-revision", 1, do_print_revision },
 	{ "stream", 1, do_stream },
 	{ "chat", 1, do_chat },
