--- a/test/cluster.c
+++ b/test/cluster.c
@@ -82,7 +82,7 @@
 	posix_spawn_file_actions_destroy(&actions);
 	g_ptr_array_unref(argv);
 	if (error)
-		cluster_fail("%s: %s", path, g_strerror(error));
+		cluster_fail("%s, log %s: %s", path, log, g_strerror(error));
 	g_free(path);
 	g_free(log);
 	return pid;
