--- a/soak/callers.c
+++ b/soak/callers.c
@@ -246,8 +246,12 @@
 								      "e"));
 	const char *address = json_string_value(
 		json_object_get(json_array_get(list, 0), "address"));
+	const char *type = json_string_value(json_object_get(body, "type"));
 	const struct cluster_node *nodes = c->all->soak->cluster->nodes;
 
+	r->refusal = g_strdup(type && strrchr(type, ':')
+				      ? strrchr(type, ':') + 1
+				      : "without-type");
 	r->not_run = outcome && !strcmp(outcome, "not-run");
 	for (int i = 0; address && i < SOAK_NODES; i++)
 		if (!strcmp(address, nodes[i].callers))
--- a/soak/check.c
+++ b/soak/check.c
@@ -107,6 +107,14 @@
 	       (!run->ended_us || run->ended_us >= sixth_us);
 }
 
+static void count_refusal(struct soak_result *result, const char *type)
+{
+	gpointer count = g_hash_table_lookup(result->refusals, type);
+
+	g_hash_table_insert(result->refusals, g_strdup(type),
+			    GINT_TO_POINTER(GPOINTER_TO_INT(count) + 1));
+}
+
 static void check_request(const struct soak *soak, const struct request *r,
 			  struct soak_result *result)
 {
@@ -115,6 +123,8 @@
 	result->requests++;
 	result->complete += r->complete && r->status == 200;
 	result->refused += r->complete && r->status != 200;
+	if (r->refusal)
+		count_refusal(result, r->refusal);
 	if (r->not_run && run->begun)
 		report_request(result, soak, r, "RAN-THOUGH-NOT-RUN");
 	if ((r->kind == REQUEST_BOOKING || r->kind == REQUEST_ONCE) &&
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -36,6 +36,7 @@
 {
 	struct request *r = request;
 
+	g_free(r->refusal);
 	g_free(r->end);
 	g_free(r);
 }
@@ -203,6 +204,17 @@
 	}
 }
 
+static void print_refusals(const struct soak_result *result)
+{
+	GHashTableIter iter;
+	gpointer type, count;
+
+	g_hash_table_iter_init(&iter, result->refusals);
+	while (g_hash_table_iter_next(&iter, &type, &count))
+		printf(" %s=%d", (const char *)type, GPOINTER_TO_INT(count));
+	printf("\n");
+}
+
 static void print_result(const struct soak *soak,
 			 const struct soak_result *result)
 {
@@ -212,6 +224,8 @@
 	       result->refused, result->excused, result->stops,
 	       result->repeated_signals, result->early_ends,
 	       result->findings->len);
+	printf("seed %u: refusals:", soak->opts.seed);
+	print_refusals(result);
 	for (guint i = 0; i < result->findings->len; i++)
 		printf("seed %u: %s\n", soak->opts.seed,
 		       (const char *)result->findings->pdata[i]);
@@ -227,9 +241,7 @@
 	init_soak(&soak, opts);
 	run_phases(&soak);
 	read_logs(&soak);
-	*result = (struct soak_result){
-		.findings = g_ptr_array_new_with_free_func(g_free),
-	};
+	soak_result_init(result);
 	check_records(&soak, result);
 	print_result(&soak, result);
 	if (result->findings->len)
@@ -238,7 +250,17 @@
 	unsetenv("KEEP");
 }
 
+void soak_result_init(struct soak_result *result)
+{
+	*result = (struct soak_result){
+		.refusals = g_hash_table_new_full(g_str_hash, g_str_equal,
+						  g_free, NULL),
+		.findings = g_ptr_array_new_with_free_func(g_free),
+	};
+}
+
 void soak_result_clear(struct soak_result *result)
 {
+	g_hash_table_unref(result->refusals);
 	g_ptr_array_unref(result->findings);
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -75,6 +75,7 @@
 	bool not_run; /* a response that says so */
 	int status;
 	size_t received; /* bytes of the response */
+	char *refusal;	 /* type of a problem response, or NULL */
 	char *end;	 /* how it ended, for reports */
 };
 
@@ -98,14 +99,16 @@
 struct soak_result {
 	int requests, complete, refused, excused;
 	int stops, repeated_signals;
-	int early_ends;	     /* by a signal, before the process had a handler */
-	GPtrArray *findings; /* of char *; empty if all checks passed */
+	int early_ends; /* by a signal, before the process had a handler */
+	GHashTable *refusals; /* type -> number of requests */
+	GPtrArray *findings;  /* of char *; empty if all checks passed */
 };
 
 /* ---- soak.c ---- */
 
 /** Runs one seed; prints the findings. soak_result_clear() frees. */
 void soak_run(const struct soak_opts *opts, struct soak_result *result);
+void soak_result_init(struct soak_result *result);
 void soak_result_clear(struct soak_result *result);
 
 /** The clock of all records, the same as that of the endpoints' logs. */
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -35,7 +35,7 @@
 	t->soak.requests = g_ptr_array_new_with_free_func(soak_request_free);
 	t->soak.endpoint_runs = g_hash_table_new_full(g_str_hash, g_str_equal,
 						      g_free, g_free);
-	t->result.findings = g_ptr_array_new_with_free_func(g_free);
+	soak_result_init(&t->result);
 	t->process = g_new0(struct process, 1);
 	t->request = g_new0(struct request, 1);
 	t->run = g_new0(struct endpoint_run, 1);
