consensus: a demoted member stands for election after a restart

Seen: `make torture SEED=807657 SEEDS=1` ended with "not converged 20000 ms after the last fault"; no leader was elected, with all four members up and connected. In a group of two voters the same needs one crash of each: the group then stays without a leader for good.

Cause, traced by the configurations that each member appends, restores and commits: in term 2 node 3 led with nodes 3 and 4 as voters (index 12, committed) and appended entry 13, which makes node 4 a learner. The entry reached node 4's disk; node 3 crashed before its own sync. In term 3 node 4, which still knew that 12 was committed, was elected with entry 13 as its latest configuration, and crashed before it could replicate. From then on node 4 has the longest log, so it refuses node 3, whose configuration needs node 4's vote; and node 4 did not stand: may_campaign() looked at the latest configuration and the one at the commit index, but the commit index is not stored, so that after the restart this was the first configuration of all, in which node 4 is no voter either.

The hypothesis that such a member never campaigns was wrong: it did until it was restarted.

Change: a member may stand if it is a voter in its latest configuration or in any from the one known to be committed on. The last committed configuration is always among these. Safety is as before: votes are counted by the candidate's latest configuration, its own only if it is a voter there, and the vote is granted by log and lease as to any other candidate. A member with an empty disk has a new id, which no earlier configuration holds. Once the commit index is known, a demoted member is quiet again.

--- a/consensus/election.c
+++ b/consensus/election.c
@@ -62,15 +62,25 @@
 }
 
 /*
- * A member that is not in the latest configuration may be the only one whose
- * log holds that configuration. Until the entry is committed it must remain
- * able to become leader.
+ * A member whose vote was taken may be the only one whose log holds that
+ * change, so it remains able to become leader until it knows that the change is
+ * committed. After a restart the commit index is not known, so each later
+ * configuration counts. A candidate counts votes by its latest configuration
+ * only, and its own vote only if it is a voter there.
  */
 static bool may_campaign(const struct raft *raft)
 {
-	return raft_is_voter(raft_latest_config(raft), raft->id) ||
-	       raft_is_voter(&log_config_at(&raft->log, raft->commit)->config,
-			     raft->id);
+	const GPtrArray *configs = raft->log.configs;
+
+	for (guint i = configs->len; i > 0; i--) {
+		const struct log_config *c = configs->pdata[i - 1];
+
+		if (raft_is_voter(&c->config, raft->id))
+			return true;
+		if (c->index <= raft->commit)
+			return false;
+	}
+	return false;
 }
 
 void raft_campaign(struct raft *raft, int64_t now_ms, bool pre, bool force)
--- a/test/test_torture.c
+++ b/test/test_torture.c
@@ -15,7 +15,9 @@
 	6,    /* the only member with the newest configuration did not become
 	       * a candidate */
 	1514, /* the log had a gap after a snapshot following a crash */
-	6071, 9080, /* a sole voter led before its vote was durable */
+	6071,	9080, /* a sole voter led before its vote was durable */
+	807657,	      /* a demoted member, restarted, did not become a candidate
+		       * with the newest configuration */
 };
 
 static void test_found_seeds(void **state)
