control: a command that cannot be decoded ends its proposal

Found by reading. Seen by a caller in the same process: `done` of group_propose() was never called for a committed command that cannot be decoded, so whatever waits for it would be left to its own timeout and its context was never released. apply_command() took the proposal out of the table and freed it.

Now `done` gets RD_CHANGE_UNKNOWN: the entry is committed and not applied. If the entry replaced the proposal, it gets RD_NOT_LEADER as for any other.

Before: test_undecodable_command_ends_its_proposal "0x1 != 0" (one call expected, none seen).

--- a/control/group.c
+++ b/control/group.c
@@ -191,9 +191,22 @@
 	return p;
 }
 
-static void apply_command(struct group *group, const struct raft_entry *entry)
+/* Ends the proposal that a committed entry came from or replaced, if any. */
+static void finish_committed(struct group *group,
+			     const struct raft_entry *entry,
+			     enum rd_result code,
+			     const struct apply_result *result)
 {
 	struct proposal *p = remove_proposal(group, entry->index);
+
+	if (p && p->term == entry->term)
+		finish_proposal(group, p, code, result);
+	else if (p)
+		finish_proposal(group, p, RD_NOT_LEADER, NULL);
+}
+
+static void apply_command(struct group *group, const struct raft_entry *entry)
+{
 	struct command command = { 0 };
 	struct apply_result result = { 0 };
 	struct group_applied applied = { entry->index, &command, &result };
@@ -203,16 +216,13 @@
 			  "committed log entry %" PRIu64 " cannot be decoded",
 			  entry->index);
 		fail_group(group, RD_FORMAT);
-		g_free(p);
+		finish_committed(group, entry, RD_CHANGE_UNKNOWN, NULL);
 		return;
 	}
 	state_apply(group->state, entry->index, &command, &result);
 	counters_add(group->opts.counters, COUNTER_APPLIED, 1);
 	group->opts.events.applied(group->opts.events.ctx, &applied);
-	if (p && p->term == entry->term)
-		finish_proposal(group, p, RD_OK, &result);
-	else if (p)
-		finish_proposal(group, p, RD_NOT_LEADER, NULL);
+	finish_committed(group, entry, RD_OK, &result);
 	state_result_clear(&result);
 	CODEC_FREE(command, &command);
 }
--- a/control/group.h
+++ b/control/group.h
@@ -91,8 +91,8 @@
 
 /**
  * Proposes an encoded command. `done` is called once, possibly before this
- * returns; it is not called if the committed command cannot be decoded, which
- * fails the group.
+ * returns. A committed command that cannot be decoded fails the group, and its
+ * `done` gets RD_CHANGE_UNKNOWN.
  */
 void group_propose(struct group *group, GBytes *command, group_done_fn done,
 		   void *ctx);
--- /dev/null
+++ b/test/test_group.c
@@ -0,0 +1,164 @@
+/* A group of one member on a simulated disk: what its owner is told. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "common/log.h"
+#include "control/group.h"
+#include "test/memory_fs.h"
+#include "wire/codec.h"
+
+#define STEP_US 5000
+/* Enough for the election of a sole voter. */
+#define STEPS_MAX 1000
+
+struct world {
+	int64_t now_us;
+	struct clock_source clock;
+	struct memory_fs *fs;
+	struct counters *counters;
+	struct daemon_settings settings;
+	struct group *group;
+	int done, failed;
+	enum rd_result done_code, failed_code;
+	char *why;
+};
+
+static int64_t world_now_us(void *ctx)
+{
+	return ((struct world *)ctx)->now_us;
+}
+
+static void on_send(void *ctx, uint64_t member, GBytes *message)
+{
+	(void)ctx;
+	(void)member;
+	(void)message;
+}
+
+static void on_applied(void *ctx, const struct group_applied *applied)
+{
+	(void)ctx;
+	(void)applied;
+}
+
+static void on_event(void *ctx)
+{
+	(void)ctx;
+}
+
+static void on_failed(void *ctx, enum rd_result code, const char *why)
+{
+	struct world *w = ctx;
+
+	w->failed++;
+	w->failed_code = code;
+	w->why = g_strdup(why);
+}
+
+static void on_done(void *ctx, enum rd_result code,
+		    const struct apply_result *result)
+{
+	struct world *w = ctx;
+
+	assert_true(code == RD_OK || !result);
+	w->done++;
+	w->done_code = code;
+}
+
+static void world_init(struct world *w)
+{
+	struct daemon_settings *s = &w->settings;
+	struct peer_settings *peer = g_new0(struct peer_settings, 1);
+	enum rd_result code = RD_OK;
+	char *why = NULL;
+	struct group_opts opts = {
+		.clock = &w->clock,
+		.settings = s,
+		.events = { on_send, on_applied, on_event, on_event, on_event,
+			    on_failed, w },
+		.bootstrap = true,
+		.seed = 1,
+		.new_member = 1,
+	};
+
+	memset(w, 0, sizeof(*w));
+	w->now_us = 1000000;
+	w->clock = (struct clock_source){ world_now_us, w };
+	w->fs = memory_fs_create(1);
+	w->counters = counters_create();
+	s->node.id = 1;
+	s->node.data_centre = (char *)"a";
+	s->cluster.name = (char *)"group";
+	s->cluster.election_ms = 300;
+	s->cluster.heartbeat_ms = 50;
+	s->cluster.drift_permille = 50;
+	s->limits.segment_bytes = 16384;
+	s->limits.snapshot_entries = 40;
+	peer->id = 1;
+	peer->data_centre = (char *)"a";
+	peer->address = (char *)"127.0.0.1:1";
+	peer->voter = peer->control = true;
+	s->cluster.peers = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(s->cluster.peers, peer);
+	opts.fs = memory_fs_driver(w->fs);
+	opts.counters = w->counters;
+	w->group = group_create(&opts, &code, &why);
+	assert_non_null(w->group);
+}
+
+static void world_clear(struct world *w)
+{
+	group_destroy(w->group);
+	memory_fs_destroy(w->fs);
+	counters_destroy(w->counters);
+	g_ptr_array_unref(w->settings.cluster.peers);
+	g_free(w->why);
+}
+
+static void run_until_leader(struct world *w)
+{
+	for (int i = 0; !group_is_ready_leader(w->group); i++) {
+		assert_true(i < STEPS_MAX);
+		w->now_us += STEP_US;
+		group_process(w->group);
+	}
+}
+
+static void propose_undecodable(struct world *w)
+{
+	GBytes *bytes = g_bytes_new_static("x", 1);
+
+	group_propose(w->group, bytes, on_done, w);
+	g_bytes_unref(bytes);
+	group_process(w->group);
+	assert_int_equal(1, w->failed);
+	assert_int_equal(RD_FORMAT, w->failed_code);
+}
+
+static void test_undecodable_command_ends_its_proposal(void **state)
+{
+	struct world w;
+
+	(void)state;
+	world_init(&w);
+	run_until_leader(&w);
+	propose_undecodable(&w);
+	assert_int_equal(1, w.done);
+	assert_int_equal(RD_CHANGE_UNKNOWN, w.done_code);
+	world_clear(&w);
+	assert_int_equal(1, w.done);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_undecodable_command_ends_its_proposal),
+	};
+
+	log_setup((GLogLevelFlags)0, LOG_FORMAT_KEY_VALUE);
+	return cmocka_run_group_tests_name("group", tests, NULL, NULL);
+}
