control: a failed group names what could not be decoded

Found by reading.

Each failure now passes its own cause; the owner's log line says "group failed: format: committed log entry 2 cannot be decoded", so the separate lines in group.c are gone.

Before: test_undecodable_command_is_named_as_the_cause and test_undecodable_snapshot_is_named_as_the_cause, both with "" as the cause; test_disk_failure_is_named_as_the_cause passed. After: test_group 4 passed, test_torture 2 passed.

--- a/control/control.c
+++ b/control/control.c
@@ -81,7 +81,7 @@
 {
 	struct control *control = ctx;
 
-	log_error(&control_log, "storage failed: %s: %s",
+	log_error(&control_log, "group failed: %s: %s",
 		  rd_result_info(code)->name, why);
 	control->opts.fatal(control->opts.fatal_ctx, code);
 }
--- a/control/group.c
+++ b/control/group.c
@@ -57,13 +57,27 @@
 	group->opts.events.wakeup(group->opts.events.ctx);
 }
 
-static void fail_group(struct group *group, enum rd_result code)
+static void fail_group(struct group *group, enum rd_result code,
+		       const char *why)
 {
 	if (group->failed)
 		return;
 	group->failed = true;
-	group->opts.events.failed(group->opts.events.ctx, code,
-				  storage_error_text(group->storage));
+	group->opts.events.failed(group->opts.events.ctx, code, why);
+}
+
+static void fail_storage(struct group *group, enum rd_result code)
+{
+	fail_group(group, code, storage_error_text(group->storage));
+}
+
+static void fail_decoding(struct group *group, const char *what, uint64_t index)
+{
+	char *why = g_strdup_printf("%s %" PRIu64 " cannot be decoded", what,
+				    index);
+
+	fail_group(group, RD_FORMAT, why);
+	g_free(why);
 }
 
 /* ---- callbacks of the consensus core ---- */
@@ -128,14 +142,11 @@
 	snapshot.data.data_len = (u_int)size;
 	result = storage_write_snapshot(group->storage, &snapshot, true);
 	if (result) {
-		fail_group(group, result);
+		fail_storage(group, result);
 		return;
 	}
 	if (!state_load(group->state, data)) {
-		log_error(&group_log,
-			  "snapshot at index %" PRIu64 " cannot be decoded",
-			  index);
-		fail_group(group, RD_FORMAT);
+		fail_decoding(group, "snapshot at index", index);
 		return;
 	}
 	group->compacted_index = index;
@@ -212,10 +223,7 @@
 	struct group_applied applied = { entry->index, &command, &result };
 
 	if (!CODEC_DECODE(command, entry->data, &command)) {
-		log_error(&group_log,
-			  "committed log entry %" PRIu64 " cannot be decoded",
-			  entry->index);
-		fail_group(group, RD_FORMAT);
+		fail_decoding(group, "committed log entry", entry->index);
 		finish_committed(group, entry, RD_CHANGE_UNKNOWN, NULL);
 		return;
 	}
@@ -278,7 +286,7 @@
 		log_error(&group_log, "state is too large to store as a "
 				      "snapshot: log not compacted");
 	else if (result)
-		fail_group(group, result);
+		fail_storage(group, result);
 	else
 		raft_compact(group->raft, index, data);
 	group->compacted_index = index;
@@ -298,7 +306,7 @@
 	counters_record_duration(group->opts.counters, HISTOGRAM_SYNC,
 				 clock_now_us(group->opts.clock) - started);
 	if (result)
-		fail_group(group, result);
+		fail_storage(group, result);
 	return !result;
 }
 
--- a/control/group.h
+++ b/control/group.h
@@ -41,7 +41,10 @@
 	void (*changed)(void *ctx);
 	/** group_process() is due; may be called again before it runs. */
 	void (*wakeup)(void *ctx);
-	/** Storage failed; this member acknowledges nothing from now on. */
+	/**
+	 * Storage failed, or what it holds cannot be decoded, as `why` says;
+	 * this member acknowledges nothing from now on.
+	 */
 	void (*failed)(void *ctx, enum rd_result code, const char *why);
 	void *ctx;
 };
--- a/test/test_group.c
+++ b/test/test_group.c
@@ -1,4 +1,5 @@
 /* A group of one member on a simulated disk: what its owner is told. */
+#include <errno.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -153,10 +154,71 @@
 	assert_int_equal(1, w.done);
 }
 
+static void test_undecodable_command_is_named_as_the_cause(void **state)
+{
+	struct world w;
+
+	(void)state;
+	world_init(&w);
+	run_until_leader(&w);
+	propose_undecodable(&w);
+	assert_string_equal("committed log entry 2 cannot be decoded", w.why);
+	world_clear(&w);
+}
+
+static void test_undecodable_snapshot_is_named_as_the_cause(void **state)
+{
+	struct world w;
+	struct raft_message message = {
+		.kind = RAFT_SNAPSHOT,
+		.from = 2,
+		.to = 1,
+		.term = 5,
+		.log_index = 9,
+		.log_term = 5,
+		.snapshot_bytes = 1,
+		.chunk = { 1, (char *)"x" },
+	};
+	GBytes *bytes = CODEC_ENCODE(raft_message, &message);
+	gsize size;
+	const void *data = g_bytes_get_data(bytes, &size);
+
+	(void)state;
+	world_init(&w);
+	assert_true(group_receive(w.group, 2, data, size));
+	assert_int_equal(1, w.failed);
+	assert_int_equal(RD_FORMAT, w.failed_code);
+	assert_string_equal("snapshot at index 9 cannot be decoded", w.why);
+	world_clear(&w);
+	g_bytes_unref(bytes);
+}
+
+static void test_disk_failure_is_named_as_the_cause(void **state)
+{
+	struct world w;
+
+	(void)state;
+	world_init(&w);
+	memory_fs_fail_after(w.fs, 1, EIO);
+	for (int i = 0; !w.failed; i++) {
+		assert_true(i < STEPS_MAX);
+		w.now_us += STEP_US;
+		group_process(w.group);
+	}
+	assert_int_equal(RD_IO, w.failed_code);
+	assert_non_null(strstr(w.why, g_strerror(EIO)));
+	world_clear(&w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_undecodable_command_ends_its_proposal),
+		cmocka_unit_test(
+			test_undecodable_command_is_named_as_the_cause),
+		cmocka_unit_test(
+			test_undecodable_snapshot_is_named_as_the_cause),
+		cmocka_unit_test(test_disk_failure_is_named_as_the_cause),
 	};
 
 	log_setup((GLogLevelFlags)0, LOG_FORMAT_KEY_VALUE);
