evidence: a VM that is alive again raises view_version()

Found by reading. Seen by an entry: a VM that was lost and is heard again with a report that is already known (by another monitor, or by the same one after a silence) is alive in the view, but view_version() stays, so the entry's own digests and ticks do not update the health of its replicas; the replica stays unusable until the next digest of a peer or the next change.

Before: both tests of test/test_view.c failed at "view_version(view) > version". After: test_view 2 passed, test_platform 2 passed.

--- a/evidence/view.c
+++ b/evidence/view.c
@@ -162,8 +162,10 @@
 	char *loaded;
 	bool leaving;
 
-	if (!vm->monitors->len)
+	if (!vm->monitors->len) {
 		vm->alive_since_ms = now_ms;
+		view->version++;
+	}
 	if (monitor_index(vm, node) < 0)
 		g_array_append_val(vm->monitors, node);
 	if (vm->report.name && !is_newer(report, &vm->report))
--- a/include/radishdeal/evidence.h
+++ b/include/radishdeal/evidence.h
@@ -110,8 +110,8 @@
 	       void (*visit)(void *ctx, const struct view_vm *vm), void *ctx);
 
 /**
- * Returns a number that grows whenever a VM is lost or suspected, or a newer
- * report of a VM is merged.
+ * Returns a number that grows whenever a VM is lost, suspected or alive again,
+ * or a newer report of a VM is merged. The end of a suspicion does not count.
  */
 uint64_t view_version(const struct view *view);
 
--- /dev/null
+++ b/test/test_view.c
@@ -0,0 +1,96 @@
+/* The merged view of monitors' digests. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include <radishdeal/evidence.h>
+
+#define SILENCE_MS 1000
+
+static struct vm_report make_report(uint64_t sequence)
+{
+	return (struct vm_report){
+		.name = (char *)"vm",
+		.address = (char *)"",
+		.data_centre = (char *)"",
+		.domain = (char *)"",
+		.service = (char *)"",
+		.pool = (char *)"",
+		.incarnation = 1,
+		.sequence = sequence,
+		.model = (char *)"",
+		.adapter = (char *)"",
+		.model_version = (char *)"",
+	};
+}
+
+/* Merges a digest of `node` that reports the VM, if `report` is not NULL. */
+static void merge(struct view *view, int64_t now_ms, uint32_t node,
+		  uint64_t sequence, struct vm_report *report)
+{
+	struct digest digest = {
+		.monitor_node = node,
+		.incarnation = 1,
+		.sequence = sequence,
+		.full = TRUE,
+		.changed_vms = { report ? 1 : 0, report },
+	};
+
+	assert_true(view_merge(view, now_ms, &digest));
+}
+
+static void test_vm_that_returns_with_a_known_report_is_a_change(void **state)
+{
+	struct view_opts opts = { SILENCE_MS };
+	struct view *view = view_create(&opts);
+	struct vm_report report = make_report(7);
+	uint64_t version;
+
+	(void)state;
+	merge(view, 1000, 1, 1, &report);
+	merge(view, 1100, 1, 2, NULL);
+	assert_false(view_alive(view, view_find(view, "vm"), 1100));
+	version = view_version(view);
+	/* Another monitor, whose report is no newer, still hears the VM. */
+	merge(view, 1200, 2, 1, &report);
+	assert_true(view_alive(view, view_find(view, "vm"), 1200));
+	assert_true(view_version(view) > version);
+	/* While it is alive a known report is no change. */
+	version = view_version(view);
+	merge(view, 1300, 2, 2, &report);
+	assert_int_equal(version, view_version(view));
+	view_destroy(view);
+}
+
+static void test_vm_that_returns_after_silence_is_a_change(void **state)
+{
+	struct view_opts opts = { SILENCE_MS };
+	struct view *view = view_create(&opts);
+	struct vm_report report = make_report(7);
+	uint64_t version;
+
+	(void)state;
+	merge(view, 1000, 1, 1, &report);
+	view_expire(view, 1000 + SILENCE_MS);
+	assert_false(
+		view_alive(view, view_find(view, "vm"), 1000 + SILENCE_MS));
+	version = view_version(view);
+	merge(view, 1100 + SILENCE_MS, 1, 2, &report);
+	assert_true(view_alive(view, view_find(view, "vm"), 1100 + SILENCE_MS));
+	assert_true(view_version(view) > version);
+	view_destroy(view);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_vm_that_returns_with_a_known_report_is_a_change),
+		cmocka_unit_test(
+			test_vm_that_returns_after_silence_is_a_change),
+	};
+
+	return cmocka_run_group_tests_name("view", tests, NULL, NULL);
+}
