control: a late poll reply no longer lengthens an entry's lease

Found by reading. Seen by an entry: when it learns of another leader it abandons the poll in flight and sends the next. A reply to the abandoned poll that still arrived counted its lease from the time of the later poll, so the entry could go on serving a configuration after the former leader considered its lease expired and reported a change as in force everywhere.

Each poll now keeps the time at which it was sent.

Before: test_reply_to_an_abandoned_poll_does_not_lengthen_lease "0x18a88 != 0x18c18" (the 400 ms between the two polls). After: passed, 10 of 10 runs and once with sanitizers.

--- a/control/follow.c
+++ b/control/follow.c
@@ -32,6 +32,7 @@
 struct poll {
 	struct follow *follow;
 	uint32_t node; /* polled node */
+	int64_t sent_ms;
 };
 
 uint32_t follow_leader(const struct follow *follow)
@@ -98,7 +99,8 @@
 	follow->poll_requested = true;
 }
 
-static void handle_reply(struct follow *follow, uint32_t polled_node,
+/* Handles the reply to `poll`, which may be abandoned; takes its contents. */
+static void handle_reply(struct follow *follow, const struct poll *poll,
 			 struct poll_reply *reply)
 {
 	struct control *control = follow->control;
@@ -113,7 +115,7 @@
 			control, reply->control_nodes.control_nodes_val[i],
 			true);
 	if (reply->code) {
-		handle_not_leader(follow, polled_node, reply);
+		handle_not_leader(follow, poll->node, reply);
 		CODEC_FREE(poll_reply, reply);
 		return;
 	}
@@ -133,26 +135,24 @@
 	update = g_new0(struct config_update, 1);
 	update->reply = *reply;
 	/*
-	 * Counts from when the poll was sent, so that it does not end later
+	 * Counts from when this poll was sent, so that it does not end later
 	 * than at the leader.
 	 */
-	update->lease_until_ms = follow->last_poll_ms + reply->lease_ms;
+	update->lease_until_ms = poll->sent_ms + reply->lease_ms;
 	control->opts.listener.config(control->opts.listener.ctx, update);
 }
 
 static void on_reply(void *ctx, const void *result, size_t size)
 {
-	struct poll *poll = ctx;
-	struct follow *follow = poll->follow;
+	const struct poll poll = *(struct poll *)ctx;
+	struct follow *follow = poll.follow;
 	struct poll_reply reply = { 0 };
-	bool is_latest = follow->in_flight == poll;
-	uint32_t polled_node = poll->node;
 
-	g_free(poll);
-	if (is_latest)
+	if (follow->in_flight == ctx)
 		follow->in_flight = NULL;
+	g_free(ctx);
 	if (!result) {
-		if (follow->leader == polled_node)
+		if (follow->leader == poll.node)
 			follow->leader = 0;
 		follow->next_peer++;
 		return;
@@ -161,7 +161,7 @@
 		log_warn(&follow_log, "poll reply cannot be decoded: ignored");
 		return;
 	}
-	handle_reply(follow, polled_node, &reply);
+	handle_reply(follow, &poll, &reply);
 }
 
 static void fill_request(struct follow *follow, struct poll_request *request)
@@ -197,12 +197,17 @@
 static bool poll_self(struct follow *follow, const struct poll_request *request)
 {
 	struct control *control = follow->control;
+	struct poll poll = {
+		.follow = follow,
+		.node = (uint32_t)control->opts.settings->node.id,
+		.sent_ms = follow->last_poll_ms,
+	};
 	struct poll_reply reply = { 0 };
 
 	if (!control->group || !group_is_ready_leader(control->group))
 		return false;
 	follow_serve_poll(control, request, &reply);
-	handle_reply(follow, (uint32_t)control->opts.settings->node.id, &reply);
+	handle_reply(follow, &poll, &reply);
 	return true;
 }
 
@@ -241,7 +246,7 @@
 		return;
 	bytes = CODEC_ENCODE(poll_request, &request);
 	poll = g_new(struct poll, 1);
-	*poll = (struct poll){ follow, peer->node };
+	*poll = (struct poll){ follow, peer->node, follow->last_poll_ms };
 	follow->in_flight = poll;
 	if (!rpc_client_call(peer->client, RPC_POLL, bytes, POLL_TIMEOUT_MS,
 			     on_reply, poll)) {
