--- a/control/group.h
+++ b/control/group.h
@@ -41,7 +41,10 @@
 	void (*changed)(void *ctx);
 	/** group_process() is due; may be called again before it runs. */
 	void (*wakeup)(void *ctx);
-	/** Storage failed; this member acknowledges nothing from now on. */
+	/**
+	 * Storage failed, or what it holds cannot be decoded, as `why` says;
+	 * this member acknowledges nothing from now on.
+	 */
 	void (*failed)(void *ctx, enum rd_result code, const char *why);
 	void *ctx;
 };
@@ -92,8 +95,8 @@
 
 /**
  * Proposes an encoded command. `done` is called once, possibly before this
- * returns; it is not called if the committed command cannot be decoded, which
- * fails the group.
+ * returns. A committed command that cannot be decoded fails the group, and its
+ * `done` gets RD_CHANGE_UNKNOWN.
  */
 void group_propose(struct group *group, GBytes *command, group_done_fn done,
 		   void *ctx);
--- a/test/test_raft.c
+++ b/test/test_transfer.c
@@ -1,4 +1,4 @@
-/* Tests of the consensus core alone: three members in simulated time. */
+/* Transfers of leadership, on the consensus core in simulated time. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -277,5 +277,5 @@
 			teardown),
 	};
 
-	return cmocka_run_group_tests_name("raft", tests, NULL, NULL);
+	return cmocka_run_group_tests_name("transfer", tests, NULL, NULL);
 }
