test: stops of an entry and of control VMs on the platform

- entry-signalled-again: three SIGTERM, 100 ms apart.
- entry-drain-ends: the endpoint stays silent.

--- a/test/script.c
+++ b/test/script.c
@@ -1,4 +1,5 @@
 #include <setjmp.h>
+#include <signal.h>
 #include <dirent.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -52,6 +53,23 @@
 	return text ? g_ascii_strtoll(text, NULL, 10) : fallback;
 }
 
+int script_signal(const struct script *script, const char *name)
+{
+	static const struct {
+		const char *name;
+		int number;
+	} signals[] = {
+		{ "SIGTERM", SIGTERM }, { "SIGINT", SIGINT },
+		{ "SIGHUP", SIGHUP },	{ "SIGSTOP", SIGSTOP },
+		{ "SIGCONT", SIGCONT },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++)
+		if (!strcmp(name, signals[i].name))
+			return signals[i].number;
+	script_fail(script, "unknown signal %s", name);
+}
+
 static void split(struct script *script, char *line)
 {
 	char *save = NULL;
--- a/test/script.h
+++ b/test/script.h
@@ -60,6 +60,9 @@
 gint64 script_number(const struct script *script, const char *key,
 		     gint64 fallback);
 
+/** Returns the number of a signal by its name, such as SIGTERM. */
+int script_signal(const struct script *script, const char *name);
+
 /** Reports an error in the script itself with its line, and exits. */
 void script_fail(const struct script *script, const char *fmt, ...)
 	G_GNUC_PRINTF(2, 3) G_GNUC_NORETURN;
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -29,6 +29,7 @@
 
 #define ENDLESS_PREFIX "/events/"
 #define ENDLESS_EVENT_BYTES 200000
+#define SLOW_PREFIX "/slow/"
 #define CONTROL_VMS 3
 #define NODES 4 /* the last is the entry */
 #define WAIT_MS 30000
@@ -70,6 +71,7 @@
 	struct evhttp *endpoint;
 	int endpoint_port;
 	GThread *endpoint_thread, *heartbeat_thread;
+	GPtrArray *unanswered; /* requests to SLOW_PREFIX, of that thread */
 	GMutex lock;
 	struct last_request last_request;
 	struct background_request background;
@@ -126,7 +128,47 @@
 		send_endless(req);
 		return;
 	}
-	http_send_text(req, 200, "text/plain", "whole");
+	if (g_str_has_prefix(evhttp_request_get_uri(req), SLOW_PREFIX))
+		g_ptr_array_add(test->unanswered, req);
+	else
+		http_send_text(req, 200, "text/plain", "whole");
+}
+
+static void on_answer_slow(evutil_socket_t fd, short what, void *ctx)
+{
+	struct platform_test *test = ctx;
+
+	(void)fd;
+	(void)what;
+	for (guint i = 0; i < test->unanswered->len; i++)
+		http_send_text(test->unanswered->pdata[i], 200, "text/plain",
+			       "whole");
+	g_ptr_array_set_size(test->unanswered, 0);
+}
+
+/* answer-slow: answers the requests to SLOW_PREFIX. */
+static void do_answer_slow(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+
+	event_base_once(test->base, -1, EV_TIMEOUT, on_answer_slow, test, NULL);
+}
+
+/* wait-received N: waits until the endpoint has received N requests. */
+static void do_wait_received(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	gint64 deadline = cluster_now_ms() + WAIT_MS;
+	int received;
+
+	do {
+		usleep(POLL_US);
+		g_mutex_lock(&test->lock);
+		received = test->last_request.requests;
+		g_mutex_unlock(&test->lock);
+	} while (received < atoi(s->words[1]) && cluster_now_ms() < deadline);
+	if (received < atoi(s->words[1]))
+		script_print(s, "endpoint received %d", received);
 }
 
 static gpointer run_endpoint(gpointer ctx)
@@ -195,6 +237,7 @@
 		.ctx = test,
 	};
 
+	test->unanswered = g_ptr_array_new();
 	test->base = event_base_new();
 	opts.base = test->base;
 	test->endpoint = http_listen(&opts, &test->endpoint_port, NULL);
@@ -285,19 +328,24 @@
 	g_free(program);
 }
 
-static int stop_node(struct platform_test *test, int node, int signal_number)
+static int wait_node(struct platform_test *test, int node)
 {
 	int status = 0;
 
-	if (!test->pids[node])
-		return 0;
-	kill(test->pids[node], signal_number);
 	while (waitpid(test->pids[node], &status, 0) < 0 && errno == EINTR)
 		;
 	test->pids[node] = 0;
 	return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
+static int stop_node(struct platform_test *test, int node, int signal_number)
+{
+	if (!test->pids[node])
+		return 0;
+	kill(test->pids[node], signal_number);
+	return wait_node(test, node);
+}
+
 static void do_start(struct script *s)
 {
 	struct platform_test *test = s->ctx;
@@ -337,6 +385,28 @@
 		     stop_node(s->ctx, atoi(s->words[1]), SIGTERM));
 }
 
+/* signal NODE SIGNAL... [gap=MS]: sends signals, `gap` apart. */
+static void do_signal(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	useconds_t gap = (useconds_t)script_number(s, "gap", 0) * 1000;
+
+	for (int i = 2; i < s->word_count; i++) {
+		if (g_str_has_prefix(s->words[i], "gap="))
+			continue;
+		if (i > 2)
+			usleep(gap);
+		kill(test->pids[atoi(s->words[1])],
+		     script_signal(s, s->words[i]));
+	}
+}
+
+static void do_wait_exit(struct script *s)
+{
+	script_print(s, "node %s exit status %d", s->words[1],
+		     wait_node(s->ctx, atoi(s->words[1])));
+}
+
 static void do_sighup(struct script *s)
 {
 	struct platform_test *test = s->ctx;
@@ -505,14 +575,22 @@
 		"request", run_background_request, &test->background);
 }
 
-/* request-end: waits for the request's answer and prints it. */
+/*
+ * request-end [expect=CODE,...]: waits for the request's answer and prints it,
+ * or that it has one of the statuses.
+ */
 static void do_request_end(struct script *s)
 {
 	struct platform_test *test = s->ctx;
 	const struct fetch_response *answer = &test->background.answer;
+	const char *expect = script_value(s, "expect", "");
+	char *status;
 
 	g_thread_join(test->background_thread);
-	if (!answer->status)
+	status = g_strdup_printf("%d", answer->status);
+	if (answer->status && strstr(expect, status))
+		script_print(s, "%s: one of %s", test->background.path, expect);
+	else if (!answer->status)
 		script_print(s, "%s: no answer", test->background.path);
 	else if (answer->status != 200)
 		script_print(s, "%s: %d", test->background.path,
@@ -520,6 +598,7 @@
 	else
 		script_print(s, "%s: 200 %s", test->background.path,
 			     answer->body);
+	g_free(status);
 	fetch_clear(&test->background.answer);
 	g_free(test->background.address);
 	g_free(test->background.path);
@@ -679,7 +758,11 @@
 	{ "restart", 1, do_restart },
 	{ "wipe", 1, do_wipe },
 	{ "terminate", 1, do_terminate },
+	{ "signal", 2, do_signal },
+	{ "wait-exit", 1, do_wait_exit },
 	{ "sighup", 1, do_sighup },
+	{ "answer-slow", 0, do_answer_slow },
+	{ "wait-received", 1, do_wait_received },
 	{ "put", 2, do_put },
 	{ "stored", 1, do_stored },
 	{ "request", 2, do_request },
@@ -721,6 +804,7 @@
 	g_thread_join(test->heartbeat_thread);
 	event_base_loopbreak(test->base);
 	g_thread_join(test->endpoint_thread);
+	g_ptr_array_unref(test->unanswered);
 	evhttp_free(test->endpoint);
 	event_base_free(test->base);
 }
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -446,23 +446,6 @@
 	cluster_signal_node(cluster_of(s), node_of(s, s->words[1]), SIGTERM);
 }
 
-static int signal_number(struct script *s, const char *name)
-{
-	static const struct {
-		const char *name;
-		int number;
-	} signals[] = {
-		{ "SIGTERM", SIGTERM }, { "SIGINT", SIGINT },
-		{ "SIGHUP", SIGHUP },	{ "SIGSTOP", SIGSTOP },
-		{ "SIGCONT", SIGCONT },
-	};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++)
-		if (!strcmp(name, signals[i].name))
-			return signals[i].number;
-	script_fail(s, "unknown signal %s", name);
-}
-
 /*
  * signal TARGET SIGNAL... [gap=MS]: sends signals to a node or a fake, `gap`
  * apart.
@@ -480,7 +463,7 @@
 			continue;
 		if (i > 2)
 			usleep(gap);
-		kill(pid, signal_number(s, s->words[i]));
+		kill(pid, script_signal(s, s->words[i]));
 	}
 }
 
@@ -510,7 +493,7 @@
 {
 	struct cluster *c = cluster_of(s);
 	int node = node_of(s, s->words[1]);
-	int number = signal_number(s, s->words[2]);
+	int number = script_signal(s, s->words[2]);
 	gint64 deadline = cluster_now_ms() + CLUSTER_WAIT_MS;
 
 	while (!has_ended(s, node)) {
