test: stuck callers and idle connections must not hold a stop

What a cure of slow-reader-gets-its-answer and upload-across-stop could break: a caller that never reads its response, one that never finishes its request, and connections without a request, new and kept.

--- a/test/jobs.c
+++ b/test/jobs.c
@@ -234,8 +234,10 @@
 	char *text = format_request(job);
 	size_t size = strlen(text);
 	size_t half = job->hold == JOB_HOLD_SEND ? size / 2 : 0;
-	bool sent = send_all(fd, text, half);
+	bool sent;
 
+	wait_for_release(job, JOB_HOLD_IDLE);
+	sent = send_all(fd, text, half);
 	wait_for_release(job, JOB_HOLD_SEND);
 	sent = sent && send_all(fd, text + half, size - half);
 	g_free(text);
--- a/test/jobs.h
+++ b/test/jobs.h
@@ -26,6 +26,7 @@
 /** Where a client pauses until job_release(). */
 enum job_hold {
 	JOB_HOLD_NONE,
+	JOB_HOLD_IDLE, /* before the request, once connected */
 	JOB_HOLD_SEND, /* after half of the request */
 	JOB_HOLD_READ, /* before it reads the response */
 };
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -812,7 +812,7 @@
 	s->words[1] = prefix;
 }
 
-/* receive=, upload= and behind=BYTES, kept=1, hold=send|read */
+/* receive=, upload= and behind=BYTES, kept=1, hold=idle|send|read */
 static void read_connection_options(const struct script *s, struct job *opts)
 {
 	const char *hold = script_value(s, "hold", "");
@@ -821,7 +821,9 @@
 	opts->upload_bytes = (int)script_number(s, "upload", 0);
 	opts->behind_bytes = (int)script_number(s, "behind", 0);
 	opts->kept = script_number(s, "kept", 0);
-	if (!strcmp(hold, "send"))
+	if (!strcmp(hold, "idle"))
+		opts->hold = JOB_HOLD_IDLE;
+	else if (!strcmp(hold, "send"))
 		opts->hold = JOB_HOLD_SEND;
 	else if (!strcmp(hold, "read"))
 		opts->hold = JOB_HOLD_READ;
