--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -475,23 +475,6 @@
 	cluster_signal_node(cluster_of(s), node_of(s, s->words[1]), SIGTERM);
 }
 
-static int signal_number(struct script *s, const char *name)
-{
-	static const struct {
-		const char *name;
-		int number;
-	} signals[] = {
-		{ "SIGTERM", SIGTERM }, { "SIGINT", SIGINT },
-		{ "SIGHUP", SIGHUP },	{ "SIGSTOP", SIGSTOP },
-		{ "SIGCONT", SIGCONT },
-	};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++)
-		if (!strcmp(name, signals[i].name))
-			return signals[i].number;
-	script_fail(s, "unknown signal %s", name);
-}
-
 /*
  * signal TARGET SIGNAL... [gap=MS]: sends signals to a node or a fake, `gap`
  * apart.
@@ -509,7 +492,7 @@
 			continue;
 		if (i > 2)
 			usleep(gap);
-		kill(pid, signal_number(s, s->words[i]));
+		kill(pid, script_signal(s, s->words[i]));
 	}
 }
 
@@ -539,7 +522,7 @@
 {
 	struct cluster *c = cluster_of(s);
 	int node = node_of(s, s->words[1]);
-	int number = signal_number(s, s->words[2]);
+	int number = script_signal(s, s->words[2]);
 	gint64 deadline = cluster_now_ms() + CLUSTER_WAIT_MS;
 
 	while (!has_ended(s, node)) {
@@ -903,7 +886,7 @@
 	s->words[1] = prefix;
 }
 
-/* receive=, upload= and behind=BYTES, kept=1, hold=send|read */
+/* receive=, upload= and behind=BYTES, kept=1, hold=idle|send|read */
 static void read_connection_options(const struct script *s, struct job *opts)
 {
 	const char *hold = script_value(s, "hold", "");
@@ -912,7 +895,9 @@
 	opts->upload_bytes = (int)script_number(s, "upload", 0);
 	opts->behind_bytes = (int)script_number(s, "behind", 0);
 	opts->kept = script_number(s, "kept", 0);
-	if (!strcmp(hold, "send"))
+	if (!strcmp(hold, "idle"))
+		opts->hold = JOB_HOLD_IDLE;
+	else if (!strcmp(hold, "send"))
 		opts->hold = JOB_HOLD_SEND;
 	else if (!strcmp(hold, "read"))
 		opts->hold = JOB_HOLD_READ;
