common/http: a long body after a call on the same connection is read again

A caller that had made a call on its connection and then sent a request with a body over 64 KiB on it got no response: the entry never saw the request, and the connection was closed after slow_sender_s, or lost when the entry stopped. A fake endpoint, which uses the same file, hung in the same way on its entries' kept connections.

Cause: http_watch_disconnect() limits how much of a connection is read ahead while a call is answered, and http_unwatch_disconnect() left that limit in place. evhttp takes a body only when all of it is in the buffer, which then never held more than 64 KiB.

test_http failed before with "0 != 0x493e0" (no byte of the second body was delivered within 10 s) and passes now.

--- a/common/http.c
+++ b/common/http.c
@@ -247,12 +247,15 @@
 {
 	struct evhttp_connection *conn = evhttp_request_get_connection(req);
 	struct timeval timeout = { timeout_s, 0 };
+	struct bufferevent *bev;
 
 	if (!conn)
 		return;
 	evhttp_connection_set_closecb(conn, NULL, NULL);
-	bufferevent_set_timeouts(evhttp_connection_get_bufferevent(conn),
-				 &timeout, &timeout);
+	bev = evhttp_connection_get_bufferevent(conn);
+	/* evhttp needs all of the next request's body in the buffer. */
+	bufferevent_setwatermark(bev, EV_READ, 0, 0);
+	bufferevent_set_timeouts(bev, &timeout, &timeout);
 }
 
 static struct evhttp *open_server(const struct http_listen_opts *opts,
--- /dev/null
+++ b/test/test_http.c
@@ -0,0 +1,128 @@
+/* Tests of common/http.c with a server and a client in one event loop. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <glib.h>
+
+#include "common/address.h"
+#include "common/http.h"
+
+#define BODY_BYTES 300000
+#define WAIT_S 10
+
+struct http_test {
+	struct event_base *base;
+	struct evhttp_request *req; /* being answered */
+	struct http_disconnect_watch watch;
+	size_t received[2]; /* bodies of the requests, in order */
+	int requests;
+	int responses;
+};
+
+static void ignore_disconnect(void *ctx)
+{
+	(void)ctx;
+}
+
+static void answer(evutil_socket_t fd, short what, void *ctx)
+{
+	struct http_test *test = ctx;
+
+	(void)fd;
+	(void)what;
+	http_unwatch_disconnect(test->req, WAIT_S);
+	http_send_text(test->req, 200, "text/plain", "done");
+}
+
+static void handle(struct evhttp_request *req, void *ctx)
+{
+	struct http_test *test = ctx;
+	struct timeval delay = { 0, 1000 };
+
+	test->received[test->requests++ % 2] =
+		evbuffer_get_length(evhttp_request_get_input_buffer(req));
+	test->req = req;
+	test->watch = (struct http_disconnect_watch){ ignore_disconnect, test };
+	http_watch_disconnect(req, &test->watch);
+	event_base_once(test->base, -1, EV_TIMEOUT, answer, test, &delay);
+}
+
+static void send_request(struct bufferevent *bev, size_t body_bytes)
+{
+	char *body = g_strnfill(body_bytes, 'x');
+
+	evbuffer_add_printf(bufferevent_get_output(bev),
+			    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: "
+			    "%zu\r\n\r\n%s",
+			    body_bytes, body);
+	g_free(body);
+}
+
+static void on_response(struct bufferevent *bev, void *ctx)
+{
+	struct http_test *test = ctx;
+	struct evbuffer *in = bufferevent_get_input(bev);
+
+	if (evbuffer_search(in, "done", 4, NULL).pos < 0)
+		return;
+	evbuffer_drain(in, evbuffer_get_length(in));
+	if (++test->responses == 1)
+		send_request(bev, BODY_BYTES);
+	else
+		event_base_loopbreak(test->base);
+}
+
+static void test_long_body_after_a_call_on_the_same_connection(void **state)
+{
+	struct http_test test = { .base = event_base_new() };
+	struct http_listen_opts opts = {
+		.base = test.base,
+		.address = "127.0.0.1:0",
+		.header_bytes = 4096,
+		.body_bytes = 2 * BODY_BYTES,
+		.timeout_s = 2 * WAIT_S,
+		.handle = handle,
+		.ctx = &test,
+	};
+	struct timeval limit = { WAIT_S, 0 };
+	int port = 0;
+	struct evhttp *http = http_listen(&opts, &port, NULL);
+	struct bufferevent *bev = bufferevent_socket_new(test.base, -1,
+							 BEV_OPT_CLOSE_ON_FREE);
+	char text[ADDRESS_MAX];
+	struct address address;
+
+	(void)state;
+	assert_non_null(http);
+	g_snprintf(text, sizeof(text), "127.0.0.1:%d", port);
+	assert_true(address_parse(text, &address));
+	bufferevent_setcb(bev, on_response, NULL, NULL, &test);
+	bufferevent_enable(bev, EV_READ | EV_WRITE);
+	bufferevent_socket_connect(bev, (struct sockaddr *)&address.socket,
+				   sizeof(address.socket));
+	send_request(bev, 10);
+	event_base_loopexit(test.base, &limit);
+	event_base_dispatch(test.base);
+	bufferevent_free(bev);
+	evhttp_free(http);
+	event_base_free(test.base);
+	assert_int_equal(test.received[0], 10);
+	assert_int_equal(test.received[1], BODY_BYTES);
+	assert_int_equal(test.responses, 2);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_long_body_after_a_call_on_the_same_connection),
+	};
+
+	return cmocka_run_group_tests_name("http", tests, NULL, NULL);
+}
