entry: a stopping entry's refusals and address lists end their connections

Callers of the native interface were refused on kept connections that stayed open, so they sent their next requests there too until the entry had ended.

Cause: send_error() and addresses_handle() of that interface didn't announce the close, as responses of calls and the platform's refusals do.

--- a/entry/addresses.c
+++ b/entry/addresses.c
@@ -59,12 +59,14 @@
 
 void addresses_handle(struct entry *entry, struct evhttp_request *req)
 {
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
 	int64_t max_age = entry->opts.settings->limits.address_max_age_s;
 	char control[48];
 
 	g_snprintf(control, sizeof(control), "max-age=%d", (int)max_age);
-	evhttp_add_header(evhttp_request_get_output_headers(req),
-			  "Cache-Control", control);
+	evhttp_add_header(headers, "Cache-Control", control);
+	if (entry->draining)
+		evhttp_add_header(headers, "Connection", "close");
 	http_send_json(req, 200,
 		       json_pack("{s:o,s:I}", "addresses",
 				 addresses_json(entry), "max_age_s",
--- a/entry/callers.c
+++ b/entry/callers.c
@@ -21,9 +21,12 @@
 static void send_error(struct entry *entry, struct evhttp_request *req,
 		       enum rd_result code, const char *detail, const char *id)
 {
-	struct problem problem = { .code = code,
-				   .detail = detail,
-				   .request_id = id };
+	struct problem problem = {
+		.code = code,
+		.detail = detail,
+		.request_id = id,
+		.close = entry->draining,
+	};
 
 	counters_add(entry->opts.counters, COUNTER_NOT_RUN, 1);
 	if (rd_result_info(code)->http_status == 503)
