daemon: a signal during the end of a process doesn't change its exit status

A SIGTERM or SIGHUP after the event loop had ended killed the process: its supervisor saw an exit by signal (-15, -1) in place of 0. Cause: libevent restores the default action when the events are freed. Change: the signals are blocked from there on, as during the start.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -484,6 +484,8 @@
 		 clock_now_ms(&clock_system) - d->started_ms, d->exit_status);
 	g_free(why);
 	stop_tasks(d);
+	/* Without their handlers they would change the exit status. */
+	mask_signals(SIG_BLOCK);
 	event_free(term);
 	event_free(interrupt);
 	event_free(d->hangup_event);
