test: a cluster's ports stay reserved while it exists

A test cluster at times had a daemon that never started: cut-off.script ended with "condition not met within 60000 ms: number of endpoints known to every node", and that daemon's log with "Address already in use".

Cause: cluster_start() closed the sockets that held the nodes' ports before write_settings() had the fault proxy choose those of its links, so the kernel could give a link, or later a fake, the port of a node that did not listen yet or was down. Ruled out: ports of outgoing connections. Their source address on loopback is 127.0.0.1 (`ip route get`), and a cluster has a host of its own.

Change: each port is held until the cluster is destroyed, by a socket that is bound with SO_REUSEADDR but does not listen.

--- a/test/cluster.c
+++ b/test/cluster.c
@@ -201,6 +201,7 @@
 	c->bin = programs_folder();
 	c->proxied = proxied;
 	c->children = g_ptr_array_new();
+	c->reserved = g_array_new(FALSE, FALSE, sizeof(int));
 	c->controls = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    g_free);
 	choose_host(c);
@@ -233,6 +234,9 @@
 	}
 	for (guint i = 0; i < c->children->len; i++)
 		kill_process(GPOINTER_TO_INT(c->children->pdata[i]));
+	for (guint i = 0; i < c->reserved->len; i++)
+		close(g_array_index(c->reserved, int, i));
+	g_array_unref(c->reserved);
 	if (!getenv("KEEP"))
 		remove_folder(c->folder);
 	else
@@ -252,20 +256,27 @@
 
 /* ---- daemons ---- */
 
-/* Returns a socket that holds the port, so that none is chosen twice. */
-static int choose_port(const struct cluster *c, char *out)
+/*
+ * Writes an address whose port the kernel assigns to no other socket until the
+ * cluster is destroyed. The socket kept for this does not listen, so that the
+ * daemon can.
+ */
+static void reserve_port(struct cluster *c, char *out)
 {
 	struct address address;
 	char text[64];
-	int fd;
+	int on = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
 	g_snprintf(text, sizeof(text), "%s:0", c->host);
 	(void)address_parse(text, &address);
-	fd = address_listen(&address, 1);
-	if (fd < 0)
+	if (fd < 0 ||
+	    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) ||
+	    bind(fd, (const struct sockaddr *)&address.socket,
+		 sizeof(address.socket)))
 		cluster_fail("%s: %s", text, g_strerror(errno));
 	g_snprintf(out, 64, "%s:%d", c->host, address_local_port(fd));
-	return fd;
+	g_array_append_val(c->reserved, fd);
 }
 
 static const char *data_centre_of(int node)
@@ -359,21 +370,16 @@
 
 void cluster_start(struct cluster *c, int nodes)
 {
-	int sockets[CLUSTER_NODES_MAX * 4];
-	int count = 0;
-
 	c->node_count = nodes;
 	for (int i = 1; i <= nodes; i++) {
 		struct cluster_node *n = &c->nodes[i - 1];
 
 		n->number = i;
-		sockets[count++] = choose_port(c, n->peers);
-		sockets[count++] = choose_port(c, n->callers);
-		sockets[count++] = choose_port(c, n->endpoints);
-		sockets[count++] = choose_port(c, n->operators);
+		reserve_port(c, n->peers);
+		reserve_port(c, n->callers);
+		reserve_port(c, n->endpoints);
+		reserve_port(c, n->operators);
 	}
-	while (count)
-		close(sockets[--count]);
 	for (int i = 1; i <= nodes; i++)
 		write_settings(c, i);
 	for (int i = 1; i <= nodes; i++)
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -35,8 +35,9 @@
 	bool proxied; /* daemons reach each other through the proxy */
 	/* [from][to] -> number of the proxy's link */
 	int links[CLUSTER_NODES_MAX + 1][CLUSTER_NODES_MAX + 1];
-	char *proxy;	      /* address of its control port, or NULL */
-	GPtrArray *children;  /* pids of the proxy and all fakes */
+	char *proxy;	     /* address of its control port, or NULL */
+	GArray *reserved;    /* of int, sockets that reserve the nodes' ports */
+	GPtrArray *children; /* pids of the proxy and all fakes */
 	GHashTable *controls; /* fake's name -> address of its control port */
 	char *operator_key;
 	char *account_key;	  /* of account "studio" in every service */
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -11,10 +11,13 @@
 #include <string.h>
 #include <unistd.h>
 
+#include <sys/socket.h>
+
 #include <cmocka.h>
 
 #include <radishdeal/result.h>
 
+#include "common/address.h"
 #include "test/cluster.h"
 #include "test/jobs.h"
 #include "test/oracle.h"
@@ -845,6 +848,34 @@
 	script_print(s, "all nodes alive");
 }
 
+/* Whether another socket that does not share its port can get this one. */
+static bool is_port_free(const char *text)
+{
+	struct address address;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool bound;
+
+	(void)address_parse(text, &address);
+	bound = bind(fd, (const struct sockaddr *)&address.socket,
+		     sizeof(address.socket)) == 0;
+	close(fd);
+	return bound;
+}
+
+static void do_check_reserved(struct script *s)
+{
+	const struct cluster_node *n =
+		&cluster_of(s)->nodes[atoi(s->words[1]) - 1];
+	const char *const ports[] = { n->peers, n->callers, n->endpoints,
+				      n->operators };
+	int free_ports = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ports); i++)
+		free_ports += is_port_free(ports[i]) ? 1 : 0;
+	script_print(s, "node %s: %d ports not reserved", s->words[1],
+		     free_ports);
+}
+
 /* ---- records of the fakes ---- */
 
 static void do_print_runs(struct script *s)
@@ -914,6 +945,7 @@
 	{ "wait-idle", 0, do_wait_idle },
 	{ "malformed", 3, do_malformed },
 	{ "check-alive", 0, do_check_alive },
+	{ "check-reserved", 1, do_check_reserved },
 	{ "print-runs", 1, do_print_runs },
 	{ "print-duplicate-runs", 0, do_print_duplicate_runs },
 	{ "check-engines", 0, do_check_engines },
