routing: a new epoch has no measured step time

Requests avoided a replica for up to a second at a time after it was formed again: with peers at 5 ms a step, its default of 20 ms counted as measured and made it a straggler. Load reports with its real step time were ignored, and the default counted in the median, which hid real stragglers.

Cause: start_epoch() reset step_us but not step_measured_ms, and the median was not computed again.

test/cases/routing/new-epoch.script failed before: "stragglers=1 excluded=4:straggler" for the replica in its new epoch, "replica 4: step 20000 us, measured" after a report of 7,000 us, and "stragglers=0" for a replica at 11 ms beside two at 5 ms and two in new epochs. Now 0, "7000 us, not measured" and "5:straggler".

--- a/routing/router.c
+++ b/routing/router.c
@@ -95,6 +95,7 @@
 	r->pending_prefill_tokens = 0;
 	r->other_requests = 0;
 	r->step_us = DEFAULT_STEP_US;
+	r->step_measured_ms = 0;
 	r->prefill_us = DEFAULT_PREFILL_US;
 	r->fresh_until_ms = 0;
 	r->fault = "no-evidence";
@@ -116,8 +117,10 @@
 		g_hash_table_insert(router->by_id, GUINT_TO_POINTER(id), r);
 		router->subset_stale = true;
 	}
-	if (r->epoch != epoch)
+	if (r->epoch != epoch) {
 		start_epoch(r, epoch);
+		router->median_stale = true;
+	}
 	r->slots = slots;
 	g_strlcpy(r->address, address, sizeof(r->address));
 }
--- a/test/test_cores.c
+++ b/test/test_cores.c
@@ -376,13 +376,27 @@
 	router_clear_suspect(r->router, (uint32_t)atoi(s->words[1]));
 }
 
-/* load ID REQUESTS: a load report of a replica */
+/* load ID REQUESTS [step_us=]: a load report of a replica */
 static void route_load(struct script *s)
 {
 	struct routing_test *r = s->ctx;
 
 	router_set_load(r->router, (uint32_t)atoi(s->words[1]),
-			(uint32_t)atoi(s->words[2]), 0);
+			(uint32_t)atoi(s->words[2]),
+			(uint32_t)script_number(s, "step_us", 0));
+}
+
+static void print_step(void *ctx, const struct router_replica *r)
+{
+	script_print(ctx, "replica %u: step %.0f us, %s", r->id, r->step_us,
+		     r->step_measured_ms ? "measured" : "not measured");
+}
+
+static void route_steps(struct script *s)
+{
+	struct routing_test *r = s->ctx;
+
+	router_each(r->router, print_step, s);
 }
 
 static void route_cache_reset(struct script *s)
@@ -513,6 +527,7 @@
 	{ "suspect", 1, route_suspect },
 	{ "clear-suspect", 1, route_clear_suspect },
 	{ "load", 2, route_load },
+	{ "steps", 0, route_steps },
 	{ "cache-reset", 1, route_cache_reset },
 	{ "at", 1, route_at },
 	{ "arrival", 1, demand_arrival },
