routing: overdue tickets are found behind others of their account

New requests were refused as overloaded although they could be dispatched in time: the expected wait of an account counted the cost of tickets that had missed their objective, which are dispatched after new ones.

Cause: demote_overdue() stopped at the first ticket of the queue that was not overdue. One without an objective never is, and an account's requests on routes with different objectives don't become overdue in the order of arrival. Ruled out: a wrong order of dispatch. The ticket at the head goes first either way, and those behind it were demoted before the next one was taken.

Change: the tickets with an objective are also linked in the order of their objectives; the first ones are demoted while they are overdue. This costs no search when a ticket is taken. A new ticket is inserted from the end.

--- a/include/radishdeal/admission.h
+++ b/include/radishdeal/admission.h
@@ -39,6 +39,7 @@
 	int64_t deadline_ms;	       /* expires if still queued then */
 	bool overdue; /* has missed its objective while queued */
 	GList link;
+	GList objective_link;
 	bool waiting; /* is queued */
 	void *ctx;    /* for the caller */
 };
--- a/routing/admission.c
+++ b/routing/admission.c
@@ -15,6 +15,8 @@
 	uint32_t serving;
 	GQueue queue;	/* of struct admission_ticket, not overdue */
 	GQueue overdue; /* of those that are overdue */
+	/* Those in `queue` with an objective, by objective_deadline_ms. */
+	GQueue by_objective;
 	double queued_cost;
 	double virtual_finish; /* finish tag of its last ticket */
 };
@@ -69,6 +71,7 @@
 	account->weight = 1;
 	g_queue_init(&account->queue);
 	g_queue_init(&account->overdue);
+	g_queue_init(&account->by_objective);
 	g_ptr_array_add(a->accounts, account);
 	g_hash_table_insert(a->by_name, account->name, account);
 	return account;
@@ -155,6 +158,25 @@
 				   account->weight / a->throughput);
 }
 
+/* From the tail: new tickets mostly have the latest deadline. */
+static void insert_by_objective(struct admission_account *account,
+				struct admission_ticket *ticket)
+{
+	GQueue *queue = &account->by_objective;
+	GList *before = queue->tail;
+
+	ticket->objective_link = (GList){ .data = ticket };
+	while (before && ((struct admission_ticket *)before->data)
+					 ->objective_deadline_ms >
+				 ticket->objective_deadline_ms)
+		before = before->prev;
+	if (before)
+		g_queue_insert_after_link(queue, before,
+					  &ticket->objective_link);
+	else
+		g_queue_push_head_link(queue, &ticket->objective_link);
+}
+
 enum rd_result admission_enqueue(struct admission *a, int64_t now_ms,
 				 struct admission_ticket *ticket,
 				 const char *name, double cost,
@@ -182,6 +204,8 @@
 	ticket->overdue = false;
 	ticket->link = (GList){ .data = ticket };
 	g_queue_push_tail_link(&account->queue, &ticket->link);
+	if (ticket->objective_deadline_ms)
+		insert_by_objective(account, ticket);
 	ticket->waiting = true;
 	a->waiting++;
 	return RD_OK;
@@ -200,23 +224,31 @@
 	return tx->virtual_start < ty->virtual_start;
 }
 
+/* Removes a ticket that is not overdue from its account's queue. */
+static void unlink_timely(struct admission_ticket *ticket)
+{
+	struct admission_account *account = ticket->account;
+
+	g_queue_unlink(&account->queue, &ticket->link);
+	if (ticket->objective_deadline_ms)
+		g_queue_unlink(&account->by_objective, &ticket->objective_link);
+	account->queued_cost -= ticket->cost;
+}
+
 /*
- * Moves overdue tickets to the queue of lower precedence. Stops at the first
- * ticket that is not overdue: the queue is in order of arrival, and objective
- * deadlines are assumed to be in the same order.
+ * Moves overdue tickets to the queue of lower precedence. New tickets are
+ * dispatched before them, so that their cost does not count as queued.
  */
 static void demote_overdue(struct admission_account *account, int64_t now_ms)
 {
-	while (account->queue.length) {
-		struct admission_ticket *ticket = account->queue.head->data;
+	while (account->by_objective.length) {
+		struct admission_ticket *ticket =
+			account->by_objective.head->data;
 
-		if (!ticket->objective_deadline_ms ||
-		    now_ms <= ticket->objective_deadline_ms)
+		if (now_ms <= ticket->objective_deadline_ms)
 			return;
-		g_queue_unlink(&account->queue, &ticket->link);
+		unlink_timely(ticket);
 		g_queue_push_tail_link(&account->overdue, &ticket->link);
-		/* New tickets are dispatched before it. */
-		account->queued_cost -= ticket->cost;
 		ticket->overdue = true;
 	}
 }
@@ -251,11 +283,10 @@
 
 static void unlink_ticket(struct admission *a, struct admission_ticket *ticket)
 {
-	g_queue_unlink(ticket->overdue ? &ticket->account->overdue
-				       : &ticket->account->queue,
-		       &ticket->link);
-	if (!ticket->overdue)
-		ticket->account->queued_cost -= ticket->cost;
+	if (ticket->overdue)
+		g_queue_unlink(&ticket->account->overdue, &ticket->link);
+	else
+		unlink_timely(ticket);
 	ticket->waiting = false;
 	a->waiting--;
 	if (!a->waiting)
