control: the log line about a failed connect probe has its VM as vm=

`radishdealctl explain` did not show that a VM of a request's replica was treated as lost after a connect probe.

Change: the line is "connect probe failed while the replica returns no data: VM treated as lost vm=... timeout_ms=... lost_ms=...".

The line is tested by itself; no script triggers the probe, which is sent for confirmed replicas only.

--- a/control/placer_watch.c
+++ b/control/placer_watch.c
@@ -42,14 +42,15 @@
 	struct placer *placer = o->placer;
 	const struct limit_settings *limits =
 		&placer->control->opts.settings->limits;
+	char *line;
 
 	o->probing = false;
 	if (reachable)
 		return;
-	log_note(&watch_log,
-		 "VM %s: connect probe failed (limit %d ms) while its replica "
-		 "returns no data; treated as lost for %d ms",
-		 o->name, PROBE_TIMEOUT_MS, (int)limits->vm_silence_ms);
+	line = probe_failure_line(o->name, PROBE_TIMEOUT_MS,
+				  (int)limits->vm_silence_ms);
+	log_note(&watch_log, "%s", line);
+	g_free(line);
 	view_suspect(placer->control->view, o->name, placer_now_ms(placer),
 		     limits->vm_silence_ms);
 }
--- a/control/probe.c
+++ b/control/probe.c
@@ -44,3 +44,11 @@
 				       sizeof(parsed.socket)))
 		finish_probe(probe, false);
 }
+
+char *probe_failure_line(const char *vm, int timeout_ms, int lost_ms)
+{
+	return g_strdup_printf("connect probe failed while the replica returns "
+			       "no data: VM treated as lost vm=%s "
+			       "timeout_ms=%d lost_ms=%d",
+			       vm, timeout_ms, lost_ms);
+}
--- a/control/probe.h
+++ b/control/probe.h
@@ -20,4 +20,7 @@
 void probe_start(struct event_base *base, const char *address, int timeout_ms,
 		 probe_done_fn done, void *ctx);
 
+/** Returns the log line about a VM that is treated as lost; free it. */
+char *probe_failure_line(const char *vm, int timeout_ms, int lost_ms);
+
 #endif
--- a/test/test_log.c
+++ b/test/test_log.c
@@ -16,6 +16,7 @@
 
 #include "common/log_json.h"
 #include "common/log_sink.h"
+#include "control/probe.h"
 
 #define BUFFER_BYTES 4096u
 #define LINES 50000
@@ -52,6 +53,18 @@
 				       "\"\"");
 }
 
+/* Without the key `vm`, `radishdealctl explain` does not find the line. */
+static void test_failed_probe_names_vm(void **state)
+{
+	char *line = probe_failure_line("i-5351", 400, 1500);
+
+	(void)state;
+	expect_line(line, "\"vm\":\"i-5351\",\"timeout_ms\":400,\"lost_ms\":"
+			  "1500,\"event\":\"connect probe failed while the "
+			  "replica returns no data: VM treated as lost\"");
+	g_free(line);
+}
+
 static char *format_dropped_line(const uint64_t *counts)
 {
 	return g_strdup_printf("dropped %d %d\n", (int)counts[LOG_KIND_TRAFFIC],
@@ -187,6 +200,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_json),
+		cmocka_unit_test(test_failed_probe_names_vm),
 		cmocka_unit_test(test_slow_reader),
 		cmocka_unit_test(test_explain),
 	};
