control: an announcement's log line tells loaded from staged models

The key staged= of the line about a VM had the model in the VM's memory; the models on its disk were not logged at all.

Change: loaded= has the former and staged= the latter, with commas; - for none.

--- a/control/announcements.c
+++ b/control/announcements.c
@@ -76,10 +76,34 @@
 	return true;
 }
 
+char *announcements_line(const struct vm_report *report)
+{
+	GString *staged = g_string_new(NULL);
+	char *line;
+
+	for (u_int i = 0; i < report->staged.staged_len; i++)
+		g_string_append_printf(staged, "%s%s", i ? "," : "",
+				       report->staged.staged_val[i]);
+	line = g_strdup_printf(
+		"VM %s at %s: replica=%u epoch=%" G_GUINT64_FORMAT " ready=%d "
+								   "serving=%d "
+								   "broken=%d "
+								   "leaving=%d "
+								   "loaded=%s "
+		"staged=%s incarnation=%" G_GUINT64_FORMAT,
+		report->name, report->address, report->replica, report->epoch,
+		report->ready, report->serving, report->broken, report->leaving,
+		*report->model ? report->model : "-",
+		staged->len ? staged->str : "-", report->incarnation);
+	g_string_free(staged, TRUE);
+	return line;
+}
+
 void announcements_receive(struct announcements *a,
 			   const struct vm_report *report)
 {
 	struct counters *counters = a->control->opts.counters;
+	char *line;
 
 	counters_add(counters, COUNTER_ANNOUNCEMENTS, 1);
 	if (needs_confirmation(a, report)) {
@@ -92,13 +116,9 @@
 	if (!monitor_handle_announcement(a->monitor, control_now_ms(a->control),
 					 report))
 		return;
-	log_info(&announcements_log,
-		 "VM %s at %s: replica=%u epoch=%" G_GUINT64_FORMAT
-		 " ready=%d serving=%d broken=%d leaving=%d staged=%s "
-		 "incarnation=%" G_GUINT64_FORMAT,
-		 report->name, report->address, report->replica, report->epoch,
-		 report->ready, report->serving, report->broken,
-		 report->leaving, report->model, report->incarnation);
+	line = announcements_line(report);
+	log_info(&announcements_log, "%s", line);
+	g_free(line);
 	/* Sent at once: entries must stop using a VM that is leaving. */
 	send_digest(a);
 }
--- a/control/control_internal.h
+++ b/control/control_internal.h
@@ -150,6 +150,9 @@
 void announcements_destroy(struct announcements *a);
 /** Starts to send digests periodically. */
 void announcements_start(struct announcements *a);
+/** Returns the log line about a changed announcement; free it. */
+char *announcements_line(const struct vm_report *report);
+
 void announcements_receive(struct announcements *a,
 			   const struct vm_report *report);
 /** Handles a VM's announcement that it is about to stop. */
--- a/test/test_log.c
+++ b/test/test_log.c
@@ -16,6 +16,7 @@
 
 #include "common/log_json.h"
 #include "common/log_sink.h"
+#include "control/control_internal.h"
 #include "control/probe.h"
 
 #define BUFFER_BYTES 4096u
@@ -65,6 +66,35 @@
 	g_free(line);
 }
 
+static void test_announcement_names_staged_models(void **state)
+{
+	weights_name staged[] = { (char *)"m1", (char *)"m2" };
+	struct vm_report report = {
+		.name = (char *)"i-1",
+		.address = (char *)"10.0.0.1:80",
+		.replica = 7,
+		.epoch = 3,
+		.ready = true,
+		.model = (char *)"m3",
+		.staged = { G_N_ELEMENTS(staged), staged },
+		.incarnation = 5,
+	};
+	char *line = announcements_line(&report);
+
+	(void)state;
+	expect_line(line, "\"replica\":7,\"epoch\":3,\"ready\":1,"
+			  "\"serving\":0,\"broken\":0,\"leaving\":0,"
+			  "\"loaded\":\"m3\",\"staged\":\"m1,m2\","
+			  "\"incarnation\":5,\"event\":\"VM i-1 at "
+			  "10.0.0.1:80:\"");
+	g_free(line);
+	report.model = (char *)"";
+	report.staged.staged_len = 0;
+	line = announcements_line(&report);
+	assert_non_null(strstr(line, " loaded=- staged=- "));
+	g_free(line);
+}
+
 static char *format_dropped_line(const uint64_t *counts)
 {
 	return g_strdup_printf("dropped %d %d\n", (int)counts[LOG_KIND_TRAFFIC],
@@ -201,6 +231,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_json),
 		cmocka_unit_test(test_failed_probe_names_vm),
+		cmocka_unit_test(test_announcement_names_staged_models),
 		cmocka_unit_test(test_slow_reader),
 		cmocka_unit_test(test_explain),
 	};
