test: each load of a script makes bookings of its own

behind.script is meant to write thousands of commands while a VM is down, but after its first load it wrote none: later loads repeated the keys of the first, so their bookings were answered from the ledger.

Cause: the number of the load was passed to jobs_run_bookings() and not used in the keys.

--- a/test/jobs.c
+++ b/test/jobs.c
@@ -313,8 +313,8 @@
 
 	for (int i = 0; i < caller->per_caller; i++) {
 		char *headers = g_strdup_printf("Idempotency-Key: "
-						"storm-%d-%d\r\n",
-						caller->number, i);
+						"storm-%d-%d-%d\r\n",
+						caller->run, caller->number, i);
 		struct job opts = {
 			.name = (char *)"booking",
 			.address = (char *)caller->address,
--- a/test/jobs.h
+++ b/test/jobs.h
@@ -64,8 +64,8 @@
 /**
  * Runs `callers` clients at once, spread over the addresses in turn; each makes
  * `per_caller` bookings one after the other, each with an idempotency key of
- * its own. `run` is not part of the keys: a second call uses the keys of the
- * first again. Returns how many bookings got no complete answer.
+ * its own. `run` distinguishes the keys of several calls. Returns how many
+ * bookings got no complete answer.
  */
 int jobs_run_bookings(const char *const *addresses, int address_count,
 		      const char *key, int callers, int per_caller, int run);
--- a/test/oracle.c
+++ b/test/oracle.c
@@ -39,6 +39,17 @@
 	return count;
 }
 
+int oracle_count_all_runs(const char *path)
+{
+	char **lines = read_lines(path);
+	int runs = 0;
+
+	for (int i = 0; lines[i]; i++)
+		runs += *lines[i] ? 1 : 0;
+	g_strfreev(lines);
+	return runs;
+}
+
 int oracle_count_duplicate_runs(const char *path)
 {
 	char **lines = read_lines(path);
--- a/test/oracle.h
+++ b/test/oracle.h
@@ -10,6 +10,9 @@
 /** Returns how often the request with an idempotency key was executed. */
 int oracle_count_runs(const char *path, const char *key);
 
+/** Counts the runs of all bookings in the file of runs of fake_service. */
+int oracle_count_all_runs(const char *path);
+
 /**
  * Returns the number of repeated executions: for each key, those after the
  * first. Requests without a key are not counted.
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -890,6 +890,12 @@
 		     oracle_count_duplicate_runs(test_of(s)->runs));
 }
 
+static void do_print_total_runs(struct script *s)
+{
+	script_print(s, "bookings run: %d",
+		     oracle_count_all_runs(test_of(s)->runs));
+}
+
 static void do_check_engines(struct script *s)
 {
 	struct proc_test *test = test_of(s);
@@ -948,6 +954,7 @@
 	{ "check-reserved", 1, do_check_reserved },
 	{ "print-runs", 1, do_print_runs },
 	{ "print-duplicate-runs", 0, do_print_duplicate_runs },
+	{ "print-total-runs", 0, do_print_total_runs },
 	{ "check-engines", 0, do_check_engines },
 	{ 0 }
 };
