test: check-alive notices a daemon that has ended

A script's check-alive printed "all nodes alive" after a daemon had ended by itself: it asked with kill(pid, 0), which succeeds until the ended child has been waited for. Scripts that are to show that no input ends a daemon could not fail at it.

Change: it uses cluster_check_alive(), which waits without blocking and ends the test with "node 3 exited unexpectedly, wait status 0".

A trial script that stops node 3 by SIGTERM and then checks printed "all nodes alive" before and fails now. The three scripts that use it, bad-input, refusals and behind, pass.

--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -840,11 +840,7 @@
 
 static void do_check_alive(struct script *s)
 {
-	struct cluster *c = cluster_of(s);
-
-	for (int i = 1; i <= c->node_count; i++)
-		if (c->nodes[i - 1].pid && kill(c->nodes[i - 1].pid, 0))
-			script_print(s, "node %d does not exist any more", i);
+	cluster_check_alive(cluster_of(s));
 	script_print(s, "all nodes alive");
 }
 
