control: a drain of a VM without the entry role is refused

`radishdealctl drain on`, sent to a VM with the control role alone, ended its daemon: post_drain() called listener.drain, which is NULL there.

Change: such a request gets 404 and the hint to ask a VM with the entry role, as requests for control do at a VM without that role.

drain.script sends it to a control-only node of three. Before: "drain: no answer", the daemon had ended. Now: "drain: 404 this VM does not have the entry role; ask one that has", and all nodes are alive.

--- a/control/operators.c
+++ b/control/operators.c
@@ -414,6 +414,12 @@
 	struct control *control = r->operators->control;
 	bool enabled = query_number(r->req, "on") != 0;
 
+	if (!control->opts.listener.drain) {
+		send_error(r->req, RD_NO_ROUTE,
+			   "this VM does not have the entry role; ask one "
+			   "that has");
+		return;
+	}
 	control->opts.listener.drain(control->opts.listener.ctx, enabled);
 	http_send_json(r->req, 200, json_pack("{s:b}", "draining", enabled));
 }
--- a/test/cluster.c
+++ b/test/cluster.c
@@ -320,7 +320,7 @@
 
 	g_string_append_printf(text,
 			       "[node]\nid = %d\ndata_centre = \"%s\"\n"
-			       "roles = [\"entry\", \"control\"]\n"
+			       "roles = [%s\"control\"]\n"
 			       "data_folder = \"%s/data%d\"\n"
 			       "[listen]\npeers = \"%s\"\ncallers = \"%s\"\n"
 			       "endpoints = \"%s\"\noperators = \"%s\"\n"
@@ -329,10 +329,11 @@
 			       "\"%s/cluster.key\"\n"
 			       "operator_keys_file = \"%s/operators.keys\"\n"
 			       "endpoint_key_file = \"%s/endpoint.key\"\n%s\n",
-			       node, data_centre_of(node), c->folder, node,
-			       n->peers, n->callers, n->endpoints, n->operators,
-			       c->limits, c->folder, c->folder, c->folder,
-			       c->cluster_lines);
+			       node, data_centre_of(node),
+			       node == c->control_only ? "" : "\"entry\", ",
+			       c->folder, node, n->peers, n->callers,
+			       n->endpoints, n->operators, c->limits, c->folder,
+			       c->folder, c->folder, c->cluster_lines);
 	for (int i = 1; i <= c->node_count; i++) {
 		char *address = c->proxied && i != node
 					? create_link(c, node, i)
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -114,6 +114,11 @@
 					     !strcmp(s->words[1], "proxied"));
 }
 
+static void do_control_only(struct script *s)
+{
+	cluster_of(s)->control_only = atoi(s->words[1]);
+}
+
 static void do_start(struct script *s)
 {
 	cluster_start(cluster_of(s), atoi(s->words[1]));
@@ -838,6 +843,32 @@
 			     : "connection refused");
 }
 
+static void print_answer(struct script *s, const struct fetch_response *answer)
+{
+	json_t *body = json_loads(answer->body ? answer->body : "", 0, NULL);
+	const char *detail = json_string_value(json_object_get(body, "detail"));
+
+	script_print(s, "%s: %d%s%s", s->words[0], answer->status,
+		     detail ? " " : "", detail ? detail : "");
+	json_decref(body);
+}
+
+/* drain NODE on=1|0 */
+static void do_drain(struct script *s)
+{
+	char *path = g_strdup_printf("/v1/drain?on=%s",
+				     script_value(s, "on", "1"));
+	struct fetch_response answer;
+
+	if (cluster_operator_request(cluster_of(s), atoi(s->words[1]), "POST",
+				     path, "", &answer))
+		print_answer(s, &answer);
+	else
+		script_print(s, "drain: no answer");
+	fetch_clear(&answer);
+	g_free(path);
+}
+
 static void do_check_alive(struct script *s)
 {
 	cluster_check_alive(cluster_of(s));
@@ -907,6 +938,7 @@
 static const struct script_command commands[] = {
 	{ "create", 0, do_create },
 	{ "setting", 2, do_setting },
+	{ "control-only", 1, do_control_only },
 	{ "start", 1, do_start },
 	{ "engine", 2, do_engine },
 	{ "plain-endpoints", 1, do_plain_endpoints },
@@ -946,6 +978,7 @@
 	{ "disconnect", 0, do_disconnect },
 	{ "wait-idle", 0, do_wait_idle },
 	{ "malformed", 3, do_malformed },
+	{ "drain", 1, do_drain },
 	{ "check-alive", 0, do_check_alive },
 	{ "check-reserved", 1, do_check_reserved },
 	{ "print-runs", 1, do_print_runs },
