--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -248,6 +248,18 @@
 	evhttp_clear_headers(&headers);
 }
 
+/* document-failure CODE: the response when a document was not stored */
+static void print_document_problem(struct script *s)
+{
+	struct problem problem =
+		document_problem((enum rd_result)atoi(s->words[1]));
+	const struct rd_result_info *info = rd_result_info(problem.code);
+
+	script_print(s, "%d %s, outcome %s: %s", info->http_status, info->name,
+		     problem.outcome == OUTCOME_NOT_RUN ? "not-run" : "unknown",
+		     problem.detail ? problem.detail : info->text);
+}
+
 static struct command *replica_command(struct script *s, command_kind kind,
 				       struct command *command)
 {
@@ -604,6 +616,7 @@
 	{ "demand", 1, sum_demand },
 	{ "announce", 2, announce },
 	{ "response", 2, classify_response },
+	{ "document-failure", 1, print_document_problem },
 	{ "suspect", 2, suspect_vm },
 	{ "load", 1, sum_load },
 	{ "assign", 4, assign },
