--- a/test/jobs.h
+++ b/test/jobs.h
@@ -26,6 +26,7 @@
 /** Where a client pauses until job_release(). */
 enum job_hold {
 	JOB_HOLD_NONE,
+	JOB_HOLD_IDLE, /* before the request, once connected */
 	JOB_HOLD_SEND, /* after half of the request */
 	JOB_HOLD_READ, /* before it reads the response */
 };
@@ -83,8 +84,8 @@
 /**
  * Runs `callers` clients at once, spread over the addresses in turn; each makes
  * `per_caller` bookings one after the other, each with an idempotency key of
- * its own. `run` is not part of the keys: a second call uses the keys of the
- * first again. Returns how many bookings got no complete answer.
+ * its own. `run` distinguishes the keys of several calls. Returns how many
+ * bookings got no complete answer.
  */
 int jobs_run_bookings(const char *const *addresses, int address_count,
 		      const char *key, int callers, int per_caller, int run);
