entry: without a lease, an unknown key is refused with cut-off

A caller with a valid key that reached an entry just after its restart was told 401 wrong-key, a refusal for good, where it should come again or go elsewhere.

Cause: the native interface looks the key up before it asks whether the entry may know the configuration. Without one, each key is unknown. The same holds for a service, and for an entry whose lease has expired while a key was added.

--- a/entry/callers.c
+++ b/entry/callers.c
@@ -68,6 +68,9 @@
 	*account = service ? service_account_by_key(service, hash) : NULL;
 	if (*account)
 		return RD_OK;
+	/* The configuration in force may know the key and the service. */
+	if (!entry_has_lease(entry))
+		return entry->draining ? RD_DRAINING : RD_CUT_OFF;
 	state_each_service(entry->config, match_key, &search);
 	if (!search.found)
 		return RD_WRONG_KEY;
