--- a/soak/check.c
+++ b/soak/check.c
@@ -65,9 +65,10 @@
 	append_process(out, soak, r->process, r->ended_us);
 	g_string_append_printf(out,
 			       "; endpoint begun %d served %d broken %d "
-			       "cancelled %d; status %d, %zu bytes, %s",
+			       "cancelled %d; status %d %s, %zu bytes, %s",
 			       run->begun, run->served, run->broken,
-			       run->cancelled, r->status, r->received,
+			       run->cancelled, r->status,
+			       r->refusal ? r->refusal : "", r->received,
 			       r->end ? r->end : "complete");
 	g_ptr_array_add(result->findings, g_string_free(out, FALSE));
 }
@@ -107,6 +108,13 @@
 	       (!run->ended_us || run->ended_us >= sixth_us);
 }
 
+/* All requests are valid, so a caller may only be told to come again. */
+static bool is_refused_for_good(const struct request *r)
+{
+	return r->complete && r->status >= 400 && r->status < 500 &&
+	       r->status != 408 && r->status != 429;
+}
+
 static void count_refusal(struct soak_result *result, const char *type)
 {
 	gpointer count = g_hash_table_lookup(result->refusals, type);
@@ -125,6 +133,8 @@
 	result->refused += r->complete && r->status != 200;
 	if (r->refusal)
 		count_refusal(result, r->refusal);
+	if (is_refused_for_good(r))
+		report_request(result, soak, r, "REFUSED-FOR-GOOD");
 	if (r->not_run && run->begun)
 		report_request(result, soak, r, "RAN-THOUGH-NOT-RUN");
 	if ((r->kind == REQUEST_BOOKING || r->kind == REQUEST_ONCE) &&
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -160,6 +160,23 @@
 	expect_finding(&t, "LOST");
 }
 
+static void test_valid_request_is_not_refused_for_good(void **state)
+{
+	struct records t;
+
+	(void)state;
+	set_up_records(&t);
+	t.run->begun = 0;
+	t.request->complete = true;
+	t.request->status = 401;
+	expect_finding(&t, "REFUSED-FOR-GOOD");
+	set_up_records(&t);
+	t.run->begun = 0;
+	t.request->complete = true;
+	t.request->status = 503;
+	expect_finding(&t, NULL);
+}
+
 static void test_runs_of_requests(void **state)
 {
 	struct records t;
@@ -268,6 +285,7 @@
 		cmocka_unit_test(test_loss_by_endpoint_or_deadline_is_excused),
 		cmocka_unit_test(test_request_without_an_end_is_found),
 		cmocka_unit_test(test_only_work_in_the_last_sixth_is_excused),
+		cmocka_unit_test(test_valid_request_is_not_refused_for_good),
 		cmocka_unit_test(test_runs_of_requests),
 		cmocka_unit_test(test_ends_of_processes),
 		cmocka_unit_test(test_signal_before_a_process_is_up_ends_it),
