--- a/test/test_daemon.c
+++ b/test/test_daemon.c
@@ -226,7 +226,7 @@
 	struct daemon_test *test = *state;
 
 	signal_early(test, SIGTERM);
-	assert_true(wait_for_log(test, "stopping: "));
+	assert_true(wait_for_log(test, "stopping cause=TERM"));
 	assert_int_equal(wait_for_exit(test), 0);
 }
 
