entry: a booking's outcome is recorded however long that takes

What callers saw: after an entry had not reached the leader for some seconds, a booking's idempotency key could be refused as in-flight for good, until that entry was restarted. Two ways led there: - The outcome was proposed for 4 s only. After that the caller got the answer, but the claim stayed in the log without an outcome: a repetition of the booking was refused instead of answered from the record. - A claim whose result was lost was answered change-unknown, "not-run", and forgotten. If it was in the log after all, the repetition that this answer invites was refused, although nothing had run. The leader releases the claims of an entry only when that entry restarts or is silent for the length of its lease and 5 s more.

The proposal that records an outcome is now repeated until it is decided, also after its caller has been answered, and a claim of unknown result is recorded as not run in the same way. Callers wait no longer than before. An entry that ends meanwhile leaves the rest to the leader, as before.

Not mended: a claim that is still on its way to a leader when "not run" is recorded, and arrives after it, has the same effect as before.

--- a/entry/booking.c
+++ b/entry/booking.c
@@ -12,6 +12,7 @@
 #include "wire/codec.h"
 
 #define CLAIM_RETRY_MS 100
+#define RECORD_RETRY_MS 500
 
 static const struct log booking_log = { "booking" };
 
@@ -27,6 +28,7 @@
 	int status;
 	char *type;
 	GBytes *body;
+	GBytes *record; /* command that records the outcome; NULL for a claim */
 };
 
 static struct call *find_call(const struct proposal_result *r)
@@ -43,6 +45,8 @@
 	g_free(r->type);
 	if (r->body)
 		g_bytes_unref(r->body);
+	if (r->record)
+		g_bytes_unref(r->record);
 	g_free(r);
 }
 
@@ -65,14 +69,111 @@
 	return r;
 }
 
-static void propose(struct call *call, struct command *command,
-		    control_done_fn done, void *ctx)
+static GBytes *encode(struct command *command)
 {
 	command->change_id = (char *)"";
 	command->operator_name = (char *)"booking";
 	command->time_ms = g_get_real_time() / 1000;
-	control_post_proposal(call->entry->opts.control,
-			      CODEC_ENCODE(command, command), done, ctx);
+	return CODEC_ENCODE(command, command);
+}
+
+/* ---- recording ---- */
+
+static void on_recorded(void *arg);
+
+static void record_done(void *ctx, enum rd_result code,
+			const struct apply_result *result)
+{
+	post_result(ctx, code, result, on_recorded);
+}
+
+static void record(struct proposal_result *r)
+{
+	control_post_proposal(r->entry->opts.control, g_bytes_ref(r->record),
+			      record_done, r);
+}
+
+static void on_record_retry(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	record(arg);
+}
+
+static void respond_recorded(struct proposal_result *r, struct call *call)
+{
+	gsize size;
+	const void *body = g_bytes_get_data(r->body, &size);
+
+	switch (r->outcome) {
+	case BOOKING_ANSWERED:
+		call_respond(call, r->status, r->type, body ? body : "", size);
+		return;
+	case BOOKING_NOT_RUN:
+		call_fail(call, call->not_run_code, OUTCOME_NOT_RUN, NULL,
+			  RETRY_AFTER_MS);
+		return;
+	default:
+		call_fail(call, RD_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN, NULL, 0);
+	}
+}
+
+/*
+ * The caller does not wait longer than for the first attempt, but a claim
+ * without an outcome would refuse the booking's key for good.
+ */
+static void on_recorded(void *arg)
+{
+	struct timeval after = { 0, RECORD_RETRY_MS * 1000 };
+	struct proposal_result *r = arg;
+	struct call *call = find_call(r);
+
+	if (call)
+		respond_recorded(r, call);
+	r->call = NULL;
+	if (!r->code) {
+		result_free(r);
+		return;
+	}
+	log_warn(&booking_log,
+		 "outcome of a booking not recorded yet: %s; trying again",
+		 rd_result_info(r->code)->name);
+	event_base_once(r->entry->base, -1, EV_TIMEOUT, on_record_retry, r,
+			&after);
+}
+
+static struct proposal_result *new_record(struct call *call,
+					  booking_outcome outcome, int status,
+					  const char *type, const void *body,
+					  size_t size)
+{
+	struct command command = { .body.kind = CMD_FINISH_BOOKING };
+	struct finish_booking *f = &command.body.command_body_u.finish;
+	struct proposal_result *r = new_result(call);
+
+	r->outcome = outcome;
+	r->status = status;
+	r->type = g_strdup(type);
+	r->body = g_bytes_new(body, size);
+	f->service = call->service->name;
+	f->account = call->account;
+	f->key = call->booking_key;
+	f->claim_id = call->claim_id;
+	f->entry = (uint32_t)call->entry->opts.settings->node.id;
+	f->outcome = outcome;
+	f->response.status = (uint32_t)status;
+	f->response.content_type = r->type;
+	f->response.body.body_val = (char *)g_bytes_get_data(r->body, NULL);
+	f->response.body.body_len = (u_int)size;
+	r->record = encode(&command);
+	return r;
+}
+
+void booking_end(struct call *call, booking_outcome outcome, int status,
+		 const char *type, const void *body, size_t size)
+{
+	call->state = CALL_RECORDING;
+	record(new_record(call, outcome, status, type, body, size));
 }
 
 /* ---- claiming ---- */
@@ -123,6 +224,16 @@
 		call_enqueue(call);
 }
 
+/* The claim may be in the log although this call ends without running. */
+static void release_possible_claim(struct call *call)
+{
+	struct proposal_result *r = new_record(call, BOOKING_NOT_RUN, 0, "", "",
+					       0);
+
+	r->call = NULL;
+	record(r);
+}
+
 static void handle_claim_failed(struct call *call, enum rd_result code,
 				const char *detail)
 {
@@ -133,6 +244,8 @@
 	enum outcome outcome = code == RD_OUTCOME_UNKNOWN ? OUTCOME_UNKNOWN
 							  : OUTCOME_NOT_RUN;
 
+	if (code == RD_CHANGE_UNKNOWN)
+		release_possible_claim(call);
 	call_fail(call, code, outcome, detail && *detail ? detail : NULL,
 		  code == RD_OUTCOME_UNKNOWN ? 0 : RETRY_AFTER_MS);
 }
@@ -176,7 +289,8 @@
 	c->body_hash = call->body_hash;
 	c->claim_id = call->claim_id;
 	c->entry = (uint32_t)call->entry->opts.settings->node.id;
-	propose(call, &command, claim_done, new_result(call));
+	control_post_proposal(call->entry->opts.control, encode(&command),
+			      claim_done, new_result(call));
 }
 
 static void on_claim_retry(evutil_socket_t fd, short what, void *arg)
@@ -209,68 +323,3 @@
 			 ++call->entry->next_claim;
 	claim(call);
 }
-
-/* ---- recording ---- */
-
-static void respond_recorded(struct proposal_result *r, struct call *call)
-{
-	gsize size;
-	const void *body = g_bytes_get_data(r->body, &size);
-
-	switch (r->outcome) {
-	case BOOKING_ANSWERED:
-		call_respond(call, r->status, r->type, body ? body : "", size);
-		return;
-	case BOOKING_NOT_RUN:
-		call_fail(call, call->not_run_code, OUTCOME_NOT_RUN, NULL,
-			  RETRY_AFTER_MS);
-		return;
-	default:
-		call_fail(call, RD_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN, NULL, 0);
-	}
-}
-
-static void on_recorded(void *arg)
-{
-	struct proposal_result *r = arg;
-	struct call *call = find_call(r);
-
-	if (r->code)
-		log_warn(&booking_log,
-			 "outcome of a booking could not be recorded: %s",
-			 rd_result_info(r->code)->name);
-	if (call)
-		respond_recorded(r, call);
-	result_free(r);
-}
-
-static void record_done(void *ctx, enum rd_result code,
-			const struct apply_result *result)
-{
-	post_result(ctx, code, result, on_recorded);
-}
-
-void booking_end(struct call *call, booking_outcome outcome, int status,
-		 const char *type, const void *body, size_t size)
-{
-	struct command command = { .body.kind = CMD_FINISH_BOOKING };
-	struct finish_booking *f = &command.body.command_body_u.finish;
-	struct proposal_result *r = new_result(call);
-
-	call->state = CALL_RECORDING;
-	r->outcome = outcome;
-	r->status = status;
-	r->type = g_strdup(type);
-	r->body = g_bytes_new(body, size);
-	f->service = call->service->name;
-	f->account = call->account;
-	f->key = call->booking_key;
-	f->claim_id = call->claim_id;
-	f->entry = (uint32_t)call->entry->opts.settings->node.id;
-	f->outcome = outcome;
-	f->response.status = (uint32_t)status;
-	f->response.content_type = r->type;
-	f->response.body.body_val = (char *)g_bytes_get_data(r->body, NULL);
-	f->response.body.body_len = (u_int)size;
-	propose(call, &command, record_done, r);
-}
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -927,6 +927,18 @@
 		     oracle_count_runs(test_of(s)->runs, s->words[1]));
 }
 
+static bool has_run(struct script *s)
+{
+	return oracle_count_runs(test_of(s)->runs, s->words[1]) >=
+	       atoi(s->words[2]);
+}
+
+/* wait-runs KEY N: waits until endpoints have started N runs of a booking. */
+static void do_wait_runs(struct script *s)
+{
+	wait_until(s, has_run, "runs of the booking");
+}
+
 static void do_print_duplicate_runs(struct script *s)
 {
 	script_print(s, "bookings run more than once: %d",
@@ -993,6 +1005,7 @@
 	{ "malformed", 3, do_malformed },
 	{ "check-alive", 0, do_check_alive },
 	{ "print-runs", 1, do_print_runs },
+	{ "wait-runs", 2, do_wait_runs },
 	{ "print-duplicate-runs", 0, do_print_duplicate_runs },
 	{ "check-engines", 0, do_check_engines },
 	{ 0 }
