--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -418,12 +418,14 @@
  */
 static void do_limit_files(struct script *s)
 {
-	rlim_t files = (rlim_t)atoi(s->words[2]);
-	struct rlimit limit = { files, files };
 	int node = node_of(s, s->words[1]);
+	pid_t pid = cluster_of(s)->nodes[node - 1].pid;
+	struct rlimit limit;
 
-	if (prlimit(cluster_of(s)->nodes[node - 1].pid, RLIMIT_NOFILE, &limit,
-		    NULL))
+	if (prlimit(pid, RLIMIT_NOFILE, NULL, &limit))
+		script_fail(s, "prlimit: %s", g_strerror(errno));
+	limit.rlim_cur = (rlim_t)atoi(s->words[2]);
+	if (prlimit(pid, RLIMIT_NOFILE, &limit, NULL))
 		script_fail(s, "prlimit: %s", g_strerror(errno));
 }
 
