--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -552,12 +552,14 @@
  */
 static void do_limit_files(struct script *s)
 {
-	rlim_t files = (rlim_t)atoi(s->words[2]);
-	struct rlimit limit = { files, files };
 	int node = node_of(s, s->words[1]);
+	pid_t pid = cluster_of(s)->nodes[node - 1].pid;
+	struct rlimit limit;
 
-	if (prlimit(cluster_of(s)->nodes[node - 1].pid, RLIMIT_NOFILE, &limit,
-		    NULL))
+	if (prlimit(pid, RLIMIT_NOFILE, NULL, &limit))
+		script_fail(s, "prlimit: %s", g_strerror(errno));
+	limit.rlim_cur = (rlim_t)atoi(s->words[2]);
+	if (prlimit(pid, RLIMIT_NOFILE, &limit, NULL))
 		script_fail(s, "prlimit: %s", g_strerror(errno));
 }
 
@@ -1232,6 +1234,18 @@
 		     oracle_count_runs(test_of(s)->runs, s->words[1]));
 }
 
+static bool has_run(struct script *s)
+{
+	return oracle_count_runs(test_of(s)->runs, s->words[1]) >=
+	       atoi(s->words[2]);
+}
+
+/* wait-runs KEY N: waits until endpoints have started N runs of a booking. */
+static void do_wait_runs(struct script *s)
+{
+	wait_until(s, has_run, "runs of the booking");
+}
+
 static void do_print_duplicate_runs(struct script *s)
 {
 	script_print(s, "bookings run more than once: %d",
@@ -1319,6 +1333,7 @@
 	{ "check-alive", 0, do_check_alive },
 	{ "check-reserved", 1, do_check_reserved },
 	{ "print-runs", 1, do_print_runs },
+	{ "wait-runs", 2, do_wait_runs },
 	{ "print-duplicate-runs", 0, do_print_duplicate_runs },
 	{ "print-total-runs", 0, do_print_total_runs },
 	{ "check-engines", 0, do_check_engines },
