control: a silent voter is logged once, and once when that ends

A leader logged "voter on node N has not replied for X ms, limit Y ms: to be replaced" every 50 ms for as long as that lasted, which is until the voter returns if there is no learner to replace it. Nothing said when it ended.

Change: it is logged at the first check and when another voter is the first that is silent; "voter on node N replies again or was replaced" when there is none any more. A new leader begins anew.

--- a/control/control.c
+++ b/control/control.c
@@ -142,6 +142,7 @@
 		 "became leader; leases of earlier leaders end within %d ms "
 		 "plus clock drift",
 		 (int)control->opts.settings->limits.config_lease_ms);
+	control->silent_voter = 0;
 	feed_start_leading(control->feed, control_now_ms(control));
 	placer_start_leading(control->placer);
 	peers_notify_update(control);
--- a/control/control_internal.h
+++ b/control/control_internal.h
@@ -55,6 +55,7 @@
 	int64_t started_ms;
 	bool leader_duties_active;
 	uint64_t leading_term; /* term for which they were started */
+	uint32_t silent_voter; /* node that was logged; 0: none */
 	int64_t orphans_checked_ms;
 	task_fn handover_done;
 	void *handover_arg;
@@ -183,6 +184,15 @@
 
 /** Proposes the next automatic change, if one is due; leader only. */
 void members_tick(struct control *control);
+
+/**
+ * Returns the log line about the voter that has not replied for too long, or
+ * about its end; NULL if nothing has changed. `node` is 0 if there is none,
+ * `reported` the node of the last line. The caller frees.
+ */
+char *members_silence_line(uint32_t *reported, uint32_t node, int64_t silent_ms,
+			   int64_t limit_ms);
+
 /**
  * Proposes an operator's change: promote, demote or remove the member on a
  * node. RD_OK means accepted, not yet committed. May set *why on failure.
--- a/control/members.c
+++ b/control/members.c
@@ -115,7 +115,34 @@
 	return best;
 }
 
-static struct member *find_lost_voter(const struct control *control,
+char *members_silence_line(uint32_t *reported, uint32_t node, int64_t silent_ms,
+			   int64_t limit_ms)
+{
+	uint32_t before = *reported;
+
+	*reported = node;
+	if (node == before)
+		return NULL;
+	if (node)
+		return g_strdup_printf("voter on node %u has not replied for "
+				       "%d ms, limit %d ms: to be replaced",
+				       node, (int)silent_ms, (int)limit_ms);
+	return g_strdup_printf("voter on node %u replies again or was replaced",
+			       before);
+}
+
+static void log_silence(struct control *control, uint32_t node,
+			int64_t silent_ms, int64_t limit_ms)
+{
+	char *line = members_silence_line(&control->silent_voter, node,
+					  silent_ms, limit_ms);
+
+	if (line)
+		log_info(&members_log, "%s", line);
+	g_free(line);
+}
+
+static struct member *find_lost_voter(struct control *control,
 				      struct member_config *config)
 {
 	int64_t limit_ms = control->opts.settings->cluster.replace_after_ms;
@@ -127,13 +154,11 @@
 
 		if (m->voter && member_progress(control, m, &silent_ms, &lag) &&
 		    silent_ms > limit_ms) {
-			log_info(&members_log,
-				 "voter on node %u has not replied for %d ms, "
-				 "limit %d ms: to be replaced",
-				 m->node, (int)silent_ms, (int)limit_ms);
+			log_silence(control, m->node, silent_ms, limit_ms);
 			return m;
 		}
 	}
+	log_silence(control, 0, 0, limit_ms);
 	return NULL;
 }
 
--- a/test/test_log.c
+++ b/test/test_log.c
@@ -95,6 +95,35 @@
 	g_free(line);
 }
 
+static void expect_silence(uint32_t *reported, uint32_t node,
+			   const char *expected)
+{
+	char *line = members_silence_line(reported, node, 2600, 2500);
+
+	assert_string_equal(line ? line : "none", expected);
+	g_free(line);
+}
+
+/* The state is checked every 50 ms for as long as a voter is silent. */
+static void test_silent_voter_is_logged_once(void **state)
+{
+	uint32_t reported = 0;
+
+	(void)state;
+	expect_silence(&reported, 0, "none");
+	expect_silence(&reported, 2,
+		       "voter on node 2 has not replied for 2600 ms, limit "
+		       "2500 ms: to be replaced");
+	expect_silence(&reported, 2, "none");
+	expect_silence(&reported, 3,
+		       "voter on node 3 has not replied for 2600 ms, limit "
+		       "2500 ms: to be replaced");
+	expect_silence(&reported, 3, "none");
+	expect_silence(&reported, 0,
+		       "voter on node 3 replies again or was replaced");
+	expect_silence(&reported, 0, "none");
+}
+
 static char *format_dropped_line(const uint64_t *counts)
 {
 	return g_strdup_printf("dropped %d %d\n", (int)counts[LOG_KIND_TRAFFIC],
@@ -232,6 +261,7 @@
 		cmocka_unit_test(test_json),
 		cmocka_unit_test(test_failed_probe_names_vm),
 		cmocka_unit_test(test_announcement_names_staged_models),
+		cmocka_unit_test(test_silent_voter_is_logged_once),
 		cmocka_unit_test(test_slow_reader),
 		cmocka_unit_test(test_explain),
 	};
