control: a group without a leader doesn't log that node 0 leads

The line at a change of role said "leader is node 0" while no leader was known; there is no such node.

Change: "no leader is known" instead. The line is written once for each change of role or leader, as before.

--- a/control/group.c
+++ b/control/group.c
@@ -158,10 +158,15 @@
 {
 	struct group *group = ctx;
 
-	log_note(&group_log,
-		 "role is %s in term %" PRIu64 ", leader is node %u",
-		 role_name(role), term,
-		 group->raft ? group_node_of(group, leader) : 0);
+	if (leader)
+		log_note(&group_log,
+			 "role is %s in term %" PRIu64 ", leader is node %u",
+			 role_name(role), term,
+			 group->raft ? group_node_of(group, leader) : 0);
+	else
+		log_note(&group_log,
+			 "role is %s in term %" PRIu64 ", no leader is known",
+			 role_name(role), term);
 	if (leader)
 		counters_add(group->opts.counters, COUNTER_LEADER_CHANGES, 1);
 	if (group->raft)
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -515,6 +515,48 @@
 	script_print(s, "voters %s", s->words[1]);
 }
 
+/* Counts the lines with the command's words in the logs of all nodes. */
+static int count_log_lines(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+	char *words = g_strjoinv(" ", (char **)s->words + 1);
+	int count = 0;
+
+	for (int i = 1; i <= c->node_count; i++) {
+		char *name = g_strdup_printf("node%d.log", i);
+		char *path = cluster_path(c, name);
+		char *text = NULL;
+
+		if (g_file_get_contents(path, &text, NULL, NULL))
+			for (const char *at = text; (at = strstr(at, words));
+			     at++)
+				count++;
+		g_free(text);
+		g_free(path);
+		g_free(name);
+	}
+	g_free(words);
+	return count;
+}
+
+static bool is_logged(struct script *s)
+{
+	return count_log_lines(s) > 0;
+}
+
+/* wait-log WORD...: waits until a node has logged these words in a row */
+static void do_wait_log(struct script *s)
+{
+	wait_until(s, is_logged, "words in a node's log");
+}
+
+/* count-log WORD...: prints how often the nodes have logged these words */
+static void do_count_log(struct script *s)
+{
+	script_print(s, "line %d: logged %d times", s->line,
+		     count_log_lines(s));
+}
+
 static void do_wait_leader(struct script *s)
 {
 	cluster_wait_leader(cluster_of(s));
@@ -963,6 +1005,8 @@
 	{ "wait-endpoints", 1, do_wait_endpoints },
 	{ "wait-voters", 1, do_wait_voters },
 	{ "wait-leader", 0, do_wait_leader },
+	{ "wait-log", 1, do_wait_log },
+	{ "count-log", 1, do_count_log },
 	{ "wait-applied", 1, do_wait_applied },
 	{ "wait-serving", 2, do_wait_serving },
 	{ "print-revision", 1, do_print_revision },
