test: a script that fails leaves no processes

After a script whose output differed, its daemons and fakes went on until someone ended them: the failed assertion leaves the test function, which destroyed the cluster at its end. With KEEP_FAILED=1 the logs of such a failure were not reported either.

Change: set-up and tear-down functions, which run in either case; KEEP_FAILED=1 keeps the folder.

--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -34,6 +34,7 @@
 	char *runs;	       /* file to which fake_service appends each run */
 	GHashTable *revisions; /* service -> revision accepted last */
 	int changes;
+	bool passed;
 };
 
 static struct proc_test *test_of(struct script *s)
@@ -1034,32 +1035,54 @@
 
 static const char *script_path;
 
+static int set_up(void **state)
+{
+	struct proc_test *test = g_new0(struct proc_test, 1);
+
+	test->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   (GDestroyNotify)job_free);
+	test->engine_logs = g_ptr_array_new_with_free_func(g_free);
+	test->revisions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						NULL);
+	test->runs = g_strdup_printf("%s/radishdeal-runs-%d", g_get_tmp_dir(),
+				     (int)getpid());
+	*state = test;
+	return 0;
+}
+
+/* Runs after a failed script too: its processes must not go on. */
+static int tear_down(void **state)
+{
+	struct proc_test *test = *state;
+
+	g_hash_table_unref(test->jobs);
+	if (!test->passed && getenv("KEEP_FAILED"))
+		setenv("KEEP", "1", 1);
+	if (test->cluster)
+		cluster_destroy(test->cluster);
+	g_ptr_array_unref(test->engine_logs);
+	g_hash_table_unref(test->revisions);
+	unlink(test->runs);
+	g_free(test->runs);
+	g_free(test);
+	return 0;
+}
+
 static void test_script(void **state)
 {
-	struct proc_test test = {
-		.jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      (GDestroyNotify)job_free),
-		.engine_logs = g_ptr_array_new_with_free_func(g_free),
-		.revisions = g_hash_table_new_full(g_str_hash, g_str_equal,
-						   g_free, NULL),
-	};
+	struct proc_test *test = *state;
 
-	(void)state;
-	test.runs = g_strdup_printf("%s/radishdeal-runs-%d", g_get_tmp_dir(),
-				    (int)getpid());
-	script_check(script_path, commands, &test);
-	g_hash_table_unref(test.jobs);
-	if (test.cluster)
-		cluster_destroy(test.cluster);
-	g_ptr_array_unref(test.engine_logs);
-	g_hash_table_unref(test.revisions);
-	unlink(test.runs);
-	g_free(test.runs);
+	script_check(script_path, commands, test);
+	test->passed = true;
 }
 
 int main(int argc, char **argv)
 {
-	struct CMUnitTest test = { .test_func = test_script };
+	struct CMUnitTest test = {
+		.test_func = test_script,
+		.setup_func = set_up,
+		.teardown_func = tear_down,
+	};
 	char *name;
 
 	if (argc != 2) {
