--- a/control/announcements.c
+++ b/control/announcements.c
@@ -2,6 +2,8 @@
  * Receives the announcements of VMs on a control VM and sends digests of them
  * to the other processes.
  */
+#include <inttypes.h>
+
 #include "common/log.h"
 #include "control/control_internal.h"
 #include "wire/codec.h"
@@ -84,17 +86,15 @@
 	for (u_int i = 0; i < report->staged.staged_len; i++)
 		g_string_append_printf(staged, "%s%s", i ? "," : "",
 				       report->staged.staged_val[i]);
-	line = g_strdup_printf(
-		"VM %s at %s: replica=%u epoch=%" G_GUINT64_FORMAT " ready=%d "
-								   "serving=%d "
-								   "broken=%d "
-								   "leaving=%d "
-								   "loaded=%s "
-		"staged=%s incarnation=%" G_GUINT64_FORMAT,
-		report->name, report->address, report->replica, report->epoch,
-		report->ready, report->serving, report->broken, report->leaving,
-		*report->model ? report->model : "-",
-		staged->len ? staged->str : "-", report->incarnation);
+	line = g_strdup_printf("VM %s at %s: replica=%u epoch=%" PRIu64 " "
+			       "ready=%d serving=%d broken=%d leaving=%d "
+			       "loaded=%s staged=%s incarnation=%" PRIu64,
+			       report->name, report->address, report->replica,
+			       report->epoch, report->ready, report->serving,
+			       report->broken, report->leaving,
+			       *report->model ? report->model : "-",
+			       staged->len ? staged->str : "-",
+			       report->incarnation);
 	g_string_free(staged, TRUE);
 	return line;
 }
