--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -42,6 +42,7 @@
 	GHashTable *revisions; /* service -> revision accepted last */
 	int changes;
 	int settings_pipe; /* read by a starting daemon; -1 for none */
+	bool passed;
 };
 
 static struct proc_test *test_of(struct script *s)
@@ -685,6 +686,48 @@
 	script_print(s, "voters %s", s->words[1]);
 }
 
+/* Counts the lines with the command's words in the logs of all nodes. */
+static int count_log_lines(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+	char *words = g_strjoinv(" ", (char **)s->words + 1);
+	int count = 0;
+
+	for (int i = 1; i <= c->node_count; i++) {
+		char *name = g_strdup_printf("node%d.log", i);
+		char *path = cluster_path(c, name);
+		char *text = NULL;
+
+		if (g_file_get_contents(path, &text, NULL, NULL))
+			for (const char *at = text; (at = strstr(at, words));
+			     at++)
+				count++;
+		g_free(text);
+		g_free(path);
+		g_free(name);
+	}
+	g_free(words);
+	return count;
+}
+
+static bool is_logged(struct script *s)
+{
+	return count_log_lines(s) > 0;
+}
+
+/* wait-log WORD...: waits until a node has logged these words in a row */
+static void do_wait_log(struct script *s)
+{
+	wait_until(s, is_logged, "words in a node's log");
+}
+
+/* count-log WORD...: prints how often the nodes have logged these words */
+static void do_count_log(struct script *s)
+{
+	script_print(s, "line %d: logged %d times", s->line,
+		     count_log_lines(s));
+}
+
 static void do_wait_leader(struct script *s)
 {
 	cluster_wait_leader(cluster_of(s));
@@ -782,7 +825,7 @@
 	wait_until(s, has_revision, "revision of the service");
 }
 
-static bool has_logged(struct script *s)
+static bool has_node_logged(struct script *s)
 {
 	char *name = g_strdup_printf("node%s.log", s->words[1]);
 	char *path = cluster_path(cluster_of(s), name);
@@ -796,10 +839,10 @@
 	return found;
 }
 
-/* wait-log NODE WORD: waits until the node's log has the word. */
-static void do_wait_log(struct script *s)
+/* wait-node-log NODE WORD: waits until the node's log has the word. */
+static void do_wait_node_log(struct script *s)
 {
-	wait_until(s, has_logged, "word in the node's log");
+	wait_until(s, has_node_logged, "word in the node's log");
 }
 
 static void do_print_revision(struct script *s)
@@ -1306,11 +1349,13 @@
 	{ "wait-endpoints", 1, do_wait_endpoints },
 	{ "wait-voters", 1, do_wait_voters },
 	{ "wait-leader", 0, do_wait_leader },
+	{ "wait-log", 1, do_wait_log },
+	{ "count-log", 1, do_count_log },
 	{ "wait-applied", 1, do_wait_applied },
 	{ "wait-serving", 2, do_wait_serving },
 	{ "wait-metric", 3, do_wait_metric },
 	{ "wait-revision", 2, do_wait_revision },
-	{ "wait-log", 2, do_wait_log },
+	{ "wait-node-log", 2, do_wait_node_log },
 	{ "print-revision", 1, do_print_revision },
 	{ "stream", 1, do_stream },
 	{ "chat", 1, do_chat },
@@ -1360,15 +1405,13 @@
 	return 0;
 }
 
-static void test_script(void **state)
-{
-	script_check(script_path, commands, *state);
-}
-
+/* Runs after a failed script too: its processes must not go on. */
 static int tear_down(void **state)
 {
 	struct proc_test *test = *state;
 
+	if (!test->passed && getenv("KEEP_FAILED"))
+		setenv("KEEP", "1", 1);
 	if (test->cluster)
 		cluster_destroy(test->cluster);
 	g_hash_table_unref(test->jobs);
@@ -1381,6 +1424,14 @@
 	return 0;
 }
 
+static void test_script(void **state)
+{
+	struct proc_test *test = *state;
+
+	script_check(script_path, commands, test);
+	test->passed = true;
+}
+
 int main(int argc, char **argv)
 {
 	struct CMUnitTest test = {
