--- a/test/cluster.c
+++ b/test/cluster.c
@@ -82,7 +82,7 @@
 	posix_spawn_file_actions_destroy(&actions);
 	g_ptr_array_unref(argv);
 	if (error)
-		cluster_fail("%s: %s", path, g_strerror(error));
+		cluster_fail("%s, log %s: %s", path, log, g_strerror(error));
 	g_free(path);
 	g_free(log);
 	return pid;
@@ -586,7 +586,10 @@
 
 void cluster_apply_service(struct cluster *c, const char *text)
 {
-	const char *path = "/v1/services?change_id=first&base=0&wait_ms=9000";
+	char *path = g_strdup_printf("/v1/"
+				     "services?change_id=service-%d&base=0&"
+				     "wait_ms=9000",
+				     ++c->services);
 	struct fetch_response answer;
 
 	if (!cluster_operator_request(c, cluster_wait_leader(c), "POST", path,
@@ -595,6 +598,7 @@
 		cluster_fail("applying the service failed: %s",
 			     answer.body ? answer.body : "");
 	fetch_clear(&answer);
+	g_free(path);
 }
 
 static bool field_matches(json_t *row, const char *key, const char *expected)
