test: a pause waits until the process has stopped

wait-moved failed twice beside other work: "waiting: refused laggards unknown" in a full run, and "waiting: complete" in 1 of 8 runs, four at once. `pause` sent SIGSTOP and went on. Threads of the process may run until one of them has taken the signal, so the next command, wait-leader, could still be answered by the leader that was being paused; `continue` then resumed it at once, and leadership never moved. That is read off the results: with the leader never gone, the change must come in force when the paused entry's lease ends, after 21 s, or end as laggards after the script's wait of 10 s.

`pause` now waits for the stop to be reported (waitid).

--- a/test/cluster.c
+++ b/test/cluster.c
@@ -381,6 +381,21 @@
 	cluster_wait_leader(c);
 }
 
+/* Until then threads of the process may still run. */
+static void wait_until_stopped(int node, pid_t pid)
+{
+	gint64 deadline = cluster_now_ms() + CLUSTER_WAIT_MS;
+	siginfo_t info = { 0 };
+
+	while (!waitid(P_PID, (id_t)pid, &info, WSTOPPED | WNOHANG) &&
+	       !info.si_pid) {
+		if (cluster_now_ms() > deadline)
+			cluster_fail("node %d not stopped within " WAIT_TEXT,
+				     node);
+		usleep(POLL_US);
+	}
+}
+
 void cluster_signal_node(struct cluster *c, int node, int signal)
 {
 	struct cluster_node *n = &c->nodes[node - 1];
@@ -388,6 +403,8 @@
 	if (!n->pid)
 		return;
 	kill(n->pid, signal);
+	if (signal == SIGSTOP)
+		wait_until_stopped(node, n->pid);
 	if (signal != SIGKILL)
 		return;
 	waitpid(n->pid, NULL, 0);
