ctl: a change is not sent with a base that no VM has told

The revision is asked for once, before the attempts that ride out such a time.

It is now asked for as often as the change is sent. If no VM can tell it, the command ends with "no VM answered" and nothing has been sent. An error other than not-leader, no-quorum and change-unknown counts as an answer, as before.

--- a/ctl/request.c
+++ b/ctl/request.c
@@ -69,12 +69,26 @@
 	return NULL;
 }
 
-/* Returns the current revision, the base of a change if none was given. */
-static int64_t current_revision(struct ctl *ctl, const char *service)
+/*
+ * Whether another VM may decide a change that this one did not. Sets
+ * *maybe_accepted if this one may have accepted it.
+ */
+static bool must_try_next(const struct fetch_response *answer,
+			  bool *maybe_accepted)
 {
-	char *path = g_strdup_printf("/v1/services/%s", service);
-	int64_t revision = 0;
-	struct fetch_response answer;
+	json_t *body = json_loads(answer->body ? answer->body : "", 0, NULL);
+	int code = (int)json_integer_value(json_object_get(body, "code"));
+
+	json_decref(body);
+	*maybe_accepted |= code == RD_CHANGE_UNKNOWN;
+	return code == RD_NOT_LEADER || code == RD_NO_QUORUM ||
+	       code == RD_CHANGE_UNKNOWN;
+}
+
+/* Asks all VMs; -1 if none of them can tell the service's revision. */
+static int64_t ask_revision(struct ctl *ctl, const char *path)
+{
+	int64_t revision = -1;
 
 	for (guint i = 0; i < ctl->addresses->len; i++) {
 		struct fetch_request request = {
@@ -84,18 +98,39 @@
 			.key = ctl->key,
 			.timeout_ms = READ_TIMEOUT_MS,
 		};
+		struct fetch_response answer;
 		json_t *body = NULL;
-		bool ok = fetch(&request, &answer);
+		bool unused = false;
+		bool ok = fetch(&request, &answer) &&
+			  !must_try_next(&answer, &unused);
 
 		if (ok && answer.status == 200)
 			body = json_loads(answer.body, 0, NULL);
 		/* Each VM may lag behind; the highest revision is current. */
-		revision = MAX(revision,
-			       json_integer_value(json_object_get(body, "revisi"
-									"on")));
+		if (ok)
+			revision = MAX(revision,
+				       json_integer_value(
+					       json_object_get(body, "revisio"
+								     "n")));
 		json_decref(body);
 		fetch_clear(&answer);
 	}
+	return revision;
+}
+
+/*
+ * Returns the current revision, the base of a change if none was given; -1 if
+ * no VM can tell.
+ */
+static int64_t current_revision(struct ctl *ctl, const char *service)
+{
+	char *path = g_strdup_printf("/v1/services/%s", service);
+	int64_t revision = ask_revision(ctl, path);
+
+	for (int i = 1; i < ATTEMPTS_MAX && revision < 0; i++) {
+		usleep(ATTEMPT_INTERVAL_US);
+		revision = ask_revision(ctl, path);
+	}
 	g_free(path);
 	return revision;
 }
@@ -119,22 +154,6 @@
 	return 0;
 }
 
-/*
- * Whether another VM may decide a change that this one did not. Sets
- * *maybe_accepted if this one may have accepted it.
- */
-static bool must_try_next(const struct fetch_response *answer,
-			  bool *maybe_accepted)
-{
-	json_t *body = json_loads(answer->body ? answer->body : "", 0, NULL);
-	int code = (int)json_integer_value(json_object_get(body, "code"));
-
-	json_decref(body);
-	*maybe_accepted |= code == RD_CHANGE_UNKNOWN;
-	return code == RD_NOT_LEADER || code == RD_NO_QUORUM ||
-	       code == RD_CHANGE_UNKNOWN;
-}
-
 /*
  * Sends a change to the addresses in turn. Returns true, with *exit_status set,
  * if a VM accepted or rejected it.
@@ -217,6 +236,10 @@
 	bool maybe_accepted = false;
 	int exit_status = -1;
 
+	if (base < 0) {
+		exit_status = print_no_answer();
+		goto done;
+	}
 	interrupt_text = g_strdup_printf("radishdealctl: interrupted; the "
 					 "change may have been "
 					 "accepted; repeat the command with "
@@ -241,6 +264,7 @@
 	} else if (exit_status < 0) {
 		exit_status = print_no_answer();
 	}
+done:
 	g_free(target);
 	g_free(id);
 	return exit_status;
--- a/test/test_ctl.c
+++ b/test/test_ctl.c
@@ -29,6 +29,7 @@
 	int port;
 	bool silent; /* never answers */
 	gint requests;
+	gint changes; /* among the requests */
 };
 
 struct ctl_test {
@@ -44,6 +45,8 @@
 	struct operators_port *port = ctx;
 	struct problem problem = { .code = RD_NO_QUORUM };
 
+	if (strcmp(http_method(req), "GET") != 0)
+		g_atomic_int_inc(&port->changes);
 	if (g_atomic_int_add(&port->requests, 1) == 0)
 		problem = (struct problem){ .code = RD_CHANGE_UNKNOWN,
 					    .outcome = OUTCOME_UNKNOWN };
@@ -105,7 +108,8 @@
 	return 0;
 }
 
-static void start_change(struct ctl_test *test)
+/* With `base` NULL the tool asks for the current revision. */
+static void start_change(struct ctl_test *test, const char *base)
 {
 	char *self = g_file_read_link("/proc/self/exe", NULL);
 	char *tests = g_path_get_dirname(self);
@@ -117,12 +121,12 @@
 			 test->key_file,
 			 (char *)"--change-id",
 			 (char *)"one",
-			 (char *)"--base",
-			 (char *)"3",
 			 (char *)"preset",
 			 (char *)"switch",
 			 (char *)"queue",
 			 (char *)"peak",
+			 base ? (char *)"--base" : NULL,
+			 (char *)base,
 			 NULL };
 
 	assert_true(g_spawn_async_with_pipes(
@@ -155,7 +159,7 @@
 	char *errors;
 	int status;
 
-	start_change(test);
+	start_change(test, "3");
 	errors = wait_for_end(test, &status);
 	assert_non_null(strstr(errors, REPEAT));
 	assert_true(WIFEXITED(status));
@@ -171,7 +175,7 @@
 	int status;
 
 	test->port.silent = true;
-	start_change(test);
+	start_change(test, "3");
 	while (!g_atomic_int_get(&test->port.requests)) {
 		assert_true(g_get_monotonic_time() < deadline);
 		usleep(POLL_US);
@@ -184,6 +188,20 @@
 	g_free(errors);
 }
 
+static void test_unknown_revision_taken_for_none(void **state)
+{
+	struct ctl_test *test = *state;
+	char *errors;
+	int status;
+
+	start_change(test, NULL);
+	errors = wait_for_end(test, &status);
+	assert_int_equal(g_atomic_int_get(&test->port.changes), 0);
+	assert_true(WIFEXITED(status));
+	assert_int_equal(WEXITSTATUS(status), UNDECIDED_STATUS);
+	g_free(errors);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -191,6 +209,8 @@
 			test_unknown_answer_reported_as_none, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_interrupt_kept_change_id_secret, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_unknown_revision_taken_for_none, setup, teardown),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
