control: a failed group is not taken for the leader

What callers saw: since a VM whose data folder fails completes its requests first, one that led at that moment recorded no booking any more. Its group keeps the role and the leader of the moment of the failure, so every proposal was made to itself and came back undecided, until the process ended; a repetition of such a booking was refused with an unknown outcome although it had an answer.

Proposals and polls of a VM whose group has failed now go to the leader that the other members name.

The script storage-failed-leader books through the leader and makes its storage fail while the booking runs.

--- a/control/control.c
+++ b/control/control.c
@@ -25,7 +25,8 @@
 
 uint32_t control_leader(const struct control *control)
 {
-	uint64_t leader = control->group
+	/* After a failure the group still shows the leader of that time. */
+	uint64_t leader = control->group && !group_failed(control->group)
 				  ? raft_leader(group_raft(control->group))
 				  : 0;
 
--- a/control/proposals.c
+++ b/control/proposals.c
@@ -88,7 +88,7 @@
 	uint32_t leader = control_leader(control);
 	struct peer *peer;
 
-	if (control->group &&
+	if (control->group && !group_failed(control->group) &&
 	    raft_role(group_raft(control->group)) == RAFT_LEADER) {
 		group_propose(control->group, s->command, on_local_result, s);
 		return;
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -332,7 +332,10 @@
 	change_service(s, "rollback", "to");
 }
 
-/* switch-presets SERVICE N: N switches, to "peak" and "ordinary" in turn. */
+/*
+ * switch-presets SERVICE N [node=NODE]: N switches, to "peak" and "ordinary" in
+ * turn, sent to the leader or to a node.
+ */
 static void do_switch_presets(struct script *s)
 {
 	struct proc_test *test = test_of(s);
@@ -352,8 +355,9 @@
 		struct fetch_response answer;
 		json_t *body;
 
-		cluster_operator_request(c, cluster_wait_leader(c), "POST",
-					 path, "", &answer);
+		cluster_operator_request(
+			c, node_of(s, script_value(s, "node", "leader")),
+			"POST", path, "", &answer);
 		body = json_loads(answer.body ? answer.body : "", 0, NULL);
 		if (answer.status == 200) {
 			done++;
