entry: the end of a drain doesn't undo a stop

An operator's drain?on=0 to a node that is stopping cleared the flag that refuses requests on the native interface and advertises the node: it took requests again until the process ended, which lost those still open.

stop-despite-undrain.script failed before: "late: complete tokens=5" from a node in its stop; now it is refused with draining, not run.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -485,6 +485,12 @@
 {
 	struct message *m = arg;
 
+	if (shutdown_begun(m->entry)) {
+		log_note(&entry_log, "already stopping; drain=%d ignored",
+			 m->draining);
+		g_free(m);
+		return;
+	}
 	log_note(&entry_log, "%s",
 		 m->draining ? "draining" : "no longer draining");
 	m->entry->draining = m->draining;
--- a/entry/shutdown.c
+++ b/entry/shutdown.c
@@ -85,9 +85,14 @@
 	log_phase(entry, "stop began; no longer advertised to callers");
 }
 
+bool shutdown_begun(const struct entry *entry)
+{
+	return entry->shutdown.reject_from_ms;
+}
+
 bool shutdown_rejects(const struct entry *entry)
 {
-	return entry->shutdown.reject_from_ms &&
+	return shutdown_begun(entry) &&
 	       entry_now_ms(entry) >= entry->shutdown.reject_from_ms;
 }
 
--- a/entry/shutdown.h
+++ b/entry/shutdown.h
@@ -14,6 +14,9 @@
 /** Starts the stop; done(arg) is called once, from shutdown_tick(). */
 void shutdown_begin(struct entry *entry, task_fn done, void *arg);
 
+/** Whether a stop has begun; it is never undone. */
+bool shutdown_begun(const struct entry *entry);
+
 /** Whether new requests are to be rejected because of a stop. */
 bool shutdown_rejects(const struct entry *entry);
 
