entry: a stop gives up the claims of bookings that it refuses

At the end of drain_ms a booking that waited for its claim, for a slot or for another replica was refused as not run, but its claim stayed in the ledger. The repetition that the refusal invites was refused as in flight and, once the claim expired, with an unknown outcome for good, although it had never run.

booking-claimed-at-stop.script failed before: "second: refused in-flight unknown", "held ran 0 times"; now the repetition runs once.

--- a/entry/booking.c
+++ b/entry/booking.c
@@ -224,8 +224,7 @@
 		call_enqueue(call);
 }
 
-/* The claim may be in the log although this call ends without running. */
-static void release_possible_claim(struct call *call)
+void booking_release(struct call *call)
 {
 	struct proposal_result *r = new_record(call, BOOKING_NOT_RUN, 0, "", "",
 					       0);
@@ -245,7 +244,7 @@
 							  : OUTCOME_NOT_RUN;
 
 	if (code == RD_CHANGE_UNKNOWN)
-		release_possible_claim(call);
+		booking_release(call);
 	call_fail(call, code, outcome, detail && *detail ? detail : NULL,
 		  code == RD_OUTCOME_UNKNOWN ? 0 : RETRY_AFTER_MS);
 }
--- a/entry/call.c
+++ b/entry/call.c
@@ -315,6 +315,8 @@
 	/* A response that waits to be recorded shows that the call has run. */
 	if (call->state == CALL_RECORDING)
 		call->may_have_run = true;
+	if (call->booking_key && !call->may_have_run && !call->upstream)
+		booking_release(call);
 	end_early(call, RD_OUTCOME_UNKNOWN, RD_DRAINING);
 }
 
--- a/entry/call.h
+++ b/entry/call.h
@@ -191,8 +191,9 @@
 void call_tick(struct call *call, int64_t now_ms);
 
 /**
- * Ends a call whose entry stops before it is complete, and frees it. The ledger
- * keeps the claim of a booking: the control task expires it.
+ * Ends a call whose entry stops before it is complete, and frees it. The claim
+ * of a booking that may have run stays in the ledger until the control task
+ * expires it; any other is given up.
  */
 void call_end_for_shutdown(struct call *call);
 
@@ -228,6 +229,11 @@
 
 /* booking.c: idempotency records in the replicated state */
 void booking_begin(struct call *call);
+/**
+ * Gives up a claim that may be in the log although the call ends without having
+ * run; doesn't wait for the result.
+ */
+void booking_release(struct call *call);
 void booking_end(struct call *call, booking_outcome outcome, int status,
 		 const char *type, const void *body, size_t size);
 
