entry: a cut-off stream sends what it has before it is closed

A started stream that failed, or was open at the end of drain_ms, lost the bytes that evhttp had not written yet, among them always the native interface's "event: error" with the code and the outcome: the chunk was only queued, bufferevent_flush() does nothing for a socket, and the connection was freed at once. No caller ever got that event.

The connection is now closed once its output is written, and a stop counts it until then.

--- a/common/http.c
+++ b/common/http.c
@@ -81,6 +81,42 @@
 	evhttp_send_reply(req, status, reason, NULL);
 }
 
+static void on_aborted(struct evhttp_connection *conn, void *arg)
+{
+	struct evhttp_request *req = arg;
+
+	on_response_lost(conn, NULL);
+	/* After an error the connection doesn't own it; this only frees it. */
+	if (!evhttp_request_get_connection(req))
+		evhttp_send_reply_end(req);
+}
+
+static void on_abort_sent(struct bufferevent *bev, void *conn)
+{
+	(void)bev;
+	evhttp_connection_free(conn);
+}
+
+void http_abort_response(struct evhttp_request *req, int timeout_s)
+{
+	struct evhttp_connection *conn = evhttp_request_get_connection(req);
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
+	struct timeval timeout = { timeout_s, 0 };
+	bufferevent_event_cb event_cb;
+	void *cb_arg;
+
+	unsent_responses++;
+	evhttp_connection_set_closecb(conn, on_aborted, req);
+	if (!evbuffer_get_length(bufferevent_get_output(bev))) {
+		evhttp_connection_free(conn);
+		return;
+	}
+	/* The argument of all of evhttp's callbacks is the connection. */
+	bufferevent_getcb(bev, NULL, NULL, &event_cb, &cb_arg);
+	bufferevent_setcb(bev, NULL, on_abort_sent, event_cb, cb_arg);
+	bufferevent_set_timeouts(bev, &timeout, &timeout);
+}
+
 unsigned http_unsent_responses(void)
 {
 	return unsent_responses;
--- a/common/http.h
+++ b/common/http.h
@@ -65,7 +65,15 @@
 void http_track_response(struct evhttp_request *req);
 
 /**
- * Returns how many responses of the calling thread are complete, but not yet
+ * Closes the connection of a started response once what was given to evhttp is
+ * sent. Without the last chunk of the chunked encoding, every client sees that
+ * the response is incomplete. Counts it like a complete response until then.
+ * Replaces a watch of its connection.
+ */
+void http_abort_response(struct evhttp_request *req, int timeout_s);
+
+/**
+ * Returns how many responses of the calling thread are ended, but not yet
  * written to their sockets as a whole.
  */
 unsigned http_unsent_responses(void);
--- a/entry/call.c
+++ b/entry/call.c
@@ -142,8 +142,6 @@
 /* Ends a stream such that the caller cannot mistake it for complete. */
 static void cut_off_stream(struct call *call, const struct problem *problem)
 {
-	struct evhttp_connection *conn =
-		evhttp_request_get_connection(call->req);
 	struct evbuffer *out = evbuffer_new();
 
 	if (call->format->append_stream_error)
@@ -152,15 +150,10 @@
 		evhttp_send_reply_chunk(call->req, out);
 	evbuffer_free(out);
 	count_outcome(call, COUNTER_STREAMS_CUT_OFF);
-	http_unwatch_disconnect(call->req, 1);
+	http_abort_response(
+		call->req,
+		(int)call->entry->opts.settings->limits.slow_sender_s);
 	call->req = NULL;
-	/*
-	 * Closing without the last chunk of the chunked encoding shows every
-	 * client that the response is incomplete.
-	 */
-	bufferevent_flush(evhttp_connection_get_bufferevent(conn), EV_WRITE,
-			  BEV_FLUSH);
-	evhttp_connection_free(conn);
 }
 
 void call_fail(struct call *call, enum rd_result code, enum outcome outcome,
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -1,5 +1,6 @@
 /* Tests of common/http.c with a server and a client in one event loop. */
 #include <setjmp.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -18,6 +19,7 @@
 
 struct http_test {
 	struct event_base *base;
+	struct evhttp *http;
 	struct evhttp_request *req; /* being answered */
 	struct http_disconnect_watch watch;
 	size_t received[2]; /* bodies of the requests, in order */
@@ -117,12 +119,123 @@
 	assert_int_equal(test.responses, 2);
 }
 
+#define PIECE_BYTES 4000000
+
+static void abort_response(struct evhttp_request *req, void *ctx)
+{
+	char *piece = g_strnfill(PIECE_BYTES, 'x');
+	struct evbuffer *out = evbuffer_new();
+
+	(void)ctx;
+	evhttp_send_reply_start(req, 200, "OK");
+	evbuffer_add(out, piece, PIECE_BYTES);
+	evbuffer_add_printf(out, "event: error");
+	evhttp_send_reply_chunk(req, out);
+	evbuffer_free(out);
+	g_free(piece);
+	http_abort_response(req, WAIT_S);
+	assert_int_equal(http_unsent_responses(), 1);
+}
+
+static void on_end(struct bufferevent *bev, short what, void *ctx)
+{
+	struct http_test *test = ctx;
+
+	(void)bev;
+	if (what & BEV_EVENT_EOF)
+		event_base_loopbreak(test->base);
+}
+
+/* Sends a request whose response is aborted; `read` reads that response. */
+static struct bufferevent *run_aborted(struct http_test *test, bool read)
+{
+	struct http_listen_opts opts = {
+		.base = test->base,
+		.address = "127.0.0.1:0",
+		.header_bytes = 4096,
+		.body_bytes = 4096,
+		.timeout_s = WAIT_S,
+		.handle = abort_response,
+		.ctx = test,
+	};
+	struct timeval limit = { WAIT_S, 0 };
+	int port = 0;
+	struct bufferevent *bev = bufferevent_socket_new(test->base, -1,
+							 BEV_OPT_CLOSE_ON_FREE);
+	char text[ADDRESS_MAX];
+	struct address address;
+
+	test->http = http_listen(&opts, &port, NULL);
+	assert_non_null(test->http);
+	g_snprintf(text, sizeof(text), "127.0.0.1:%d", port);
+	assert_true(address_parse(text, &address));
+	bufferevent_setcb(bev, NULL, NULL, on_end, test);
+	bufferevent_enable(bev, read ? EV_READ | EV_WRITE : EV_WRITE);
+	bufferevent_socket_connect(bev, (struct sockaddr *)&address.socket,
+				   sizeof(address.socket));
+	send_request(bev, 10);
+	while (!read && !http_unsent_responses())
+		event_base_loop(test->base, EVLOOP_ONCE);
+	if (read) {
+		event_base_loopexit(test->base, &limit);
+		event_base_dispatch(test->base);
+	}
+	return bev;
+}
+
+static void test_an_aborted_response_is_sent_up_to_its_end(void **state)
+{
+	struct http_test test = { .base = event_base_new() };
+	struct bufferevent *bev = run_aborted(&test, true);
+	struct evbuffer *in = bufferevent_get_input(bev);
+
+	(void)state;
+	assert_true(evbuffer_search(in, "event: error", 12, NULL).pos > 0);
+	assert_int_equal(evbuffer_search(in, "\r\n0\r\n", 5, NULL).pos, -1);
+	assert_int_equal(http_unsent_responses(), 0);
+	bufferevent_free(bev);
+	evhttp_free(test.http);
+	event_base_free(test.base);
+}
+
+static void test_a_caller_that_leaves_ends_an_aborted_response(void **state)
+{
+	struct http_test test = { .base = event_base_new() };
+	struct bufferevent *bev = run_aborted(&test, false);
+
+	(void)state;
+	bufferevent_free(bev);
+	while (http_unsent_responses())
+		event_base_loop(test.base, EVLOOP_ONCE);
+	evhttp_free(test.http);
+	event_base_free(test.base);
+}
+
+static void test_a_server_may_be_freed_with_an_aborted_response(void **state)
+{
+	struct http_test test = { .base = event_base_new() };
+	struct bufferevent *bev = run_aborted(&test, false);
+
+	(void)state;
+	evhttp_free(test.http);
+	assert_int_equal(http_unsent_responses(), 0);
+	bufferevent_free(bev);
+	event_base_free(test.base);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_long_body_after_a_call_on_the_same_connection),
+		cmocka_unit_test(
+			test_an_aborted_response_is_sent_up_to_its_end),
+		cmocka_unit_test(
+			test_a_caller_that_leaves_ends_an_aborted_response),
+		cmocka_unit_test(
+			test_a_server_may_be_freed_with_an_aborted_response),
 	};
 
+	signal(SIGPIPE, SIG_IGN);
 	return cmocka_run_group_tests_name("http", tests, NULL, NULL);
 }
