entry: a stop waits for requests that are being received

A connection is in a set of its thread from the first bytes of a request until the request's handler sends a response or watches the connection, or until it closes. A stop waits for the set to become empty until 2 s after linger_ms or until drain_ms have passed, whichever is earlier, and counts it in its log lines (receiving=).

Ruled out: evhttp_set_newreqcb(), which libevent 2.1.12 does not have. The set is kept by a callback on the input buffer of each connection (evhttp_set_bevcb()); evhttp passes its connection to the bufferevent's callbacks, where bufferevent_getcb() finds it.

--- a/common/http.c
+++ b/common/http.c
@@ -48,6 +48,66 @@
 	return text;
 }
 
+/* The thread's connections on which a request is being received. */
+static GPrivate receiving = G_PRIVATE_INIT((GDestroyNotify)g_hash_table_unref);
+
+static void forget_receiving(struct evhttp_connection *conn)
+{
+	GHashTable *conns = g_private_get(&receiving);
+
+	if (conns)
+		g_hash_table_remove(conns, conn);
+}
+
+static void on_receiving_lost(struct evhttp_connection *conn, void *arg)
+{
+	(void)arg;
+	evhttp_connection_set_closecb(conn, NULL, NULL);
+	forget_receiving(conn);
+}
+
+static void on_input(struct evbuffer *input,
+		     const struct evbuffer_cb_info *info, void *arg)
+{
+	GHashTable *conns = g_private_get(&receiving);
+	bufferevent_data_cb read_cb;
+	void *conn;
+
+	(void)input;
+	(void)info;
+	/*
+	 * evhttp passes the connection to its callbacks, and has no read
+	 * callback while a response is pending.
+	 */
+	bufferevent_getcb(arg, &read_cb, NULL, NULL, &conn);
+	if (!read_cb)
+		return;
+	if (!conns) {
+		conns = g_hash_table_new(NULL, NULL);
+		g_private_set(&receiving, conns);
+	}
+	if (g_hash_table_add(conns, conn))
+		evhttp_connection_set_closecb(conn, on_receiving_lost, NULL);
+}
+
+static struct bufferevent *watched_bufferevent(struct event_base *base,
+					       void *arg)
+{
+	struct bufferevent *bev = bufferevent_socket_new(base, -1, 0);
+
+	(void)arg;
+	if (bev)
+		evbuffer_add_cb(bufferevent_get_input(bev), on_input, bev);
+	return bev;
+}
+
+unsigned http_receiving_requests(void)
+{
+	GHashTable *conns = g_private_get(&receiving);
+
+	return conns ? g_hash_table_size(conns) : 0;
+}
+
 static _Thread_local unsigned unsent_responses;
 
 static void on_response_lost(struct evhttp_connection *conn, void *arg)
@@ -70,6 +130,7 @@
 
 	if (!conn)
 		return;
+	forget_receiving(conn);
 	unsent_responses++;
 	evhttp_request_set_on_complete_cb(req, on_response_sent, NULL);
 	evhttp_connection_set_closecb(conn, on_response_lost, NULL);
@@ -229,6 +290,7 @@
 	/* Tokens must not wait for the acknowledgement of earlier ones. */
 	address_set_tcp_options(bufferevent_getfd(bev),
 				RESPONSE_ACK_TIMEOUT_MS);
+	forget_receiving(conn);
 	evhttp_connection_set_closecb(conn, on_close, watch);
 	/*
 	 * evhttp treats data that arrives before the response is sent as an
@@ -281,6 +343,7 @@
 		http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
 			      EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
 			      EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS);
+	evhttp_set_bevcb(http, watched_bufferevent, NULL);
 	evhttp_set_gencb(http, opts->handle, opts->ctx);
 	*port = address_local_port(fd);
 	return http;
--- a/common/http.h
+++ b/common/http.h
@@ -70,6 +70,12 @@
  */
 unsigned http_unsent_responses(void);
 
+/**
+ * Returns how many requests to servers of the calling thread are received in
+ * part.
+ */
+unsigned http_receiving_requests(void);
+
 /** Returns the value of a request header, or NULL. */
 const char *http_header(struct evhttp_request *req, const char *name);
 
--- a/entry/shutdown.c
+++ b/entry/shutdown.c
@@ -9,6 +9,9 @@
 /* After limits.drain_ms, time for the last responses to reach their sockets. */
 #define FLUSH_MS 500
 
+/* After limits.linger_ms, time for requests that are being received. */
+#define RECEIVE_MS 2000
+
 static const struct log shutdown_log = { "shutdown" };
 
 /** Requests without a complete response, by how far they have come. */
@@ -19,6 +22,7 @@
 	uint32_t awaiting_replica; /* to be retried */
 	uint32_t booking;	   /* waiting for the booking ledger */
 	uint32_t held;		   /* waiting for a configuration */
+	uint32_t receiving;	   /* received in part */
 	uint32_t unsent;	   /* complete, but not all of it sent */
 	int64_t oldest_ms;	   /* age of the oldest call */
 };
@@ -47,6 +51,7 @@
 
 	*open = (struct open_requests){
 		.held = entry->held_requests.length,
+		.receiving = http_receiving_requests(),
 		.unsent = http_unsent_responses(),
 	};
 	g_hash_table_iter_init(&iter, entry->calls);
@@ -61,11 +66,12 @@
 	count_open(entry, &open);
 	log_note(&shutdown_log,
 		 "%s elapsed_ms=%" PRId64 " queued=%u sent=%u responding=%u "
-		 "awaiting_replica=%u booking=%u held=%u unsent=%u "
-		 "oldest_ms=%" PRId64,
+		 "awaiting_replica=%u booking=%u held=%u receiving=%u "
+		 "unsent=%u oldest_ms=%" PRId64,
 		 phase, entry_now_ms(entry) - entry->shutdown.began_ms,
 		 open.queued, open.sent, open.responding, open.awaiting_replica,
-		 open.booking, open.held, open.unsent, open.oldest_ms);
+		 open.booking, open.held, open.receiving, open.unsent,
+		 open.oldest_ms);
 }
 
 void shutdown_begin(struct entry *entry, task_fn done, void *arg)
@@ -113,6 +119,15 @@
 	}
 }
 
+static bool waits_for_senders(const struct entry *entry)
+{
+	const struct shutdown *shutdown = &entry->shutdown;
+
+	return http_receiving_requests() &&
+	       entry_now_ms(entry) < MIN(shutdown->reject_from_ms + RECEIVE_MS,
+					 shutdown->deadline_ms);
+}
+
 void shutdown_tick(struct entry *entry)
 {
 	int64_t now = entry_now_ms(entry);
@@ -130,6 +145,8 @@
 			return;
 		end_calls(entry);
 	}
+	if (waits_for_senders(entry))
+		return;
 	if (http_unsent_responses() &&
 	    now < entry->shutdown.deadline_ms + FLUSH_MS)
 		return;
--- a/entry/shutdown.h
+++ b/entry/shutdown.h
@@ -3,8 +3,9 @@
  * The planned stop of an entry. It goes on accepting requests for
  * limits.linger_ms and rejects further ones. Calls have until limits.drain_ms
  * to complete; those that are open then get a final response, except started
- * streams, which are visibly cut off. The stop ends when no call is open and
- * all responses are in their sockets. Everything here runs on the entry task.
+ * streams, which are visibly cut off. The stop ends when no call is open, no
+ * request is being received (for at most 2 s after limits.linger_ms) and all
+ * responses are in their sockets. Everything here runs on the entry task.
  */
 #ifndef ENTRY_SHUTDOWN_H
 #define ENTRY_SHUTDOWN_H
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -78,34 +78,46 @@
 		event_base_loopbreak(test->base);
 }
 
-static void test_long_body_after_a_call_on_the_same_connection(void **state)
+static struct evhttp *listen_for(struct http_test *test, int *port)
 {
-	struct http_test test = { .base = event_base_new() };
 	struct http_listen_opts opts = {
-		.base = test.base,
+		.base = test->base,
 		.address = "127.0.0.1:0",
 		.header_bytes = 4096,
 		.body_bytes = 2 * BODY_BYTES,
 		.timeout_s = 2 * WAIT_S,
 		.handle = handle,
-		.ctx = &test,
+		.ctx = test,
 	};
-	struct timeval limit = { WAIT_S, 0 };
-	int port = 0;
-	struct evhttp *http = http_listen(&opts, &port, NULL);
-	struct bufferevent *bev = bufferevent_socket_new(test.base, -1,
-							 BEV_OPT_CLOSE_ON_FREE);
+
+	return http_listen(&opts, port, NULL);
+}
+
+static void connect_to(struct bufferevent *bev, int port)
+{
 	char text[ADDRESS_MAX];
 	struct address address;
 
-	(void)state;
-	assert_non_null(http);
 	g_snprintf(text, sizeof(text), "127.0.0.1:%d", port);
 	assert_true(address_parse(text, &address));
-	bufferevent_setcb(bev, on_response, NULL, NULL, &test);
 	bufferevent_enable(bev, EV_READ | EV_WRITE);
 	bufferevent_socket_connect(bev, (struct sockaddr *)&address.socket,
 				   sizeof(address.socket));
+}
+
+static void test_long_body_after_a_call_on_the_same_connection(void **state)
+{
+	struct http_test test = { .base = event_base_new() };
+	struct timeval limit = { WAIT_S, 0 };
+	int port = 0;
+	struct evhttp *http = listen_for(&test, &port);
+	struct bufferevent *bev = bufferevent_socket_new(test.base, -1,
+							 BEV_OPT_CLOSE_ON_FREE);
+
+	(void)state;
+	assert_non_null(http);
+	bufferevent_setcb(bev, on_response, NULL, NULL, &test);
+	connect_to(bev, port);
 	send_request(bev, 10);
 	event_base_loopexit(test.base, &limit);
 	event_base_dispatch(test.base);
@@ -117,11 +129,68 @@
 	assert_int_equal(test.responses, 2);
 }
 
+static void wait_until_receiving(struct http_test *test, unsigned count)
+{
+	int64_t limit_us = g_get_monotonic_time() + WAIT_S * G_USEC_PER_SEC;
+
+	while (http_receiving_requests() != count) {
+		assert_true(g_get_monotonic_time() < limit_us);
+		event_base_loop(test->base, EVLOOP_NONBLOCK);
+	}
+}
+
+static void wait_for_response(struct http_test *test, struct bufferevent *bev)
+{
+	int64_t limit_us = g_get_monotonic_time() + WAIT_S * G_USEC_PER_SEC;
+	struct evbuffer *in = bufferevent_get_input(bev);
+
+	while (evbuffer_search(in, "done", 4, NULL).pos < 0) {
+		assert_true(g_get_monotonic_time() < limit_us);
+		event_base_loop(test->base, EVLOOP_NONBLOCK);
+	}
+	evbuffer_drain(in, evbuffer_get_length(in));
+}
+
+static void test_requests_received_in_part_are_counted(void **state)
+{
+	struct http_test test = { .base = event_base_new() };
+	int port = 0;
+	struct evhttp *http = listen_for(&test, &port);
+	struct bufferevent *bev = bufferevent_socket_new(test.base, -1,
+							 BEV_OPT_CLOSE_ON_FREE);
+	struct evbuffer *out = bufferevent_get_output(bev);
+
+	(void)state;
+	assert_non_null(http);
+	connect_to(bev, port);
+	for (int request = 0; request < 2; request++) {
+		assert_int_equal(http_receiving_requests(), 0);
+		evbuffer_add_printf(out, "POST / HTTP/1.1\r\nHost: a\r\n"
+					 "Content-Length: 2\r\n\r\nx");
+		wait_until_receiving(&test, 1);
+		evbuffer_add(out, "y", 1);
+		wait_until_receiving(&test, 0);
+		assert_int_equal(test.requests, request + 1);
+		wait_for_response(&test, bev);
+	}
+	/* The second request behind the first is cut off. */
+	evbuffer_add_printf(out, "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET");
+	wait_for_response(&test, bev);
+	evbuffer_add_printf(out, " / HTTP/1.1\r\n");
+	wait_until_receiving(&test, 1);
+	bufferevent_free(bev);
+	wait_until_receiving(&test, 0);
+	evhttp_free(http);
+	event_base_free(test.base);
+	assert_int_equal(test.requests, 3);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_long_body_after_a_call_on_the_same_connection),
+		cmocka_unit_test(test_requests_received_in_part_are_counted),
 	};
 
 	return cmocka_run_group_tests_name("http", tests, NULL, NULL);
