control: the end of a stop keeps to the grace period

grace_s cut only the drain. The answers' half second and up to 2.5 s of handover came on top: more than the second that an entry without the control role keeps back, and all of the three of other VMs. Such an entry with a booking to record and no leader in reach was still running at grace_s.

--- a/control/control.h
+++ b/control/control.h
@@ -143,10 +143,11 @@
 /**
  * Stops accepting operators' changes, transfers leadership to another member,
  * if this one leads, and answers what was accepted. Calls done(arg) on the
- * control task once the answers are sent, at the latest after 2.5 s. A
- * repetition gives no more time; until the end it replaces the earlier call's
- * `done`.
+ * control task once the answers are sent, at the latest after 2.5 s or at
+ * limit_ms of its clock. A repetition gives no more time; until the end it
+ * replaces the earlier call's `done`.
  */
-void control_post_handover(struct control *control, task_fn done, void *arg);
+void control_post_handover(struct control *control, int64_t limit_ms,
+			   task_fn done, void *arg);
 
 #endif
--- a/control/handover.c
+++ b/control/handover.c
@@ -52,6 +52,7 @@
 
 struct handover_message {
 	struct control *control;
+	int64_t limit_ms;
 	task_fn done;
 	void *arg;
 };
@@ -60,21 +61,24 @@
 {
 	struct handover_message *m = arg;
 	struct control *control = m->control;
+	int64_t deadline_ms = MIN(control_now_ms(control) + HANDOVER_TIMEOUT_MS,
+				  m->limit_ms - SEND_TIMEOUT_MS);
 
 	if (!control->stopping)
-		control->handover_deadline_ms = control_now_ms(control) +
-						HANDOVER_TIMEOUT_MS;
+		control->handover_deadline_ms = deadline_ms;
 	control->stopping = true;
 	control->handover_done = m->done;
 	control->handover_arg = m->arg;
 	g_free(m);
 }
 
-void control_post_handover(struct control *control, task_fn done, void *arg)
+void control_post_handover(struct control *control, int64_t limit_ms,
+			   task_fn done, void *arg)
 {
 	struct handover_message *m = g_new(struct handover_message, 1);
 
 	m->control = control;
+	m->limit_ms = limit_ms;
 	m->done = done;
 	m->arg = arg;
 	task_post(control->opts.task, run_handover, m);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -167,7 +167,10 @@
 {
 	struct daemon *d = ctx;
 
-	control_post_handover(d->control, on_control_stopped, d);
+	control_post_handover(d->control,
+			      d->stop_began_ms +
+				      daemon_settings_stop_ms(&d->settings),
+			      on_control_stopped, d);
 }
 
 static void begin_stop(struct daemon *d, const char *cause)
--- a/settings/daemon.c
+++ b/settings/daemon.c
@@ -12,6 +12,10 @@
 #define MS_PER_S 1000
 /* Part of grace_s for the last responses and the exit. */
 #define STOP_RESERVE_MS 1000
+/* Part of that for the exit. */
+#define EXIT_RESERVE_MS 200
+/* More than any stop takes. */
+#define STOP_MAX_MS (24 * 3600 * MS_PER_S)
 /* Part of grace_s for the handover of leadership. */
 #define HANDOVER_RESERVE_MS 2000
 
@@ -581,6 +585,13 @@
 	return MIN(limits->drain_ms, MAX(0, grace_ms - reserve_ms));
 }
 
+int64_t daemon_settings_stop_ms(const struct daemon_settings *settings)
+{
+	int64_t grace_ms = settings->limits.grace_s * MS_PER_S;
+
+	return grace_ms ? grace_ms - EXIT_RESERVE_MS : STOP_MAX_MS;
+}
+
 int64_t daemon_settings_linger_ms(const struct daemon_settings *settings)
 {
 	return MIN(settings->limits.linger_ms,
--- a/settings/daemon.h
+++ b/settings/daemon.h
@@ -144,6 +144,9 @@
 /** How long a planned stop may wait for calls, within limits.grace_s. */
 int64_t daemon_settings_drain_ms(const struct daemon_settings *settings);
 
+/** How long a whole planned stop may take, within limits.grace_s. */
+int64_t daemon_settings_stop_ms(const struct daemon_settings *settings);
+
 /**
  * How long a stopping entry accepts requests. The last one accepted has at
  * least half of the drain to complete.
--- a/test/cluster.c
+++ b/test/cluster.c
@@ -312,6 +312,13 @@
 	return address;
 }
 
+static const char *roles_of(const struct cluster *c, int node)
+{
+	if (node == c->control_only)
+		return "\"control\"";
+	return node == c->entry_only ? "\"entry\"" : "\"entry\", \"control\"";
+}
+
 static void write_settings(struct cluster *c, int node)
 {
 	struct cluster_node *n = &c->nodes[node - 1];
@@ -320,7 +327,7 @@
 
 	g_string_append_printf(text,
 			       "[node]\nid = %d\ndata_centre = \"%s\"\n"
-			       "roles = [%s\"control\"]\n"
+			       "roles = [%s]\n"
 			       "data_folder = \"%s/data%d\"\n"
 			       "[listen]\npeers = \"%s\"\ncallers = \"%s\"\n"
 			       "endpoints = \"%s\"\noperators = \"%s\"\n"
@@ -329,8 +336,7 @@
 			       "\"%s/cluster.key\"\n"
 			       "operator_keys_file = \"%s/operators.keys\"\n"
 			       "endpoint_key_file = \"%s/endpoint.key\"\n%s\n",
-			       node, data_centre_of(node),
-			       node == c->control_only ? "" : "\"entry\", ",
+			       node, data_centre_of(node), roles_of(c, node),
 			       c->folder, node, n->peers, n->callers,
 			       n->endpoints, n->operators, c->limits, c->folder,
 			       c->folder, c->folder, c->cluster_lines);
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -42,6 +42,7 @@
 	char *operator_key;
 	char *account_key;	  /* of account "studio" in every service */
 	char *second_account_key; /* of account "label" */
+	int entry_only;		  /* node without the control role; 0: none */
 	int control_only;	  /* node without the entry role; 0: none */
 	char *limits;		  /* lines for [limits], for cluster_start() */
 	char *cluster_lines;	  /* lines for [cluster], likewise */
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -127,6 +127,12 @@
 	cluster_of(s)->control_only = atoi(s->words[1]);
 }
 
+/* entry-only NODE: gives a node only the entry role, before the start. */
+static void do_entry_only(struct script *s)
+{
+	cluster_of(s)->entry_only = atoi(s->words[1]);
+}
+
 static void do_start(struct script *s)
 {
 	cluster_start(cluster_of(s), atoi(s->words[1]));
@@ -1274,6 +1280,7 @@
 	{ "create", 0, do_create },
 	{ "setting", 2, do_setting },
 	{ "control-only", 1, do_control_only },
+	{ "entry-only", 1, do_entry_only },
 	{ "start", 1, do_start },
 	{ "engine", 2, do_engine },
 	{ "plain-endpoints", 1, do_plain_endpoints },
