--- a/entry/booking.c
+++ b/entry/booking.c
@@ -95,9 +95,12 @@
 
 static void on_record_retry(evutil_socket_t fd, short what, void *arg)
 {
+	struct proposal_result *r = arg;
+
 	(void)fd;
 	(void)what;
-	record(arg);
+	g_hash_table_remove(r->entry->unrecorded, r);
+	record(r);
 }
 
 static void respond_recorded(struct proposal_result *r, struct call *call)
@@ -138,10 +141,22 @@
 	log_warn(&booking_log,
 		 "outcome of a booking not recorded yet: %s; trying again",
 		 rd_result_info(r->code)->name);
+	g_hash_table_add(r->entry->unrecorded, r);
 	event_base_once(r->entry->base, -1, EV_TIMEOUT, on_record_retry, r,
 			&after);
 }
 
+void booking_drop_unrecorded(struct entry *entry)
+{
+	GHashTableIter iter;
+	gpointer r;
+
+	g_hash_table_iter_init(&iter, entry->unrecorded);
+	while (g_hash_table_iter_next(&iter, &r, NULL))
+		result_free(r);
+	g_hash_table_unref(entry->unrecorded);
+}
+
 static struct proposal_result *new_record(struct call *call,
 					  booking_outcome outcome, int status,
 					  const char *type, const void *body,
--- a/entry/call.h
+++ b/entry/call.h
@@ -229,6 +229,8 @@
 
 /* booking.c: idempotency records in the replicated state */
 void booking_begin(struct call *call);
+/** Frees the outcomes that wait to be recorded; no task runs any more. */
+void booking_drop_unrecorded(struct entry *entry);
 /**
  * Gives up a claim that may be in the log although the call ends without having
  * run; doesn't wait for the result.
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -220,6 +220,7 @@
 	entry->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						entry_service_free);
 	entry->calls = g_hash_table_new(NULL, NULL);
+	entry->unrecorded = g_hash_table_new(NULL, NULL);
 	entry->pool = upstream_pool_create(entry->base);
 	entry->started_ms = entry_now_ms(entry);
 	g_queue_init(&entry->held_requests);
@@ -298,6 +299,7 @@
 	if (entry->endpoints)
 		evhttp_free(entry->endpoints);
 	g_hash_table_unref(entry->calls);
+	booking_drop_unrecorded(entry);
 	g_hash_table_unref(entry->services);
 	clear_known_entries(entry);
 	monitor_destroy(entry->monitor);
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -68,8 +68,9 @@
 	struct view *view;
 	uint64_t health_version; /* view_version() at the last health update */
 	bool full_digest_due;
-	GHashTable *services; /* name -> struct entry_service */
-	GHashTable *calls;    /* set of struct call */
+	GHashTable *services;	/* name -> struct entry_service */
+	GHashTable *calls;	/* set of struct call */
+	GHashTable *unrecorded; /* outcomes of bookings, to be recorded again */
 	struct upstream_pool *pool;
 	struct routes *routes; /* of the deployment; NULL before there is one */
 	GQueue held_requests;  /* of struct held_request */
