settings, deploy, entry: the drain uses the whole grace period, whatever it is

Change: grace_s alone sets the drain where the platform gives it; the reserve is a sixth at most; an option of seconds takes integers and floats; the time for sending counts from when the calls are ended.

--- a/entry/shutdown.c
+++ b/entry/shutdown.c
@@ -148,6 +148,8 @@
 	if (g_hash_table_size(entry->calls)) {
 		if (now < entry->shutdown.deadline_ms)
 			return;
+		/* Later than due if the VM was suspended. */
+		entry->shutdown.deadline_ms = now;
 		end_calls(entry);
 	}
 	if (waits_for_senders(entry))
--- a/settings/daemon.c
+++ b/settings/daemon.c
@@ -10,8 +10,9 @@
 #define KEY_MIN_BYTES 16
 #define KEY_FILE_MAX_BYTES (1024 * 1024)
 #define MS_PER_S 1000
-/* Part of grace_s for the last responses and the exit. */
+/* Part of grace_s for the last responses and the exit, at most a sixth. */
 #define STOP_RESERVE_MS 1000
+#define STOP_RESERVE_SHARE 6
 /* Part of that for the exit. */
 #define EXIT_RESERVE_MS 200
 /* More than any stop takes. */
@@ -247,9 +248,13 @@
 		     "by the leader"),
 	LIMIT_OPTION(drain_ms, 0, 3600000, 30000, "ms",
 		     "how long a planned stop waits for requests in flight"),
-	LIMIT_OPTION(grace_s, 0, 3600, 0, "s",
-		     "time after SIGTERM at which the supervisor kills the "
-		     "process; drain_ms is cut to end in time; 0: never"),
+	{ .key = "grace_s",
+	  .type = OPT_SECONDS,
+	  .offset = offsetof(struct limit_settings, grace_ms),
+	  .max = 3600,
+	  .unit = "s",
+	  .help = "time after SIGTERM at which the supervisor kills the "
+		  "process; drain_ms is cut to end in time; 0: never" },
 	LIMIT_OPTION(queue_ms, 0, 600000, 10000, "ms",
 		     "how long a request may wait for a free slot"),
 	LIMIT_OPTION(subset, 0, 100000, 64, NULL,
@@ -575,19 +580,19 @@
 int64_t daemon_settings_drain_ms(const struct daemon_settings *settings)
 {
 	const struct limit_settings *limits = &settings->limits;
-	int64_t grace_ms = limits->grace_s * MS_PER_S;
-	int64_t reserve_ms = STOP_RESERVE_MS;
+	int64_t reserve_ms = MIN(STOP_RESERVE_MS,
+				 limits->grace_ms / STOP_RESERVE_SHARE);
 
-	if (!grace_ms)
+	if (!limits->grace_ms)
 		return limits->drain_ms;
 	if (settings->node.roles & ROLE_CONTROL)
 		reserve_ms += HANDOVER_RESERVE_MS;
-	return MIN(limits->drain_ms, MAX(0, grace_ms - reserve_ms));
+	return MIN(limits->drain_ms, MAX(0, limits->grace_ms - reserve_ms));
 }
 
 int64_t daemon_settings_stop_ms(const struct daemon_settings *settings)
 {
-	int64_t grace_ms = settings->limits.grace_s * MS_PER_S;
+	int64_t grace_ms = settings->limits.grace_ms;
 
 	return grace_ms ? grace_ms - EXIT_RESERVE_MS : STOP_MAX_MS;
 }
--- a/settings/daemon.h
+++ b/settings/daemon.h
@@ -87,7 +87,7 @@
 	int64_t digest_ms;
 	int64_t config_lease_ms;
 	int64_t drain_ms;
-	int64_t grace_s; /* 0: a stop may take any time */
+	int64_t grace_ms; /* 0: a stop may take any time */
 	int64_t queue_ms;
 	int64_t subset;
 	int64_t segment_bytes;
--- a/settings/options.c
+++ b/settings/options.c
@@ -7,6 +7,7 @@
 #include "settings/options.h"
 
 /* Greatest edit distance of a name suggested for a misspelt one. */
+#define MS_PER_S 1000
 #define MAX_SUGGESTION_DISTANCE 3
 #define MAX_WORD_BYTES 64
 
@@ -139,6 +140,9 @@
 	case OPT_INT:
 		*(int64_t *)field = o->default_value;
 		break;
+	case OPT_SECONDS:
+		*(int64_t *)field = o->default_value * MS_PER_S;
+		break;
 	case OPT_BOOL:
 		*(bool *)field = o->default_value != 0;
 		break;
@@ -190,6 +194,24 @@
 	*(int64_t *)field = n->integer;
 }
 
+static void read_seconds(const struct option_spec *o, const struct toml_node *n,
+			 void *field, struct option_errors *errors)
+{
+	double seconds = n->type == TOML_FLOAT ? n->number : (double)n->integer;
+
+	if (n->type != TOML_INTEGER && n->type != TOML_FLOAT) {
+		add_type_error(errors, n, o->key, "a number");
+		return;
+	}
+	if (!(seconds >= (double)o->min && seconds <= (double)o->max)) {
+		option_errors_add(errors, n->line, o->key,
+				  "is %g, must be %" PRId64 " to %" PRId64 " s",
+				  seconds, o->min, o->max);
+		return;
+	}
+	*(int64_t *)field = (int64_t)(seconds * MS_PER_S);
+}
+
 static bool length_allowed(const struct option_spec *o,
 			   const struct toml_node *n,
 			   struct option_errors *errors)
@@ -314,6 +336,9 @@
 	case OPT_INT:
 		read_int(o, n, field, errors);
 		break;
+	case OPT_SECONDS:
+		read_seconds(o, n, field, errors);
+		break;
 	case OPT_BOOL:
 		if (n->type != TOML_BOOLEAN)
 			add_type_error(errors, n, o->key, "true or false");
@@ -460,6 +485,7 @@
 
 	switch (o->type) {
 	case OPT_INT:
+	case OPT_SECONDS:
 		g_string_append_printf(out,
 				       "%" PRId64 " to %" PRId64 "%s%s, "
 				       "default %" PRId64,
--- a/settings/options.h
+++ b/settings/options.h
@@ -19,6 +19,7 @@
 
 enum option_type {
 	OPT_INT,     /* int64_t */
+	OPT_SECONDS, /* int64_t in ms, from an integer or a float in seconds */
 	OPT_BOOL,    /* bool */
 	OPT_STRING,  /* char *, owned by the target */
 	OPT_CHOICE,  /* int32_t: index into `choices` */
@@ -37,7 +38,7 @@
 	size_t offset;
 	const char *help;
 	const char *unit;      /* NULL if none */
-	int64_t min, max;      /* of an integer, a string's length in bytes or
+	int64_t min, max;      /* of a number, a string's length in bytes or
 				* the number of tables; 0 as max: no limit on
 				* the length or number */
 	int64_t default_value; /* of integers, booleans, choices and flags */
--- a/test/test_cores.c
+++ b/test/test_cores.c
@@ -3,6 +3,7 @@
  * time, and tests of storage on damaged files and failing disks.
  */
 #include <errno.h>
+#include <inttypes.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -554,6 +555,25 @@
 	daemon_settings_clear(&settings);
 }
 
+/* stop FILE: how long the parts of a planned stop may take */
+static void settings_stop(struct script *s)
+{
+	struct daemon_settings settings;
+	char *errors = NULL;
+
+	if (daemon_settings_load(s->words[1], &settings, &errors))
+		script_print(s, "%s", errors);
+	else
+		script_print(s,
+			     "linger %" PRId64 " ms, drain %" PRId64
+			     " ms, stop %" PRId64 " ms",
+			     daemon_settings_linger_ms(&settings),
+			     daemon_settings_drain_ms(&settings),
+			     daemon_settings_stop_ms(&settings));
+	g_free(errors);
+	daemon_settings_clear(&settings);
+}
+
 static void settings_service(struct script *s)
 {
 	struct apply_service change = { 0 };
@@ -570,6 +590,7 @@
 
 static const struct script_command settings_commands[] = {
 	{ "daemon", 1, settings_daemon },
+	{ "stop", 1, settings_stop },
 	{ "service", 1, settings_service },
 	{ 0 }
 };
