control/group: a sync that holds up the group is logged

Operators saw elections and callers 503 cut-off without a line that names the cause. The control thread syncs the log itself; while the disk is slow it reads no message and answers no poll, so the members elect and entries lose their leases.

A sync that takes election_ms or longer is now logged with its duration.

memory_fs can make its syncs take time. test_group's new test failed before (no line) and passes now; it writes warnings, so its other tests print theirs to stderr.

--- a/control/group.c
+++ b/control/group.c
@@ -301,15 +301,21 @@
 
 static bool sync_storage(struct group *group)
 {
-	int64_t started = clock_now_us(group->opts.clock);
+	int64_t started = clock_now_us(group->opts.clock), duration_us;
 	enum rd_result result;
 
 	if (!storage_dirty(group->storage))
 		return true;
 	result = storage_sync(group->storage);
+	duration_us = clock_now_us(group->opts.clock) - started;
 	counters_add(group->opts.counters, COUNTER_SYNCS, 1);
 	counters_record_duration(group->opts.counters, HISTOGRAM_SYNC,
-				 clock_now_us(group->opts.clock) - started);
+				 duration_us);
+	if (duration_us >= group->opts.settings->cluster.election_ms * 1000)
+		log_warn(&group_log,
+			 "sync of the log took %d ms: no message or poll was "
+			 "answered meanwhile",
+			 (int)(duration_us / 1000));
 	if (result)
 		fail_storage(group, result);
 	return !result;
--- a/test/memory_fs.c
+++ b/test/memory_fs.c
@@ -19,6 +19,8 @@
 	int error;
 	bool failed;
 	uint64_t operations;
+	int64_t *clock_us; /* advanced by sync_us at each sync, or NULL */
+	int64_t sync_us;
 };
 
 static struct file *file_ref(struct file *file)
@@ -95,6 +97,8 @@
 	struct file *file = fs->handles->pdata[handle];
 	int error = begin_operation(fs);
 
+	if (fs->clock_us)
+		*fs->clock_us += fs->sync_us;
 	if (!error)
 		file->synced = file->data->len;
 	return error;
@@ -232,6 +236,13 @@
 	return &fs->driver;
 }
 
+void memory_fs_delay_syncs(struct memory_fs *fs, int64_t *clock_us,
+			   int64_t duration_us)
+{
+	fs->clock_us = clock_us;
+	fs->sync_us = duration_us;
+}
+
 void memory_fs_fail_after(struct memory_fs *fs, int operations, int error)
 {
 	fs->until_failure = operations > 0 ? operations - 1 : -1;
--- a/test/memory_fs.h
+++ b/test/memory_fs.h
@@ -25,6 +25,10 @@
  */
 void memory_fs_fail_after(struct memory_fs *fs, int operations, int error);
 
+/** Makes each sync advance a clock by a duration. */
+void memory_fs_delay_syncs(struct memory_fs *fs, int64_t *clock_us,
+			   int64_t duration_us);
+
 /** Whether an operation has failed since memory_fs_fail_after(). */
 bool memory_fs_failed(const struct memory_fs *fs);
 
--- a/test/test_group.c
+++ b/test/test_group.c
@@ -4,6 +4,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -210,6 +211,39 @@
 	world_clear(&w);
 }
 
+/* Elects the only member while each sync takes a time; returns its log. */
+static char *log_of_election(int64_t sync_us)
+{
+	struct world w;
+	char text[4096];
+	ssize_t size;
+	int fds[2];
+
+	assert_int_equal(pipe(fds), 0);
+	log_start_writer(fds[1]);
+	world_init(&w);
+	memory_fs_delay_syncs(w.fs, &w.now_us, sync_us);
+	run_until_leader(&w);
+	world_clear(&w);
+	log_stop_writer();
+	close(fds[1]);
+	size = read(fds[0], text, sizeof(text));
+	close(fds[0]);
+	assert_true(size >= 0);
+	return g_strndup(text, (gsize)size);
+}
+
+static void test_elections_during_slow_syncs_have_a_cause_in_the_log(void **s)
+{
+	char *slow = log_of_election(300000), *quick = log_of_election(299000);
+
+	(void)s;
+	assert_non_null(strstr(slow, "sync of the log took 300 ms"));
+	assert_string_equal("", quick);
+	g_free(slow);
+	g_free(quick);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -219,8 +253,10 @@
 		cmocka_unit_test(
 			test_undecodable_snapshot_is_named_as_the_cause),
 		cmocka_unit_test(test_disk_failure_is_named_as_the_cause),
+		cmocka_unit_test(
+			test_elections_during_slow_syncs_have_a_cause_in_the_log),
 	};
 
-	log_setup((GLogLevelFlags)0, LOG_FORMAT_KEY_VALUE);
+	log_setup(G_LOG_LEVEL_WARNING, LOG_FORMAT_KEY_VALUE);
 	return cmocka_run_group_tests_name("group", tests, NULL, NULL);
 }
