daemon: callers' ports are served until the control task has ended

Ruled out by the log: an open call, since "process ends" comes 1.2 s before the peers saw the connections close.

Change: the control task ends first; until then the entry refuses requests, with an answer. No deterministic test: it takes a sync that lasts; the check of `make soak` that found it stays.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -404,16 +404,20 @@
 	return RD_OK;
 }
 
+/*
+ * The entry goes on refusing requests while the control task ends, which may
+ * wait for the disk.
+ */
 static void stop_tasks(struct daemon *d)
 {
 	if (d->control_task)
 		task_stop(d->control_task);
+	task_join(d->control_task);
 	if (d->entry_task)
 		task_stop(d->entry_task);
-	task_join(d->control_task);
 	task_join(d->entry_task);
-	control_destroy(d->control);
 	entry_destroy(d->entry);
+	control_destroy(d->control);
 	task_destroy(d->control_task);
 	task_destroy(d->entry_task);
 	counters_destroy(d->counters);
