entry: a failed resume doesn't put its response into a started stream

The stream had started, its replica stalled, the second one answered the resume with a 500 of its own, and no attempt was left: on_end() then took that for the call's response and sent a second status line into the middle of the chunked one.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -366,6 +366,8 @@
 		handle_not_run(call);
 	else if (should_retry_failure(call))
 		handle_failure(call, "failed");
+	else if (call->response_started && !is_stream(call))
+		handle_failure(call, "refused to go on with the stream");
 	else if (!is_stream(call))
 		finish_response(call);
 	else if (call->format->stream_complete(call))
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -29,6 +29,8 @@
 
 #define ENDLESS_PREFIX "/events/"
 #define ENDLESS_EVENT_BYTES 200000
+/* A stream that breaks off after an event, and then fails to be resumed. */
+#define UNRESUMABLE_PREFIX "/events/unresumable"
 #define SLOW_PREFIX "/slow/"
 #define CONTROL_VMS 3
 #define NODES 4 /* the last is the entry */
@@ -102,6 +104,23 @@
 	evbuffer_free(piece);
 }
 
+static void send_unresumable(struct evhttp_request *req)
+{
+	struct evbuffer *piece = evbuffer_new();
+
+	if (http_header(req, "Last-Event-Id")) {
+		http_send_text(req, 500, "text/plain", "failed");
+	} else {
+		evbuffer_add_printf(piece, "id: 1\ndata: x\n\nid: 2\n");
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+				  "Content-Type", "text/event-stream");
+		evhttp_send_reply_start(req, 200, "OK");
+		evhttp_send_reply_chunk(req, piece);
+		http_abort_response(req, REQUEST_TIMEOUT_MS / 1000);
+	}
+	evbuffer_free(piece);
+}
+
 static void handle_request(struct evhttp_request *req, void *ctx)
 {
 	struct platform_test *test = ctx;
@@ -124,6 +143,10 @@
 	if (id)
 		evhttp_add_header(out, "Attempt-Id", id);
 	evhttp_add_header(out, "Response-Seal", "seal");
+	if (g_str_has_prefix(evhttp_request_get_uri(req), UNRESUMABLE_PREFIX)) {
+		send_unresumable(req);
+		return;
+	}
 	if (g_str_has_prefix(evhttp_request_get_uri(req), ENDLESS_PREFIX)) {
 		send_endless(req);
 		return;
@@ -679,9 +702,11 @@
 		g_string_append_len(got, buffer, n);
 	close(fd);
 	g_mutex_lock(&test->lock);
-	script_print(s, "%.12s, %s, endpoint received %d", got->str,
+	script_print(s, "%.12s, %s, endpoint received %d%s", got->str,
 		     n ? "kept open" : "closed",
-		     test->last_request.requests - before);
+		     test->last_request.requests - before,
+		     strstr(got->str + 1, "HTTP/1.1 ") ? ", a second response"
+						       : "");
 	g_mutex_unlock(&test->lock);
 	g_string_free(got, TRUE);
 	g_strfreev(lines);
