entry: nothing is posted to the control task after a stop has finished

Cause: since the control task ends before the entry, the status and digests that the entry goes on posting every 100 ms stay in its mailbox with what they own.

Change: a finished stop has nothing to report, so the entry posts nothing more; an outcome that waits to be recorded is freed with the entry. The leak needs a post in the milliseconds between both ends; the check that found it, exit status 0 of each daemon with leak checks, stays in test_stops.

--- a/entry/booking.c
+++ b/entry/booking.c
@@ -9,6 +9,7 @@
 
 #include "common/log.h"
 #include "entry/call.h"
+#include "entry/shutdown.h"
 #include "wire/codec.h"
 
 #define CLAIM_RETRY_MS 100
@@ -99,6 +100,8 @@
 
 	(void)fd;
 	(void)what;
+	if (shutdown_finished(r->entry))
+		return;
 	g_hash_table_remove(r->entry->unrecorded, r);
 	record(r);
 }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -62,10 +62,12 @@
 		.applied = state_applied_index(entry->config),
 		.free_permille = free_permille(entry),
 		.draining = entry->draining,
-		.loads = services_collect_loads(entry),
-		.demands = services_collect_demands(entry),
 	};
 
+	if (shutdown_finished(entry))
+		return;
+	status.loads = services_collect_loads(entry);
+	status.demands = services_collect_demands(entry);
 	g_strlcpy(status.callers_address, entry->callers_address,
 		  sizeof(status.callers_address));
 	g_strlcpy(status.endpoints_address, entry->endpoints_address,
@@ -79,6 +81,8 @@
 	struct digest digest;
 	GBytes *bytes;
 
+	if (shutdown_finished(entry))
+		return;
 	monitor_make_digest(entry->monitor, entry_now_ms(entry),
 			    entry->full_digest_due, &digest);
 	entry->full_digest_due = false;
--- a/entry/shutdown.c
+++ b/entry/shutdown.c
@@ -96,6 +96,11 @@
 	return entry->shutdown.reject_from_ms;
 }
 
+bool shutdown_finished(const struct entry *entry)
+{
+	return shutdown_begun(entry) && !entry->shutdown.done;
+}
+
 bool shutdown_rejects(const struct entry *entry)
 {
 	return shutdown_begun(entry) &&
--- a/entry/shutdown.h
+++ b/entry/shutdown.h
@@ -18,6 +18,12 @@
 /** Whether a stop has begun; it is never undone. */
 bool shutdown_begun(const struct entry *entry);
 
+/**
+ * Whether the stop has finished. Nothing more may be posted to the control task
+ * then, which ends before the entry.
+ */
+bool shutdown_finished(const struct entry *entry);
+
 /** Whether new requests are to be rejected because of a stop. */
 bool shutdown_rejects(const struct entry *entry);
 
