--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -16,10 +16,13 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <sys/socket.h>
+
 #include <cmocka.h>
 
 #include <radishdeal/result.h>
 
+#include "common/address.h"
 #include "test/cluster.h"
 #include "test/jobs.h"
 #include "test/oracle.h"
@@ -119,6 +122,11 @@
 					     !strcmp(s->words[1], "proxied"));
 }
 
+static void do_control_only(struct script *s)
+{
+	cluster_of(s)->control_only = atoi(s->words[1]);
+}
+
 static void do_start(struct script *s)
 {
 	cluster_start(cluster_of(s), atoi(s->words[1]));
@@ -544,12 +552,14 @@
  */
 static void do_limit_files(struct script *s)
 {
-	rlim_t files = (rlim_t)atoi(s->words[2]);
-	struct rlimit limit = { files, files };
 	int node = node_of(s, s->words[1]);
+	pid_t pid = cluster_of(s)->nodes[node - 1].pid;
+	struct rlimit limit;
 
-	if (prlimit(cluster_of(s)->nodes[node - 1].pid, RLIMIT_NOFILE, &limit,
-		    NULL))
+	if (prlimit(pid, RLIMIT_NOFILE, NULL, &limit))
+		script_fail(s, "prlimit: %s", g_strerror(errno));
+	limit.rlim_cur = (rlim_t)atoi(s->words[2]);
+	if (prlimit(pid, RLIMIT_NOFILE, &limit, NULL))
 		script_fail(s, "prlimit: %s", g_strerror(errno));
 }
 
@@ -1156,16 +1166,66 @@
 			     : "connection refused");
 }
 
-static void do_check_alive(struct script *s)
+static void print_answer(struct script *s, const struct fetch_response *answer)
 {
-	struct cluster *c = cluster_of(s);
+	json_t *body = json_loads(answer->body ? answer->body : "", 0, NULL);
+	const char *detail = json_string_value(json_object_get(body, "detail"));
+
+	script_print(s, "%s: %d%s%s", s->words[0], answer->status,
+		     detail ? " " : "", detail ? detail : "");
+	json_decref(body);
+}
+
+/* drain NODE on=1|0 */
+static void do_drain(struct script *s)
+{
+	char *path = g_strdup_printf("/v1/drain?on=%s",
+				     script_value(s, "on", "1"));
+	struct fetch_response answer;
+
+	if (cluster_operator_request(cluster_of(s), atoi(s->words[1]), "POST",
+				     path, "", &answer))
+		print_answer(s, &answer);
+	else
+		script_print(s, "drain: no answer");
+	fetch_clear(&answer);
+	g_free(path);
+}
 
-	for (int i = 1; i <= c->node_count; i++)
-		if (c->nodes[i - 1].pid && kill(c->nodes[i - 1].pid, 0))
-			script_print(s, "node %d does not exist any more", i);
+static void do_check_alive(struct script *s)
+{
+	cluster_check_alive(cluster_of(s));
 	script_print(s, "all nodes alive");
 }
 
+/* Whether another socket that does not share its port can get this one. */
+static bool is_port_free(const char *text)
+{
+	struct address address;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool bound;
+
+	(void)address_parse(text, &address);
+	bound = bind(fd, (const struct sockaddr *)&address.socket,
+		     sizeof(address.socket)) == 0;
+	close(fd);
+	return bound;
+}
+
+static void do_check_reserved(struct script *s)
+{
+	const struct cluster_node *n =
+		&cluster_of(s)->nodes[atoi(s->words[1]) - 1];
+	const char *const ports[] = { n->peers, n->callers, n->endpoints,
+				      n->operators };
+	int free_ports = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ports); i++)
+		free_ports += is_port_free(ports[i]) ? 1 : 0;
+	script_print(s, "node %s: %d ports not reserved", s->words[1],
+		     free_ports);
+}
+
 /* ---- records of the fakes ---- */
 
 static void do_print_runs(struct script *s)
@@ -1174,12 +1234,30 @@
 		     oracle_count_runs(test_of(s)->runs, s->words[1]));
 }
 
+static bool has_run(struct script *s)
+{
+	return oracle_count_runs(test_of(s)->runs, s->words[1]) >=
+	       atoi(s->words[2]);
+}
+
+/* wait-runs KEY N: waits until endpoints have started N runs of a booking. */
+static void do_wait_runs(struct script *s)
+{
+	wait_until(s, has_run, "runs of the booking");
+}
+
 static void do_print_duplicate_runs(struct script *s)
 {
 	script_print(s, "bookings run more than once: %d",
 		     oracle_count_duplicate_runs(test_of(s)->runs));
 }
 
+static void do_print_total_runs(struct script *s)
+{
+	script_print(s, "bookings run: %d",
+		     oracle_count_all_runs(test_of(s)->runs));
+}
+
 static void do_check_engines(struct script *s)
 {
 	struct proc_test *test = test_of(s);
@@ -1195,6 +1273,7 @@
 static const struct script_command commands[] = {
 	{ "create", 0, do_create },
 	{ "setting", 2, do_setting },
+	{ "control-only", 1, do_control_only },
 	{ "start", 1, do_start },
 	{ "engine", 2, do_engine },
 	{ "plain-endpoints", 1, do_plain_endpoints },
@@ -1250,9 +1329,13 @@
 	{ "disconnect", 0, do_disconnect },
 	{ "wait-idle", 0, do_wait_idle },
 	{ "malformed", 3, do_malformed },
+	{ "drain", 1, do_drain },
 	{ "check-alive", 0, do_check_alive },
+	{ "check-reserved", 1, do_check_reserved },
 	{ "print-runs", 1, do_print_runs },
+	{ "wait-runs", 2, do_wait_runs },
 	{ "print-duplicate-runs", 0, do_print_duplicate_runs },
+	{ "print-total-runs", 0, do_print_total_runs },
 	{ "check-engines", 0, do_check_engines },
 	{ 0 }
 };
