--- a/test/cluster.c
+++ b/test/cluster.c
@@ -82,7 +82,7 @@
 	posix_spawn_file_actions_destroy(&actions);
 	g_ptr_array_unref(argv);
 	if (error)
-		cluster_fail("%s: %s", path, g_strerror(error));
+		cluster_fail("%s, log %s: %s", path, log, g_strerror(error));
 	g_free(path);
 	g_free(log);
 	return pid;
@@ -388,6 +388,21 @@
 	cluster_wait_leader(c);
 }
 
+/* Until then threads of the process may still run. */
+static void wait_until_stopped(int node, pid_t pid)
+{
+	gint64 deadline = cluster_now_ms() + CLUSTER_WAIT_MS;
+	siginfo_t info = { 0 };
+
+	while (!waitid(P_PID, (id_t)pid, &info, WSTOPPED | WNOHANG) &&
+	       !info.si_pid) {
+		if (cluster_now_ms() > deadline)
+			cluster_fail("node %d not stopped within " WAIT_TEXT,
+				     node);
+		usleep(POLL_US);
+	}
+}
+
 void cluster_signal_node(struct cluster *c, int node, int signal)
 {
 	struct cluster_node *n = &c->nodes[node - 1];
@@ -395,6 +410,8 @@
 	if (!n->pid)
 		return;
 	kill(n->pid, signal);
+	if (signal == SIGSTOP)
+		wait_until_stopped(node, n->pid);
 	if (signal != SIGKILL)
 		return;
 	waitpid(n->pid, NULL, 0);
@@ -586,7 +603,10 @@
 
 void cluster_apply_service(struct cluster *c, const char *text)
 {
-	const char *path = "/v1/services?change_id=first&base=0&wait_ms=9000";
+	char *path = g_strdup_printf("/v1/"
+				     "services?change_id=service-%d&base=0&"
+				     "wait_ms=9000",
+				     ++c->services);
 	struct fetch_response answer;
 
 	if (!cluster_operator_request(c, cluster_wait_leader(c), "POST", path,
@@ -595,6 +615,7 @@
 		cluster_fail("applying the service failed: %s",
 			     answer.body ? answer.body : "");
 	fetch_clear(&answer);
+	g_free(path);
 }
 
 static bool field_matches(json_t *row, const char *key, const char *expected)
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -45,6 +45,7 @@
 	int control_only;	  /* node without the entry role; 0: none */
 	char *limits;		  /* lines for [limits], for cluster_start() */
 	char *cluster_lines;	  /* lines for [cluster], likewise */
+	int services;		  /* applied so far */
 };
 
 /** Creates the folder, the keys and, with `proxied`, the fault proxy. */
