--- a/daemon/main.c
+++ b/daemon/main.c
@@ -167,7 +167,10 @@
 {
 	struct daemon *d = ctx;
 
-	control_post_handover(d->control, on_control_stopped, d);
+	control_post_handover(d->control,
+			      d->stop_began_ms +
+				      daemon_settings_stop_ms(&d->settings),
+			      on_control_stopped, d);
 }
 
 static void begin_stop(struct daemon *d, const char *cause)
@@ -401,16 +404,20 @@
 	return RD_OK;
 }
 
+/*
+ * The entry goes on refusing requests while the control task ends, which may
+ * wait for the disk.
+ */
 static void stop_tasks(struct daemon *d)
 {
 	if (d->control_task)
 		task_stop(d->control_task);
+	task_join(d->control_task);
 	if (d->entry_task)
 		task_stop(d->entry_task);
-	task_join(d->control_task);
 	task_join(d->entry_task);
-	control_destroy(d->control);
 	entry_destroy(d->entry);
+	control_destroy(d->control);
 	task_destroy(d->control_task);
 	task_destroy(d->entry_task);
 	counters_destroy(d->counters);
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -128,6 +128,12 @@
 	cluster_of(s)->control_only = atoi(s->words[1]);
 }
 
+/* entry-only NODE: gives a node only the entry role, before the start. */
+static void do_entry_only(struct script *s)
+{
+	cluster_of(s)->entry_only = atoi(s->words[1]);
+}
+
 static void do_start(struct script *s)
 {
 	cluster_start(cluster_of(s), atoi(s->words[1]));
@@ -356,7 +362,10 @@
 	change_service(s, "rollback", "to");
 }
 
-/* switch-presets SERVICE N: N switches, to "peak" and "ordinary" in turn. */
+/*
+ * switch-presets SERVICE N [node=NODE]: N switches, to "peak" and "ordinary" in
+ * turn, sent to the leader or to a node.
+ */
 static void do_switch_presets(struct script *s)
 {
 	struct proc_test *test = test_of(s);
@@ -376,8 +385,9 @@
 		struct fetch_response answer;
 		json_t *body;
 
-		cluster_operator_request(c, cluster_wait_leader(c), "POST",
-					 path, "", &answer);
+		cluster_operator_request(
+			c, node_of(s, script_value(s, "node", "leader")),
+			"POST", path, "", &answer);
 		body = json_loads(answer.body ? answer.body : "", 0, NULL);
 		if (answer.status == 200) {
 			done++;
@@ -1317,6 +1327,7 @@
 	{ "create", 0, do_create },
 	{ "setting", 2, do_setting },
 	{ "control-only", 1, do_control_only },
+	{ "entry-only", 1, do_entry_only },
 	{ "start", 1, do_start },
 	{ "engine", 2, do_engine },
 	{ "plain-endpoints", 1, do_plain_endpoints },
