control, common, test: one check of undecided changes, no unused work

Read through the change. cluster_apply_service() had got its own copy of test_proc's change_undecided(); both call cluster_change_undecided() now, with the same condition. An announcement's log line is only put together if its level is written. common/http.h includes stdint.h no longer. No behaviour or assertion changes.

--- a/common/http.h
+++ b/common/http.h
@@ -8,7 +8,6 @@
 #define COMMON_HTTP_H
 
 #include <stdbool.h>
-#include <stdint.h>
 
 #include <event2/event.h>
 #include <event2/http.h>
--- a/control/announcements.c
+++ b/control/announcements.c
@@ -116,9 +116,11 @@
 	if (!monitor_handle_announcement(a->monitor, control_now_ms(a->control),
 					 report))
 		return;
-	line = announcements_line(report);
-	log_info(&announcements_log, "%s", line);
-	g_free(line);
+	if (log_enabled(G_LOG_LEVEL_INFO)) {
+		line = announcements_line(report);
+		log_info(&announcements_log, "%s", line);
+		g_free(line);
+	}
 	/* Sent at once: entries must stop using a VM that is leaving. */
 	send_digest(a);
 }
--- a/test/cluster.c
+++ b/test/cluster.c
@@ -609,8 +609,7 @@
 	}
 }
 
-/* Whether a change has to be sent again, with the same change id. */
-static bool must_resend(const struct fetch_response *answer)
+bool cluster_change_undecided(const struct fetch_response *answer)
 {
 	json_t *body = json_loads(answer->body ? answer->body : "", 0, NULL);
 	int code = (int)json_integer_value(json_object_get(body, "code"));
@@ -632,7 +631,8 @@
 	for (;;) {
 		(void)cluster_operator_request(c, cluster_wait_leader(c),
 					       "POST", path, text, &answer);
-		if (!must_resend(&answer) || cluster_now_ms() > deadline)
+		if (!cluster_change_undecided(&answer) ||
+		    cluster_now_ms() > deadline)
 			break;
 		fetch_clear(&answer);
 	}
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -101,6 +101,9 @@
 			      const char *method, const char *path,
 			      const char *body, struct fetch_response *answer);
 
+/** Whether a change has to be sent again, with the same change id. */
+bool cluster_change_undecided(const struct fetch_response *answer);
+
 /** Applies the TOML of a new service; waits until it is in force. */
 void cluster_apply_service(struct cluster *cluster, const char *text);
 
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -202,16 +202,6 @@
 	json_decref(body);
 }
 
-static bool change_undecided(const struct fetch_response *answer)
-{
-	json_t *body = json_loads(answer->body ? answer->body : "", 0, NULL);
-	int code = (int)json_integer_value(json_object_get(body, "code"));
-
-	json_decref(body);
-	return !answer->status || code == RD_NOT_LEADER ||
-	       code == RD_NO_QUORUM || code == RD_CHANGE_UNKNOWN;
-}
-
 /*
  * Sends a change to one node after the other, with the same change id, until
  * one accepts it or refuses it for good. With node=N only to that node.
@@ -242,7 +232,7 @@
 			fetch_clear(&answer);
 			cluster_operator_request(c, n->number, method, full,
 						 body, &answer);
-			if (!change_undecided(&answer))
+			if (!cluster_change_undecided(&answer))
 				break;
 		}
 		usleep(POLL_US);
