--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -222,6 +222,7 @@
 
 	if (!call->response_started)
 		start_stream_response(call);
+	call->sent_bytes += evbuffer_get_length(events);
 	evhttp_send_reply_chunk_with_cb(call->req, events, on_output_drained,
 					call);
 	conn = evhttp_request_get_connection(call->req);
@@ -285,6 +286,7 @@
 	struct call *call = ctx;
 	size_t limit = (size_t)call->entry->opts.settings->limits.body_bytes;
 
+	call->response_bytes += evbuffer_get_length(data);
 	router_response_activity(call->service->router, call->replica,
 				 entry_now_ms(call->entry));
 	if (call->response_class == RESPONSE_MISMATCHED) {
@@ -350,15 +352,60 @@
 	       may_retry(call);
 }
 
-static void on_end(void *ctx, enum upstream_result end)
+static const char *result_name(enum upstream_result result)
+{
+	switch (result) {
+	case UPSTREAM_COMPLETE:
+		return "complete";
+	case UPSTREAM_NOT_SENT:
+		return "not-sent";
+	default:
+		return "failed";
+	}
+}
+
+static const char *class_name(enum response_class response_class)
+{
+	static const char *const names[] = {
+		[RESPONSE_FORWARD] = "forward",
+		[RESPONSE_NOT_RUN] = "not-run",
+		[RESPONSE_FAILED] = "failed",
+		[RESPONSE_MISMATCHED] = "mismatched",
+	};
+
+	return names[response_class];
+}
+
+/* Whole responses with an explicit end are logged as information only. */
+static void log_end(const struct call *call, const struct upstream_end *end)
+{
+	bool ordinary = end->result == UPSTREAM_COMPLETE &&
+			end->framing != FRAMING_CLOSE && call->response_bytes &&
+			call->response_class == RESPONSE_FORWARD;
+
+	log_at(&attempt_log, ordinary ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_MESSAGE,
+	       "request %s: endpoint's response ended result=%s replica=%u "
+	       "attempt=%u status=%d class=%s framing=%s failure=%s "
+	       "connection=%s bytes=%zu incomplete=%zu tokens=%u started=%s",
+	       call->id, result_name(end->result), call->replica,
+	       call->attempts, call->status, class_name(call->response_class),
+	       upstream_framing_name(end->framing),
+	       end->failure ? end->failure : "-",
+	       end->reused_connection ? "reused" : "new", call->response_bytes,
+	       evbuffer_get_length(call->response_body), call->tokens,
+	       call->response_started ? "yes" : "no");
+}
+
+static void on_end(void *ctx, const struct upstream_end *end)
 {
 	struct call *call = ctx;
 
 	call->upstream = NULL;
 	counters_add(call->entry->opts.counters, COUNTER_IN_FLIGHT, -1);
-	if (end == UPSTREAM_NOT_SENT)
+	log_end(call, end);
+	if (end->result == UPSTREAM_NOT_SENT)
 		handle_not_sent(call);
-	else if (end == UPSTREAM_FAILED)
+	else if (end->result == UPSTREAM_FAILED)
 		handle_failure(call, "broke off");
 	else if (call->response_class == RESPONSE_MISMATCHED)
 		handle_failure(call, "answered another request");
@@ -390,6 +437,7 @@
 	evbuffer_drain(call->response_body,
 		       evbuffer_get_length(call->response_body));
 	call->status = 0;
+	call->response_bytes = 0;
 	call->response_class = RESPONSE_FORWARD;
 	call->response_too_large = false;
 	call->rate_sampled_us = 0;
--- a/entry/call.c
+++ b/entry/call.c
@@ -25,11 +25,22 @@
 
 /* ---- start and end ---- */
 
+static void log_response(const struct call *call, GLogLevelFlags level,
+			 const char *how, int status)
+{
+	log_at(&call_log, level,
+	       "request %s: response to the caller ended how=%s status=%d "
+	       "started=%s bytes=%zu tokens=%u attempts=%u",
+	       call->id, how, status, call->response_started ? "yes" : "no",
+	       call->sent_bytes, call->tokens, call->attempts);
+}
+
 static void on_caller_disconnected(void *ctx)
 {
 	struct call *call = ctx;
 
 	log_info(&call_log, "request %s: caller disconnected", call->id);
+	log_response(call, G_LOG_LEVEL_INFO, "caller-left", 0);
 	counters_add(call->entry->opts.counters, COUNTER_CALLER_DISCONNECTED,
 		     1);
 	/* The connection is closed, so this only frees the request. */
@@ -149,6 +160,7 @@
 	if (evbuffer_get_length(out))
 		evhttp_send_reply_chunk(call->req, out);
 	evbuffer_free(out);
+	log_response(call, G_LOG_LEVEL_MESSAGE, "cut-off", HTTP_OK);
 	count_outcome(call, COUNTER_STREAMS_CUT_OFF);
 	http_abort_response(
 		call->req,
@@ -183,6 +195,8 @@
 		count_outcome(call, outcome == OUTCOME_NOT_RUN
 					    ? COUNTER_NOT_RUN
 					    : COUNTER_OUTCOME_UNKNOWN);
+		log_response(call, G_LOG_LEVEL_INFO, "error",
+			     rd_result_info(code)->http_status);
 		unwatch_caller(call);
 		call->format->send_error(call->req, &problem);
 		call->req = NULL;
@@ -205,6 +219,7 @@
 		evbuffer_add(evhttp_request_get_output_buffer(call->req), body,
 			     size);
 		count_outcome(call, COUNTER_COMPLETED);
+		log_response(call, G_LOG_LEVEL_INFO, "whole", status);
 		unwatch_caller(call);
 		http_send_reply(call->req, status, NULL);
 		call->req = NULL;
@@ -225,6 +240,10 @@
 		 call->id, service->name, call->replica, call->tokens,
 		 (call->first_byte_us - call->started_us) / 1000,
 		 (entry_now_us(call->entry) - call->started_us) / 1000);
+	log_response(call,
+		     call->response_started ? G_LOG_LEVEL_INFO
+					    : G_LOG_LEVEL_MESSAGE,
+		     "stream-whole", HTTP_OK);
 	unwatch_caller(call);
 	http_track_response(call->req);
 	evhttp_send_reply_end(call->req);
--- a/entry/call.h
+++ b/entry/call.h
@@ -122,10 +122,12 @@
 
 	int status; /* of the endpoint's response */
 	enum response_class response_class;
+	size_t response_bytes; /* of its body, so far */
 	char *response_type;
 	struct evbuffer *response_body; /* buffered, or a partial event */
 	bool response_too_large;
 	bool response_started; /* to the caller */
+	size_t sent_bytes;     /* of a stream, to the caller */
 	bool paused;	       /* reading from the endpoint is paused */
 };
 
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -22,10 +22,9 @@
 	struct evhttp_connection *conn;
 	struct evhttp_request *req; /* NULL once evhttp has freed it */
 	bool bytes_sent;	    /* some of the request was sent */
-	bool is_framed; /* the response has a length or is chunked */
 	bool cancelled;
 	bool not_reusable; /* opts.head() ruled out reuse of `conn` */
-	enum upstream_result end;
+	struct upstream_end end;
 	struct evbuffer_cb_entry *output_cb;
 };
 
@@ -83,7 +82,7 @@
 {
 	struct upstream *u = arg;
 	struct upstream_request opts = u->opts;
-	enum upstream_result end = u->end;
+	struct upstream_end end = u->end;
 
 	(void)fd;
 	(void)what;
@@ -93,9 +92,9 @@
 	 * Releases the connection first, so that calls started by the `end`
 	 * callback can reuse it.
 	 */
-	release_connection(u, end == UPSTREAM_COMPLETE && !opts.once_only &&
-				      !u->not_reusable);
-	opts.end(opts.ctx, end);
+	release_connection(u, end.result == UPSTREAM_COMPLETE &&
+				      !opts.once_only && !u->not_reusable);
+	opts.end(opts.ctx, &end);
 }
 
 static void on_output(struct evbuffer *buffer,
@@ -108,16 +107,30 @@
 		u->bytes_sent = true;
 }
 
-static bool has_framing(struct evhttp_request *req)
+static enum upstream_framing framing_of(struct evhttp_request *req)
 {
 	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
 	const char *coding = evhttp_find_header(headers, "Transfer-Encoding");
 	int status = evhttp_request_get_response_code(req);
 
-	return evhttp_find_header(headers, "Content-Length") ||
-	       (coding && !g_ascii_strcasecmp(coding, "chunked")) ||
-	       status == HTTP_NOCONTENT || status == HTTP_NOTMODIFIED ||
-	       evhttp_request_get_command(req) == EVHTTP_REQ_HEAD;
+	if (status == HTTP_NOCONTENT || status == HTTP_NOTMODIFIED ||
+	    evhttp_request_get_command(req) == EVHTTP_REQ_HEAD)
+		return FRAMING_BODILESS;
+	if (coding && !g_ascii_strcasecmp(coding, "chunked"))
+		return FRAMING_CHUNKS;
+	return evhttp_find_header(headers, "Content-Length") ? FRAMING_LENGTH
+							     : FRAMING_CLOSE;
+}
+
+const char *upstream_framing_name(enum upstream_framing framing)
+{
+	static const char *const names[] = {
+		[FRAMING_UNKNOWN] = "unknown", [FRAMING_BODILESS] = "bodiless",
+		[FRAMING_LENGTH] = "length",   [FRAMING_CHUNKS] = "chunks",
+		[FRAMING_CLOSE] = "close",
+	};
+
+	return names[framing];
 }
 
 static int on_head(struct evhttp_request *req, void *arg)
@@ -126,7 +139,7 @@
 
 	if (u->cancelled)
 		return -1;
-	u->is_framed = has_framing(req);
+	u->end.framing = framing_of(req);
 	if (u->opts.head)
 		u->not_reusable = !u->opts.head(
 			u->opts.ctx, evhttp_request_get_response_code(req),
@@ -142,6 +155,22 @@
 		u->opts.data(u->opts.ctx, evhttp_request_get_input_buffer(req));
 }
 
+static void on_failure(enum evhttp_request_error error, void *arg)
+{
+	static const char *const names[] = {
+		[EVREQ_HTTP_TIMEOUT] = "timeout",
+		[EVREQ_HTTP_EOF] = "closed-early",
+		[EVREQ_HTTP_INVALID_HEADER] = "invalid-head",
+		[EVREQ_HTTP_BUFFER_ERROR] = "io-error",
+		[EVREQ_HTTP_REQUEST_CANCEL] = "cancelled",
+		[EVREQ_HTTP_DATA_TOO_LONG] = "too-long",
+	};
+	struct upstream *u = arg;
+
+	u->end.failure = (size_t)error < G_N_ELEMENTS(names) ? names[error]
+							     : "other";
+}
+
 static void on_done(struct evhttp_request *req, void *arg)
 {
 	struct upstream *u = arg;
@@ -151,28 +180,31 @@
 	u->req = NULL;
 	if (u->cancelled)
 		return;
-	u->end = UPSTREAM_FAILED;
+	u->end.result = UPSTREAM_FAILED;
 	/*
 	 * evhttp reports a connection reset as a missing response, so a
 	 * close-delimited response that is present ended with an orderly close.
 	 */
-	if (answered && (u->is_framed || u->opts.close_delimited))
-		u->end = UPSTREAM_COMPLETE;
+	if (answered &&
+	    (u->end.framing != FRAMING_CLOSE || u->opts.close_delimited))
+		u->end.result = UPSTREAM_COMPLETE;
 	else if (!answered && !u->bytes_sent)
-		u->end = UPSTREAM_NOT_SENT;
+		u->end.result = UPSTREAM_NOT_SENT;
 	event_base_once(u->pool->base, -1, EV_TIMEOUT, on_deferred_finish, u,
 			&no_delay);
 }
 
 static struct evhttp_connection *acquire_connection(struct upstream_pool *pool,
 						    const char *text,
-						    bool once_only)
+						    bool once_only,
+						    bool *reused)
 {
 	GQueue *queue = g_hash_table_lookup(pool->idle, text);
 	struct evhttp_connection *conn;
 	struct address address;
 
-	if (queue && queue->length && !once_only)
+	*reused = queue && queue->length && !once_only;
+	if (*reused)
 		return g_queue_pop_tail(queue);
 	if (!address_parse(text, &address))
 		memset(&address, 0, sizeof(address));
@@ -238,7 +270,8 @@
 	u->pool = pool;
 	u->opts = *request;
 	u->address = g_strdup(request->address);
-	u->conn = acquire_connection(pool, u->address, request->once_only);
+	u->conn = acquire_connection(pool, u->address, request->once_only,
+				     &u->end.reused_connection);
 	evhttp_connection_set_timeout_tv(u->conn, &idle);
 	bev = evhttp_connection_get_bufferevent(u->conn);
 	u->output_cb = evbuffer_add_cb(bufferevent_get_output(bev), on_output,
@@ -246,6 +279,7 @@
 	u->req = evhttp_request_new(on_done, u);
 	evhttp_request_set_header_cb(u->req, on_head);
 	evhttp_request_set_chunked_cb(u->req, on_chunk);
+	evhttp_request_set_error_cb(u->req, on_failure);
 	add_headers(u);
 	add_body(u);
 	g_hash_table_add(pool->active, u);
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -29,6 +29,26 @@
 	UPSTREAM_FAILED,   /* any other failure; the request may have run */
 };
 
+/** How the end of a response's body is marked. */
+enum upstream_framing {
+	FRAMING_UNKNOWN, /* no head was received */
+	FRAMING_BODILESS,
+	FRAMING_LENGTH,
+	FRAMING_CHUNKS,
+	FRAMING_CLOSE, /* ends with its connection */
+};
+
+/** How a request to an endpoint ended. */
+struct upstream_end {
+	enum upstream_result result;
+	enum upstream_framing framing;
+	const char *failure;	/* of the connection; NULL for none */
+	bool reused_connection; /* it had carried another request before */
+};
+
+/** Returns the name of a framing for the log. */
+const char *upstream_framing_name(enum upstream_framing framing);
+
 struct upstream_request {
 	const char *address;
 	enum evhttp_cmd_type method;
@@ -47,7 +67,7 @@
 	/** Called with body bytes; must drain what it consumes. */
 	void (*data)(void *ctx, struct evbuffer *data);
 	/** Called once, after all other callbacks, unless cancelled. */
-	void (*end)(void *ctx, enum upstream_result end);
+	void (*end)(void *ctx, const struct upstream_end *end);
 	void *ctx;
 };
 
