test: streams that end without an event, and unframed ones

test_platform_proc's endpoint sends what a script says, byte for byte, and ends or resets the connection; raw-exchange prints every byte after the head.

What callers get in place of a head: `, "", closed` (GET, POST with a length), `0 CRLF CRLF` (POST in chunks); a resume closed at once ends the stream with its last chunk.

--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -19,6 +19,7 @@
 #include <cmocka.h>
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/thread.h>
 
 #include "common/address.h"
@@ -32,6 +33,11 @@
 /* A stream that breaks off after an event, and then fails to be resumed. */
 #define UNRESUMABLE_PREFIX "/events/unresumable"
 #define SLOW_PREFIX "/slow/"
+/* Answered with the script's `answer` lines, in their order. */
+#define SCRIPTED_SUFFIX "/scripted"
+#define ANSWER_HEAD                                                    \
+	"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: seal\r\n" \
+	"Content-Type: text/event-stream\r\nConnection: close\r\n"
 #define CONTROL_VMS 3
 #define NODES 4 /* the last is the entry */
 #define WAIT_MS 30000
@@ -56,6 +62,13 @@
 	int requests; /* received so far */
 };
 
+/** Bytes that the endpoint sends in place of a response. */
+struct scripted_answer {
+	bool reset; /* the connection, once the caller has some of it */
+	bool bare;  /* no head is added */
+	char *text;
+};
+
 /** A request that is sent on a thread of its own. */
 struct background_request {
 	char *address, *path;
@@ -75,6 +88,8 @@
 	GThread *endpoint_thread, *heartbeat_thread;
 	GPtrArray *unanswered; /* requests to SLOW_PREFIX, of that thread */
 	GMutex lock;
+	GQueue answers;			 /* of struct scripted_answer */
+	struct evhttp_request *to_reset; /* its connection; NULL for none */
 	struct last_request last_request;
 	struct background_request background;
 	GThread *background_thread;
@@ -121,6 +136,64 @@
 	evbuffer_free(piece);
 }
 
+static void on_reset(evutil_socket_t fd, short what, void *arg)
+{
+	/* On Linux, sends a reset. */
+	struct sockaddr nowhere = { .sa_family = AF_UNSPEC };
+	struct evhttp_request *req = arg;
+	struct evhttp_connection *conn = evhttp_request_get_connection(req);
+
+	(void)what;
+	fd = bufferevent_getfd(evhttp_connection_get_bufferevent(conn));
+	(void)connect(fd, &nowhere, sizeof(nowhere));
+	http_abort_response(req, REQUEST_TIMEOUT_MS / 1000);
+}
+
+/* Resets the connection whose answer has reached the caller, if it is due. */
+static void reset_endpoint_connection(struct platform_test *test)
+{
+	struct evhttp_request *req;
+
+	g_mutex_lock(&test->lock);
+	req = test->to_reset;
+	test->to_reset = NULL;
+	g_mutex_unlock(&test->lock);
+	if (req)
+		event_base_once(test->base, -1, EV_TIMEOUT, on_reset, req,
+				NULL);
+}
+
+/* Writes past evhttp, and ends the connection after the bytes. */
+static void send_scripted(struct platform_test *test,
+			  struct evhttp_request *req)
+{
+	const char *id = http_header(req, "Attempt-Id");
+	struct scripted_answer *answer;
+	struct bufferevent *bev;
+
+	g_mutex_lock(&test->lock);
+	answer = g_queue_pop_head(&test->answers);
+	if (answer && answer->reset)
+		test->to_reset = req;
+	g_mutex_unlock(&test->lock);
+	if (!answer) {
+		http_send_text(req, 500, "text/plain", "no answer is left");
+		return;
+	}
+	bev = evhttp_connection_get_bufferevent(
+		evhttp_request_get_connection(req));
+	if (!answer->bare)
+		evbuffer_add_printf(bufferevent_get_output(bev), ANSWER_HEAD,
+				    id ? id : "-");
+	evbuffer_add(bufferevent_get_output(bev), answer->text,
+		     strlen(answer->text));
+	bufferevent_enable(bev, EV_WRITE);
+	if (!answer->reset)
+		http_abort_response(req, REQUEST_TIMEOUT_MS / 1000);
+	g_free(answer->text);
+	g_free(answer);
+}
+
 static void handle_request(struct evhttp_request *req, void *ctx)
 {
 	struct platform_test *test = ctx;
@@ -140,6 +213,10 @@
 					   NULL;
 	test->last_request.requests++;
 	g_mutex_unlock(&test->lock);
+	if (g_str_has_suffix(evhttp_request_get_uri(req), SCRIPTED_SUFFIX)) {
+		send_scripted(test, req);
+		return;
+	}
 	if (id)
 		evhttp_add_header(out, "Attempt-Id", id);
 	evhttp_add_header(out, "Response-Seal", "seal");
@@ -177,6 +254,45 @@
 	event_base_once(test->base, -1, EV_TIMEOUT, on_answer_slow, test, NULL);
 }
 
+static char *replace_all(const char *text, const char *from, const char *to)
+{
+	char **parts = g_strsplit(text, from, 0);
+	char *replaced = g_strjoinv(to, parts);
+
+	g_strfreev(parts);
+	return replaced;
+}
+
+/* Returns the words from `first` on; "|" ends a line, "~" is a line feed. */
+static char *unescaped_words(const struct script *s, int first)
+{
+	char *joined = g_strjoinv(" ", (char **)s->words + first);
+	char *lines = replace_all(joined, "|", "\r\n");
+	char *text = replace_all(lines, "~", "\n");
+
+	g_free(joined);
+	g_free(lines);
+	return text;
+}
+
+/*
+ * answer close|reset|bare [TEXT]: the next request to a path that ends with
+ * SCRIPTED_SUFFIX gets ANSWER_HEAD (not for `bare`) and TEXT, and the end or
+ * reset of its connection.
+ */
+static void do_answer(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	struct scripted_answer *answer = g_new0(struct scripted_answer, 1);
+
+	answer->reset = !strcmp(s->words[1], "reset");
+	answer->bare = !strcmp(s->words[1], "bare");
+	answer->text = unescaped_words(s, 2);
+	g_mutex_lock(&test->lock);
+	g_queue_push_tail(&test->answers, answer);
+	g_mutex_unlock(&test->lock);
+}
+
 /* wait-received N: waits until the endpoint has received N requests. */
 static void do_wait_received(struct script *s)
 {
@@ -671,50 +787,90 @@
 	g_free(address);
 }
 
-/*
- * raw-request TEXT: sends TEXT unchanged but for "|", which ends a line, and
- * reads until the connection is closed.
- */
-static void do_raw_request(struct script *s)
+/** What came back on a connection to the entry. */
+struct exchange {
+	GString *got;
+	const char *end; /* how the connection ended */
+	int received;	 /* requests that the endpoint received meanwhile */
+};
+
+static int count_received(struct platform_test *test)
+{
+	int received;
+
+	g_mutex_lock(&test->lock);
+	received = test->last_request.requests;
+	g_mutex_unlock(&test->lock);
+	return received;
+}
+
+/* Sends the words after the command and reads until the connection ends. */
+static void exchange(struct script *s, struct exchange *e)
 {
 	struct platform_test *test = s->ctx;
 	char *address_text = address_of(test, NODES, PORT_CALLERS);
-	char *joined = g_strjoinv(" ", s->words + 1);
-	char **lines = g_strsplit(joined, "|", 0);
-	char *text = g_strjoinv("\r\n", lines);
-	GString *got = g_string_new(NULL);
+	char *text = unescaped_words(s, 1);
 	struct timeval timeout = { REQUEST_TIMEOUT_MS / 1000, 0 };
 	struct address address;
-	int before, fd = socket(AF_INET, SOCK_STREAM, 0);
+	int before = count_received(test);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
 	char buffer[4096];
 	ssize_t n;
 
-	g_mutex_lock(&test->lock);
-	before = test->last_request.requests;
-	g_mutex_unlock(&test->lock);
+	e->got = g_string_new(NULL);
 	assert_true(address_parse(address_text, &address));
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
 	assert_int_equal(connect(fd, (struct sockaddr *)&address.socket,
 				 sizeof(address.socket)),
 			 0);
 	assert_int_equal(write(fd, text, strlen(text)), strlen(text));
-	while ((n = read(fd, buffer, sizeof(buffer))) > 0)
-		g_string_append_len(got, buffer, n);
+	while ((n = read(fd, buffer, sizeof(buffer))) > 0) {
+		g_string_append_len(e->got, buffer, n);
+		reset_endpoint_connection(test);
+	}
+	e->end = n && errno == ECONNRESET ? "reset"
+		 : n			  ? "kept open"
+					  : "closed";
 	close(fd);
-	g_mutex_lock(&test->lock);
-	script_print(s, "%.12s, %s, endpoint received %d%s", got->str,
-		     n ? "kept open" : "closed",
-		     test->last_request.requests - before,
-		     strstr(got->str + 1, "HTTP/1.1 ") ? ", a second response"
-						       : "");
-	g_mutex_unlock(&test->lock);
-	g_string_free(got, TRUE);
-	g_strfreev(lines);
+	e->received = count_received(test) - before;
 	g_free(text);
-	g_free(joined);
 	g_free(address_text);
 }
 
+/*
+ * raw-request TEXT: sends TEXT unchanged but for "|", which ends a line, and
+ * reads until the connection is closed.
+ */
+static void do_raw_request(struct script *s)
+{
+	struct exchange e;
+
+	exchange(s, &e);
+	script_print(s, "%.12s, %s, endpoint received %d%s", e.got->str, e.end,
+		     e.received,
+		     strstr(e.got->str + 1, "HTTP/1.1 ") ? ", a second response"
+							 : "");
+	g_string_free(e.got, TRUE);
+}
+
+/* raw-exchange TEXT: as raw-request, and prints all bytes after the head. */
+static void do_raw_exchange(struct script *s)
+{
+	struct exchange e;
+	const char *body;
+	char *lines, *shown;
+
+	exchange(s, &e);
+	body = strstr(e.got->str, "\r\n\r\n");
+	lines = replace_all(body ? body + 4 : "", "\r\n", "|");
+	shown = replace_all(lines, "\n", "~");
+	script_print(s, "%.12s, \"%s\", %s, endpoint received %d", e.got->str,
+		     shown, e.end, e.received);
+	g_free(lines);
+	g_free(shown);
+	g_string_free(e.got, TRUE);
+}
+
 /* resolve NODE [status=CODE]: prints how many addresses a directory returns. */
 static void do_resolve(struct script *s)
 {
@@ -792,6 +948,8 @@
 	{ "stored", 1, do_stored },
 	{ "request", 2, do_request },
 	{ "raw-request", 1, do_raw_request },
+	{ "raw-exchange", 1, do_raw_exchange },
+	{ "answer", 1, do_answer },
 	{ "request-begin", 1, do_request_begin },
 	{ "request-end", 0, do_request_end },
 	{ "resolve", 1, do_resolve },
