entry: a response can't be ended before it has started; a stream needs an event

Callers saw: an endpoint that answers a streaming route 200 and ends the response before its first event (a length of 0, only the last chunk, or an orderly close without framing) left them without a head. A resume that was closed at once ended the stream with its last chunk, as if it were whole.

Cause: on_end() asked only whether an incomplete event was left, and call_complete_stream() ended a response that had never started: evhttp has no state of its own, and its flag for chunks was still that of the request. The state of a response was spread over call->req, call->response_started and the order of calls to evhttp in two files.

Ruled out: the native interface. Its streams end with an event of their own, which starts the response, and it takes no unframed ones.

Change: entry/reply.c owns the response to a caller as a state machine (due, streaming; ended, cut off, caller left, abandoned), and is the only place that gives a call's response to evhttp. A stream without one event is a failed attempt: retried where the call may be repeated, else an honest 502, or a visible cut-off if it has started. The exception: a resume that ends by a length or its last chunk states that nothing is left.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -19,7 +19,6 @@
 #define RATE_SAMPLE_TOKENS 16u
 /* Limit on an incomplete event; no engine sends larger ones. */
 #define INCOMPLETE_EVENT_MAX_BYTES 65536u
-#define US_PER_MS 1000
 
 static const struct log attempt_log = { "call" };
 
@@ -68,7 +67,7 @@
 static bool may_retry(const struct call *call)
 {
 	return call->attempts < call->attempts_max &&
-	       (call->req || call->booking_key) &&
+	       (reply_is_open(call->reply) || call->booking_key) &&
 	       entry_now_ms(call->entry) < call->deadline_ms;
 }
 
@@ -87,7 +86,8 @@
 	if (!choice.replica)
 		return false;
 	counters_add(entry->opts.counters,
-		     call->response_started ? COUNTER_RESUMES : COUNTER_RETRIES,
+		     reply_has_started(call->reply) ? COUNTER_RESUMES
+						    : COUNTER_RETRIES,
 		     1);
 	attempt_dispatch(call, &choice);
 	return true;
@@ -96,7 +96,7 @@
 /* Ends a call after its last attempt failed. */
 static void fail_after_attempts(struct call *call, const char *why)
 {
-	if (call->may_have_run || call->response_started)
+	if (call->may_have_run || reply_has_started(call->reply))
 		call_fail(call, RD_UPSTREAM_BROKE, OUTCOME_UNKNOWN, why,
 			  RETRY_AFTER_MS);
 	else
@@ -127,7 +127,7 @@
 	call->route.avoid_count = 0;
 	call->state = CALL_AWAITING_REPLICA;
 	call->replica_wait_until_ms = now + STALL_LIMIT_MS;
-	if (!call->response_started)
+	if (!reply_has_started(call->reply))
 		call->replica_wait_until_ms = MIN(call->replica_wait_until_ms,
 						  call->deadline_ms);
 }
@@ -198,38 +198,15 @@
 	upstream_pause(call->upstream, false);
 }
 
-static void start_stream_response(struct call *call)
-{
-	struct evkeyvalq *headers =
-		evhttp_request_get_output_headers(call->req);
-
-	call->format->response_headers(call, headers);
-	if (call->entry->draining)
-		evhttp_add_header(headers, "Connection", "close");
-	evhttp_send_reply_start(call->req, HTTP_OK, "OK");
-	call->response_started = true;
-	call->first_byte_us = entry_now_us(call->entry);
-	estimate_add(&call->service->first_byte,
-		     (double)(call->first_byte_us - call->sent_us) / US_PER_MS);
-	counters_record_duration(call->entry->opts.counters, HISTOGRAM_TTFT,
-				 call->first_byte_us - call->started_us);
-}
-
 static void forward_events(struct call *call, struct evbuffer *events)
 {
-	struct evhttp_connection *conn;
-	struct bufferevent *bev;
-
-	if (!call->response_started)
-		start_stream_response(call);
-	call->sent_bytes += evbuffer_get_length(events);
-	evhttp_send_reply_chunk_with_cb(call->req, events, on_output_drained,
-					call);
-	conn = evhttp_request_get_connection(call->req);
-	bev = evhttp_connection_get_bufferevent(conn);
-	if (evbuffer_get_length(bufferevent_get_output(bev)) >
-		    OUTPUT_HIGH_WATER_BYTES &&
-	    call->upstream) {
+	size_t unsent_bytes;
+
+	if (!reply_has_started(call->reply))
+		call_start_stream(call);
+	unsent_bytes = reply_send_events(call->reply, events, on_output_drained,
+					 call);
+	if (unsent_bytes > OUTPUT_HIGH_WATER_BYTES && call->upstream) {
 		call->paused = true;
 		upstream_pause(call->upstream, true);
 	}
@@ -248,7 +225,7 @@
 			     tokens);
 		measure_decode_rate(call, tokens);
 	}
-	if (evbuffer_get_length(events) && call->req)
+	if (evbuffer_get_length(events) && reply_is_open(call->reply))
 		forward_events(call, events);
 	evbuffer_free(events);
 	if (evbuffer_get_length(call->response_body) >
@@ -393,7 +370,21 @@
 	       end->failure ? end->failure : "-",
 	       end->reused_connection ? "reused" : "new", call->response_bytes,
 	       evbuffer_get_length(call->response_body), call->tokens,
-	       call->response_started ? "yes" : "no");
+	       reply_has_started(call->reply) ? "yes" : "no");
+}
+
+/*
+ * Whether a stream without an event states that the caller has all of it. One
+ * that only closes its connection may have broken off.
+ */
+static bool nothing_is_left(const struct call *call,
+			    const struct upstream_end *end)
+{
+	bool resumes = reply_has_started(call->reply) ||
+		       (call->format->caller_resumes &&
+			call->format->caller_resumes(call));
+
+	return resumes && end->framing != FRAMING_CLOSE;
 }
 
 static void on_end(void *ctx, const struct upstream_end *end)
@@ -413,14 +404,16 @@
 		handle_not_run(call);
 	else if (should_retry_failure(call))
 		handle_failure(call, "failed");
-	else if (call->response_started && !is_stream(call))
+	else if (reply_has_started(call->reply) && !is_stream(call))
 		handle_failure(call, "refused to go on with the stream");
 	else if (!is_stream(call))
 		finish_response(call);
-	else if (call->format->stream_complete(call))
-		call_complete_stream(call);
-	else
+	else if (!call->format->stream_complete(call))
 		handle_failure(call, "ended the stream early");
+	else if (!call->response_bytes && !nothing_is_left(call, end))
+		handle_failure(call, "ended the stream before an event");
+	else
+		call_complete_stream(call);
 }
 
 /* ---- sending ---- */
--- a/entry/booking.c
+++ b/entry/booking.c
@@ -236,7 +236,7 @@
 	 * run.
 	 */
 	call->not_run_code = RD_CALLER_LEFT;
-	if (!call->req)
+	if (!reply_is_open(call->reply))
 		booking_end(call, BOOKING_NOT_RUN, 0, "", "", 0);
 	else
 		call_enqueue(call);
--- a/entry/call.c
+++ b/entry/call.c
@@ -10,6 +10,7 @@
 #include "entry/call.h"
 
 #define OUTPUT_EWMA_WEIGHT 0.05
+#define US_PER_MS 1000
 
 static const struct log call_log = { "call" };
 
@@ -25,27 +26,15 @@
 
 /* ---- start and end ---- */
 
-static void log_response(const struct call *call, GLogLevelFlags level,
-			 const char *how, int status)
-{
-	log_at(&call_log, level,
-	       "request %s: response to the caller ended how=%s status=%d "
-	       "started=%s bytes=%zu tokens=%u attempts=%u",
-	       call->id, how, status, call->response_started ? "yes" : "no",
-	       call->sent_bytes, call->tokens, call->attempts);
-}
+static void destroy(struct call *call);
 
 static void on_caller_disconnected(void *ctx)
 {
 	struct call *call = ctx;
 
 	log_info(&call_log, "request %s: caller disconnected", call->id);
-	log_response(call, G_LOG_LEVEL_INFO, "caller-left", 0);
 	counters_add(call->entry->opts.counters, COUNTER_CALLER_DISCONNECTED,
 		     1);
-	/* The connection is closed, so this only frees the request. */
-	evhttp_send_reply_end(call->req);
-	call->req = NULL;
 	/*
 	 * A booking continues without its caller: its outcome must be recorded.
 	 */
@@ -54,7 +43,7 @@
 	if (call->booking_key)
 		call_fail_not_run(call, RD_CALLER_LEFT, NULL, 0);
 	else
-		call_destroy(call);
+		destroy(call);
 }
 
 void call_start(struct entry *entry, const struct call_opts *opts)
@@ -63,7 +52,6 @@
 
 	call->entry = entry;
 	call->service = opts->service;
-	call->req = opts->req;
 	call->format = opts->format;
 	call->data = opts->data;
 	call->stream = opts->stream;
@@ -88,9 +76,14 @@
 				 entry_now_ms(entry));
 	demand_add(&call->service->demand, entry_now_ms(entry),
 		   call->route.prompt_tokens);
-	call->watch = (struct http_disconnect_watch){ on_caller_disconnected,
-						      call };
-	http_watch_disconnect(opts->req, &call->watch);
+	call->reply = reply_create(&(struct reply_opts){
+		.req = opts->req,
+		.request_id = call->id,
+		.slow_reader_s =
+			(int)entry->opts.settings->limits.slow_sender_s,
+		.caller_left = on_caller_disconnected,
+		.ctx = call,
+	});
 	if (call->booking_key)
 		booking_begin(call);
 	else
@@ -109,17 +102,12 @@
 	call->admitted = false;
 }
 
-void call_destroy(struct call *call)
+static void destroy(struct call *call)
 {
 	attempt_finish(call);
 	release_admission(call);
 	g_hash_table_remove(call->entry->calls, call);
-	/*
-	 * A caller without a response is disconnected when its HTTP server is
-	 * freed.
-	 */
-	if (call->req)
-		http_unwatch_disconnect(call->req, 1);
+	reply_destroy(call->reply);
 	entry_schedule_dispatch(call->entry);
 	evbuffer_free(call->response_body);
 	if (call->body)
@@ -132,15 +120,15 @@
 	g_free(call);
 }
 
-/* ---- responding to the caller ---- */
-
-static void unwatch_caller(struct call *call)
+void call_abandon(struct call *call)
 {
-	http_unwatch_disconnect(
-		call->req,
-		(int)call->entry->opts.settings->limits.slow_sender_s);
+	if (reply_is_open(call->reply))
+		reply_abandon(call->reply);
+	destroy(call);
 }
 
+/* ---- responding to the caller ---- */
+
 static void count_outcome(struct call *call, enum counter which)
 {
 	struct counters *counters = call->entry->opts.counters;
@@ -157,15 +145,9 @@
 
 	if (call->format->append_stream_error)
 		call->format->append_stream_error(problem, out);
-	if (evbuffer_get_length(out))
-		evhttp_send_reply_chunk(call->req, out);
+	reply_cut_off(call->reply, out);
 	evbuffer_free(out);
-	log_response(call, G_LOG_LEVEL_MESSAGE, "cut-off", HTTP_OK);
 	count_outcome(call, COUNTER_STREAMS_CUT_OFF);
-	http_abort_response(
-		call->req,
-		(int)call->entry->opts.settings->limits.slow_sender_s);
-	call->req = NULL;
 }
 
 void call_fail(struct call *call, enum rd_result code, enum outcome outcome,
@@ -189,19 +171,16 @@
 		 call->account,
 		 (entry_now_us(call->entry) - call->started_us) / 1000,
 		 call->attempts, retry_after_ms, detail ? detail : "-");
-	if (call->req && call->response_started) {
+	if (reply_is_open(call->reply) && reply_has_started(call->reply)) {
 		cut_off_stream(call, &problem);
-	} else if (call->req) {
+	} else if (reply_is_open(call->reply)) {
 		count_outcome(call, outcome == OUTCOME_NOT_RUN
 					    ? COUNTER_NOT_RUN
 					    : COUNTER_OUTCOME_UNKNOWN);
-		log_response(call, G_LOG_LEVEL_INFO, "error",
-			     rd_result_info(code)->http_status);
-		unwatch_caller(call);
-		call->format->send_error(call->req, &problem);
-		call->req = NULL;
+		reply_send_error(call->reply, call->format->send_error,
+				 &problem);
 	}
-	call_destroy(call);
+	destroy(call);
 }
 
 void call_respond(struct call *call, int status, const char *type,
@@ -209,28 +188,40 @@
 {
 	struct evkeyvalq *headers;
 
-	if (call->req) {
-		headers = evhttp_request_get_output_headers(call->req);
+	if (reply_is_open(call->reply)) {
+		headers = reply_headers(call->reply);
 		if (type && *type)
 			evhttp_add_header(headers, "Content-Type", type);
 		call->format->response_headers(call, headers);
 		if (call->entry->draining)
 			evhttp_add_header(headers, "Connection", "close");
-		evbuffer_add(evhttp_request_get_output_buffer(call->req), body,
-			     size);
 		count_outcome(call, COUNTER_COMPLETED);
-		log_response(call, G_LOG_LEVEL_INFO, "whole", status);
-		unwatch_caller(call);
-		http_send_reply(call->req, status, NULL);
-		call->req = NULL;
+		reply_send(call->reply, status, body, size);
 	}
-	call_destroy(call);
+	destroy(call);
+}
+
+void call_start_stream(struct call *call)
+{
+	struct evkeyvalq *headers = reply_headers(call->reply);
+
+	call->format->response_headers(call, headers);
+	if (call->entry->draining)
+		evhttp_add_header(headers, "Connection", "close");
+	reply_start_stream(call->reply);
+	call->first_byte_us = entry_now_us(call->entry);
+	estimate_add(&call->service->first_byte,
+		     (double)(call->first_byte_us - call->sent_us) / US_PER_MS);
+	counters_record_duration(call->entry->opts.counters, HISTOGRAM_TTFT,
+				 call->first_byte_us - call->started_us);
 }
 
 void call_complete_stream(struct call *call)
 {
 	struct entry_service *service = call->service;
 
+	if (!reply_has_started(call->reply))
+		call_start_stream(call);
 	service->mean_output += OUTPUT_EWMA_WEIGHT *
 				(call->tokens - service->mean_output);
 	count_outcome(call, COUNTER_COMPLETED);
@@ -240,15 +231,8 @@
 		 call->id, service->name, call->replica, call->tokens,
 		 (call->first_byte_us - call->started_us) / 1000,
 		 (entry_now_us(call->entry) - call->started_us) / 1000);
-	log_response(call,
-		     call->response_started ? G_LOG_LEVEL_INFO
-					    : G_LOG_LEVEL_MESSAGE,
-		     "stream-whole", HTTP_OK);
-	unwatch_caller(call);
-	http_track_response(call->req);
-	evhttp_send_reply_end(call->req);
-	call->req = NULL;
-	call_destroy(call);
+	reply_end_stream(call->reply);
+	destroy(call);
 }
 
 /* ---- queueing ---- */
@@ -347,6 +331,7 @@
 		attempt_tick_awaiting(call, now_ms);
 		return;
 	}
-	if (sent && now_ms >= call->deadline_ms && !call->response_started)
+	if (sent && now_ms >= call->deadline_ms &&
+	    !reply_has_started(call->reply))
 		handle_deadline(call);
 }
--- a/entry/call.h
+++ b/entry/call.h
@@ -12,6 +12,7 @@
 
 #include "common/address.h"
 #include "entry/entry_internal.h"
+#include "entry/reply.h"
 
 /* Retry delay sent to callers whose request may soon succeed. */
 #define RETRY_AFTER_MS 1000
@@ -52,6 +53,8 @@
 				struct evbuffer *out);
 	/** Whether a stream that the endpoint has closed is complete. */
 	bool (*stream_complete)(const struct call *call);
+	/** Whether the caller already has a part of the stream. May be NULL. */
+	bool (*caller_resumes)(const struct call *call);
 	/** Sends an error response to the caller. */
 	void (*send_error)(struct evhttp_request *req,
 			   const struct problem *problem);
@@ -74,8 +77,7 @@
 struct call {
 	struct entry *entry;
 	struct entry_service *service;
-	struct evhttp_request *req; /* NULL once answered or disconnected */
-	struct http_disconnect_watch watch;
+	struct reply *reply; /* to the caller */
 	const struct call_format *format;
 	void *data; /* owned by `format` */
 	enum call_state state;
@@ -126,9 +128,7 @@
 	char *response_type;
 	struct evbuffer *response_body; /* buffered, or a partial event */
 	bool response_too_large;
-	bool response_started; /* to the caller */
-	size_t sent_bytes;     /* of a stream, to the caller */
-	bool paused;	       /* reading from the endpoint is paused */
+	bool paused; /* reading from the endpoint is paused */
 };
 
 /**
@@ -186,7 +186,10 @@
 void call_respond(struct call *call, int status, const char *type,
 		  const void *body, size_t size);
 
-/** Ends the caller's stream as complete and frees the call. */
+/**
+ * Ends the caller's stream as complete and frees the call. A stream that has
+ * not started gets its head first.
+ */
 void call_complete_stream(struct call *call);
 
 /** Checks a call's deadlines and retries one that awaits a replica. */
@@ -199,11 +202,11 @@
  */
 void call_end_for_shutdown(struct call *call);
 
-/**
- * Frees a call without a response; used when the caller has gone or the entry
- * is destroyed.
- */
-void call_destroy(struct call *call);
+/** Frees a call without a response, because the entry is destroyed. */
+void call_abandon(struct call *call);
+
+/** Sends the head of the caller's stream. */
+void call_start_stream(struct call *call);
 
 /* attempt.c: dispatch of a call to an endpoint */
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -274,7 +274,7 @@
 		g_hash_table_iter_init(&iter, entry->calls);
 		if (!g_hash_table_iter_next(&iter, &key, NULL))
 			return;
-		call_destroy(key);
+		call_abandon(key);
 	}
 }
 
--- a/entry/shutdown.c
+++ b/entry/shutdown.c
@@ -32,7 +32,7 @@
 	int64_t age_ms = (entry_now_us(call->entry) - call->started_us) / 1000;
 
 	open->oldest_ms = MAX(open->oldest_ms, age_ms);
-	if (call->response_started)
+	if (reply_has_started(call->reply))
 		open->responding++;
 	else if (call->state == CALL_QUEUED)
 		open->queued++;
