common/http, entry: an answer to HEAD has no body

Callers saw: an error in answer to HEAD (no route, wrong key, a failed endpoint) with its text after the head. HEAD's answer ends with the head, so the text stood where the next answer is due.

Cause: evhttp leaves out the length of a body that the protocol doesn't have (HEAD, 204, 304), but writes the body itself; and a response to HEAD was taken for a stream.

Change: http_send_reply() drops such a body, for every server of the process, and HEAD's answer isn't a stream. head-has-no-body failed before (`HTTP/1.1 404, "no-route~"`, `HTTP/1.1 401, "wrong-key~"`, 502 for 200) and passes now.

--- a/common/http.c
+++ b/common/http.c
@@ -136,8 +136,19 @@
 	evhttp_connection_set_closecb(conn, on_response_lost, NULL);
 }
 
+static bool has_no_body(const struct evhttp_request *req, int status)
+{
+	return evhttp_request_get_command(req) == EVHTTP_REQ_HEAD ||
+	       status == HTTP_NOCONTENT || status == HTTP_NOTMODIFIED;
+}
+
 void http_send_reply(struct evhttp_request *req, int status, const char *reason)
 {
+	struct evbuffer *body = evhttp_request_get_output_buffer(req);
+
+	/* evhttp omits only the length of such a body. */
+	if (has_no_body(req, status))
+		evbuffer_drain(body, evbuffer_get_length(body));
 	http_track_response(req);
 	evhttp_send_reply(req, status, reason, NULL);
 }
--- a/common/http.h
+++ b/common/http.h
@@ -51,7 +51,8 @@
 
 /**
  * Sends a response whose headers and body are in the request's output, and ends
- * the request. Replaces a watch of its connection.
+ * the request. Drops a body where the protocol has none. Replaces a watch of its
+ * connection.
  */
 void http_send_reply(struct evhttp_request *req, int status,
 		     const char *reason);
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -237,7 +237,8 @@
 
 static bool is_stream(const struct call *call)
 {
-	return call->stream && call->status == HTTP_OK &&
+	return call->stream && call->method != EVHTTP_REQ_HEAD &&
+	       call->status == HTTP_OK &&
 	       call->response_class == RESPONSE_FORWARD;
 }
 
