common/http, entry: streams to HTTP/1.0 callers end, and a broken one looks broken

Callers saw: an HTTP/1.0 caller gets a stream without chunks, so only the end of the connection ends it. If it asked to keep the connection, a whole stream never ended; and a stream that broke off after a whole event ended with an orderly close, exactly as a whole one.

Cause: evhttp keeps the connection as asked, whatever the framing, and http_abort_response() relied on the missing last chunk.

--- a/common/http.c
+++ b/common/http.c
@@ -1,10 +1,14 @@
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
 #include "common/address.h"
@@ -153,6 +157,25 @@
 	evhttp_send_reply(req, status, reason, NULL);
 }
 
+/* Without chunks, the end of the connection ends the body. */
+static bool has_chunks(const struct evhttp_request *req)
+{
+	return req->major > 1 || (req->major == 1 && req->minor >= 1);
+}
+
+void http_start_response(struct evhttp_request *req, int status,
+			 const char *reason)
+{
+	/* evhttp would keep the connection open after the response. */
+	if (!has_chunks(req)) {
+		evhttp_remove_header(evhttp_request_get_input_headers(req),
+				     "Connection");
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+				  "Connection", "close");
+	}
+	evhttp_send_reply_start(req, status, reason);
+}
+
 static void on_aborted(struct evhttp_connection *conn, void *arg)
 {
 	struct evhttp_request *req = arg;
@@ -169,11 +192,22 @@
 	evhttp_connection_free(conn);
 }
 
+/* On Linux, connecting to no address sends a reset. */
+static void on_unframed_abort_sent(struct bufferevent *bev, void *conn)
+{
+	struct sockaddr nowhere = { .sa_family = AF_UNSPEC };
+
+	(void)connect(bufferevent_getfd(bev), &nowhere, sizeof(nowhere));
+	evhttp_connection_free(conn);
+}
+
 void http_abort_response(struct evhttp_request *req, int timeout_s)
 {
 	struct evhttp_connection *conn = evhttp_request_get_connection(req);
 	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
 	struct timeval timeout = { timeout_s, 0 };
+	bufferevent_data_cb sent_cb = has_chunks(req) ? on_abort_sent
+						      : on_unframed_abort_sent;
 	bufferevent_event_cb event_cb;
 	void *cb_arg;
 
@@ -181,12 +215,12 @@
 	unsent_responses++;
 	evhttp_connection_set_closecb(conn, on_aborted, req);
 	if (!evbuffer_get_length(bufferevent_get_output(bev))) {
-		evhttp_connection_free(conn);
+		sent_cb(bev, conn);
 		return;
 	}
 	/* The argument of all of evhttp's callbacks is the connection. */
 	bufferevent_getcb(bev, NULL, NULL, &event_cb, &cb_arg);
-	bufferevent_setcb(bev, NULL, on_abort_sent, event_cb, cb_arg);
+	bufferevent_setcb(bev, NULL, sent_cb, event_cb, cb_arg);
 	bufferevent_set_timeouts(bev, &timeout, &timeout);
 }
 
--- a/common/http.h
+++ b/common/http.h
@@ -51,8 +51,8 @@
 
 /**
  * Sends a response whose headers and body are in the request's output, and ends
- * the request. Drops a body where the protocol has none. Replaces a watch of its
- * connection.
+ * the request. Drops a body where the protocol has none. Replaces a watch of
+ * its connection.
  */
 void http_send_reply(struct evhttp_request *req, int status,
 		     const char *reason);
@@ -64,10 +64,18 @@
  */
 void http_track_response(struct evhttp_request *req);
 
+/**
+ * Sends the head of a response in chunks, or, to an HTTP/1.0 client, of one
+ * that ends with its connection.
+ */
+void http_start_response(struct evhttp_request *req, int status,
+			 const char *reason);
+
 /**
  * Closes the connection of a started response once what was given to evhttp is
  * sent. Without the last chunk of the chunked encoding, every client sees that
- * the response is incomplete. Counts it like a complete response until then.
+ * the response is incomplete; the connection of an HTTP/1.0 client is reset.
+ * Counts it like a complete response until then.
  * Replaces a watch of its connection.
  */
 void http_abort_response(struct evhttp_request *req, int timeout_s);
--- a/entry/reply.c
+++ b/entry/reply.c
@@ -20,7 +20,7 @@
 	struct http_disconnect_watch watch;
 	enum reply_state state;
 	bool started; /* a stream */
-	int status; /* 0 for an error */
+	int status;   /* 0 for an error */
 	size_t bytes; /* of a body or stream */
 };
 
@@ -141,7 +141,7 @@
 	reply->state = REPLY_STREAMING;
 	reply->started = true;
 	reply->status = HTTP_OK;
-	evhttp_send_reply_start(reply->opts.req, HTTP_OK, "OK");
+	http_start_response(reply->opts.req, HTTP_OK, "OK");
 }
 
 size_t reply_send_events(struct reply *reply, struct evbuffer *events,
