entry/upstream: an endpoint's interim status isn't its answer

Callers saw: an endpoint's status from 101 to 199 as their whole answer. A client takes it for an interim one, and waits for an answer that never comes; the one that follows at the endpoint is lost.

Cause: evhttp, as a client, skips 100 only, and ends the request with any other status that has no body.

Change: such an end is a failed attempt, retried where the call may be repeated, else 502; its connection isn't used again. Skipping it and reading on isn't possible with evhttp's client. interim-statuses-are-no-answer failed before (`HTTP/1.1 101, ""`, `HTTP/1.1 103, ""`) and passes now.

--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -175,7 +175,8 @@
 {
 	struct upstream *u = arg;
 	struct timeval no_delay = { 0, 0 };
-	bool answered = req && evhttp_request_get_response_code(req) != 0;
+	/* evhttp skips only status 100, and passes on other interim ones. */
+	bool answered = req && evhttp_request_get_response_code(req) >= HTTP_OK;
 
 	u->req = NULL;
 	if (u->cancelled)
