entry/upstream: an answer without framing is read until its connection ends

Callers saw: a whole answer with an empty body in place of the endpoint's (MIXED: not whole), or, on a route of streams, a stream without an event.

Cause: for a response with neither a length nor chunks, evhttp's client reads a body only if its head has no `Connection`, or one that is exactly `close`; with `keep-alive`, or a list, it takes the body for empty and the response for complete. The bytes of the body stay on a connection that is then kept for further requests.

Change: before evhttp decides, the head of such a response gets `Connection: close` in place of its own. The body is read until the connection ends, which isn't used again; a reset still fails the attempt (unframed-stream-ends). unframed-answers-end failed before (`HTTP/1.1 200, ""` three times, `502` for a stream) and passes now.

--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -133,9 +133,21 @@
 	return names[framing];
 }
 
+/*
+ * evhttp reads an unframed body only if the head says no more of the connection
+ * than that it closes, and none otherwise.
+ */
+static void read_until_close(struct evkeyvalq *headers)
+{
+	while (!evhttp_remove_header(headers, "Connection"))
+		;
+	evhttp_add_header(headers, "Connection", "close");
+}
+
 static int on_head(struct evhttp_request *req, void *arg)
 {
 	struct upstream *u = arg;
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
 
 	if (u->cancelled)
 		return -1;
@@ -143,7 +155,9 @@
 	if (u->opts.head)
 		u->not_reusable = !u->opts.head(
 			u->opts.ctx, evhttp_request_get_response_code(req),
-			evhttp_request_get_input_headers(req));
+			headers);
+	if (u->end.framing == FRAMING_CLOSE)
+		read_until_close(headers);
 	return 0;
 }
 
