test: the endpoint's scripted bytes aren't taken for a response by evhttp

On a reused connection the endpoint of test_platform_proc freed its request once the bytes of an `answer reset` were written, and used it to reset the connection: with the sanitizers resumed-stream-with-nothing-left ended with `heap-use-after-free` in the test's own process (5 of 5), without them it passed. evhttp's callback for written bytes is taken away first, as in http_abort_response(). No check changes.

--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -163,6 +163,17 @@
 				NULL);
 }
 
+/* On a reused connection, evhttp would take the bytes for a whole response. */
+static void write_past_evhttp(struct bufferevent *bev)
+{
+	bufferevent_event_cb event_cb;
+	void *cb_arg;
+
+	bufferevent_getcb(bev, NULL, NULL, &event_cb, &cb_arg);
+	bufferevent_setcb(bev, NULL, NULL, event_cb, cb_arg);
+	bufferevent_enable(bev, EV_WRITE);
+}
+
 /* Writes past evhttp, and ends the connection after the bytes. */
 static void send_scripted(struct platform_test *test,
 			  struct evhttp_request *req)
@@ -187,7 +198,7 @@
 				    id ? id : "-");
 	evbuffer_add(bufferevent_get_output(bev), answer->text,
 		     strlen(answer->text));
-	bufferevent_enable(bev, EV_WRITE);
+	write_past_evhttp(bev);
 	if (!answer->reset)
 		http_abort_response(req, REQUEST_TIMEOUT_MS / 1000);
 	g_free(answer->text);
