common/http, platform: a request whose end is unclear is refused

Callers saw: an answer that they hadn't asked for, to bytes inside their own request's body, on the connection where the next answer was due; with two lengths, the endpoint got a cut body.

Cause: evhttp takes the first of two lengths and reads no body of HEAD; what follows is parsed as the next request. Only unknown transfer codings were refused.

Change: such requests get 400 and the end of their connection. The check of two lengths is the one of endpoints' responses, now in common/http.c. requests-with-an-unclear-end failed before (a second `HTTP/1.1 200` on the connection, `endpoint received 2`) and passes now; path and ambiguous-framing-is-no-answer still pass. The native interface isn't covered by this.

--- a/common/http.c
+++ b/common/http.c
@@ -306,11 +306,30 @@
 	return g_bytes_new_take(data, size);
 }
 
+bool http_has_ambiguous_framing(const struct evkeyvalq *headers)
+{
+	const char *length = evhttp_find_header(headers, "Content-Length");
+	struct evkeyval *header;
+
+	TAILQ_FOREACH(header, headers, next)
+	if ((!g_ascii_strcasecmp(header->key, "Content-Length") &&
+	     strcmp(header->value, length) != 0) ||
+	    (!g_ascii_strcasecmp(header->key, "Transfer-Encoding") &&
+	     g_ascii_strcasecmp(header->value, "chunked") != 0))
+		return true;
+	return false;
+}
+
 bool http_has_unknown_framing(struct evhttp_request *req)
 {
-	const char *coding = http_header(req, "Transfer-Encoding");
+	const char *length = http_header(req, "Content-Length");
 
-	return coding && g_ascii_strcasecmp(coding, "chunked") != 0;
+	if (evhttp_request_get_command(req) == EVHTTP_REQ_HEAD &&
+	    (http_header(req, "Transfer-Encoding") ||
+	     (length && strcmp(length, "0") != 0)))
+		return true;
+	return http_has_ambiguous_framing(
+		evhttp_request_get_input_headers(req));
 }
 
 const char *http_method(struct evhttp_request *req)
--- a/common/http.h
+++ b/common/http.h
@@ -105,9 +105,15 @@
 GBytes *http_body(struct evhttp_request *req);
 
 /**
- * Whether the request has a transfer coding that evhttp does not support. The
- * end of its body is then unknown, and bytes of the body could be parsed as
- * another request (request smuggling).
+ * Whether a head states the end of its body in two ways, of which evhttp takes
+ * one, or has a transfer coding that evhttp does not support.
+ */
+bool http_has_ambiguous_framing(const struct evkeyvalq *headers);
+
+/**
+ * Whether the end of the request's body is unclear, so that bytes of the body
+ * could be parsed as another request (request smuggling). evhttp reads no body
+ * of HEAD.
  */
 bool http_has_unknown_framing(struct evhttp_request *req);
 
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -1,11 +1,10 @@
 #include <string.h>
-#include <sys/queue.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/keyvalq_struct.h>
 
 #include "common/address.h"
+#include "common/http.h"
 #include "entry/upstream.h"
 
 #define IDLE_CONNECTIONS_PER_ADDRESS 64
@@ -135,24 +134,6 @@
 	return names[framing];
 }
 
-/*
- * Whether the head states the end of the body in two ways, of which evhttp
- * takes one, or has a transfer coding that wasn't asked for.
- */
-static bool is_ambiguous(const struct evkeyvalq *headers)
-{
-	const char *length = evhttp_find_header(headers, "Content-Length");
-	struct evkeyval *header;
-
-	TAILQ_FOREACH(header, headers, next)
-	if ((!g_ascii_strcasecmp(header->key, "Content-Length") &&
-	     strcmp(header->value, length) != 0) ||
-	    (!g_ascii_strcasecmp(header->key, "Transfer-Encoding") &&
-	     g_ascii_strcasecmp(header->value, "chunked") != 0))
-		return true;
-	return false;
-}
-
 /*
  * evhttp reads an unframed body only if the head says no more of the connection
  * than that it closes, and none otherwise.
@@ -171,7 +152,7 @@
 
 	if (u->cancelled)
 		return -1;
-	if (is_ambiguous(headers)) {
+	if (http_has_ambiguous_framing(headers)) {
 		u->end.failure = "ambiguous-framing";
 		return -1;
 	}
