--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -31,6 +31,7 @@
 #define POLL_US 20000
 #define CHANGE_WAIT_MS 15000
 #define SIGNAL_INTERVAL_US 200
+#define RAW_ANSWER_WAIT_S 2
 
 /** State of the script that runs. */
 struct proc_test {
@@ -1209,6 +1210,43 @@
 			     : "connection refused");
 }
 
+/*
+ * raw-answers NODE TEXT: sends TEXT to the callers' port, where "|" ends a
+ * line, and prints the status of each answer up to the connection's end.
+ */
+static void do_raw_answers(struct script *s)
+{
+	struct cluster *c = cluster_of(s);
+	const char *text = c->nodes[node_of(s, s->words[1]) - 1].callers;
+	char *joined = g_strjoinv(" ", s->words + 2);
+	char **lines = g_strsplit(joined, "|", 0);
+	char *request = g_strjoinv("\r\n", lines);
+	struct timeval timeout = { RAW_ANSWER_WAIT_S, 0 };
+	GString *got = g_string_new(NULL);
+	struct address address;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	char buffer[4096];
+	const char *at;
+	ssize_t n;
+
+	assert_true(address_parse(text, &address));
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+	assert_int_equal(connect(fd, (struct sockaddr *)&address.socket,
+				 sizeof(address.socket)),
+			 0);
+	assert_int_equal(write(fd, request, strlen(request)), strlen(request));
+	while ((n = read(fd, buffer, sizeof(buffer))) > 0)
+		g_string_append_len(got, buffer, n);
+	close(fd);
+	for (at = got->str; (at = strstr(at, "HTTP/1.1 ")); at++)
+		script_print(s, "%.12s", at);
+	script_print(s, "%s", n ? "kept open" : "closed");
+	g_string_free(got, TRUE);
+	g_strfreev(lines);
+	g_free(joined);
+	g_free(request);
+}
+
 static void print_answer(struct script *s, const struct fetch_response *answer)
 {
 	json_t *body = json_loads(answer->body ? answer->body : "", 0, NULL);
@@ -1375,6 +1413,7 @@
 	{ "disconnect", 0, do_disconnect },
 	{ "wait-idle", 0, do_wait_idle },
 	{ "malformed", 3, do_malformed },
+	{ "raw-answers", 2, do_raw_answers },
 	{ "drain", 1, do_drain },
 	{ "check-alive", 0, do_check_alive },
 	{ "check-reserved", 1, do_check_reserved },
