entry: refusals by endpoints that aren't out of the ordinary are logged as information

An endpoint that says that it didn't run a request, and a whole answer without a body, were notes, one a request under load. The level only; no text or decision changes.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -354,14 +354,20 @@
 	return names[response_class];
 }
 
-/* Whole responses with an explicit end are logged as information only. */
-static void log_end(const struct call *call, const struct upstream_end *end)
+/* Logged even where lines about successful requests aren't. */
+static bool is_notable(const struct call *call, const struct upstream_end *end)
 {
-	bool ordinary = end->result == UPSTREAM_COMPLETE &&
-			end->framing != FRAMING_CLOSE && call->response_bytes &&
-			call->response_class == RESPONSE_FORWARD;
+	return end->result != UPSTREAM_COMPLETE ||
+	       end->framing == FRAMING_CLOSE ||
+	       call->response_class == RESPONSE_FAILED ||
+	       call->response_class == RESPONSE_MISMATCHED ||
+	       (is_stream(call) && !call->response_bytes);
+}
 
-	log_at(&attempt_log, ordinary ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_MESSAGE,
+static void log_end(const struct call *call, const struct upstream_end *end)
+{
+	log_at(&attempt_log,
+	       is_notable(call, end) ? G_LOG_LEVEL_MESSAGE : G_LOG_LEVEL_INFO,
 	       "request %s: endpoint's response ended result=%s replica=%u "
 	       "attempt=%u status=%d class=%s framing=%s failure=%s "
 	       "connection=%s bytes=%zu incomplete=%zu tokens=%u started=%s",
