entry: read an answer without a length until its connection closes

What callers saw: on plain routes a 200 with the endpoint's seal and an empty body; on streaming routes either nothing at all on a connection that stayed open or, after a request in chunks, the bare bytes "0 CRLF CRLF": no answer in the protocol, which are the words of the report.

Cause: an endpoint's answer has neither a length nor chunks, and its Connection field says something other than exactly "close" (keep-alive, or a list). evhttp then takes the body for empty and the response for complete at once. The entry passed that on as a whole answer, and put the connection back into its pool with the body's bytes still to come on it.

By the protocol such a body ends with its connection, whatever that field says, so the entry says "close" to evhttp for every answer without framing.

--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -120,6 +120,19 @@
 	       evhttp_request_get_command(req) == EVHTTP_REQ_HEAD;
 }
 
+/*
+ * evhttp takes the body for empty if a response without framing has a
+ * Connection field other than "close", although it ends with the connection.
+ */
+static void expect_close(struct evhttp_request *req)
+{
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
+
+	while (!evhttp_remove_header(headers, "Connection"))
+		;
+	evhttp_add_header(headers, "Connection", "close");
+}
+
 static int on_head(struct evhttp_request *req, void *arg)
 {
 	struct upstream *u = arg;
@@ -131,6 +144,8 @@
 		u->not_reusable = !u->opts.head(
 			u->opts.ctx, evhttp_request_get_response_code(req),
 			evhttp_request_get_input_headers(req));
+	if (!u->is_framed)
+		expect_close(req);
 	return 0;
 }
 
--- a/test/garbled_endpoint.c
+++ b/test/garbled_endpoint.c
@@ -22,6 +22,7 @@
 	GArray *sockets; /* of int; listening and accepted ones */
 	int port;
 	int unknown;
+	const char *only_kind; /* NULL: all */
 	bool stopping;
 };
 
@@ -548,15 +549,30 @@
 				    (gssize)d->body->len);
 }
 
-static const struct kind *draw_kind(struct draft *d)
+static const struct kind *draw_of(struct draft *d, const struct kind *list,
+				  size_t count, const char *only)
 {
+	const struct kind *matching[G_N_ELEMENTS(kinds)];
+	int matches = 0;
+
+	for (size_t i = 0; i < count; i++)
+		if (!only || !strcmp(list[i].name, only))
+			matching[matches++] = &list[i];
+	return matches ? matching[below(d, matches)] : NULL;
+}
+
+static const struct kind *draw_kind(struct draft *d, const char *only)
+{
+	const struct kind *kind = NULL;
+
 	if (below(d, 10) < SOUND_IN_10 ||
 	    d->subject->first_event > d->subject->last_event ||
 	    g_str_has_prefix(d->subject->id, GARBLED_SOUND_PREFIX))
 		return NULL;
-	if (d->subject->stream && below(d, 2))
-		return &PICK(d, stream_kinds);
-	return &PICK(d, kinds);
+	if (d->subject->stream && (only || below(d, 2)))
+		kind = draw_of(d, stream_kinds, G_N_ELEMENTS(stream_kinds),
+			       only);
+	return kind ? kind : draw_of(d, kinds, G_N_ELEMENTS(kinds), only);
 }
 
 static void fill_body(struct draft *d, int from)
@@ -573,7 +589,7 @@
 
 /* Decides on an answer; the caller holds the lock. */
 static void draw_answer(struct draft *d, const struct garbled_subject *subject,
-			const char *resume_id, bool tainted)
+			const char *resume_id, const struct connection *c)
 {
 	struct garbled_answer *answer = g_new0(struct garbled_answer, 1);
 	guint number = subject->answers->len;
@@ -595,9 +611,9 @@
 	d->bytes = g_string_new(NULL);
 	d->framing = (enum framing)below(d, FRAMINGS);
 	fill_body(d, from.first_event);
-	kind = draw_kind(d);
+	kind = draw_kind(d, c->endpoint->only_kind);
 	answer->kind = kind ? kind->name : "sound";
-	answer->sound = !kind && !tainted;
+	answer->sound = !kind && !c->tainted;
 	if (kind)
 		kind->change(d);
 	render(d);
@@ -772,7 +788,7 @@
 	g_mutex_lock(&endpoint->lock);
 	subject = find_subject(endpoint, &arrival);
 	if (subject)
-		draw_answer(&draft, subject, arrival.resume_id, c->tainted);
+		draw_answer(&draft, subject, arrival.resume_id, c);
 	g_mutex_unlock(&endpoint->lock);
 	if (!subject)
 		goto out;
@@ -966,6 +982,13 @@
 	return subject;
 }
 
+void garbled_endpoint_limit(struct garbled_endpoint *endpoint, const char *kind)
+{
+	g_mutex_lock(&endpoint->lock);
+	endpoint->only_kind = kind;
+	g_mutex_unlock(&endpoint->lock);
+}
+
 void garbled_endpoint_done(struct garbled_endpoint *endpoint,
 			   struct garbled_subject *subject)
 {
--- a/test/garbled_endpoint.h
+++ b/test/garbled_endpoint.h
@@ -53,6 +53,10 @@
 	struct garbled_endpoint *endpoint,
 	const struct garbled_subject *subject);
 
+/** From now on, only answers of this kind are given; NULL for all kinds. */
+void garbled_endpoint_limit(struct garbled_endpoint *endpoint,
+			    const char *kind);
+
 /** Says that a caller has its answer; second answers may now come. */
 void garbled_endpoint_done(struct garbled_endpoint *endpoint,
 			   struct garbled_subject *subject);
--- a/test/test_garbled.c
+++ b/test/test_garbled.c
@@ -27,6 +27,7 @@
 
 #define FIRST_SEED 1
 #define SEEDS 20
+#define KIND_SEEDS 100000
 #define CALLERS 6
 #define REQUESTS 40   /* of each caller, for each seed */
 #define FAULTS_MAX 20 /* printed */
@@ -70,12 +71,12 @@
 
 struct caller {
 	struct garbled_test *test;
-	guint32 seed;
-	int number;
 	GRand *random;
-	int fd; /* -1: none */
 	GString *input;
 	struct request requests[REQUESTS];
+	guint32 seed;
+	int number;
+	int fd;	  /* -1: none */
 	int sent; /* of `requests` */
 };
 
@@ -667,7 +668,7 @@
 	assert_int_equal(status, 200);
 }
 
-static int set_up(void **state)
+static int set_up_group(void **state)
 {
 	static struct garbled_test test_storage;
 	struct garbled_test *test = &test_storage;
@@ -687,32 +688,57 @@
 		usleep(POLL_US);
 	test->beats = g_thread_new("beats", run_beats, test);
 	g_free(document);
+	wait_until_served(test);
 	return 0;
 }
 
+static void check_no_faults(struct garbled_test *test, int before)
+{
+	if (garbled_endpoint_unknown(test->endpoint))
+		fail_msg("UNASKED: %d requests that no caller sent",
+			 garbled_endpoint_unknown(test->endpoint));
+	if (test->faults != before)
+		fail_msg("%d faults", test->faults - before);
+}
+
 static void test_callers_get_whole_answers_of_their_own(void **state)
 {
 	struct garbled_test *test = *state;
+	int before = test->faults, answered = test->answered;
 
-	wait_until_served(test);
+	garbled_endpoint_limit(test->endpoint, NULL);
 	for (guint32 i = 0; i < seeds; i++) {
-		int before = test->faults;
+		int so_far = test->faults;
 
 		run_seed(test, first_seed + i);
 		fprintf(stderr, "seed %u: %d faults\n", first_seed + i,
-			test->faults - before);
+			test->faults - so_far);
 	}
 	fprintf(stderr,
 		"%d answered, %d refused, %d failed, %d closed, %d cut off\n",
 		test->answered, test->refused, test->failed, test->closed,
 		test->cut);
-	if (garbled_endpoint_unknown(test->endpoint))
-		fail_msg("UNASKED: %d requests that no caller sent",
-			 garbled_endpoint_unknown(test->endpoint));
-	if (test->faults)
-		fail_msg("%d faults", test->faults);
+	check_no_faults(test, before);
 	/* Without whole answers nothing was tested. */
-	assert_true((guint32)test->answered > seeds * CALLERS * REQUESTS / 4);
+	assert_true((guint32)(test->answered - answered) >
+		    seeds * CALLERS * REQUESTS / 4);
+}
+
+/* Gives answers of one kind and sound ones. Returns how many had success. */
+static int check_kind(struct garbled_test *test, const char *kind)
+{
+	int before = test->faults, answered = test->answered;
+
+	garbled_endpoint_limit(test->endpoint, kind);
+	run_seed(test, g_str_hash(kind) % KIND_SEEDS);
+	check_no_faults(test, before);
+	return test->answered - answered;
+}
+
+static void test_body_without_length_lasts_until_the_close(void **state)
+{
+	/* All kinds of requests get all of their answers. */
+	assert_int_equal(check_kind(*state, "kept"), CALLERS * REQUESTS);
 }
 
 static void remove_folder(struct garbled_test *test)
@@ -727,7 +753,7 @@
 	g_free(test->folder);
 }
 
-static int tear_down(void **state)
+static int tear_down_group(void **state)
 {
 	struct garbled_test *test = *state;
 
@@ -748,9 +774,9 @@
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test_setup_teardown(
-			test_callers_get_whole_answers_of_their_own, set_up,
-			tear_down),
+		cmocka_unit_test(test_callers_get_whole_answers_of_their_own),
+		cmocka_unit_test(
+			test_body_without_length_lasts_until_the_close),
 	};
 
 	if (argc == 3) {
@@ -758,5 +784,6 @@
 		seeds = (guint32)strtoul(argv[2], NULL, 10);
 	}
 	signal(SIGPIPE, SIG_IGN);
-	return cmocka_run_group_tests_name("garbled", tests, NULL, NULL);
+	return cmocka_run_group_tests_name("garbled", tests, set_up_group,
+					   tear_down_group);
 }
