entry: don't pass on a status that is not final

What callers saw: an answer with status 0, 7, 42, 199, 600 or 999, or a 101 or 103 as if it were the last: no answer in the protocol. A 100 left its fields among those of the answer that followed it.

Cause: evhttp passes on every status but 0 that it can read as a number, and ends a response at a 101 or 103.

Such a response now counts as broken off, so that its outcome is unknown; one line of the log names the request, the reason, the status and the address.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -399,6 +399,7 @@
 static void send_request(struct call *call)
 {
 	struct upstream_request request = {
+		.id = call->id,
 		.address = call->address,
 		.method = call->method,
 		.path = call->path,
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -4,10 +4,15 @@
 #include <event2/bufferevent.h>
 
 #include "common/address.h"
+#include "common/log.h"
+#include "entry/response_head.h"
 #include "entry/upstream.h"
 
 #define IDLE_CONNECTIONS_PER_ADDRESS 64
 #define HEADER_BYTES 65536
+#define CONTINUE 100
+
+static const struct log upstream_log = { "upstream" };
 
 struct upstream_pool {
 	struct event_base *base;
@@ -133,17 +138,38 @@
 	evhttp_add_header(headers, "Connection", "close");
 }
 
+/* Returns whether the response is refused: it then counts as broken off. */
+static bool refuse_head(struct upstream *u, int status,
+			struct evkeyvalq *headers)
+{
+	const char *fault = response_head_fault(status, headers);
+
+	if (fault)
+		log_note(&upstream_log,
+			 "request %s: response not taken: %s status=%d at=%s",
+			 u->opts.id ? u->opts.id : "-", fault, status,
+			 u->address);
+	return fault;
+}
+
 static int on_head(struct evhttp_request *req, void *arg)
 {
 	struct upstream *u = arg;
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
+	int status = evhttp_request_get_response_code(req);
 
 	if (u->cancelled)
 		return -1;
+	/* evhttp goes on to the final response, and keeps these headers. */
+	if (status == CONTINUE) {
+		evhttp_clear_headers(headers);
+		return 0;
+	}
+	if (refuse_head(u, status, headers))
+		return -1;
 	u->is_framed = has_framing(req);
 	if (u->opts.head)
-		u->not_reusable = !u->opts.head(
-			u->opts.ctx, evhttp_request_get_response_code(req),
-			evhttp_request_get_input_headers(req));
+		u->not_reusable = !u->opts.head(u->opts.ctx, status, headers);
 	if (!u->is_framed)
 		expect_close(req);
 	return 0;
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -30,6 +30,7 @@
 };
 
 struct upstream_request {
+	const char *id; /* for the log; may be NULL */
 	const char *address;
 	enum evhttp_cmd_type method;
 	const char *path; /* with the query */
--- a/test/test_garbled.c
+++ b/test/test_garbled.c
@@ -741,6 +741,13 @@
 	assert_int_equal(check_kind(*state, "kept"), CALLERS * REQUESTS);
 }
 
+static void test_status_that_is_not_final_is_not_passed_on(void **state)
+{
+	check_kind(*state, "status");
+	check_kind(*state, "interim");
+	check_kind(*state, "interim only");
+}
+
 static void remove_folder(struct garbled_test *test)
 {
 	char *command[] = { (char *)"rm", (char *)"-r", test->folder, NULL };
@@ -777,6 +784,8 @@
 		cmocka_unit_test(test_callers_get_whole_answers_of_their_own),
 		cmocka_unit_test(
 			test_body_without_length_lasts_until_the_close),
+		cmocka_unit_test(
+			test_status_that_is_not_final_is_not_passed_on),
 	};
 
 	if (argc == 3) {
