--- a/test/test_garbled.c
+++ b/test/test_garbled.c
@@ -748,6 +748,11 @@
 	check_kind(*state, "interim only");
 }
 
+static void test_unreadable_header_field_is_not_passed_on(void **state)
+{
+	check_kind(*state, "fields");
+}
+
 static void remove_folder(struct garbled_test *test)
 {
 	char *command[] = { (char *)"rm", (char *)"-r", test->folder, NULL };
@@ -786,6 +791,7 @@
 			test_body_without_length_lasts_until_the_close),
 		cmocka_unit_test(
 			test_status_that_is_not_final_is_not_passed_on),
+		cmocka_unit_test(test_unreadable_header_field_is_not_passed_on),
 	};
 
 	if (argc == 3) {
