entry: don't pass on a body with a content coding

What callers saw: a success with the endpoint's seal and a Content-Encoding, for which they had not asked. By the protocol such a response does not hold the endpoint's body.

Such a response counts as broken off.

--- a/entry/response_head.c
+++ b/entry/response_head.c
@@ -75,5 +75,9 @@
 		return "a malformed header field";
 	if (has_unclear_framing(headers))
 		return "conflicting or unknown framing";
+	/* Requests ask for no coding, so this is not the endpoint's own body.
+	 */
+	if (evhttp_find_header(headers, "Content-Encoding"))
+		return "a content coding";
 	return NULL;
 }
--- a/test/test_garbled.c
+++ b/test/test_garbled.c
@@ -762,6 +762,11 @@
 	check_kind(*state, "coding");
 }
 
+static void test_encoded_body_is_not_passed_on(void **state)
+{
+	check_kind(*state, "encoding");
+}
+
 static void remove_folder(struct garbled_test *test)
 {
 	char *command[] = { (char *)"rm", (char *)"-r", test->folder, NULL };
@@ -802,6 +807,7 @@
 			test_status_that_is_not_final_is_not_passed_on),
 		cmocka_unit_test(test_unreadable_header_field_is_not_passed_on),
 		cmocka_unit_test(test_body_of_unclear_length_is_not_passed_on),
+		cmocka_unit_test(test_encoded_body_is_not_passed_on),
 	};
 
 	if (argc == 3) {
