--- a/entry/response_head.c
+++ b/entry/response_head.c
@@ -35,6 +35,11 @@
 	return !g_ascii_strcasecmp(header->key, name);
 }
 
+static bool is_chunked(const struct evkeyval *header)
+{
+	return !g_ascii_strcasecmp(header->value, "chunked");
+}
+
 static bool is_length(const char *text)
 {
 	size_t size = strlen(text);
@@ -56,8 +61,7 @@
 
 		if (sets_length && !is_length(header->value))
 			return true;
-		if (sets_coding && g_ascii_strcasecmp(header->value, "chunke"
-								     "d") != 0)
+		if (sets_coding && !is_chunked(header))
 			return true;
 		fields += sets_length || sets_coding;
 	}
