platform, entry: break a stream off at bytes that are no event

What callers saw: in the middle of an event stream the head and the body of a second answer, an error page, or garbage, and the stream then complete.

Cause: an answer without a length lasts until its connection closes, and the entry forwarded whatever an empty line ended. So all that an endpoint that stutters wrote after its answer became part of it.

A plain body without a length has no such structure: what follows it on its connection can't be told from it.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -234,9 +234,21 @@
 	}
 }
 
+/* Returns why the stream cannot go on after what it sent, or NULL. */
+static const char *stream_fault(const struct call *call)
+{
+	if (call->format->stream_fault && call->format->stream_fault(call))
+		return call->format->stream_fault(call);
+	if (evbuffer_get_length(call->response_body) >
+	    INCOMPLETE_EVENT_MAX_BYTES)
+		return "sent an event that is too long";
+	return NULL;
+}
+
 static void handle_stream_data(struct call *call, struct evbuffer *data)
 {
 	struct evbuffer *events = evbuffer_new();
+	const char *fault;
 	uint32_t tokens;
 
 	evbuffer_add_buffer(call->response_body, data);
@@ -250,10 +262,10 @@
 	if (evbuffer_get_length(events) && call->req)
 		forward_events(call, events);
 	evbuffer_free(events);
-	if (evbuffer_get_length(call->response_body) >
-	    INCOMPLETE_EVENT_MAX_BYTES) {
+	fault = stream_fault(call);
+	if (fault) {
 		cancel_upstream(call);
-		handle_failure(call, "sent an event that is too long");
+		handle_failure(call, fault);
 	}
 }
 
--- a/entry/call.h
+++ b/entry/call.h
@@ -50,6 +50,11 @@
 	 */
 	uint32_t (*move_events)(struct call *call, struct evbuffer *in,
 				struct evbuffer *out);
+	/**
+	 * Returns why move_events() stopped at bytes that cannot be passed on,
+	 * or NULL. May be NULL.
+	 */
+	const char *(*stream_fault)(const struct call *call);
 	/** Whether a stream that the endpoint has closed is complete. */
 	bool (*stream_complete)(const struct call *call);
 	/** Sends an error response to the caller. */
--- a/test/test_garbled.c
+++ b/test/test_garbled.c
@@ -767,6 +767,12 @@
 	check_kind(*state, "encoding");
 }
 
+static void test_bytes_that_are_no_events_are_not_passed_on(void **state)
+{
+	check_kind(*state, "no events");
+	check_kind(*state, "second inside");
+}
+
 static void remove_folder(struct garbled_test *test)
 {
 	char *command[] = { (char *)"rm", (char *)"-r", test->folder, NULL };
@@ -808,6 +814,8 @@
 		cmocka_unit_test(test_unreadable_header_field_is_not_passed_on),
 		cmocka_unit_test(test_body_of_unclear_length_is_not_passed_on),
 		cmocka_unit_test(test_encoded_body_is_not_passed_on),
+		cmocka_unit_test(
+			test_bytes_that_are_no_events_are_not_passed_on),
 	};
 
 	if (argc == 3) {
