platform: break a stream off at an event that comes again

What callers saw: events of a stream twice, when an endpoint answered twice without a length, went back in its own stream, or began a resumed one anew.

Cause: the reader took whatever id an event had; a stream's events have increasing numbers, and a stream is only resumed after the last one.

Such an event isn't forwarded; the stream is resumed elsewhere if it may be, and cut off visibly if not. Ids that are no numbers aren't compared. A number left out can't be told from one of several tokens.

--- a/test/test_garbled.c
+++ b/test/test_garbled.c
@@ -773,6 +773,11 @@
 	check_kind(*state, "second inside");
 }
 
+static void test_event_that_comes_again_is_not_passed_on(void **state)
+{
+	check_kind(*state, "order");
+}
+
 static void remove_folder(struct garbled_test *test)
 {
 	char *command[] = { (char *)"rm", (char *)"-r", test->folder, NULL };
@@ -816,6 +821,7 @@
 		cmocka_unit_test(test_encoded_body_is_not_passed_on),
 		cmocka_unit_test(
 			test_bytes_that_are_no_events_are_not_passed_on),
+		cmocka_unit_test(test_event_that_comes_again_is_not_passed_on),
 	};
 
 	if (argc == 3) {
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -446,11 +446,16 @@
 	g_strdelimit(text, "/", '\n');
 	evbuffer_add(t->in, text, strlen(text));
 	moved = event_reader_move_events(&t->events, t->in, t->out);
-	script_print(s, "%u events moved, %zu bytes left, last id %s", moved,
-		     evbuffer_get_length(t->in),
+	script_print(s, "%u events moved, %zu bytes left, last id %s%s%s",
+		     moved, evbuffer_get_length(t->in),
 		     event_reader_last_id(&t->events)
 			     ? event_reader_last_id(&t->events)
-			     : "none");
+			     : "none",
+		     t->events.fault ? ": " : "",
+		     t->events.fault ? t->events.fault : "");
+	/* The next attempt begins anew. */
+	if (t->events.fault)
+		evbuffer_drain(t->in, evbuffer_get_length(t->in));
 	g_free(text);
 }
 
@@ -652,7 +657,7 @@
 	t.monitor = monitor_create(&monitor);
 	t.view = view_create(&view);
 	t.feed = feed_create(&feed);
-	event_reader_init(&t.events);
+	event_reader_init(&t.events, NULL);
 	retry_budget_init(&t.retry_budget, &retry_budget);
 	retry_budget_set_reserve(&t.retry_budget, 2);
 	script_check(path, table, &t);
