platform, entry: don't believe an unnamed refusal on a reused connection

What callers saw: 503, which promises that the request has not run, for one that had run (REFUSED); and requests were sent again as if they had not run.

Cause: response_classify() believed any 421 or Not-Executed without an id, since an endpoint that did not read the request can't echo it. On a connection that has carried others it may be the late second answer to one of them, while the endpoint runs the request just sent.

Change: the classification learns whether the connection was open before the request. Once-only requests have connections of their own, so that their refusals are believed as before.

--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -26,6 +26,7 @@
 	char *address;
 	struct evhttp_connection *conn;
 	struct evhttp_request *req; /* NULL once evhttp has freed it */
+	bool reused;		    /* `conn` was open before the request */
 	bool bytes_sent;	    /* some of the request was sent */
 	bool is_framed; /* the response has a length or is chunked */
 	bool cancelled;
@@ -282,6 +283,7 @@
 	u->conn = acquire_connection(pool, u->address, request->once_only);
 	evhttp_connection_set_timeout_tv(u->conn, &idle);
 	bev = evhttp_connection_get_bufferevent(u->conn);
+	u->reused = bufferevent_getfd(bev) >= 0;
 	u->output_cb = evbuffer_add_cb(bufferevent_get_output(bev), on_output,
 				       u);
 	u->req = evhttp_request_new(on_done, u);
@@ -307,6 +309,11 @@
 			&no_delay);
 }
 
+bool upstream_is_reused(const struct upstream *u)
+{
+	return u->reused;
+}
+
 void upstream_pause(struct upstream *u, bool paused)
 {
 	struct bufferevent *bev = evhttp_connection_get_bufferevent(u->conn);
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -65,6 +65,9 @@
  */
 void upstream_cancel(struct upstream *upstream);
 
+/** Whether the request's connection has carried earlier ones. */
+bool upstream_is_reused(const struct upstream *upstream);
+
 /** Pauses or resumes reading the response. */
 void upstream_pause(struct upstream *upstream, bool paused);
 
--- a/test/test_garbled.c
+++ b/test/test_garbled.c
@@ -778,6 +778,12 @@
 	check_kind(*state, "order");
 }
 
+static void test_late_refusal_of_an_earlier_request_is_not_believed(
+	void **state)
+{
+	check_kind(*state, "second answer");
+}
+
 static void remove_folder(struct garbled_test *test)
 {
 	char *command[] = { (char *)"rm", (char *)"-r", test->folder, NULL };
@@ -822,6 +828,8 @@
 		cmocka_unit_test(
 			test_bytes_that_are_no_events_are_not_passed_on),
 		cmocka_unit_test(test_event_that_comes_again_is_not_passed_on),
+		cmocka_unit_test(
+			test_late_refusal_of_an_earlier_request_is_not_believed),
 	};
 
 	if (argc == 3) {
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -224,7 +224,10 @@
 	json_decref(body);
 }
 
-/* response ID STATUS [Header:value ...]; ID is - for a request without one */
+/*
+ * response ID STATUS [reused] [Header:value ...]: ID is - for a request without
+ * one; `reused` says that the connection has carried earlier ones.
+ */
 static void classify_response(struct script *s)
 {
 	static const char *const names[] = {
@@ -234,17 +237,19 @@
 		[RESPONSE_MISMATCHED] = "mismatched",
 	};
 	const char *id = strcmp(s->words[1], "-") ? s->words[1] : NULL;
+	bool reused = s->word_count > 3 && !strcmp(s->words[3], "reused");
 	struct evkeyvalq headers;
 
 	TAILQ_INIT(&headers);
-	for (int i = 3; i < s->word_count; i++) {
+	for (int i = reused ? 4 : 3; i < s->word_count; i++) {
 		char **parts = g_strsplit(s->words[i], ":", 2);
 
 		evhttp_add_header(&headers, parts[0], parts[1]);
 		g_strfreev(parts);
 	}
 	script_print(s, "%s",
-		     names[response_classify(id, atoi(s->words[2]), &headers)]);
+		     names[response_classify(id, reused, atoi(s->words[2]),
+					     &headers)]);
 	evhttp_clear_headers(&headers);
 }
 
