entry: don't reuse a connection on which bytes have arrived

What callers saw: nothing wrong by itself, but requests failed with 502 that sound endpoints would have answered, and each unnamed second answer could be taken for the next request's.

Cause: bytes after a whole response stayed in the connection's buffer, or in the socket's, while it was idle; evhttp took them for the response to the next request.

Change: a connection is put into the pool, and taken from it, only if it is open, nothing has been read from it beyond the response, and nothing waits in its socket; the log has a line for each that isn't. Bytes that arrive after the next request was sent can be told only by their id, as before.

--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -1,4 +1,6 @@
+#include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -51,6 +53,29 @@
 	return pool;
 }
 
+/*
+ * Whether a connection without a request can take one. Bytes on it are no
+ * response to any; evhttp would take them for the response to the next.
+ */
+static bool is_idle(struct evhttp_connection *conn, const char *address)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
+	evutil_socket_t fd = bufferevent_getfd(bev);
+	ssize_t size = (ssize_t)evbuffer_get_length(bufferevent_get_input(bev));
+	char byte;
+
+	if (fd < 0)
+		return false;
+	if (!size)
+		size = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	if (size > 0)
+		log_note(&upstream_log,
+			 "connection not reused: bytes without a request "
+			 "at=%s",
+			 address);
+	return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 static void release_connection(struct upstream *u, bool reusable)
 {
 	struct upstream_pool *pool = u->pool;
@@ -66,7 +91,8 @@
 		queue = g_queue_new();
 		g_hash_table_insert(pool->idle, g_strdup(u->address), queue);
 	}
-	if (reusable && queue->length < IDLE_CONNECTIONS_PER_ADDRESS)
+	if (reusable && queue->length < IDLE_CONNECTIONS_PER_ADDRESS &&
+	    is_idle(u->conn, u->address))
 		g_queue_push_tail(queue, u->conn);
 	else
 		evhttp_connection_free(u->conn);
@@ -214,8 +240,12 @@
 	struct evhttp_connection *conn;
 	struct address address;
 
-	if (queue && queue->length && !once_only)
-		return g_queue_pop_tail(queue);
+	while (queue && queue->length && !once_only) {
+		conn = g_queue_pop_tail(queue);
+		if (is_idle(conn, text))
+			return conn;
+		evhttp_connection_free(conn);
+	}
 	if (!address_parse(text, &address))
 		memset(&address, 0, sizeof(address));
 	conn = evhttp_connection_base_new(
--- a/test/garbled_endpoint.c
+++ b/test/garbled_endpoint.c
@@ -135,6 +135,12 @@
 	d->second_at = (enum moment)below(d, MOMENTS);
 }
 
+static void change_extra(struct draft *d)
+{
+	change_second(d);
+	d->second_at = SAME_WRITE;
+}
+
 static void change_status(struct draft *d)
 {
 	static const char *const lines[] = {
@@ -380,6 +386,7 @@
 	{ "second answer", change_second, no_change },
 	{ "second answer", change_second, no_change },
 	{ "second answer", change_second, no_change },
+	{ "extra bytes", change_extra, no_change },
 	{ "status", change_status, no_change },
 	{ "interim", change_interim, no_change },
 	{ "interim only", no_change, mutilate_interim_only },
--- a/test/test_garbled.c
+++ b/test/test_garbled.c
@@ -784,6 +784,12 @@
 	check_kind(*state, "second answer");
 }
 
+static void test_connection_with_extra_bytes_is_not_reused(void **state)
+{
+	/* Reusing one would cost the next request its attempt. */
+	assert_int_equal(check_kind(*state, "extra bytes"), CALLERS * REQUESTS);
+}
+
 static void remove_folder(struct garbled_test *test)
 {
 	char *command[] = { (char *)"rm", (char *)"-r", test->folder, NULL };
@@ -830,6 +836,8 @@
 		cmocka_unit_test(test_event_that_comes_again_is_not_passed_on),
 		cmocka_unit_test(
 			test_late_refusal_of_an_earlier_request_is_not_believed),
+		cmocka_unit_test(
+			test_connection_with_extra_bytes_is_not_reused),
 	};
 
 	if (argc == 3) {
