--- a/test/garbled_endpoint.c
+++ b/test/garbled_endpoint.c
@@ -993,6 +993,9 @@
 {
 	g_mutex_lock(&endpoint->lock);
 	endpoint->only_kind = kind;
+	/* The listening sockets come first. */
+	for (guint i = GARBLED_ENDPOINTS; i < endpoint->sockets->len; i++)
+		shutdown(g_array_index(endpoint->sockets, int, i), SHUT_RDWR);
 	g_mutex_unlock(&endpoint->lock);
 }
 
--- a/test/garbled_endpoint.h
+++ b/test/garbled_endpoint.h
@@ -53,7 +53,10 @@
 	struct garbled_endpoint *endpoint,
 	const struct garbled_subject *subject);
 
-/** From now on, only answers of this kind are given; NULL for all kinds. */
+/**
+ * From now on, only answers of this kind are given; NULL for all kinds. Closes
+ * all connections, on which second answers may be due.
+ */
 void garbled_endpoint_limit(struct garbled_endpoint *endpoint,
 			    const char *kind);
 
