platform: don't pass on a promise that the endpoint has not made

What callers saw: 408, 429 or 503, which promise that the request has not run and never will, for a request that had run (REFUSED).

Cause: an endpoint states that it did not run a request by Not-Executed only, or by 421; a 503 without it counted as a failure, and it and other statuses were passed on unchanged once no attempt was left.

Change: such an answer isn't taken: its outcome is unknown, a request that may run twice is sent elsewhere, any other gets 502. The line of the log for an answer that isn't taken now has the reason.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -373,7 +373,7 @@
 	else if (end == UPSTREAM_FAILED)
 		handle_failure(call, "broke off");
 	else if (call->response_class == RESPONSE_MISMATCHED)
-		handle_failure(call, "answered another request");
+		handle_failure(call, "sent a response that is not taken");
 	else if (call->response_class == RESPONSE_NOT_RUN)
 		handle_not_run(call);
 	else if (should_retry_failure(call))
--- a/entry/call.h
+++ b/entry/call.h
@@ -23,7 +23,7 @@
 	RESPONSE_FORWARD,    /* forwarded to the caller unchanged */
 	RESPONSE_NOT_RUN,    /* the endpoint states that the call did not run */
 	RESPONSE_FAILED,     /* ran and failed; another endpoint may succeed */
-	RESPONSE_MISMATCHED, /* response to a different request */
+	RESPONSE_MISMATCHED, /* cannot be this request's response */
 };
 
 /** Protocol callbacks that translate a call between callers and endpoints. */
--- a/test/test_garbled.c
+++ b/test/test_garbled.c
@@ -790,6 +790,11 @@
 	assert_int_equal(check_kind(*state, "extra bytes"), CALLERS * REQUESTS);
 }
 
+static void test_promise_that_is_not_stated_is_not_passed_on(void **state)
+{
+	check_kind(*state, "false promise");
+}
+
 static void remove_folder(struct garbled_test *test)
 {
 	char *command[] = { (char *)"rm", (char *)"-r", test->folder, NULL };
@@ -838,6 +843,7 @@
 			test_late_refusal_of_an_earlier_request_is_not_believed),
 		cmocka_unit_test(
 			test_connection_with_extra_bytes_is_not_reused),
+		cmocka_unit_test(test_promise_that_is_not_stated_is_not_passed_on),
 	};
 
 	if (argc == 3) {
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -237,6 +237,8 @@
 		[RESPONSE_MISMATCHED] = "mismatched",
 	};
 	const char *id = strcmp(s->words[1], "-") ? s->words[1] : NULL;
+	enum response_class class;
+	const char *why;
 	bool reused = s->word_count > 3 && !strcmp(s->words[3], "reused");
 	struct evkeyvalq headers;
 
@@ -247,9 +249,10 @@
 		evhttp_add_header(&headers, parts[0], parts[1]);
 		g_strfreev(parts);
 	}
-	script_print(s, "%s",
-		     names[response_classify(id, reused, atoi(s->words[2]),
-					     &headers)]);
+	class = response_classify(id, reused, atoi(s->words[2]), &headers,
+				  &why);
+	script_print(s, "%s%s%s", names[class], why ? ": " : "",
+		     why ? why : "");
 	evhttp_clear_headers(&headers);
 }
 
