entry: don't pass on a head with a NUL

What callers saw: a success whose seal was cut off, and others without the fields behind the NUL.

Cause: evhttp keeps lines as strings, so that a NUL silently ends one. What is left looks sound, so it has to be seen in the bytes, before evhttp takes them.

In the test, a NUL could also fall on the body's first byte, where it is a byte like others; it is now put into the head only.

--- a/entry/response_head.c
+++ b/entry/response_head.c
@@ -1,4 +1,3 @@
-#include <stdbool.h>
 #include <string.h>
 #include <sys/queue.h>
 
@@ -85,3 +84,23 @@
 		return "a content coding";
 	return NULL;
 }
+
+/* Whether the empty line that ends a head lies before the position. */
+static bool ends_before(struct evbuffer *input, const struct evbuffer_ptr *end)
+{
+	char start[2] = "";
+
+	evbuffer_copyout(input, start, sizeof(start));
+	/* The lines before the empty one may have been removed. */
+	if (*start == '\n' || (*start == '\r' && start[1] == '\n'))
+		return true;
+	return evbuffer_search_range(input, "\n\r\n", 3, NULL, end).pos >= 0 ||
+	       evbuffer_search_range(input, "\n\n", 2, NULL, end).pos >= 0;
+}
+
+bool response_head_has_nul(struct evbuffer *input)
+{
+	struct evbuffer_ptr nul = evbuffer_search(input, "", 1, NULL);
+
+	return nul.pos == 0 || (nul.pos > 0 && !ends_before(input, &nul));
+}
--- a/entry/response_head.h
+++ b/entry/response_head.h
@@ -7,6 +7,9 @@
 #ifndef ENTRY_RESPONSE_HEAD_H
 #define ENTRY_RESPONSE_HEAD_H
 
+#include <stdbool.h>
+
+#include <event2/buffer.h>
 #include <event2/http.h>
 
 /**
@@ -16,4 +19,10 @@
  */
 const char *response_head_fault(int status, struct evkeyvalq *headers);
 
+/**
+ * Whether the rest of a head at the start of `input`, which may be incomplete,
+ * has a NUL, at which evhttp would silently cut a line off.
+ */
+bool response_head_has_nul(struct evbuffer *input);
+
 #endif
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -34,6 +34,9 @@
 	bool cancelled;
 	bool not_reusable; /* opts.head() ruled out reuse of `conn` */
 	enum upstream_result end;
+	bool head_done; /* the final response's */
+	bool head_has_nul;
+	struct evbuffer_cb_entry *input_cb;
 	struct evbuffer_cb_entry *output_cb;
 };
 
@@ -82,6 +85,11 @@
 	GQueue *queue = g_hash_table_lookup(pool->idle, u->address);
 
 	g_hash_table_remove(pool->active, u);
+	if (u->input_cb)
+		evbuffer_remove_cb_entry(
+			bufferevent_get_input(
+				evhttp_connection_get_bufferevent(u->conn)),
+			u->input_cb);
 	if (u->output_cb)
 		evbuffer_remove_cb_entry(
 			bufferevent_get_output(
@@ -140,6 +148,16 @@
 		u->bytes_sent = true;
 }
 
+/* Runs before evhttp reads what has arrived. */
+static void on_input(struct evbuffer *input,
+		     const struct evbuffer_cb_info *info, void *arg)
+{
+	struct upstream *u = arg;
+
+	if (info->n_added && !u->head_done && response_head_has_nul(input))
+		u->head_has_nul = true;
+}
+
 static bool has_framing(struct evhttp_request *req)
 {
 	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
@@ -171,6 +189,8 @@
 {
 	const char *fault = response_head_fault(status, headers);
 
+	if (u->head_has_nul)
+		fault = "a NUL in its head";
 	if (fault)
 		log_note(&upstream_log,
 			 "request %s: response not taken: %s status=%d at=%s",
@@ -192,6 +212,7 @@
 		evhttp_clear_headers(headers);
 		return 0;
 	}
+	u->head_done = true;
 	if (refuse_head(u, status, headers))
 		return -1;
 	u->is_framed = has_framing(req);
@@ -314,6 +335,7 @@
 	evhttp_connection_set_timeout_tv(u->conn, &idle);
 	bev = evhttp_connection_get_bufferevent(u->conn);
 	u->reused = bufferevent_getfd(bev) >= 0;
+	u->input_cb = evbuffer_add_cb(bufferevent_get_input(bev), on_input, u);
 	u->output_cb = evbuffer_add_cb(bufferevent_get_output(bev), on_output,
 				       u);
 	u->req = evhttp_request_new(on_done, u);
--- a/test/garbled_endpoint.c
+++ b/test/garbled_endpoint.c
@@ -265,9 +265,11 @@
 
 static void mutilate_by_nul(struct draft *d)
 {
-	char *at = strstr(d->bytes->str, "Attempt-Id: ");
+	gsize start =
+		(gsize)(strstr(d->bytes->str, "Attempt-Id: ") - d->bytes->str);
+	gsize at = start + (gsize)below(d, (int)(d->head_size - start));
 
-	g_string_insert_c(d->bytes, at - d->bytes->str + below(d, 60), '\0');
+	g_string_insert_c(d->bytes, (gssize)at, '\0');
 	set_broken(d, CLOSE);
 }
 
--- a/test/test_garbled.c
+++ b/test/test_garbled.c
@@ -795,6 +795,11 @@
 	check_kind(*state, "false promise");
 }
 
+static void test_head_with_a_nul_is_not_passed_on(void **state)
+{
+	check_kind(*state, "NUL");
+}
+
 static void remove_folder(struct garbled_test *test)
 {
 	char *command[] = { (char *)"rm", (char *)"-r", test->folder, NULL };
@@ -843,7 +848,9 @@
 			test_late_refusal_of_an_earlier_request_is_not_believed),
 		cmocka_unit_test(
 			test_connection_with_extra_bytes_is_not_reused),
-		cmocka_unit_test(test_promise_that_is_not_stated_is_not_passed_on),
+		cmocka_unit_test(
+			test_promise_that_is_not_stated_is_not_passed_on),
+		cmocka_unit_test(test_head_with_a_nul_is_not_passed_on),
 	};
 
 	if (argc == 3) {
