--- a/test/garbled_endpoint.c
+++ b/test/garbled_endpoint.c
@@ -18,8 +18,9 @@
 	GMutex lock;
 	GCond changed;
 	GHashTable *subjects; /* id -> struct garbled_subject */
-	GPtrArray *threads;
-	GArray *sockets; /* of int; listening and accepted ones */
+	GPtrArray *listeners; /* of GThread */
+	int connections;      /* threads that serve one */
+	GArray *sockets;      /* of int; listening and accepted ones */
 	int port;
 	int unknown;
 	const char *only_kind; /* NULL: all */
@@ -820,7 +821,7 @@
 	g_array_append_val(endpoint->sockets, fd);
 }
 
-static void forget_socket(struct garbled_endpoint *endpoint, int fd)
+static void end_thread(struct garbled_endpoint *endpoint, int fd)
 {
 	g_mutex_lock(&endpoint->lock);
 	for (guint i = 0; i < endpoint->sockets->len; i++)
@@ -829,6 +830,8 @@
 			break;
 		}
 	close(fd);
+	endpoint->connections--;
+	g_cond_broadcast(&endpoint->changed);
 	g_mutex_unlock(&endpoint->lock);
 }
 
@@ -839,10 +842,10 @@
 	c->input = g_string_new(NULL);
 	while (serve_request(c))
 		;
-	forget_socket(c->endpoint, c->fd);
 	if (c->late)
 		g_string_free(c->late, TRUE);
 	g_string_free(c->input, TRUE);
+	end_thread(c->endpoint, c->fd);
 	g_free(c);
 	return NULL;
 }
@@ -867,8 +870,8 @@
 		remember_socket(endpoint, fd);
 		if (endpoint->stopping)
 			shutdown(fd, SHUT_RDWR);
-		g_ptr_array_add(endpoint->threads,
-				g_thread_new("connection", run_connection, c));
+		endpoint->connections++;
+		g_thread_unref(g_thread_new("connection", run_connection, c));
 		g_mutex_unlock(&endpoint->lock);
 	}
 	g_free(listener);
@@ -922,7 +925,7 @@
 	g_cond_init(&endpoint->changed);
 	endpoint->subjects = g_hash_table_new_full(g_str_hash, g_str_equal,
 						   NULL, free_subject);
-	endpoint->threads = g_ptr_array_new();
+	endpoint->listeners = g_ptr_array_new();
 	endpoint->sockets = g_array_new(FALSE, FALSE, sizeof(int));
 	for (int i = 0; i < GARBLED_ENDPOINTS; i++) {
 		struct listener *listener = g_new0(struct listener, 1);
@@ -933,7 +936,7 @@
 		endpoint->port = address_local_port(listener->fd);
 		g_mutex_lock(&endpoint->lock);
 		remember_socket(endpoint, listener->fd);
-		g_ptr_array_add(endpoint->threads,
+		g_ptr_array_add(endpoint->listeners,
 				g_thread_new("listener", run_listener,
 					     listener));
 		g_mutex_unlock(&endpoint->lock);
@@ -943,24 +946,22 @@
 
 void garbled_endpoint_stop(struct garbled_endpoint *endpoint)
 {
-	GThread *thread;
-
 	g_mutex_lock(&endpoint->lock);
 	endpoint->stopping = true;
 	g_cond_broadcast(&endpoint->changed);
 	for (guint i = 0; i < endpoint->sockets->len; i++)
 		shutdown(g_array_index(endpoint->sockets, int, i), SHUT_RDWR);
-	while (endpoint->threads->len) {
-		thread = g_ptr_array_steal_index(endpoint->threads, 0);
-		g_mutex_unlock(&endpoint->lock);
-		g_thread_join(thread);
-		g_mutex_lock(&endpoint->lock);
-	}
+	g_mutex_unlock(&endpoint->lock);
+	for (guint i = 0; i < endpoint->listeners->len; i++)
+		g_thread_join(endpoint->listeners->pdata[i]);
+	g_mutex_lock(&endpoint->lock);
+	while (endpoint->connections)
+		g_cond_wait(&endpoint->changed, &endpoint->lock);
 	g_mutex_unlock(&endpoint->lock);
 	/* What remains are the listening sockets. */
 	for (guint i = 0; i < endpoint->sockets->len; i++)
 		close(g_array_index(endpoint->sockets, int, i));
-	g_ptr_array_unref(endpoint->threads);
+	g_ptr_array_unref(endpoint->listeners);
 	g_array_unref(endpoint->sockets);
 	g_hash_table_unref(endpoint->subjects);
 	g_cond_clear(&endpoint->changed);
