--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -212,9 +212,21 @@
 	}
 }
 
+/* Returns why the stream cannot go on after what it sent, or NULL. */
+static const char *stream_fault(const struct call *call)
+{
+	if (call->format->stream_fault && call->format->stream_fault(call))
+		return call->format->stream_fault(call);
+	if (evbuffer_get_length(call->response_body) >
+	    INCOMPLETE_EVENT_MAX_BYTES)
+		return "sent an event that is too long";
+	return NULL;
+}
+
 static void handle_stream_data(struct call *call, struct evbuffer *data)
 {
 	struct evbuffer *events = evbuffer_new();
+	const char *fault;
 	uint32_t tokens;
 
 	evbuffer_add_buffer(call->response_body, data);
@@ -228,10 +240,10 @@
 	if (evbuffer_get_length(events) && reply_is_open(call->reply))
 		forward_events(call, events);
 	evbuffer_free(events);
-	if (evbuffer_get_length(call->response_body) >
-	    INCOMPLETE_EVENT_MAX_BYTES) {
+	fault = stream_fault(call);
+	if (fault) {
 		cancel_upstream(call);
-		handle_failure(call, "sent an event that is too long");
+		handle_failure(call, fault);
 	}
 }
 
@@ -406,7 +418,7 @@
 	else if (end->result == UPSTREAM_FAILED)
 		handle_failure(call, "broke off");
 	else if (call->response_class == RESPONSE_MISMATCHED)
-		handle_failure(call, "answered another request");
+		handle_failure(call, "sent a response that is not taken");
 	else if (call->response_class == RESPONSE_NOT_RUN)
 		handle_not_run(call);
 	else if (should_retry_failure(call))
@@ -447,6 +459,7 @@
 static void send_request(struct call *call)
 {
 	struct upstream_request request = {
+		.id = call->id,
 		.address = call->address,
 		.method = call->method,
 		.path = call->path,
--- a/entry/call.h
+++ b/entry/call.h
@@ -24,7 +24,7 @@
 	RESPONSE_FORWARD,    /* forwarded to the caller unchanged */
 	RESPONSE_NOT_RUN,    /* the endpoint states that the call did not run */
 	RESPONSE_FAILED,     /* ran and failed; another endpoint may succeed */
-	RESPONSE_MISMATCHED, /* response to a different request */
+	RESPONSE_MISMATCHED, /* cannot be this request's response */
 };
 
 /** Protocol callbacks that translate a call between callers and endpoints. */
@@ -51,6 +51,11 @@
 	 */
 	uint32_t (*move_events)(struct call *call, struct evbuffer *in,
 				struct evbuffer *out);
+	/**
+	 * Returns why move_events() stopped at bytes that cannot be passed on,
+	 * or NULL. May be NULL.
+	 */
+	const char *(*stream_fault)(const struct call *call);
 	/** Whether a stream that the endpoint has closed is complete. */
 	bool (*stream_complete)(const struct call *call);
 	/** Whether the caller already has a part of the stream. May be NULL. */
--- /dev/null
+++ b/entry/response_head.c
@@ -0,0 +1,106 @@
+#include <string.h>
+#include <sys/queue.h>
+
+#include <event2/keyvalq_struct.h>
+#include <glib.h>
+
+#include "entry/response_head.h"
+
+#define FIRST_FINAL_STATUS 200
+#define LAST_STATUS 599
+#define TOKEN_CHARACTERS \
+	"!#$%&'*+-.^_`|~" G_CSET_DIGITS G_CSET_a_2_z G_CSET_A_2_Z
+#define LENGTH_DIGITS_MAX 18 /* evhttp keeps lengths in 64 bits */
+#define DELETE_CHARACTER 0x7f
+
+static bool is_token(const char *name)
+{
+	size_t size = strlen(name);
+
+	return size && strspn(name, TOKEN_CHARACTERS) == size;
+}
+
+static bool has_control_character(const char *value)
+{
+	for (; *value; value++)
+		if (((unsigned char)*value < ' ' && *value != '\t') ||
+		    *value == DELETE_CHARACTER)
+			return true;
+	return false;
+}
+
+static bool is_named(const struct evkeyval *header, const char *name)
+{
+	return !g_ascii_strcasecmp(header->key, name);
+}
+
+static bool is_chunked(const struct evkeyval *header)
+{
+	return !g_ascii_strcasecmp(header->value, "chunked");
+}
+
+static bool is_length(const char *text)
+{
+	size_t size = strlen(text);
+
+	return size && size <= LENGTH_DIGITS_MAX &&
+	       strspn(text, G_CSET_DIGITS) == size;
+}
+
+/* Whether readers may differ about where the body ends. */
+static bool has_unclear_framing(struct evkeyvalq *headers)
+{
+	struct evkeyval *header;
+	int fields = 0;
+
+	TAILQ_FOREACH(header, headers, next)
+	{
+		bool sets_length = is_named(header, "Content-Length");
+		bool sets_coding = is_named(header, "Transfer-Encoding");
+
+		if (sets_length && !is_length(header->value))
+			return true;
+		if (sets_coding && !is_chunked(header))
+			return true;
+		fields += sets_length || sets_coding;
+	}
+	return fields > 1;
+}
+
+const char *response_head_fault(int status, struct evkeyvalq *headers)
+{
+	struct evkeyval *header;
+
+	if (status < FIRST_FINAL_STATUS || status > LAST_STATUS)
+		return "not-final-status";
+	TAILQ_FOREACH(header, headers, next)
+	if (!is_token(header->key) || has_control_character(header->value))
+		return "malformed-field";
+	if (has_unclear_framing(headers))
+		return "ambiguous-framing";
+	/* Requests ask for no coding, so this is not the endpoint's own body.
+	 */
+	if (evhttp_find_header(headers, "Content-Encoding"))
+		return "content-coding";
+	return NULL;
+}
+
+/* Whether the empty line that ends a head lies before the position. */
+static bool ends_before(struct evbuffer *input, const struct evbuffer_ptr *end)
+{
+	char start[2] = "";
+
+	evbuffer_copyout(input, start, sizeof(start));
+	/* The lines before the empty one may have been removed. */
+	if (*start == '\n' || (*start == '\r' && start[1] == '\n'))
+		return true;
+	return evbuffer_search_range(input, "\n\r\n", 3, NULL, end).pos >= 0 ||
+	       evbuffer_search_range(input, "\n\n", 2, NULL, end).pos >= 0;
+}
+
+bool response_head_has_nul(struct evbuffer *input)
+{
+	struct evbuffer_ptr nul = evbuffer_search(input, "", 1, NULL);
+
+	return nul.pos == 0 || (nul.pos > 0 && !ends_before(input, &nul));
+}
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -1,14 +1,20 @@
+#include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
 #include "common/address.h"
-#include "common/http.h"
+#include "common/log.h"
+#include "entry/response_head.h"
 #include "entry/upstream.h"
 
 #define IDLE_CONNECTIONS_PER_ADDRESS 64
 #define HEADER_BYTES 65536
+#define CONTINUE 100
+
+static const struct log upstream_log = { "upstream" };
 
 struct upstream_pool {
 	struct event_base *base;
@@ -26,6 +32,9 @@
 	bool cancelled;
 	bool not_reusable; /* opts.head() ruled out reuse of `conn` */
 	struct upstream_end end;
+	bool head_done; /* the final response's */
+	bool head_has_nul;
+	struct evbuffer_cb_entry *input_cb;
 	struct evbuffer_cb_entry *output_cb;
 };
 
@@ -45,12 +54,40 @@
 	return pool;
 }
 
+/*
+ * Whether a connection without a request can take one. Bytes on it are no
+ * response to any; evhttp would take them for the response to the next.
+ */
+static bool is_idle(struct evhttp_connection *conn, const char *address)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
+	evutil_socket_t fd = bufferevent_getfd(bev);
+	ssize_t size = (ssize_t)evbuffer_get_length(bufferevent_get_input(bev));
+	char byte;
+
+	if (fd < 0)
+		return false;
+	if (!size)
+		size = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	if (size > 0)
+		log_note(&upstream_log,
+			 "connection not reused: bytes without a request "
+			 "at=%s",
+			 address);
+	return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 static void release_connection(struct upstream *u, bool reusable)
 {
 	struct upstream_pool *pool = u->pool;
 	GQueue *queue = g_hash_table_lookup(pool->idle, u->address);
 
 	g_hash_table_remove(pool->active, u);
+	if (u->input_cb)
+		evbuffer_remove_cb_entry(
+			bufferevent_get_input(
+				evhttp_connection_get_bufferevent(u->conn)),
+			u->input_cb);
 	if (u->output_cb)
 		evbuffer_remove_cb_entry(
 			bufferevent_get_output(
@@ -60,7 +97,8 @@
 		queue = g_queue_new();
 		g_hash_table_insert(pool->idle, g_strdup(u->address), queue);
 	}
-	if (reusable && queue->length < IDLE_CONNECTIONS_PER_ADDRESS)
+	if (reusable && queue->length < IDLE_CONNECTIONS_PER_ADDRESS &&
+	    is_idle(u->conn, u->address))
 		g_queue_push_tail(queue, u->conn);
 	else
 		evhttp_connection_free(u->conn);
@@ -108,6 +146,16 @@
 		u->bytes_sent = true;
 }
 
+/* Runs before evhttp reads what has arrived. */
+static void on_input(struct evbuffer *input,
+		     const struct evbuffer_cb_info *info, void *arg)
+{
+	struct upstream *u = arg;
+
+	if (info->n_added && !u->head_done && response_head_has_nul(input))
+		u->head_has_nul = true;
+}
+
 static enum upstream_framing framing_of(struct evhttp_request *req)
 {
 	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
@@ -135,8 +183,8 @@
 }
 
 /*
- * evhttp reads an unframed body only if the head says no more of the connection
- * than that it closes, and none otherwise.
+ * evhttp takes the body for empty if a response without framing has a
+ * Connection field other than "close", although it ends with the connection.
  */
 static void read_until_close(struct evkeyvalq *headers)
 {
@@ -145,22 +193,43 @@
 	evhttp_add_header(headers, "Connection", "close");
 }
 
+/* Returns whether the response is refused: it then counts as broken off. */
+static bool refuse_head(struct upstream *u, int status,
+			struct evkeyvalq *headers)
+{
+	const char *fault = response_head_fault(status, headers);
+
+	if (u->head_has_nul)
+		fault = "nul-in-head";
+	if (fault)
+		log_note(&upstream_log,
+			 "request %s: response not taken reason=%s status=%d "
+			 "at=%s",
+			 u->opts.id ? u->opts.id : "-", fault, status,
+			 u->address);
+	u->end.failure = fault;
+	return fault;
+}
+
 static int on_head(struct evhttp_request *req, void *arg)
 {
 	struct upstream *u = arg;
 	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
+	int status = evhttp_request_get_response_code(req);
 
 	if (u->cancelled)
 		return -1;
-	if (http_has_ambiguous_framing(headers)) {
-		u->end.failure = "ambiguous-framing";
-		return -1;
+	/* evhttp goes on to the final response, and keeps these headers. */
+	if (status == CONTINUE) {
+		evhttp_clear_headers(headers);
+		return 0;
 	}
+	u->head_done = true;
+	if (refuse_head(u, status, headers))
+		return -1;
 	u->end.framing = framing_of(req);
 	if (u->opts.head)
-		u->not_reusable = !u->opts.head(
-			u->opts.ctx, evhttp_request_get_response_code(req),
-			headers);
+		u->not_reusable = !u->opts.head(u->opts.ctx, status, headers);
 	if (u->end.framing == FRAMING_CLOSE)
 		read_until_close(headers);
 	return 0;
@@ -218,16 +287,18 @@
 
 static struct evhttp_connection *acquire_connection(struct upstream_pool *pool,
 						    const char *text,
-						    bool once_only,
-						    bool *reused)
+						    bool once_only)
 {
 	GQueue *queue = g_hash_table_lookup(pool->idle, text);
 	struct evhttp_connection *conn;
 	struct address address;
 
-	*reused = queue && queue->length && !once_only;
-	if (*reused)
-		return g_queue_pop_tail(queue);
+	while (queue && queue->length && !once_only) {
+		conn = g_queue_pop_tail(queue);
+		if (is_idle(conn, text))
+			return conn;
+		evhttp_connection_free(conn);
+	}
 	if (!address_parse(text, &address))
 		memset(&address, 0, sizeof(address));
 	conn = evhttp_connection_base_new(
@@ -292,10 +363,11 @@
 	u->pool = pool;
 	u->opts = *request;
 	u->address = g_strdup(request->address);
-	u->conn = acquire_connection(pool, u->address, request->once_only,
-				     &u->end.reused_connection);
+	u->conn = acquire_connection(pool, u->address, request->once_only);
 	evhttp_connection_set_timeout_tv(u->conn, &idle);
 	bev = evhttp_connection_get_bufferevent(u->conn);
+	u->end.reused_connection = bufferevent_getfd(bev) >= 0;
+	u->input_cb = evbuffer_add_cb(bufferevent_get_input(bev), on_input, u);
 	u->output_cb = evbuffer_add_cb(bufferevent_get_output(bev), on_output,
 				       u);
 	u->req = evhttp_request_new(on_done, u);
@@ -322,6 +394,11 @@
 			&no_delay);
 }
 
+bool upstream_is_reused(const struct upstream *u)
+{
+	return u->end.reused_connection;
+}
+
 void upstream_pause(struct upstream *u, bool paused)
 {
 	struct bufferevent *bev = evhttp_connection_get_bufferevent(u->conn);
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -50,6 +50,7 @@
 const char *upstream_framing_name(enum upstream_framing framing);
 
 struct upstream_request {
+	const char *id; /* for the log; may be NULL */
 	const char *address;
 	enum evhttp_cmd_type method;
 	const char *path; /* with the query */
@@ -84,6 +85,9 @@
  */
 void upstream_cancel(struct upstream *upstream);
 
+/** Whether the request's connection has carried earlier ones. */
+bool upstream_is_reused(const struct upstream *upstream);
+
 /** Pauses or resumes reading the response. */
 void upstream_pause(struct upstream *upstream, bool paused);
 
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -224,7 +224,10 @@
 	json_decref(body);
 }
 
-/* response ID STATUS [Header:value ...]; ID is - for a request without one */
+/*
+ * response ID STATUS [reused] [Header:value ...]: ID is - for a request without
+ * one; `reused` says that the connection has carried earlier ones.
+ */
 static void classify_response(struct script *s)
 {
 	static const char *const names[] = {
@@ -234,17 +237,22 @@
 		[RESPONSE_MISMATCHED] = "mismatched",
 	};
 	const char *id = strcmp(s->words[1], "-") ? s->words[1] : NULL;
+	enum response_class class;
+	const char *why;
+	bool reused = s->word_count > 3 && !strcmp(s->words[3], "reused");
 	struct evkeyvalq headers;
 
 	TAILQ_INIT(&headers);
-	for (int i = 3; i < s->word_count; i++) {
+	for (int i = reused ? 4 : 3; i < s->word_count; i++) {
 		char **parts = g_strsplit(s->words[i], ":", 2);
 
 		evhttp_add_header(&headers, parts[0], parts[1]);
 		g_strfreev(parts);
 	}
-	script_print(s, "%s",
-		     names[response_classify(id, atoi(s->words[2]), &headers)]);
+	class = response_classify(id, reused, atoi(s->words[2]), &headers,
+				  &why);
+	script_print(s, "%s%s%s", names[class], why ? ": " : "",
+		     why ? why : "");
 	evhttp_clear_headers(&headers);
 }
 
@@ -446,11 +454,16 @@
 	g_strdelimit(text, "/", '\n');
 	evbuffer_add(t->in, text, strlen(text));
 	moved = event_reader_move_events(&t->events, t->in, t->out);
-	script_print(s, "%u events moved, %zu bytes left, last id %s", moved,
-		     evbuffer_get_length(t->in),
+	script_print(s, "%u events moved, %zu bytes left, last id %s%s%s",
+		     moved, evbuffer_get_length(t->in),
 		     event_reader_last_id(&t->events)
 			     ? event_reader_last_id(&t->events)
-			     : "none");
+			     : "none",
+		     t->events.fault ? ": " : "",
+		     t->events.fault ? t->events.fault : "");
+	/* The next attempt begins anew. */
+	if (t->events.fault)
+		evbuffer_drain(t->in, evbuffer_get_length(t->in));
 	g_free(text);
 }
 
@@ -652,7 +665,7 @@
 	t.monitor = monitor_create(&monitor);
 	t.view = view_create(&view);
 	t.feed = feed_create(&feed);
-	event_reader_init(&t.events);
+	event_reader_init(&t.events, NULL);
 	retry_budget_init(&t.retry_budget, &retry_budget);
 	retry_budget_set_reserve(&t.retry_budget, 2);
 	script_check(path, table, &t);
