--- a/entry/response_head.c
+++ b/entry/response_head.c
@@ -50,21 +50,22 @@
 /* Whether readers may differ about where the body ends. */
 static bool has_unclear_framing(struct evkeyvalq *headers)
 {
+	const char *length = evhttp_find_header(headers, "Content-Length");
 	struct evkeyval *header;
-	int fields = 0;
+	int codings = 0;
 
 	TAILQ_FOREACH(header, headers, next)
 	{
-		bool sets_length = is_named(header, "Content-Length");
-		bool sets_coding = is_named(header, "Transfer-Encoding");
-
-		if (sets_length && !is_length(header->value))
+		if (is_named(header, "Content-Length") &&
+		    (!is_length(header->value) ||
+		     strcmp(header->value, length) != 0))
 			return true;
-		if (sets_coding && !is_chunked(header))
+		if (!is_named(header, "Transfer-Encoding"))
+			continue;
+		if (length || !is_chunked(header) || codings++)
 			return true;
-		fields += sets_length || sets_coding;
 	}
-	return fields > 1;
+	return false;
 }
 
 const char *response_head_fault(int status, struct evkeyvalq *headers)
