entry: take an answer that states one length twice

A whole answer with the same Content-Length twice was refused since "don't pass on a body whose end is unclear"; RFC 9112, 6.3, lets a recipient take it, and the request's caller got 502 for an answer that was there. The reasons in the log are now words without spaces, as values of key=value pairs.

--- a/entry/response_head.c
+++ b/entry/response_head.c
@@ -48,23 +48,25 @@
 }
 
 /* Whether readers may differ about where the body ends. */
-static bool has_unclear_framing(struct evkeyvalq *headers)
+static bool has_ambiguous_framing(struct evkeyvalq *headers)
 {
+	const char *length = evhttp_find_header(headers, "Content-Length");
 	struct evkeyval *header;
-	int fields = 0;
+	int codings = 0;
 
 	TAILQ_FOREACH(header, headers, next)
 	{
 		bool sets_length = is_named(header, "Content-Length");
 		bool sets_coding = is_named(header, "Transfer-Encoding");
 
-		if (sets_length && !is_length(header->value))
+		if (sets_length && (!is_length(header->value) ||
+				    strcmp(header->value, length) != 0))
 			return true;
 		if (sets_coding && !is_chunked(header))
 			return true;
-		fields += sets_length || sets_coding;
+		codings += sets_coding;
 	}
-	return fields > 1;
+	return codings > 1 || (codings && length);
 }
 
 const char *response_head_fault(int status, struct evkeyvalq *headers)
@@ -72,16 +74,16 @@
 	struct evkeyval *header;
 
 	if (status < FIRST_FINAL_STATUS || status > LAST_STATUS)
-		return "not a final status";
+		return "status-not-final";
 	TAILQ_FOREACH(header, headers, next)
 	if (!is_token(header->key) || has_control_character(header->value))
-		return "a malformed header field";
-	if (has_unclear_framing(headers))
-		return "conflicting or unknown framing";
+		return "malformed-field";
+	if (has_ambiguous_framing(headers))
+		return "ambiguous-framing";
 	/* Requests ask for no coding, so this is not the endpoint's own body.
 	 */
 	if (evhttp_find_header(headers, "Content-Encoding"))
-		return "a content coding";
+		return "content-coding";
 	return NULL;
 }
 
--- a/entry/response_head.h
+++ b/entry/response_head.h
@@ -13,9 +13,9 @@
 #include <event2/http.h>
 
 /**
- * Returns why a response cannot be passed on to a caller, or NULL if it can. A
- * reader that follows RFC 9112 would reject it, or would find another end of
- * its body.
+ * Returns why a response cannot be passed on to a caller, as a word for the
+ * log, or NULL if it can. A reader that follows RFC 9112 would reject it, or
+ * would find another end of its body.
  */
 const char *response_head_fault(int status, struct evkeyvalq *headers);
 
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -190,10 +190,11 @@
 	const char *fault = response_head_fault(status, headers);
 
 	if (u->head_has_nul)
-		fault = "a NUL in its head";
+		fault = "nul-in-head";
 	if (fault)
 		log_note(&upstream_log,
-			 "request %s: response not taken: %s status=%d at=%s",
+			 "request %s: response not taken failure=%s status=%d "
+			 "at=%s",
 			 u->opts.id ? u->opts.id : "-", fault, status,
 			 u->address);
 	return fault;
--- a/test/garbled_endpoint.c
+++ b/test/garbled_endpoint.c
@@ -207,6 +207,14 @@
 	set_broken(d, CLOSE);
 }
 
+/* One length all the same. */
+static void change_repeated_length(struct draft *d)
+{
+	d->framing = FRAMED_BY_LENGTH;
+	g_string_append_printf(d->fields, "content-length: %zu\r\n",
+			       d->body->len);
+}
+
 static void change_coding(struct draft *d)
 {
 	static const char *const lines[] = {
@@ -395,6 +403,7 @@
 	{ "interim only", no_change, mutilate_interim_only },
 	{ "no body", change_no_body, no_change },
 	{ "lengths", change_lengths, no_change },
+	{ "repeated length", change_repeated_length, no_change },
 	{ "coding", change_coding, no_change },
 	{ "encoding", change_encoding, no_change },
 	{ "fields", change_fields, no_change },
--- a/test/test_garbled.c
+++ b/test/test_garbled.c
@@ -760,6 +760,9 @@
 {
 	check_kind(*state, "lengths");
 	check_kind(*state, "coding");
+	/* Twice the same length is clear. */
+	assert_int_equal(check_kind(*state, "repeated length"),
+			 CALLERS * REQUESTS);
 }
 
 static void test_encoded_body_is_not_passed_on(void **state)
