--- a/entry/response_head.c
+++ b/entry/response_head.c
@@ -48,7 +48,7 @@
 }
 
 /* Whether readers may differ about where the body ends. */
-static bool has_unclear_framing(struct evkeyvalq *headers)
+static bool has_ambiguous_framing(struct evkeyvalq *headers)
 {
 	const char *length = evhttp_find_header(headers, "Content-Length");
 	struct evkeyval *header;
@@ -56,16 +56,17 @@
 
 	TAILQ_FOREACH(header, headers, next)
 	{
-		if (is_named(header, "Content-Length") &&
-		    (!is_length(header->value) ||
-		     strcmp(header->value, length) != 0))
+		bool sets_length = is_named(header, "Content-Length");
+		bool sets_coding = is_named(header, "Transfer-Encoding");
+
+		if (sets_length && (!is_length(header->value) ||
+				    strcmp(header->value, length) != 0))
 			return true;
-		if (!is_named(header, "Transfer-Encoding"))
-			continue;
-		if (length || !is_chunked(header) || codings++)
+		if (sets_coding && !is_chunked(header))
 			return true;
+		codings += sets_coding;
 	}
-	return false;
+	return codings > 1 || (codings && length);
 }
 
 const char *response_head_fault(int status, struct evkeyvalq *headers)
@@ -73,11 +74,11 @@
 	struct evkeyval *header;
 
 	if (status < FIRST_FINAL_STATUS || status > LAST_STATUS)
-		return "not-final-status";
+		return "status-not-final";
 	TAILQ_FOREACH(header, headers, next)
 	if (!is_token(header->key) || has_control_character(header->value))
 		return "malformed-field";
-	if (has_unclear_framing(headers))
+	if (has_ambiguous_framing(headers))
 		return "ambiguous-framing";
 	/* Requests ask for no coding, so this is not the endpoint's own body.
 	 */
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -203,7 +203,7 @@
 		fault = "nul-in-head";
 	if (fault)
 		log_note(&upstream_log,
-			 "request %s: response not taken reason=%s status=%d "
+			 "request %s: response not taken failure=%s status=%d "
 			 "at=%s",
 			 u->opts.id ? u->opts.id : "-", fault, status,
 			 u->address);
