entry/upstream: the log says of a connection that was closed since that it is new

`connection=reused` also stood for evhttp's object of a connection that it had to open again, so a late answer on a kept connection couldn't be told from it. After a response that ended with its connection the line now has `new`; after a kept one `reused` (seen in resumed-stream-closed-at-once's log). Only the log changes.

--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -218,15 +218,13 @@
 
 static struct evhttp_connection *acquire_connection(struct upstream_pool *pool,
 						    const char *text,
-						    bool once_only,
-						    bool *reused)
+						    bool once_only)
 {
 	GQueue *queue = g_hash_table_lookup(pool->idle, text);
 	struct evhttp_connection *conn;
 	struct address address;
 
-	*reused = queue && queue->length && !once_only;
-	if (*reused)
+	if (queue && queue->length && !once_only)
 		return g_queue_pop_tail(queue);
 	if (!address_parse(text, &address))
 		memset(&address, 0, sizeof(address));
@@ -292,10 +290,11 @@
 	u->pool = pool;
 	u->opts = *request;
 	u->address = g_strdup(request->address);
-	u->conn = acquire_connection(pool, u->address, request->once_only,
-				     &u->end.reused_connection);
+	u->conn = acquire_connection(pool, u->address, request->once_only);
 	evhttp_connection_set_timeout_tv(u->conn, &idle);
 	bev = evhttp_connection_get_bufferevent(u->conn);
+	/* evhttp connects again if the connection was closed since. */
+	u->end.reused_connection = bufferevent_getfd(bev) >= 0;
 	u->output_cb = evbuffer_add_cb(bufferevent_get_output(bev), on_output,
 				       u);
 	u->req = evhttp_request_new(on_done, u);
