--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -366,6 +366,7 @@
 	u->conn = acquire_connection(pool, u->address, request->once_only);
 	evhttp_connection_set_timeout_tv(u->conn, &idle);
 	bev = evhttp_connection_get_bufferevent(u->conn);
+	/* evhttp connects again if the connection was closed since. */
 	u->end.reused_connection = bufferevent_getfd(bev) >= 0;
 	u->input_cb = evbuffer_add_cb(bufferevent_get_input(bev), on_input, u);
 	u->output_cb = evbuffer_add_cb(bufferevent_get_output(bev), on_output,
