--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -19,7 +19,6 @@
 #define RATE_SAMPLE_TOKENS 16u
 /* Limit on an incomplete event; no engine sends larger ones. */
 #define INCOMPLETE_EVENT_MAX_BYTES 65536u
-#define US_PER_MS 1000
 
 static const struct log attempt_log = { "call" };
 
@@ -68,7 +67,7 @@
 static bool may_retry(const struct call *call)
 {
 	return call->attempts < call->attempts_max &&
-	       (call->req || call->booking_key) &&
+	       (reply_is_open(call->reply) || call->booking_key) &&
 	       entry_now_ms(call->entry) < call->deadline_ms;
 }
 
@@ -87,7 +86,8 @@
 	if (!choice.replica)
 		return false;
 	counters_add(entry->opts.counters,
-		     call->response_started ? COUNTER_RESUMES : COUNTER_RETRIES,
+		     reply_has_started(call->reply) ? COUNTER_RESUMES
+						    : COUNTER_RETRIES,
 		     1);
 	attempt_dispatch(call, &choice);
 	return true;
@@ -96,7 +96,7 @@
 /* Ends a call after its last attempt failed. */
 static void fail_after_attempts(struct call *call, const char *why)
 {
-	if (call->may_have_run || call->response_started)
+	if (call->may_have_run || reply_has_started(call->reply))
 		call_fail(call, RD_UPSTREAM_BROKE, OUTCOME_UNKNOWN, why,
 			  RETRY_AFTER_MS);
 	else
@@ -127,7 +127,7 @@
 	call->route.avoid_count = 0;
 	call->state = CALL_AWAITING_REPLICA;
 	call->replica_wait_until_ms = now + STALL_LIMIT_MS;
-	if (!call->response_started)
+	if (!reply_has_started(call->reply))
 		call->replica_wait_until_ms = MIN(call->replica_wait_until_ms,
 						  call->deadline_ms);
 }
@@ -198,37 +198,15 @@
 	upstream_pause(call->upstream, false);
 }
 
-static void start_stream_response(struct call *call)
-{
-	struct evkeyvalq *headers =
-		evhttp_request_get_output_headers(call->req);
-
-	call->format->response_headers(call, headers);
-	if (call->entry->draining)
-		evhttp_add_header(headers, "Connection", "close");
-	evhttp_send_reply_start(call->req, HTTP_OK, "OK");
-	call->response_started = true;
-	call->first_byte_us = entry_now_us(call->entry);
-	estimate_add(&call->service->first_byte,
-		     (double)(call->first_byte_us - call->sent_us) / US_PER_MS);
-	counters_record_duration(call->entry->opts.counters, HISTOGRAM_TTFT,
-				 call->first_byte_us - call->started_us);
-}
-
 static void forward_events(struct call *call, struct evbuffer *events)
 {
-	struct evhttp_connection *conn;
-	struct bufferevent *bev;
-
-	if (!call->response_started)
-		start_stream_response(call);
-	evhttp_send_reply_chunk_with_cb(call->req, events, on_output_drained,
-					call);
-	conn = evhttp_request_get_connection(call->req);
-	bev = evhttp_connection_get_bufferevent(conn);
-	if (evbuffer_get_length(bufferevent_get_output(bev)) >
-		    OUTPUT_HIGH_WATER_BYTES &&
-	    call->upstream) {
+	size_t unsent_bytes;
+
+	if (!reply_has_started(call->reply))
+		call_start_stream(call);
+	unsent_bytes = reply_send_events(call->reply, events, on_output_drained,
+					 call);
+	if (unsent_bytes > OUTPUT_HIGH_WATER_BYTES && call->upstream) {
 		call->paused = true;
 		upstream_pause(call->upstream, true);
 	}
@@ -259,7 +237,7 @@
 			     tokens);
 		measure_decode_rate(call, tokens);
 	}
-	if (evbuffer_get_length(events) && call->req)
+	if (evbuffer_get_length(events) && reply_is_open(call->reply))
 		forward_events(call, events);
 	evbuffer_free(events);
 	fault = stream_fault(call);
@@ -271,7 +249,8 @@
 
 static bool is_stream(const struct call *call)
 {
-	return call->stream && call->status == HTTP_OK &&
+	return call->stream && call->method != EVHTTP_REQ_HEAD &&
+	       call->status == HTTP_OK &&
 	       call->response_class == RESPONSE_FORWARD;
 }
 
@@ -297,6 +276,7 @@
 	struct call *call = ctx;
 	size_t limit = (size_t)call->entry->opts.settings->limits.body_bytes;
 
+	call->response_bytes += evbuffer_get_length(data);
 	router_response_activity(call->service->router, call->replica,
 				 entry_now_ms(call->entry));
 	if (call->response_class == RESPONSE_MISMATCHED) {
@@ -362,15 +342,80 @@
 	       may_retry(call);
 }
 
-static void on_end(void *ctx, enum upstream_result end)
+static const char *result_name(enum upstream_result result)
+{
+	switch (result) {
+	case UPSTREAM_COMPLETE:
+		return "complete";
+	case UPSTREAM_NOT_SENT:
+		return "not-sent";
+	default:
+		return "failed";
+	}
+}
+
+static const char *class_name(enum response_class response_class)
+{
+	static const char *const names[] = {
+		[RESPONSE_FORWARD] = "forward",
+		[RESPONSE_NOT_RUN] = "not-run",
+		[RESPONSE_FAILED] = "failed",
+		[RESPONSE_MISMATCHED] = "mismatched",
+	};
+
+	return names[response_class];
+}
+
+/* Logged even where lines about successful requests aren't. */
+static bool is_notable(const struct call *call, const struct upstream_end *end)
+{
+	return end->result != UPSTREAM_COMPLETE ||
+	       end->framing == FRAMING_CLOSE ||
+	       call->response_class == RESPONSE_FAILED ||
+	       call->response_class == RESPONSE_MISMATCHED ||
+	       (is_stream(call) && !call->response_bytes);
+}
+
+static void log_end(const struct call *call, const struct upstream_end *end)
+{
+	log_at(&attempt_log,
+	       is_notable(call, end) ? G_LOG_LEVEL_MESSAGE : G_LOG_LEVEL_INFO,
+	       "request %s: endpoint's response ended result=%s replica=%u "
+	       "attempt=%u status=%d class=%s framing=%s failure=%s "
+	       "connection=%s bytes=%zu incomplete=%zu tokens=%u started=%s",
+	       call->id, result_name(end->result), call->replica,
+	       call->attempts, call->status, class_name(call->response_class),
+	       upstream_framing_name(end->framing),
+	       end->failure ? end->failure : "-",
+	       end->reused_connection ? "reused" : "new", call->response_bytes,
+	       evbuffer_get_length(call->response_body), call->tokens,
+	       reply_has_started(call->reply) ? "yes" : "no");
+}
+
+/*
+ * Whether a stream without an event states that the caller has all of it. One
+ * that only closes its connection may have broken off.
+ */
+static bool nothing_is_left(const struct call *call,
+			    const struct upstream_end *end)
+{
+	bool resumes = reply_has_started(call->reply) ||
+		       (call->format->caller_resumes &&
+			call->format->caller_resumes(call));
+
+	return resumes && end->framing != FRAMING_CLOSE;
+}
+
+static void on_end(void *ctx, const struct upstream_end *end)
 {
 	struct call *call = ctx;
 
 	call->upstream = NULL;
 	counters_add(call->entry->opts.counters, COUNTER_IN_FLIGHT, -1);
-	if (end == UPSTREAM_NOT_SENT)
+	log_end(call, end);
+	if (end->result == UPSTREAM_NOT_SENT)
 		handle_not_sent(call);
-	else if (end == UPSTREAM_FAILED)
+	else if (end->result == UPSTREAM_FAILED)
 		handle_failure(call, "broke off");
 	else if (call->response_class == RESPONSE_MISMATCHED)
 		handle_failure(call, "sent a response that is not taken");
@@ -378,14 +423,16 @@
 		handle_not_run(call);
 	else if (should_retry_failure(call))
 		handle_failure(call, "failed");
-	else if (call->response_started && !is_stream(call))
+	else if (reply_has_started(call->reply) && !is_stream(call))
 		handle_failure(call, "refused to go on with the stream");
 	else if (!is_stream(call))
 		finish_response(call);
-	else if (call->format->stream_complete(call))
-		call_complete_stream(call);
-	else
+	else if (!call->format->stream_complete(call))
 		handle_failure(call, "ended the stream early");
+	else if (!call->response_bytes && !nothing_is_left(call, end))
+		handle_failure(call, "ended the stream before an event");
+	else
+		call_complete_stream(call);
 }
 
 /* ---- sending ---- */
@@ -402,6 +449,7 @@
 	evbuffer_drain(call->response_body,
 		       evbuffer_get_length(call->response_body));
 	call->status = 0;
+	call->response_bytes = 0;
 	call->response_class = RESPONSE_FORWARD;
 	call->response_too_large = false;
 	call->rate_sampled_us = 0;
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -28,12 +28,10 @@
 	char *address;
 	struct evhttp_connection *conn;
 	struct evhttp_request *req; /* NULL once evhttp has freed it */
-	bool reused;		    /* `conn` was open before the request */
 	bool bytes_sent;	    /* some of the request was sent */
-	bool is_framed; /* the response has a length or is chunked */
 	bool cancelled;
 	bool not_reusable; /* opts.head() ruled out reuse of `conn` */
-	enum upstream_result end;
+	struct upstream_end end;
 	bool head_done; /* the final response's */
 	bool head_has_nul;
 	struct evbuffer_cb_entry *input_cb;
@@ -123,7 +121,7 @@
 {
 	struct upstream *u = arg;
 	struct upstream_request opts = u->opts;
-	enum upstream_result end = u->end;
+	struct upstream_end end = u->end;
 
 	(void)fd;
 	(void)what;
@@ -133,9 +131,9 @@
 	 * Releases the connection first, so that calls started by the `end`
 	 * callback can reuse it.
 	 */
-	release_connection(u, end == UPSTREAM_COMPLETE && !opts.once_only &&
-				      !u->not_reusable);
-	opts.end(opts.ctx, end);
+	release_connection(u, end.result == UPSTREAM_COMPLETE &&
+				      !opts.once_only && !u->not_reusable);
+	opts.end(opts.ctx, &end);
 }
 
 static void on_output(struct evbuffer *buffer,
@@ -158,26 +156,38 @@
 		u->head_has_nul = true;
 }
 
-static bool has_framing(struct evhttp_request *req)
+static enum upstream_framing framing_of(struct evhttp_request *req)
 {
 	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
 	const char *coding = evhttp_find_header(headers, "Transfer-Encoding");
 	int status = evhttp_request_get_response_code(req);
 
-	return evhttp_find_header(headers, "Content-Length") ||
-	       (coding && !g_ascii_strcasecmp(coding, "chunked")) ||
-	       status == HTTP_NOCONTENT || status == HTTP_NOTMODIFIED ||
-	       evhttp_request_get_command(req) == EVHTTP_REQ_HEAD;
+	if (status == HTTP_NOCONTENT || status == HTTP_NOTMODIFIED ||
+	    evhttp_request_get_command(req) == EVHTTP_REQ_HEAD)
+		return FRAMING_BODILESS;
+	if (coding && !g_ascii_strcasecmp(coding, "chunked"))
+		return FRAMING_CHUNKS;
+	return evhttp_find_header(headers, "Content-Length") ? FRAMING_LENGTH
+							     : FRAMING_CLOSE;
+}
+
+const char *upstream_framing_name(enum upstream_framing framing)
+{
+	static const char *const names[] = {
+		[FRAMING_UNKNOWN] = "unknown", [FRAMING_BODILESS] = "bodiless",
+		[FRAMING_LENGTH] = "length",   [FRAMING_CHUNKS] = "chunks",
+		[FRAMING_CLOSE] = "close",
+	};
+
+	return names[framing];
 }
 
 /*
- * evhttp takes the body for empty if a response without framing has a
- * Connection field other than "close", although it ends with the connection.
+ * evhttp reads an unframed body only if the head says no more of the connection
+ * than that it closes, and none otherwise.
  */
-static void expect_close(struct evhttp_request *req)
+static void read_until_close(struct evkeyvalq *headers)
 {
-	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
-
 	while (!evhttp_remove_header(headers, "Connection"))
 		;
 	evhttp_add_header(headers, "Connection", "close");
@@ -191,12 +201,13 @@
 
 	if (u->head_has_nul)
 		fault = "a NUL in its head";
-	if (fault)
-		log_note(&upstream_log,
-			 "request %s: response not taken: %s status=%d at=%s",
-			 u->opts.id ? u->opts.id : "-", fault, status,
-			 u->address);
-	return fault;
+	if (!fault)
+		return false;
+	u->end.failure = fault;
+	log_note(&upstream_log,
+		 "request %s: response not taken: %s status=%d at=%s",
+		 u->opts.id ? u->opts.id : "-", fault, status, u->address);
+	return true;
 }
 
 static int on_head(struct evhttp_request *req, void *arg)
@@ -215,11 +226,11 @@
 	u->head_done = true;
 	if (refuse_head(u, status, headers))
 		return -1;
-	u->is_framed = has_framing(req);
+	u->end.framing = framing_of(req);
 	if (u->opts.head)
 		u->not_reusable = !u->opts.head(u->opts.ctx, status, headers);
-	if (!u->is_framed)
-		expect_close(req);
+	if (u->end.framing == FRAMING_CLOSE)
+		read_until_close(headers);
 	return 0;
 }
 
@@ -231,24 +242,44 @@
 		u->opts.data(u->opts.ctx, evhttp_request_get_input_buffer(req));
 }
 
+static void on_failure(enum evhttp_request_error error, void *arg)
+{
+	static const char *const names[] = {
+		[EVREQ_HTTP_TIMEOUT] = "timeout",
+		[EVREQ_HTTP_EOF] = "closed-early",
+		[EVREQ_HTTP_INVALID_HEADER] = "invalid-head",
+		[EVREQ_HTTP_BUFFER_ERROR] = "io-error",
+		[EVREQ_HTTP_REQUEST_CANCEL] = "cancelled",
+		[EVREQ_HTTP_DATA_TOO_LONG] = "too-long",
+	};
+	struct upstream *u = arg;
+
+	if (!u->end.failure)
+		u->end.failure = (size_t)error < G_N_ELEMENTS(names)
+					 ? names[error]
+					 : "other";
+}
+
 static void on_done(struct evhttp_request *req, void *arg)
 {
 	struct upstream *u = arg;
 	struct timeval no_delay = { 0, 0 };
-	bool answered = req && evhttp_request_get_response_code(req) != 0;
+	/* evhttp skips only status 100, and passes on other interim ones. */
+	bool answered = req && evhttp_request_get_response_code(req) >= HTTP_OK;
 
 	u->req = NULL;
 	if (u->cancelled)
 		return;
-	u->end = UPSTREAM_FAILED;
+	u->end.result = UPSTREAM_FAILED;
 	/*
 	 * evhttp reports a connection reset as a missing response, so a
 	 * close-delimited response that is present ended with an orderly close.
 	 */
-	if (answered && (u->is_framed || u->opts.close_delimited))
-		u->end = UPSTREAM_COMPLETE;
+	if (answered &&
+	    (u->end.framing != FRAMING_CLOSE || u->opts.close_delimited))
+		u->end.result = UPSTREAM_COMPLETE;
 	else if (!answered && !u->bytes_sent)
-		u->end = UPSTREAM_NOT_SENT;
+		u->end.result = UPSTREAM_NOT_SENT;
 	event_base_once(u->pool->base, -1, EV_TIMEOUT, on_deferred_finish, u,
 			&no_delay);
 }
@@ -334,13 +365,14 @@
 	u->conn = acquire_connection(pool, u->address, request->once_only);
 	evhttp_connection_set_timeout_tv(u->conn, &idle);
 	bev = evhttp_connection_get_bufferevent(u->conn);
-	u->reused = bufferevent_getfd(bev) >= 0;
+	u->end.reused_connection = bufferevent_getfd(bev) >= 0;
 	u->input_cb = evbuffer_add_cb(bufferevent_get_input(bev), on_input, u);
 	u->output_cb = evbuffer_add_cb(bufferevent_get_output(bev), on_output,
 				       u);
 	u->req = evhttp_request_new(on_done, u);
 	evhttp_request_set_header_cb(u->req, on_head);
 	evhttp_request_set_chunked_cb(u->req, on_chunk);
+	evhttp_request_set_error_cb(u->req, on_failure);
 	add_headers(u);
 	add_body(u);
 	g_hash_table_add(pool->active, u);
@@ -363,7 +395,7 @@
 
 bool upstream_is_reused(const struct upstream *u)
 {
-	return u->reused;
+	return u->end.reused_connection;
 }
 
 void upstream_pause(struct upstream *u, bool paused)
