--- a/test/garbled_endpoint.c
+++ b/test/garbled_endpoint.c
@@ -483,6 +483,14 @@
 	g_string_free(text, TRUE);
 }
 
+/* Of a resumed stream, nothing may be left. */
+static void change_to_empty(struct draft *d)
+{
+	if (d->subject->first_event > 1)
+		return;
+	put_in_stream(d, d->subject->first_event, "");
+}
+
 static void change_to_no_events(struct draft *d)
 {
 	static const char *const texts[] = {
@@ -500,6 +508,7 @@
 	{ "order", change_order, no_change },
 	{ "second inside", change_second_inside, no_change },
 	{ "no events", change_to_no_events, no_change },
+	{ "empty", change_to_empty, no_change },
 };
 
 /* ---- writing an answer ---- */
--- a/test/test_garbled.c
+++ b/test/test_garbled.c
@@ -803,6 +803,11 @@
 	check_kind(*state, "NUL");
 }
 
+static void test_stream_without_an_event_is_not_whole(void **state)
+{
+	check_kind(*state, "empty");
+}
+
 static void remove_folder(struct garbled_test *test)
 {
 	char *command[] = { (char *)"rm", (char *)"-r", test->folder, NULL };
@@ -854,6 +859,7 @@
 		cmocka_unit_test(
 			test_promise_that_is_not_stated_is_not_passed_on),
 		cmocka_unit_test(test_head_with_a_nul_is_not_passed_on),
+		cmocka_unit_test(test_stream_without_an_event_is_not_whole),
 	};
 
 	if (argc == 3) {
