test: answers that never end, or come a byte a second

An endpoint on raw sockets plays heads, framing, bodies and events without end, and counts what the entry takes before it closes the connection.

--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -4,6 +4,7 @@
  * usage: test_platform_proc SCRIPT
  */
 #include <errno.h>
+#include <inttypes.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -25,6 +26,7 @@
 #include "common/fetch.h"
 #include "common/http.h"
 #include "test/cluster.h"
+#include "test/endless_endpoint.h"
 #include "test/script.h"
 
 #define ENDLESS_PREFIX "/events/"
@@ -38,6 +40,10 @@
 #define HEARTBEAT_US 200000
 #define POLL_US 50000
 #define REQUEST_TIMEOUT_MS 2000
+#define BODY_BYTES 4194304 /* limits.body_bytes */
+#define HEAD_BYTES 262144
+/* Largest automatic receive buffer of Linux, plus the endpoint's own. */
+#define SOCKET_BUFFERS_BYTES 6500000
 
 enum port {
 	PORT_PEERS,
@@ -78,6 +84,7 @@
 	struct last_request last_request;
 	struct background_request background;
 	GThread *background_thread;
+	struct endless_endpoint *endless, *sound;
 	volatile gint stop;
 	int requests;
 };
@@ -203,16 +210,17 @@
 }
 
 /* Announces the endpoint to the first control VM that accepts it. */
-static void send_heartbeat(struct platform_test *test, int sequence)
+static void send_heartbeat(struct platform_test *test, const char *instance,
+			   int port, int sequence)
 {
+	char *path = g_strdup_printf("/v1/instances/%s/heartbeat", instance);
 	char *body = g_strdup_printf("{\"service\":\"web\",\"address\":\"%s.9:%"
 				     "d\",\"zone\":\"a\","
 				     "\"version\":\"v1\",\"slots\":4,\"state\":"
 				     "\"ready\","
 				     "\"coldLeftMs\":0,\"born\":1,\"sequence\":"
 				     "%d}",
-				     test->network, test->endpoint_port,
-				     sequence);
+				     test->network, port, sequence);
 	bool accepted = false;
 
 	for (int i = 0; i < CONTROL_VMS && !accepted; i++) {
@@ -221,7 +229,7 @@
 		struct fetch_request request = {
 			.address = address,
 			.method = "POST",
-			.path = "/v1/instances/i-web/heartbeat",
+			.path = path,
 			.type = "application/json",
 			.body = body,
 			.body_size = -1,
@@ -234,6 +242,7 @@
 		g_free(address);
 	}
 	g_free(body);
+	g_free(path);
 }
 
 static gpointer run_heartbeats(gpointer ctx)
@@ -241,7 +250,17 @@
 	struct platform_test *test = ctx;
 
 	for (int sequence = 1; !g_atomic_int_get(&test->stop); sequence++) {
-		send_heartbeat(test, sequence);
+		if (test->endpoint)
+			send_heartbeat(test, "i-web", test->endpoint_port,
+				       sequence);
+		if (test->endless) {
+			send_heartbeat(test, "i-endless",
+				       endless_endpoint_port(test->endless),
+				       sequence);
+			send_heartbeat(test, "i-sound",
+				       endless_endpoint_port(test->sound),
+				       sequence);
+		}
 		usleep(HEARTBEAT_US);
 	}
 	return NULL;
@@ -271,6 +290,19 @@
 	g_free(address);
 }
 
+/* start-endless: an endpoint of endless answers, and a sound one. */
+static void do_start_endless(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	char *address = g_strdup_printf("%s.9:0", test->network);
+
+	test->endless = endless_endpoint_create(address, false);
+	test->sound = endless_endpoint_create(address, true);
+	test->heartbeat_thread = g_thread_new("heartbeat", run_heartbeats,
+					      test);
+	g_free(address);
+}
+
 /* ---- processes ---- */
 
 static char *format_settings(const struct platform_test *test, int node)
@@ -671,6 +703,88 @@
 	g_free(address);
 }
 
+/*
+ * endless METHOD PATH [within=MS] [deadline=MS] [bytes=head|body]: requests the
+ * path until the endless endpoint plays it. Prints the answer to that request,
+ * and whether the endpoint could send more than a head or a body may have.
+ */
+static void do_endless(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	char *address = address_of(test, NODES, PORT_CALLERS);
+	const char *headers[] = { "Host",
+				  "shop.example",
+				  "X-Api-Key",
+				  "k1",
+				  "Attempt-Id",
+				  "a1",
+				  "Request-Deadline",
+				  script_value(s, "deadline", "1500"),
+				  NULL };
+	int64_t within_ms = script_number(s, "within", 1000);
+	int64_t bytes_max = SOCKET_BUFFERS_BYTES + HEAD_BYTES;
+	struct fetch_request request = {
+		.address = address,
+		.method = s->words[1],
+		.path = s->words[2],
+		.headers = headers,
+		.body = "",
+		.timeout_ms = (int)within_ms + REQUEST_TIMEOUT_MS,
+	};
+	gint64 started, took, deadline = cluster_now_ms() + WAIT_MS;
+	int before = endless_endpoint_plays(test->endless);
+	struct fetch_response answer = { 0 };
+	int64_t bytes;
+
+	if (!strcmp(script_value(s, "bytes", "head"), "body"))
+		bytes_max += 2 * BODY_BYTES;
+	do {
+		fetch_clear(&answer);
+		started = cluster_now_ms();
+		(void)fetch(&request, &answer);
+		took = cluster_now_ms() - started;
+		if (endless_endpoint_plays(test->endless) != before)
+			break;
+		usleep(POLL_US);
+	} while (cluster_now_ms() < deadline);
+	bytes = endless_endpoint_wait(test->endless, REQUEST_TIMEOUT_MS);
+	script_print(s, "%s %s: %d, %zu bytes, %s", s->words[1], s->words[2],
+		     answer.status, (size_t)answer.size,
+		     took <= within_ms ? "in time" : "late");
+	if (bytes < 0 || bytes > bytes_max)
+		script_print(s, "took %" PRId64 " bytes, limit %" PRId64, bytes,
+			     bytes_max);
+	if (getenv("TRACE"))
+		fprintf(stderr, "%" PRId64 " ms, %" PRId64 " bytes\n",
+			(int64_t)took, bytes);
+	fetch_clear(&answer);
+	g_free(address);
+}
+
+/* memory-below NODE MIB: compares the most memory that a node has had. */
+static void do_memory_below(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	char *path = g_strdup_printf("/proc/%d/status",
+				     (int)test->pids[atoi(s->words[1])]);
+	char *text = NULL;
+	const char *line;
+	gint64 mib = G_MAXINT64;
+
+	assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	line = strstr(text, "VmHWM:");
+	if (line)
+		mib = g_ascii_strtoll(line + strlen("VmHWM:"), NULL, 10) / 1024;
+#ifdef __SANITIZE_ADDRESS__
+	mib = 0; /* the sanitizer keeps freed memory */
+#endif
+	if (mib >= atoi(s->words[2]))
+		script_print(s, "node %s had %" PRId64 " MiB", s->words[1],
+			     (int64_t)mib);
+	g_free(text);
+	g_free(path);
+}
+
 /*
  * raw-request TEXT: sends TEXT unchanged but for "|", which ends a line, and
  * reads until the connection is closed.
@@ -779,6 +893,7 @@
 static const struct script_command commands[] = {
 	{ "start", 0, do_start },
 	{ "start-endpoint", 0, do_start_endpoint },
+	{ "start-endless", 0, do_start_endless },
 	{ "kill", 1, do_kill },
 	{ "restart", 1, do_restart },
 	{ "wipe", 1, do_wipe },
@@ -791,6 +906,8 @@
 	{ "put", 2, do_put },
 	{ "stored", 1, do_stored },
 	{ "request", 2, do_request },
+	{ "endless", 2, do_endless },
+	{ "memory-below", 2, do_memory_below },
 	{ "raw-request", 1, do_raw_request },
 	{ "request-begin", 1, do_request_begin },
 	{ "request-end", 0, do_request_end },
@@ -823,10 +940,14 @@
 
 static void stop_endpoint(struct platform_test *test)
 {
-	if (!test->endpoint_thread)
+	if (!test->heartbeat_thread)
 		return;
 	g_atomic_int_set(&test->stop, 1);
 	g_thread_join(test->heartbeat_thread);
+	endless_endpoint_destroy(test->endless);
+	endless_endpoint_destroy(test->sound);
+	if (!test->endpoint_thread)
+		return;
 	event_base_loopbreak(test->base);
 	g_thread_join(test->endpoint_thread);
 	g_ptr_array_unref(test->unanswered);
