entry: an answer whose head or framing never ends is cut

Cause: evhttp bounds a status line and each head, but starts over after a 100 Continue, has no limit on a chunk's line, delivers only complete chunks and skips empty lines without a count.

A guard at the connection's input counts what arrives before the head is complete (128 KiB), what isn't delivered (the largest chunk allowed: body_bytes, or 256 KiB of a stream), the line of a chunk's length and all other framing (64 KiB each, and eight bytes for each of the body). Over a limit it stops reading, the connection is closed, and the attempt has failed: another replica answers if the call may be sent again, else 502. The replica is suspect as after a refused connection, since no request makes a sound endpoint answer so. evhttp's own limit on headers is raised so that this one comes first. 100 Continue is no longer classified as an answer.

Ruled out: a limit on the pending bytes alone.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -19,6 +19,8 @@
 #define RATE_SAMPLE_TOKENS 16u
 /* Limit on an incomplete event; no engine sends larger ones. */
 #define INCOMPLETE_EVENT_MAX_BYTES 65536u
+/* Limit on an incomplete chunk of a stream, which may hold several events. */
+#define STREAM_CHUNK_MAX_BYTES 262144u
 #define US_PER_MS 1000
 
 static const struct log attempt_log = { "call" };
@@ -307,6 +309,17 @@
 
 /* ---- end of the response ---- */
 
+/*
+ * No request makes a sound endpoint send such a response, so its replica is
+ * avoided by all calls for a while.
+ */
+static void handle_exceeded(struct call *call)
+{
+	router_suspect(call->service->router, call->replica,
+		       entry_now_ms(call->entry));
+	handle_failure(call, "sent a head or framing without end");
+}
+
 static void finish_response(struct call *call)
 {
 	size_t size = evbuffer_get_length(call->response_body);
@@ -358,6 +371,8 @@
 	counters_add(call->entry->opts.counters, COUNTER_IN_FLIGHT, -1);
 	if (end == UPSTREAM_NOT_SENT)
 		handle_not_sent(call);
+	else if (end == UPSTREAM_EXCEEDED)
+		handle_exceeded(call);
 	else if (end == UPSTREAM_FAILED)
 		handle_failure(call, "broke off");
 	else if (call->response_class == RESPONSE_MISMATCHED)
@@ -406,15 +421,19 @@
 		.once_only = call->once_only,
 		.close_delimited = call->format->close_delimited,
 		.idle_timeout_ms = STALL_LIMIT_MS,
+		.pending_max_bytes = STREAM_CHUNK_MAX_BYTES,
 		.head = on_head,
 		.data = on_data,
 		.end = on_end,
 		.ctx = call,
 	};
 
-	if (!call->stream)
+	if (!call->stream) {
 		request.idle_timeout_ms = (int)MAX(
 			1, call->deadline_ms - entry_now_ms(call->entry));
+		request.pending_max_bytes =
+			(size_t)call->entry->opts.settings->limits.body_bytes;
+	}
 	request.body = call->format->request_body(call);
 	call->upstream = upstream_send(call->entry->pool, &request);
 	if (request.body)
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -4,10 +4,11 @@
 #include <event2/bufferevent.h>
 
 #include "common/address.h"
+#include "common/answer_guard.h"
 #include "entry/upstream.h"
 
 #define IDLE_CONNECTIONS_PER_ADDRESS 64
-#define HEADER_BYTES 65536
+#define STATUS_CONTINUE 100
 
 struct upstream_pool {
 	struct event_base *base;
@@ -24,9 +25,11 @@
 	bool bytes_sent;	    /* some of the request was sent */
 	bool is_framed; /* the response has a length or is chunked */
 	bool cancelled;
+	bool cut;	   /* the response exceeds the limits of `guard` */
 	bool not_reusable; /* opts.head() ruled out reuse of `conn` */
 	enum upstream_result end;
 	struct evbuffer_cb_entry *output_cb;
+	struct answer_guard guard;
 };
 
 static void queue_free(gpointer data)
@@ -51,6 +54,7 @@
 	GQueue *queue = g_hash_table_lookup(pool->idle, u->address);
 
 	g_hash_table_remove(pool->active, u);
+	answer_guard_stop(&u->guard);
 	if (u->output_cb)
 		evbuffer_remove_cb_entry(
 			bufferevent_get_output(
@@ -108,24 +112,49 @@
 		u->bytes_sent = true;
 }
 
-static bool has_framing(struct evhttp_request *req)
+static bool is_chunked(struct evhttp_request *req)
 {
 	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
 	const char *coding = evhttp_find_header(headers, "Transfer-Encoding");
+
+	return coding && !g_ascii_strcasecmp(coding, "chunked");
+}
+
+static bool has_framing(struct evhttp_request *req)
+{
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
 	int status = evhttp_request_get_response_code(req);
 
 	return evhttp_find_header(headers, "Content-Length") ||
-	       (coding && !g_ascii_strcasecmp(coding, "chunked")) ||
-	       status == HTTP_NOCONTENT || status == HTTP_NOTMODIFIED ||
+	       is_chunked(req) || status == HTTP_NOCONTENT ||
+	       status == HTTP_NOTMODIFIED ||
 	       evhttp_request_get_command(req) == EVHTTP_REQ_HEAD;
 }
 
+static void on_exceeded(void *ctx)
+{
+	struct upstream *u = ctx;
+	struct timeval no_delay = { 0, 0 };
+
+	/* A response that ended before has its finish scheduled. */
+	if (u->cancelled || !u->req)
+		return;
+	u->cut = true;
+	u->end = UPSTREAM_EXCEEDED;
+	event_base_once(u->pool->base, -1, EV_TIMEOUT, on_deferred_finish, u,
+			&no_delay);
+}
+
 static int on_head(struct evhttp_request *req, void *arg)
 {
 	struct upstream *u = arg;
 
-	if (u->cancelled)
+	if (u->cancelled || u->cut)
 		return -1;
+	/* evhttp starts over after this status. */
+	if (evhttp_request_get_response_code(req) == STATUS_CONTINUE)
+		return 0;
+	answer_guard_head_done(&u->guard, is_chunked(req));
 	u->is_framed = has_framing(req);
 	if (u->opts.head)
 		u->not_reusable = !u->opts.head(
@@ -138,8 +167,12 @@
 {
 	struct upstream *u = arg;
 
-	if (!u->cancelled)
-		u->opts.data(u->opts.ctx, evhttp_request_get_input_buffer(req));
+	struct evbuffer *data = evhttp_request_get_input_buffer(req);
+
+	if (u->cancelled || u->cut)
+		return;
+	answer_guard_delivered(&u->guard, evbuffer_get_length(data));
+	u->opts.data(u->opts.ctx, data);
 }
 
 static void on_done(struct evhttp_request *req, void *arg)
@@ -149,7 +182,7 @@
 	bool answered = req && evhttp_request_get_response_code(req) != 0;
 
 	u->req = NULL;
-	if (u->cancelled)
+	if (u->cancelled || u->cut)
 		return;
 	u->end = UPSTREAM_FAILED;
 	/*
@@ -181,7 +214,7 @@
 		address.port);
 	/* Disables evhttp's own retries, which could send a request twice. */
 	evhttp_connection_set_retries(conn, 0);
-	evhttp_connection_set_max_headers_size(conn, HEADER_BYTES);
+	evhttp_connection_set_max_headers_size(conn, ANSWER_HEADERS_MAX_BYTES);
 	return conn;
 }
 
@@ -243,6 +276,13 @@
 	bev = evhttp_connection_get_bufferevent(u->conn);
 	u->output_cb = evbuffer_add_cb(bufferevent_get_output(bev), on_output,
 				       u);
+	u->guard = (struct answer_guard){
+		.bev = bev,
+		.pending_max_bytes = request->pending_max_bytes,
+		.exceeded = on_exceeded,
+		.ctx = u,
+	};
+	answer_guard_start(&u->guard);
 	u->req = evhttp_request_new(on_done, u);
 	evhttp_request_set_header_cb(u->req, on_head);
 	evhttp_request_set_chunked_cb(u->req, on_chunk);
@@ -288,6 +328,7 @@
 		struct upstream *u = key;
 
 		u->cancelled = true;
+		answer_guard_stop(&u->guard);
 		evhttp_connection_free(u->conn);
 		g_free(u->address);
 		g_free(u);
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -26,6 +26,7 @@
 enum upstream_result {
 	UPSTREAM_COMPLETE, /* the response was received completely */
 	UPSTREAM_NOT_SENT, /* no byte of the request was sent */
+	UPSTREAM_EXCEEDED, /* cut: over the limits on a head or on framing */
 	UPSTREAM_FAILED,   /* any other failure; the request may have run */
 };
 
@@ -37,8 +38,9 @@
 	void (*add_headers)(void *ctx, struct evkeyvalq *out);
 	GBytes *body; /* may be NULL */
 	bool once_only;
-	bool close_delimited; /* a response may end with its connection */
-	int idle_timeout_ms;  /* limit on the time without response bytes */
+	bool close_delimited;	  /* a response may end with its connection */
+	int idle_timeout_ms;	  /* limit on the time without response bytes */
+	size_t pending_max_bytes; /* limit on an incomplete chunk */
 	/**
 	 * Called with the status and headers of the response. Returns whether
 	 * the connection may be reused. May be NULL.
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -42,8 +42,9 @@
 #define REQUEST_TIMEOUT_MS 2000
 #define BODY_BYTES 4194304 /* limits.body_bytes */
 #define HEAD_BYTES 262144
-/* Largest automatic receive buffer of Linux, plus the endpoint's own. */
-#define SOCKET_BUFFERS_BYTES 6500000
+/* Sent and not read: Linux enlarges a receive buffer only as it is read. */
+#define HEAD_BUFFERS_BYTES 1048576
+#define BODY_BUFFERS_BYTES 6500000
 
 enum port {
 	PORT_PEERS,
@@ -722,7 +723,7 @@
 				  script_value(s, "deadline", "1500"),
 				  NULL };
 	int64_t within_ms = script_number(s, "within", 1000);
-	int64_t bytes_max = SOCKET_BUFFERS_BYTES + HEAD_BYTES;
+	int64_t bytes_max = HEAD_BUFFERS_BYTES + HEAD_BYTES;
 	struct fetch_request request = {
 		.address = address,
 		.method = s->words[1],
@@ -737,7 +738,7 @@
 	int64_t bytes;
 
 	if (!strcmp(script_value(s, "bytes", "head"), "body"))
-		bytes_max += 2 * BODY_BYTES;
+		bytes_max = BODY_BUFFERS_BYTES + 2 * BODY_BYTES;
 	do {
 		fetch_clear(&answer);
 		started = cluster_now_ms();
