--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -265,6 +265,13 @@
 	       call->response_class == RESPONSE_FORWARD;
 }
 
+/* Ends the attempt before its response, whose connection is closed. */
+static void cut_response(struct call *call, const char *why)
+{
+	cancel_upstream(call);
+	handle_failure(call, why);
+}
+
 static bool on_head(void *ctx, int status, struct evkeyvalq *headers)
 {
 	struct call *call = ctx;
@@ -275,11 +282,11 @@
 	call->response_type = g_strdup(type ? type : "");
 	call->response_class = call->format->classify_response(call, status,
 							       headers);
-	/*
-	 * After a mismatched response, the response to this request may still
-	 * follow on the connection, which must not be reused.
-	 */
-	return call->response_class != RESPONSE_MISMATCHED;
+	if (call->response_class != RESPONSE_MISMATCHED)
+		return true;
+	/* Its body may never end, nor be followed by this call's response. */
+	cut_response(call, "answered another request");
+	return false;
 }
 
 static void on_data(void *ctx, struct evbuffer *data)
@@ -289,10 +296,6 @@
 
 	router_response_activity(call->service->router, call->replica,
 				 entry_now_ms(call->entry));
-	if (call->response_class == RESPONSE_MISMATCHED) {
-		evbuffer_drain(data, evbuffer_get_length(data));
-		return;
-	}
 	if (is_stream(call)) {
 		handle_stream_data(call, data);
 		return;
@@ -375,8 +378,6 @@
 		handle_exceeded(call);
 	else if (end == UPSTREAM_FAILED)
 		handle_failure(call, "broke off");
-	else if (call->response_class == RESPONSE_MISMATCHED)
-		handle_failure(call, "answered another request");
 	else if (call->response_class == RESPONSE_NOT_RUN)
 		handle_not_run(call);
 	else if (should_retry_failure(call))
