entry: a response over body_bytes ends its attempt at once

The replica isn't suspect at once: a request may have a large answer everywhere, and a caller could then shut out every replica that it meets. It is suspect once another replica has answered the same call within the limit.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -303,8 +303,8 @@
 	if (evbuffer_get_length(call->response_body) +
 		    evbuffer_get_length(data) >
 	    limit) {
-		call->response_too_large = true;
-		evbuffer_drain(data, evbuffer_get_length(data));
+		call->oversized_at = call->replica;
+		cut_response(call, "answered with more than body_bytes");
 		return;
 	}
 	evbuffer_add_buffer(call->response_body, data);
@@ -323,15 +323,23 @@
 	handle_failure(call, "sent a head or framing without end");
 }
 
+/*
+ * The request itself may be the cause of a response over the limit. Another
+ * replica's answer within it shows that it isn't.
+ */
+static void suspect_oversized(struct call *call)
+{
+	if (call->oversized_at && call->oversized_at != call->replica)
+		router_suspect(call->service->router, call->oversized_at,
+			       entry_now_ms(call->entry));
+}
+
 static void finish_response(struct call *call)
 {
 	size_t size = evbuffer_get_length(call->response_body);
 	const void *body = evbuffer_pullup(call->response_body, -1);
 
-	if (call->response_too_large) {
-		handle_failure(call, "answered with more than body_bytes");
-		return;
-	}
+	suspect_oversized(call);
 	log_info(&attempt_log,
 		 "request %s: response complete replica=%u status=%d bytes=%zu "
 		 "ms=%" PRId64,
@@ -407,7 +415,6 @@
 		       evbuffer_get_length(call->response_body));
 	call->status = 0;
 	call->response_class = RESPONSE_FORWARD;
-	call->response_too_large = false;
 	call->rate_sampled_us = 0;
 	call->paused = false;
 }
--- a/entry/call.h
+++ b/entry/call.h
@@ -124,7 +124,7 @@
 	enum response_class response_class;
 	char *response_type;
 	struct evbuffer *response_body; /* buffered, or a partial event */
-	bool response_too_large;
+	uint32_t oversized_at; /* replica whose response was too large; or 0 */
 	bool response_started; /* to the caller */
 	bool paused;	       /* reading from the endpoint is paused */
 };
