entry: small pieces of a response are copied, not kept one by one

Cause: evhttp delivers each chunk in a buffer of its own, and moving it keeps 0.5 to 1 KiB for 4 bytes. Pieces of up to 4 KiB are now copied into the response's last buffer.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -19,6 +19,7 @@
 #define RATE_SAMPLE_TOKENS 16u
 /* Limit on an incomplete event; no engine sends larger ones. */
 #define INCOMPLETE_EVENT_MAX_BYTES 65536u
+#define COPIED_PIECE_MAX_BYTES 4096
 /* Limit on an incomplete chunk of a stream, which may hold several events. */
 #define STREAM_CHUNK_MAX_BYTES 262144u
 #define US_PER_MS 1000
@@ -236,12 +237,26 @@
 	}
 }
 
+/* Moving pieces of a few bytes would keep a buffer of 1 KiB for each. */
+static void add_response_data(struct call *call, struct evbuffer *data)
+{
+	size_t size = evbuffer_get_length(data);
+	char piece[COPIED_PIECE_MAX_BYTES];
+
+	if (size > sizeof(piece)) {
+		evbuffer_add_buffer(call->response_body, data);
+		return;
+	}
+	evbuffer_remove(data, piece, size);
+	evbuffer_add(call->response_body, piece, size);
+}
+
 static void handle_stream_data(struct call *call, struct evbuffer *data)
 {
 	struct evbuffer *events = evbuffer_new();
 	uint32_t tokens;
 
-	evbuffer_add_buffer(call->response_body, data);
+	add_response_data(call, data);
 	tokens = call->format->move_events(call, call->response_body, events);
 	if (tokens) {
 		call->tokens += tokens;
@@ -307,7 +322,7 @@
 		cut_response(call, "answered with more than body_bytes");
 		return;
 	}
-	evbuffer_add_buffer(call->response_body, data);
+	add_response_data(call, data);
 }
 
 /* ---- end of the response ---- */
