entry: only a complete event is progress of a stream

A stream's attempt now fails once data that complete no event have come for 5 s, and router_response_activity() is called for events, so that a replica which trickles counts as stalled, and its trickle no longer as evidence of its health. Bytes of a plain response still do: they are its output, and its route's timeout bounds them.

Honest slow streams: one that sends an event at least every 5 s is as before, and so is a silent one. A comment that ends with an empty line is an event. Only gaps between data that complete nothing count, each up to 1.25 s, so that neither a long prefill nor a pause of this process or of a slow caller (reading is paused then) fails a stream.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -10,10 +10,12 @@
 #include "entry/call.h"
 
 /*
- * A stream without data for this long is resumed on another replica. Also the
- * longest wait for a replica to retry at.
+ * A stream without a complete event for this long is resumed on another
+ * replica. Also the longest wait for a replica to retry at.
  */
 #define STALL_LIMIT_MS 5000
+/* Counts of a gap between data that complete no event. */
+#define STALL_GAP_MAX_MS (STALL_LIMIT_MS / 4)
 /* Above this much unsent output, reading from the endpoint is paused. */
 #define OUTPUT_HIGH_WATER_BYTES 65536u
 #define RATE_SAMPLE_TOKENS 16u
@@ -251,9 +253,37 @@
 	evbuffer_add(call->response_body, piece, size);
 }
 
+/* Ends the attempt before its response, whose connection is closed. */
+static void cut_response(struct call *call, const char *why)
+{
+	cancel_upstream(call);
+	handle_failure(call, why);
+}
+
+static void note_activity(struct call *call)
+{
+	router_response_activity(call->service->router, call->replica,
+				 entry_now_ms(call->entry));
+}
+
+/*
+ * Adds up the time in which data came that completed no event. A long gap may
+ * be this process's own, so it counts in part.
+ */
+static bool is_stalled(struct call *call, bool event_complete)
+{
+	int64_t now = entry_now_ms(call->entry);
+	int64_t gap = MIN(now - call->data_ms, STALL_GAP_MAX_MS);
+
+	call->data_ms = now;
+	call->eventless_ms = event_complete ? 0 : call->eventless_ms + gap;
+	return call->eventless_ms >= STALL_LIMIT_MS;
+}
+
 static void handle_stream_data(struct call *call, struct evbuffer *data)
 {
 	struct evbuffer *events = evbuffer_new();
+	bool stalled;
 	uint32_t tokens;
 
 	add_response_data(call, data);
@@ -264,14 +294,17 @@
 			     tokens);
 		measure_decode_rate(call, tokens);
 	}
+	stalled = is_stalled(call, evbuffer_get_length(events) != 0);
+	if (evbuffer_get_length(events))
+		note_activity(call);
 	if (evbuffer_get_length(events) && call->req)
 		forward_events(call, events);
 	evbuffer_free(events);
 	if (evbuffer_get_length(call->response_body) >
-	    INCOMPLETE_EVENT_MAX_BYTES) {
-		cancel_upstream(call);
-		handle_failure(call, "sent an event that is too long");
-	}
+	    INCOMPLETE_EVENT_MAX_BYTES)
+		cut_response(call, "sent an event that is too long");
+	else if (stalled)
+		cut_response(call, "completed no event");
 }
 
 static bool is_stream(const struct call *call)
@@ -280,13 +313,6 @@
 	       call->response_class == RESPONSE_FORWARD;
 }
 
-/* Ends the attempt before its response, whose connection is closed. */
-static void cut_response(struct call *call, const char *why)
-{
-	cancel_upstream(call);
-	handle_failure(call, why);
-}
-
 static bool on_head(void *ctx, int status, struct evkeyvalq *headers)
 {
 	struct call *call = ctx;
@@ -309,12 +335,11 @@
 	struct call *call = ctx;
 	size_t limit = (size_t)call->entry->opts.settings->limits.body_bytes;
 
-	router_response_activity(call->service->router, call->replica,
-				 entry_now_ms(call->entry));
 	if (is_stream(call)) {
 		handle_stream_data(call, data);
 		return;
 	}
+	note_activity(call);
 	if (evbuffer_get_length(call->response_body) +
 		    evbuffer_get_length(data) >
 	    limit) {
@@ -431,6 +456,8 @@
 	call->status = 0;
 	call->response_class = RESPONSE_FORWARD;
 	call->rate_sampled_us = 0;
+	call->data_ms = entry_now_ms(call->entry);
+	call->eventless_ms = 0;
 	call->paused = false;
 }
 
--- a/entry/call.h
+++ b/entry/call.h
@@ -125,6 +125,8 @@
 	char *response_type;
 	struct evbuffer *response_body; /* buffered, or a partial event */
 	uint32_t oversized_at; /* replica whose response was too large; or 0 */
+	int64_t data_ms; /* last data of the stream; before, the dispatch */
+	int64_t eventless_ms;  /* time in which data completed no event */
 	bool response_started; /* to the caller */
 	bool paused;	       /* reading from the endpoint is paused */
 };
--- a/entry/services.c
+++ b/entry/services.c
@@ -438,8 +438,8 @@
 };
 
 /*
- * Time since the last response byte, or since a request was sent to an idle
- * replica.
+ * Time since the last progress of a response, or since a request was sent to an
+ * idle replica.
  */
 static uint32_t idle_ms(const struct router_replica *r, int64_t now_ms)
 {
--- a/include/radishdeal/router.h
+++ b/include/radishdeal/router.h
@@ -38,15 +38,15 @@
 	uint32_t id;
 	uint64_t epoch;
 	uint32_t slots;
-	char address[64];	  /* of the head VM */
-	int64_t fresh_until_ms;	  /* expiry of its health; 0: unhealthy */
-	const char *fault;	  /* name of the fault if unhealthy */
-	int64_t suspect_until_ms; /* a request failed there: not used until
-				   * then, or until cleared; 0 if not */
-	int64_t last_activity_ms; /* last response bytes, or last request sent
-				   * while it was idle */
-	int64_t last_response_ms; /* last response bytes */
-	uint32_t outstanding;	  /* requests of this entry */
+	char address[64];	     /* of the head VM */
+	int64_t fresh_until_ms;	     /* expiry of its health; 0: unhealthy */
+	const char *fault;	     /* name of the fault if unhealthy */
+	int64_t suspect_until_ms;    /* a request failed there: not used until
+				      * then, or until cleared; 0 if not */
+	int64_t last_activity_ms;    /* last progress, or last request sent
+				      * while it was idle */
+	int64_t last_response_ms;    /* last progress */
+	uint32_t outstanding;	     /* requests of this entry */
 	uint64_t outstanding_tokens; /* estimate of their remaining output */
 	uint32_t pending_prefills;   /* of them, without a first event yet */
 	uint64_t pending_prefill_tokens; /* of their prompts */
@@ -180,7 +180,10 @@
 void router_prefill_done(struct router *router, uint32_t id, uint64_t epoch,
 			 uint32_t prompt_tokens);
 
-/** Records that response bytes have arrived from a replica. */
+/**
+ * Records progress of a response from a replica: an event of a stream, or bytes
+ * of another response.
+ */
 void router_response_activity(struct router *router, uint32_t id,
 			      int64_t now_ms);
 
