common, test: radishdealctl cuts answers that never end

fetch() took all that came until its time limit: status-line 56,492,045 bytes and body-length 374,243,414 bytes in the 20 s that the test gave it (test_fetch before, build/std), all in memory.

It has the entry's guard now, and a limit of 32 MiB on a body (the largest configuration document is 16 MiB).

The guard no longer looks for the new bytes of a chunk that is not complete: that took 1,038 ms for a chunk of 32 MiB in test_fetch.

Test: the endpoint's send buffer was below a segment, so that body-close waited for delayed acknowledgements and once took more than its second; it is larger and sends without delay. body-chunked has chunks of 16 bytes, since the sanitizers' build took 1.5 s for a million chunks of 4.

--- a/common/answer_guard.c
+++ b/common/answer_guard.c
@@ -65,8 +65,13 @@
 	struct evbuffer_iovec part;
 	struct evbuffer_ptr at;
 
-	if (!guard->chunked)
+	if (!guard->chunked || guard->chunk_left < 0)
 		return;
+	/* Finding the new bytes takes longer the more of a chunk is there. */
+	if ((size_t)guard->chunk_left >= size) {
+		guard->chunk_left -= (int64_t)size;
+		return;
+	}
 	evbuffer_ptr_set(input, &at, evbuffer_get_length(input) - size,
 			 EVBUFFER_PTR_SET);
 	while (size && evbuffer_peek(input, -1, &at, &part, 1) > 0) {
--- a/common/fetch.c
+++ b/common/fetch.c
@@ -6,12 +6,17 @@
 #include <event2/http.h>
 
 #include "common/address.h"
+#include "common/answer_guard.h"
 #include "common/fetch.h"
 
+#define STATUS_CONTINUE 100
+
 struct fetch_state {
 	struct event_base *base;
 	struct fetch_response *response;
-	bool complete;
+	struct answer_guard guard;
+	struct evbuffer *body;
+	bool complete, cut;
 };
 
 static void on_output(struct evbuffer *buffer,
@@ -24,25 +29,58 @@
 		f->response->sent = true;
 }
 
+static void on_exceeded(void *ctx)
+{
+	struct fetch_state *f = ctx;
+
+	f->cut = true;
+	event_base_loopbreak(f->base);
+}
+
+static int on_head(struct evhttp_request *req, void *arg)
+{
+	struct fetch_state *f = arg;
+	const char *coding = evhttp_find_header(
+		evhttp_request_get_input_headers(req), "Transfer-Encoding");
+
+	/* evhttp starts over after this status. */
+	if (evhttp_request_get_response_code(req) != STATUS_CONTINUE)
+		answer_guard_head_done(
+			&f->guard, coding && !g_ascii_strcasecmp(coding, "chunk"
+									 "ed"));
+	return 0;
+}
+
+static void on_chunk(struct evhttp_request *req, void *arg)
+{
+	struct fetch_state *f = arg;
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	size_t size = evbuffer_get_length(in);
+
+	answer_guard_delivered(&f->guard, size);
+	if (size > FETCH_BODY_MAX_BYTES - evbuffer_get_length(f->body))
+		on_exceeded(f);
+	else
+		evbuffer_add(f->body, evbuffer_pullup(in, -1), size);
+}
+
 static void on_done(struct evhttp_request *req, void *arg)
 {
 	struct fetch_state *f = arg;
-	struct evbuffer *in;
 	struct evkeyvalq *headers;
 	const char *type;
 
 	event_base_loopbreak(f->base);
-	if (!req || !evhttp_request_get_response_code(req))
+	if (f->cut || !req || !evhttp_request_get_response_code(req))
 		return;
-	in = evhttp_request_get_input_buffer(req);
 	headers = evhttp_request_get_input_headers(req);
 	type = evhttp_find_header(headers, "Content-Type");
 	f->complete = true;
 	f->response->status = evhttp_request_get_response_code(req);
 	f->response->type = g_strdup(type ? type : "");
-	f->response->size = evbuffer_get_length(in);
+	f->response->size = evbuffer_get_length(f->body);
 	f->response->body = g_malloc0(f->response->size + 1);
-	evbuffer_copyout(in, f->response->body, f->response->size);
+	evbuffer_copyout(f->body, f->response->body, f->response->size);
 }
 
 static enum evhttp_cmd_type command_of(const char *method)
@@ -100,13 +138,26 @@
 	evhttp_connection_set_timeout_tv(conn, &timeout);
 	bev = evhttp_connection_get_bufferevent(conn);
 	evbuffer_add_cb(bufferevent_get_output(bev), on_output, &f);
+	evhttp_connection_set_max_headers_size(conn, ANSWER_HEADERS_MAX_BYTES);
+	f.body = evbuffer_new();
+	f.guard = (struct answer_guard){
+		.bev = bev,
+		.pending_max_bytes = FETCH_BODY_MAX_BYTES,
+		.exceeded = on_exceeded,
+		.ctx = &f,
+	};
+	answer_guard_start(&f.guard);
 	req = evhttp_request_new(on_done, &f);
+	evhttp_request_set_header_cb(req, on_head);
+	evhttp_request_set_chunked_cb(req, on_chunk);
 	fill_request(req, r);
 	evhttp_make_request(conn, req, command_of(r->method), r->path);
 	event_base_loopexit(f.base, &timeout);
 	event_base_dispatch(f.base);
+	answer_guard_stop(&f.guard);
 	evhttp_connection_free(conn);
 	event_base_free(f.base);
+	evbuffer_free(f.body);
 	return f.complete;
 }
 
--- a/common/fetch.h
+++ b/common/fetch.h
@@ -10,6 +10,9 @@
 
 #include <glib.h>
 
+/** Limit on a response's body; a longer response is cut off. */
+#define FETCH_BODY_MAX_BYTES (32 * 1024 * 1024)
+
 struct fetch_request {
 	const char *address; /* a.b.c.d:port */
 	const char *method;
--- a/test/endless_endpoint.c
+++ b/test/endless_endpoint.c
@@ -1,4 +1,6 @@
 #include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -13,7 +15,7 @@
 #define REQUEST_MAX 65536
 #define PIECE_BYTES 16384
 /* Keeps what the peer has not received out of the count of sent bytes. */
-#define SEND_BUFFER_BYTES 32768
+#define SEND_BUFFER_BYTES 131072
 #define SLOW_MS 1000
 #define CHUNKED "Transfer-Encoding: chunked\r\n"
 #define EVENTS "Content-Type: text/event-stream\r\n" CHUNKED
@@ -33,7 +35,8 @@
 static const struct play plays[] = {
 	{ "body-length", NULL, "Content-Length: 1099511627776\r\n\r\n", "x",
 	  true, false },
-	{ "body-chunked", NULL, CHUNKED "\r\n", "4\r\nbody\r\n", true, false },
+	{ "body-chunked", NULL, CHUNKED "\r\n", "10\r\npieces of a body\r\n",
+	  true, false },
 	{ "body-close", NULL, "\r\n", "x", true, false },
 	{ "mismatched", "another", CHUNKED "\r\n", "4\r\nbody\r\n", true,
 	  false },
@@ -266,7 +269,7 @@
 static gpointer run_endpoint(gpointer ctx)
 {
 	struct endless_endpoint *e = ctx;
-	const int buffer = SEND_BUFFER_BYTES;
+	const int buffer = SEND_BUFFER_BYTES, on = 1;
 
 	while (wait_ready(e, e->fd, POLLIN)) {
 		struct connection *c;
@@ -276,6 +279,7 @@
 			continue;
 		(void)setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &buffer,
 				 sizeof(buffer));
+		(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 		c = g_new0(struct connection, 1);
 		c->endpoint = e;
 		c->fd = fd;
