common: a request whose framing never ends is cut

The line is kept in memory whole.

http_listen()'s servers now count what they receive of a request, in the callback that counted requests being received: at most the head, the body and 64 KiB that evhttp hasn't taken, and in all four times the largest body more. Over that the connection is shut down.

Bounded before and after: request line, headers, chunks, trailers.

--- a/common/http.c
+++ b/common/http.c
@@ -1,6 +1,7 @@
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <event2/buffer.h>
@@ -9,6 +10,7 @@
 
 #include "common/address.h"
 #include "common/http.h"
+#include "common/log.h"
 
 #define LISTEN_BACKLOG 1024
 #define MS_PER_S 1000
@@ -48,7 +50,68 @@
 	return text;
 }
 
-/* The thread's connections on which a request is being received. */
+static const struct log http_log = { "http" };
+
+/* Bytes of a request besides its head and body. */
+#define FRAMING_MAX_BYTES 65536
+/* As much framing is allowed for each byte of the largest body. */
+#define FRAMING_PER_BODY_BYTE 4
+
+/* Limits of a server on what it takes of one request. */
+struct receive_limits {
+	size_t pending_bytes; /* not yet taken by evhttp */
+	size_t bytes;
+};
+
+/* Server -> its struct receive_limits, of all threads. */
+static GHashTable *limits_by_server;
+static GMutex limits_lock;
+
+static void set_limits(struct evhttp *http, const struct http_listen_opts *opts)
+{
+	struct receive_limits *limits = g_new(struct receive_limits, 1);
+	size_t once = opts->header_bytes + opts->body_bytes + FRAMING_MAX_BYTES;
+
+	limits->pending_bytes = once;
+	limits->bytes = once + FRAMING_PER_BODY_BYTE * opts->body_bytes;
+	g_mutex_lock(&limits_lock);
+	if (!limits_by_server)
+		limits_by_server = g_hash_table_new_full(NULL, NULL, NULL,
+							 g_free);
+	/* Replaces those of a server that was freed and had its address. */
+	g_hash_table_insert(limits_by_server, http, limits);
+	g_mutex_unlock(&limits_lock);
+}
+
+static bool exceeds_limits(struct evhttp_connection *conn, size_t pending,
+			   size_t received)
+{
+	const struct receive_limits *limits;
+	bool exceeds;
+
+	g_mutex_lock(&limits_lock);
+	limits = g_hash_table_lookup(limits_by_server,
+				     evhttp_connection_get_server(conn));
+	exceeds = limits &&
+		  (pending > limits->pending_bytes || received > limits->bytes);
+	g_mutex_unlock(&limits_lock);
+	return exceeds;
+}
+
+/*
+ * evhttp must not be freed within its callback, so it sees an end of file; the
+ * kernel resets the connection when more arrives.
+ */
+static void cut_request(struct bufferevent *bev, struct evbuffer *input)
+{
+	evbuffer_drain(input, evbuffer_get_length(input));
+	(void)shutdown(bufferevent_getfd(bev), SHUT_RDWR);
+}
+
+/*
+ * The thread's connections on which a request is being received, and the bytes
+ * of it.
+ */
 static GPrivate receiving = G_PRIVATE_INIT((GDestroyNotify)g_hash_table_unref);
 
 static void forget_receiving(struct evhttp_connection *conn)
@@ -72,9 +135,8 @@
 	GHashTable *conns = g_private_get(&receiving);
 	bufferevent_data_cb read_cb;
 	void *conn;
+	size_t received;
 
-	(void)input;
-	(void)info;
 	/*
 	 * evhttp passes the connection to its callbacks, and has no read
 	 * callback while a response is pending.
@@ -86,8 +148,15 @@
 		conns = g_hash_table_new(NULL, NULL);
 		g_private_set(&receiving, conns);
 	}
-	if (g_hash_table_add(conns, conn))
+	received = GPOINTER_TO_SIZE(g_hash_table_lookup(conns, conn)) +
+		   info->n_added;
+	if (g_hash_table_insert(conns, conn, GSIZE_TO_POINTER(received)))
 		evhttp_connection_set_closecb(conn, on_receiving_lost, NULL);
+	if (!info->n_added ||
+	    !exceeds_limits(conn, evbuffer_get_length(input), received))
+		return;
+	log_info(&http_log, "request cut: %zu bytes without its end", received);
+	cut_request(arg, input);
 }
 
 static struct bufferevent *watched_bufferevent(struct event_base *base,
@@ -373,6 +442,7 @@
 	http = evhttp_new(opts->base);
 	if (!http || !evhttp_accept_socket_with_handle(http, fd))
 		goto fail;
+	set_limits(http, opts);
 	evhttp_set_max_headers_size(http, (ev_ssize_t)opts->header_bytes);
 	evhttp_set_max_body_size(http, (ev_ssize_t)opts->body_bytes);
 	evhttp_set_timeout(http, opts->timeout_s);
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -291,6 +291,87 @@
 	assert_int_equal(test.requests, 3);
 }
 
+#define ENDLESS_MAX_BYTES (64 * 1024 * 1024)
+
+/** A client that sends the same bytes again and again. */
+struct endless_client {
+	struct event_base *base;
+	const char *repeat;
+	size_t sent;
+	bool closed;
+};
+
+static void on_sent(struct bufferevent *bev, void *ctx)
+{
+	struct endless_client *client = ctx;
+	struct evbuffer *out = bufferevent_get_output(bev);
+
+	if (client->sent > ENDLESS_MAX_BYTES) {
+		event_base_loopbreak(client->base);
+		return;
+	}
+	while (evbuffer_get_length(out) < 16384)
+		evbuffer_add(out, client->repeat, strlen(client->repeat));
+	client->sent += evbuffer_get_length(out);
+}
+
+static void on_closed(struct bufferevent *bev, short what, void *ctx)
+{
+	struct endless_client *client = ctx;
+
+	(void)bev;
+	if (what & BEV_EVENT_CONNECTED)
+		return;
+	client->closed = true;
+	event_base_loopbreak(client->base);
+}
+
+static void check_endless(const char *start, const char *repeat)
+{
+	struct http_test test = { .base = event_base_new() };
+	struct endless_client client = { .base = test.base, .repeat = repeat };
+	struct timeval limit = { WAIT_S, 0 };
+	int port = 0;
+	struct evhttp *http = listen_for(&test, &port);
+	struct bufferevent *bev = bufferevent_socket_new(test.base, -1,
+							 BEV_OPT_CLOSE_ON_FREE);
+
+	assert_non_null(http);
+	connect_to(bev, port);
+	evbuffer_add(bufferevent_get_output(bev), start, strlen(start));
+	bufferevent_setcb(bev, NULL, on_sent, on_closed, &client);
+	event_base_loopexit(test.base, &limit);
+	event_base_dispatch(test.base);
+	print_message("%.30s: %zu bytes\n", repeat, client.sent);
+	bufferevent_free(bev);
+	evhttp_free(http);
+	event_base_free(test.base);
+	assert_true(client.closed);
+	/* Socket buffers hold some more than the limits. */
+	assert_in_range(client.sent, 1, 16 * BODY_BYTES + 8388608);
+	assert_int_equal(http_receiving_requests(), 0);
+	assert_int_equal(test.requests, 0);
+}
+
+static void test_a_request_without_end_is_cut(void **state)
+{
+	static const char chunked[] = "POST / HTTP/1.1\r\nHost: a\r\n"
+				      "Transfer-Encoding: chunked\r\n\r\n";
+	char *line = g_strconcat(chunked, "4;", NULL);
+	char *trailers = g_strconcat(chunked, "0\r\n", NULL);
+
+	(void)state;
+	check_endless("GET /", "x");
+	check_endless("GET / HTTP/1.1\r\nX-Long: ", "x");
+	check_endless("GET / HTTP/1.1\r\n", "X-Some: x\r\n");
+	check_endless(chunked, "4\r\nbody\r\n");
+	check_endless(chunked, "\r\n");
+	check_endless(line, "x");
+	check_endless(trailers, "X-Some: x\r\n");
+	g_free(line);
+	g_free(trailers);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -303,6 +384,7 @@
 		cmocka_unit_test(
 			test_a_server_may_be_freed_with_an_aborted_response),
 		cmocka_unit_test(test_requests_received_in_part_are_counted),
+		cmocka_unit_test(test_a_request_without_end_is_cut),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
