--- a/common/answer_guard.c
+++ b/common/answer_guard.c
@@ -93,7 +93,8 @@
 		return guard->received > ANSWER_HEAD_MAX_BYTES;
 	if (pending > guard->pending_max_bytes + FRAMING_MAX_BYTES)
 		return true;
-	if (guard->line_bytes > FRAMING_MAX_BYTES)
+	if (guard->line_bytes > FRAMING_MAX_BYTES ||
+	    (guard->chunk_left < 0 && pending > FRAMING_MAX_BYTES))
 		return true;
 	framing = guard->received - guard->delivered - pending;
 	return framing / FRAMING_PER_BODY_BYTE >
