--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -165,6 +165,15 @@
 		call_fail(call, RD_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN, why, 0);
 }
 
+/* Fails an attempt whose response was cut at one of this entry's limits. */
+static void fail_cut(struct call *call, const char *why)
+{
+	log_note(&attempt_log, "request %s: response cut: %s replica=%u at=%s",
+		 call->id, why, call->replica, call->address);
+	counters_add(call->entry->opts.counters, COUNTER_ANSWERS_CUT, 1);
+	handle_failure(call, why);
+}
+
 /* ---- receiving the response ---- */
 
 static void measure_decode_rate(struct call *call, uint32_t tokens)
@@ -257,7 +266,7 @@
 static void cut_response(struct call *call, const char *why)
 {
 	cancel_upstream(call);
-	handle_failure(call, why);
+	fail_cut(call, why);
 }
 
 static void note_activity(struct call *call)
@@ -326,7 +335,8 @@
 	if (call->response_class != RESPONSE_MISMATCHED)
 		return true;
 	/* Its body may never end, nor be followed by this call's response. */
-	cut_response(call, "answered another request");
+	cancel_upstream(call);
+	handle_failure(call, "answered another request");
 	return false;
 }
 
@@ -360,7 +370,7 @@
 {
 	router_suspect(call->service->router, call->replica,
 		       entry_now_ms(call->entry));
-	handle_failure(call, "sent a head or framing without end");
+	fail_cut(call, "sent a head or framing without end");
 }
 
 /*
