--- a/test/endless_endpoint.c
+++ b/test/endless_endpoint.c
@@ -229,17 +229,17 @@
 {
 	size_t size = strcspn(request, " ");
 	const char *target = request + size + (request[size] ? 1 : 0);
-	size_t target_size = strcspn(target, " \r");
-
-	for (const struct play *play = plays; play->name; play++) {
-		size_t name = strlen(play->name);
-
-		if (target_size > name &&
-		    target[target_size - name - 1] == '/' &&
-		    !strncmp(target + target_size - name, play->name, name))
-			return play;
-	}
-	return NULL;
+	char *text = g_strndup(target, strcspn(target, " \r"));
+	char *named = request_header(request, "X-Play");
+	const char *slash = strrchr(text, '/');
+	const char *name = named ? named : slash ? slash + 1 : "";
+	const struct play *play = plays;
+
+	while (play->name && strcmp(play->name, name) != 0)
+		play++;
+	g_free(text);
+	g_free(named);
+	return play->name ? play : NULL;
 }
 
 static gpointer run_connection(gpointer ctx)
--- a/test/endless_endpoint.h
+++ b/test/endless_endpoint.h
@@ -1,8 +1,8 @@
 /**
  * @file
  * Endpoint that sends bytes without end, or one a second, over raw sockets. The
- * last part of the path names what it plays; `whole` is a sound answer. Each
- * connection has a thread of its own.
+ * header X-Play, or the last part of the path, names what it plays; `whole` is
+ * a sound answer. Each connection has a thread of its own.
  */
 #ifndef TEST_ENDLESS_ENDPOINT_H
 #define TEST_ENDLESS_ENDPOINT_H
