--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -10,15 +10,20 @@
 #include "entry/call.h"
 
 /*
- * A stream without data for this long is resumed on another replica. Also the
- * longest wait for a replica to retry at.
+ * A stream without a complete event for this long is resumed on another
+ * replica. Also the longest wait for a replica to retry at.
  */
 #define STALL_LIMIT_MS 5000
+/* Counts of a gap between data that complete no event. */
+#define STALL_GAP_MAX_MS (STALL_LIMIT_MS / 4)
 /* Above this much unsent output, reading from the endpoint is paused. */
 #define OUTPUT_HIGH_WATER_BYTES 65536u
 #define RATE_SAMPLE_TOKENS 16u
 /* Limit on an incomplete event; no engine sends larger ones. */
 #define INCOMPLETE_EVENT_MAX_BYTES 65536u
+#define COPIED_PIECE_MAX_BYTES 4096
+/* Limit on an incomplete chunk of a stream, which may hold several events. */
+#define STREAM_CHUNK_MAX_BYTES 262144u
 
 static const struct log attempt_log = { "call" };
 
@@ -160,6 +165,15 @@
 		call_fail(call, RD_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN, why, 0);
 }
 
+/* Fails an attempt whose response was cut at one of this entry's limits. */
+static void fail_cut(struct call *call, const char *why)
+{
+	log_note(&attempt_log, "request %s: response cut: %s replica=%u at=%s",
+		 call->id, why, call->replica, call->address);
+	counters_add(call->entry->opts.counters, COUNTER_ANSWERS_CUT, 1);
+	handle_failure(call, why);
+}
+
 /* ---- receiving the response ---- */
 
 static void measure_decode_rate(struct call *call, uint32_t tokens)
@@ -212,24 +226,60 @@
 	}
 }
 
-/* Returns why the stream cannot go on after what it sent, or NULL. */
-static const char *stream_fault(const struct call *call)
+/* Moving pieces of a few bytes would keep a buffer of 1 KiB for each. */
+static void add_response_data(struct call *call, struct evbuffer *data)
+{
+	size_t size = evbuffer_get_length(data);
+	char piece[COPIED_PIECE_MAX_BYTES];
+
+	if (size > sizeof(piece)) {
+		evbuffer_add_buffer(call->response_body, data);
+		return;
+	}
+	evbuffer_remove(data, piece, size);
+	evbuffer_add(call->response_body, piece, size);
+}
+
+/* Ends the attempt before its response, whose connection is closed. */
+static void cut_response(struct call *call, const char *why)
+{
+	cancel_upstream(call);
+	fail_cut(call, why);
+}
+
+static void note_activity(struct call *call)
+{
+	router_response_activity(call->service->router, call->replica,
+				 entry_now_ms(call->entry));
+}
+
+/*
+ * Adds up the time in which data came that completed no event. A long gap may
+ * be this process's own, so it counts in part.
+ */
+static bool is_stalled(struct call *call, bool event_complete)
+{
+	int64_t now = entry_now_ms(call->entry);
+	int64_t gap = MIN(now - call->data_ms, STALL_GAP_MAX_MS);
+
+	call->data_ms = now;
+	call->eventless_ms = event_complete ? 0 : call->eventless_ms + gap;
+	return call->eventless_ms >= STALL_LIMIT_MS;
+}
+
+static const char *format_fault(const struct call *call)
 {
-	if (call->format->stream_fault && call->format->stream_fault(call))
-		return call->format->stream_fault(call);
-	if (evbuffer_get_length(call->response_body) >
-	    INCOMPLETE_EVENT_MAX_BYTES)
-		return "sent an event that is too long";
-	return NULL;
+	return call->format->stream_fault ? call->format->stream_fault(call)
+					  : NULL;
 }
 
 static void handle_stream_data(struct call *call, struct evbuffer *data)
 {
 	struct evbuffer *events = evbuffer_new();
-	const char *fault;
+	bool stalled;
 	uint32_t tokens;
 
-	evbuffer_add_buffer(call->response_body, data);
+	add_response_data(call, data);
 	tokens = call->format->move_events(call, call->response_body, events);
 	if (tokens) {
 		call->tokens += tokens;
@@ -237,13 +287,20 @@
 			     tokens);
 		measure_decode_rate(call, tokens);
 	}
+	stalled = is_stalled(call, evbuffer_get_length(events) != 0);
+	if (evbuffer_get_length(events))
+		note_activity(call);
 	if (evbuffer_get_length(events) && reply_is_open(call->reply))
 		forward_events(call, events);
 	evbuffer_free(events);
-	fault = stream_fault(call);
-	if (fault) {
+	if (format_fault(call)) {
 		cancel_upstream(call);
-		handle_failure(call, fault);
+		handle_failure(call, format_fault(call));
+	} else if (evbuffer_get_length(call->response_body) >
+		   INCOMPLETE_EVENT_MAX_BYTES) {
+		cut_response(call, "sent an event that is too long");
+	} else if (stalled) {
+		cut_response(call, "completed no event");
 	}
 }
 
@@ -264,11 +321,12 @@
 	call->response_type = g_strdup(type ? type : "");
 	call->response_class = call->format->classify_response(call, status,
 							       headers);
-	/*
-	 * After a mismatched response, the response to this request may still
-	 * follow on the connection, which must not be reused.
-	 */
-	return call->response_class != RESPONSE_MISMATCHED;
+	if (call->response_class != RESPONSE_MISMATCHED)
+		return true;
+	/* Its body may never end, nor be followed by this call's response. */
+	cancel_upstream(call);
+	handle_failure(call, "sent a response that is not taken");
+	return false;
 }
 
 static void on_data(void *ctx, struct evbuffer *data)
@@ -277,37 +335,51 @@
 	size_t limit = (size_t)call->entry->opts.settings->limits.body_bytes;
 
 	call->response_bytes += evbuffer_get_length(data);
-	router_response_activity(call->service->router, call->replica,
-				 entry_now_ms(call->entry));
-	if (call->response_class == RESPONSE_MISMATCHED) {
-		evbuffer_drain(data, evbuffer_get_length(data));
-		return;
-	}
 	if (is_stream(call)) {
 		handle_stream_data(call, data);
 		return;
 	}
+	note_activity(call);
 	if (evbuffer_get_length(call->response_body) +
 		    evbuffer_get_length(data) >
 	    limit) {
-		call->response_too_large = true;
-		evbuffer_drain(data, evbuffer_get_length(data));
+		call->oversized_at = call->replica;
+		cut_response(call, "answered with more than body_bytes");
 		return;
 	}
-	evbuffer_add_buffer(call->response_body, data);
+	add_response_data(call, data);
 }
 
 /* ---- end of the response ---- */
 
+/*
+ * No request makes a sound endpoint send such a response, so its replica is
+ * avoided by all calls for a while.
+ */
+static void handle_exceeded(struct call *call)
+{
+	router_suspect(call->service->router, call->replica,
+		       entry_now_ms(call->entry));
+	fail_cut(call, "sent a head or framing without end");
+}
+
+/*
+ * The request itself may be the cause of a response over the limit. Another
+ * replica's answer within it shows that it isn't.
+ */
+static void suspect_oversized(struct call *call)
+{
+	if (call->oversized_at && call->oversized_at != call->replica)
+		router_suspect(call->service->router, call->oversized_at,
+			       entry_now_ms(call->entry));
+}
+
 static void finish_response(struct call *call)
 {
 	size_t size = evbuffer_get_length(call->response_body);
 	const void *body = evbuffer_pullup(call->response_body, -1);
 
-	if (call->response_too_large) {
-		handle_failure(call, "answered with more than body_bytes");
-		return;
-	}
+	suspect_oversized(call);
 	log_info(&attempt_log,
 		 "request %s: response complete replica=%u status=%d bytes=%zu "
 		 "ms=%" PRId64,
@@ -349,6 +421,8 @@
 		return "complete";
 	case UPSTREAM_NOT_SENT:
 		return "not-sent";
+	case UPSTREAM_EXCEEDED:
+		return "exceeded";
 	default:
 		return "failed";
 	}
@@ -415,10 +489,10 @@
 	log_end(call, end);
 	if (end->result == UPSTREAM_NOT_SENT)
 		handle_not_sent(call);
+	else if (end->result == UPSTREAM_EXCEEDED)
+		handle_exceeded(call);
 	else if (end->result == UPSTREAM_FAILED)
 		handle_failure(call, "broke off");
-	else if (call->response_class == RESPONSE_MISMATCHED)
-		handle_failure(call, "sent a response that is not taken");
 	else if (call->response_class == RESPONSE_NOT_RUN)
 		handle_not_run(call);
 	else if (should_retry_failure(call))
@@ -451,8 +525,9 @@
 	call->status = 0;
 	call->response_bytes = 0;
 	call->response_class = RESPONSE_FORWARD;
-	call->response_too_large = false;
 	call->rate_sampled_us = 0;
+	call->data_ms = entry_now_ms(call->entry);
+	call->eventless_ms = 0;
 	call->paused = false;
 }
 
@@ -467,15 +542,19 @@
 		.once_only = call->once_only,
 		.close_delimited = call->format->close_delimited,
 		.idle_timeout_ms = STALL_LIMIT_MS,
+		.pending_max_bytes = STREAM_CHUNK_MAX_BYTES,
 		.head = on_head,
 		.data = on_data,
 		.end = on_end,
 		.ctx = call,
 	};
 
-	if (!call->stream)
+	if (!call->stream) {
 		request.idle_timeout_ms = (int)MAX(
 			1, call->deadline_ms - entry_now_ms(call->entry));
+		request.pending_max_bytes =
+			(size_t)call->entry->opts.settings->limits.body_bytes;
+	}
 	request.body = call->format->request_body(call);
 	call->upstream = upstream_send(call->entry->pool, &request);
 	if (request.body)
--- a/entry/call.h
+++ b/entry/call.h
@@ -132,8 +132,10 @@
 	size_t response_bytes; /* of its body, so far */
 	char *response_type;
 	struct evbuffer *response_body; /* buffered, or a partial event */
-	bool response_too_large;
-	bool paused; /* reading from the endpoint is paused */
+	uint32_t oversized_at; /* replica whose response was too large; or 0 */
+	int64_t data_ms; /* last data of the stream; before, the dispatch */
+	int64_t eventless_ms; /* time in which data completed no event */
+	bool paused;	      /* reading from the endpoint is paused */
 };
 
 /**
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -6,13 +6,13 @@
 #include <event2/bufferevent.h>
 
 #include "common/address.h"
+#include "common/answer_guard.h"
 #include "common/log.h"
 #include "entry/response_head.h"
 #include "entry/upstream.h"
 
 #define IDLE_CONNECTIONS_PER_ADDRESS 64
-#define HEADER_BYTES 65536
-#define CONTINUE 100
+#define STATUS_CONTINUE 100
 
 static const struct log upstream_log = { "upstream" };
 
@@ -30,12 +30,14 @@
 	struct evhttp_request *req; /* NULL once evhttp has freed it */
 	bool bytes_sent;	    /* some of the request was sent */
 	bool cancelled;
+	bool cut;	   /* the response exceeds the limits of `guard` */
 	bool not_reusable; /* opts.head() ruled out reuse of `conn` */
 	struct upstream_end end;
 	bool head_done; /* the final response's */
 	bool head_has_nul;
 	struct evbuffer_cb_entry *input_cb;
 	struct evbuffer_cb_entry *output_cb;
+	struct answer_guard guard;
 };
 
 static void queue_free(gpointer data)
@@ -88,6 +90,7 @@
 			bufferevent_get_input(
 				evhttp_connection_get_bufferevent(u->conn)),
 			u->input_cb);
+	answer_guard_stop(&u->guard);
 	if (u->output_cb)
 		evbuffer_remove_cb_entry(
 			bufferevent_get_output(
@@ -156,16 +159,23 @@
 		u->head_has_nul = true;
 }
 
-static enum upstream_framing framing_of(struct evhttp_request *req)
+static bool is_chunked(struct evhttp_request *req)
 {
 	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
 	const char *coding = evhttp_find_header(headers, "Transfer-Encoding");
+
+	return coding && !g_ascii_strcasecmp(coding, "chunked");
+}
+
+static enum upstream_framing framing_of(struct evhttp_request *req)
+{
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
 	int status = evhttp_request_get_response_code(req);
 
 	if (status == HTTP_NOCONTENT || status == HTTP_NOTMODIFIED ||
 	    evhttp_request_get_command(req) == EVHTTP_REQ_HEAD)
 		return FRAMING_BODILESS;
-	if (coding && !g_ascii_strcasecmp(coding, "chunked"))
+	if (is_chunked(req))
 		return FRAMING_CHUNKS;
 	return evhttp_find_header(headers, "Content-Length") ? FRAMING_LENGTH
 							     : FRAMING_CLOSE;
@@ -211,16 +221,30 @@
 	return fault;
 }
 
+static void on_exceeded(void *ctx)
+{
+	struct upstream *u = ctx;
+	struct timeval no_delay = { 0, 0 };
+
+	/* A response that ended before has its finish scheduled. */
+	if (u->cancelled || !u->req)
+		return;
+	u->cut = true;
+	u->end.result = UPSTREAM_EXCEEDED;
+	event_base_once(u->pool->base, -1, EV_TIMEOUT, on_deferred_finish, u,
+			&no_delay);
+}
+
 static int on_head(struct evhttp_request *req, void *arg)
 {
 	struct upstream *u = arg;
 	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
 	int status = evhttp_request_get_response_code(req);
 
-	if (u->cancelled)
+	if (u->cancelled || u->cut)
 		return -1;
 	/* evhttp goes on to the final response, and keeps these headers. */
-	if (status == CONTINUE) {
+	if (status == STATUS_CONTINUE) {
 		evhttp_clear_headers(headers);
 		return 0;
 	}
@@ -228,6 +252,7 @@
 	if (refuse_head(u, status, headers))
 		return -1;
 	u->end.framing = framing_of(req);
+	answer_guard_head_done(&u->guard, u->end.framing == FRAMING_CHUNKS);
 	if (u->opts.head)
 		u->not_reusable = !u->opts.head(u->opts.ctx, status, headers);
 	if (u->end.framing == FRAMING_CLOSE)
@@ -239,8 +264,12 @@
 {
 	struct upstream *u = arg;
 
-	if (!u->cancelled)
-		u->opts.data(u->opts.ctx, evhttp_request_get_input_buffer(req));
+	struct evbuffer *data = evhttp_request_get_input_buffer(req);
+
+	if (u->cancelled || u->cut)
+		return;
+	answer_guard_delivered(&u->guard, evbuffer_get_length(data));
+	u->opts.data(u->opts.ctx, data);
 }
 
 static void on_failure(enum evhttp_request_error error, void *arg)
@@ -269,7 +298,7 @@
 	bool answered = req && evhttp_request_get_response_code(req) >= HTTP_OK;
 
 	u->req = NULL;
-	if (u->cancelled)
+	if (u->cancelled || u->cut)
 		return;
 	u->end.result = UPSTREAM_FAILED;
 	/*
@@ -306,7 +335,7 @@
 		address.port);
 	/* Disables evhttp's own retries, which could send a request twice. */
 	evhttp_connection_set_retries(conn, 0);
-	evhttp_connection_set_max_headers_size(conn, HEADER_BYTES);
+	evhttp_connection_set_max_headers_size(conn, ANSWER_HEADERS_MAX_BYTES);
 	return conn;
 }
 
@@ -371,6 +400,13 @@
 	u->input_cb = evbuffer_add_cb(bufferevent_get_input(bev), on_input, u);
 	u->output_cb = evbuffer_add_cb(bufferevent_get_output(bev), on_output,
 				       u);
+	u->guard = (struct answer_guard){
+		.bev = bev,
+		.pending_max_bytes = request->pending_max_bytes,
+		.exceeded = on_exceeded,
+		.ctx = u,
+	};
+	answer_guard_start(&u->guard);
 	u->req = evhttp_request_new(on_done, u);
 	evhttp_request_set_header_cb(u->req, on_head);
 	evhttp_request_set_chunked_cb(u->req, on_chunk);
@@ -422,6 +458,7 @@
 		struct upstream *u = key;
 
 		u->cancelled = true;
+		answer_guard_stop(&u->guard);
 		evhttp_connection_free(u->conn);
 		g_free(u->address);
 		g_free(u);
