entry, platform: one line per replica that ends, with the prompt parts in flight

The logs of the incident show 16 to 45 `broke off` lines of four processes for one end of a replica, and not what the requests had in common.

Time-outs and bytes that are no answer are told from closed connections in entry/upstream.c. No change of logic.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -7,7 +7,7 @@
 #include <event2/bufferevent.h>
 
 #include "common/log.h"
-#include "entry/call.h"
+#include "entry/ends.h"
 
 /*
  * A stream without data for this long is resumed on another replica. Also the
@@ -356,9 +356,11 @@
 
 	call->upstream = NULL;
 	counters_add(call->entry->opts.counters, COUNTER_IN_FLIGHT, -1);
+	if (end == UPSTREAM_CLOSED)
+		ends_add_break(call->entry->ends, call);
 	if (end == UPSTREAM_NOT_SENT)
 		handle_not_sent(call);
-	else if (end == UPSTREAM_FAILED)
+	else if (end == UPSTREAM_FAILED || end == UPSTREAM_CLOSED)
 		handle_failure(call, "broke off");
 	else if (call->response_class == RESPONSE_MISMATCHED)
 		handle_failure(call, "answered another request");
--- a/entry/call.c
+++ b/entry/call.c
@@ -71,6 +71,7 @@
 	call->attempts_max = MAX(opts->attempts_max, 1);
 	call->booking_key = g_strdup(opts->booking_key);
 	call->route = opts->route;
+	call->parts = opts->parts;
 	call->response_body = evbuffer_new();
 	g_hash_table_add(entry->calls, call);
 	retry_budget_add_request(&call->service->retry_budget,
--- a/entry/call.h
+++ b/entry/call.h
@@ -18,6 +18,14 @@
 
 struct call;
 
+#define PROMPT_PARTS_MAX 16
+
+/** The parts of a prompt that other requests may share, in their order. */
+struct prompt_parts {
+	uint32_t count;
+	uint64_t ids[PROMPT_PARTS_MAX];
+};
+
 /** Classification of an endpoint's response by its status and headers. */
 enum response_class {
 	RESPONSE_FORWARD,    /* forwarded to the caller unchanged */
@@ -105,6 +113,7 @@
 	struct admission_ticket ticket;
 	bool admitted; /* the ticket was taken; admission_finish() is due */
 	struct router_request route;
+	struct prompt_parts parts;
 	uint32_t attempts;
 	bool may_have_run; /* at some endpoint */
 	uint32_t replica;
@@ -152,6 +161,7 @@
 	uint32_t attempts_max;
 	const char *booking_key;
 	struct router_request route;
+	struct prompt_parts parts;
 };
 
 /** Starts a call, which frees itself when it ends. */
--- a/entry/callers.c
+++ b/entry/callers.c
@@ -142,6 +142,15 @@
 					  ROUTER_PREFIX_MAX);
 }
 
+/* The last block holds text of the request itself. */
+static void copy_shared_blocks(const struct router_request *route,
+			       struct prompt_parts *parts)
+{
+	for (uint32_t i = 0;
+	     i + 1 < route->prefix_count && i < PROMPT_PARTS_MAX; i++)
+		parts->ids[parts->count++] = route->prefix[i];
+}
+
 static void estimate_chat_tokens(json_t *chat, struct router_request *route)
 {
 	json_t *limit = json_object_get(chat, "max_tokens");
@@ -210,6 +219,7 @@
 	opts.body = g_bytes_ref(body);
 	opts.data = native_data_new("application/json", json_incref(chat));
 	estimate_chat_tokens(chat, &opts.route);
+	copy_shared_blocks(&opts.route, &opts.parts);
 	call_start(entry, &opts);
 }
 
--- /dev/null
+++ b/entry/ends.h
@@ -0,0 +1,45 @@
+/**
+ * @file
+ * Recognition of the end of a replica's head VM from the responses that break
+ * off there, and of the prompt parts that were in flight.
+ *
+ * A response that breaks off shows the end of one connection only. The head VM
+ * has ended if, for a short time after that, no other response from it goes on.
+ * Runs on the entry task.
+ */
+#ifndef ENTRY_ENDS_H
+#define ENTRY_ENDS_H
+
+#include "entry/call.h"
+
+/** A part and the number of broken requests that had it. */
+struct ended_part {
+	uint64_t id;
+	uint32_t requests;
+};
+
+/** The end of a replica, as seen by this entry. */
+struct replica_ended {
+	const char *service;
+	uint32_t replica;
+	uint64_t epoch;
+	int64_t at_ms;	   /* when the first response broke off */
+	uint32_t requests; /* of this entry that broke off */
+	GArray *parts;	   /* of struct ended_part, the most frequent first */
+};
+
+struct ends;
+
+struct ends *ends_create(struct entry *entry);
+void ends_destroy(struct ends *ends);
+
+/**
+ * Notes that the endpoint closed the connection of a dispatched call before its
+ * response was complete.
+ */
+void ends_add_break(struct ends *ends, const struct call *call);
+
+/** Decides on the breaks that are old enough, and logs each end. */
+void ends_tick(struct ends *ends);
+
+#endif
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -4,6 +4,7 @@
 #include "common/address.h"
 #include "common/log.h"
 #include "common/pack.h"
+#include "entry/ends.h"
 #include "entry/shutdown.h"
 #include "entry/take.h"
 #include "wire/codec.h"
@@ -128,6 +129,7 @@
 	if (view_version(entry->view) != entry->health_version)
 		services_update_health(entry);
 	early_tick(entry, entry_now_ms(entry));
+	ends_tick(entry->ends);
 	tick_calls(entry);
 	services_check_stalls(entry);
 	services_dispatch_queued(entry);
@@ -226,6 +228,7 @@
 	entry->calls = g_hash_table_new(NULL, NULL);
 	entry->unrecorded = g_hash_table_new(NULL, NULL);
 	entry->pool = upstream_pool_create(entry->base);
+	entry->ends = ends_create(entry);
 	entry->started_ms = entry_now_ms(entry);
 	g_queue_init(&entry->held_requests);
 	entry->random = g_rand_new_with_seed(opts->seed);
@@ -295,6 +298,7 @@
 	early_drop(entry);
 	drop_calls(entry);
 	upstream_pool_destroy(entry->pool);
+	ends_destroy(entry->ends);
 	if (entry->driver)
 		entry->opts.driver->close(entry->driver);
 	routes_destroy(entry->routes);
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -23,6 +23,7 @@
 #define REQUEST_ID_MAX 64
 
 struct call;
+struct ends;
 
 /** Per-service state of this entry. */
 struct entry_service {
@@ -70,6 +71,7 @@
 	bool full_digest_due;
 	GHashTable *services;	/* name -> struct entry_service */
 	GHashTable *calls;	/* set of struct call */
+	struct ends *ends;	/* of replicas */
 	GHashTable *unrecorded; /* outcomes of bookings, to be recorded again */
 	struct upstream_pool *pool;
 	struct routes *routes; /* of the deployment; NULL before there is one */
--- a/entry/take.c
+++ b/entry/take.c
@@ -170,6 +170,7 @@
 			     (stream && !route->resumable),
 		.attempts_max = route->attempts_max,
 		.route = request->route,
+		.parts = request->parts,
 	};
 
 	admission_put_account(r->service->admission, opts.account, 1,
--- a/entry/take.h
+++ b/entry/take.h
@@ -24,6 +24,7 @@
 	int64_t caller_timeout_ms; /* timeout stated by the caller; 0 if none */
 	int64_t arrived_ms;	   /* arrival at this entry; 0 for now */
 	struct router_request route;
+	struct prompt_parts parts;
 };
 
 /**
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -24,6 +24,7 @@
 	bool bytes_sent;	    /* some of the request was sent */
 	bool is_framed; /* the response has a length or is chunked */
 	bool cancelled;
+	bool closed;	   /* by the endpoint, before the response's end */
 	bool not_reusable; /* opts.head() ruled out reuse of `conn` */
 	enum upstream_result end;
 	struct evbuffer_cb_entry *output_cb;
@@ -142,6 +143,14 @@
 		u->opts.data(u->opts.ctx, evhttp_request_get_input_buffer(req));
 }
 
+/* Runs before on_done(). */
+static void on_error(enum evhttp_request_error error, void *arg)
+{
+	struct upstream *u = arg;
+
+	u->closed = error == EVREQ_HTTP_EOF;
+}
+
 static void on_done(struct evhttp_request *req, void *arg)
 {
 	struct upstream *u = arg;
@@ -151,7 +160,7 @@
 	u->req = NULL;
 	if (u->cancelled)
 		return;
-	u->end = UPSTREAM_FAILED;
+	u->end = u->closed ? UPSTREAM_CLOSED : UPSTREAM_FAILED;
 	/*
 	 * evhttp reports a connection reset as a missing response, so a
 	 * close-delimited response that is present ended with an orderly close.
@@ -246,6 +255,7 @@
 	u->req = evhttp_request_new(on_done, u);
 	evhttp_request_set_header_cb(u->req, on_head);
 	evhttp_request_set_chunked_cb(u->req, on_chunk);
+	evhttp_request_set_error_cb(u->req, on_error);
 	add_headers(u);
 	add_body(u);
 	g_hash_table_add(pool->active, u);
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -26,6 +26,7 @@
 enum upstream_result {
 	UPSTREAM_COMPLETE, /* the response was received completely */
 	UPSTREAM_NOT_SENT, /* no byte of the request was sent */
+	UPSTREAM_CLOSED,   /* the endpoint closed the connection before that */
 	UPSTREAM_FAILED,   /* any other failure; the request may have run */
 };
 
