routing, wire: interface of the quarantine of prompt parts

The records travel with the polls: entry to leader and back. Each side sends what changed after the other's cursor, so nothing is sent twice and nothing while nothing ends; parts_source tells when the responder is another one and the cursors start again at 0. The functions do nothing yet.

--- a/wire/radishdeal.h
+++ b/wire/radishdeal.h
@@ -455,6 +455,24 @@
 };
 typedef struct service_demand service_demand;
 
+struct replica_end {
+	uint32_t replica;
+	uint64_t epoch;
+	uint32_t age_ms;
+	bool_t cleared;
+};
+typedef struct replica_end replica_end;
+
+struct part_record {
+	uint64_t part;
+	uint32_t success_age_ms;
+	struct {
+		u_int ends_len;
+		replica_end *ends_val;
+	} ends;
+};
+typedef struct part_record part_record;
+
 struct poll_request {
 	uint32_t node;
 	uint64_t incarnation;
@@ -473,6 +491,12 @@
 		u_int demands_len;
 		service_demand *demands_val;
 	} demands;
+	struct {
+		u_int parts_len;
+		part_record *parts_val;
+	} parts;
+	uint64_t parts_source;
+	uint64_t parts_cursor;
 };
 typedef struct poll_request poll_request;
 
@@ -519,6 +543,12 @@
 		u_int loads_len;
 		replica_load *loads_val;
 	} loads;
+	struct {
+		u_int parts_len;
+		part_record *parts_val;
+	} parts;
+	uint64_t parts_source;
+	uint64_t parts_cursor;
 };
 typedef struct poll_reply poll_reply;
 
@@ -730,6 +760,8 @@
 extern  bool_t xdr_handshake_proof (XDR *, handshake_proof*);
 extern  bool_t xdr_replica_load (XDR *, replica_load*);
 extern  bool_t xdr_service_demand (XDR *, service_demand*);
+extern  bool_t xdr_replica_end (XDR *, replica_end*);
+extern  bool_t xdr_part_record (XDR *, part_record*);
 extern  bool_t xdr_poll_request (XDR *, poll_request*);
 extern  bool_t xdr_indexed_command (XDR *, indexed_command*);
 extern  bool_t xdr_entry_info (XDR *, entry_info*);
@@ -792,6 +824,8 @@
 extern bool_t xdr_handshake_proof ();
 extern bool_t xdr_replica_load ();
 extern bool_t xdr_service_demand ();
+extern bool_t xdr_replica_end ();
+extern bool_t xdr_part_record ();
 extern bool_t xdr_poll_request ();
 extern bool_t xdr_indexed_command ();
 extern bool_t xdr_entry_info ();
--- a/wire/radishdeal.x
+++ b/wire/radishdeal.x
@@ -380,6 +380,20 @@
 	uint32_t prompt_tokens;		/* mean per request */
 };
 
+/* The end of a replica while it served requests with a certain prompt part. */
+struct replica_end {
+	uint32_t replica;
+	uint64_t epoch;
+	uint32_t age_ms;
+	bool cleared;			/* the part succeeded afterwards */
+};
+
+struct part_record {
+	uint64_t part;
+	uint32_t success_age_ms;	/* of the last one; 0xffffffff: none */
+	replica_end ends<16>;
+};
+
 struct poll_request {
 	uint32_t node;
 	uint64_t incarnation;
@@ -392,6 +406,9 @@
 	bool draining;
 	replica_load loads<65536>;	/* requests dispatched by this entry */
 	service_demand demands<4096>;
+	part_record parts<64>;		/* changed since the last poll */
+	uint64_t parts_source;		/* of the last reply; 0: none */
+	uint64_t parts_cursor;		/* of the last reply */
 };
 
 struct indexed_command {
@@ -420,6 +437,9 @@
 	entry_info entries<1024>;
 	uint32_t control_nodes<64>;	/* node ids of the consensus group */
 	replica_load loads<65536>;	/* sums over all other entries */
+	part_record parts<64>;		/* changed since the request's cursor */
+	uint64_t parts_source;		/* id of the responder's records */
+	uint64_t parts_cursor;		/* the change up to which `parts` goes */
 };
 
 struct propose_reply {
--- a/wire/radishdeal_xdr.c
+++ b/wire/radishdeal_xdr.c
@@ -782,6 +782,37 @@
 	return TRUE;
 }
 
+bool_t
+xdr_replica_end (XDR *xdrs, replica_end *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint32_t (xdrs, &objp->replica))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->cleared))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_part_record (XDR *xdrs, part_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->part))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->success_age_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->ends.ends_val, (u_int *) &objp->ends.ends_len, 16,
+		sizeof (replica_end), (xdrproc_t) xdr_replica_end))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_poll_request (XDR *xdrs, poll_request *objp)
 {
@@ -811,6 +842,13 @@
 	 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, 4096,
 		sizeof (service_demand), (xdrproc_t) xdr_service_demand))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, 64,
+		sizeof (part_record), (xdrproc_t) xdr_part_record))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->parts_source))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->parts_cursor))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -877,6 +915,13 @@
 	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, 65536,
 		sizeof (replica_load), (xdrproc_t) xdr_replica_load))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, 64,
+		sizeof (part_record), (xdrproc_t) xdr_part_record))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->parts_source))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->parts_cursor))
+		 return FALSE;
 	return TRUE;
 }
 
