test: requests with a part that ends replicas, on real processes (fails)

Two entries, and six endpoints of a plain service that end when they begin to answer a request with a certain part: all connections are reset, new ones are refused, and 1.5 s later the endpoint is back under another name. Sound requests share the key and the first part. Model replicas go the same way through entry/attempt.c; plain endpoints are easier to stand in for.

--- /dev/null
+++ b/test/crash_endpoints.c
@@ -0,0 +1,418 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include "common/fetch.h"
+#include "common/http.h"
+#include "test/cluster.h"
+#include "test/crash_endpoints.h"
+
+#define ANNOUNCE_US 100000
+/* From the announcement that an endpoint leaves to its end. */
+#define LEAVE_US 900000
+#define ANNOUNCE_TIMEOUT_MS 500
+#define FIRST_HOST 20
+
+/** A request that waits for its answer. */
+struct waiting {
+	struct endpoint *endpoint;
+	struct evhttp_request *req;
+	struct event *timer;
+	bool has_part;
+};
+
+struct endpoint {
+	struct crash_endpoints *all;
+	int number;
+	int life; /* from 1; each has another name */
+	struct evhttp *http;
+	int port;
+	GPtrArray *waiting; /* of struct waiting */
+	struct event *return_timer;
+	bool alive;   /* under the lock, as `leaving` */
+	bool leaving; /* to be announced, and then to end */
+};
+
+struct crash_endpoints {
+	struct crash_endpoints_opts opts;
+	char *network, *service, *part;
+	char **control;
+	struct event_base *base;
+	GThread *thread, *announcer;
+	volatile gint stop;
+	GMutex lock;
+	struct endpoint *endpoints;
+	GArray *ends, *arrivals; /* of gint64, times; under the lock */
+};
+
+static void listen_again(struct endpoint *e);
+
+/* ---- ends ---- */
+
+static void reset_connection(struct evhttp_request *req)
+{
+	struct evhttp_connection *conn = evhttp_request_get_connection(req);
+	struct linger linger = { 1, 0 };
+
+	if (conn)
+		setsockopt(bufferevent_getfd(
+				   evhttp_connection_get_bufferevent(conn)),
+			   SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
+static void free_waiting(struct waiting *w)
+{
+	g_ptr_array_remove_fast(w->endpoint->waiting, w);
+	event_free(w->timer);
+	g_free(w);
+}
+
+static void on_return(evutil_socket_t fd, short what, void *ctx)
+{
+	(void)fd;
+	(void)what;
+	listen_again(ctx);
+}
+
+static void close_endpoint(struct endpoint *e)
+{
+	for (guint i = 0; i < e->waiting->len; i++) {
+		struct waiting *w = e->waiting->pdata[i];
+
+		reset_connection(w->req);
+		/* Without a connection this only frees the request. */
+		if (!evhttp_request_get_connection(w->req))
+			evhttp_send_reply_end(w->req);
+		event_free(w->timer);
+		g_free(w);
+	}
+	g_ptr_array_set_size(e->waiting, 0);
+	evhttp_free(e->http);
+	e->http = NULL;
+}
+
+static void end_endpoint(struct endpoint *e)
+{
+	struct crash_endpoints *all = e->all;
+	gint64 now = cluster_now_ms();
+	struct timeval back = { all->opts.back_ms / 1000,
+				(all->opts.back_ms % 1000) * 1000 };
+
+	if (!e->http)
+		return;
+	g_mutex_lock(&all->lock);
+	e->alive = false;
+	g_array_append_val(all->ends, now);
+	g_mutex_unlock(&all->lock);
+	close_endpoint(e);
+	event_add(e->return_timer, &back);
+}
+
+/* ---- requests ---- */
+
+static void on_end(evutil_socket_t fd, short what, void *ctx)
+{
+	struct endpoint *e = ctx;
+
+	(void)fd;
+	(void)what;
+	if (e->all->opts.mode != CRASH_TOGETHER) {
+		end_endpoint(e);
+		return;
+	}
+	for (int i = 0; i < e->all->opts.count; i++)
+		end_endpoint(&e->all->endpoints[i]);
+}
+
+static void close_later(struct waiting *w)
+{
+	reset_connection(w->req);
+	if (evhttp_request_get_connection(w->req))
+		evhttp_connection_free(evhttp_request_get_connection(w->req));
+	else
+		evhttp_send_reply_end(w->req);
+	free_waiting(w);
+}
+
+static void refuse(struct waiting *w)
+{
+	evhttp_add_header(evhttp_request_get_output_headers(w->req),
+			  "Not-Executed", "1");
+	evhttp_send_reply(w->req, 503, "full", NULL);
+	free_waiting(w);
+}
+
+static void answer(struct waiting *w)
+{
+	evbuffer_add_printf(evhttp_request_get_output_buffer(w->req), "whole");
+	evhttp_send_reply(w->req, 200, "OK", NULL);
+	free_waiting(w);
+}
+
+static void leave(struct endpoint *e)
+{
+	g_mutex_lock(&e->all->lock);
+	e->leaving = true;
+	g_mutex_unlock(&e->all->lock);
+}
+
+static void on_begin(evutil_socket_t fd, short what, void *ctx)
+{
+	struct waiting *w = ctx;
+	struct endpoint *e = w->endpoint;
+	enum crash_mode mode = e->all->opts.mode;
+
+	(void)fd;
+	(void)what;
+	if (!w->has_part)
+		answer(w);
+	else if (mode == CRASH_RESET)
+		close_later(w);
+	else if (mode == CRASH_REFUSE)
+		refuse(w);
+	else if (mode == CRASH_LEAVE)
+		leave(e);
+	else if (mode != CRASH_STALL)
+		event_base_once(e->all->base, -1, EV_TIMEOUT, on_end, e, NULL);
+}
+
+static bool has_part(const struct crash_endpoints *all,
+		     struct evhttp_request *req)
+{
+	const char *prefix = http_header(req, "Prompt-Prefix");
+	char *item = g_strdup_printf("%s:", all->part);
+	bool found = prefix && strstr(prefix, item);
+
+	g_free(item);
+	return found;
+}
+
+static void handle_request(struct evhttp_request *req, void *ctx)
+{
+	struct endpoint *e = ctx;
+	struct crash_endpoints *all = e->all;
+	struct waiting *w = g_new0(struct waiting, 1);
+	struct timeval after = { 0, all->opts.answer_ms * 1000 };
+	struct evkeyvalq *out = evhttp_request_get_output_headers(req);
+	const char *id = http_header(req, "Attempt-Id");
+	gint64 now = cluster_now_ms();
+
+	if (id)
+		evhttp_add_header(out, "Attempt-Id", id);
+	evhttp_add_header(out, "Response-Seal", "seal");
+	w->endpoint = e;
+	w->req = req;
+	w->has_part = has_part(all, req);
+	w->timer = evtimer_new(all->base, on_begin, w);
+	if (w->has_part) {
+		g_mutex_lock(&all->lock);
+		g_array_append_val(all->arrivals, now);
+		g_mutex_unlock(&all->lock);
+	}
+	g_ptr_array_add(e->waiting, w);
+	event_add(w->timer, &after);
+}
+
+static void listen_again(struct endpoint *e)
+{
+	struct crash_endpoints *all = e->all;
+	char *address = g_strdup_printf("%s.%d:0", all->network,
+					FIRST_HOST + e->number);
+	struct http_listen_opts opts = {
+		.base = all->base,
+		.address = address,
+		.header_bytes = 16384,
+		.body_bytes = 65536,
+		.timeout_s = 30,
+		.handle = handle_request,
+		.ctx = e,
+	};
+
+	e->http = http_listen(&opts, &e->port, NULL);
+	assert_non_null(e->http);
+	g_mutex_lock(&all->lock);
+	e->life++;
+	e->alive = true;
+	e->leaving = false;
+	g_mutex_unlock(&all->lock);
+	g_free(address);
+}
+
+/* ---- announcements ---- */
+
+static bool announce(struct crash_endpoints *all, int number, int life,
+		     int port, bool leaving)
+{
+	static gint sequence;
+	int order = g_atomic_int_add(&sequence, 1) + 1;
+	char *path = g_strdup_printf("/v1/instances/i-%d-%d/heartbeat", number,
+				     life);
+	char *body = g_strdup_printf(
+		"{\"service\":\"%s\",\"address\":\"%s.%d:%d\","
+		"\"zone\":\"a\",\"version\":\"v1\",\"slots\":8,"
+		"\"state\":\"%s\",\"coldLeftMs\":0,\"born\":%d,"
+		"\"sequence\":%d}",
+		all->service, all->network, FIRST_HOST + number, port,
+		leaving ? "draining" : "ready", life, order);
+	bool accepted = false;
+
+	for (int i = 0; all->control[i] && !accepted; i++) {
+		struct fetch_request request = {
+			.address = all->control[i],
+			.method = "POST",
+			.path = path,
+			.type = "application/json",
+			.body = body,
+			.body_size = -1,
+			.timeout_ms = ANNOUNCE_TIMEOUT_MS,
+		};
+		struct fetch_response response;
+
+		accepted = fetch(&request, &response) && response.status == 200;
+		fetch_clear(&response);
+	}
+	g_free(path);
+	g_free(body);
+	return accepted;
+}
+
+static void announce_endpoint(struct endpoint *e)
+{
+	struct crash_endpoints *all = e->all;
+	struct timeval after = { 0, LEAVE_US };
+	bool alive, leaving, accepted;
+	int life, port;
+
+	g_mutex_lock(&all->lock);
+	alive = e->alive;
+	leaving = e->leaving;
+	life = e->life;
+	port = e->port;
+	g_mutex_unlock(&all->lock);
+	accepted = alive && announce(all, e->number, life, port, leaving);
+	if (!accepted || !leaving)
+		return;
+	g_mutex_lock(&all->lock);
+	e->alive = false;
+	g_mutex_unlock(&all->lock);
+	event_base_once(all->base, -1, EV_TIMEOUT, on_end, e, &after);
+}
+
+static gpointer run_announcer(gpointer ctx)
+{
+	struct crash_endpoints *all = ctx;
+
+	while (!g_atomic_int_get(&all->stop)) {
+		for (int i = 0; i < all->opts.count; i++)
+			announce_endpoint(&all->endpoints[i]);
+		usleep(ANNOUNCE_US);
+	}
+	return NULL;
+}
+
+/* ---- start and stop ---- */
+
+static gpointer run_loop(gpointer ctx)
+{
+	struct crash_endpoints *all = ctx;
+
+	event_base_loop(all->base, EVLOOP_NO_EXIT_ON_EMPTY);
+	return NULL;
+}
+
+struct crash_endpoints *crash_endpoints_start(
+	const struct crash_endpoints_opts *opts)
+{
+	struct crash_endpoints *all = g_new0(struct crash_endpoints, 1);
+
+	all->opts = *opts;
+	all->network = g_strdup(opts->network);
+	all->service = g_strdup(opts->service);
+	all->part = g_strdup(opts->part);
+	all->control = g_strdupv((char **)opts->control);
+	all->base = event_base_new();
+	all->ends = g_array_new(FALSE, FALSE, sizeof(gint64));
+	all->arrivals = g_array_new(FALSE, FALSE, sizeof(gint64));
+	g_mutex_init(&all->lock);
+	all->endpoints = g_new0(struct endpoint, opts->count);
+	for (int i = 0; i < opts->count; i++) {
+		struct endpoint *e = &all->endpoints[i];
+
+		e->all = all;
+		e->number = i;
+		e->waiting = g_ptr_array_new();
+		e->return_timer = evtimer_new(all->base, on_return, e);
+		listen_again(e);
+	}
+	all->thread = g_thread_new("endpoints", run_loop, all);
+	all->announcer = g_thread_new("announcer", run_announcer, all);
+	return all;
+}
+
+void crash_endpoints_stop(struct crash_endpoints *all)
+{
+	if (!all)
+		return;
+	g_atomic_int_set(&all->stop, 1);
+	g_thread_join(all->announcer);
+	event_base_loopbreak(all->base);
+	g_thread_join(all->thread);
+	for (int i = 0; i < all->opts.count; i++) {
+		if (all->endpoints[i].http)
+			close_endpoint(&all->endpoints[i]);
+		event_free(all->endpoints[i].return_timer);
+		g_ptr_array_unref(all->endpoints[i].waiting);
+	}
+	event_base_free(all->base);
+	g_array_unref(all->ends);
+	g_array_unref(all->arrivals);
+	g_mutex_clear(&all->lock);
+	g_strfreev(all->control);
+	g_free(all->endpoints);
+	g_free(all->network);
+	g_free(all->service);
+	g_free(all->part);
+	g_free(all);
+}
+
+/* ---- counts ---- */
+
+int crash_endpoints_ends(struct crash_endpoints *all)
+{
+	int n;
+
+	g_mutex_lock(&all->lock);
+	n = (int)all->ends->len;
+	g_mutex_unlock(&all->lock);
+	return n;
+}
+
+gint64 crash_endpoints_end_ms(struct crash_endpoints *all, int n)
+{
+	gint64 at = 0;
+
+	g_mutex_lock(&all->lock);
+	if (n >= 1 && (guint)n <= all->ends->len)
+		at = g_array_index(all->ends, gint64, n - 1);
+	g_mutex_unlock(&all->lock);
+	return at;
+}
+
+int crash_endpoints_arrivals(struct crash_endpoints *all, gint64 since_ms)
+{
+	int n = 0;
+
+	g_mutex_lock(&all->lock);
+	for (guint i = 0; i < all->arrivals->len; i++)
+		n += g_array_index(all->arrivals, gint64, i) >= since_ms;
+	g_mutex_unlock(&all->lock);
+	return n;
+}
--- /dev/null
+++ b/test/crash_endpoints.h
@@ -0,0 +1,55 @@
+/**
+ * @file
+ * Endpoints of a plain service that end when they begin to answer a request
+ * whose prompt has a certain part: all their connections are reset, new ones
+ * are refused, and after a while the endpoint is back under another name.
+ *
+ * They run and announce themselves on threads of their own; every function may
+ * be called from any thread.
+ */
+#ifndef TEST_CRASH_ENDPOINTS_H
+#define TEST_CRASH_ENDPOINTS_H
+
+#include <stdbool.h>
+
+#include <glib.h>
+
+struct crash_endpoints;
+
+/** What an endpoint does when it begins to answer a request with the part. */
+enum crash_mode {
+	CRASH_END,	/* all its connections are reset */
+	CRASH_RESET,	/* that connection alone is reset */
+	CRASH_LEAVE,	/* as CRASH_END, after it has announced its leaving */
+	CRASH_STALL,	/* it never answers */
+	CRASH_REFUSE,	/* it answers that it didn't run the request */
+	CRASH_TOGETHER, /* all endpoints end at once */
+};
+
+struct crash_endpoints_opts {
+	const char *network; /* first three parts of the addresses */
+	int count;
+	const char *service;
+	const char *part; /* hexadecimal id, as in requests */
+	enum crash_mode mode;
+	int answer_ms; /* from a request to the begin of its answer */
+	int back_ms;   /* from an end to the return */
+	/** Addresses that take announcements. */
+	char *const *control;
+};
+
+struct crash_endpoints *crash_endpoints_start(
+	const struct crash_endpoints_opts *opts);
+void crash_endpoints_stop(struct crash_endpoints *endpoints);
+
+/** Number of ends so far. */
+int crash_endpoints_ends(struct crash_endpoints *endpoints);
+
+/** Time of the n-th end, from 1, by cluster_now_ms(); 0 before it. */
+gint64 crash_endpoints_end_ms(struct crash_endpoints *endpoints, int n);
+
+/** Number of requests with the part that arrived at `since_ms` or later. */
+int crash_endpoints_arrivals(struct crash_endpoints *endpoints,
+			     gint64 since_ms);
+
+#endif
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -25,6 +25,8 @@
 #include "common/fetch.h"
 #include "common/http.h"
 #include "test/cluster.h"
+#include "test/crash_endpoints.h"
+#include "test/part_clients.h"
 #include "test/script.h"
 
 #define ENDLESS_PREFIX "/events/"
@@ -33,11 +35,14 @@
 #define UNRESUMABLE_PREFIX "/events/unresumable"
 #define SLOW_PREFIX "/slow/"
 #define CONTROL_VMS 3
-#define NODES 4 /* the last is the entry */
+#define ENTRY 4 /* the first entry */
+#define NODES 5 /* the last is the second entry, if there are two */
 #define WAIT_MS 30000
 #define HEARTBEAT_US 200000
 #define POLL_US 50000
 #define REQUEST_TIMEOUT_MS 2000
+/* From the fifth end on, for all entries to know of it. */
+#define LATE_MS 3000
 
 enum port {
 	PORT_PEERS,
@@ -80,6 +85,10 @@
 	GThread *background_thread;
 	volatile gint stop;
 	int requests;
+	int entries;
+	struct crash_endpoints *crash_endpoints;
+	struct part_clients *sound_at[NODES + 1], *bad;
+	gint64 late_ms; /* see do_wait_late() */
 };
 
 static char *address_of(const struct platform_test *test, int node,
@@ -275,7 +284,7 @@
 
 static char *format_settings(const struct platform_test *test, int node)
 {
-	bool entry = node == NODES;
+	bool entry = node >= ENTRY;
 	char *peers = address_of(test, node, PORT_PEERS);
 	char *control = address_of(test, node, PORT_CONTROL);
 	char *directory = address_of(test, node, PORT_DIRECTORY);
@@ -369,12 +378,14 @@
 	return wait_node(test, node);
 }
 
+/* start [entries=N] */
 static void do_start(struct script *s)
 {
 	struct platform_test *test = s->ctx;
 
+	test->entries = (int)script_number(s, "entries", 1);
 	test->bootstrap = true;
-	for (int i = 1; i <= NODES; i++)
+	for (int i = 1; i <= CONTROL_VMS + test->entries; i++)
 		start_node(test, i);
 	test->bootstrap = false;
 }
@@ -591,7 +602,7 @@
 {
 	struct platform_test *test = s->ctx;
 
-	test->background.address = address_of(test, NODES, PORT_CALLERS);
+	test->background.address = address_of(test, ENTRY, PORT_CALLERS);
 	test->background.path = g_strdup(s->words[1]);
 	test->background.once = script_number(s, "once", 0);
 	test->background_thread = g_thread_new(
@@ -631,7 +642,7 @@
 static void do_request(struct script *s)
 {
 	struct platform_test *test = s->ctx;
-	char *address = address_of(test, NODES, PORT_CALLERS);
+	char *address = address_of(test, ENTRY, PORT_CALLERS);
 	const char *headers[] = { "Host",
 				  "shop.example",
 				  "X-Api-Key",
@@ -678,7 +689,7 @@
 static void do_raw_request(struct script *s)
 {
 	struct platform_test *test = s->ctx;
-	char *address_text = address_of(test, NODES, PORT_CALLERS);
+	char *address_text = address_of(test, ENTRY, PORT_CALLERS);
 	char *joined = g_strjoinv(" ", s->words + 1);
 	char **lines = g_strsplit(joined, "|", 0);
 	char *text = g_strjoinv("\r\n", lines);
@@ -736,7 +747,7 @@
 {
 	struct fetch_response answer;
 
-	get_until(s, NODES, PORT_READY, "/v1/readiness",
+	get_until(s, ENTRY, PORT_READY, "/v1/readiness",
 		  script_value(s, "status", "200"), &answer);
 	script_print(s, "readiness: %d", answer.status);
 	fetch_clear(&answer);
@@ -776,6 +787,191 @@
 	g_free(line);
 }
 
+/* ---- prompt parts ---- */
+
+static char **addresses_of(const struct platform_test *test, int first,
+			   int last, enum port port)
+{
+	GPtrArray *list = g_ptr_array_new();
+
+	for (int node = first; node <= last; node++)
+		g_ptr_array_add(list, address_of(test, node, port));
+	g_ptr_array_add(list, NULL);
+	return (char **)g_ptr_array_free(list, FALSE);
+}
+
+static enum crash_mode crash_mode(struct script *s)
+{
+	static const char *const names[] = {
+		[CRASH_END] = "end",	   [CRASH_RESET] = "reset",
+		[CRASH_LEAVE] = "leave",   [CRASH_STALL] = "stall",
+		[CRASH_REFUSE] = "refuse", [CRASH_TOGETHER] = "together",
+	};
+	const char *name = script_value(s, "mode", "end");
+
+	for (guint i = 0; i < G_N_ELEMENTS(names); i++)
+		if (!strcmp(name, names[i]))
+			return (enum crash_mode)i;
+	script_fail(s, "unknown mode %s", name);
+}
+
+/* start-crash-endpoints COUNT part=ID [mode=MODE] [answer=MS] [back=MS] */
+static void do_start_crash_endpoints(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	char **control = addresses_of(test, 1, CONTROL_VMS, PORT_CONTROL);
+	struct crash_endpoints_opts opts = {
+		.network = test->network,
+		.count = atoi(s->words[1]),
+		.service = "web",
+		.part = script_value(s, "part", ""),
+		.mode = crash_mode(s),
+		.answer_ms = (int)script_number(s, "answer", 40),
+		.back_ms = (int)script_number(s, "back", 1500),
+		.control = control,
+	};
+
+	test->crash_endpoints = crash_endpoints_start(&opts);
+	g_strfreev(control);
+}
+
+static struct part_clients *start_clients(const struct platform_test *test,
+					  int first, int last, const char *part,
+					  int per_entry, int pause_ms)
+{
+	char **entries = addresses_of(test, first, last, PORT_CALLERS);
+	struct part_clients_opts opts = {
+		.entries = entries,
+		.per_entry = per_entry,
+		.part = part,
+		.pause_ms = pause_ms,
+	};
+	struct part_clients *clients = part_clients_start(&opts);
+
+	g_strfreev(entries);
+	return clients;
+}
+
+/* sound-begin: clients whose requests lack the part, at each entry. */
+static void do_sound_begin(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+
+	for (int i = ENTRY; i < ENTRY + test->entries; i++)
+		test->sound_at[i] = start_clients(test, i, i, NULL, 4, 10);
+}
+
+/* bad-begin part=ID [pause=MS]: clients whose requests have it. */
+static void do_bad_begin(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+
+	test->bad = start_clients(test, ENTRY, ENTRY + test->entries - 1,
+				  script_value(s, "part", ""), 1,
+				  (int)script_number(s, "pause", 100));
+}
+
+/* Waits until `clients` have had that many answers. */
+static void wait_answers(struct script *s, struct part_clients *clients,
+			 int requests, struct part_counts *counts)
+{
+	gint64 deadline = cluster_now_ms() + WAIT_MS;
+
+	part_clients_reset(clients);
+	do {
+		usleep(POLL_US);
+		part_clients_count(clients, counts);
+	} while (counts->sent < requests && cluster_now_ms() < deadline);
+	if (counts->sent < requests)
+		script_print(s, "only %d answers", counts->sent);
+}
+
+/* sound-share requests=N least=SHARE [node=N]: of the next N, at each entry. */
+static void do_sound_share(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	double least = g_ascii_strtod(script_value(s, "least", "0"), NULL);
+	int requests = (int)script_number(s, "requests", 100);
+	int node = (int)script_number(s, "node", 0);
+	int first = node ? node : ENTRY;
+	int last = node ? node : ENTRY + test->entries - 1;
+
+	for (int i = first; i <= last; i++) {
+		struct part_counts counts;
+
+		wait_answers(s, test->sound_at[i], requests, &counts);
+		if (counts.served >= least * counts.sent)
+			script_print(s, "entry %d serves sound requests", i);
+		else
+			script_print(s, "entry %d served %d of %d", i,
+				     counts.served, counts.sent);
+	}
+}
+
+/*
+ * wait-late: waits until LATE_MS have passed since the fifth end, or since the
+ * last one if no further ones come.
+ */
+static void do_wait_late(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	gint64 deadline = cluster_now_ms() + WAIT_MS;
+	gint64 now, from;
+
+	do {
+		int ends = crash_endpoints_ends(test->crash_endpoints);
+
+		usleep(POLL_US);
+		now = cluster_now_ms();
+		from = crash_endpoints_end_ms(test->crash_endpoints,
+					      MIN(ends, 5));
+		test->late_ms = from + LATE_MS;
+	} while ((!from || now < test->late_ms) && now < deadline);
+	if (!from)
+		script_print(s, "no endpoint has ended");
+	fprintf(stderr, "%d endpoints ended\n",
+		crash_endpoints_ends(test->crash_endpoints));
+}
+
+/*
+ * late-arrivals bad=N most=M: after N further answers to requests with the part
+ * at most M requests with it may have reached endpoints since wait-late.
+ */
+static void do_late_arrivals(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	int most = (int)script_number(s, "most", 0);
+	struct part_counts counts;
+	int arrivals;
+
+	wait_answers(s, test->bad, (int)script_number(s, "bad", 1), &counts);
+	arrivals = crash_endpoints_arrivals(test->crash_endpoints,
+					    test->late_ms);
+	if (arrivals <= most)
+		script_print(s, "at most %d requests with the part arrived",
+			     most);
+	else
+		script_print(s, "%d requests with the part arrived", arrivals);
+}
+
+static void stop_clients(struct platform_test *test)
+{
+	part_clients_stop(test->bad);
+	for (int i = 1; i <= NODES; i++)
+		part_clients_stop(test->sound_at[i]);
+	crash_endpoints_stop(test->crash_endpoints);
+}
+
+/* wait-ready NODE */
+static void do_wait_ready(struct script *s)
+{
+	struct fetch_response answer;
+
+	get_until(s, atoi(s->words[1]), PORT_READY, "/v1/readiness", "200",
+		  &answer);
+	fetch_clear(&answer);
+}
+
 static const struct script_command commands[] = {
 	{ "start", 0, do_start },
 	{ "start-endpoint", 0, do_start_endpoint },
@@ -798,6 +994,13 @@
 	{ "readiness", 0, do_readiness },
 	{ "metrics", 2, do_metrics },
 	{ "wait-metric", 3, do_wait_metric },
+	{ "start-crash-endpoints", 1, do_start_crash_endpoints },
+	{ "sound-begin", 0, do_sound_begin },
+	{ "bad-begin", 0, do_bad_begin },
+	{ "sound-share", 0, do_sound_share },
+	{ "wait-late", 0, do_wait_late },
+	{ "late-arrivals", 0, do_late_arrivals },
+	{ "wait-ready", 1, do_wait_ready },
 	{ 0 },
 };
 
@@ -869,6 +1072,7 @@
 {
 	struct platform_test *test = *state;
 
+	stop_clients(test);
 	for (int i = 1; i <= NODES; i++)
 		(void)stop_node(test, i, SIGKILL);
 	stop_endpoint(test);
