routing: decision on prompt parts that end replicas

Merged evidence per part (ends by replica and epoch, the last success), the verdict as a function of it, holds and trials. Which ends a success cleared travels as a flag of the end: compared as times, each hop would add its delay to the success until it cleared a later end.

Candidates are ordered by their counted ends less those that a success followed. By counted ends alone a part in all requests was held in the scripts popular and two-parts: while nothing succeeds it has the ends of all bad parts together ("holds a: 4 ends").

--- a/routing/quarantine.c
+++ b/routing/quarantine.c
@@ -1,86 +1,408 @@
+#include <xxhash.h>
+
 #include <radishdeal/quarantine.h>
 
+#include "routing/part_records.h"
+
+#define PARTS_MAX 1024u
+#define SUCCESSES_MAX 4096u
+#define ENDS_MIN 3u
+#define SAME_EVENT_MS 100
+#define HOLD_MS 30000
+#define HOLD_DOUBLINGS_MAX 4
+#define RECORD_MS 600000
+
+/**
+ * After a hold, one entry may make the trial; after each further turn, twice as
+ * many. A part whose requests reach few of the entries is tried as well.
+ */
+#define TRIAL_TURN_MS 2000
+#define TRIAL_TURNS_MAX 30
+
 struct quarantine {
 	struct quarantine_opts opts;
+	struct part_records records;
+	GArray *entries; /* of uint32_t */
+	GPtrArray *held; /* struct part_entry */
+	uint64_t version;
+	int64_t expires_ms; /* when the next record does */
+	bool is_judged;
 };
 
+/* ---- verdict ---- */
+
+/** An end as the key of a hash table. */
+static guint end_hash(gconstpointer key)
+{
+	const struct part_end *end = key;
+
+	return (guint)end->epoch * 31 + end->replica;
+}
+
+static gboolean end_equal(gconstpointer a, gconstpointer b)
+{
+	const struct part_end *x = a, *y = b;
+
+	return x->replica == y->replica && x->epoch == y->epoch;
+}
+
+static bool counts(const struct part_end *end, GHashTable *explained)
+{
+	return !end->cleared && !g_hash_table_contains(explained, end);
+}
+
+struct series {
+	uint32_t events;
+	uint32_t failed_trials;
+	int64_t first_ms, last_ms;
+};
+
+/* The ends of a part that nothing else explains, as events. */
+static void count_events(const struct quarantine *q,
+			 const struct part_entry *entry, GHashTable *explained,
+			 struct series *series)
+{
+	int64_t event_ms = 0;
+
+	*series = (struct series){ 0 };
+	for (uint32_t i = entry->end_count; i > 0; i--) {
+		const struct part_end *end = &entry->ends[i - 1];
+		int64_t gap_ms = end->time_ms - event_ms;
+
+		if (!counts(end, explained))
+			continue;
+		if (series->events && gap_ms <= q->opts.same_event_ms) {
+			series->last_ms = end->time_ms;
+			continue;
+		}
+		if (!series->events)
+			series->first_ms = end->time_ms;
+		if (series->events >= q->opts.ends_min &&
+		    gap_ms > q->opts.hold_ms)
+			series->failed_trials++;
+		series->events++;
+		series->last_ms = event_ms = end->time_ms;
+	}
+}
+
+/*
+ * Ends that a success followed speak for a part. A part in all requests has as
+ * many ends as the one at fault, or more, while nothing succeeds.
+ */
+static int64_t blame(const struct part_entry *entry, uint32_t events)
+{
+	int64_t blame = events;
+
+	for (uint32_t i = 0; i < entry->end_count; i++)
+		blame -= entry->ends[i].cleared;
+	return blame;
+}
+
+/* Whether `a` with its events is to be held rather than `b`. */
+static bool is_worse(const struct part_entry *a, uint32_t a_events,
+		     const struct part_entry *b, uint32_t b_events)
+{
+	int64_t a_blame = blame(a, a_events), b_blame = blame(b, b_events);
+
+	if (a_blame != b_blame)
+		return a_blame > b_blame;
+	if (a->success_ms != b->success_ms)
+		return a->success_ms < b->success_ms;
+	return a->part < b->part;
+}
+
+/* Returns the worst candidate that has enough ends, or NULL. */
+static struct part_entry *find_worst(const struct quarantine *q,
+				     const GPtrArray *candidates,
+				     GHashTable *explained,
+				     struct series *worst_series)
+{
+	struct part_entry *worst = NULL;
+
+	for (guint i = 0; i < candidates->len; i++) {
+		struct part_entry *entry = candidates->pdata[i];
+		struct series series;
+
+		if (entry->held)
+			continue;
+		count_events(q, entry, explained, &series);
+		if (series.events < q->opts.ends_min)
+			continue;
+		if (worst && !is_worse(entry, series.events, worst,
+				       worst_series->events))
+			continue;
+		worst = entry;
+		*worst_series = series;
+	}
+	return worst;
+}
+
+static void hold(struct quarantine *q, struct part_entry *entry,
+		 const struct series *series)
+{
+	uint32_t doublings = MIN(series->failed_trials, HOLD_DOUBLINGS_MAX);
+
+	entry->held = true;
+	entry->counted = series->events;
+	entry->first_end_ms = series->first_ms;
+	entry->last_end_ms = series->last_ms;
+	entry->hold_until_ms = series->last_ms +
+			       ((int64_t)q->opts.hold_ms << doublings);
+	g_ptr_array_add(q->held, entry);
+}
+
+static void explain_ends(struct part_entry *entry, GHashTable *explained)
+{
+	for (uint32_t i = 0; i < entry->end_count; i++)
+		if (!entry->ends[i].cleared)
+			g_hash_table_add(explained, &entry->ends[i]);
+}
+
+static void announce(struct quarantine *q, const struct part_entry *entry,
+		     bool held)
+{
+	struct quarantine_change change = {
+		.part = entry->part,
+		.held = held,
+		.ends = held ? entry->counted : 0,
+		.first_end_ms = entry->first_end_ms,
+		.last_end_ms = entry->last_end_ms,
+		.last_success_ms = entry->success_ms,
+		.hold_until_ms = entry->hold_until_ms,
+	};
+
+	q->version++;
+	if (q->opts.changed)
+		q->opts.changed(q->opts.ctx, &change);
+}
+
+static void announce_dropped(void *ctx, const struct part_entry *entry)
+{
+	struct quarantine *q = ctx;
+
+	g_ptr_array_remove(q->held, (gpointer)entry);
+	if (entry->held)
+		announce(q, entry, false);
+}
+
+static GPtrArray *reset_verdicts(struct quarantine *q)
+{
+	GPtrArray *candidates = g_ptr_array_new();
+
+	g_ptr_array_set_size(q->held, 0);
+	for (GList *l = q->records.by_change.head; l; l = l->next) {
+		struct part_entry *entry = l->data;
+
+		entry->was_held = entry->held;
+		entry->held = false;
+		if (entry->end_count >= q->opts.ends_min)
+			g_ptr_array_add(candidates, entry);
+		if (entry->end_count)
+			q->expires_ms = MIN(q->expires_ms,
+					    entry->ends[0].time_ms + RECORD_MS);
+	}
+	return candidates;
+}
+
+static void announce_changes(struct quarantine *q)
+{
+	for (GList *l = q->records.by_change.head; l; l = l->next) {
+		struct part_entry *entry = l->data;
+
+		if (entry->held != entry->was_held)
+			announce(q, entry, entry->held);
+		if (!entry->held)
+			entry->on_trial = false;
+	}
+}
+
+/* The verdict depends on the evidence alone, not on the order it came in. */
+static void judge(struct quarantine *q, int64_t now_ms)
+{
+	GHashTable *explained;
+	GPtrArray *candidates;
+	struct part_entry *worst;
+	struct series series;
+
+	if (!q->records.changed && now_ms <= q->expires_ms)
+		return;
+	part_records_expire(&q->records, now_ms - RECORD_MS);
+	q->expires_ms = INT64_MAX;
+	q->records.changed = false;
+	explained = g_hash_table_new(end_hash, end_equal);
+	candidates = reset_verdicts(q);
+	while ((worst = find_worst(q, candidates, explained, &series))) {
+		hold(q, worst, &series);
+		explain_ends(worst, explained);
+	}
+	announce_changes(q);
+	g_ptr_array_unref(candidates);
+	g_hash_table_unref(explained);
+}
+
+/* ---- trials ---- */
+
+static uint64_t trial_rank(uint64_t part, uint32_t node)
+{
+	return XXH3_64bits_withSeed(&node, sizeof(node), part);
+}
+
+static bool may_try(const struct quarantine *q, const struct part_entry *entry,
+		    int64_t now_ms)
+{
+	int64_t turn = (now_ms - entry->hold_until_ms) / TRIAL_TURN_MS;
+	uint64_t rank, entries, before = 0;
+
+	if (!q->opts.node || entry->on_trial || now_ms < entry->hold_until_ms)
+		return false;
+	entries = UINT64_C(1) << MIN(turn, TRIAL_TURNS_MAX);
+	rank = trial_rank(entry->part, q->opts.node);
+	for (guint i = 0; i < q->entries->len; i++)
+		before += trial_rank(entry->part,
+				     g_array_index(q->entries, uint32_t, i)) <
+			  rank;
+	return before < entries;
+}
+
+static struct part_entry *find_held(const struct quarantine *q, uint64_t part)
+{
+	struct part_entry *entry = part_records_find(&q->records, part);
+
+	return entry && entry->held ? entry : NULL;
+}
+
+/* ---- public ---- */
+
 struct quarantine *quarantine_create(const struct quarantine_opts *opts)
 {
 	struct quarantine *q = g_new0(struct quarantine, 1);
+	struct part_records_opts records = { .dropped = announce_dropped,
+					     .ctx = q };
 
 	q->opts = *opts;
+	if (!q->opts.ends_min)
+		q->opts.ends_min = ENDS_MIN;
+	if (!q->opts.same_event_ms)
+		q->opts.same_event_ms = SAME_EVENT_MS;
+	if (!q->opts.hold_ms)
+		q->opts.hold_ms = HOLD_MS;
+	records.parts_max = opts->parts_max ? opts->parts_max : PARTS_MAX;
+	records.successes_max = opts->successes_max ? opts->successes_max
+						    : SUCCESSES_MAX;
+	part_records_init(&q->records, &records);
+	q->entries = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	q->held = g_ptr_array_new();
+	q->expires_ms = INT64_MAX;
 	return q;
 }
 
 void quarantine_destroy(struct quarantine *q)
 {
+	if (!q)
+		return;
+	part_records_clear(&q->records);
+	g_array_unref(q->entries);
+	g_ptr_array_unref(q->held);
 	g_free(q);
 }
 
 void quarantine_set_entries(struct quarantine *q, const uint32_t *nodes,
 			    uint32_t count)
 {
-	(void)q, (void)nodes, (void)count;
+	g_array_set_size(q->entries, 0);
+	g_array_append_vals(q->entries, nodes, count);
 }
 
 void quarantine_add_success(struct quarantine *q, int64_t now_ms,
 			    const uint64_t *parts, uint32_t count)
 {
-	(void)q, (void)now_ms, (void)parts, (void)count;
+	for (uint32_t i = 0; i < count; i++)
+		part_records_add_success(&q->records, now_ms, parts[i]);
 }
 
 void quarantine_add_end(struct quarantine *q, int64_t now_ms, uint32_t replica,
 			uint64_t epoch, const uint64_t *parts, uint32_t count)
 {
-	(void)q, (void)now_ms, (void)replica, (void)epoch, (void)parts,
-		(void)count;
+	const struct part_end end = { .replica = replica,
+				      .epoch = epoch,
+				      .time_ms = now_ms };
+
+	for (uint32_t i = 0; i < count; i++)
+		part_records_add_end(&q->records, parts[i], &end);
 }
 
 void quarantine_check(struct quarantine *q, int64_t now_ms,
 		      const uint64_t *parts, uint32_t count,
 		      struct quarantine_check *out)
 {
-	(void)q, (void)now_ms, (void)parts, (void)count;
 	*out = (struct quarantine_check){ .verdict = QUARANTINE_CLEAR };
+	judge(q, now_ms);
+	for (uint32_t i = 0; q->held->len && i < count; i++) {
+		const struct part_entry *entry = find_held(q, parts[i]);
+		bool is_trial;
+
+		if (!entry)
+			continue;
+		is_trial = may_try(q, entry, now_ms);
+		if (is_trial && out->verdict != QUARANTINE_CLEAR)
+			continue;
+		out->verdict = is_trial ? QUARANTINE_TRIAL : QUARANTINE_HELD;
+		out->part = entry->part;
+		out->ends = entry->counted;
+		out->retry_after_ms =
+			is_trial ? 0
+				 : MAX(entry->hold_until_ms - now_ms,
+				       TRIAL_TURN_MS);
+		if (!is_trial)
+			return;
+	}
 }
 
 void quarantine_begin_trial(struct quarantine *q, int64_t now_ms, uint64_t part)
 {
-	(void)q, (void)now_ms, (void)part;
+	struct part_entry *entry;
+
+	judge(q, now_ms);
+	entry = find_held(q, part);
+	if (entry)
+		entry->on_trial = true;
 }
 
 void quarantine_end_trial(struct quarantine *q, uint64_t part)
 {
-	(void)q, (void)part;
+	struct part_entry *entry = part_records_find(&q->records, part);
+
+	if (entry)
+		entry->on_trial = false;
 }
 
 uint64_t quarantine_version(struct quarantine *q, int64_t now_ms)
 {
-	(void)q, (void)now_ms;
-	return 0;
+	judge(q, now_ms);
+	return q->version;
 }
 
 uint32_t quarantine_held(struct quarantine *q, int64_t now_ms)
 {
-	(void)q, (void)now_ms;
-	return 0;
+	judge(q, now_ms);
+	return q->held->len;
 }
 
 uint32_t quarantine_records(const struct quarantine *q)
 {
-	(void)q;
-	return 0;
+	return g_hash_table_size(q->records.parts);
 }
 
 uint64_t quarantine_report(struct quarantine *q, int64_t now_ms, uint64_t since,
 			   GArray *records)
 {
-	(void)q, (void)now_ms, (void)records;
-	return since;
+	return part_records_report(&q->records, now_ms, since,
+				   QUARANTINE_REPORT_MAX, records);
 }
 
 void quarantine_merge(struct quarantine *q, int64_t now_ms,
 		      const struct part_record *records, uint32_t count)
 {
-	(void)q, (void)now_ms, (void)records, (void)count;
+	for (uint32_t i = 0; i < count; i++)
+		part_records_merge(&q->records, now_ms, &records[i]);
 }
