routing, wire: an end late in an answer counts half

quarantine_add_end() takes `late`: the first event of the answer was received more than QUARANTINE_LATE_MS before. A part that ends replicas does so when its answer begins; a part whose answers end them later is still found, after six ends.

--- a/include/radishdeal/quarantine.h
+++ b/include/radishdeal/quarantine.h
@@ -32,6 +32,12 @@
 /** Parts of one request that are regarded. */
 #define QUARANTINE_REQUEST_PARTS_MAX 16
 
+/**
+ * A part that ends replicas mostly does so when its answer begins. An end later
+ * than this after the first event of the answer counts half.
+ */
+#define QUARANTINE_LATE_MS 500
+
 /** Records in one message. */
 #define QUARANTINE_REPORT_MAX 64
 
@@ -73,11 +79,13 @@
 			    const uint64_t *parts, uint32_t count);
 
 /**
- * A replica ended while a request with these parts was in flight at it. May be
- * called once for each request or once for all of them.
+ * A replica ended at `end_ms`, which may have passed, while a request with
+ * these parts was in flight at it; `late` if its first event was received more
+ * than QUARANTINE_LATE_MS before. Called once for each such request.
  */
-void quarantine_add_end(struct quarantine *q, int64_t now_ms, uint32_t replica,
-			uint64_t epoch, const uint64_t *parts, uint32_t count);
+void quarantine_add_end(struct quarantine *q, int64_t end_ms, uint32_t replica,
+			uint64_t epoch, const uint64_t *parts, uint32_t count,
+			bool late);
 
 enum quarantine_verdict {
 	QUARANTINE_CLEAR,
--- a/routing/part_records.c
+++ b/routing/part_records.c
@@ -165,14 +165,11 @@
 	entry->ends[at] = *end;
 }
 
-static struct part_end remove_end(struct part_entry *entry, uint32_t at)
+static void remove_end(struct part_entry *entry, uint32_t at)
 {
-	struct part_end end = entry->ends[at];
-
 	entry->end_count--;
 	memmove(&entry->ends[at], &entry->ends[at + 1],
-		(entry->end_count - at) * sizeof(end));
-	return end;
+		(entry->end_count - at) * sizeof(entry->ends[0]));
 }
 
 static int find_end(const struct part_entry *entry, const struct part_end *end)
@@ -189,7 +186,7 @@
 {
 	int at = find_end(entry, end);
 	struct part_end known;
-	bool earlier, clears;
+	bool earlier, changed;
 
 	if (at < 0) {
 		insert_end(entry, end);
@@ -197,16 +194,17 @@
 	}
 	known = entry->ends[at];
 	earlier = end->time_ms < known.time_ms - END_SLACK_MS;
-	clears = end->cleared && !known.cleared;
+	changed = (end->cleared && !known.cleared) ||
+		  (!end->late && known.late);
+	known.cleared |= end->cleared;
+	known.late &= end->late;
+	entry->ends[at] = known;
 	if (earlier) {
-		known = remove_end(entry, (uint32_t)at);
 		known.time_ms = end->time_ms;
-		known.cleared |= end->cleared;
+		remove_end(entry, (uint32_t)at);
 		insert_end(entry, &known);
-	} else if (clears) {
-		entry->ends[at].cleared = true;
 	}
-	return earlier || clears;
+	return earlier || changed;
 }
 
 /*
@@ -309,6 +307,7 @@
 		struct part_end end = { .replica = theirs->replica,
 					.epoch = theirs->epoch,
 					.time_ms = now_ms - theirs->age_ms,
+					.late = theirs->late,
 					.cleared = theirs->cleared };
 
 		changed |= merge_end(entry, &end);
@@ -342,6 +341,7 @@
 			.replica = end->replica,
 			.epoch = end->epoch,
 			.age_ms = age_of(end->time_ms, now_ms),
+			.late = end->late,
 			.cleared = end->cleared,
 		};
 	}
--- a/routing/part_records.h
+++ b/routing/part_records.h
@@ -21,6 +21,7 @@
 	uint32_t replica;
 	uint64_t epoch;
 	int64_t time_ms;
+	bool late;    /* for all requests with the part */
 	bool cleared; /* the part succeeded afterwards */
 };
 
--- a/routing/quarantine.c
+++ b/routing/quarantine.c
@@ -7,6 +7,7 @@
 #define PARTS_MAX 1024u
 #define SUCCESSES_MAX 4096u
 #define ENDS_MIN 3u
+#define END_WEIGHT 2u /* of a late one: 1 */
 #define SAME_EVENT_MS 100
 #define HOLD_MS 30000
 #define HOLD_DOUBLINGS_MAX 4
@@ -53,16 +54,28 @@
 
 struct series {
 	uint32_t events;
+	uint32_t weight;
 	uint32_t failed_trials;
 	int64_t first_ms, last_ms;
 };
 
+static uint32_t weight(const struct part_end *end)
+{
+	return end->late ? 1 : END_WEIGHT;
+}
+
+static bool is_enough(const struct quarantine *q, uint32_t weight)
+{
+	return weight >= q->opts.ends_min * END_WEIGHT;
+}
+
 /* The ends of a part that nothing else explains, as events. */
 static void count_events(const struct quarantine *q,
 			 const struct part_entry *entry, GHashTable *explained,
 			 struct series *series)
 {
 	int64_t event_ms = 0;
+	uint32_t event_weight = 0;
 
 	*series = (struct series){ 0 };
 	for (uint32_t i = entry->end_count; i > 0; i--) {
@@ -72,15 +85,19 @@
 		if (!counts(end, explained))
 			continue;
 		if (series->events && gap_ms <= q->opts.same_event_ms) {
+			series->weight += MAX(weight(end), event_weight) -
+					  event_weight;
+			event_weight = MAX(weight(end), event_weight);
 			series->last_ms = end->time_ms;
 			continue;
 		}
 		if (!series->events)
 			series->first_ms = end->time_ms;
-		if (series->events >= q->opts.ends_min &&
-		    gap_ms > q->opts.hold_ms)
+		if (is_enough(q, series->weight) && gap_ms > q->opts.hold_ms)
 			series->failed_trials++;
 		series->events++;
+		event_weight = weight(end);
+		series->weight += event_weight;
 		series->last_ms = event_ms = end->time_ms;
 	}
 }
@@ -89,20 +106,21 @@
  * Ends that a success followed speak for a part. A part in all requests has as
  * many ends as the one at fault, or more, while nothing succeeds.
  */
-static int64_t blame(const struct part_entry *entry, uint32_t events)
+static int64_t blame(const struct part_entry *entry, uint32_t counted)
 {
-	int64_t blame = events;
+	int64_t blame = counted;
 
 	for (uint32_t i = 0; i < entry->end_count; i++)
-		blame -= entry->ends[i].cleared;
+		if (entry->ends[i].cleared)
+			blame -= weight(&entry->ends[i]);
 	return blame;
 }
 
-/* Whether `a` with its events is to be held rather than `b`. */
-static bool is_worse(const struct part_entry *a, uint32_t a_events,
-		     const struct part_entry *b, uint32_t b_events)
+/* Whether `a`, with ends of this weight, is to be held rather than `b`. */
+static bool is_worse(const struct part_entry *a, uint32_t a_weight,
+		     const struct part_entry *b, uint32_t b_weight)
 {
-	int64_t a_blame = blame(a, a_events), b_blame = blame(b, b_events);
+	int64_t a_blame = blame(a, a_weight), b_blame = blame(b, b_weight);
 
 	if (a_blame != b_blame)
 		return a_blame > b_blame;
@@ -126,10 +144,10 @@
 		if (entry->held)
 			continue;
 		count_events(q, entry, explained, &series);
-		if (series.events < q->opts.ends_min)
+		if (!is_enough(q, series.weight))
 			continue;
-		if (worst && !is_worse(entry, series.events, worst,
-				       worst_series->events))
+		if (worst && !is_worse(entry, series.weight, worst,
+				       worst_series->weight))
 			continue;
 		worst = entry;
 		*worst_series = series;
@@ -320,12 +338,14 @@
 		part_records_add_success(&q->records, now_ms, parts[i]);
 }
 
-void quarantine_add_end(struct quarantine *q, int64_t now_ms, uint32_t replica,
-			uint64_t epoch, const uint64_t *parts, uint32_t count)
+void quarantine_add_end(struct quarantine *q, int64_t end_ms, uint32_t replica,
+			uint64_t epoch, const uint64_t *parts, uint32_t count,
+			bool late)
 {
 	const struct part_end end = { .replica = replica,
 				      .epoch = epoch,
-				      .time_ms = now_ms };
+				      .time_ms = end_ms,
+				      .late = late };
 
 	for (uint32_t i = 0; i < count; i++)
 		part_records_add_end(&q->records, parts[i], &end);
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -141,7 +141,7 @@
 		node->cursors[i] = 0;
 }
 
-/* end NODE REPLICA PARTS [epoch=] */
+/* end NODE REPLICA PARTS [epoch=] [late=1] */
 static void run_end(struct script *s)
 {
 	struct test_node *node = get_node(s, 1);
@@ -150,8 +150,8 @@
 
 	quarantine_add_end(node->quarantine, now_at(s, node),
 			   (uint32_t)atoi(s->words[2]),
-			   (uint64_t)script_number(s, "epoch", 1), parts,
-			   count);
+			   (uint64_t)script_number(s, "epoch", 1), parts, count,
+			   script_number(s, "late", 0) != 0);
 	quarantine_version(node->quarantine, now_at(s, node));
 }
 
@@ -294,7 +294,7 @@
 
 /** A replica end or a success, as one of the instances saw it. */
 struct fact {
-	bool is_end;
+	bool is_end, late;
 	int64_t time_ms;
 	uint32_t replica;
 	uint64_t part;
@@ -319,6 +319,7 @@
 
 		facts[i] = (struct fact){
 			.is_end = g_rand_int_range(random, 0, 4) != 0,
+			.late = g_rand_int_range(random, 0, 3) == 0,
 			.time_ms = 1000 + (int64_t)moment * 250,
 			.replica = moment,
 			.part = (uint64_t)g_rand_int_range(random, 1,
@@ -333,7 +334,7 @@
 {
 	if (fact->is_end)
 		quarantine_add_end(q, fact->time_ms, fact->replica, 1,
-				   &fact->part, 1);
+				   &fact->part, 1, fact->late);
 	else
 		quarantine_add_success(q, fact->time_ms, &fact->part, 1);
 }
@@ -431,7 +432,8 @@
 
 	(void)state;
 	for (uint32_t i = 0; i < 4; i++)
-		quarantine_add_end(a, now_ms + i * 200, i + 1, 1, parts, 3);
+		quarantine_add_end(a, now_ms + i * 200, i + 1, 1, parts, 3,
+				   false);
 	quarantine_add_success(b, now_ms + 300, parts, 1);
 	for (int i = 0; i < 50; i++) {
 		GArray *records = new_records();
@@ -472,7 +474,8 @@
 		quarantine_add_success(q, i, &parts[1],
 				       QUARANTINE_REQUEST_PARTS_MAX - 1);
 		quarantine_add_end(q, i, i / 400, 1, parts,
-				   i < 2000 ? QUARANTINE_REQUEST_PARTS_MAX : 1);
+				   i < 2000 ? QUARANTINE_REQUEST_PARTS_MAX : 1,
+				   false);
 	}
 	assert_in_range(quarantine_records(q), 1, 1024);
 	quarantine_check(q, 20000, parts, 1, &check);
--- a/wire/radishdeal.h
+++ b/wire/radishdeal.h
@@ -459,6 +459,7 @@
 	uint32_t replica;
 	uint64_t epoch;
 	uint32_t age_ms;
+	bool_t late;
 	bool_t cleared;
 };
 typedef struct replica_end replica_end;
--- a/wire/radishdeal.x
+++ b/wire/radishdeal.x
@@ -385,6 +385,7 @@
 	uint32_t replica;
 	uint64_t epoch;
 	uint32_t age_ms;
+	bool late;			/* the answer was long under way */
 	bool cleared;			/* the part succeeded afterwards */
 };
 
--- a/wire/radishdeal_xdr.c
+++ b/wire/radishdeal_xdr.c
@@ -793,6 +793,8 @@
 		 return FALSE;
 	 if (!xdr_uint32_t (xdrs, &objp->age_ms))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->late))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->cleared))
 		 return FALSE;
 	return TRUE;
