entry, control, platform: requests with a part that ends replicas are contained

Callers saw one route refuse and fail for half a minute, twice (see docs/incidents/prompts-that-end-replicas.md). Nothing related the end of a replica to what it ran: each request with the part, each retry of it and each entry ended further replicas.

Now each entry tells the quarantine (routing/quarantine.c) which parts were in flight when a replica ended, and which were answered completely; the records go to the leader with the polls and come back to all entries with the replies, so that a restarted entry has them before it has a route. A request with a part that is held is refused at its start and before each dispatch, with `quarantined` (503, Retry-After; 502 if it may have run). When other parts are held than before, queued calls with them are refused and dispatched ones without an event cancelled. A call under which two replicas ended isn't sent to a third one, whatever its parts.

An end counts 100 ms after the last connection broke, if no response of the VM came since and not as many of the requests sent there before are still open; not if the VM is leaving or its replica has another epoch. A VM that takes a request after that goes on, whatever was decided. Not counted: time-outs, stalls, cancelled calls, refused connections, bytes that are no answer.

--- a/common/counters.h
+++ b/common/counters.h
@@ -34,6 +34,14 @@
 	X(IN_FLIGHT, "streams_open", "gauge",                                \
 	  "requests in flight at endpoints")                                 \
 	X(QUEUED, "requests_queued", "gauge", "requests waiting for a slot") \
+	X(REPLICA_ENDS, "replica_ends_total", "counter",                     \
+	  "replicas that ended with requests of this entry")                 \
+	X(PARTS_HELD, "prompt_parts_held", "gauge",                          \
+	  "prompt parts in quarantine")                                      \
+	X(PARTS_REFUSED, "quarantined_total", "counter",                     \
+	  "requests refused because of a part in quarantine")                \
+	X(PART_TRIALS, "prompt_part_trials_total", "counter",                \
+	  "requests sent as the trial of a part in quarantine")              \
 	X(STOP_SIGNALS, "stop_signals_total", "counter",                     \
 	  "signals received that ask this process to stop")                  \
 	X(ANNOUNCEMENTS, "announcements_total", "counter",                   \
--- a/control/control.c
+++ b/control/control.c
@@ -202,6 +202,7 @@
 	};
 	struct feed *feed;
 
+	rpc_random_bytes(&opts.parts_source, sizeof(opts.parts_source));
 	for (guint i = 0; i < peers->len; i++)
 		nodes[i] =
 			(uint32_t)((struct peer_settings *)peers->pdata[i])->id;
@@ -415,8 +416,11 @@
 		g_array_unref(status->loads);
 	if (status->demands)
 		g_array_unref(status->demands);
+	if (status->parts)
+		g_array_unref(status->parts);
 	status->loads = NULL;
 	status->demands = NULL;
+	status->parts = NULL;
 }
 
 struct status_message {
--- a/control/control.h
+++ b/control/control.h
@@ -31,6 +31,8 @@
 struct config_update {
 	struct poll_reply reply;
 	int64_t lease_until_ms; /* on clock_system */
+	/* Of the poll: the responder known then, entry_status.parts_sent. */
+	uint64_t parts_source, parts_sent;
 };
 
 /**
@@ -107,6 +109,11 @@
 	bool draining;
 	GArray *loads;	 /* of struct replica_load; NULL for none */
 	GArray *demands; /* of struct service_demand; NULL for none */
+	/* Evidence on prompt parts, see poll_request: */
+	GArray *parts;	     /* of struct part_record; NULL for none */
+	uint64_t parts_sent; /* the entry's change up to which they go */
+	uint64_t parts_source, parts_cursor;
+	int64_t at_ms; /* when the ages in `parts` applied; on clock_system */
 };
 
 /** Releases the arrays of a status. */
--- a/control/feed.c
+++ b/control/feed.c
@@ -1,6 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <radishdeal/quarantine.h>
+
 #include "common/pack.h"
 #include "control/demands.h"
 #include "control/feed.h"
@@ -17,6 +19,7 @@
 	GBytes *snapshot; /* compressed, at snapshot_index; may be NULL */
 	uint32_t snapshot_bytes; /* size before compression */
 	uint64_t snapshot_index;
+	struct quarantine *quarantine; /* passes evidence on */
 };
 
 static void free_command(gpointer data)
@@ -45,6 +48,7 @@
 				opts->node_count * sizeof(uint32_t));
 	g_queue_init(&feed->commands);
 	feed->entries = g_hash_table_new_full(NULL, NULL, NULL, free_entry);
+	feed->quarantine = quarantine_create(&(struct quarantine_opts){ 0 });
 	return feed;
 }
 
@@ -54,6 +58,7 @@
 		return;
 	g_queue_clear_full(&feed->commands, free_command);
 	g_hash_table_unref(feed->entries);
+	quarantine_destroy(feed->quarantine);
 	if (feed->snapshot)
 		g_bytes_unref(feed->snapshot);
 	g_free(feed->nodes);
@@ -327,6 +332,29 @@
 	g_array_unref(loads);
 }
 
+/* Takes an entry's evidence on prompt parts, and adds what it may not have. */
+static void exchange_parts(struct feed *feed, int64_t now_ms,
+			   const struct poll_request *request,
+			   struct poll_reply *reply)
+{
+	GArray *records = g_array_new(FALSE, FALSE, sizeof(struct part_record));
+	bool knows = request->parts_source == feed->opts.parts_source;
+	gsize size;
+
+	quarantine_merge(feed->quarantine, now_ms, request->parts.parts_val,
+			 request->parts.parts_len);
+	reply->parts_source = feed->opts.parts_source;
+	reply->parts_cursor =
+		quarantine_report(feed->quarantine, now_ms,
+				  knows ? request->parts_cursor : 0, records);
+	size = records->len * sizeof(struct part_record);
+	reply->parts.parts_len = records->len;
+	reply->parts.parts_val = malloc(size + 1);
+	if (size)
+		memcpy(reply->parts.parts_val, records->data, size);
+	g_array_unref(records);
+}
+
 void feed_poll(struct feed *feed, int64_t now_ms, const struct state *state,
 	       const struct poll_request *request, struct poll_reply *reply)
 {
@@ -340,6 +368,7 @@
 		add_deltas(feed, request->applied_index, reply);
 	add_entries(feed, now_ms, reply);
 	add_other_loads(feed, now_ms, request->node, reply);
+	exchange_parts(feed, now_ms, request, reply);
 }
 
 void feed_sum_demand(const struct feed *feed, int64_t now_ms,
--- a/control/feed.h
+++ b/control/feed.h
@@ -21,6 +21,8 @@
 	/** Entries that are listed in the settings. */
 	const uint32_t *nodes;
 	uint32_t node_count;
+	/** Names this feed's evidence on prompt parts; random. */
+	uint64_t parts_source;
 	/** Whether entries outside that list may exist or join later. */
 	bool entries_may_join;
 };
--- a/control/follow.c
+++ b/control/follow.c
@@ -33,6 +33,7 @@
 	struct follow *follow;
 	uint32_t node; /* polled node */
 	int64_t sent_ms;
+	uint64_t parts_source, parts_sent; /* as in config_update */
 };
 
 uint32_t follow_leader(const struct follow *follow)
@@ -139,6 +140,8 @@
 	 * than at the leader.
 	 */
 	update->lease_until_ms = poll->sent_ms + reply->lease_ms;
+	update->parts_source = poll->parts_source;
+	update->parts_sent = poll->parts_sent;
 	control->opts.listener.config(control->opts.listener.ctx, update);
 }
 
@@ -164,6 +167,41 @@
 	handle_reply(follow, &poll, &reply);
 }
 
+static uint32_t older(uint32_t age_ms, int64_t by_ms)
+{
+	return (uint32_t)MIN(age_ms + MAX(by_ms, 0), (int64_t)UINT32_MAX);
+}
+
+/* Brings the ages in the records of the status to the present. */
+static void update_ages(struct entry_status *status, int64_t now_ms)
+{
+	int64_t by_ms = now_ms - status->at_ms;
+
+	for (guint i = 0; i < status->parts->len; i++) {
+		struct part_record *r = &g_array_index(status->parts,
+						       struct part_record, i);
+
+		r->success_age_ms = older(r->success_age_ms, by_ms);
+		for (u_int j = 0; j < r->ends.ends_len; j++)
+			r->ends.ends_val[j].age_ms =
+				older(r->ends.ends_val[j].age_ms, by_ms);
+	}
+	status->at_ms = now_ms;
+}
+
+static void fill_parts(struct follow *follow, struct poll_request *request)
+{
+	struct entry_status *status = &follow->status;
+
+	request->parts_source = status->parts_source;
+	request->parts_cursor = status->parts_cursor;
+	if (!status->parts)
+		return;
+	update_ages(status, follow->last_poll_ms);
+	request->parts.parts_val = (struct part_record *)status->parts->data;
+	request->parts.parts_len = status->parts->len;
+}
+
 static void fill_request(struct follow *follow, struct poll_request *request)
 {
 	struct control *control = follow->control;
@@ -192,6 +230,7 @@
 			(struct service_demand *)follow->status.demands->data;
 		request->demands.demands_len = follow->status.demands->len;
 	}
+	fill_parts(follow, request);
 }
 
 static bool poll_self(struct follow *follow, const struct poll_request *request)
@@ -201,6 +240,8 @@
 		.follow = follow,
 		.node = (uint32_t)control->opts.settings->node.id,
 		.sent_ms = follow->last_poll_ms,
+		.parts_source = follow->status.parts_source,
+		.parts_sent = follow->status.parts_sent,
 	};
 	struct poll_reply reply = { 0 };
 
@@ -246,7 +287,13 @@
 		return;
 	bytes = CODEC_ENCODE(poll_request, &request);
 	poll = g_new(struct poll, 1);
-	*poll = (struct poll){ follow, peer->node, follow->last_poll_ms };
+	*poll = (struct poll){
+		.follow = follow,
+		.node = peer->node,
+		.sent_ms = follow->last_poll_ms,
+		.parts_source = follow->status.parts_source,
+		.parts_sent = follow->status.parts_sent,
+	};
 	follow->in_flight = poll;
 	if (!rpc_client_call(peer->client, RPC_POLL, bytes, POLL_TIMEOUT_MS,
 			     on_reply, poll)) {
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -7,7 +7,7 @@
 #include <event2/bufferevent.h>
 
 #include "common/log.h"
-#include "entry/ends.h"
+#include "entry/parts.h"
 
 /*
  * A stream without data for this long is resumed on another replica. Also the
@@ -20,6 +20,8 @@
 /* Limit on an incomplete event; no engine sends larger ones. */
 #define INCOMPLETE_EVENT_MAX_BYTES 65536u
 #define US_PER_MS 1000
+/* A request under which so many replicas ended isn't sent to another. */
+#define REPLICA_ENDS_MAX 2u
 
 static const struct log attempt_log = { "call" };
 
@@ -49,6 +51,7 @@
 	uint32_t expected = call->route.output_tokens;
 
 	cancel_upstream(call);
+	parts_attempt_over(call);
 	clear_awaiting_first(call);
 	if (call->replica)
 		router_done(call->service->router, call->replica, call->epoch,
@@ -68,6 +71,7 @@
 static bool may_retry(const struct call *call)
 {
 	return call->attempts < call->attempts_max &&
+	       call->replica_ends < REPLICA_ENDS_MAX &&
 	       (call->req || call->booking_key) &&
 	       entry_now_ms(call->entry) < call->deadline_ms;
 }
@@ -169,6 +173,8 @@
 	router_progress(call->service->router, call->replica, tokens);
 	call->reported_tokens += tokens;
 	clear_awaiting_first(call);
+	if (!call->first_event_us)
+		call->first_event_us = now_us;
 	if (!call->rate_sampled_us) {
 		call->rate_sampled_us = now_us;
 		call->rate_sample_tokens = 0;
@@ -321,6 +327,7 @@
 		 "ms=%" PRId64,
 		 call->id, call->replica, call->status, size,
 		 (entry_now_us(call->entry) - call->started_us) / 1000);
+	parts_answered(call);
 	attempt_finish(call);
 	if (call->booking_key)
 		booking_end(call, BOOKING_ANSWERED, call->status,
@@ -350,6 +357,12 @@
 	       may_retry(call);
 }
 
+static void complete_stream(struct call *call)
+{
+	parts_answered(call);
+	call_complete_stream(call);
+}
+
 static void on_end(void *ctx, enum upstream_result end)
 {
 	struct call *call = ctx;
@@ -373,7 +386,7 @@
 	else if (!is_stream(call))
 		finish_response(call);
 	else if (call->format->stream_complete(call))
-		call_complete_stream(call);
+		complete_stream(call);
 	else
 		handle_failure(call, "ended the stream early");
 }
@@ -394,6 +407,7 @@
 	call->status = 0;
 	call->response_class = RESPONSE_FORWARD;
 	call->response_too_large = false;
+	call->first_event_us = 0;
 	call->rate_sampled_us = 0;
 	call->paused = false;
 }
@@ -445,6 +459,8 @@
 {
 	struct entry *entry = call->entry;
 
+	if (parts_refuse(call, true))
+		return;
 	if (call->ticket.waiting) {
 		admission_dequeue(call->service->admission, &call->ticket);
 		call->admitted = true;
--- a/entry/call.c
+++ b/entry/call.c
@@ -7,7 +7,7 @@
 #include <event2/bufferevent.h>
 
 #include "common/log.h"
-#include "entry/call.h"
+#include "entry/parts.h"
 
 #define OUTPUT_EWMA_WEIGHT 0.05
 
@@ -81,6 +81,8 @@
 	call->watch = (struct http_disconnect_watch){ on_caller_disconnected,
 						      call };
 	http_watch_disconnect(opts->req, &call->watch);
+	if (parts_refuse(call, false))
+		return;
 	if (call->booking_key)
 		booking_begin(call);
 	else
--- a/entry/call.h
+++ b/entry/call.h
@@ -115,13 +115,16 @@
 	struct router_request route;
 	struct prompt_parts parts;
 	uint32_t attempts;
-	bool may_have_run; /* at some endpoint */
+	uint32_t replica_ends; /* under this call */
+	uint64_t trial_part;   /* held part that this attempt tries; or 0 */
+	bool may_have_run;     /* at some endpoint */
 	uint32_t replica;
 	uint64_t epoch;
 	char address[ADDRESS_MAX];
 	struct upstream *upstream;
 	int64_t sent_us;
 	int64_t first_byte_us;	 /* stream headers sent to the caller */
+	int64_t first_event_us;	 /* of this attempt; 0: none */
 	int64_t rate_sampled_us; /* start of the current decode rate sample */
 	uint32_t rate_sample_tokens;
 	bool overdue_awaiting_first; /* counted in the service */
--- a/entry/ends.c
+++ b/entry/ends.c
@@ -1,15 +1,19 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include <radishdeal/quarantine.h>
+
 #include "common/log.h"
-#include "entry/ends.h"
+#include "entry/parts.h"
 
 /* Time from the last break for another response to show that the VM lives. */
 #define CONFIRM_MS 100
 /* Latest decision after the first break. */
 #define DECIDE_MS 500
-#define PARTS_PER_END_MAX 512u
+#define CALLS_PER_END_MAX 512u
+#define DECIDED_MAX 64u
 #define PARTS_LOGGED_MAX 12u
+#define US_PER_MS 1000
 
 static const struct log ends_log = { "ends" };
 
@@ -18,26 +22,44 @@
 	int64_t last_break_ms;
 };
 
+/** A replica that was found to have ended. */
+struct decided_end {
+	char *service;
+	uint32_t replica;
+	uint64_t epoch;
+	int64_t at_ms;
+};
+
 struct ends {
 	struct entry *entry;
 	GPtrArray *pending; /* of struct pending_end */
+	GQueue decided;	    /* of struct decided_end, the latest last */
 };
 
 static void free_pending(gpointer data)
 {
 	struct pending_end *p = data;
 
-	g_array_unref(p->end.parts);
+	g_array_unref(p->end.calls);
 	g_free((char *)p->end.service);
 	g_free(p);
 }
 
+static void free_decided(gpointer data)
+{
+	struct decided_end *d = data;
+
+	g_free(d->service);
+	g_free(d);
+}
+
 struct ends *ends_create(struct entry *entry)
 {
 	struct ends *ends = g_new0(struct ends, 1);
 
 	ends->entry = entry;
 	ends->pending = g_ptr_array_new_with_free_func(free_pending);
+	g_queue_init(&ends->decided);
 	return ends;
 }
 
@@ -46,6 +68,7 @@
 	if (!ends)
 		return;
 	g_ptr_array_unref(ends->pending);
+	g_queue_clear_full(&ends->decided, free_decided);
 	g_free(ends);
 }
 
@@ -72,28 +95,11 @@
 	p->end.replica = call->replica;
 	p->end.epoch = call->epoch;
 	p->end.at_ms = entry_now_ms(ends->entry);
-	p->end.parts = g_array_new(FALSE, FALSE, sizeof(struct ended_part));
+	p->end.calls = g_array_new(FALSE, FALSE, sizeof(struct broken_call));
 	g_ptr_array_add(ends->pending, p);
 	return p;
 }
 
-static void add_part(GArray *parts, uint64_t id)
-{
-	struct ended_part added = { id, 1 };
-
-	for (guint i = 0; i < parts->len; i++) {
-		struct ended_part *part = &g_array_index(parts,
-							 struct ended_part, i);
-
-		if (part->id == id) {
-			part->requests++;
-			return;
-		}
-	}
-	if (parts->len < PARTS_PER_END_MAX)
-		g_array_append_val(parts, added);
-}
-
 /* The end of a replica that leaves, or is formed anew, has a known reason. */
 static bool end_is_unexplained(const struct call *call)
 {
@@ -105,17 +111,44 @@
 		strcmp(r->fault, replica_fault_name(REPLICA_VM_LEAVING)) != 0);
 }
 
-void ends_add_break(struct ends *ends, const struct call *call)
+/* A VM that takes a request after its end goes on, and breaks connections. */
+static bool lives_on(const struct ends *ends, const struct call *call)
+{
+	for (GList *l = ends->decided.head; l; l = l->next) {
+		const struct decided_end *d = l->data;
+
+		if (d->replica == call->replica && d->epoch == call->epoch &&
+		    !strcmp(d->service, call->service->name))
+			return call->sent_us / US_PER_MS > d->at_ms;
+	}
+	return false;
+}
+
+static bool is_late(const struct call *call)
+{
+	return call->first_event_us &&
+	       entry_now_us(call->entry) - call->first_event_us >
+		       QUARANTINE_LATE_MS * US_PER_MS;
+}
+
+void ends_add_break(struct ends *ends, struct call *call)
 {
+	struct broken_call broken = { .parts = call->parts,
+				      .trial_part = call->trial_part,
+				      .late = is_late(call) };
 	struct pending_end *p;
 
-	if (!end_is_unexplained(call))
+	if (!end_is_unexplained(call) || lives_on(ends, call))
 		return;
+	call->replica_ends++;
 	p = find_or_add(ends, call);
 	p->last_break_ms = entry_now_ms(ends->entry);
 	p->end.requests++;
-	for (uint32_t i = 0; i < call->parts.count; i++)
-		add_part(p->end.parts, call->parts.ids[i]);
+	if (!call->parts.count || p->end.calls->len == CALLS_PER_END_MAX)
+		return;
+	g_array_append_val(p->end.calls, broken);
+	/* The decision on this end is the result of the trial. */
+	call->trial_part = 0;
 }
 
 /* ---- decision ---- */
@@ -135,7 +168,7 @@
 		/* A paused connection doesn't show that it was closed. */
 		open += call->upstream && !call->paused &&
 			is_of_end(call, end) &&
-			call->sent_us / 1000 < end->at_ms;
+			call->sent_us / US_PER_MS < end->at_ms;
 	}
 	return open;
 }
@@ -153,46 +186,121 @@
 	return count_open(ends, &p->end) >= p->end.requests;
 }
 
-static gint compare_parts(gconstpointer a, gconstpointer b)
+/** A part and the number of broken requests that had it. */
+struct part_count {
+	uint64_t id;
+	uint32_t requests;
+};
+
+static void count_part(GArray *counts, uint64_t id)
+{
+	struct part_count added = { id, 1 };
+
+	for (guint i = 0; i < counts->len; i++) {
+		struct part_count *part = &g_array_index(counts,
+							 struct part_count, i);
+
+		if (part->id == id) {
+			part->requests++;
+			return;
+		}
+	}
+	g_array_append_val(counts, added);
+}
+
+static gint compare_counts(gconstpointer a, gconstpointer b)
 {
-	const struct ended_part *x = a, *y = b;
+	const struct part_count *x = a, *y = b;
 
 	if (x->requests != y->requests)
 		return x->requests > y->requests ? -1 : 1;
 	return x->id < y->id ? -1 : x->id > y->id;
 }
 
-static void log_end(const struct replica_ended *end)
+/* Returns the parts, as struct part_count, the most frequent first. */
+static GArray *count_parts(const struct replica_ended *end)
+{
+	GArray *counts = g_array_new(FALSE, FALSE, sizeof(struct part_count));
+
+	for (guint i = 0; i < end->calls->len; i++) {
+		const struct broken_call *broken =
+			&g_array_index(end->calls, struct broken_call, i);
+
+		for (uint32_t j = 0; j < broken->parts.count; j++)
+			count_part(counts, broken->parts.ids[j]);
+	}
+	g_array_sort(counts, compare_counts);
+	return counts;
+}
+
+static void log_end(const struct ends *ends, const struct replica_ended *end)
 {
+	const struct entry_service *s = services_find(ends->entry,
+						      end->service);
+	const char *vm = s ? services_head_vm(s, end->replica) : NULL;
 	GString *text = g_string_new(NULL);
+	GArray *counts = count_parts(end);
 
-	for (guint i = 0; i < MIN(end->parts->len, PARTS_LOGGED_MAX); i++) {
-		const struct ended_part *part =
-			&g_array_index(end->parts, struct ended_part, i);
+	for (guint i = 0; i < MIN(counts->len, PARTS_LOGGED_MAX); i++) {
+		const struct part_count *part =
+			&g_array_index(counts, struct part_count, i);
 
 		g_string_append_printf(text, "%s%" PRIx64 ":%u", i ? "," : "",
 				       part->id, part->requests);
 	}
 	log_note(&ends_log,
-		 "replica ended replica=%u epoch=%" PRIu64 " service=%s "
+		 "replica ended replica=%u epoch=%" PRIu64 " vm=%s service=%s "
 		 "requests=%u parts=%u most=%s",
-		 end->replica, end->epoch, end->service, end->requests,
-		 end->parts->len, text->len ? text->str : "-");
+		 end->replica, end->epoch, vm ? vm : "-", end->service,
+		 end->requests, counts->len, text->len ? text->str : "-");
 	g_string_free(text, TRUE);
+	g_array_unref(counts);
+}
+
+static void report(const struct ends *ends, const struct replica_ended *end,
+		   bool ended)
+{
+	struct parts *parts = ends->entry->parts;
+
+	for (guint i = 0; i < end->calls->len; i++) {
+		const struct broken_call *broken =
+			&g_array_index(end->calls, struct broken_call, i);
+
+		if (ended)
+			parts_add_end(parts, end, broken);
+		else if (broken->trial_part)
+			parts_trial_undecided(parts, broken->trial_part);
+	}
 }
 
-static void decide(struct ends *ends, struct pending_end *p)
+static void remember(struct ends *ends, const struct replica_ended *end)
 {
-	if (vm_lives(ends, p)) {
+	struct decided_end *d = g_new(struct decided_end, 1);
+
+	*d = (struct decided_end){ g_strdup(end->service), end->replica,
+				   end->epoch, end->at_ms };
+	g_queue_push_tail(&ends->decided, d);
+	if (ends->decided.length > DECIDED_MAX)
+		free_decided(g_queue_pop_head(&ends->decided));
+}
+
+static void decide(struct ends *ends, const struct pending_end *p)
+{
+	bool ended = !vm_lives(ends, p);
+
+	if (ended) {
+		log_end(ends, &p->end);
+		counters_add(ends->entry->opts.counters, COUNTER_REPLICA_ENDS,
+			     1);
+		remember(ends, &p->end);
+	} else {
 		log_info(&ends_log,
 			 "connections broke, the replica goes on replica=%u "
 			 "epoch=%" PRIu64 " service=%s requests=%u",
 			 p->end.replica, p->end.epoch, p->end.service,
 			 p->end.requests);
-		return;
 	}
-	g_array_sort(p->end.parts, compare_parts);
-	log_end(&p->end);
+	report(ends, &p->end, ended);
 }
 
 void ends_tick(struct ends *ends)
--- a/entry/ends.h
+++ b/entry/ends.h
@@ -12,10 +12,11 @@
 
 #include "entry/call.h"
 
-/** A part and the number of broken requests that had it. */
-struct ended_part {
-	uint64_t id;
-	uint32_t requests;
+/** A request that was in flight when its replica ended. */
+struct broken_call {
+	struct prompt_parts parts;
+	uint64_t trial_part; /* as of the call */
+	bool late;	     /* its first event was received a while before */
 };
 
 /** The end of a replica, as seen by this entry. */
@@ -25,7 +26,7 @@
 	uint64_t epoch;
 	int64_t at_ms;	   /* when the first response broke off */
 	uint32_t requests; /* of this entry that broke off */
-	GArray *parts;	   /* of struct ended_part, the most frequent first */
+	GArray *calls;	   /* of struct broken_call, with parts */
 };
 
 struct ends;
@@ -37,9 +38,9 @@
  * Notes that the endpoint closed the connection of a dispatched call before its
  * response was complete.
  */
-void ends_add_break(struct ends *ends, const struct call *call);
+void ends_add_break(struct ends *ends, struct call *call);
 
-/** Decides on the breaks that are old enough, and logs each end. */
+/** Decides on the breaks that are old enough; logs and reports each end. */
 void ends_tick(struct ends *ends);
 
 #endif
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -4,7 +4,7 @@
 #include "common/address.h"
 #include "common/log.h"
 #include "common/pack.h"
-#include "entry/ends.h"
+#include "entry/parts.h"
 #include "entry/shutdown.h"
 #include "entry/take.h"
 #include "wire/codec.h"
@@ -69,6 +69,7 @@
 		return;
 	status.loads = services_collect_loads(entry);
 	status.demands = services_collect_demands(entry);
+	parts_fill_status(entry->parts, &status);
 	g_strlcpy(status.callers_address, entry->callers_address,
 		  sizeof(status.callers_address));
 	g_strlcpy(status.endpoints_address, entry->endpoints_address,
@@ -130,6 +131,7 @@
 		services_update_health(entry);
 	early_tick(entry, entry_now_ms(entry));
 	ends_tick(entry->ends);
+	parts_tick(entry->parts);
 	tick_calls(entry);
 	services_check_stalls(entry);
 	services_dispatch_queued(entry);
@@ -229,6 +231,7 @@
 	entry->unrecorded = g_hash_table_new(NULL, NULL);
 	entry->pool = upstream_pool_create(entry->base);
 	entry->ends = ends_create(entry);
+	entry->parts = parts_create(entry);
 	entry->started_ms = entry_now_ms(entry);
 	g_queue_init(&entry->held_requests);
 	entry->random = g_rand_new_with_seed(opts->seed);
@@ -299,6 +302,7 @@
 	drop_calls(entry);
 	upstream_pool_destroy(entry->pool);
 	ends_destroy(entry->ends);
+	parts_destroy(entry->parts);
 	if (entry->driver)
 		entry->opts.driver->close(entry->driver);
 	routes_destroy(entry->routes);
@@ -431,6 +435,7 @@
 					    m->update->lease_until_ms);
 		entry->ever_configured = true;
 	}
+	parts_apply_reply(entry->parts, m->update);
 	if (changed && includes_deployment(reply))
 		update_routes(entry);
 	if (changed)
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -24,6 +24,7 @@
 
 struct call;
 struct ends;
+struct parts;
 
 /** Per-service state of this entry. */
 struct entry_service {
@@ -72,6 +73,7 @@
 	GHashTable *services;	/* name -> struct entry_service */
 	GHashTable *calls;	/* set of struct call */
 	struct ends *ends;	/* of replicas */
+	struct parts *parts;	/* of prompts */
 	GHashTable *unrecorded; /* outcomes of bookings, to be recorded again */
 	struct upstream_pool *pool;
 	struct routes *routes; /* of the deployment; NULL before there is one */
--- a/include/radishdeal/result.h
+++ b/include/radishdeal/result.h
@@ -49,6 +49,8 @@
 	  "the booking was dispatched and its outcome is not known")           \
 	X(IN_FLIGHT, 212, "in-flight", 409, 75,                                \
 	  "the same booking is in flight; ask again")                          \
+	X(QUARANTINED, 213, "quarantined", 503, 75,                            \
+	  "replicas ended that served requests with a part of this prompt")    \
 	X(CONFLICT, 300, "conflict", 409, 69,                                  \
 	  "the change was made against an older revision")                     \
 	X(NOT_LEADER, 301, "not-leader", 503, 75, "this VM is not the leader") \
--- a/test/crash_endpoints.c
+++ b/test/crash_endpoints.c
@@ -47,7 +47,7 @@
 	char **control;
 	struct event_base *base;
 	GThread *thread, *announcer;
-	volatile gint stop;
+	volatile gint stop, mode; /* `mode` is an enum crash_mode */
 	GMutex lock;
 	struct endpoint *endpoints;
 	GArray *ends, *arrivals; /* of gint64, times; under the lock */
@@ -120,19 +120,22 @@
 
 static void on_end(evutil_socket_t fd, short what, void *ctx)
 {
-	struct endpoint *e = ctx;
+	(void)fd;
+	(void)what;
+	end_endpoint(ctx);
+}
+
+static void on_end_all(evutil_socket_t fd, short what, void *ctx)
+{
+	struct crash_endpoints *all = ctx;
 
 	(void)fd;
 	(void)what;
-	if (e->all->opts.mode != CRASH_TOGETHER) {
-		end_endpoint(e);
-		return;
-	}
-	for (int i = 0; i < e->all->opts.count; i++)
-		end_endpoint(&e->all->endpoints[i]);
+	for (int i = 0; i < all->opts.count; i++)
+		end_endpoint(&all->endpoints[i]);
 }
 
-static void close_later(struct waiting *w)
+static void close_alone(struct waiting *w)
 {
 	reset_connection(w->req);
 	if (evhttp_request_get_connection(w->req))
@@ -168,19 +171,19 @@
 {
 	struct waiting *w = ctx;
 	struct endpoint *e = w->endpoint;
-	enum crash_mode mode = e->all->opts.mode;
+	enum crash_mode mode = (enum crash_mode)g_atomic_int_get(&e->all->mode);
 
 	(void)fd;
 	(void)what;
-	if (!w->has_part)
+	if (mode == CRASH_RESET && !e->number)
+		close_alone(w);
+	else if (!w->has_part || mode == CRASH_RESET)
 		answer(w);
-	else if (mode == CRASH_RESET)
-		close_later(w);
 	else if (mode == CRASH_REFUSE)
 		refuse(w);
 	else if (mode == CRASH_LEAVE)
 		leave(e);
-	else if (mode != CRASH_STALL)
+	else if (mode == CRASH_END)
 		event_base_once(e->all->base, -1, EV_TIMEOUT, on_end, e, NULL);
 }
 
@@ -334,6 +337,7 @@
 	struct crash_endpoints *all = g_new0(struct crash_endpoints, 1);
 
 	all->opts = *opts;
+	all->mode = (gint)opts->mode;
 	all->network = g_strdup(opts->network);
 	all->service = g_strdup(opts->service);
 	all->part = g_strdup(opts->part);
@@ -383,6 +387,16 @@
 	g_free(all);
 }
 
+void crash_endpoints_set_mode(struct crash_endpoints *all, enum crash_mode mode)
+{
+	g_atomic_int_set(&all->mode, (gint)mode);
+}
+
+void crash_endpoints_end_all(struct crash_endpoints *all)
+{
+	event_base_once(all->base, -1, EV_TIMEOUT, on_end_all, all, NULL);
+}
+
 /* ---- counts ---- */
 
 int crash_endpoints_ends(struct crash_endpoints *all)
--- a/test/crash_endpoints.h
+++ b/test/crash_endpoints.h
@@ -18,12 +18,11 @@
 
 /** What an endpoint does when it begins to answer a request with the part. */
 enum crash_mode {
-	CRASH_END,	/* all its connections are reset */
-	CRASH_RESET,	/* that connection alone is reset */
-	CRASH_LEAVE,	/* as CRASH_END, after it has announced its leaving */
-	CRASH_STALL,	/* it never answers */
-	CRASH_REFUSE,	/* it answers that it didn't run the request */
-	CRASH_TOGETHER, /* all endpoints end at once */
+	CRASH_END,    /* all its connections are reset */
+	CRASH_RESET,  /* none; the first one resets any request, alone */
+	CRASH_LEAVE,  /* as CRASH_END, after it has announced its leaving */
+	CRASH_STALL,  /* it never answers */
+	CRASH_REFUSE, /* it answers that it didn't run the request */
 };
 
 struct crash_endpoints_opts {
@@ -42,6 +41,13 @@
 	const struct crash_endpoints_opts *opts);
 void crash_endpoints_stop(struct crash_endpoints *endpoints);
 
+/** Changes the mode for later requests. */
+void crash_endpoints_set_mode(struct crash_endpoints *endpoints,
+			      enum crash_mode mode);
+
+/** Ends all endpoints at once, as the loss of a rack does. */
+void crash_endpoints_end_all(struct crash_endpoints *endpoints);
+
 /** Number of ends so far. */
 int crash_endpoints_ends(struct crash_endpoints *endpoints);
 
--- a/test/part_clients.c
+++ b/test/part_clients.c
@@ -4,14 +4,13 @@
 #include "common/fetch.h"
 #include "test/part_clients.h"
 
-#define REQUEST_TIMEOUT_MS 4000
 #define OTHER_PARTS 8u
 #define PREFIX_MAX 96
 
 struct part_clients {
 	char **entries;
 	char *part;
-	int per_entry, pause_ms;
+	int per_entry, pause_ms, timeout_ms;
 	GPtrArray *threads;
 	volatile gint stop;
 	GMutex lock;
@@ -53,7 +52,7 @@
 		.headers = headers,
 		.body = "q",
 		.body_size = -1,
-		.timeout_ms = REQUEST_TIMEOUT_MS,
+		.timeout_ms = all->timeout_ms,
 	};
 	struct fetch_response response;
 
@@ -88,6 +87,7 @@
 	all->part = g_strdup(opts->part);
 	all->per_entry = opts->per_entry;
 	all->pause_ms = opts->pause_ms;
+	all->timeout_ms = opts->timeout_ms;
 	all->threads = g_ptr_array_new();
 	g_mutex_init(&all->lock);
 	for (int i = 0; all->entries[i]; i++) {
--- a/test/part_clients.h
+++ b/test/part_clients.h
@@ -16,6 +16,7 @@
 	int per_entry;
 	const char *part; /* in the middle of each prompt; NULL: any */
 	int pause_ms;	  /* between a client's requests */
+	int timeout_ms;	  /* after it a client leaves */
 };
 
 struct part_clients *part_clients_start(const struct part_clients_opts *opts);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -33,6 +33,9 @@
 #include "test/script.h"
 #include "wire/codec.h"
 
+#define PARTS_SOURCE 7u
+#define FEED_NODES_MAX 8
+
 /** State of a script. */
 struct platform_test {
 	struct state *state;
@@ -41,6 +44,7 @@
 	struct evbuffer *in, *out;
 	struct retry_budget retry_budget;
 	struct feed *feed;
+	uint64_t parts_cursor[FEED_NODES_MAX]; /* by node */
 	struct monitor *monitor;
 	struct view *view;
 	int64_t now_ms;
@@ -495,7 +499,47 @@
 		script_print(s, "replica %s: no requests", s->words[1]);
 }
 
-/* poll NODE applied= [load=REPLICA:REQUESTS] [quiet_ms=] [demand=...] */
+/* end=PART:REPLICA:AGE_MS */
+static void read_part_end(const char *text, struct part_record *record,
+			  struct replica_end *end)
+{
+	char **parts = g_strsplit(text, ":", 3);
+
+	*end = (struct replica_end){ .replica = (uint32_t)atoi(parts[1]),
+				     .epoch = 1,
+				     .age_ms = (uint32_t)atoi(parts[2]) };
+	*record = (struct part_record){
+		.part = g_ascii_strtoull(parts[0], NULL, 16),
+		.success_age_ms = UINT32_MAX,
+		.ends = { 1, end },
+	};
+	g_strfreev(parts);
+}
+
+static void print_parts(struct script *s, const struct poll_reply *reply)
+{
+	GString *text = g_string_new(NULL);
+
+	for (u_int i = 0; i < reply->parts.parts_len; i++) {
+		const struct part_record *r = &reply->parts.parts_val[i];
+
+		g_string_append_printf(
+			text, " part %" G_GINT64_MODIFIER "x:", r->part);
+		for (u_int j = 0; j < r->ends.ends_len; j++)
+			g_string_append_printf(text, " replica %u %u ms ago",
+					       r->ends.ends_val[j].replica,
+					       r->ends.ends_val[j].age_ms);
+	}
+	script_print(s, "node %s learns%s", s->words[1],
+		     text->len ? text->str : " nothing");
+	g_string_free(text, TRUE);
+}
+
+/*
+ * poll NODE applied= [load=REPLICA:REQUESTS] [quiet_ms=] [demand=...]
+ * [parts=known|new] [end=...]: with `parts` as an entry that knows the feed's
+ * records up to its last poll, or none, and prints what it learns of parts
+ */
 static void poll_feed(struct script *s)
 {
 	struct platform_test *t = s->ctx;
@@ -511,6 +555,10 @@
 		.endpoints_address = (char *)"",
 		.data_centre = (char *)"a",
 	};
+	const char *parts = script_value(s, "parts", NULL);
+	const char *end = script_value(s, "end", NULL);
+	struct part_record record;
+	struct replica_end ended;
 	struct poll_reply reply = { 0 };
 	GString *loads = g_string_new(NULL);
 
@@ -527,7 +575,17 @@
 		request.demands.demands_val = &asked;
 		request.demands.demands_len = 1;
 	}
+	if (parts && !strcmp(parts, "known")) {
+		request.parts_source = PARTS_SOURCE;
+		request.parts_cursor = t->parts_cursor[request.node];
+	}
+	if (end) {
+		read_part_end(end, &record, &ended);
+		request.parts.parts_val = &record;
+		request.parts.parts_len = 1;
+	}
 	feed_poll(t->feed, t->now_ms, t->state, &request, &reply);
+	t->parts_cursor[request.node] = reply.parts_cursor;
 	for (u_int i = 0; i < reply.loads.loads_len; i++)
 		g_string_append_printf(loads, "%s%u", i ? "+" : "",
 				       reply.loads.loads_val[i].requests);
@@ -539,6 +597,8 @@
 		     reply.deltas.deltas_len, reply.entries.entries_len,
 		     loads->len ? loads->str : "0", reply.loads.loads_len);
 	g_string_free(loads, TRUE);
+	if (parts)
+		print_parts(s, &reply);
 	g_free(asked.service);
 	CODEC_FREE(poll_reply, &reply);
 }
@@ -643,6 +703,7 @@
 	struct view_opts view = { 6000 };
 	struct feed_opts feed = { .lease_ms = 1000,
 				  .commands_max = 8,
+				  .parts_source = PARTS_SOURCE,
 				  .entries_may_join = true };
 	struct retry_budget_opts retry_budget = { 200, 10000 };
 	struct platform_test t = { .state = state_create() };
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -43,6 +43,11 @@
 #define REQUEST_TIMEOUT_MS 2000
 /* From the fifth end on, for all entries to know of it. */
 #define LATE_MS 3000
+/* Of endpoints that end: from a request to its answer; from an end to return.
+ */
+#define ANSWER_MS 40
+#define BACK_MS 1500
+#define CLIENT_TIMEOUT_MS 4000
 
 enum port {
 	PORT_PEERS,
@@ -800,14 +805,13 @@
 	return (char **)g_ptr_array_free(list, FALSE);
 }
 
-static enum crash_mode crash_mode(struct script *s)
+static enum crash_mode crash_mode(struct script *s, const char *name)
 {
 	static const char *const names[] = {
 		[CRASH_END] = "end",	   [CRASH_RESET] = "reset",
 		[CRASH_LEAVE] = "leave",   [CRASH_STALL] = "stall",
-		[CRASH_REFUSE] = "refuse", [CRASH_TOGETHER] = "together",
+		[CRASH_REFUSE] = "refuse",
 	};
-	const char *name = script_value(s, "mode", "end");
 
 	for (guint i = 0; i < G_N_ELEMENTS(names); i++)
 		if (!strcmp(name, names[i]))
@@ -815,7 +819,7 @@
 	script_fail(s, "unknown mode %s", name);
 }
 
-/* start-crash-endpoints COUNT part=ID [mode=MODE] [answer=MS] [back=MS] */
+/* start-crash-endpoints COUNT part=ID [mode=MODE] */
 static void do_start_crash_endpoints(struct script *s)
 {
 	struct platform_test *test = s->ctx;
@@ -825,9 +829,9 @@
 		.count = atoi(s->words[1]),
 		.service = "web",
 		.part = script_value(s, "part", ""),
-		.mode = crash_mode(s),
-		.answer_ms = (int)script_number(s, "answer", 40),
-		.back_ms = (int)script_number(s, "back", 1500),
+		.mode = crash_mode(s, script_value(s, "mode", "end")),
+		.answer_ms = ANSWER_MS,
+		.back_ms = BACK_MS,
 		.control = control,
 	};
 
@@ -835,19 +839,36 @@
 	g_strfreev(control);
 }
 
+/* crash-mode MODE: what endpoints do from now on. */
+static void do_crash_mode(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+
+	crash_endpoints_set_mode(test->crash_endpoints,
+				 crash_mode(s, s->words[1]));
+}
+
+/* crash-all: all endpoints end at once; waits for it. */
+static void do_crash_all(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	int before = crash_endpoints_ends(test->crash_endpoints);
+
+	crash_endpoints_end_all(test->crash_endpoints);
+	while (crash_endpoints_ends(test->crash_endpoints) == before)
+		usleep(POLL_US);
+}
+
 static struct part_clients *start_clients(const struct platform_test *test,
-					  int first, int last, const char *part,
-					  int per_entry, int pause_ms)
+					  int first, int last,
+					  const struct part_clients_opts *how)
 {
 	char **entries = addresses_of(test, first, last, PORT_CALLERS);
-	struct part_clients_opts opts = {
-		.entries = entries,
-		.per_entry = per_entry,
-		.part = part,
-		.pause_ms = pause_ms,
-	};
-	struct part_clients *clients = part_clients_start(&opts);
+	struct part_clients_opts opts = *how;
+	struct part_clients *clients;
 
+	opts.entries = entries;
+	clients = part_clients_start(&opts);
 	g_strfreev(entries);
 	return clients;
 }
@@ -856,19 +877,36 @@
 static void do_sound_begin(struct script *s)
 {
 	struct platform_test *test = s->ctx;
+	struct part_clients_opts opts = { .per_entry = 4,
+					  .pause_ms = 10,
+					  .timeout_ms = CLIENT_TIMEOUT_MS };
 
 	for (int i = ENTRY; i < ENTRY + test->entries; i++)
-		test->sound_at[i] = start_clients(test, i, i, NULL, 4, 10);
+		test->sound_at[i] = start_clients(test, i, i, &opts);
 }
 
-/* bad-begin part=ID [pause=MS]: clients whose requests have it. */
+/* bad-begin part=ID [timeout=MS]: clients whose requests have it. */
 static void do_bad_begin(struct script *s)
 {
 	struct platform_test *test = s->ctx;
+	struct part_clients_opts opts = {
+		.per_entry = 1,
+		.part = script_value(s, "part", ""),
+		.pause_ms = 100,
+		.timeout_ms = (int)script_number(s, "timeout",
+						 CLIENT_TIMEOUT_MS),
+	};
 
 	test->bad = start_clients(test, ENTRY, ENTRY + test->entries - 1,
-				  script_value(s, "part", ""), 1,
-				  (int)script_number(s, "pause", 100));
+				  &opts);
+}
+
+static void do_bad_end(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+
+	part_clients_stop(test->bad);
+	test->bad = NULL;
 }
 
 /* Waits until `clients` have had that many answers. */
@@ -962,6 +1000,33 @@
 	crash_endpoints_stop(test->crash_endpoints);
 }
 
+/* bad-answers N: waits for so many answers to requests with the part. */
+static void do_bad_answers(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	struct part_counts counts;
+
+	wait_answers(s, test->bad, atoi(s->words[1]), &counts);
+}
+
+/* parts-held: prints how many parts each entry holds. */
+static void do_parts_held(struct script *s)
+{
+	static const char name[] = "\nradishdeal_prompt_parts_held ";
+	struct platform_test *test = s->ctx;
+
+	for (int i = ENTRY; i < ENTRY + test->entries; i++) {
+		struct fetch_response answer;
+		const char *at;
+
+		get_until(s, i, PORT_METRICS, "/metrics", "200", &answer);
+		at = answer.body ? strstr(answer.body, name) : NULL;
+		script_print(s, "entry %d holds %d parts", i,
+			     at ? atoi(at + strlen(name)) : -1);
+		fetch_clear(&answer);
+	}
+}
+
 /* wait-ready NODE */
 static void do_wait_ready(struct script *s)
 {
@@ -996,7 +1061,12 @@
 	{ "wait-metric", 3, do_wait_metric },
 	{ "start-crash-endpoints", 1, do_start_crash_endpoints },
 	{ "sound-begin", 0, do_sound_begin },
+	{ "crash-mode", 1, do_crash_mode },
+	{ "crash-all", 0, do_crash_all },
 	{ "bad-begin", 0, do_bad_begin },
+	{ "bad-end", 0, do_bad_end },
+	{ "bad-answers", 1, do_bad_answers },
+	{ "parts-held", 0, do_parts_held },
 	{ "sound-share", 0, do_sound_share },
 	{ "wait-late", 0, do_wait_late },
 	{ "late-arrivals", 0, do_late_arrivals },
