--- a/test/fakes/batch.c
+++ b/test/fakes/batch.c
@@ -26,6 +26,7 @@
 	int token_count; /* index after the last token */
 	int64_t prefill_end_us;
 	bool running;
+	bool crashes; /* ends the VM that begins to answer it */
 	GString *text;
 };
 
@@ -150,11 +151,20 @@
 	}
 }
 
+static bool crash_due(const GPtrArray *due)
+{
+	for (guint i = 0; i < due->len; i++)
+		if (((struct batch_request *)due->pdata[i])->crashes)
+			return true;
+	return false;
+}
+
 static void on_step(evutil_socket_t fd, short what, void *ctx)
 {
 	struct batch *batch = ctx;
 	GPtrArray *due = g_ptr_array_new();
 	int64_t now = fake_now_us();
+	bool crash;
 
 	(void)fd;
 	(void)what;
@@ -182,10 +192,14 @@
 		if (s->running && s->prefill_end_us <= now)
 			g_ptr_array_add(due, s);
 	}
-	for (guint i = 0; i < due->len; i++)
+	crash = crash_due(due);
+	for (guint i = 0; !crash && i < due->len; i++)
 		emit_token(due->pdata[i]);
 	g_ptr_array_unref(due);
-	schedule_step(batch);
+	if (crash)
+		engine_kill_vm(batch->vm);
+	else
+		schedule_step(batch);
 }
 
 static void schedule_step(struct batch *batch)
@@ -284,6 +298,17 @@
 	       vm->ready && engine_replica_healthy(vm);
 }
 
+static bool has_crash_text(const struct engine_vm *vm, json_t *chat)
+{
+	const char *sought = vm->engine->opts.crash_text;
+	char *text = json_dumps(json_object_get(chat, "messages"),
+				JSON_COMPACT);
+	bool found = sought && text && strstr(text, sought);
+
+	free(text);
+	return found;
+}
+
 static void start_request(struct engine_vm *vm, struct evhttp_request *req,
 			  json_t *chat)
 {
@@ -302,6 +327,7 @@
 						: DEFAULT_TOKENS;
 	s->position = (int)json_integer_value(json_object_get(resume, "after"));
 	s->text = g_string_new(NULL);
+	s->crashes = has_crash_text(vm, chat);
 	s->prefill_end_us = fake_now_us() + (int64_t)cache_prompt(vm, chat) *
 						    vm->engine->opts.prefill_us;
 	g_ptr_array_add(s->batch->requests, s);
--- a/test/fakes/engine.c
+++ b/test/fakes/engine.c
@@ -59,6 +59,12 @@
 	vm->members = NULL;
 }
 
+void engine_kill_vm(struct engine_vm *vm)
+{
+	engine_leave_replica(vm);
+	vm->alive = false;
+}
+
 static void copy_string(char *out, size_t size, json_t *value)
 {
 	const char *text = json_string_value(value);
--- a/test/fakes/engine.h
+++ b/test/fakes/engine.h
@@ -24,6 +24,8 @@
 	int cache_report_loss; /* every Nth cache report is lost; 0 for none */
 	bool checks_fencing;
 	const char *log_path; /* NULL for none */
+	/** Ends each VM that begins to answer a prompt with it; or NULL. */
+	const char *crash_text;
 };
 
 struct engine_vm {
@@ -81,6 +83,9 @@
 /** Carries out an order from the placer and answers the request. */
 void engine_handle_order(struct engine_vm *vm, struct evhttp_request *req);
 
+/** Ends a VM, which stays dead until it is revived. */
+void engine_kill_vm(struct engine_vm *vm);
+
 /** Removes a VM from its replica; aborts the requests of its batch. */
 void engine_leave_replica(struct engine_vm *vm);
 
--- a/test/fakes/fake_engine.c
+++ b/test/fakes/fake_engine.c
@@ -38,6 +38,8 @@
 	{ "cache-loss", 'x', "N", 0, "lose every Nth cache report", 0 },
 	{ "ignore-fencing", 'i', NULL, 0, "obey orders with any fencing token",
 	  0 },
+	{ "crash-text", 't', "TEXT", 0,
+	  "a prompt with it ends the VM that begins to answer", 0 },
 	{ "log", 'o', "FILE", 0, "log of orders and requests", 0 },
 	{ 0 }
 };
@@ -89,6 +91,9 @@
 	case 'i':
 		a->engine.checks_fencing = false;
 		break;
+	case 't':
+		a->engine.crash_text = arg;
+		break;
 	case 'o':
 		a->engine.log_path = arg;
 		break;
@@ -232,12 +237,6 @@
 
 /* ---- the control port ---- */
 
-static void kill_vm(struct engine_vm *vm)
-{
-	engine_leave_replica(vm);
-	vm->alive = false;
-}
-
 static void revive_vm(struct engine_vm *vm)
 {
 	vm->alive = true;
@@ -254,7 +253,7 @@
 static bool change_vm(struct engine_vm *vm, const char *what)
 {
 	if (!strcmp(what, "kill"))
-		kill_vm(vm);
+		engine_kill_vm(vm);
 	else if (!strcmp(what, "revive"))
 		revive_vm(vm);
 	else if (!strcmp(what, "pause"))
