routing: fewer bytes of evidence

A success or a share that is news only to a part with less than two ends isn't passed on: with many entries, the next success at each of them went to all others. A leader passes on parts with two ends or more, since nearly all parts that are at an end are at one only.

--- a/include/radishdeal/quarantine.h
+++ b/include/radishdeal/quarantine.h
@@ -56,7 +56,7 @@
 
 /** In a number, 0 stands for the default. */
 struct quarantine_opts {
-	uint32_t node;		/* of this entry; 0: it makes no trials */
+	uint32_t node;		/* of this entry; 0: of the control leader */
 	uint32_t parts_max;	/* parts with ends */
 	uint32_t successes_max; /* parts whose last success is known */
 	uint32_t ends_min;	/* in a row, to hold a part */
--- a/routing/part_records.c
+++ b/routing/part_records.c
@@ -322,6 +322,10 @@
 
 /* ---- exchange ---- */
 
+/*
+ * Whether a part is held may depend on its last success only if it has several
+ * ends. For others, each entry's next success would go to all entries.
+ */
 static bool merge_success(struct part_entry *entry, int64_t now_ms,
 			  uint32_t age_ms)
 {
@@ -329,26 +333,20 @@
 					     : now_ms - age_ms;
 	int64_t ahead_ms = time_ms - entry->success_ms;
 
-	if (time_ms != PART_NO_SUCCESS && ahead_ms > SUCCESS_SLACK_MS) {
+	if (time_ms != PART_NO_SUCCESS && ahead_ms > SUCCESS_SLACK_MS)
 		entry->success_ms = time_ms;
-		return true;
-	}
-	return -ahead_ms > SUCCESS_SLACK_MS &&
+	return ABS(ahead_ms) > SUCCESS_SLACK_MS &&
 	       count_uncleared(entry) >= SUSPECT_ENDS;
 }
 
 static bool merge_share(const struct part_records *records,
 			struct part_entry *entry, uint32_t theirs)
 {
-	uint32_t before = entry->share_log2;
+	uint32_t ours = MAX(entry->share_log2,
+			    share_log2(records, entry->part));
 
-	entry->share_log2 = MAX(before, share_log2(records, entry->part));
-	if (theirs > entry->share_log2) {
-		entry->share_log2 = theirs;
-		return true;
-	}
-	return entry->share_log2 > theirs &&
-	       count_uncleared(entry) >= SUSPECT_ENDS;
+	entry->share_log2 = MAX(ours, theirs);
+	return ours != theirs && count_uncleared(entry) >= SUSPECT_ENDS;
 }
 
 void part_records_merge(struct part_records *records, int64_t now_ms,
@@ -408,23 +406,26 @@
 }
 
 uint64_t part_records_report(const struct part_records *records, int64_t now_ms,
-			     uint64_t since, uint32_t max, GArray *out)
+			     uint64_t since, uint32_t ends_min, uint32_t max,
+			     GArray *out)
 {
+	guint limit = out->len + max;
 	GList *l = records->by_change.tail;
 
-	if (!l)
-		return records->last_change;
-	while (l->prev && ((struct part_entry *)l->prev->data)->change > since)
+	while (l && l->prev &&
+	       ((struct part_entry *)l->prev->data)->change > since)
 		l = l->prev;
-	for (uint32_t i = 0; l && i < max; l = l->next, i++) {
+	for (; l && out->len < limit; l = l->next) {
 		const struct part_entry *entry = l->data;
 		struct part_record record;
 
 		if (entry->change <= since)
 			continue;
+		since = entry->change;
+		if (entry->end_count < ends_min)
+			continue;
 		fill_record(entry, now_ms, &record);
 		g_array_append_val(out, record);
-		since = entry->change;
 	}
 	return since;
 }
--- a/routing/part_records.h
+++ b/routing/part_records.h
@@ -80,8 +80,9 @@
 void part_records_merge(struct part_records *records, int64_t now_ms,
 			const struct part_record *record);
 
-/** Like quarantine_report(). */
+/** Like quarantine_report(), of the entries with `ends_min` ends or more. */
 uint64_t part_records_report(const struct part_records *records, int64_t now_ms,
-			     uint64_t since, uint32_t max, GArray *out);
+			     uint64_t since, uint32_t ends_min, uint32_t max,
+			     GArray *out);
 
 #endif
--- a/routing/quarantine.c
+++ b/routing/quarantine.c
@@ -25,6 +25,12 @@
 #define SILENCE_PER_S 2
 #define SILENCE_SHARE 0.1
 
+/**
+ * A leader passes on parts with so many ends. Nearly all parts that are at an
+ * end are at one only, and each would go to all entries.
+ */
+#define LEADER_ENDS_MIN 2
+
 #define SAME_EVENT_MS 100
 #define HOLD_MS 30000
 #define HOLD_GROWTH 4u
@@ -500,7 +506,9 @@
 uint64_t quarantine_report(struct quarantine *q, int64_t now_ms, uint64_t since,
 			   GArray *records)
 {
-	return part_records_report(&q->records, now_ms, since,
+	uint32_t ends_min = q->opts.node ? 1 : LEADER_ENDS_MIN;
+
+	return part_records_report(&q->records, now_ms, since, ends_min,
 				   QUARANTINE_REPORT_MAX, records);
 }
 
