routing: ends within 50 ms are one event, not within 100

Ends of one bad part that merely coincide count as one, so that it is found later. Chance is now the greater guard against racks.

same-moment's times are half of those before.

--- a/routing/quarantine.c
+++ b/routing/quarantine.c
@@ -31,7 +31,7 @@
  */
 #define LEADER_ENDS_MIN 2
 
-#define SAME_EVENT_MS 100
+#define SAME_EVENT_MS 50
 #define HOLD_MS 30000
 #define HOLD_GROWTH 4u
 #define HOLD_MAX_MS 480000 /* the record has to outlive it */
