entry: a response that ends with its connection is no proof that a part is sound

A replica that ends while it sends a response without a length may close that connection as after a complete response.

Such a response counts as a success once its VM sends something later on, as an end if the VM's other connections broke then, else for nothing.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -277,6 +277,8 @@
 	call->status = status;
 	g_free(call->response_type);
 	call->response_type = g_strdup(type ? type : "");
+	call->is_framed = evhttp_find_header(headers, "Content-Length") ||
+			  evhttp_find_header(headers, "Transfer-Encoding");
 	call->response_class = call->format->classify_response(call, status,
 							       headers);
 	/*
--- a/entry/call.h
+++ b/entry/call.h
@@ -137,6 +137,7 @@
 	char *response_type;
 	struct evbuffer *response_body; /* buffered, or a partial event */
 	bool response_too_large;
+	bool is_framed;	       /* the response has a length or is chunked */
 	bool response_started; /* to the caller */
 	bool paused;	       /* reading from the endpoint is paused */
 };
--- a/entry/ends.c
+++ b/entry/ends.c
@@ -303,6 +303,19 @@
 	report(ends, &p->end, ended);
 }
 
+bool ends_found(const struct ends *ends, const char *service, uint32_t replica,
+		uint64_t epoch, int64_t at_ms)
+{
+	for (GList *l = ends->decided.head; l; l = l->next) {
+		const struct decided_end *d = l->data;
+
+		if (d->replica == replica && d->epoch == epoch &&
+		    !strcmp(d->service, service))
+			return ABS(d->at_ms - at_ms) <= CONFIRM_MS;
+	}
+	return false;
+}
+
 void ends_tick(struct ends *ends)
 {
 	int64_t now = entry_now_ms(ends->entry);
--- a/entry/ends.h
+++ b/entry/ends.h
@@ -40,6 +40,10 @@
  */
 void ends_add_break(struct ends *ends, struct call *call);
 
+/** Whether a replica is known to have ended at about a time. */
+bool ends_found(const struct ends *ends, const char *service, uint32_t replica,
+		uint64_t epoch, int64_t at_ms);
+
 /** Decides on the breaks that are old enough; logs and reports each end. */
 void ends_tick(struct ends *ends);
 
--- a/entry/parts.c
+++ b/entry/parts.c
@@ -10,6 +10,12 @@
 #include "entry/parts.h"
 #include "wire/codec.h"
 
+/* Time for a VM to show that it has lived on after a response. */
+#define PROOF_MS 1000
+/* Bytes that it had sent before may still be read for so long. */
+#define UNREAD_MS 20
+#define UNPROVEN_MAX 4096u
+
 static const struct log parts_log = { "parts" };
 
 struct parts {
@@ -19,6 +25,13 @@
 	/* Exchange with the leader: */
 	uint64_t source, cursor; /* of its last reply */
 	uint64_t acknowledged;	 /* own changes that it has */
+	GQueue unproven;	 /* of struct unproven, the oldest first */
+};
+
+/** A response that ended with its connection: complete, or broken off. */
+struct unproven {
+	struct replica_ended end; /* if it is the end of its replica */
+	struct broken_call call;
 };
 
 /* ---- log ---- */
@@ -45,6 +58,14 @@
 
 /* ---- creation ---- */
 
+static void free_unproven(gpointer data)
+{
+	struct unproven *u = data;
+
+	g_free((char *)u->end.service);
+	g_free(u);
+}
+
 struct parts *parts_create(struct entry *entry)
 {
 	struct parts *parts = g_new0(struct parts, 1);
@@ -56,6 +77,7 @@
 
 	parts->entry = entry;
 	parts->quarantine = quarantine_create(&opts);
+	g_queue_init(&parts->unproven);
 	return parts;
 }
 
@@ -64,6 +86,7 @@
 	if (!parts)
 		return;
 	quarantine_destroy(parts->quarantine);
+	g_queue_clear_full(&parts->unproven, free_unproven);
 	g_free(parts);
 }
 
@@ -163,31 +186,8 @@
 	g_ptr_array_unref(calls);
 }
 
-void parts_tick(struct parts *parts)
-{
-	int64_t now = entry_now_ms(parts->entry);
-	uint64_t version = quarantine_version(parts->quarantine, now);
-
-	counters_set(parts->entry->opts.counters, COUNTER_PARTS_HELD,
-		     quarantine_held(parts->quarantine, now));
-	if (version == parts->version)
-		return;
-	parts->version = version;
-	sweep(parts->entry);
-}
-
 /* ---- evidence ---- */
 
-void parts_answered(struct call *call)
-{
-	/* An endpoint may have rejected the request without serving it. */
-	if (call->status != HTTP_OK)
-		return;
-	quarantine_add_success(call->entry->parts->quarantine,
-			       entry_now_ms(call->entry), call->parts.ids,
-			       call->parts.count);
-}
-
 void parts_attempt_over(struct call *call)
 {
 	if (call->trial_part)
@@ -228,6 +228,94 @@
 		quarantine_end_trial(parts->quarantine, broken->trial_part);
 }
 
+static void add_unproven(struct parts *parts, struct call *call)
+{
+	struct unproven *u = g_new0(struct unproven, 1);
+
+	u->end.service = g_strdup(call->service->name);
+	u->end.replica = call->replica;
+	u->end.epoch = call->epoch;
+	u->end.at_ms = entry_now_ms(call->entry);
+	u->call.parts = call->parts;
+	u->call.trial_part = call->trial_part;
+	call->trial_part = 0;
+	g_queue_push_tail(&parts->unproven, u);
+}
+
+void parts_answered(struct call *call)
+{
+	struct parts *parts = call->entry->parts;
+
+	/* An endpoint may have rejected the request without serving it. */
+	if (call->status != HTTP_OK || !call->parts.count)
+		return;
+	if (call->is_framed)
+		quarantine_add_success(parts->quarantine,
+				       entry_now_ms(call->entry),
+				       call->parts.ids, call->parts.count);
+	else if (parts->unproven.length < UNPROVEN_MAX)
+		add_unproven(parts, call);
+}
+
+static bool has_lived_on(const struct parts *parts,
+			 const struct replica_ended *end)
+{
+	const struct entry_service *s = services_find(parts->entry,
+						      end->service);
+	const struct router_replica *r =
+		s ? router_find(s->router, end->replica) : NULL;
+
+	return r && r->epoch == end->epoch &&
+	       r->last_response_ms > end->at_ms + UNREAD_MS;
+}
+
+/* Returns whether it is decided, or never will be. */
+static bool decide(struct parts *parts, const struct unproven *u)
+{
+	const struct replica_ended *end = &u->end;
+	bool lives = has_lived_on(parts, end);
+
+	if (lives)
+		quarantine_add_success(parts->quarantine, end->at_ms,
+				       u->call.parts.ids, u->call.parts.count);
+	else if (ends_found(parts->entry->ends, end->service, end->replica,
+			    end->epoch, end->at_ms))
+		parts_add_end(parts, end, &u->call);
+	else if (entry_now_ms(parts->entry) - end->at_ms < PROOF_MS)
+		return false;
+	if (u->call.trial_part)
+		quarantine_end_trial(parts->quarantine, u->call.trial_part);
+	return true;
+}
+
+static void decide_unproven(struct parts *parts)
+{
+	GList *next;
+
+	for (GList *l = parts->unproven.head; l; l = next) {
+		next = l->next;
+		if (!decide(parts, l->data))
+			continue;
+		free_unproven(l->data);
+		g_queue_delete_link(&parts->unproven, l);
+	}
+}
+
+void parts_tick(struct parts *parts)
+{
+	int64_t now = entry_now_ms(parts->entry);
+	uint64_t version;
+
+	decide_unproven(parts);
+	version = quarantine_version(parts->quarantine, now);
+	counters_set(parts->entry->opts.counters, COUNTER_PARTS_HELD,
+		     quarantine_held(parts->quarantine, now));
+	if (version == parts->version)
+		return;
+	parts->version = version;
+	sweep(parts->entry);
+}
+
 /* ---- exchange with other entries ---- */
 
 static void update_entries(struct parts *parts)
--- a/test/crash_endpoints.c
+++ b/test/crash_endpoints.c
@@ -20,6 +20,7 @@
 #define LEAVE_US 900000
 #define ANNOUNCE_TIMEOUT_MS 500
 #define FIRST_HOST 20
+#define CUT_US 10000
 
 /** A request that waits for its answer. */
 struct waiting {
@@ -27,6 +28,7 @@
 	struct evhttp_request *req;
 	struct event *timer;
 	bool has_part;
+	bool cut; /* its head has been sent */
 };
 
 struct endpoint {
@@ -87,7 +89,8 @@
 	for (guint i = 0; i < e->waiting->len; i++) {
 		struct waiting *w = e->waiting->pdata[i];
 
-		reset_connection(w->req);
+		if (!w->cut)
+			reset_connection(w->req);
 		/* Without a connection this only frees the request. */
 		if (!evhttp_request_get_connection(w->req))
 			evhttp_send_reply_end(w->req);
@@ -167,6 +170,35 @@
 	g_mutex_unlock(&e->all->lock);
 }
 
+/*
+ * Sends the head of a response that ends with its connection. evhttp doesn't
+ * write to the connection before the request is answered.
+ */
+static void send_head(const struct waiting *w)
+{
+	struct evhttp_connection *conn = evhttp_request_get_connection(w->req);
+	const char *id = http_header(w->req, "Attempt-Id");
+	char *head = g_strdup_printf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n"
+				     "Response-Seal: seal\r\n\r\n",
+				     id ? id : "");
+
+	if (conn)
+		(void)!write(bufferevent_getfd(
+				     evhttp_connection_get_bufferevent(conn)),
+			     head, strlen(head));
+	g_free(head);
+}
+
+static void end_after_head(struct waiting *w)
+{
+	struct timeval after = { 0, CUT_US };
+
+	send_head(w);
+	event_base_once(w->endpoint->all->base, -1, EV_TIMEOUT, on_end,
+			w->endpoint, &after);
+	w->cut = true;
+}
+
 static void on_begin(evutil_socket_t fd, short what, void *ctx)
 {
 	struct waiting *w = ctx;
@@ -183,6 +215,8 @@
 		refuse(w);
 	else if (mode == CRASH_LEAVE)
 		leave(e);
+	else if (mode == CRASH_CUT)
+		end_after_head(w);
 	else if (mode == CRASH_END)
 		event_base_once(e->all->base, -1, EV_TIMEOUT, on_end, e, NULL);
 }
--- a/test/crash_endpoints.h
+++ b/test/crash_endpoints.h
@@ -19,6 +19,8 @@
 /** What an endpoint does when it begins to answer a request with the part. */
 enum crash_mode {
 	CRASH_END,    /* all its connections are reset */
+	CRASH_CUT,    /* as CRASH_END, after a head without a length; the
+		       * connection of that request is closed in order */
 	CRASH_RESET,  /* none; the first one resets any request, alone */
 	CRASH_LEAVE,  /* as CRASH_END, after it has announced its leaving */
 	CRASH_STALL,  /* it never answers */
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -808,9 +808,9 @@
 static enum crash_mode crash_mode(struct script *s, const char *name)
 {
 	static const char *const names[] = {
-		[CRASH_END] = "end",	   [CRASH_RESET] = "reset",
-		[CRASH_LEAVE] = "leave",   [CRASH_STALL] = "stall",
-		[CRASH_REFUSE] = "refuse",
+		[CRASH_END] = "end",	 [CRASH_CUT] = "cut",
+		[CRASH_RESET] = "reset", [CRASH_LEAVE] = "leave",
+		[CRASH_STALL] = "stall", [CRASH_REFUSE] = "refuse",
 	};
 
 	for (guint i = 0; i < G_N_ELEMENTS(names); i++)
