--- a/routing/quarantine.c
+++ b/routing/quarantine.c
@@ -22,7 +22,7 @@
  * What each second of ends without a success counts against a part that so
  * large a share of the successes had, or more.
  */
-#define SILENCE_PER_S 2
+#define SILENCE_PER_S 3
 #define SILENCE_SHARE 0.1
 
 /**
