--- a/routing/part_records.c
+++ b/routing/part_records.c
@@ -171,6 +171,15 @@
 	}
 }
 
+int64_t part_records_oldest_ms(const struct part_records *records)
+{
+	int64_t oldest_ms = INT64_MAX / 2;
+
+	for (GList *l = records->by_change.head; l; l = l->next)
+		oldest_ms = MIN(oldest_ms, newest_end(l->data));
+	return oldest_ms;
+}
+
 /* ---- ends ---- */
 
 /* A total order, so that instances with the same ends keep the same ones. */
--- a/routing/part_records.h
+++ b/routing/part_records.h
@@ -77,6 +77,9 @@
 /** Drops the entries whose newest end is older than `oldest_ms`. */
 void part_records_expire(struct part_records *records, int64_t oldest_ms);
 
+/** Returns the time of the newest end of the entry that expires first. */
+int64_t part_records_oldest_ms(const struct part_records *records);
+
 void part_records_merge(struct part_records *records, int64_t now_ms,
 			const struct part_record *record);
 
--- /dev/null
+++ b/routing/part_verdict.c
@@ -0,0 +1,263 @@
+#include "routing/part_verdict.h"
+
+#include <math.h>
+
+#define END_WEIGHT 2u /* of a late one: 1 */
+
+/**
+ * Requests that are at a replica, of which any may have the part. A part whose
+ * presence at the ends is less likely by chance than e^-SIGNIFICANCE is held.
+ */
+#define REQUESTS_PER_REPLICA 4
+#define SIGNIFICANCE 11
+
+/**
+ * What each second of ends without a success counts against a part that so
+ * large a share of the successes had, or more.
+ */
+#define SILENCE_PER_S 3
+#define SILENCE_SHARE 0.1
+
+#define HOLD_MAX_MS 480000 /* the record has to outlive it */
+
+/** An end as the key of a hash table. */
+static guint end_hash(gconstpointer key)
+{
+	const struct part_end *end = key;
+
+	return (guint)end->epoch * 31 + end->replica;
+}
+
+static gboolean end_equal(gconstpointer a, gconstpointer b)
+{
+	const struct part_end *x = a, *y = b;
+
+	return x->replica == y->replica && x->epoch == y->epoch;
+}
+
+static bool counts(const struct part_end *end, GHashTable *explained)
+{
+	return !end->cleared && !g_hash_table_contains(explained, end);
+}
+
+struct series {
+	uint32_t events;
+	uint32_t ends;
+	uint32_t weight;
+	uint32_t failed_trials;
+	int64_t first_ms, last_ms;
+};
+
+static uint32_t weight(const struct part_end *end)
+{
+	return end->late ? 1 : END_WEIGHT;
+}
+
+static bool is_enough(const struct part_verdict_opts *opts, uint32_t weight)
+{
+	return weight >= opts->ends_min * END_WEIGHT;
+}
+
+/* The ends of a part that nothing else explains, as events. */
+static void count_events(const struct part_verdict_opts *opts,
+			 const struct part_entry *entry, GHashTable *explained,
+			 struct series *series)
+{
+	int64_t event_ms = 0;
+	uint32_t event_weight = 0;
+
+	*series = (struct series){ 0 };
+	for (uint32_t i = entry->end_count; i > 0; i--) {
+		const struct part_end *end = &entry->ends[i - 1];
+		int64_t gap_ms = end->time_ms - event_ms;
+
+		if (!counts(end, explained))
+			continue;
+		series->ends++;
+		if (series->events && gap_ms <= opts->same_event_ms) {
+			series->weight += MAX(weight(end), event_weight) -
+					  event_weight;
+			event_weight = MAX(weight(end), event_weight);
+			series->last_ms = end->time_ms;
+			continue;
+		}
+		if (!series->events)
+			series->first_ms = end->time_ms;
+		if (is_enough(opts, series->weight) && gap_ms > opts->hold_ms)
+			series->failed_trials++;
+		series->events++;
+		event_weight = weight(end);
+		series->weight += event_weight;
+		series->last_ms = event_ms = end->time_ms;
+	}
+}
+
+/* ---- chance ---- */
+
+/* The ends in any record that nothing explains, at least `since_ms`. */
+static uint32_t count_all(const GPtrArray *all, GHashTable *explained,
+			  int64_t since_ms)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < all->len; i++) {
+		const struct part_end *end = all->pdata[i];
+
+		count += end->time_ms >= since_ms &&
+			 !g_hash_table_contains(explained, end);
+	}
+	return count;
+}
+
+/*
+ * How unlikely it is that a part is at `ends` of `all` ends although it isn't
+ * at fault, as a negative logarithm (Chernoff's bound). Parts in nearly all
+ * requests are at all ends, and never at fault by that alone; of the others,
+ * some are at several ends when many replicas end for another reason.
+ */
+static double chance(double ends, double all, double share)
+{
+	double expected = 1 - pow(1 - share, REQUESTS_PER_REPLICA);
+	double seen = ends / all;
+	double sum = seen * log(seen / expected);
+
+	if (seen < 1)
+		sum += (1 - seen) * log((1 - seen) / (1 - expected));
+	return seen < expected ? 0 : all * sum;
+}
+
+/*
+ * A part in many requests is often at all ends, but then something succeeds,
+ * unless the replicas end again and again as they return.
+ */
+static double significance(const struct part_entry *entry,
+			   const struct series *series, uint32_t all)
+{
+	double share = MIN(1, exp2(entry->share_log2) / 10000);
+	double silence_s = (double)(series->last_ms - series->first_ms) / 1000;
+
+	return chance(series->ends, MAX(all, series->ends), share) +
+	       SILENCE_PER_S * silence_s * MIN(1, share / SILENCE_SHARE);
+}
+
+struct suspect {
+	struct part_entry *entry;
+	struct series series;
+	double significance;
+};
+
+/* Whether `a` is to be held rather than `b`. */
+static bool is_worse(const struct suspect *a, const struct suspect *b)
+{
+	if (a->significance != b->significance)
+		return a->significance > b->significance;
+	if (a->entry->success_ms != b->entry->success_ms)
+		return a->entry->success_ms < b->entry->success_ms;
+	return a->entry->part < b->entry->part;
+}
+
+/* Returns false if there is no suspect left. */
+static bool find_worst(const struct part_verdict_opts *opts,
+		       const GPtrArray *candidates, const GPtrArray *all,
+		       GHashTable *explained, struct suspect *worst)
+{
+	worst->entry = NULL;
+	for (guint i = 0; i < candidates->len; i++) {
+		struct suspect s = { .entry = candidates->pdata[i] };
+
+		if (s.entry->held)
+			continue;
+		count_events(opts, s.entry, explained, &s.series);
+		if (!is_enough(opts, s.series.weight))
+			continue;
+		s.significance = significance(s.entry, &s.series,
+					      count_all(all, explained,
+							s.series.first_ms));
+		if (s.significance >= SIGNIFICANCE &&
+		    (!worst->entry || is_worse(&s, worst)))
+			*worst = s;
+	}
+	return worst->entry != NULL;
+}
+
+static void hold(const struct part_verdict_opts *opts, struct part_entry *entry,
+		 const struct series *series)
+{
+	int64_t hold_ms = opts->hold_ms;
+
+	for (uint32_t i = 0; i < series->failed_trials; i++)
+		hold_ms = MIN(hold_ms * opts->hold_growth, HOLD_MAX_MS);
+	entry->held = true;
+	entry->counted = series->events;
+	entry->first_end_ms = series->first_ms;
+	entry->last_end_ms = series->last_ms;
+	entry->hold_until_ms = series->last_ms + hold_ms;
+}
+
+static void explain_ends(struct part_entry *entry, GHashTable *explained)
+{
+	for (uint32_t i = 0; i < entry->end_count; i++)
+		if (!entry->ends[i].cleared)
+			g_hash_table_add(explained, &entry->ends[i]);
+}
+
+static GPtrArray *reset(const struct part_records *records, uint32_t ends_min)
+{
+	GPtrArray *candidates = g_ptr_array_new();
+
+	for (GList *l = records->by_change.head; l; l = l->next) {
+		struct part_entry *entry = l->data;
+
+		entry->was_held = entry->held;
+		entry->held = false;
+		if (entry->end_count >= ends_min)
+			g_ptr_array_add(candidates, entry);
+	}
+	return candidates;
+}
+
+/* The ends in all records, each once, seen at its earliest. */
+static GPtrArray *list_ends(const struct part_records *records, bool is_needed)
+{
+	GHashTable *seen = g_hash_table_new(end_hash, end_equal);
+	GPtrArray *all = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer key;
+
+	for (GList *l = is_needed ? records->by_change.head : NULL; l;
+	     l = l->next) {
+		struct part_entry *entry = l->data;
+
+		for (uint32_t i = 0; i < entry->end_count; i++) {
+			struct part_end *end = &entry->ends[i];
+			struct part_end *known = g_hash_table_lookup(seen, end);
+
+			if (!known || end->time_ms < known->time_ms)
+				g_hash_table_replace(seen, end, end);
+		}
+	}
+	g_hash_table_iter_init(&iter, seen);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		g_ptr_array_add(all, key);
+	g_hash_table_unref(seen);
+	return all;
+}
+
+void part_verdict_judge(const struct part_verdict_opts *opts,
+			struct part_records *records, GPtrArray *held)
+{
+	GHashTable *explained = g_hash_table_new(end_hash, end_equal);
+	GPtrArray *candidates = reset(records, opts->ends_min);
+	GPtrArray *all = list_ends(records, candidates->len > 0);
+	struct suspect worst;
+
+	g_ptr_array_set_size(held, 0);
+	while (find_worst(opts, candidates, all, explained, &worst)) {
+		hold(opts, worst.entry, &worst.series);
+		explain_ends(worst.entry, explained);
+		g_ptr_array_add(held, worst.entry);
+	}
+	g_ptr_array_unref(all);
+	g_ptr_array_unref(candidates);
+	g_hash_table_unref(explained);
+}
