routing: silence counts as far as a part was at the ends

While replicas end again and again and nothing succeeds, all parts in many requests are silent; the one at fault is at all ends.

--- a/include/radishdeal/quarantine.h
+++ b/include/radishdeal/quarantine.h
@@ -5,12 +5,12 @@
  *
  * Evidence for each part: the replica ends under which a request with the part
  * was in flight, and its last success. An end counts once, however many
- * requests and entries report it; ends at the same moment count as one, since
- * they have a common cause; an end before a success of the part no longer
- * counts. A part with enough ends in a row is held: its requests are refused.
- * It explains its ends, so parts that only shared a replica with it are clear.
- * After a while one request may pass as a trial: its success frees the part,
- * an end holds it for longer.
+ * requests and entries report it; ends at the same moment count as one; an end
+ * before a success of the part no longer counts. A part with several ends in a
+ * row, more than chance explains by the part's share of the successes, is held:
+ * its requests are refused. It explains its ends, so parts that only shared a
+ * replica with it are clear. After a while one request may pass as a trial: its
+ * success frees the part, an end holds it for longer.
  *
  * Entries exchange their evidence through the control leader. Merging is
  * idempotent and commutative, so the evidence may take any way, any number of
--- a/routing/part_verdict.c
+++ b/routing/part_verdict.c
@@ -131,13 +131,15 @@
  * unless the replicas end again and again as they return.
  */
 static double significance(const struct part_entry *entry,
-			   const struct series *series, uint32_t all)
+			   const struct series *series, uint32_t known)
 {
 	double share = MIN(1, exp2(entry->share_log2) / 10000);
+	double all = MAX(known, series->ends);
 	double silence_s = (double)(series->last_ms - series->first_ms) / 1000;
+	double silence = SILENCE_PER_S * silence_s *
+			 MIN(1, share / SILENCE_SHARE) * series->ends / all;
 
-	return chance(series->ends, MAX(all, series->ends), share) +
-	       SILENCE_PER_S * silence_s * MIN(1, share / SILENCE_SHARE);
+	return chance(series->ends, all, share) + silence;
 }
 
 struct suspect {
