--- a/Makefile
+++ b/Makefile
@@ -135,7 +135,8 @@
 	@$(MAKE) -s -j8 all
 	@demo/run
 
-# Runs one benchmark: make measure WHAT=placement|state|path|capacity|routing
+# Runs one benchmark:
+# make measure WHAT=placement|state|path|capacity|routing|quarantine
 WHAT ?= placement
 measure: tests
 	$B/bench/bench_$(WHAT)
