routing: a verdict's time is bounded

With a full table (1,024 parts, 16 ends each, 20,000 replicas that ended) a trial of 101,000 checks hadn't finished after 600 s: for each part that it held, the verdict looked up all known ends for each candidate, and each change led to another verdict. The check runs in the entry's loop, and a client that sends many parts beside a bad one might get there.

Ruled out: a time between verdicts that doesn't depend on the records; scripts with a handful of parts showed verdicts 20 ms late.

--- a/routing/part_records.h
+++ b/routing/part_records.h
@@ -21,8 +21,9 @@
 	uint32_t replica;
 	uint64_t epoch;
 	int64_t time_ms;
-	bool late;    /* for all requests with the part */
-	bool cleared; /* the part succeeded afterwards */
+	bool late;	 /* for all requests with the part */
+	bool cleared;	 /* the part succeeded afterwards */
+	uint32_t number; /* of the replica's end, set by the verdict */
 };
 
 struct part_entry {
--- a/routing/part_verdict.c
+++ b/routing/part_verdict.c
@@ -20,6 +20,9 @@
 
 #define HOLD_MAX_MS 480000 /* the record has to outlive it */
 
+/* The worst ones; bounds the time of a verdict. */
+#define HELD_MAX 64u
+
 /** An end as the key of a hash table. */
 static guint end_hash(gconstpointer key)
 {
@@ -35,9 +38,19 @@
 	return x->replica == y->replica && x->epoch == y->epoch;
 }
 
-static bool counts(const struct part_end *end, GHashTable *explained)
+/**
+ * All replica ends, each once, numbered from the oldest on, which is as the
+ * parts' ends refer to them.
+ */
+struct end_table {
+	GPtrArray *ends; /* of struct part_end, which belong to the records */
+	bool *explained; /* by a part that is held */
+	uint32_t *unexplained_from; /* how many from this one on are not */
+};
+
+static bool counts(const struct part_end *end, const struct end_table *table)
 {
-	return !end->cleared && !g_hash_table_contains(explained, end);
+	return !end->cleared && !table->explained[end->number];
 }
 
 struct series {
@@ -60,8 +73,8 @@
 
 /* The ends of a part that nothing else explains, as events. */
 static void count_events(const struct part_verdict_opts *opts,
-			 const struct part_entry *entry, GHashTable *explained,
-			 struct series *series)
+			 const struct part_entry *entry,
+			 const struct end_table *table, struct series *series)
 {
 	int64_t event_ms = 0;
 	uint32_t event_weight = 0;
@@ -71,7 +84,7 @@
 		const struct part_end *end = &entry->ends[i - 1];
 		int64_t gap_ms = end->time_ms - event_ms;
 
-		if (!counts(end, explained))
+		if (!counts(end, table))
 			continue;
 		series->ends++;
 		if (series->events && gap_ms <= opts->same_event_ms) {
@@ -94,19 +107,21 @@
 
 /* ---- chance ---- */
 
-/* The ends in any record that nothing explains, at least `since_ms`. */
-static uint32_t count_all(const GPtrArray *all, GHashTable *explained,
-			  int64_t since_ms)
+/* The ends that nothing explains, at least `since_ms`. */
+static uint32_t count_since(const struct end_table *table, int64_t since_ms)
 {
-	uint32_t count = 0;
+	guint low = 0, high = table->ends->len;
 
-	for (guint i = 0; i < all->len; i++) {
-		const struct part_end *end = all->pdata[i];
+	while (low < high) {
+		guint middle = low + (high - low) / 2;
+		const struct part_end *end = table->ends->pdata[middle];
 
-		count += end->time_ms >= since_ms &&
-			 !g_hash_table_contains(explained, end);
+		if (end->time_ms < since_ms)
+			low = middle + 1;
+		else
+			high = middle;
 	}
-	return count;
+	return table->unexplained_from[low];
 }
 
 /*
@@ -160,8 +175,8 @@
 
 /* Returns false if there is no suspect left. */
 static bool find_worst(const struct part_verdict_opts *opts,
-		       const GPtrArray *candidates, const GPtrArray *all,
-		       GHashTable *explained, struct suspect *worst)
+		       const GPtrArray *candidates,
+		       const struct end_table *table, struct suspect *worst)
 {
 	worst->entry = NULL;
 	for (guint i = 0; i < candidates->len; i++) {
@@ -169,12 +184,12 @@
 
 		if (s.entry->held)
 			continue;
-		count_events(opts, s.entry, explained, &s.series);
+		count_events(opts, s.entry, table, &s.series);
 		if (!is_enough(opts, s.series.weight))
 			continue;
-		s.significance = significance(s.entry, &s.series,
-					      count_all(all, explained,
-							s.series.first_ms));
+		s.significance =
+			significance(s.entry, &s.series,
+				     count_since(table, s.series.first_ms));
 		if (s.significance >= SIGNIFICANCE &&
 		    (!worst->entry || is_worse(&s, worst)))
 			*worst = s;
@@ -196,11 +211,24 @@
 	entry->hold_until_ms = series->last_ms + hold_ms;
 }
 
-static void explain_ends(struct part_entry *entry, GHashTable *explained)
+static void count_unexplained(struct end_table *table)
+{
+	uint32_t count = 0;
+
+	table->unexplained_from[table->ends->len] = 0;
+	for (guint i = table->ends->len; i > 0; i--) {
+		count += !table->explained[i - 1];
+		table->unexplained_from[i - 1] = count;
+	}
+}
+
+static void explain_ends(struct end_table *table,
+			 const struct part_entry *entry)
 {
 	for (uint32_t i = 0; i < entry->end_count; i++)
 		if (!entry->ends[i].cleared)
-			g_hash_table_add(explained, &entry->ends[i]);
+			table->explained[entry->ends[i].number] = true;
+	count_unexplained(table);
 }
 
 static GPtrArray *reset(const struct part_records *records, uint32_t ends_min)
@@ -218,48 +246,101 @@
 	return candidates;
 }
 
-/* The ends in all records, each once, seen at its earliest. */
-static GPtrArray *list_ends(const struct part_records *records, bool is_needed)
+static gint compare_times(gconstpointer a, gconstpointer b)
 {
-	GHashTable *seen = g_hash_table_new(end_hash, end_equal);
-	GPtrArray *all = g_ptr_array_new();
-	GHashTableIter iter;
-	gpointer key;
+	const struct part_end *x = *(struct part_end *const *)a;
+	const struct part_end *y = *(struct part_end *const *)b;
+
+	return x->time_ms < y->time_ms ? -1 : x->time_ms > y->time_ms;
+}
 
-	for (GList *l = is_needed ? records->by_change.head : NULL; l;
-	     l = l->next) {
+/* Returns the ends in all records, each seen at its earliest. */
+static GHashTable *find_ends(const struct part_records *records)
+{
+	GHashTable *ends = g_hash_table_new(end_hash, end_equal);
+
+	for (GList *l = records->by_change.head; l; l = l->next) {
 		struct part_entry *entry = l->data;
 
 		for (uint32_t i = 0; i < entry->end_count; i++) {
 			struct part_end *end = &entry->ends[i];
-			struct part_end *known = g_hash_table_lookup(seen, end);
+			struct part_end *known = g_hash_table_lookup(ends, end);
 
 			if (!known || end->time_ms < known->time_ms)
-				g_hash_table_replace(seen, end, end);
+				g_hash_table_replace(ends, end, end);
 		}
 	}
-	g_hash_table_iter_init(&iter, seen);
+	return ends;
+}
+
+static void number_ends(const struct part_records *records, GHashTable *ends,
+			const GPtrArray *sorted)
+{
+	for (guint i = 0; i < sorted->len; i++)
+		((struct part_end *)sorted->pdata[i])->number = i;
+	for (GList *l = records->by_change.head; l; l = l->next) {
+		struct part_entry *entry = l->data;
+
+		for (uint32_t i = 0; i < entry->end_count; i++) {
+			struct part_end *end = &entry->ends[i];
+			const struct part_end *known = g_hash_table_lookup(ends,
+									   end);
+
+			end->number = known->number;
+		}
+	}
+}
+
+static void end_table_init(struct end_table *table,
+			   const struct part_records *records)
+{
+	GHashTable *ends = find_ends(records);
+	GHashTableIter iter;
+	gpointer key;
+
+	table->ends = g_ptr_array_new();
+	g_hash_table_iter_init(&iter, ends);
 	while (g_hash_table_iter_next(&iter, &key, NULL))
-		g_ptr_array_add(all, key);
-	g_hash_table_unref(seen);
-	return all;
+		g_ptr_array_add(table->ends, key);
+	g_ptr_array_sort(table->ends, compare_times);
+	number_ends(records, ends, table->ends);
+	g_hash_table_unref(ends);
+	table->explained = g_new0(bool, table->ends->len);
+	table->unexplained_from = g_new(uint32_t, table->ends->len + 1);
+	count_unexplained(table);
 }
 
-void part_verdict_judge(const struct part_verdict_opts *opts,
-			struct part_records *records, GPtrArray *held)
+static void end_table_clear(struct end_table *table)
 {
-	GHashTable *explained = g_hash_table_new(end_hash, end_equal);
-	GPtrArray *candidates = reset(records, opts->ends_min);
-	GPtrArray *all = list_ends(records, candidates->len > 0);
+	g_ptr_array_unref(table->ends);
+	g_free(table->explained);
+	g_free(table->unexplained_from);
+}
+
+static void hold_suspects(const struct part_verdict_opts *opts,
+			  const struct part_records *records,
+			  const GPtrArray *candidates, GPtrArray *held)
+{
+	struct end_table table;
 	struct suspect worst;
 
-	g_ptr_array_set_size(held, 0);
-	while (find_worst(opts, candidates, all, explained, &worst)) {
+	end_table_init(&table, records);
+	while (held->len < HELD_MAX &&
+	       find_worst(opts, candidates, &table, &worst)) {
 		hold(opts, worst.entry, &worst.series);
-		explain_ends(worst.entry, explained);
+		explain_ends(&table, worst.entry);
 		g_ptr_array_add(held, worst.entry);
 	}
-	g_ptr_array_unref(all);
+	end_table_clear(&table);
+}
+
+void part_verdict_judge(const struct part_verdict_opts *opts,
+			struct part_records *records, GPtrArray *held)
+{
+	GPtrArray *candidates = reset(records, opts->ends_min);
+
+	g_ptr_array_set_size(held, 0);
+	if (candidates->len)
+		hold_suspects(opts, records, candidates, held);
 	g_ptr_array_unref(candidates);
-	g_hash_table_unref(explained);
 }
--- a/routing/quarantine.c
+++ b/routing/quarantine.c
@@ -20,6 +20,12 @@
 #define HOLD_GROWTH 4u
 #define RECORD_MS 600000
 
+/**
+ * A verdict reads all evidence, so the time between two grows with it: a
+ * millisecond for so many parts.
+ */
+#define JUDGED_PARTS_PER_MS 20
+
 /**
  * After a hold, one entry may make the trial; after each further turn, twice as
  * many. A part whose requests reach few of the entries is tried as well.
@@ -34,6 +40,7 @@
 	GPtrArray *held; /* struct part_entry */
 	uint64_t version;
 	int64_t expires_ms; /* when the next record does */
+	int64_t judged_ms;  /* last verdict */
 };
 
 /* ---- verdicts ---- */
@@ -88,6 +95,9 @@
 
 	if (!q->records.changed && now_ms <= q->expires_ms)
 		return;
+	if (now_ms - q->judged_ms < quarantine_records(q) / JUDGED_PARTS_PER_MS)
+		return;
+	q->judged_ms = now_ms;
 	part_records_expire(&q->records, now_ms - RECORD_MS);
 	q->expires_ms = part_records_oldest_ms(&q->records) + RECORD_MS;
 	q->records.changed = false;
@@ -150,6 +160,7 @@
 	q->entries = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	q->held = g_ptr_array_new();
 	q->expires_ms = INT64_MAX;
+	q->judged_ms = INT64_MIN / 2;
 	return q;
 }
 
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -533,6 +533,47 @@
 	quarantine_destroy(q);
 }
 
+/* ---- time ---- */
+
+#define FULL_PARTS 1024
+#define FULL_REPLICAS 20000
+#define FULL_CHANGES 200
+/* A hundred times what it takes; a verdict in quadratic time takes hours. */
+#define FULL_LIMIT_S 60
+
+static void add_random_end(struct quarantine *q, GRand *random, int64_t now_ms)
+{
+	uint64_t part = (uint64_t)g_rand_int_range(random, 1, FULL_PARTS + 1);
+	uint32_t replica = (uint32_t)g_rand_int_range(random, 1, FULL_REPLICAS);
+
+	quarantine_add_end(q, now_ms, replica, 1, &part, 1, false);
+}
+
+static void test_full_table_is_judged_in_time(void **state)
+{
+	struct quarantine *q =
+		quarantine_create(&(struct quarantine_opts){ .node = 1 });
+	GRand *random = g_rand_new_with_seed(1);
+	struct quarantine_check check;
+	gint64 started = g_get_monotonic_time();
+	int64_t now_ms = 0;
+	uint64_t part = 1;
+
+	(void)state;
+	for (int i = 0; i < 20 * FULL_PARTS; i++)
+		add_random_end(q, random, now_ms += 2);
+	for (int i = 0; i < FULL_CHANGES; i++) {
+		add_random_end(q, random, now_ms += 1000);
+		quarantine_check(q, now_ms, &part, 1, &check);
+	}
+	assert_true(g_get_monotonic_time() - started <
+		    FULL_LIMIT_S * G_USEC_PER_SEC);
+	print_message("%d verdicts in %d ms\n", FULL_CHANGES,
+		      (int)((g_get_monotonic_time() - started) / 1000));
+	quarantine_destroy(q);
+	g_rand_free(random);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -540,6 +581,7 @@
 		cmocka_unit_test(
 			test_evidence_may_arrive_in_any_order_any_number_of_times),
 		cmocka_unit_test(test_known_evidence_is_not_sent_again),
+		cmocka_unit_test(test_full_table_is_judged_in_time),
 		cmocka_unit_test(
 			test_flood_of_new_parts_does_not_free_a_held_one),
 	};
