--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -7,7 +7,7 @@
 #include <event2/bufferevent.h>
 
 #include "common/log.h"
-#include "entry/call.h"
+#include "entry/parts.h"
 
 /*
  * A stream without a complete event for this long is resumed on another
@@ -24,6 +24,8 @@
 #define COPIED_PIECE_MAX_BYTES 4096
 /* Limit on an incomplete chunk of a stream, which may hold several events. */
 #define STREAM_CHUNK_MAX_BYTES 262144u
+/* A request under which so many replicas ended isn't sent to another. */
+#define REPLICA_ENDS_MAX 2u
 
 static const struct log attempt_log = { "call" };
 
@@ -53,6 +55,7 @@
 	uint32_t expected = call->route.output_tokens;
 
 	cancel_upstream(call);
+	parts_attempt_over(call);
 	clear_awaiting_first(call);
 	if (call->replica)
 		router_done(call->service->router, call->replica, call->epoch,
@@ -72,6 +75,7 @@
 static bool may_retry(const struct call *call)
 {
 	return call->attempts < call->attempts_max &&
+	       call->replica_ends < REPLICA_ENDS_MAX &&
 	       (reply_is_open(call->reply) || call->booking_key) &&
 	       entry_now_ms(call->entry) < call->deadline_ms;
 }
@@ -183,6 +187,8 @@
 	router_progress(call->service->router, call->replica, tokens);
 	call->reported_tokens += tokens;
 	clear_awaiting_first(call);
+	if (!call->first_event_us)
+		call->first_event_us = now_us;
 	if (!call->rate_sampled_us) {
 		call->rate_sampled_us = now_us;
 		call->rate_sample_tokens = 0;
@@ -385,6 +391,7 @@
 		 "ms=%" PRId64,
 		 call->id, call->replica, call->status, size,
 		 (entry_now_us(call->entry) - call->started_us) / 1000);
+	parts_answered(call);
 	attempt_finish(call);
 	if (call->booking_key)
 		booking_end(call, BOOKING_ANSWERED, call->status,
@@ -423,6 +430,8 @@
 		return "not-sent";
 	case UPSTREAM_EXCEEDED:
 		return "exceeded";
+	case UPSTREAM_CLOSED:
+		return "closed";
 	default:
 		return "failed";
 	}
@@ -480,18 +489,42 @@
 	return resumes && end->framing != FRAMING_CLOSE;
 }
 
+/* Whether the endpoint ended the connection before its response was complete.
+ */
+static bool connection_broke(const struct call *call,
+			     const struct upstream_end *end)
+{
+	bool unfinished = is_stream(call) &&
+			  (!call->response_bytes ||
+			   !call->format->stream_complete(call));
+
+	return end->result == UPSTREAM_CLOSED ||
+	       (end->result == UPSTREAM_COMPLETE &&
+		end->framing == FRAMING_CLOSE && unfinished);
+}
+
+static void complete_stream(struct call *call)
+{
+	parts_answered(call);
+	call_complete_stream(call);
+}
+
 static void on_end(void *ctx, const struct upstream_end *end)
 {
 	struct call *call = ctx;
 
 	call->upstream = NULL;
 	counters_add(call->entry->opts.counters, COUNTER_IN_FLIGHT, -1);
+	call->is_framed = end->framing != FRAMING_CLOSE;
 	log_end(call, end);
+	if (connection_broke(call, end))
+		ends_add_break(call->entry->ends, call);
 	if (end->result == UPSTREAM_NOT_SENT)
 		handle_not_sent(call);
 	else if (end->result == UPSTREAM_EXCEEDED)
 		handle_exceeded(call);
-	else if (end->result == UPSTREAM_FAILED)
+	else if (end->result == UPSTREAM_FAILED ||
+		 end->result == UPSTREAM_CLOSED)
 		handle_failure(call, "broke off");
 	else if (call->response_class == RESPONSE_NOT_RUN)
 		handle_not_run(call);
@@ -506,7 +539,7 @@
 	else if (!call->response_bytes && !nothing_is_left(call, end))
 		handle_failure(call, "ended the stream before an event");
 	else
-		call_complete_stream(call);
+		complete_stream(call);
 }
 
 /* ---- sending ---- */
@@ -525,6 +558,7 @@
 	call->status = 0;
 	call->response_bytes = 0;
 	call->response_class = RESPONSE_FORWARD;
+	call->first_event_us = 0;
 	call->rate_sampled_us = 0;
 	call->data_ms = entry_now_ms(call->entry);
 	call->eventless_ms = 0;
@@ -583,6 +617,8 @@
 {
 	struct entry *entry = call->entry;
 
+	if (parts_refuse(call, true))
+		return;
 	if (call->ticket.waiting) {
 		admission_dequeue(call->service->admission, &call->ticket);
 		call->admitted = true;
--- a/entry/call.c
+++ b/entry/call.c
@@ -7,7 +7,7 @@
 #include <event2/bufferevent.h>
 
 #include "common/log.h"
-#include "entry/call.h"
+#include "entry/parts.h"
 
 #define OUTPUT_EWMA_WEIGHT 0.05
 #define US_PER_MS 1000
@@ -70,6 +70,7 @@
 	call->attempts_max = MAX(opts->attempts_max, 1);
 	call->booking_key = g_strdup(opts->booking_key);
 	call->route = opts->route;
+	call->parts = opts->parts;
 	call->response_body = evbuffer_new();
 	g_hash_table_add(entry->calls, call);
 	retry_budget_add_request(&call->service->retry_budget,
@@ -84,6 +85,8 @@
 		.caller_left = on_caller_disconnected,
 		.ctx = call,
 	});
+	if (parts_refuse(call, false))
+		return;
 	if (call->booking_key)
 		booking_begin(call);
 	else
--- a/entry/call.h
+++ b/entry/call.h
@@ -19,6 +19,14 @@
 
 struct call;
 
+#define PROMPT_PARTS_MAX 16
+
+/** The parts of a prompt that other requests may share, in their order. */
+struct prompt_parts {
+	uint32_t count;
+	uint64_t ids[PROMPT_PARTS_MAX];
+};
+
 /** Classification of an endpoint's response by its status and headers. */
 enum response_class {
 	RESPONSE_FORWARD,    /* forwarded to the caller unchanged */
@@ -112,14 +120,18 @@
 	struct admission_ticket ticket;
 	bool admitted; /* the ticket was taken; admission_finish() is due */
 	struct router_request route;
+	struct prompt_parts parts;
 	uint32_t attempts;
-	bool may_have_run; /* at some endpoint */
+	uint32_t replica_ends; /* under this call */
+	uint64_t trial_part;   /* held part that this attempt tries; or 0 */
+	bool may_have_run;     /* at some endpoint */
 	uint32_t replica;
 	uint64_t epoch;
 	char address[ADDRESS_MAX];
 	struct upstream *upstream;
 	int64_t sent_us;
 	int64_t first_byte_us;	 /* stream headers sent to the caller */
+	int64_t first_event_us;	 /* of this attempt; 0: none */
 	int64_t rate_sampled_us; /* start of the current decode rate sample */
 	uint32_t rate_sample_tokens;
 	bool overdue_awaiting_first; /* counted in the service */
@@ -135,6 +147,7 @@
 	uint32_t oversized_at; /* replica whose response was too large; or 0 */
 	int64_t data_ms; /* last data of the stream; before, the dispatch */
 	int64_t eventless_ms; /* time in which data completed no event */
+	bool is_framed;	      /* the response has a length or is chunked */
 	bool paused;	      /* reading from the endpoint is paused */
 };
 
@@ -161,6 +174,7 @@
 	uint32_t attempts_max;
 	const char *booking_key;
 	struct router_request route;
+	struct prompt_parts parts;
 };
 
 /** Starts a call, which frees itself when it ends. */
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -31,6 +31,7 @@
 	bool bytes_sent;	    /* some of the request was sent */
 	bool cancelled;
 	bool cut;	   /* the response exceeds the limits of `guard` */
+	bool closed;	   /* by the endpoint, before the response's end */
 	bool not_reusable; /* opts.head() ruled out reuse of `conn` */
 	struct upstream_end end;
 	bool head_done; /* the final response's */
@@ -284,6 +285,7 @@
 	};
 	struct upstream *u = arg;
 
+	u->closed = error == EVREQ_HTTP_EOF;
 	if (!u->end.failure)
 		u->end.failure = (size_t)error < G_N_ELEMENTS(names)
 					 ? names[error]
@@ -300,7 +302,7 @@
 	u->req = NULL;
 	if (u->cancelled || u->cut)
 		return;
-	u->end.result = UPSTREAM_FAILED;
+	u->end.result = u->closed ? UPSTREAM_CLOSED : UPSTREAM_FAILED;
 	/*
 	 * evhttp reports a connection reset as a missing response, so a
 	 * close-delimited response that is present ended with an orderly close.
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -27,6 +27,7 @@
 	UPSTREAM_COMPLETE, /* the response was received completely */
 	UPSTREAM_NOT_SENT, /* no byte of the request was sent */
 	UPSTREAM_EXCEEDED, /* cut: over the limits on a head or on framing */
+	UPSTREAM_CLOSED,   /* the endpoint closed the connection before that */
 	UPSTREAM_FAILED,   /* any other failure; the request may have run */
 };
 
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -28,6 +28,8 @@
 #include "common/http.h"
 #include "test/cluster.h"
 #include "test/endless_endpoint.h"
+#include "test/crash_endpoints.h"
+#include "test/part_clients.h"
 #include "test/script.h"
 
 #define ENDLESS_PREFIX "/events/"
@@ -41,7 +43,8 @@
 	"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: seal\r\n" \
 	"Content-Type: text/event-stream\r\nConnection: close\r\n"
 #define CONTROL_VMS 3
-#define NODES 4 /* the last is the entry */
+#define ENTRY 4 /* the first entry */
+#define NODES 5 /* the last is the second entry, if there are two */
 #define WAIT_MS 30000
 #define HEARTBEAT_US 200000
 #define POLL_US 50000
@@ -51,6 +54,13 @@
 /* Sent and not read: Linux enlarges a receive buffer only as it is read. */
 #define HEAD_BUFFERS_BYTES 1048576
 #define BODY_BUFFERS_BYTES 6500000
+/* From the fifth end on, for all entries to know of it. */
+#define LATE_MS 3000
+/* Of endpoints that end: from a request to its answer; from an end to return.
+ */
+#define ANSWER_MS 40
+#define BACK_MS 1500
+#define CLIENT_TIMEOUT_MS 4000
 
 enum port {
 	PORT_PEERS,
@@ -103,6 +113,10 @@
 	struct endless_endpoint *endless, *sound;
 	volatile gint stop;
 	int requests;
+	int entries;
+	struct crash_endpoints *crash_endpoints;
+	struct part_clients *sound_at[NODES + 1], *bad;
+	gint64 late_ms; /* see do_wait_late() */
 };
 
 static char *address_of(const struct platform_test *test, int node,
@@ -435,7 +449,7 @@
 
 static char *format_settings(const struct platform_test *test, int node)
 {
-	bool entry = node == NODES;
+	bool entry = node >= ENTRY;
 	char *peers = address_of(test, node, PORT_PEERS);
 	char *control = address_of(test, node, PORT_CONTROL);
 	char *directory = address_of(test, node, PORT_DIRECTORY);
@@ -529,12 +543,14 @@
 	return wait_node(test, node);
 }
 
+/* start [entries=N] */
 static void do_start(struct script *s)
 {
 	struct platform_test *test = s->ctx;
 
+	test->entries = (int)script_number(s, "entries", 1);
 	test->bootstrap = true;
-	for (int i = 1; i <= NODES; i++)
+	for (int i = 1; i <= CONTROL_VMS + test->entries; i++)
 		start_node(test, i);
 	test->bootstrap = false;
 }
@@ -751,7 +767,7 @@
 {
 	struct platform_test *test = s->ctx;
 
-	test->background.address = address_of(test, NODES, PORT_CALLERS);
+	test->background.address = address_of(test, ENTRY, PORT_CALLERS);
 	test->background.path = g_strdup(s->words[1]);
 	test->background.once = script_number(s, "once", 0);
 	test->background_thread = g_thread_new(
@@ -791,7 +807,7 @@
 static void do_request(struct script *s)
 {
 	struct platform_test *test = s->ctx;
-	char *address = address_of(test, NODES, PORT_CALLERS);
+	char *address = address_of(test, ENTRY, PORT_CALLERS);
 	const char *headers[] = { "Host",
 				  "shop.example",
 				  "X-Api-Key",
@@ -934,7 +950,7 @@
 static void exchange(struct script *s, struct exchange *e)
 {
 	struct platform_test *test = s->ctx;
-	char *address_text = address_of(test, NODES, PORT_CALLERS);
+	char *address_text = address_of(test, ENTRY, PORT_CALLERS);
 	char *text = unescaped_words(s, 1);
 	struct timeval timeout = { REQUEST_TIMEOUT_MS / 1000, 0 };
 	struct address address;
@@ -1018,7 +1034,7 @@
 {
 	struct fetch_response answer;
 
-	get_until(s, NODES, PORT_READY, "/v1/readiness",
+	get_until(s, ENTRY, PORT_READY, "/v1/readiness",
 		  script_value(s, "status", "200"), &answer);
 	script_print(s, "readiness: %d", answer.status);
 	fetch_clear(&answer);
@@ -1058,6 +1074,251 @@
 	g_free(line);
 }
 
+/* ---- prompt parts ---- */
+
+static char **addresses_of(const struct platform_test *test, int first,
+			   int last, enum port port)
+{
+	GPtrArray *list = g_ptr_array_new();
+
+	for (int node = first; node <= last; node++)
+		g_ptr_array_add(list, address_of(test, node, port));
+	g_ptr_array_add(list, NULL);
+	return (char **)g_ptr_array_free(list, FALSE);
+}
+
+static enum crash_mode crash_mode(struct script *s, const char *name)
+{
+	static const char *const names[] = {
+		[CRASH_END] = "end",	 [CRASH_CUT] = "cut",
+		[CRASH_RESET] = "reset", [CRASH_LEAVE] = "leave",
+		[CRASH_STALL] = "stall", [CRASH_REFUSE] = "refuse",
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(names); i++)
+		if (!strcmp(name, names[i]))
+			return (enum crash_mode)i;
+	script_fail(s, "unknown mode %s", name);
+}
+
+/* start-crash-endpoints COUNT part=ID [mode=MODE] */
+static void do_start_crash_endpoints(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	char **control = addresses_of(test, 1, CONTROL_VMS, PORT_CONTROL);
+	struct crash_endpoints_opts opts = {
+		.network = test->network,
+		.count = atoi(s->words[1]),
+		.service = "web",
+		.part = script_value(s, "part", ""),
+		.mode = crash_mode(s, script_value(s, "mode", "end")),
+		.answer_ms = ANSWER_MS,
+		.back_ms = BACK_MS,
+		.control = control,
+	};
+
+	test->crash_endpoints = crash_endpoints_start(&opts);
+	g_strfreev(control);
+}
+
+/* crash-mode MODE: what endpoints do from now on. */
+static void do_crash_mode(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+
+	crash_endpoints_set_mode(test->crash_endpoints,
+				 crash_mode(s, s->words[1]));
+}
+
+/* crash-all: all endpoints end at once; waits for it. */
+static void do_crash_all(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	int before = crash_endpoints_ends(test->crash_endpoints);
+
+	crash_endpoints_end_all(test->crash_endpoints);
+	while (crash_endpoints_ends(test->crash_endpoints) == before)
+		usleep(POLL_US);
+}
+
+static struct part_clients *start_clients(const struct platform_test *test,
+					  int first, int last,
+					  const struct part_clients_opts *how)
+{
+	char **entries = addresses_of(test, first, last, PORT_CALLERS);
+	struct part_clients_opts opts = *how;
+	struct part_clients *clients;
+
+	opts.entries = entries;
+	clients = part_clients_start(&opts);
+	g_strfreev(entries);
+	return clients;
+}
+
+/* sound-begin: clients whose requests lack the part, at each entry. */
+static void do_sound_begin(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	struct part_clients_opts opts = { .per_entry = 4,
+					  .pause_ms = 10,
+					  .timeout_ms = CLIENT_TIMEOUT_MS };
+
+	for (int i = ENTRY; i < ENTRY + test->entries; i++)
+		test->sound_at[i] = start_clients(test, i, i, &opts);
+}
+
+/* bad-begin part=ID [timeout=MS]: clients whose requests have it. */
+static void do_bad_begin(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	struct part_clients_opts opts = {
+		.per_entry = 1,
+		.part = script_value(s, "part", ""),
+		.pause_ms = 100,
+		.timeout_ms = (int)script_number(s, "timeout",
+						 CLIENT_TIMEOUT_MS),
+	};
+
+	test->bad = start_clients(test, ENTRY, ENTRY + test->entries - 1,
+				  &opts);
+}
+
+static void do_bad_end(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+
+	part_clients_stop(test->bad);
+	test->bad = NULL;
+}
+
+/* Waits until `clients` have had that many answers. */
+static void wait_answers(struct script *s, struct part_clients *clients,
+			 int requests, struct part_counts *counts)
+{
+	gint64 deadline = cluster_now_ms() + WAIT_MS;
+
+	part_clients_reset(clients);
+	do {
+		usleep(POLL_US);
+		part_clients_count(clients, counts);
+	} while (counts->sent < requests && cluster_now_ms() < deadline);
+	if (counts->sent < requests)
+		script_print(s, "only %d answers", counts->sent);
+}
+
+/* sound-share requests=N least=SHARE [node=N]: of the next N, at each entry. */
+static void do_sound_share(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	double least = g_ascii_strtod(script_value(s, "least", "0"), NULL);
+	int requests = (int)script_number(s, "requests", 100);
+	int node = (int)script_number(s, "node", 0);
+	int first = node ? node : ENTRY;
+	int last = node ? node : ENTRY + test->entries - 1;
+
+	for (int i = first; i <= last; i++) {
+		struct part_counts counts;
+
+		wait_answers(s, test->sound_at[i], requests, &counts);
+		if (counts.served >= least * counts.sent)
+			script_print(s, "entry %d serves sound requests", i);
+		else
+			script_print(s, "entry %d served %d of %d", i,
+				     counts.served, counts.sent);
+	}
+}
+
+/*
+ * wait-late: waits until LATE_MS have passed since the fifth end, or since the
+ * last one if no further ones come.
+ */
+static void do_wait_late(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	gint64 deadline = cluster_now_ms() + WAIT_MS;
+	gint64 now, from;
+
+	do {
+		int ends = crash_endpoints_ends(test->crash_endpoints);
+
+		usleep(POLL_US);
+		now = cluster_now_ms();
+		from = crash_endpoints_end_ms(test->crash_endpoints,
+					      MIN(ends, 5));
+		test->late_ms = from + LATE_MS;
+	} while ((!from || now < test->late_ms) && now < deadline);
+	if (!from)
+		script_print(s, "no endpoint has ended");
+	fprintf(stderr, "%d endpoints ended\n",
+		crash_endpoints_ends(test->crash_endpoints));
+}
+
+/*
+ * late-arrivals bad=N most=M: after N further answers to requests with the part
+ * at most M requests with it may have reached endpoints since wait-late.
+ */
+static void do_late_arrivals(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	int most = (int)script_number(s, "most", 0);
+	struct part_counts counts;
+	int arrivals;
+
+	wait_answers(s, test->bad, (int)script_number(s, "bad", 1), &counts);
+	arrivals = crash_endpoints_arrivals(test->crash_endpoints,
+					    test->late_ms);
+	if (arrivals <= most)
+		script_print(s, "at most %d requests with the part arrived",
+			     most);
+	else
+		script_print(s, "%d requests with the part arrived", arrivals);
+}
+
+static void stop_clients(struct platform_test *test)
+{
+	part_clients_stop(test->bad);
+	for (int i = 1; i <= NODES; i++)
+		part_clients_stop(test->sound_at[i]);
+	crash_endpoints_stop(test->crash_endpoints);
+}
+
+/* bad-answers N: waits for so many answers to requests with the part. */
+static void do_bad_answers(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	struct part_counts counts;
+
+	wait_answers(s, test->bad, atoi(s->words[1]), &counts);
+}
+
+/* parts-held: prints how many parts each entry holds. */
+static void do_parts_held(struct script *s)
+{
+	static const char name[] = "\nradishdeal_prompt_parts_held ";
+	struct platform_test *test = s->ctx;
+
+	for (int i = ENTRY; i < ENTRY + test->entries; i++) {
+		struct fetch_response answer;
+		const char *at;
+
+		get_until(s, i, PORT_METRICS, "/metrics", "200", &answer);
+		at = answer.body ? strstr(answer.body, name) : NULL;
+		script_print(s, "entry %d holds %d parts", i,
+			     at ? atoi(at + strlen(name)) : -1);
+		fetch_clear(&answer);
+	}
+}
+
+/* wait-ready NODE */
+static void do_wait_ready(struct script *s)
+{
+	struct fetch_response answer;
+
+	get_until(s, atoi(s->words[1]), PORT_READY, "/v1/readiness", "200",
+		  &answer);
+	fetch_clear(&answer);
+}
+
 static const struct script_command commands[] = {
 	{ "start", 0, do_start },
 	{ "start-endpoint", 0, do_start_endpoint },
@@ -1085,6 +1346,18 @@
 	{ "readiness", 0, do_readiness },
 	{ "metrics", 2, do_metrics },
 	{ "wait-metric", 3, do_wait_metric },
+	{ "start-crash-endpoints", 1, do_start_crash_endpoints },
+	{ "sound-begin", 0, do_sound_begin },
+	{ "crash-mode", 1, do_crash_mode },
+	{ "crash-all", 0, do_crash_all },
+	{ "bad-begin", 0, do_bad_begin },
+	{ "bad-end", 0, do_bad_end },
+	{ "bad-answers", 1, do_bad_answers },
+	{ "parts-held", 0, do_parts_held },
+	{ "sound-share", 0, do_sound_share },
+	{ "wait-late", 0, do_wait_late },
+	{ "late-arrivals", 0, do_late_arrivals },
+	{ "wait-ready", 1, do_wait_ready },
 	{ 0 },
 };
 
@@ -1160,6 +1433,7 @@
 {
 	struct platform_test *test = *state;
 
+	stop_clients(test);
 	for (int i = 1; i <= NODES; i++)
 		(void)stop_node(test, i, SIGKILL);
 	stop_endpoint(test);
