test: answers that come before a long body is sent are cut

An endpoint may answer before it has read a long body, and read on later. Its answer of 300,000 bytes is replaced by 502. By reading, its replica is also avoided by all calls for a while. test_platform_proc early-answers-to-uploads.script prints:

POST /book/early: 502, 16 bytes

where 200 with 300000 bytes is due.

--- a/test/endless_endpoint.c
+++ b/test/endless_endpoint.c
@@ -19,6 +19,9 @@
 #define SLOW_MS 1000
 #define CHUNKED "Transfer-Encoding: chunked\r\n"
 #define EVENTS "Content-Type: text/event-stream\r\n" CHUNKED
+/* The path of a sound answer that precedes the reading of a body. */
+#define EARLY_PATH " /book/early "
+#define EARLY_BODY_BYTES 300000
 #define FIRST_EVENT "10\r\nid: 1\ndata: xy\n\n\r\n"
 
 /**
@@ -225,6 +228,50 @@
 	return ok;
 }
 
+static bool read_body(struct endless_endpoint *e, int fd, const char *request)
+{
+	char *length = request_header(request, "Content-Length");
+	const char *body = strstr(request, "\r\n\r\n") + strlen("\r\n\r\n");
+	int64_t left = length ? g_ascii_strtoll(length, NULL, 10) : 0;
+	char buffer[65536];
+
+	left -= (int64_t)strlen(body);
+	while (left > 0) {
+		ssize_t n = wait_ready(e, fd, POLLIN)
+				    ? recv(fd, buffer, sizeof(buffer), 0)
+				    : 0;
+
+		if (n <= 0)
+			break;
+		left -= n;
+	}
+	g_free(length);
+	return left <= 0;
+}
+
+static bool send_early(struct endless_endpoint *e, int fd, const char *request)
+{
+	char *head = answer_head(request, NULL);
+	char *body = g_strnfill(EARLY_BODY_BYTES, 'x');
+	char *text = g_strdup_printf("%sContent-Length: %d\r\n\r\n%s", head,
+				     EARLY_BODY_BYTES, body);
+	int64_t sent = 0;
+	bool ok = send_all(e, fd, text, strlen(text), &sent) &&
+		  read_body(e, fd, request);
+
+	g_free(text);
+	g_free(body);
+	g_free(head);
+	return ok;
+}
+
+static bool answer_request(struct endless_endpoint *e, int fd,
+			   const char *request)
+{
+	return strstr(request, EARLY_PATH) ? send_early(e, fd, request)
+					   : send_whole(e, fd, request);
+}
+
 static const struct play *find_play(const char *request)
 {
 	size_t size = strcspn(request, " ");
@@ -253,7 +300,7 @@
 		play = e->sound ? NULL : find_play(request);
 		if (play)
 			run_play(e, c->fd, play, request);
-		else if (!send_whole(e, c->fd, request))
+		else if (!answer_request(e, c->fd, request))
 			play = plays;
 		g_free(request);
 	}
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -889,6 +889,34 @@
 	g_free(address);
 }
 
+/* upload PATH bytes=N: prints the status and the size of the answer. */
+static void do_upload(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	char *address = address_of(test, NODES, PORT_CALLERS);
+	char *body = g_strnfill((gsize)script_number(s, "bytes", 0), 'x');
+	const char *headers[] = { "Host", "shop.example", "X-Api-Key",
+				  "k1",	  "Attempt-Id",	  "a1",
+				  NULL };
+	struct fetch_request request = {
+		.address = address,
+		.method = "POST",
+		.path = s->words[1],
+		.headers = headers,
+		.body = body,
+		.body_size = (int)strlen(body),
+		.timeout_ms = REQUEST_TIMEOUT_MS,
+	};
+	struct fetch_response answer;
+
+	(void)fetch(&request, &answer);
+	script_print(s, "POST %s: %d, %zu bytes", s->words[1], answer.status,
+		     (size_t)answer.size);
+	fetch_clear(&answer);
+	g_free(body);
+	g_free(address);
+}
+
 /* memory-below NODE MIB: compares the most memory that a node has had. */
 static void do_memory_below(struct script *s)
 {
@@ -1075,6 +1103,7 @@
 	{ "stored", 1, do_stored },
 	{ "request", 2, do_request },
 	{ "endless", 2, do_endless },
+	{ "upload", 1, do_upload },
 	{ "memory-below", 2, do_memory_below },
 	{ "raw-request", 1, do_raw_request },
 	{ "raw-exchange", 1, do_raw_exchange },
