common/answer_guard: an answer that comes before its request is sent isn't a long head

Callers with long bodies got 502 for an answer that their endpoint had given early, whole, and with more than 128 KiB. evhttp takes nothing from a connection's input until it has sent the request, so the head stays there with the body behind it, and the guard counted both against the limit on a head.

Bytes that arrive while the request is being sent have the limit on an incomplete chunk besides that on a head. The search for a NUL ends at the longest head, so that it doesn't start over on a long body with each read.

--- a/common/answer_guard.c
+++ b/common/answer_guard.c
@@ -84,13 +84,20 @@
 	}
 }
 
+static bool head_exceeds_limits(const struct answer_guard *guard)
+{
+	return guard->received - guard->early > ANSWER_HEAD_MAX_BYTES ||
+	       guard->early > ANSWER_HEAD_MAX_BYTES + guard->pending_max_bytes +
+				      FRAMING_MAX_BYTES;
+}
+
 static bool exceeds_limits(const struct answer_guard *guard)
 {
 	size_t pending = evbuffer_get_length(bufferevent_get_input(guard->bev));
 	size_t framing;
 
 	if (!guard->in_body)
-		return guard->received > ANSWER_HEAD_MAX_BYTES;
+		return head_exceeds_limits(guard);
 	if (pending > guard->pending_max_bytes + FRAMING_MAX_BYTES)
 		return true;
 	if (guard->line_bytes > FRAMING_MAX_BYTES ||
@@ -101,6 +108,12 @@
 	       FRAMING_MAX_BYTES / FRAMING_PER_BODY_BYTE + guard->delivered;
 }
 
+/* evhttp takes nothing from the input until it has sent the request. */
+static bool is_sending(const struct answer_guard *guard)
+{
+	return evbuffer_get_length(bufferevent_get_output(guard->bev));
+}
+
 static void on_input(struct evbuffer *input,
 		     const struct evbuffer_cb_info *info, void *arg)
 {
@@ -108,6 +121,8 @@
 
 	(void)input;
 	guard->received += info->n_added;
+	if (is_sending(guard))
+		guard->early += info->n_added;
 	if (guard->stopped || !info->n_added)
 		return;
 	scan_input(guard, info->n_added);
--- a/common/answer_guard.h
+++ b/common/answer_guard.h
@@ -16,7 +16,11 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
-/** Limit on a head, interim answers included, and what was read with it. */
+/**
+ * Limit on a head, interim answers included, and what was read with it. Bytes
+ * that come before the request is sent may be of the body too, so they have the
+ * limit on a chunk besides.
+ */
 #define ANSWER_HEAD_MAX_BYTES 131072
 /** For evhttp, whose own limit must not come first. */
 #define ANSWER_HEADERS_MAX_BYTES (2 * ANSWER_HEAD_MAX_BYTES)
@@ -33,6 +37,7 @@
 	void *ctx;
 	bool in_body, chunked, stopped;
 	size_t received;  /* bytes of the head, then of the body */
+	size_t early;	  /* of them, before the request was sent */
 	size_t delivered; /* bytes of the body */
 	/* Of a body in chunks, read up to the end of the input: */
 	int64_t chunk_left; /* bytes; 0 within a line, negative at the end */
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -154,8 +154,11 @@
 		     const struct evbuffer_cb_info *info, void *arg)
 {
 	struct upstream *u = arg;
+	size_t before = evbuffer_get_length(input) - info->n_added;
 
-	if (info->n_added && !u->head_done && response_head_has_nul(input))
+	/* A head isn't longer; what comes early may be, and was searched. */
+	if (info->n_added && !u->head_done &&
+	    before < ANSWER_HEADERS_MAX_BYTES && response_head_has_nul(input))
 		u->head_has_nul = true;
 }
 
