common/http: a request with a malformed field name is refused

A caller whose "Content-Length : 83" has a space before its colon got an answer that it hadn't asked for, to what the length covers, and that ran as a request. evhttp keeps the space in the name, so that it found no length, and the entry no field that it must not forward: "Tenant-Name : other" reached endpoints.

Requests with names that are no tokens (RFC 9112, 5.1) now get 400 and the end of their connection, on both interfaces, like others whose end is unclear.

Before: requests-with-malformed-fields.script printed two answers to one request and "endpoint received 2", and 200 to "Tenant-Name : other"; requests-with-an-unclear-end-native.script "404, 404, kept open".

--- a/common/http.c
+++ b/common/http.c
@@ -21,6 +21,8 @@
 /* Connections on which sent data stays unacknowledged for longer are closed. */
 #define RESPONSE_ACK_TIMEOUT_MS 30000
 #define BEARER "Bearer "
+#define TOKEN_CHARACTERS \
+	"!#$%&'*+-.^_`|~" G_CSET_DIGITS G_CSET_a_2_z G_CSET_A_2_Z
 
 static json_t *problem_json(const struct problem *p)
 {
@@ -374,6 +376,24 @@
 	return g_bytes_new_take(data, size);
 }
 
+bool http_is_token(const char *name)
+{
+	size_t size = strlen(name);
+
+	return size && strspn(name, TOKEN_CHARACTERS) == size;
+}
+
+/* Other readers may trim a name such as "Content-Length ". */
+static bool has_malformed_name(const struct evkeyvalq *headers)
+{
+	struct evkeyval *header;
+
+	TAILQ_FOREACH(header, headers, next)
+	if (!http_is_token(header->key))
+		return true;
+	return false;
+}
+
 bool http_has_ambiguous_framing(const struct evkeyvalq *headers)
 {
 	const char *length = evhttp_find_header(headers, "Content-Length");
@@ -390,14 +410,15 @@
 
 bool http_has_unknown_framing(struct evhttp_request *req)
 {
+	const struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
 	const char *length = http_header(req, "Content-Length");
 
 	if (evhttp_request_get_command(req) == EVHTTP_REQ_HEAD &&
 	    (http_header(req, "Transfer-Encoding") ||
 	     (length && strcmp(length, "0") != 0)))
 		return true;
-	return http_has_ambiguous_framing(
-		evhttp_request_get_input_headers(req));
+	return has_malformed_name(headers) ||
+	       http_has_ambiguous_framing(headers);
 }
 
 const char *http_method(struct evhttp_request *req)
--- a/common/http.h
+++ b/common/http.h
@@ -104,6 +104,9 @@
  */
 GBytes *http_body(struct evhttp_request *req);
 
+/** Whether a header's name is one in the protocol. */
+bool http_is_token(const char *name);
+
 /**
  * Whether a head states the end of its body in two ways, of which evhttp takes
  * one, or has a transfer coding that evhttp does not support.
@@ -112,8 +115,8 @@
 
 /**
  * Whether the end of the request's body is unclear, so that bytes of the body
- * could be parsed as another request (request smuggling). evhttp reads no body
- * of HEAD.
+ * could be parsed as another request (request smuggling): evhttp reads no body
+ * of HEAD, and ignores fields with malformed names.
  */
 bool http_has_unknown_framing(struct evhttp_request *req);
 
--- a/entry/response_head.c
+++ b/entry/response_head.c
@@ -4,22 +4,14 @@
 #include <event2/keyvalq_struct.h>
 #include <glib.h>
 
+#include "common/http.h"
 #include "entry/response_head.h"
 
 #define FIRST_FINAL_STATUS 200
 #define LAST_STATUS 599
-#define TOKEN_CHARACTERS \
-	"!#$%&'*+-.^_`|~" G_CSET_DIGITS G_CSET_a_2_z G_CSET_A_2_Z
 #define LENGTH_DIGITS_MAX 18 /* evhttp keeps lengths in 64 bits */
 #define DELETE_CHARACTER 0x7f
 
-static bool is_token(const char *name)
-{
-	size_t size = strlen(name);
-
-	return size && strspn(name, TOKEN_CHARACTERS) == size;
-}
-
 static bool has_control_character(const char *value)
 {
 	for (; *value; value++)
@@ -76,7 +68,7 @@
 	if (status < FIRST_FINAL_STATUS || status > LAST_STATUS)
 		return "status-not-final";
 	TAILQ_FOREACH(header, headers, next)
-	if (!is_token(header->key) || has_control_character(header->value))
+	if (!http_is_token(header->key) || has_control_character(header->value))
 		return "malformed-field";
 	if (has_ambiguous_framing(headers))
 		return "ambiguous-framing";
