test: callers that leave during garbled answers

Half of the callers leave after some bytes of an answer, in order or with a reset, while endpoints garble theirs. The entry must not end, and the other callers' answers are checked as before.

--- a/test/test_garbled.c
+++ b/test/test_garbled.c
@@ -37,6 +37,7 @@
 #define POLL_US 20000
 #define BEAT_US 200000
 #define MAX_ATTEMPTS 2
+#define LEAVE_BYTES_MAX 400
 
 enum port {
 	PORT_PEERS,
@@ -67,6 +68,7 @@
 	enum strict_result result;
 	struct strict_response response;
 	bool unasked; /* bytes came while no request was waiting */
+	bool left;    /* the caller left before its answer */
 };
 
 struct caller {
@@ -90,6 +92,7 @@
 	GMutex lock;
 	GCond stopping;
 	bool stop;
+	bool leaving; /* callers leave at half of their requests */
 	int faults;
 	int printed;				    /* of them, of one seed */
 	int answered, refused, failed, closed, cut; /* requests */
@@ -384,6 +387,24 @@
 	g_string_truncate(c->input, 0);
 }
 
+/* Leaves after some bytes of the answer, in order or with a reset. */
+static void leave(struct caller *c, struct request *request)
+{
+	struct linger reset = { .l_onoff = 1 };
+	char bytes[LEAVE_BYTES_MAX];
+	int size = g_rand_int_range(c->random, 0, LEAVE_BYTES_MAX);
+
+	if (size)
+		(void)recv(c->fd, bytes, (size_t)size, 0);
+	if (g_rand_boolean(c->random))
+		(void)setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &reset,
+				 sizeof(reset));
+	request->left = true;
+	request->result = STRICT_CLOSED;
+	request->response.body = g_string_new(NULL);
+	drop_connection(c);
+}
+
 static void send_and_read(struct caller *c, struct request *request,
 			  const GString *bytes)
 {
@@ -399,6 +420,10 @@
 		drop_connection(c);
 		return;
 	}
+	if (c->test->leaving && g_rand_boolean(c->random)) {
+		leave(c, request);
+		return;
+	}
 	request->result = strict_read(c->fd, c->input, &request->response);
 	if (request->result == STRICT_COMPLETE)
 		request->unasked = strict_has_bytes(c->fd, c->input);
@@ -590,7 +615,8 @@
 	else
 		check_answer(test, request);
 	check_runs(test, request);
-	check_sound(test, request);
+	if (!request->left)
+		check_sound(test, request);
 }
 
 static void count(struct garbled_test *test, const struct request *request)
@@ -727,6 +753,22 @@
 		    seeds * CALLERS * REQUESTS / 4);
 }
 
+static void test_callers_that_leave_do_not_end_the_entry(void **state)
+{
+	struct garbled_test *test = *state;
+	int before = test->faults, answered = test->answered;
+
+	garbled_endpoint_limit(test->endpoint, NULL);
+	test->leaving = true;
+	for (guint32 i = 0; i < seeds; i++)
+		run_seed(test, first_seed + seeds + i);
+	test->leaving = false;
+	assert_int_equal(waitpid(test->pids[NODE_ENTRY], NULL, WNOHANG), 0);
+	check_no_faults(test, before);
+	assert_true((guint32)(test->answered - answered) >
+		    seeds * CALLERS * REQUESTS / 8);
+}
+
 /* Gives answers of one kind and sound ones. Returns how many had success. */
 static int check_kind(struct garbled_test *test, const char *kind)
 {
@@ -842,6 +884,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_callers_get_whole_answers_of_their_own),
+		cmocka_unit_test(test_callers_that_leave_do_not_end_the_entry),
 		cmocka_unit_test(
 			test_body_without_length_lasts_until_the_close),
 		cmocka_unit_test(
