--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -517,8 +517,10 @@
 	counters_add(call->entry->opts.counters, COUNTER_IN_FLIGHT, -1);
 	call->is_framed = end->framing != FRAMING_CLOSE;
 	log_end(call, end);
-	if (connection_broke(call, end))
-		ends_add_break(call->entry->ends, call);
+	if (connection_broke(call, end) &&
+	    ends_add_break(call->entry->ends, call) &&
+	    end->result == UPSTREAM_CLOSED)
+		call->replica_ends++;
 	if (end->result == UPSTREAM_NOT_SENT)
 		handle_not_sent(call);
 	else if (end->result == UPSTREAM_EXCEEDED)
--- a/entry/ends.c
+++ b/entry/ends.c
@@ -131,7 +131,7 @@
 		       QUARANTINE_LATE_MS * US_PER_MS;
 }
 
-void ends_add_break(struct ends *ends, struct call *call)
+bool ends_add_break(struct ends *ends, struct call *call)
 {
 	struct broken_call broken = { .parts = call->parts,
 				      .trial_part = call->trial_part,
@@ -139,16 +139,16 @@
 	struct pending_end *p;
 
 	if (!end_is_unexplained(call) || lives_on(ends, call))
-		return;
-	call->replica_ends++;
+		return false;
 	p = find_or_add(ends, call);
 	p->last_break_ms = entry_now_ms(ends->entry);
 	p->end.requests++;
 	if (!call->parts.count || p->end.calls->len == CALLS_PER_END_MAX)
-		return;
+		return true;
 	g_array_append_val(p->end.calls, broken);
 	/* The decision on this end is the result of the trial. */
 	call->trial_part = 0;
+	return true;
 }
 
 /* ---- decision ---- */
--- a/entry/ends.h
+++ b/entry/ends.h
@@ -36,9 +36,9 @@
 
 /**
  * Notes that the endpoint closed the connection of a dispatched call before its
- * response was complete.
+ * response was complete. Returns whether that may be the end of its replica.
  */
-void ends_add_break(struct ends *ends, struct call *call);
+bool ends_add_break(struct ends *ends, struct call *call);
 
 /** Whether a replica is known to have ended at about a time. */
 bool ends_found(const struct ends *ends, const char *service, uint32_t replica,
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -855,7 +855,7 @@
 static void do_endless(struct script *s)
 {
 	struct platform_test *test = s->ctx;
-	char *address = address_of(test, NODES, PORT_CALLERS);
+	char *address = address_of(test, ENTRY, PORT_CALLERS);
 	const char *headers[] = { "Host",
 				  "shop.example",
 				  "X-Api-Key",
@@ -909,7 +909,7 @@
 static void do_upload(struct script *s)
 {
 	struct platform_test *test = s->ctx;
-	char *address = address_of(test, NODES, PORT_CALLERS);
+	char *address = address_of(test, ENTRY, PORT_CALLERS);
 	char *body = g_strnfill((gsize)script_number(s, "bytes", 0), 'x');
 	const char *headers[] = { "Host", "shop.example", "X-Api-Key",
 				  "k1",	  "Attempt-Id",	  "a1",
