control: a truncated proposal is reported as of unknown outcome

An operator's change or a booking's claim that a former leader had proposed was reported as certainly not accepted once its log entry was truncated on that member and another proposal took its index. Another member may still hold the entry and commit it as a later leader: the change would then be in force though it was refused.

Reproduced: three proposals, truncated by a leader of term 5, the member elected again; the fourth proposal ended the third one with RD_NOT_LEADER (test_group: 0x133 in place of 0x12d). Not affected: a proposal whose index is committed with another entry, which is certainly lost.

--- a/control/group.c
+++ b/control/group.c
@@ -645,10 +645,13 @@
 	p->started_us = clock_now_us(group->opts.clock);
 	p->done = done;
 	p->ctx = ctx;
-	/* The log entry of a pending proposal at this index was truncated. */
+	/*
+	 * The log entry of a pending proposal at this index was truncated here,
+	 * but another member may still hold it and commit it as the leader.
+	 */
 	superseded = remove_proposal(group, index);
 	if (superseded)
-		finish_proposal(group, superseded, RD_NOT_LEADER, NULL);
+		finish_proposal(group, superseded, RD_CHANGE_UNKNOWN, NULL);
 	g_hash_table_insert(group->proposals, &p->index, p);
 	request_wakeup(group);
 }
--- a/test/test_group.c
+++ b/test/test_group.c
@@ -244,6 +244,65 @@
 	g_free(quick);
 }
 
+/* Records the code with which a proposal ended; its context is the record. */
+static void on_proposal_done(void *ctx, enum rd_result code,
+			     const struct apply_result *result)
+{
+	(void)result;
+	*(enum rd_result *)ctx = code;
+}
+
+/* Delivers an entry of a leader in a later term, which is node 2. */
+static void receive_append(struct world *w, uint64_t index)
+{
+	struct raft_wire_entry entry = { .index = index, .term = 5 };
+	struct raft_message message = {
+		.kind = RAFT_APPEND,
+		.from = 2,
+		.to = 1,
+		.term = 5,
+		.log_index = index - 1,
+		.log_term = raft_term_at(group_raft(w->group), index - 1),
+		.entries = { 1, &entry },
+	};
+	GBytes *bytes = CODEC_ENCODE(raft_message, &message);
+	gsize size;
+	const void *data = g_bytes_get_data(bytes, &size);
+
+	assert_true(group_receive(w->group, 2, data, size));
+	g_bytes_unref(bytes);
+}
+
+/* A member that still holds the truncated entry may lead and commit it. */
+static void test_truncated_proposal_is_not_reported_as_not_accepted(
+	void **state)
+{
+	enum rd_result codes[4];
+	GBytes *bytes = g_bytes_new_static("x", 1);
+	struct world w;
+	uint64_t first;
+
+	(void)state;
+	memset(codes, -1, sizeof(codes));
+	world_init(&w);
+	run_until_leader(&w);
+	first = raft_last_index(group_raft(w.group)) + 1;
+	for (int i = 0; i < 3; i++)
+		group_propose(w.group, bytes, on_proposal_done, &codes[i]);
+	receive_append(&w, first);
+	assert_int_equal(first, raft_last_index(group_raft(w.group)));
+	for (int i = 0; raft_role(group_raft(w.group)) != RAFT_LEADER; i++) {
+		assert_true(i < STEPS_MAX);
+		w.now_us += STEP_US;
+		group_process(w.group);
+	}
+	assert_int_equal(first + 1, raft_last_index(group_raft(w.group)));
+	group_propose(w.group, bytes, on_proposal_done, &codes[3]);
+	assert_int_equal(RD_CHANGE_UNKNOWN, codes[2]);
+	g_bytes_unref(bytes);
+	world_clear(&w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -253,6 +312,8 @@
 		cmocka_unit_test(
 			test_undecodable_snapshot_is_named_as_the_cause),
 		cmocka_unit_test(test_disk_failure_is_named_as_the_cause),
+		cmocka_unit_test(
+			test_truncated_proposal_is_not_reported_as_not_accepted),
 		cmocka_unit_test(
 			test_elections_during_slow_syncs_have_a_cause_in_the_log),
 	};
