storage: writes are made durable by jobs that any thread can run

The storage is divided into what its owner uses (the buffer, the term and vote) and what a job uses (segments, files). The record at the head of a new segment is written with the next records in place of a sync of its own.

--- a/storage/storage.c
+++ b/storage/storage.c
@@ -20,13 +20,29 @@
 	uint64_t bytes;
 };
 
+/** Work of a job, and what only the thread that runs it uses meanwhile. */
+struct storage_job {
+	GByteArray *records;		/* to be appended to the last segment */
+	uint64_t last_index;		/* highest index of an entry in them */
+	struct stored_hard_state state; /* as of the last of them */
+	GBytes *snapshot; /* to be stored after them; NULL: none */
+	uint64_t snapshot_index;
+	bool snapshot_received;
+};
+
 struct storage {
 	struct storage_opts opts;
 	struct folder_meta meta;
+	/* Of the owner, also while a job runs. */
 	struct stored_hard_state state;
+	GByteArray *buffer;
+	uint64_t buffer_last_index; /* highest index of an entry in it */
+	uint64_t log_bytes;	    /* as of the end of the last job */
+	bool job_begun;
+	/* Of the thread that runs the job. */
+	struct storage_job job;
 	GArray *segments; /* of struct segment; the last one is written to */
 	int handle;	  /* of the last segment, -1 before the first */
-	GByteArray *buffer;
 	uint64_t snapshot_index;
 	uint64_t syncs;
 	enum rd_result error_code; /* RD_OK until the first failure */
@@ -110,17 +126,17 @@
 	return result;
 }
 
-static void put_record(struct storage *s, enum record_type type,
+static void put_record(GByteArray *records, enum record_type type,
 		       GBytes *payload)
 {
-	record_append(s->buffer, type, payload);
+	record_append(records, type, payload);
 	g_bytes_unref(payload);
 }
 
-/* Buffers a record that discards all entries before it. */
-static void put_reset_record(struct storage *s)
+/* Adds a record that discards all entries before it. */
+static void put_reset_record(GByteArray *records)
 {
-	put_record(s, RECORD_RESET, g_bytes_new(NULL, 0));
+	put_record(records, RECORD_RESET, g_bytes_new(NULL, 0));
 }
 
 static enum rd_result start_segment(struct storage *s)
@@ -146,8 +162,8 @@
 		return fail(s, name, "sync", error);
 	g_array_append_val(s->segments, added);
 	/* Older segments may be removed, so each repeats the term and vote. */
-	put_record(s, RECORD_HARD_STATE,
-		   CODEC_ENCODE(stored_hard_state, &s->state));
+	put_record(s->job.records, RECORD_HARD_STATE,
+		   CODEC_ENCODE(stored_hard_state, &s->job.state));
 	return RD_OK;
 }
 
@@ -473,6 +489,7 @@
 	discard_covered_entries(r);
 	s->state.term = r->term;
 	s->state.voted_for = r->vote;
+	s->job.state = s->state;
 	s->meta.incarnation++;
 	r->member = s->meta.member_id;
 	r->incarnation = s->meta.incarnation;
@@ -487,8 +504,10 @@
 	 * contiguous with them.
 	 */
 	if (!r->entries->len)
-		put_reset_record(s);
-	return storage_sync(s);
+		put_reset_record(s->job.records);
+	storage_begin_sync(s);
+	storage_run_job(s);
+	return storage_end_job(s);
 }
 
 enum rd_result storage_open(const struct storage_opts *opts,
@@ -502,6 +521,7 @@
 	s->segments = g_array_new(FALSE, TRUE, sizeof(struct segment));
 	s->handle = -1;
 	s->buffer = g_byte_array_new();
+	s->job.records = g_byte_array_new();
 	memset(recovered, 0, sizeof(*recovered));
 	recovered->entries = g_ptr_array_new_with_free_func(entry_free);
 	result = recover(s, recovered);
@@ -531,17 +551,20 @@
 	CODEC_FREE(folder_meta, &s->meta);
 	g_array_unref(s->segments);
 	g_byte_array_unref(s->buffer);
+	g_byte_array_unref(s->job.records);
+	if (s->job.snapshot)
+		g_bytes_unref(s->job.snapshot);
 	g_free(s->error_text);
 	g_free(s);
 }
 
-/* ---- writing ---- */
+/* ---- buffering ---- */
 
 void storage_put_hard_state(struct storage *s, uint64_t term, uint64_t vote)
 {
 	s->state.term = term;
 	s->state.voted_for = vote;
-	put_record(s, RECORD_HARD_STATE,
+	put_record(s->buffer, RECORD_HARD_STATE,
 		   CODEC_ENCODE(stored_hard_state, &s->state));
 }
 
@@ -552,18 +575,18 @@
 		.term = entry->term,
 		.kind = entry->kind,
 	};
-	struct segment *segment = last_segment(s);
 	gsize size;
 
 	wire.data.data_val = (char *)g_bytes_get_data(entry->data, &size);
 	wire.data.data_len = (u_int)size;
-	put_record(s, RECORD_ENTRY, CODEC_ENCODE(raft_wire_entry, &wire));
-	segment->last_index = MAX(segment->last_index, entry->index);
+	put_record(s->buffer, RECORD_ENTRY,
+		   CODEC_ENCODE(raft_wire_entry, &wire));
+	s->buffer_last_index = MAX(s->buffer_last_index, entry->index);
 }
 
 void storage_put_truncate(struct storage *s, uint64_t from)
 {
-	put_record(s, RECORD_TRUNCATE,
+	put_record(s->buffer, RECORD_TRUNCATE,
 		   codec_encode((xdrproc_t)xdr_uint64_t, &from));
 }
 
@@ -572,30 +595,36 @@
 	return s->buffer->len > 0;
 }
 
+/* ---- jobs ---- */
+
 static enum rd_result flush(struct storage *s)
 {
 	const struct storage_fs *fs = s->opts.fs;
+	struct storage_job *job = &s->job;
+	struct segment *segment = last_segment(s);
 	char name[NAME_BYTES];
-	int error = fs->append(fs->ctx, s->handle, s->buffer->data,
-			       s->buffer->len);
+	int error = fs->append(fs->ctx, s->handle, job->records->data,
+			       job->records->len);
 
 	if (!error)
 		error = fs->sync(fs->ctx, s->handle);
 	if (error) {
-		segment_name(name, last_segment(s)->sequence);
+		segment_name(name, segment->sequence);
 		return fail(s, name, "write", error);
 	}
-	last_segment(s)->bytes += s->buffer->len;
+	segment->bytes += job->records->len;
+	segment->last_index = MAX(segment->last_index, job->last_index);
 	s->syncs++;
-	g_byte_array_set_size(s->buffer, 0);
+	job->last_index = 0;
+	g_byte_array_set_size(job->records, 0);
 	return RD_OK;
 }
 
-enum rd_result storage_sync(struct storage *s)
+static enum rd_result write_records(struct storage *s)
 {
 	enum rd_result result = s->error_code;
 
-	if (result || !s->buffer->len)
+	if (result || !s->job.records->len)
 		return result;
 	result = flush(s);
 	if (!result && last_segment(s)->bytes > s->opts.segment_bytes)
@@ -642,44 +671,102 @@
 	return result;
 }
 
-enum rd_result storage_write_snapshot(struct storage *s,
-				      const struct stored_snapshot *snapshot,
-				      bool received)
+static enum rd_result write_snapshot(struct storage *s)
 {
-	GBytes *payload = CODEC_ENCODE(stored_snapshot, snapshot);
+	struct storage_job *job = &s->job;
 	char name[NAME_BYTES];
-	enum rd_result result = s->error_code ? s->error_code : storage_sync(s);
+	enum rd_result result;
 
-	if (!payload)
-		return RD_TOO_LARGE;
-	snapshot_name(name, snapshot->index);
-	if (!result)
-		result = write_record(s, name, RECORD_SNAPSHOT, payload);
-	g_bytes_unref(payload);
+	snapshot_name(name, job->snapshot_index);
+	result = write_record(s, name, RECORD_SNAPSHOT, job->snapshot);
 	if (result)
 		return result;
-	s->snapshot_index = snapshot->index;
-	if (received) {
-		put_reset_record(s);
+	s->snapshot_index = job->snapshot_index;
+	if (job->snapshot_received) {
+		put_reset_record(job->records);
 		for (guint i = 0; i < s->segments->len; i++)
 			g_array_index(s->segments, struct segment, i)
 				.last_index = 0;
 	}
 	result = start_segment(s);
 	if (!result)
-		result = storage_sync(s);
+		result = write_records(s);
 	if (!result)
 		result = remove_covered_segments(s);
 	return result ? result : remove_old_snapshots(s);
 }
 
-uint64_t storage_log_bytes(const struct storage *s)
+void storage_begin_sync(struct storage *s)
+{
+	struct storage_job *job = &s->job;
+
+	g_assert(!s->job_begun);
+	s->job_begun = true;
+	/* The records may begin with those of a new segment. */
+	g_byte_array_append(job->records, s->buffer->data, s->buffer->len);
+	g_byte_array_set_size(s->buffer, 0);
+	job->last_index = MAX(job->last_index, s->buffer_last_index);
+	s->buffer_last_index = 0;
+	job->state = s->state;
+}
+
+enum rd_result storage_begin_snapshot(struct storage *s,
+				      const struct stored_snapshot *snapshot,
+				      bool received)
 {
-	uint64_t bytes = s->buffer->len;
+	GBytes *payload = CODEC_ENCODE(stored_snapshot, snapshot);
+
+	if (!payload)
+		return RD_TOO_LARGE;
+	storage_begin_sync(s);
+	s->job.snapshot = payload;
+	s->job.snapshot_index = snapshot->index;
+	s->job.snapshot_received = received;
+	return RD_OK;
+}
+
+void storage_run_job(struct storage *s)
+{
+	if (!write_records(s) && s->job.snapshot)
+		(void)write_snapshot(s);
+}
 
+enum rd_result storage_end_job(struct storage *s)
+{
+	g_assert(s->job_begun);
+	s->job_begun = false;
+	if (s->job.snapshot)
+		g_bytes_unref(s->job.snapshot);
+	s->job.snapshot = NULL;
+	s->log_bytes = s->job.records->len;
 	for (guint i = 0; i < s->segments->len; i++)
-		bytes += g_array_index(s->segments, struct segment, i).bytes;
-	return bytes;
+		s->log_bytes +=
+			g_array_index(s->segments, struct segment, i).bytes;
+	return s->error_code;
+}
+
+enum rd_result storage_sync(struct storage *s)
+{
+	storage_begin_sync(s);
+	storage_run_job(s);
+	return storage_end_job(s);
+}
+
+enum rd_result storage_write_snapshot(struct storage *s,
+				      const struct stored_snapshot *snapshot,
+				      bool received)
+{
+	enum rd_result result = storage_begin_snapshot(s, snapshot, received);
+
+	if (result)
+		return result;
+	storage_run_job(s);
+	return storage_end_job(s);
+}
+
+uint64_t storage_log_bytes(const struct storage *s)
+{
+	return s->log_bytes + s->buffer->len;
 }
 
 uint64_t storage_sync_count(const struct storage *s)
--- a/storage/storage.h
+++ b/storage/storage.h
@@ -3,10 +3,12 @@
  * The persistent state of a consensus member: its identity, term, vote, log
  * and latest snapshot, in one data folder.
  *
- * Owned by the control task. Writes are buffered until storage_sync(). After
- * an I/O error every later storage_sync() and storage_write_snapshot() fails
- * with the same result, so that nothing is acknowledged that may not be
- * durable.
+ * Owned by the control task. Writes are buffered until a job makes them
+ * durable. A job is begun and ended by the owner and may run on another thread,
+ * so that the owner doesn't wait for the disk; while it runs, the owner may
+ * only buffer further writes and ask for storage_dirty() and
+ * storage_log_bytes(). After an I/O error every later job fails with the same
+ * result, so that nothing is acknowledged that may not be durable.
  */
 #ifndef STORAGE_STORAGE_H
 #define STORAGE_STORAGE_H
@@ -57,23 +59,37 @@
 void storage_put_entry(struct storage *storage, const struct raft_entry *entry);
 void storage_put_truncate(struct storage *storage, uint64_t from);
 
-/** Writes everything buffered and makes it durable with one sync. */
-enum rd_result storage_sync(struct storage *storage);
-
-/** Whether there are buffered writes for storage_sync(). */
+/** Whether there are buffered writes that no job has taken yet. */
 bool storage_dirty(const struct storage *storage);
 
+/** Begins a job that makes everything buffered so far durable by one sync. */
+void storage_begin_sync(struct storage *storage);
+
 /**
- * Makes a snapshot durable and removes older snapshots and the log segments
- * that it covers. A snapshot `received` from another member replaces the whole
- * log. Returns RD_TOO_LARGE if it exceeds a bound of its encoding; storage
- * stays usable then and keeps the previous snapshot.
+ * Begins a job that also makes a snapshot durable and removes older snapshots
+ * and the log segments that it covers. A snapshot `received` from another
+ * member replaces the whole log. Returns RD_TOO_LARGE if it exceeds a bound of
+ * its encoding; no job is begun then, and the previous snapshot is kept.
  */
+enum rd_result storage_begin_snapshot(struct storage *storage,
+				      const struct stored_snapshot *snapshot,
+				      bool received);
+
+/** Runs the job that was begun; on any thread. */
+void storage_run_job(struct storage *storage);
+
+/** Ends the job that has run, and returns its result. */
+enum rd_result storage_end_job(struct storage *storage);
+
+/** Begins, runs and ends a job of storage_begin_sync(). */
+enum rd_result storage_sync(struct storage *storage);
+
+/** Begins, runs and ends a job of storage_begin_snapshot(). */
 enum rd_result storage_write_snapshot(struct storage *storage,
 				      const struct stored_snapshot *snapshot,
 				      bool received);
 
-/** Returns the size of the log segments, with buffered writes. */
+/** Returns the size of the log as of the last job, with buffered writes. */
 uint64_t storage_log_bytes(const struct storage *storage);
 
 /** Returns the number of syncs since the folder was opened. */
