control, consensus: the disk is waited for on a thread of its own

A group commit is now a job on the thread "disk". One runs at a time; what is stored meanwhile, and the messages that depend on it, belong to the next one. raft_begin_sync() marks what a sync covers, and a truncation lowers the mark. A follower that gets no new entries but waits for the disk confirms at once what is durable, which keeps the leader's lease.

Ruled out: sending what depends on a sync before it (torture finds two leaders in a term), counting all of the log as durable after a sync (torture finds different commands at an index); both were tried as mutations and reverted.

--- a/bench/bench_torture.c
+++ b/bench/bench_torture.c
@@ -17,13 +17,19 @@
 	pthread_mutex_t lock;
 };
 
+static const char *const disk_names[] = {
+	[TORTURE_DISK_INLINE] = "inline",
+	[TORTURE_DISK_THREAD] = "thread",
+};
+
 static void add_result(struct seed_range *range, uint32_t seed,
-		       struct torture_result *r)
+		       enum torture_disk disk, struct torture_result *r)
 {
 	pthread_mutex_lock(&range->lock);
 	if (r->fault) {
 		range->failed++;
-		printf("seed %u: %s\n", seed, r->fault);
+		printf("seed %u, disk %s: %s\n", seed, disk_names[disk],
+		       r->fault);
 		fflush(stdout);
 	}
 	range->totals.crashes += r->crashes;
@@ -39,12 +45,20 @@
 	g_free(r->fault);
 }
 
+static void run_schedule(struct seed_range *range, uint32_t seed,
+			 enum torture_disk disk)
+{
+	struct torture_result result;
+
+	torture_run(seed, disk, &result);
+	add_result(range, seed, disk, &result);
+}
+
 static void *run_worker(void *arg)
 {
 	struct seed_range *range = arg;
 
 	for (;;) {
-		struct torture_result result;
 		uint32_t seed;
 
 		pthread_mutex_lock(&range->lock);
@@ -53,8 +67,8 @@
 		pthread_mutex_unlock(&range->lock);
 		if (!seed)
 			return NULL;
-		torture_run(seed, &result);
-		add_result(range, seed, &result);
+		run_schedule(range, seed, TORTURE_DISK_INLINE);
+		run_schedule(range, seed, TORTURE_DISK_THREAD);
 	}
 }
 
--- a/consensus/follower.c
+++ b/consensus/follower.c
@@ -2,6 +2,26 @@
 #include "consensus/raft_internal.h"
 #include "wire/codec.h"
 
+/*
+ * Confirms at once what is durable already, so that the leader's lease doesn't
+ * end while an earlier entry waits for a slow disk.
+ */
+static void confirm_durable(struct raft *raft,
+			    const struct raft_message *message)
+{
+	struct raft_message reply = {
+		.kind = RAFT_APPEND_REPLY,
+		.to = message->from,
+		.term = raft->term,
+		.granted = true,
+		.log_index = raft->synced,
+		.sent_ms = message->sent_ms,
+	};
+
+	if (raft->durable_term == raft->term)
+		raft_send(raft, &reply, false);
+}
+
 static void reply_append(struct raft *raft, const struct raft_message *message,
 			 bool granted, uint64_t match, uint64_t next_index_hint)
 {
@@ -18,17 +38,19 @@
 	raft_send(raft, &reply, true);
 }
 
-static void store_entry(struct raft *raft, const struct raft_wire_entry *entry)
+/* Returns false if the log has the entry already. */
+static bool store_entry(struct raft *raft, const struct raft_wire_entry *entry)
 {
 	GBytes *data;
 
 	if (entry->index <= raft->log.base ||
 	    log_term(&raft->log, entry->index) == entry->term)
-		return;
+		return false;
 	if (entry->index <= log_last(&raft->log)) {
 		g_assert(entry->index > raft->commit);
 		log_truncate(&raft->log, entry->index);
 		raft->synced = MIN(raft->synced, entry->index - 1);
+		raft->syncing = MIN(raft->syncing, entry->index - 1);
 		raft->callbacks.truncate(raft->callbacks.ctx, entry->index);
 	}
 	data = g_bytes_new(entry->data.data_val, entry->data.data_len);
@@ -36,6 +58,7 @@
 			       log_append(&raft->log, entry->term, entry->kind,
 					  data));
 	g_bytes_unref(data);
+	return true;
 }
 
 static bool entries_in_order(const struct raft_message *message)
@@ -68,6 +91,7 @@
 {
 	uint64_t previous = message->log_index;
 	uint64_t match = previous + message->entries.entries_len;
+	bool stored = false;
 
 	if (!entries_in_order(message))
 		return;
@@ -79,8 +103,10 @@
 		return;
 	}
 	for (u_int i = 0; i < message->entries.entries_len; i++)
-		store_entry(raft, &message->entries.entries_val[i]);
+		stored |= store_entry(raft, &message->entries.entries_val[i]);
 	raft->commit = MAX(raft->commit, MIN(message->commit_index, match));
+	if (!stored && match > raft->synced)
+		confirm_durable(raft, message);
 	reply_append(raft, message, true, match, 0);
 	(void)now_ms;
 }
@@ -113,6 +139,7 @@
 	log_reset(&raft->log, message->log_index, message->log_term,
 		  &message->config);
 	raft->commit = raft->applied = raft->synced = message->log_index;
+	raft->syncing = message->log_index;
 	raft->snapshot_index = message->log_index;
 	raft->snapshot_term = message->log_term;
 	CODEC_FREE(member_config, &raft->snapshot_config);
--- a/consensus/raft.c
+++ b/consensus/raft.c
@@ -99,6 +99,8 @@
 	log_init(&raft->log, opts->snapshot_index, opts->snapshot_term,
 		 opts->config);
 	raft->commit = raft->applied = raft->synced = opts->snapshot_index;
+	raft->syncing = raft->synced;
+	raft->durable_term = raft->syncing_term = raft->term;
 	raft->snapshot_index = opts->snapshot_index;
 	raft->snapshot_term = opts->snapshot_term;
 	CODEC_COPY(member_config, opts->config, &raft->snapshot_config);
@@ -139,7 +141,7 @@
 		return;
 	g_assert(index == log_last(&raft->log) + 1);
 	log_append(&raft->log, term, kind, data);
-	raft->synced = index;
+	raft->synced = raft->syncing = index;
 }
 
 void raft_tick(struct raft *raft, int64_t now_ms)
@@ -300,10 +302,18 @@
 	return RD_OK;
 }
 
+void raft_begin_sync(struct raft *raft)
+{
+	raft->syncing = log_last(&raft->log);
+	raft->syncing_term = raft->term;
+}
+
 void raft_synced(struct raft *raft, int64_t now_ms)
 {
-	raft->synced = log_last(&raft->log);
-	raft_on_vote_synced(raft, now_ms);
+	raft->synced = raft->syncing;
+	raft->durable_term = raft->syncing_term;
+	if (raft->durable_term == raft->term)
+		raft_on_vote_synced(raft, now_ms);
 	if (raft->role == RAFT_LEADER)
 		raft_advance_commit(raft, now_ms);
 }
--- a/consensus/raft_internal.h
+++ b/consensus/raft_internal.h
@@ -44,6 +44,9 @@
 	struct raft_log log;
 	uint64_t commit, applied;
 	uint64_t synced; /* highest durable index of this member's log */
+	uint64_t durable_term;
+	/* The same once the sync that has begun is done. */
+	uint64_t syncing, syncing_term;
 	uint64_t snapshot_index, snapshot_term;
 	struct member_config snapshot_config;
 	GBytes *snapshot;
--- a/control/control.c
+++ b/control/control.c
@@ -86,6 +86,29 @@
 	control->opts.fatal(control->opts.fatal_ctx, code);
 }
 
+static void finish_group_job(void *arg)
+{
+	struct control *control = arg;
+
+	group_finish_job(control->group);
+}
+
+/* On the thread of control->disk. */
+static void run_group_job(void *arg)
+{
+	struct control *control = arg;
+
+	group_run_job(control->group);
+	task_post(control->opts.task, finish_group_job, control);
+}
+
+static void on_group_start_job(void *ctx)
+{
+	struct control *control = ctx;
+
+	task_post(control->disk, run_group_job, control);
+}
+
 /* ---- orphaned bookings: in flight on a lost or restarted entry ---- */
 
 static void ignore_result(void *ctx, enum rd_result code,
@@ -240,7 +263,8 @@
 		.counters = control->opts.counters,
 		.events = { on_group_send, on_group_applied,
 			    on_group_state_replaced, on_group_changed,
-			    on_group_wakeup, on_group_failed, control },
+			    on_group_wakeup, on_group_failed,
+			    on_group_start_job, control },
 		.bootstrap = control->opts.bootstrap,
 	};
 
@@ -251,6 +275,11 @@
 		return code;
 	control->group_wakeup = evtimer_new(control->base, on_group_timer,
 					    control);
+	control->disk = task_create("disk");
+	if (!control->disk || task_start(control->disk, NULL, NULL)) {
+		*why = g_strdup("cannot start the disk thread");
+		return RD_IO;
+	}
 	opts.fs = fs_folder_driver(control->folder);
 	rpc_random_bytes(&opts.seed, sizeof(opts.seed));
 	rpc_random_bytes(&opts.new_member, sizeof(opts.new_member));
@@ -348,6 +377,9 @@
 	if (control->group_tick)
 		event_free(control->group_tick);
 	peers_close(control);
+	if (control->disk)
+		task_stop(control->disk);
+	task_destroy(control->disk);
 	group_destroy(control->group);
 	if (control->group_wakeup)
 		event_free(control->group_wakeup);
--- a/control/control_internal.h
+++ b/control/control_internal.h
@@ -36,7 +36,8 @@
 	struct rpc_server *server;
 	GPtrArray *peers; /* of struct peer, without this process */
 	struct fs_folder *folder;
-	struct group *group;	    /* NULL without the control role */
+	struct group *group; /* NULL without the control role */
+	struct task *disk;   /* runs the group's jobs; NULL without a group */
 	struct event *group_tick;   /* every GROUP_TICK_MS */
 	struct event *group_wakeup; /* requested by the group */
 	struct feed *feed;
--- a/control/group.c
+++ b/control/group.c
@@ -23,6 +23,14 @@
 	GBytes *bytes;
 };
 
+static void deferred_free(gpointer data)
+{
+	struct deferred_message *m = data;
+
+	g_bytes_unref(m->bytes);
+	g_free(m);
+}
+
 /** A proposal waiting to be applied. */
 struct proposal {
 	uint64_t index;
@@ -32,6 +40,13 @@
 	void *ctx;
 };
 
+/** What the storage thread does. */
+enum storage_work {
+	WORK_NONE,
+	WORK_SYNC,
+	WORK_SNAPSHOT, /* made by compact() */
+};
+
 struct group {
 	struct group_opts opts;
 	struct storage *storage;
@@ -39,7 +54,12 @@
 	struct state *state;
 	uint64_t member;
 	uint64_t incarnation;
-	GPtrArray *deferred;	  /* of struct deferred_message */
+	GPtrArray *deferred;	/* of struct deferred_message */
+	GPtrArray *syncing;	/* the same, of the job that runs */
+	enum storage_work work; /* of the job that runs */
+	GBytes *snapshot;	/* being stored by it; NULL: none */
+	uint64_t snapshot_at;	/* index of `snapshot` */
+	int64_t job_began_us;
 	GHashTable *proposals;	  /* index -> struct proposal */
 	GHashTable *sender_nodes; /* member id -> node of its last message */
 	uint64_t compacted_index; /* of the last snapshot, or attempt at one */
@@ -259,82 +279,133 @@
 	}
 }
 
-static void compact(struct group *group)
+static void send_deferred(struct group *group, GPtrArray *deferred)
 {
-	uint64_t index = raft_applied_index(group->raft);
-	struct stored_snapshot snapshot = { 0 };
-	GBytes *data;
-	gsize size;
-	enum rd_result result;
+	for (guint i = 0; i < deferred->len; i++) {
+		struct deferred_message *m = deferred->pdata[i];
 
-	if (index - group->compacted_index <
-	    (uint64_t)group->opts.settings->limits.snapshot_entries)
-		return;
-	/* Keeps the bytes written for snapshots in proportion to the log. */
-	if (storage_log_bytes(group->storage) <
-	    LOG_SNAPSHOT_RATIO * group->snapshot_bytes)
-		return;
-	data = state_save(group->state, true);
-	if (!data) {
-		log_error(&group_log, "state exceeds an encoding limit: "
-				      "log not compacted");
-		group->compacted_index = index;
+		group->opts.events.send(group->opts.events.ctx, m->to,
+					m->bytes);
+	}
+	g_ptr_array_set_size(deferred, 0);
+}
+
+/* ---- jobs of the storage ---- */
+
+static void run_job(struct group *group, enum storage_work work)
+{
+	group->work = work;
+	group->job_began_us = clock_now_us(group->opts.clock);
+	if (group->opts.events.start_job) {
+		group->opts.events.start_job(group->opts.events.ctx);
 		return;
 	}
-	snapshot.index = index;
-	snapshot.term = raft_term_at(group->raft, index);
-	snapshot.config = *raft_config_at(group->raft, index);
-	snapshot.data.data_val = (char *)g_bytes_get_data(data, &size);
-	snapshot.data.data_len = (u_int)size;
-	result = storage_write_snapshot(group->storage, &snapshot, false);
-	if (result == RD_TOO_LARGE)
-		log_error(&group_log, "state is too large to store as a "
-				      "snapshot: log not compacted");
-	else if (result)
-		fail_storage(group, result);
-	else
-		raft_compact(group->raft, index, data);
-	group->compacted_index = index;
-	group->snapshot_bytes = size;
-	g_bytes_unref(data);
+	group_run_job(group);
+	group_finish_job(group);
 }
 
-static bool sync_storage(struct group *group)
+static void start_sync(struct group *group)
 {
-	int64_t started = clock_now_us(group->opts.clock), duration_us;
-	enum rd_result result;
+	GPtrArray *deferred = group->deferred;
+
+	group->deferred = group->syncing;
+	group->syncing = deferred;
+	raft_begin_sync(group->raft);
+	storage_begin_sync(group->storage);
+	run_job(group, WORK_SYNC);
+}
+
+static void log_slow_sync(struct group *group, int64_t duration_us)
+{
+	if (duration_us >= group->opts.settings->cluster.election_ms * 1000)
+		log_warn(&group_log, "sync of the log took %d ms",
+			 (int)(duration_us / 1000));
+}
+
+static void finish_sync(struct group *group)
+{
+	int64_t duration_us = clock_now_us(group->opts.clock) -
+			      group->job_began_us;
 
-	if (!storage_dirty(group->storage))
-		return true;
-	result = storage_sync(group->storage);
-	duration_us = clock_now_us(group->opts.clock) - started;
 	counters_add(group->opts.counters, COUNTER_SYNCS, 1);
 	counters_record_duration(group->opts.counters, HISTOGRAM_SYNC,
 				 duration_us);
-	if (duration_us >= group->opts.settings->cluster.election_ms * 1000)
-		log_warn(&group_log,
-			 "sync of the log took %d ms: no message or poll was "
-			 "answered meanwhile",
-			 (int)(duration_us / 1000));
+	log_slow_sync(group, duration_us);
+	raft_synced(group->raft, now_ms(group));
+	send_deferred(group, group->syncing);
+}
+
+static void finish_snapshot(struct group *group)
+{
+	/* A snapshot received meanwhile would have been refused. */
+	raft_compact(group->raft, group->snapshot_at, group->snapshot);
+	g_bytes_unref(group->snapshot);
+	group->snapshot = NULL;
+}
+
+void group_run_job(struct group *group)
+{
+	storage_run_job(group->storage);
+}
+
+void group_finish_job(struct group *group)
+{
+	enum storage_work work = group->work;
+	enum rd_result result = storage_end_job(group->storage);
+
+	group->work = WORK_NONE;
 	if (result)
 		fail_storage(group, result);
-	return !result;
+	if (group->failed)
+		return;
+	if (work == WORK_SYNC)
+		finish_sync(group);
+	else
+		finish_snapshot(group);
+	request_wakeup(group);
 }
 
-static void send_deferred(struct group *group)
+static bool compaction_due(const struct group *group)
 {
-	GPtrArray *deferred = group->deferred;
+	uint64_t index = raft_applied_index(group->raft);
 
-	group->deferred = g_ptr_array_new();
-	for (guint i = 0; i < deferred->len; i++) {
-		struct deferred_message *m = deferred->pdata[i];
+	if (index - group->compacted_index <
+	    (uint64_t)group->opts.settings->limits.snapshot_entries)
+		return false;
+	/* Keeps the bytes written for snapshots in proportion to the log. */
+	return storage_log_bytes(group->storage) >=
+	       LOG_SNAPSHOT_RATIO * group->snapshot_bytes;
+}
 
-		group->opts.events.send(group->opts.events.ctx, m->to,
-					m->bytes);
-		g_bytes_unref(m->bytes);
-		g_free(m);
+static void compact(struct group *group)
+{
+	uint64_t index = raft_applied_index(group->raft);
+	struct stored_snapshot snapshot = {
+		.index = index,
+		.term = raft_term_at(group->raft, index),
+		.config = *raft_config_at(group->raft, index),
+	};
+	GBytes *data = state_save(group->state, true);
+	gsize size;
+
+	group->compacted_index = index;
+	if (!data) {
+		log_error(&group_log, "state exceeds an encoding limit: "
+				      "log not compacted");
+		return;
+	}
+	snapshot.data.data_val = (char *)g_bytes_get_data(data, &size);
+	snapshot.data.data_len = (u_int)size;
+	group->snapshot_bytes = size;
+	if (storage_begin_snapshot(group->storage, &snapshot, false)) {
+		log_error(&group_log, "state is too large to store as a "
+				      "snapshot: log not compacted");
+		g_bytes_unref(data);
+		return;
 	}
-	g_ptr_array_unref(deferred);
+	group->snapshot = data;
+	group->snapshot_at = index;
+	run_job(group, WORK_SNAPSHOT);
 }
 
 static void expire_proposals(struct group *group)
@@ -360,20 +431,35 @@
 	g_ptr_array_unref(expired);
 }
 
+static bool is_idle(const struct group *group)
+{
+	return !group->failed && group->work == WORK_NONE;
+}
+
+static void start_due_sync(struct group *group)
+{
+	if (!is_idle(group))
+		return;
+	if (storage_dirty(group->storage)) {
+		start_sync(group);
+		return;
+	}
+	raft_begin_sync(group->raft);
+	raft_synced(group->raft, now_ms(group));
+	send_deferred(group, group->deferred);
+}
+
 void group_process(struct group *group)
 {
 	expire_proposals(group);
 	if (group->failed)
 		return;
 	raft_tick(group->raft, now_ms(group));
-	if (!sync_storage(group))
-		return;
-	raft_synced(group->raft, now_ms(group));
-	send_deferred(group);
+	start_due_sync(group);
 	apply_committed(group);
-	if (!group->failed)
+	if (is_idle(group) && compaction_due(group))
 		compact(group);
-	if (!group->failed &&
+	if (is_idle(group) &&
 	    (storage_dirty(group->storage) || group->deferred->len))
 		request_wakeup(group);
 }
@@ -535,7 +621,8 @@
 	struct storage_recovered recovered = { 0 };
 
 	group->opts = *opts;
-	group->deferred = g_ptr_array_new();
+	group->deferred = g_ptr_array_new_with_free_func(deferred_free);
+	group->syncing = g_ptr_array_new_with_free_func(deferred_free);
 	group->proposals = g_hash_table_new(g_int64_hash, g_int64_equal);
 	group->sender_nodes = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						    g_free, NULL);
@@ -591,13 +678,10 @@
 	if (!group)
 		return;
 	fail_pending_proposals(group);
-	for (guint i = 0; i < group->deferred->len; i++) {
-		struct deferred_message *m = group->deferred->pdata[i];
-
-		g_bytes_unref(m->bytes);
-		g_free(m);
-	}
 	g_ptr_array_unref(group->deferred);
+	g_ptr_array_unref(group->syncing);
+	if (group->snapshot)
+		g_bytes_unref(group->snapshot);
 	g_hash_table_unref(group->sender_nodes);
 	raft_destroy(group->raft);
 	state_destroy(group->state);
@@ -617,7 +701,8 @@
 	g_hash_table_replace(group->sender_nodes,
 			     g_memdup2(&message.from, sizeof(message.from)),
 			     GUINT_TO_POINTER(node));
-	if (!group->failed)
+	/* A snapshot is stored at once, which the storage's job excludes. */
+	if (is_idle(group) || (!group->failed && message.kind != RAFT_SNAPSHOT))
 		raft_step(group->raft, now_ms(group), &message);
 	CODEC_FREE(raft_message, &message);
 	request_wakeup(group);
@@ -690,7 +775,7 @@
 
 bool group_has_deferred(const struct group *group)
 {
-	return !group->failed && group->deferred->len > 0;
+	return !group->failed && (group->deferred->len || group->syncing->len);
 }
 
 const struct raft *group_raft(const struct group *group)
--- a/control/group.h
+++ b/control/group.h
@@ -3,11 +3,12 @@
  * One member of the consensus group: the consensus core, its storage and the
  * replicated state.
  *
- * Owned by the control task; everything runs on its thread. Each call of
- * group_process() makes all writes since the last one durable by one group
- * commit, then sends the messages that depend on it and applies committed
- * commands. File system, clock and random seed are passed in, so that tests
- * can run the same code against simulated ones.
+ * Owned by the control task; everything but group_run_job() runs on its thread.
+ * All writes since the last group commit are made durable by the next one,
+ * after which the messages that depend on it are sent. Meanwhile the group goes
+ * on: it receives, sends heartbeats and applies committed commands. File
+ * system, clock and random seed are passed in, so that tests can run the same
+ * code against simulated ones.
  */
 #ifndef CONTROL_GROUP_H
 #define CONTROL_GROUP_H
@@ -29,7 +30,7 @@
 	const struct apply_result *result;
 };
 
-/** Callbacks of a group; all are required, and `ctx` is passed first. */
+/** Callbacks of a group, required unless noted; `ctx` is passed first. */
 struct group_events {
 	/** Sends an encoded raft_message to a member. */
 	void (*send)(void *ctx, uint64_t member, GBytes *message);
@@ -46,6 +47,12 @@
 	 * this member acknowledges nothing from now on.
 	 */
 	void (*failed)(void *ctx, enum rd_result code, const char *why);
+	/**
+	 * Makes some thread call group_run_job() once, and then the group's
+	 * thread group_finish_job(). NULL: the group runs its jobs itself, and
+	 * waits for the disk.
+	 */
+	void (*start_job)(void *ctx);
 	void *ctx;
 };
 
@@ -72,12 +79,18 @@
 void group_destroy(struct group *group);
 
 /**
- * Advances timers, syncs pending writes, sends messages that waited for the
- * sync and applies committed entries. After a storage failure it only ends the
- * proposals whose time is over.
+ * Advances timers, starts a group commit if one is due and applies committed
+ * entries. After a storage failure it only ends the proposals whose time is
+ * over.
  */
 void group_process(struct group *group);
 
+/** Writes to the disk and waits for it; touches nothing else of the group. */
+void group_run_job(struct group *group);
+
+/** Handles the result of the job that group_run_job() has run. */
+void group_finish_job(struct group *group);
+
 /**
  * Handles an encoded raft_message received from a node; false if it cannot be
  * decoded. Replies to a sender that is not in this member's configuration yet
--- a/include/radishdeal/raft.h
+++ b/include/radishdeal/raft.h
@@ -139,7 +139,13 @@
  */
 enum rd_result raft_transfer_leadership(struct raft *raft, int64_t now_ms);
 
-/** Reports that everything passed to the callbacks so far is durable. */
+/**
+ * Begins a sync of everything passed to the callbacks so far. What follows
+ * belongs to the next one, which is begun after raft_synced().
+ */
+void raft_begin_sync(struct raft *raft);
+
+/** Reports that everything up to the last raft_begin_sync() is durable. */
 void raft_synced(struct raft *raft, int64_t now_ms);
 
 /** Returns the next committed entry to apply and advances, or NULL. */
--- a/test/test_group.c
+++ b/test/test_group.c
@@ -81,7 +81,7 @@
 		.clock = &w->clock,
 		.settings = s,
 		.events = { on_send, on_applied, on_event, on_event, on_event,
-			    on_failed, w },
+			    on_failed, NULL, w },
 		.bootstrap = true,
 		.seed = 1,
 		.new_member = 1,
--- a/test/test_membership.c
+++ b/test/test_membership.c
@@ -151,6 +151,7 @@
 static void server_sync(struct server *server)
 {
 	server->durable = server->entries->len;
+	raft_begin_sync(server->raft);
 	raft_synced(server->raft, server->network->now_ms);
 	g_ptr_array_extend_and_steal(server->network->messages,
 				     server->deferred);
--- a/test/test_torture.c
+++ b/test/test_torture.c
@@ -27,21 +27,20 @@
 	     i++) {
 		struct torture_result result;
 
-		torture_run(regressions[i], &result);
+		torture_run(regressions[i], TORTURE_DISK_INLINE, &result);
 		if (result.fault)
 			fail_msg("seed %u: %s", regressions[i], result.fault);
 	}
 }
 
-static void test_schedules(void **state)
+static void run_schedules(enum torture_disk disk)
 {
 	uint32_t acknowledged = 0, crashes = 0, snapshots = 0;
 
-	(void)state;
 	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
 		struct torture_result result;
 
-		torture_run(seed, &result);
+		torture_run(seed, disk, &result);
 		if (result.fault)
 			fail_msg("seed %u: %s", seed, result.fault);
 		acknowledged += result.acknowledged;
@@ -54,10 +53,23 @@
 	assert_true(snapshots > SEEDS / 10);
 }
 
+static void test_schedules(void **state)
+{
+	(void)state;
+	run_schedules(TORTURE_DISK_INLINE);
+}
+
+static void test_schedules_with_a_disk_thread(void **state)
+{
+	(void)state;
+	run_schedules(TORTURE_DISK_THREAD);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_schedules),
+		cmocka_unit_test(test_schedules_with_a_disk_thread),
 		cmocka_unit_test(test_found_seeds),
 	};
 
--- a/test/test_transfer.c
+++ b/test/test_transfer.c
@@ -116,6 +116,7 @@
 		if (m->down)
 			continue;
 		raft_tick(m->raft, test->now_ms);
+		raft_begin_sync(m->raft);
 		raft_synced(m->raft, test->now_ms);
 		while (raft_next_committed(m->raft))
 			;
--- a/test/torture.c
+++ b/test/torture.c
@@ -36,7 +36,9 @@
 	int rate_permille; /* of its clock, relative to simulated time */
 	int64_t offset_us;
 	int64_t paused_until_us, down_until_us;
-	bool wakeup;	     /* group_process() is due */
+	bool wakeup;	/* group_process() is due */
+	bool job_begun; /* a job of the group waits for the disk */
+	int64_t job_due_us;
 	bool vote_sent;	     /* a vote was sent in this step */
 	bool storage_failed; /* its storage failed; it must stop */
 };
@@ -68,6 +70,8 @@
 
 struct simulation {
 	GRand *random;
+	enum torture_disk disk;
+	GRand *disk_random; /* apart, so that both kinds have one schedule */
 	int64_t now_us;
 	struct vm vms[MEMBERS];
 	struct operator operators[OPERATORS];
@@ -215,6 +219,19 @@
 	vm->wakeup = true;
 }
 
+/* Most jobs are quick; on some disks one in ten takes up to two seconds. */
+static void on_start_job(void *ctx)
+{
+	struct vm *vm = ctx;
+	struct simulation *sim = vm->simulation;
+	bool slow = vm->node % 2 && !sim->faults_stopped &&
+		    g_rand_double(sim->disk_random) < 0.1;
+
+	vm->job_begun = true;
+	vm->job_due_us = sim->now_us + g_rand_int_range(sim->disk_random, 0,
+							slow ? 2000000 : 20000);
+}
+
 static void on_failed(void *ctx, enum rd_result code, const char *why)
 {
 	struct vm *vm = ctx;
@@ -267,7 +284,10 @@
 		.settings = &vm->settings,
 		.counters = vm->counters,
 		.events = { on_send, on_applied, on_replaced, on_changed,
-			    on_wakeup, on_failed, vm },
+			    on_wakeup, on_failed,
+			    sim->disk == TORTURE_DISK_THREAD ? on_start_job
+							     : NULL,
+			    vm },
 		.bootstrap = bootstrap,
 		.seed = g_rand_int(sim->random),
 		.new_member = g_rand_int(sim->random),
@@ -275,7 +295,7 @@
 		.keep_entries = KEEP_ENTRIES,
 	};
 
-	vm->storage_failed = false;
+	vm->storage_failed = vm->job_begun = false;
 	vm->group = group_create(&opts, &code, &why);
 	if (!vm->group && !memory_fs_failed(vm->fs))
 		report_fault(sim, "node %u failed to start: %d %s", vm->node,
@@ -285,6 +305,9 @@
 
 static void vm_crash(struct vm *vm)
 {
+	/* The job may have reached the disk, or parts of it. */
+	if (vm->job_begun && g_rand_boolean(vm->simulation->disk_random))
+		group_run_job(vm->group);
 	group_destroy(vm->group);
 	vm->group = NULL;
 	memory_fs_crash(vm->fs);
@@ -728,6 +751,11 @@
 	}
 	if (!vm_is_running(vm))
 		return;
+	if (vm->job_begun && sim->now_us >= vm->job_due_us) {
+		vm->job_begun = false;
+		group_run_job(vm->group);
+		group_finish_job(vm->group);
+	}
 	do {
 		vm->wakeup = false;
 		group_process(vm->group);
@@ -917,13 +945,15 @@
 /* ---- one schedule ---- */
 
 static void world_init(struct simulation *sim, uint32_t seed,
-		       struct torture_result *result)
+		       enum torture_disk disk, struct torture_result *result)
 {
 	static const int delays_us[] = { 8000, 60000, 250000 };
 	static const int gaps_us[] = { 20000, 200000, 3000000 };
 
 	memset(sim, 0, sizeof(*sim));
 	sim->random = g_rand_new_with_seed(seed);
+	sim->disk = disk;
+	sim->disk_random = g_rand_new_with_seed(~seed);
 	sim->max_delay_us = delays_us[g_rand_int_range(sim->random, 0, 3)];
 	sim->max_gap_us = gaps_us[g_rand_int_range(sim->random, 0, 3)];
 	sim->vote_crash_chance = chance(sim, 0.5) ? 0.3 : 0;
@@ -979,14 +1009,16 @@
 	g_hash_table_unref(sim->leaders);
 	g_hash_table_unref(sim->acknowledged);
 	g_rand_free(sim->random);
+	g_rand_free(sim->disk_random);
 }
 
-void torture_run(uint32_t seed, struct torture_result *result)
+void torture_run(uint32_t seed, enum torture_disk disk,
+		 struct torture_result *result)
 {
 	struct simulation sim;
 
 	memset(result, 0, sizeof(*result));
-	world_init(&sim, seed, result);
+	world_init(&sim, seed, disk, result);
 	while (sim.now_us < (int64_t)SCHEDULE_MS * 1000 && !result->fault)
 		step(&sim);
 	if (!result->fault)
--- a/test/torture.h
+++ b/test/torture.h
@@ -2,9 +2,9 @@
  * @file
  * Fault injection for a consensus group, in simulated time and with seeded
  * random schedules: members crash at any write, pause, lose their disks, are
- * partitioned in one or both directions, and their clocks drift; messages are
- * lost, duplicated and reordered; operators make concurrent changes and resend
- * them.
+ * partitioned in one or both directions, and their clocks drift; disks are
+ * slow; messages are lost, duplicated and reordered; operators make concurrent
+ * changes and resend them.
  *
  * Checked throughout: at most one leader per term, at most one valid lease at a
  * time, and all members apply the same command at an index. Checked at the end:
@@ -28,7 +28,14 @@
 	uint32_t terms;
 };
 
-/** Runs one schedule. Runs with the same seed are identical. */
-void torture_run(uint32_t seed, struct torture_result *result);
+/** Who waits for the disk. */
+enum torture_disk {
+	TORTURE_DISK_INLINE, /* the member; each job is done at once */
+	TORTURE_DISK_THREAD, /* another thread; the member goes on meanwhile */
+};
+
+/** Runs one schedule. Runs with the same arguments are identical. */
+void torture_run(uint32_t seed, enum torture_disk disk,
+		 struct torture_result *result);
 
 #endif
