common, entry: one check of ambiguous framing for requests and responses

The stricter one stands now, so a request with a malformed length (`Content-Length: +1`, which evhttp takes) is refused like any other whose end is unclear.

--- a/common/http.c
+++ b/common/http.c
@@ -21,6 +21,7 @@
 /* Connections on which sent data stays unacknowledged for longer are closed. */
 #define RESPONSE_ACK_TIMEOUT_MS 30000
 #define BEARER "Bearer "
+#define LENGTH_DIGITS_MAX 18 /* evhttp keeps lengths in 64 bits */
 #define TOKEN_CHARACTERS \
 	"!#$%&'*+-.^_`|~" G_CSET_DIGITS G_CSET_a_2_z G_CSET_A_2_Z
 
@@ -394,18 +395,33 @@
 	return false;
 }
 
+static bool is_length(const char *text)
+{
+	size_t size = strlen(text);
+
+	return size && size <= LENGTH_DIGITS_MAX &&
+	       strspn(text, G_CSET_DIGITS) == size;
+}
+
 bool http_has_ambiguous_framing(const struct evkeyvalq *headers)
 {
 	const char *length = evhttp_find_header(headers, "Content-Length");
 	struct evkeyval *header;
+	int codings = 0;
 
 	TAILQ_FOREACH(header, headers, next)
-	if ((!g_ascii_strcasecmp(header->key, "Content-Length") &&
-	     strcmp(header->value, length) != 0) ||
-	    (!g_ascii_strcasecmp(header->key, "Transfer-Encoding") &&
-	     g_ascii_strcasecmp(header->value, "chunked") != 0))
-		return true;
-	return false;
+	{
+		if (!g_ascii_strcasecmp(header->key, "Content-Length") &&
+		    (!is_length(header->value) ||
+		     strcmp(header->value, length) != 0))
+			return true;
+		if (g_ascii_strcasecmp(header->key, "Transfer-Encoding") != 0)
+			continue;
+		if (g_ascii_strcasecmp(header->value, "chunked") != 0)
+			return true;
+		codings++;
+	}
+	return codings > 1 || (codings && length);
 }
 
 bool http_has_unknown_framing(struct evhttp_request *req)
--- a/common/http.h
+++ b/common/http.h
@@ -109,7 +109,7 @@
 
 /**
  * Whether a head states the end of its body in two ways, of which evhttp takes
- * one, or has a transfer coding that evhttp does not support.
+ * one, or by a malformed length or an unsupported transfer coding.
  */
 bool http_has_ambiguous_framing(const struct evkeyvalq *headers);
 
--- a/entry/response_head.c
+++ b/entry/response_head.c
@@ -1,4 +1,3 @@
-#include <string.h>
 #include <sys/queue.h>
 
 #include <event2/keyvalq_struct.h>
@@ -9,7 +8,6 @@
 
 #define FIRST_FINAL_STATUS 200
 #define LAST_STATUS 599
-#define LENGTH_DIGITS_MAX 18 /* evhttp keeps lengths in 64 bits */
 #define DELETE_CHARACTER 0x7f
 
 static bool has_control_character(const char *value)
@@ -21,46 +19,6 @@
 	return false;
 }
 
-static bool is_named(const struct evkeyval *header, const char *name)
-{
-	return !g_ascii_strcasecmp(header->key, name);
-}
-
-static bool is_chunked(const struct evkeyval *header)
-{
-	return !g_ascii_strcasecmp(header->value, "chunked");
-}
-
-static bool is_length(const char *text)
-{
-	size_t size = strlen(text);
-
-	return size && size <= LENGTH_DIGITS_MAX &&
-	       strspn(text, G_CSET_DIGITS) == size;
-}
-
-/* Whether readers may differ about where the body ends. */
-static bool has_ambiguous_framing(struct evkeyvalq *headers)
-{
-	const char *length = evhttp_find_header(headers, "Content-Length");
-	struct evkeyval *header;
-	int codings = 0;
-
-	TAILQ_FOREACH(header, headers, next)
-	{
-		bool sets_length = is_named(header, "Content-Length");
-		bool sets_coding = is_named(header, "Transfer-Encoding");
-
-		if (sets_length && (!is_length(header->value) ||
-				    strcmp(header->value, length) != 0))
-			return true;
-		if (sets_coding && !is_chunked(header))
-			return true;
-		codings += sets_coding;
-	}
-	return codings > 1 || (codings && length);
-}
-
 const char *response_head_fault(int status, struct evkeyvalq *headers)
 {
 	struct evkeyval *header;
@@ -70,7 +28,7 @@
 	TAILQ_FOREACH(header, headers, next)
 	if (!http_is_token(header->key) || has_control_character(header->value))
 		return "malformed-field";
-	if (has_ambiguous_framing(headers))
+	if (http_has_ambiguous_framing(headers))
 		return "ambiguous-framing";
 	/* Requests ask for no coding, so this is not the endpoint's own body.
 	 */
