--- a/routing/part_verdict.c
+++ b/routing/part_verdict.c
@@ -305,7 +305,7 @@
 	g_ptr_array_sort(table->ends, compare_times);
 	number_ends(records, ends, table->ends);
 	g_hash_table_unref(ends);
-	table->explained = g_new0(bool, table->ends->len);
+	table->explained = g_new0(bool, table->ends->len + 1);
 	table->unexplained_from = g_new(uint32_t, table->ends->len + 1);
 	count_unexplained(table);
 }
