wire: a handshake has a time limit as a whole

An unauthenticated client that sends a byte now and then held one of max_connections for as long as it liked: the 5 s were the bufferevent's idle timeout, which each byte renews. On a control VM that takes away the connections by which voters and entries come back.

A timer of the connection now limits the whole handshake, and a handshake that is cut off so is logged. handshake_ms is an option, for the test.

--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -60,6 +60,7 @@
 	rpc_handler_fn handle_call;
 	void *ctx;
 	int max_connections;
+	int handshake_ms; /* timeout of a whole handshake; 0: 5000 */
 };
 
 /** Starts listening. Returns NULL with errno set on failure. */
--- a/wire/rpc_server.c
+++ b/wire/rpc_server.c
@@ -9,7 +9,7 @@
 #include "wire/rpc_frame.h"
 
 #define LISTEN_BACKLOG 128
-#define HANDSHAKE_TIMEOUT_S 5
+#define HANDSHAKE_MS 5000
 #define IDLE_TIMEOUT_S 30
 #define SOCKET_TIMEOUT_MS 2000
 /* Bytes of unsent replies above which the connection is closed. */
@@ -25,7 +25,8 @@
 	uint8_t client_nonce[RPC_NONCE_BYTES];
 	uint8_t server_nonce[RPC_NONCE_BYTES];
 	bool hello_received;
-	GPtrArray *calls; /* of struct rpc_call without a reply */
+	struct event *handshake_timer; /* NULL once authenticated */
+	GPtrArray *calls;	       /* of struct rpc_call without a reply */
 };
 
 struct rpc_call {
@@ -39,8 +40,16 @@
 	GPtrArray *conns;
 };
 
+static void stop_handshake_timer(struct server_conn *conn)
+{
+	if (conn->handshake_timer)
+		event_free(conn->handshake_timer);
+	conn->handshake_timer = NULL;
+}
+
 static void conn_close(struct server_conn *conn)
 {
+	stop_handshake_timer(conn);
 	for (guint i = 0; i < conn->calls->len; i++)
 		((struct rpc_call *)conn->calls->pdata[i])->conn = NULL;
 	g_ptr_array_unref(conn->calls);
@@ -113,6 +122,7 @@
 			  conn->client_nonce, conn->server_nonce,
 			  conn->session.key);
 	conn->session.authenticated = true;
+	stop_handshake_timer(conn);
 	bufferevent_set_timeouts(
 		conn->bev, &(struct timeval){ .tv_sec = IDLE_TIMEOUT_S }, NULL);
 }
@@ -209,6 +219,29 @@
 	conn_close(ctx);
 }
 
+static void on_handshake_timeout(evutil_socket_t fd, short what, void *ctx)
+{
+	struct server_conn *conn = ctx;
+
+	(void)fd;
+	(void)what;
+	log_warn(&rpc_log,
+		 "handshake not complete in time; connection closed "
+		 "node=%u limit_ms=%d",
+		 conn->peer, conn->server->opts.handshake_ms);
+	conn_close(conn);
+}
+
+static void start_handshake_timer(struct server_conn *conn)
+{
+	int limit_ms = conn->server->opts.handshake_ms;
+	struct timeval limit = { limit_ms / 1000, limit_ms % 1000 * 1000 };
+
+	conn->handshake_timer = evtimer_new(conn->server->opts.base,
+					    on_handshake_timeout, conn);
+	event_add(conn->handshake_timer, &limit);
+}
+
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
 		      struct sockaddr *from, int size, void *ctx)
 {
@@ -230,9 +263,7 @@
 					   BEV_OPT_CLOSE_ON_FREE);
 	g_ptr_array_add(server->conns, conn);
 	bufferevent_setcb(conn->bev, on_read, NULL, on_event, conn);
-	bufferevent_set_timeouts(
-		conn->bev, &(struct timeval){ .tv_sec = HANDSHAKE_TIMEOUT_S },
-		NULL);
+	start_handshake_timer(conn);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 }
 
@@ -249,6 +280,8 @@
 		return NULL;
 	server = g_new0(struct rpc_server, 1);
 	server->opts = *opts;
+	if (!server->opts.handshake_ms)
+		server->opts.handshake_ms = HANDSHAKE_MS;
 	server->conns = g_ptr_array_new();
 	server->listener = evconnlistener_new(opts->base, on_accept, server,
 					      LEV_OPT_CLOSE_ON_FREE, 0, fd);
