control, consensus: a group without a leader says why, once a second

Rounds of votes that change no role write nothing, so the record can't tell whether the other voters were gone, could not be reached, or refused.

A member that refuses a vote or a pre-vote logs the reason (term, lease, voted, log), at most once a second. A start that fails is a line of the log, too, not only of standard error.

--- a/consensus/election.c
+++ b/consensus/election.c
@@ -89,6 +89,7 @@
 	if (!may_campaign(raft))
 		return;
 	g_hash_table_remove_all(raft->votes);
+	g_hash_table_remove_all(raft->denials);
 	if (!pre)
 		raft_set_term(raft, raft->term + 1, raft->id);
 	raft_set_role(raft, pre ? RAFT_PRE_CANDIDATE : RAFT_CANDIDATE, 0);
@@ -119,12 +120,34 @@
 	return now_ms - raft->leader_contact_ms < raft->election_ms;
 }
 
+static void record_refusal(struct raft *raft, uint64_t candidate,
+			   enum raft_refusal why)
+{
+	if (why == RAFT_REFUSAL_NONE)
+		return;
+	raft->refusals.count++;
+	raft->refusals.candidate = candidate;
+	raft->refusals.last = why;
+}
+
+static enum raft_refusal pre_vote_refusal(const struct raft *raft,
+					  int64_t now_ms,
+					  const struct raft_message *message)
+{
+	if (message->term <= raft->term)
+		return RAFT_REFUSAL_TERM;
+	if (leader_lease_may_hold(raft, now_ms))
+		return RAFT_REFUSAL_LEASE;
+	if (!candidate_log_up_to_date(raft, message))
+		return RAFT_REFUSAL_LOG;
+	return RAFT_REFUSAL_NONE;
+}
+
 static void handle_pre_vote(struct raft *raft, int64_t now_ms,
 			    const struct raft_message *message)
 {
-	bool granted = message->term > raft->term &&
-		       !leader_lease_may_hold(raft, now_ms) &&
-		       candidate_log_up_to_date(raft, message);
+	enum raft_refusal refusal = pre_vote_refusal(raft, now_ms, message);
+	bool granted = refusal == RAFT_REFUSAL_NONE;
 	struct raft_message reply = {
 		.kind = RAFT_PRE_VOTE_REPLY,
 		.to = message->from,
@@ -132,9 +155,26 @@
 		.granted = granted,
 	};
 
+	record_refusal(raft, message->from, refusal);
 	raft_send(raft, &reply, true);
 }
 
+/* Called after this member has followed the candidate's term, if it may. */
+static enum raft_refusal vote_refusal(const struct raft *raft,
+				      const struct raft_message *message)
+{
+	if (message->term > raft->term)
+		return RAFT_REFUSAL_LEASE;
+	if (message->term < raft->term)
+		return RAFT_REFUSAL_TERM;
+	if ((raft->vote && raft->vote != message->from) ||
+	    raft->role == RAFT_LEADER)
+		return RAFT_REFUSAL_VOTED;
+	if (!candidate_log_up_to_date(raft, message))
+		return RAFT_REFUSAL_LOG;
+	return RAFT_REFUSAL_NONE;
+}
+
 static void handle_vote(struct raft *raft, int64_t now_ms,
 			const struct raft_message *message)
 {
@@ -142,15 +182,15 @@
 		.kind = RAFT_VOTE_REPLY,
 		.to = message->from,
 	};
+	enum raft_refusal refusal;
 
 	if (message->term > raft->term &&
 	    (message->leadership_transfer ||
 	     !leader_lease_may_hold(raft, now_ms)))
 		raft_become_follower(raft, now_ms, message->term, 0);
-	if (message->term == raft->term &&
-	    (raft->vote == 0 || raft->vote == message->from) &&
-	    raft->role != RAFT_LEADER &&
-	    candidate_log_up_to_date(raft, message)) {
+	refusal = vote_refusal(raft, message);
+	record_refusal(raft, message->from, refusal);
+	if (refusal == RAFT_REFUSAL_NONE) {
 		raft_set_term(raft, raft->term, message->from);
 		raft_reset_election_timer(raft, now_ms);
 		reply.granted = true;
@@ -175,6 +215,9 @@
 	uint64_t requested = pre ? raft->term + 1 : raft->term;
 
 	if (!message->granted) {
+		g_hash_table_add(raft->denials,
+				 g_memdup2(&message->from,
+					   sizeof(message->from)));
 		if (message->term > raft->term)
 			raft_become_follower(raft, now_ms, message->term, 0);
 		return;
@@ -186,3 +229,17 @@
 	if (has_quorum(raft))
 		on_votes_won(raft, now_ms);
 }
+
+enum raft_answer raft_answer_of(const struct raft *raft, uint64_t id)
+{
+	if (g_hash_table_contains(raft->votes, &id))
+		return RAFT_GRANTED;
+	if (g_hash_table_contains(raft->denials, &id))
+		return RAFT_REFUSED;
+	return RAFT_NO_ANSWER;
+}
+
+const struct raft_refusals *raft_refusals(const struct raft *raft)
+{
+	return &raft->refusals;
+}
--- a/consensus/raft.c
+++ b/consensus/raft.c
@@ -108,6 +108,8 @@
 		raft->snapshot = g_bytes_ref(opts->snapshot);
 	raft->votes = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					    NULL);
+	raft->denials = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					      g_free, NULL);
 	raft->progress = g_array_new(FALSE, TRUE, sizeof(struct progress));
 	/*
 	 * Before the restart this member may have acknowledged a leader, whose
@@ -125,6 +127,7 @@
 	log_clear(&raft->log);
 	g_rand_free(raft->random);
 	g_hash_table_unref(raft->votes);
+	g_hash_table_unref(raft->denials);
 	g_array_unref(raft->progress);
 	CODEC_FREE(member_config, &raft->snapshot_config);
 	if (raft->snapshot)
--- a/consensus/raft_internal.h
+++ b/consensus/raft_internal.h
@@ -57,7 +57,9 @@
 	int64_t next_heartbeat_ms;
 	int64_t elected_ms;
 	GHashTable *votes; /* ids of members that granted a vote or pre-vote */
-	GArray *progress;  /* of struct progress, on the leader */
+	GHashTable *denials; /* the same of members that refused one */
+	struct raft_refusals refusals;
+	GArray *progress; /* of struct progress, on the leader */
 	bool transferring;
 	int64_t transfer_started_ms, transfer_deadline_ms;
 };
--- a/control/control.c
+++ b/control/control.c
@@ -203,6 +203,7 @@
 		placer_stop_leading(control->placer);
 		log_note(&control_log, "no longer leader; placement stopped");
 	}
+	leaderless_tick(control);
 	peers_tick(control);
 	if (control->operators)
 		operators_tick(control->operators);
--- a/control/control_internal.h
+++ b/control/control_internal.h
@@ -55,8 +55,10 @@
 	struct event *tick;
 	int64_t started_ms;
 	bool leader_duties_active;
-	uint64_t leading_term; /* term for which they were started */
-	uint32_t silent_voter; /* node that was logged; 0: none */
+	uint64_t leading_term;	     /* term for which they were started */
+	uint32_t silent_voter;	     /* node that was logged; 0: none */
+	int64_t leaderless_since_ms; /* 0: a leader is known */
+	int64_t leaderless_line_ms;  /* of the last line about it; 0: none */
 	int64_t orphans_checked_ms;
 	bool stopping; /* since control_post_handover() */
 	task_fn handover_done;
@@ -159,6 +161,11 @@
 /** Answers all waiting changes with RD_CHANGE_UNKNOWN. */
 void operators_end_waits(struct operators *operators);
 
+/* leaderless.c */
+
+/** Logs, about once a second, why the group still has no leader. */
+void leaderless_tick(struct control *control);
+
 /* handover.c: the stop of the control task */
 void handover_tick(struct control *control);
 
--- a/control/group.c
+++ b/control/group.c
@@ -9,6 +9,7 @@
 
 #define PROPOSAL_TIMEOUT_MS 5000
 #define KEEP_ENTRIES 1024
+#define REFUSAL_LINE_INTERVAL_MS 1000
 /*
  * The log is compacted only once its size is this multiple of the last
  * snapshot's, so that a large state is not rewritten for few changes.
@@ -47,6 +48,12 @@
 	WORK_SNAPSHOT, /* made by compact() */
 };
 
+/** The last message of a member. */
+struct sender {
+	uint32_t node;
+	int64_t at_ms;
+};
+
 struct group {
 	struct group_opts opts;
 	struct storage *storage;
@@ -61,7 +68,9 @@
 	uint64_t snapshot_at;	/* index of `snapshot` */
 	int64_t job_began_us;
 	GHashTable *proposals;	  /* index -> struct proposal */
-	GHashTable *sender_nodes; /* member id -> node of its last message */
+	GHashTable *senders;	  /* member id -> struct sender */
+	uint64_t refusals_logged; /* count of raft_refusals() at that line */
+	int64_t refusal_line_ms;  /* time of the last line about them */
 	uint64_t compacted_index; /* of the last snapshot, or attempt at one */
 	uint64_t snapshot_bytes;  /* size of the last one made by compact() */
 	bool failed;		  /* nothing is processed any more */
@@ -624,8 +633,8 @@
 	group->deferred = g_ptr_array_new_with_free_func(deferred_free);
 	group->syncing = g_ptr_array_new_with_free_func(deferred_free);
 	group->proposals = g_hash_table_new(g_int64_hash, g_int64_equal);
-	group->sender_nodes = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						    g_free, NULL);
+	group->senders = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       g_free, g_free);
 	group->state = state_create();
 	*code = open_storage(group, &recovered, why);
 	if (!*code)
@@ -682,7 +691,7 @@
 	g_ptr_array_unref(group->syncing);
 	if (group->snapshot)
 		g_bytes_unref(group->snapshot);
-	g_hash_table_unref(group->sender_nodes);
+	g_hash_table_unref(group->senders);
 	raft_destroy(group->raft);
 	state_destroy(group->state);
 	storage_close(group->storage);
@@ -691,6 +700,38 @@
 
 /* ---- inputs ---- */
 
+static void record_sender(struct group *group, uint64_t member, uint32_t node)
+{
+	struct sender sender = { node, now_ms(group) };
+
+	g_hash_table_replace(group->senders, g_memdup2(&member, sizeof(member)),
+			     g_memdup2(&sender, sizeof(sender)));
+}
+
+static void log_refusals(struct group *group)
+{
+	static const char *const reasons[] = {
+		[RAFT_REFUSAL_NONE] = "none",	[RAFT_REFUSAL_TERM] = "term",
+		[RAFT_REFUSAL_LEASE] = "lease", [RAFT_REFUSAL_VOTED] = "voted",
+		[RAFT_REFUSAL_LOG] = "log",
+	};
+	const struct raft_refusals *r = raft_refusals(group->raft);
+	int64_t now = now_ms(group);
+
+	if (r->count == group->refusals_logged ||
+	    now - group->refusal_line_ms < REFUSAL_LINE_INTERVAL_MS)
+		return;
+	log_info(&group_log,
+		 "vote refused candidate=%u reason=%s refusals=%d term=%d "
+		 "last_index=%d",
+		 group_node_of(group, r->candidate), reasons[r->last],
+		 (int)(r->count - group->refusals_logged),
+		 (int)raft_term(group->raft),
+		 (int)raft_last_index(group->raft));
+	group->refusals_logged = r->count;
+	group->refusal_line_ms = now;
+}
+
 bool group_receive(struct group *group, uint32_t node, const void *data,
 		   size_t size)
 {
@@ -698,12 +739,11 @@
 
 	if (!codec_decode((xdrproc_t)xdr_raft_message, data, size, &message))
 		return false;
-	g_hash_table_replace(group->sender_nodes,
-			     g_memdup2(&message.from, sizeof(message.from)),
-			     GUINT_TO_POINTER(node));
+	record_sender(group, message.from, node);
 	/* A snapshot is stored at once, which the storage's job excludes. */
 	if (is_idle(group) || (!group->failed && message.kind != RAFT_SNAPSHOT))
 		raft_step(group->raft, now_ms(group), &message);
+	log_refusals(group);
 	CODEC_FREE(raft_message, &message);
 	request_wakeup(group);
 	return true;
@@ -816,12 +856,21 @@
 uint32_t group_node_of(const struct group *group, uint64_t member)
 {
 	const struct member_config *config = raft_config(group->raft);
+	const struct sender *sender;
 
 	for (u_int i = 0; i < config->members.members_len; i++)
 		if (config->members.members_val[i].id == member)
 			return config->members.members_val[i].node;
-	return GPOINTER_TO_UINT(
-		g_hash_table_lookup(group->sender_nodes, &member));
+	sender = g_hash_table_lookup(group->senders, &member);
+	return sender ? sender->node : 0;
+}
+
+int64_t group_heard_ms(const struct group *group, uint64_t member)
+{
+	const struct sender *sender = g_hash_table_lookup(group->senders,
+							  &member);
+
+	return sender ? sender->at_ms : 0;
 }
 
 uint64_t group_log_bytes(const struct group *group)
--- a/control/group.h
+++ b/control/group.h
@@ -142,6 +142,9 @@
 /** Returns the node number of a member, 0 if unknown. */
 uint32_t group_node_of(const struct group *group, uint64_t member);
 
+/** Returns the time of a member's last message, 0 if there was none. */
+int64_t group_heard_ms(const struct group *group, uint64_t member);
+
 /** Returns the size of the log on disk in bytes. */
 uint64_t group_log_bytes(const struct group *group);
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -477,6 +477,8 @@
 	mask_signals(SIG_UNBLOCK);
 	code = start_tasks(d, bootstrap, &why);
 	if (code) {
+		log_error(&daemon_log, "start failed code=%s detail=\"%s\"",
+			  rd_result_info(code)->name, why ? why : "");
 		fprintf(stderr, "radishdeald: %s (%d): %s\n",
 			rd_result_info(code)->name, code, why ? why : "");
 		d->exit_status = rd_result_info(code)->exit_status;
--- a/include/radishdeal/raft.h
+++ b/include/radishdeal/raft.h
@@ -36,6 +36,29 @@
 	RAFT_LEADER,
 };
 
+/** A voter's answer to a member that asked it for a vote or a pre-vote. */
+enum raft_answer {
+	RAFT_NO_ANSWER,
+	RAFT_GRANTED,
+	RAFT_REFUSED,
+};
+
+/** Why a vote or a pre-vote was refused. */
+enum raft_refusal {
+	RAFT_REFUSAL_NONE,
+	RAFT_REFUSAL_TERM,  /* the candidate's term is not newer */
+	RAFT_REFUSAL_LEASE, /* a leader's lease may still hold */
+	RAFT_REFUSAL_VOTED, /* another member has this member's vote */
+	RAFT_REFUSAL_LOG,   /* the candidate's log is less complete */
+};
+
+/** The votes and pre-votes that a member has refused since its start. */
+struct raft_refusals {
+	uint64_t count;
+	uint64_t candidate;	/* member id of the last one */
+	enum raft_refusal last; /* its reason */
+};
+
 /** A log entry in memory. */
 struct raft_entry {
 	uint64_t index;
@@ -191,6 +214,12 @@
 bool raft_progress(const struct raft *raft, uint64_t id, int64_t *last_reply_ms,
 		   uint64_t *match);
 
+/** Returns a voter's answer in the latest round of votes of this member. */
+enum raft_answer raft_answer_of(const struct raft *raft, uint64_t id);
+
+/** Returns what this member refused; borrowed, updated by raft_step(). */
+const struct raft_refusals *raft_refusals(const struct raft *raft);
+
 /** Returns the term of the entry at an index, 0 if it is not in the log. */
 uint64_t raft_term_at(const struct raft *raft, uint64_t index);
 
