control, storage: a control VM with an empty disk joins the group again

The leader had stepped down, was pre-candidate half a second later, and no leader came any more.

The leader learns of a data folder that is no member yet from the poll of its node. feed.c ignored polls of a lower incarnation than the last one, to leave out delayed ones. The incarnation of a control VM was a count in its data folder: 1 for an empty one. So after a VM that had been restarted before (count 2 or more) had lost its disk, every poll of it was taken for a delayed one, for as long as this leader led and until the new folder had been started as often. It never became a learner or a voter; its lost folder went on counting as a voter. Nothing showed, as two of three voters were enough, until the next loss of one disk: then the leader was alone of three voters, for good. Digests of such a VM were ignored likewise by every other process (evidence/view.c), so VMs that announced themselves only to it seemed silent.

The class: a number that orders what one disk has seen, compared across the loss of that disk.

- The order of polls is kept within one data folder.
Another folder's poll is taken, except that of the folder before it.
- A folder's incarnation is at least the time of the start in seconds, as it is without a data folder, so it grows over the loss of the folder, for polls, digests and claims alike.

--- a/control/control.c
+++ b/control/control.c
@@ -268,6 +268,7 @@
 			    on_group_wakeup, on_group_failed,
 			    on_group_start_job, control },
 		.bootstrap = control->opts.bootstrap,
+		.incarnation_min = control->identity.incarnation,
 	};
 
 	if (!(control->opts.settings->node.roles & ROLE_CONTROL))
@@ -326,8 +327,8 @@
 	control->opts = *opts;
 	control->identity = *opts->identity;
 	/*
-	 * Without a data folder that counts restarts, the start time is the
-	 * incarnation: it grows with each restart.
+	 * The start time is the incarnation, or the least one where a data
+	 * folder counts restarts: it also grows when that folder is lost.
 	 */
 	control->identity.incarnation = (uint64_t)(g_get_real_time() / 1000000);
 	control->base = task_base(opts->task);
--- a/control/feed.c
+++ b/control/feed.c
@@ -109,6 +109,19 @@
 	feed->grace_until_ms = now_ms + max_lease_ms(feed);
 }
 
+/*
+ * Whether a poll was sent before the last one that was taken: by a data folder
+ * that its VM had before, or by an earlier incarnation. The incarnations of two
+ * folders can't be compared.
+ */
+static bool is_delayed(const struct feed_entry *e,
+		       const struct poll_request *request)
+{
+	if (request->member_id != e->member)
+		return request->member_id == e->former_member;
+	return request->incarnation < e->incarnation;
+}
+
 static void update_entry(struct feed *feed, int64_t now_ms,
 			 const struct poll_request *request)
 {
@@ -121,11 +134,13 @@
 		e->loads = g_array_new(FALSE, FALSE,
 				       sizeof(struct replica_load));
 		e->demands = demands_create();
+		e->member = request->member_id;
 		g_hash_table_insert(feed->entries, key, e);
 	}
-	/* Ignores a delayed poll of an earlier incarnation of the entry. */
-	if (request->incarnation < e->incarnation)
+	if (is_delayed(e, request))
 		return;
+	if (request->member_id != e->member)
+		e->former_member = e->member;
 	e->incarnation = request->incarnation;
 	e->member = request->member_id;
 	e->applied = request->applied_index;
--- a/control/feed.h
+++ b/control/feed.h
@@ -90,8 +90,9 @@
 struct feed_entry {
 	uint32_t node;
 	uint64_t incarnation;
-	uint64_t member;  /* id stored in its data folder; 0 without one */
-	uint64_t applied; /* index */
+	uint64_t member; /* id stored in its data folder; 0 without one */
+	uint64_t former_member; /* id of the folder before that; 0: none */
+	uint64_t applied;	/* index */
 	int64_t lease_until_ms; /* includes the allowance for clock drift */
 	int64_t last_poll_ms;
 	char callers_address[64];
--- a/control/group.c
+++ b/control/group.c
@@ -526,6 +526,7 @@
 		.cluster = settings->cluster.name,
 		.node = (uint32_t)settings->node.id,
 		.new_member = choose_member_id(&group->opts),
+		.incarnation_min = group->opts.incarnation_min,
 		.segment_bytes = (uint32_t)settings->limits.segment_bytes,
 	};
 
--- a/control/group.h
+++ b/control/group.h
@@ -66,6 +66,8 @@
 	uint32_t seed;	/* of the election timeouts */
 	/* Random id for a new folder; bootstrap voters use the node number. */
 	uint64_t new_member;
+	/* Least incarnation, so that a new folder's exceeds a lost one's. */
+	uint64_t incarnation_min;
 	/* Log entries kept before a snapshot for slow followers; 0: default. */
 	int32_t keep_entries;
 };
--- a/storage/storage.c
+++ b/storage/storage.c
@@ -490,7 +490,8 @@
 	s->state.term = r->term;
 	s->state.voted_for = r->vote;
 	s->job.state = s->state;
-	s->meta.incarnation++;
+	s->meta.incarnation = MAX(s->meta.incarnation + 1,
+				  s->opts.incarnation_min);
 	r->member = s->meta.member_id;
 	r->incarnation = s->meta.incarnation;
 	result = write_meta(s);
--- a/storage/storage.h
+++ b/storage/storage.h
@@ -23,7 +23,9 @@
 	const struct storage_fs *fs;
 	const char *cluster;
 	uint32_t node;
-	uint64_t new_member;	/* member id for a new folder */
+	uint64_t new_member; /* member id for a new folder */
+	/* Least incarnation, above those of folders that the node has lost. */
+	uint64_t incarnation_min;
 	uint32_t segment_bytes; /* size at which the next segment is started */
 };
 
@@ -31,7 +33,7 @@
 struct storage_recovered {
 	bool created; /* the folder was new */
 	uint64_t member;
-	uint64_t incarnation; /* number of times it was opened */
+	uint64_t incarnation; /* grows each time it is opened */
 	uint64_t term, vote;
 	struct stored_snapshot snapshot; /* index 0 if none */
 	GPtrArray *entries;  /* of struct raft_entry, after the snapshot */
--- a/wire/radishdeal.x
+++ b/wire/radishdeal.x
@@ -560,7 +560,7 @@
 	string cluster<RD_NAME_MAX>;
 	uint32_t node;
 	uint64_t member_id;		/* in the consensus group */
-	uint64_t incarnation;		/* incremented at each start */
+	uint64_t incarnation;		/* grows at each start */
 };
 
 struct stored_hard_state {
