control, evidence: a clock that is set back shuts no process out

After a clock was set back, the polls and digests of a process that was started again were taken for delayed ones until the clock had caught up: its polls renewed no lease, its digests no evidence. Nothing said so.

A delayed message is late by less than a lease (polls) or than the silence after which a VM counts as lost (digests). After that time without a newer one, any incarnation is taken. Both tests failed before.

--- a/control/feed.c
+++ b/control/feed.c
@@ -112,11 +112,14 @@
 /*
  * Whether a poll was sent before the last one that was taken: by a data folder
  * that its VM had before, or by an earlier incarnation. The incarnations of two
- * folders can't be compared.
+ * folders can't be compared. No poll is delayed by a lease, but a clock that
+ * was set back, or a folder that was restored, lasts longer.
  */
-static bool is_delayed(const struct feed_entry *e,
+static bool is_delayed(const struct feed_entry *e, int64_t now_ms,
 		       const struct poll_request *request)
 {
+	if (now_ms > e->lease_until_ms)
+		return false;
 	if (request->member_id != e->member)
 		return request->member_id == e->former_member;
 	return request->incarnation < e->incarnation;
@@ -137,7 +140,7 @@
 		e->member = request->member_id;
 		g_hash_table_insert(feed->entries, key, e);
 	}
-	if (is_delayed(e, request))
+	if (is_delayed(e, now_ms, request))
 		return;
 	if (request->member_id != e->member)
 		e->former_member = e->member;
--- a/evidence/view.c
+++ b/evidence/view.c
@@ -297,9 +297,15 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct view_monitor *monitor = value;
 
-		/* Creates a gap, so that a full digest is requested. */
-		if (now_ms - monitor->last_digest_ms >= view->opts.silence_ms)
-			monitor->seq = 0;
+		if (now_ms - monitor->last_digest_ms < view->opts.silence_ms)
+			continue;
+		/*
+		 * Creates a gap, so that a full digest is requested, of any
+		 * incarnation: the clock that it was taken from may have been
+		 * set back.
+		 */
+		monitor->seq = 0;
+		monitor->incarnation = 0;
 	}
 	g_tree_foreach(view->vms, expire_vm, &e);
 }
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -98,12 +98,28 @@
 	world_clear(&w);
 }
 
+/* An entry's incarnation is the time of its start, which may be set back. */
+static void test_clock_set_back_does_not_shut_out_an_entry(void **state)
+{
+	struct world w;
+
+	(void)state;
+	world_init(&w);
+	poll(&w, 0, 5000);
+	w.now_ms += LEASE_MS + 1;
+	poll(&w, 0, 4990);
+	expect(&w, 0, 4990);
+	world_clear(&w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_empty_folder_after_restarts_is_seen),
 		cmocka_unit_test(
 			test_delayed_poll_does_not_bring_back_a_former_folder),
+		cmocka_unit_test(
+			test_clock_set_back_does_not_shut_out_an_entry),
 	};
 
 	return cmocka_run_group_tests_name("feed", tests, NULL, NULL);
--- a/test/test_view.c
+++ b/test/test_view.c
@@ -64,6 +64,31 @@
 	view_destroy(view);
 }
 
+/* Its incarnation is the time of its start. */
+static void test_clock_set_back_does_not_shut_out_a_monitor(void **state)
+{
+	struct view_opts opts = { SILENCE_MS };
+	struct view *view = view_create(&opts);
+	struct vm_report report = make_report(7);
+	struct digest digest = {
+		.monitor_node = 1,
+		.incarnation = 5000,
+		.sequence = 1,
+		.full = TRUE,
+		.changed_vms = { 1, &report },
+	};
+
+	(void)state;
+	assert_true(view_merge(view, 1000, &digest));
+	digest.incarnation = 4990;
+	view_expire(view, 1000 + SILENCE_MS);
+	assert_false(
+		view_alive(view, view_find(view, "vm"), 1000 + SILENCE_MS));
+	assert_true(view_merge(view, 1000 + SILENCE_MS, &digest));
+	assert_true(view_alive(view, view_find(view, "vm"), 1000 + SILENCE_MS));
+	view_destroy(view);
+}
+
 static void test_vm_that_returns_after_silence_is_a_change(void **state)
 {
 	struct view_opts opts = { SILENCE_MS };
@@ -86,6 +111,8 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_clock_set_back_does_not_shut_out_a_monitor),
 		cmocka_unit_test(
 			test_vm_that_returns_with_a_known_report_is_a_change),
 		cmocka_unit_test(
