--- a/control/group.h
+++ b/control/group.h
@@ -66,6 +66,8 @@
 	uint32_t seed;	/* of the election timeouts */
 	/* Random id for a new folder; bootstrap voters use the node number. */
 	uint64_t new_member;
+	/* Least incarnation, so that a new folder's exceeds a lost one's. */
+	uint64_t incarnation_min;
 	/* Log entries kept before a snapshot for slow followers; 0: default. */
 	int32_t keep_entries;
 };
@@ -142,6 +144,9 @@
 /** Returns the node number of a member, 0 if unknown. */
 uint32_t group_node_of(const struct group *group, uint64_t member);
 
+/** Returns the time of a member's last message, 0 if there was none. */
+int64_t group_heard_ms(const struct group *group, uint64_t member);
+
 /** Returns the size of the log on disk in bytes. */
 uint64_t group_log_bytes(const struct group *group);
 
