entry: time in which the process doesn't run is no silence of endpoints

What callers saw: a stream is cut off, or sent again to another replica, though its endpoint goes on sending, after this process or its VM had no time for 5 s since the last byte it read (a pause, a loaded machine; 4 s late are enough for a stream that had been silent for 1 s).

Cause: the limit on silence was evhttp's read timeout. libevent looks for expired timers after it has polled the sockets, and an expired timer takes the place of a readable socket's event. So what had arrived meanwhile was not read, and the connection counted as broken. One such pause ends all streams of an entry at once.

Now the module counts checks without a byte, five in the time of the limit, and a late check counts once, as the rest of a suspension. Bytes that arrived are read in the same turn of the event loop, before the check. A connection that is silent is given up after the same time as before. Reading that is paused for a slow caller isn't silence. Idle connections in the pool keep evhttp's timeout.

The deadline of a plain call is now always found by the call's own check, not by the connection's timeout a moment before it: its caller gets `deadline` (504), not `upstream-broke` (502), and nothing is sent again in the last millisecond.

Evidence: test_a_suspended_process_does_not_cut_an_answer (a process that doesn't run for three times the limit, while the endpoint completes its answer) ended with UPSTREAM_FAILED before, and passes now.

Not shown to have a part in the users' record: its two calls of 5.1 s ended one at a time.

--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -7,12 +7,23 @@
 
 #include "common/address.h"
 #include "common/answer_guard.h"
+#include "common/clock.h"
 #include "common/log.h"
 #include "entry/response_head.h"
 #include "entry/upstream.h"
 
 #define IDLE_CONNECTIONS_PER_ADDRESS 64
 #define STATUS_CONTINUE 100
+/*
+ * A response is given up after so many checks in a row without a byte. Time in
+ * which this process doesn't run counts as one of them, as it may have left
+ * bytes unread.
+ */
+#define SILENT_CHECKS 5
+/* evhttp's own timeout doesn't look for unread bytes, so it must not be met. */
+#define EVHTTP_TIMEOUT_S 86400
+#define MS_PER_S 1000
+#define US_PER_MS 1000
 
 static const struct log upstream_log = { "upstream" };
 
@@ -30,9 +41,13 @@
 	struct evhttp_request *req; /* NULL once evhttp has freed it */
 	bool bytes_sent;	    /* some of the request was sent */
 	bool cancelled;
-	bool cut;	   /* the response exceeds the limits of `guard` */
+	bool cut;	   /* ended here, before its response was */
 	bool closed;	   /* by the endpoint, before the response's end */
 	bool not_reusable; /* opts.head() ruled out reuse of `conn` */
+	bool paused;
+	struct event *check; /* for silence */
+	int silent_checks;
+	int64_t active_ms; /* when bytes were last received or sent */
 	struct upstream_end end;
 	bool head_done; /* the final response's */
 	bool head_has_nul;
@@ -80,12 +95,19 @@
 	return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+static struct timeval timeval_of(int ms)
+{
+	return (struct timeval){ ms / MS_PER_S, (ms % MS_PER_S) * US_PER_MS };
+}
+
 static void release_connection(struct upstream *u, bool reusable)
 {
 	struct upstream_pool *pool = u->pool;
 	GQueue *queue = g_hash_table_lookup(pool->idle, u->address);
+	struct timeval idle = timeval_of(u->opts.idle_timeout_ms);
 
 	g_hash_table_remove(pool->active, u);
+	event_free(u->check);
 	if (u->input_cb)
 		evbuffer_remove_cb_entry(
 			bufferevent_get_input(
@@ -102,10 +124,12 @@
 		g_hash_table_insert(pool->idle, g_strdup(u->address), queue);
 	}
 	if (reusable && queue->length < IDLE_CONNECTIONS_PER_ADDRESS &&
-	    is_idle(u->conn, u->address))
+	    is_idle(u->conn, u->address)) {
+		evhttp_connection_set_timeout_tv(u->conn, &idle);
 		g_queue_push_tail(queue, u->conn);
-	else
+	} else {
 		evhttp_connection_free(u->conn);
+	}
 	g_free(u->address);
 	g_free(u);
 }
@@ -140,14 +164,22 @@
 	opts.end(opts.ctx, &end);
 }
 
+static void note_activity(struct upstream *u)
+{
+	u->silent_checks = 0;
+	u->active_ms = clock_now_ms(&clock_system);
+}
+
 static void on_output(struct evbuffer *buffer,
 		      const struct evbuffer_cb_info *info, void *arg)
 {
 	struct upstream *u = arg;
 
 	(void)buffer;
-	if (info->n_deleted)
-		u->bytes_sent = true;
+	if (!info->n_deleted)
+		return;
+	u->bytes_sent = true;
+	note_activity(u);
 }
 
 /* Runs before evhttp reads what has arrived. */
@@ -157,6 +189,8 @@
 	struct upstream *u = arg;
 	size_t before = evbuffer_get_length(input) - info->n_added;
 
+	if (info->n_added)
+		note_activity(u);
 	/* A head isn't longer; what comes early may be, and was searched. */
 	if (info->n_added && !u->head_done &&
 	    before < ANSWER_HEADERS_MAX_BYTES && response_head_has_nul(input))
@@ -225,20 +259,72 @@
 	return fault;
 }
 
-static void on_exceeded(void *ctx)
+/* Whether the response is still being received. */
+static bool is_open(const struct upstream *u)
+{
+	/* A response that ended before has its finish scheduled. */
+	return !u->cancelled && !u->cut && u->req;
+}
+
+/* Ends the request before its response. */
+static void cut(struct upstream *u, enum upstream_result result)
 {
-	struct upstream *u = ctx;
 	struct timeval no_delay = { 0, 0 };
 
-	/* A response that ended before has its finish scheduled. */
-	if (u->cancelled || !u->req)
-		return;
 	u->cut = true;
-	u->end.result = UPSTREAM_EXCEEDED;
+	u->end.result = result;
 	event_base_once(u->pool->base, -1, EV_TIMEOUT, on_deferred_finish, u,
 			&no_delay);
 }
 
+static void on_exceeded(void *ctx)
+{
+	struct upstream *u = ctx;
+
+	if (is_open(u))
+		cut(u, UPSTREAM_EXCEEDED);
+}
+
+/* ---- silence ---- */
+
+static int check_interval_ms(const struct upstream *u)
+{
+	return MAX(1, u->opts.idle_timeout_ms / SILENT_CHECKS);
+}
+
+static void schedule_check(struct upstream *u, int after_ms)
+{
+	struct timeval after = timeval_of(after_ms);
+
+	event_add(u->check, &after);
+}
+
+static void on_check(evutil_socket_t fd, short what, void *arg)
+{
+	struct upstream *u = arg;
+	int interval_ms = check_interval_ms(u);
+	int64_t silent_ms = clock_now_ms(&clock_system) - u->active_ms;
+
+	(void)fd;
+	(void)what;
+	if (!is_open(u))
+		return;
+	if (u->paused)
+		note_activity(u);
+	else if (silent_ms < interval_ms)
+		interval_ms -= (int)silent_ms;
+	else
+		u->silent_checks++;
+	if (u->silent_checks < SILENT_CHECKS) {
+		schedule_check(u, interval_ms);
+		return;
+	}
+	u->end.failure = "timeout";
+	cut(u, u->bytes_sent ? UPSTREAM_FAILED : UPSTREAM_NOT_SENT);
+}
+
+/* ---- evhttp's callbacks ---- */
+
 static int on_head(struct evhttp_request *req, void *arg)
 {
 	struct upstream *u = arg;
@@ -390,15 +476,14 @@
 			       const struct upstream_request *request)
 {
 	struct upstream *u = g_new0(struct upstream, 1);
-	struct timeval idle = { request->idle_timeout_ms / 1000,
-				(request->idle_timeout_ms % 1000) * 1000 };
+	struct timeval evhttp_timeout = { EVHTTP_TIMEOUT_S, 0 };
 	struct bufferevent *bev;
 
 	u->pool = pool;
 	u->opts = *request;
 	u->address = g_strdup(request->address);
 	u->conn = acquire_connection(pool, u->address, request->once_only);
-	evhttp_connection_set_timeout_tv(u->conn, &idle);
+	evhttp_connection_set_timeout_tv(u->conn, &evhttp_timeout);
 	bev = evhttp_connection_get_bufferevent(u->conn);
 	/* evhttp connects again if the connection was closed since. */
 	u->end.reused_connection = bufferevent_getfd(bev) >= 0;
@@ -419,6 +504,9 @@
 	add_headers(u);
 	add_body(u);
 	g_hash_table_add(pool->active, u);
+	u->check = evtimer_new(pool->base, on_check, u);
+	note_activity(u);
+	schedule_check(u, check_interval_ms(u));
 	/* A failure is reported through on_done(), as any other. */
 	(void)evhttp_make_request(u->conn, u->req, request->method,
 				  request->path);
@@ -445,6 +533,8 @@
 {
 	struct bufferevent *bev = evhttp_connection_get_bufferevent(u->conn);
 
+	u->paused = paused;
+	note_activity(u);
 	if (paused)
 		bufferevent_disable(bev, EV_READ);
 	else
@@ -463,6 +553,7 @@
 		struct upstream *u = key;
 
 		u->cancelled = true;
+		event_free(u->check);
 		answer_guard_stop(&u->guard);
 		evhttp_connection_free(u->conn);
 		g_free(u->address);
