entry: a removed service lives until its last call has ended

What callers saw: an entry process ends by itself, and with it every answer that it was passing on, after an operator removes a service for which a booking waits at that entry.

Cause: services_update() frees a service that is no longer configured and has no queued or admitted call. A booking whose claim is in flight, or waits for the outcome of another with its key, is neither, nor is one that was rejected from the queue and waits for its record. Their calls went on with freed memory. A service now counts its calls in any state.

Found by reading, as an other way in which a change of configuration ends answers.

--- a/entry/call.c
+++ b/entry/call.c
@@ -73,6 +73,7 @@
 	call->parts = opts->parts;
 	call->response_body = evbuffer_new();
 	g_hash_table_add(entry->calls, call);
+	call->service->calls++;
 	retry_budget_add_request(&call->service->retry_budget,
 				 entry_now_ms(entry));
 	demand_add(&call->service->demand, entry_now_ms(entry),
@@ -110,6 +111,7 @@
 	attempt_finish(call);
 	release_admission(call);
 	g_hash_table_remove(call->entry->calls, call);
+	call->service->calls--;
 	reply_destroy(call->reply);
 	entry_schedule_dispatch(call->entry);
 	evbuffer_free(call->response_body);
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -30,7 +30,8 @@
 struct entry_service {
 	struct entry *entry;
 	char *name;
-	bool seen; /* present in the configuration just applied */
+	bool seen;	/* present in the configuration just applied */
+	uint32_t calls; /* not yet ended, in any state */
 	uint64_t revision;
 	double mean_output; /* tokens per response, smoothed */
 	/** This entry's share of the retry budget of the service's pool. */
--- a/entry/services.c
+++ b/entry/services.c
@@ -232,8 +232,7 @@
 	(void)key;
 	(void)data;
 	/* A service with calls in progress is removed after they have ended. */
-	return !s->seen && !admission_waiting(s->admission) &&
-	       !admission_serving(s->admission);
+	return !s->seen && !s->calls;
 }
 
 void services_update(struct entry *entry)
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -353,6 +353,14 @@
 	change_service(s, "rollback", "to");
 }
 
+static void do_remove(struct script *s)
+{
+	char *path = g_strdup_printf("/v1/services/%s", s->words[1]);
+
+	send_change(s, "DELETE", path, "", "", s->words[1]);
+	g_free(path);
+}
+
 /*
  * switch-presets SERVICE N [node=NODE]: N switches, to "peak" and "ordinary" in
  * turn, sent to the leader or to a node.
@@ -1364,6 +1372,7 @@
 	{ "preset", 2, do_preset },
 	{ "submit", 3, do_submit },
 	{ "rollback", 2, do_rollback },
+	{ "remove", 1, do_remove },
 	{ "switch-presets", 2, do_switch_presets },
 	{ "kill", 1, do_kill },
 	{ "pause", 1, do_pause },
