entry: its own digests renew its VMs for the router, too

What callers saw: a system of one entry, or an entry that gets no digests of the others, refuses all requests as `no-replica` once vm_silence_ms has passed since its VMs last reported a change, though they announce themselves to it.

Cause: entry_send_digest() merges the entry's own digest into its view, which renews its VMs, but updated the router only if the view's version changed. A renewal is no new version. Digests of other entries always update the router, which hid it.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -94,8 +94,8 @@
 	monitor_digest_clear(&digest);
 	if (bytes)
 		control_post_digest(entry->opts.control, bytes);
-	if (view_version(entry->view) != entry->health_version)
-		services_update_health(entry);
+	/* It renews evidence even without a new version, as in run_digest(). */
+	services_update_health(entry);
 }
 
 /* ---- timers ---- */
