--- a/test/test_reply.c
+++ b/test/test_reply.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -313,6 +314,16 @@
 	check_all_refused(test);
 }
 
+static void test_a_caller_that_half_closes_is_taken_for_gone(void **state)
+{
+	struct reply_test *test = *state;
+
+	(void)shutdown(bufferevent_getfd(test->client), SHUT_WR);
+	run_until(test, has_left);
+	assert_int_equal(test->left, 1);
+	check_all_refused(test);
+}
+
 static void test_a_caller_that_left_in_the_same_iteration_may_be_answered(
 	void **state)
 {
@@ -340,6 +351,7 @@
 		REPLY_TEST(test_nothing_follows_an_error),
 		REPLY_TEST(test_nothing_is_sent_to_a_caller_that_left),
 		REPLY_TEST(test_a_caller_may_leave_a_started_stream),
+		REPLY_TEST(test_a_caller_that_half_closes_is_taken_for_gone),
 		REPLY_TEST(
 			test_a_caller_that_left_in_the_same_iteration_may_be_answered),
 	};
