platform: a stream isn't resumed after an event without an id

What callers saw: an event twice, if a stream broke off after an event without an id. It was resumed after the last id, so the replica sent what followed that id once more.

Such a stream is now cut off, visibly: there is no id to go on from. The platform's streams number all events, so only a faulty endpoint is concerned.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -72,10 +72,15 @@
 		route->avoid[route->avoid_count++] = call->replica;
 }
 
+static bool can_resume(const struct call *call)
+{
+	return !call->format->can_resume || call->format->can_resume(call);
+}
+
 static bool may_retry(const struct call *call)
 {
 	return call->attempts < call->attempts_max &&
-	       call->replica_ends < REPLICA_ENDS_MAX &&
+	       call->replica_ends < REPLICA_ENDS_MAX && can_resume(call) &&
 	       (reply_is_open(call->reply) || call->booking_key) &&
 	       entry_now_ms(call->entry) < call->deadline_ms;
 }
--- a/entry/call.h
+++ b/entry/call.h
@@ -66,6 +66,11 @@
 	const char *(*stream_fault)(const struct call *call);
 	/** Whether a stream that the endpoint has closed is complete. */
 	bool (*stream_complete)(const struct call *call);
+	/**
+	 * Whether a started stream can be resumed without repeating an event.
+	 * May be NULL: always.
+	 */
+	bool (*can_resume)(const struct call *call);
 	/** Whether the caller already has a part of the stream. May be NULL. */
 	bool (*caller_resumes)(const struct call *call);
 	/** Sends an error response to the caller. */
