entry: a stop waits for outcomes of bookings that are to be recorded again

What callers saw: a booking was answered, and is refused as in-flight or unknown when it is repeated, if its entry was stopped while the ledger couldn't be reached.

Cause: the stop waited for calls. When the first attempt to record an outcome fails, the caller gets its response and the call ends; the outcome is sent again every 500 ms, but nothing counted it, so the process ended at once.

The entry now counts the outcomes that are not recorded, and a stop waits for them until the end of its drain. If some are left then, a line says so.

The platform's interface has no bookings.

--- a/entry/booking.c
+++ b/entry/booking.c
@@ -46,8 +46,10 @@
 	g_free(r->type);
 	if (r->body)
 		g_bytes_unref(r->body);
-	if (r->record)
+	if (r->record) {
 		g_bytes_unref(r->record);
+		r->entry->open_records--;
+	}
 	g_free(r);
 }
 
@@ -184,6 +186,7 @@
 	f->response.body.body_val = (char *)g_bytes_get_data(r->body, NULL);
 	f->response.body.body_len = (u_int)size;
 	r->record = encode(&command);
+	r->entry->open_records++;
 	return r;
 }
 
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -76,6 +76,7 @@
 	struct ends *ends;	/* of replicas */
 	struct parts *parts;	/* of prompts */
 	GHashTable *unrecorded; /* outcomes of bookings, to be recorded again */
+	uint32_t open_records;	/* these, and those that are being recorded */
 	struct upstream_pool *pool;
 	struct routes *routes; /* of the deployment; NULL before there is one */
 	GQueue held_requests;  /* of struct held_request */
--- a/entry/shutdown.c
+++ b/entry/shutdown.c
@@ -162,7 +162,13 @@
 	if (http_unsent_responses() &&
 	    now < entry->shutdown.deadline_ms + FLUSH_MS)
 		return;
+	if (entry->open_records && now < entry->shutdown.deadline_ms)
+		return;
 	log_phase(entry, "stop finished");
+	if (entry->open_records)
+		log_warn(&shutdown_log,
+			 "outcomes of bookings may not be recorded count=%u",
+			 entry->open_records);
 	if (http_unsent_responses())
 		log_warn(&shutdown_log,
 			 "slow callers do not get their whole response "
