--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -30,7 +30,8 @@
 struct entry_service {
 	struct entry *entry;
 	char *name;
-	bool seen; /* present in the configuration just applied */
+	bool seen;	/* present in the configuration just applied */
+	uint32_t calls; /* not yet ended, in any state */
 	uint64_t revision;
 	double mean_output; /* tokens per response, smoothed */
 	/** This entry's share of the retry budget of the service's pool. */
@@ -75,6 +76,7 @@
 	struct ends *ends;	/* of replicas */
 	struct parts *parts;	/* of prompts */
 	GHashTable *unrecorded; /* outcomes of bookings, to be recorded again */
+	uint32_t open_records;	/* these, and those that are being recorded */
 	struct upstream_pool *pool;
 	struct routes *routes; /* of the deployment; NULL before there is one */
 	GQueue held_requests;  /* of struct held_request */
