control, consensus: an election makes no dead member live

A new leader starts its record of each member with "replied now", for its own check of a quorum. The membership took that for a sign of life:

- A learner that was gone for long, the former self of a replaced voter, counted as live for the first second of each leader, and in a young group (64 entries of the log) as nearly complete.
- The silence of a lost voter began anew with each election.

The class: a default that looks like evidence. A leader now says whether a member has replied to it; only such a member counts as live. The silence of one that has not replied begins, at the latest, when the connection of this process to its node was lost. The quorum check keeps its own time.

The two tests failed before (the first, a member of the interface that wasn't there, by `replied` being always true: last_reply_ms was its only sign).

--- a/consensus/leader.c
+++ b/consensus/leader.c
@@ -381,14 +381,17 @@
 	       log_term(&raft->log, raft->commit) == raft->term;
 }
 
-bool raft_progress(const struct raft *raft, uint64_t id, int64_t *last_reply_ms,
-		   uint64_t *match)
+bool raft_progress(const struct raft *raft, uint64_t id,
+		   struct raft_progress *progress)
 {
 	const struct progress *p = raft_find_progress(raft, id);
 
 	if (raft->role != RAFT_LEADER || !p)
 		return false;
-	*last_reply_ms = p->last_reply_ms;
-	*match = p->match;
+	*progress = (struct raft_progress){
+		.replied = p->acked_send_ms > 0,
+		.last_reply_ms = p->last_reply_ms,
+		.match = p->match,
+	};
 	return true;
 }
--- a/control/control_internal.h
+++ b/control/control_internal.h
@@ -26,6 +26,7 @@
 	bool is_control;	    /* has the control role: answers polls */
 	bool discovered;	    /* not listed in the settings */
 	int64_t last_referenced_ms; /* last control_get_or_add_peer() */
+	int64_t lost_ms;	    /* without a connection since; 0: has one */
 	struct rpc_client *client;
 };
 
@@ -108,6 +109,11 @@
 void peers_connect(struct control *control);
 void peers_close(struct control *control);
 void peers_send_raft(struct control *control, uint64_t member, GBytes *bytes);
+/**
+ * Returns since when there has been no connection to a node; 0 if there is one,
+ * or the node is not known.
+ */
+int64_t peers_lost_ms(const struct control *control, uint32_t node);
 /** Notifies all processes, this one included, to poll the leader now. */
 void peers_notify_update(struct control *control);
 /** Whether bytes to peers, or replies to their calls, are not sent yet. */
@@ -208,6 +214,14 @@
 /** Proposes the next automatic change, if one is due; leader only. */
 void members_tick(struct control *control);
 
+/**
+ * Returns since when a member has been silent. One that has not replied to this
+ * leader may have been silent before its election: at least since `lost_ms`,
+ * when its connection was lost (0: it was not).
+ */
+int64_t members_silent_since_ms(const struct raft_progress *progress,
+				int64_t lost_ms);
+
 /**
  * Returns the log line about the voter that has not replied for too long, or
  * about its end; NULL if nothing has changed. `node` is 0 if there is none,
--- a/control/members.c
+++ b/control/members.c
@@ -49,26 +49,38 @@
 	return result;
 }
 
-/*
- * Sets the time since a member's last reply and the number of log entries that
- * it lacks; false if the leader does not replicate to it.
- */
-static bool member_progress(const struct control *control,
-			    const struct member *m, int64_t *silent_ms,
-			    uint64_t *lag)
+/** What the leader knows of a member. */
+struct member_health {
+	bool live; /* it has replied, within LIVE_TIMEOUT_MS */
+	int64_t silent_ms;
+	uint64_t lag; /* log entries that it lacks */
+};
+
+int64_t members_silent_since_ms(const struct raft_progress *progress,
+				int64_t lost_ms)
+{
+	if (progress->replied || !lost_ms)
+		return progress->last_reply_ms;
+	return MIN(progress->last_reply_ms, lost_ms);
+}
+
+/* Returns false if the leader does not replicate to the member. */
+static bool member_health(const struct control *control, const struct member *m,
+			  struct member_health *health)
 {
 	const struct raft *raft = group_raft(control->group);
-	int64_t last_reply_ms;
-	uint64_t match;
+	struct raft_progress progress;
 
-	*silent_ms = 0;
-	*lag = 0;
+	*health = (struct member_health){ .live = true };
 	if (m->id == group_member_id(control->group))
 		return true;
-	if (!raft_progress(raft, m->id, &last_reply_ms, &match))
+	if (!raft_progress(raft, m->id, &progress))
 		return false;
-	*silent_ms = control_now_ms(control) - last_reply_ms;
-	*lag = raft_last_index(raft) - match;
+	health->silent_ms = control_now_ms(control) -
+			    members_silent_since_ms(
+				    &progress, peers_lost_ms(control, m->node));
+	health->live = progress.replied && health->silent_ms < LIVE_TIMEOUT_MS;
+	health->lag = raft_last_index(raft) - progress.match;
 	return true;
 }
 
@@ -78,12 +90,10 @@
 {
 	for (u_int i = 0; i < config->members.members_len; i++) {
 		const struct member *m = &config->members.members_val[i];
-		int64_t silent_ms;
-		uint64_t lag;
+		struct member_health health;
 
 		if (m->voter && !strcmp(m->data_centre, data_centre) &&
-		    member_progress(control, m, &silent_ms, &lag) &&
-		    silent_ms < LIVE_TIMEOUT_MS)
+		    member_health(control, m, &health) && health.live)
 			return true;
 	}
 	return false;
@@ -100,12 +110,10 @@
 
 	for (u_int i = 0; i < config->members.members_len; i++) {
 		struct member *m = &config->members.members_val[i];
-		int64_t silent_ms;
-		uint64_t lag;
+		struct member_health health;
 
-		if (m->voter ||
-		    !member_progress(control, m, &silent_ms, &lag) ||
-		    silent_ms >= LIVE_TIMEOUT_MS || lag > PROMOTION_MAX_LAG)
+		if (m->voter || !member_health(control, m, &health) ||
+		    !health.live || health.lag > PROMOTION_MAX_LAG)
 			continue;
 		if (!best ||
 		    (has_live_voter(control, config, best->data_centre) &&
@@ -149,12 +157,12 @@
 
 	for (u_int i = 0; i < config->members.members_len; i++) {
 		struct member *m = &config->members.members_val[i];
-		int64_t silent_ms;
-		uint64_t lag;
+		struct member_health health;
 
-		if (m->voter && member_progress(control, m, &silent_ms, &lag) &&
-		    silent_ms > limit_ms) {
-			log_silence(control, m->node, silent_ms, limit_ms);
+		if (m->voter && member_health(control, m, &health) &&
+		    health.silent_ms > limit_ms) {
+			log_silence(control, m->node, health.silent_ms,
+				    limit_ms);
 			return m;
 		}
 	}
@@ -355,11 +363,10 @@
 
 	for (u_int i = 0; i < config->members.members_len; i++) {
 		const struct member *m = &config->members.members_val[i];
-		int64_t silent_ms;
-		uint64_t lag;
+		struct member_health health;
 
-		if (m->voter && member_progress(control, m, &silent_ms, &lag) &&
-		    silent_ms < LIVE_TIMEOUT_MS)
+		if (m->voter && member_health(control, m, &health) &&
+		    health.live)
 			live++;
 	}
 	return live > count_voters(config) / 2;
--- a/control/peers.c
+++ b/control/peers.c
@@ -164,6 +164,7 @@
 {
 	struct peer *peer = ctx;
 
+	peer->lost_ms = ready ? 0 : control_now_ms(peer->control);
 	log_info(&peers_log, "node %u is %s", peer->node,
 		 ready ? "connected" : "disconnected");
 	if (ready)
@@ -186,6 +187,7 @@
 	peer->control = control;
 	peer->node = node;
 	peer->is_control = is_control;
+	peer->lost_ms = control_now_ms(control);
 	peer->client = rpc_client_create(&opts);
 	g_ptr_array_add(control->peers, peer);
 	return peer;
@@ -274,6 +276,13 @@
 	return NULL;
 }
 
+int64_t peers_lost_ms(const struct control *control, uint32_t node)
+{
+	const struct peer *peer = control_peer(control, node);
+
+	return peer ? peer->lost_ms : 0;
+}
+
 /* ---- sending ---- */
 
 void peers_send_raft(struct control *control, uint64_t member, GBytes *bytes)
--- a/control/views.c
+++ b/control/views.c
@@ -218,10 +218,9 @@
 
 	for (u_int i = 0; i < config->members.members_len; i++) {
 		const struct member *m = &config->members.members_val[i];
-		int64_t last_reply_ms = 0;
-		uint64_t match = 0;
+		struct raft_progress progress = { 0 };
 		char id[24];
-		bool known = raft_progress(raft, m->id, &last_reply_ms, &match);
+		bool known = raft_progress(raft, m->id, &progress);
 		json_t *row;
 
 		g_snprintf(id, sizeof(id), "%" PRIx64, m->id);
@@ -234,9 +233,10 @@
 			json_object_set_new(
 				row, "silent_ms",
 				json_integer(control_now_ms(control) -
-					     last_reply_ms));
-			json_object_set_new(row, "match",
-					    json_integer((json_int_t)match));
+					     progress.last_reply_ms));
+			json_object_set_new(
+				row, "match",
+				json_integer((json_int_t)progress.match));
 		}
 		json_array_append_new(list, row);
 	}
--- a/include/radishdeal/raft.h
+++ b/include/radishdeal/raft.h
@@ -207,12 +207,20 @@
 const struct member_config *raft_config_at(const struct raft *raft,
 					   uint64_t index);
 
+/** What a leader knows of the replication to a member. */
+struct raft_progress {
+	bool replied; /* to this leader, in this term */
+	/* Of its last reply; without one, when the leader began to send. */
+	int64_t last_reply_ms;
+	uint64_t match; /* highest index known to be in its log */
+};
+
 /**
- * Gets the time of a member's last reply and the highest index known to be in
- * its log. Returns false unless this member leads and replicates to that one.
+ * Gets the progress of a member. Returns false unless this member leads and
+ * replicates to that one.
  */
-bool raft_progress(const struct raft *raft, uint64_t id, int64_t *last_reply_ms,
-		   uint64_t *match);
+bool raft_progress(const struct raft *raft, uint64_t id,
+		   struct raft_progress *progress);
 
 /** Returns a voter's answer in the latest round of votes of this member. */
 enum raft_answer raft_answer_of(const struct raft *raft, uint64_t id);
--- a/test/test_membership.c
+++ b/test/test_membership.c
@@ -12,6 +12,7 @@
 
 #include <radishdeal/raft.h>
 
+#include "control/control_internal.h"
 #include "wire/codec.h"
 
 #define SERVERS 4
@@ -516,6 +517,46 @@
 	network_clear(&net);
 }
 
+static bool has_replied(const struct server *leader, uint64_t id)
+{
+	struct raft_progress progress;
+
+	assert_true(raft_progress(leader->raft, id, &progress));
+	return progress.replied;
+}
+
+/* Else a learner that is gone may be promoted right after an election. */
+static void test_new_leader_has_no_reply_of_a_member_that_is_gone(void **state)
+{
+	struct network net;
+	struct server *former, *leader;
+
+	(void)state;
+	network_init(&net, 3);
+	change_membership(&net, 4, LEARNER);
+	server_crash(&net.servers[3]);
+	former = run_until_leader(&net);
+	server_crash(former);
+	leader = run_until_leader(&net);
+	assert_false(has_replied(leader, 4));
+	assert_false(has_replied(leader, former->id));
+	assert_true(has_replied(leader, 6 - former->id - leader->id));
+	network_clear(&net);
+}
+
+/* Else elections that follow each other keep a voter that is gone. */
+static void test_silence_before_an_election_counts(void **state)
+{
+	struct raft_progress gone = { .last_reply_ms = 9000 };
+	struct raft_progress live = { .replied = true, .last_reply_ms = 9000 };
+
+	(void)state;
+	assert_int_equal(7000, members_silent_since_ms(&gone, 7000));
+	assert_int_equal(9000, members_silent_since_ms(&gone, 9500));
+	assert_int_equal(9000, members_silent_since_ms(&gone, 0));
+	assert_int_equal(9000, members_silent_since_ms(&live, 7000));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -529,6 +570,9 @@
 			test_learner_votes_for_the_one_that_knows_its_promotion),
 		cmocka_unit_test(test_demoted_member_does_not_disturb_a_leader),
 		cmocka_unit_test(test_learner_and_new_member_never_campaign),
+		cmocka_unit_test(
+			test_new_leader_has_no_reply_of_a_member_that_is_gone),
+		cmocka_unit_test(test_silence_before_an_election_counts),
 	};
 
 	return cmocka_run_group_tests_name("membership", tests, NULL, NULL);
