common: a task ends after the responses to what it has read

What callers saw: a connection that ends without a response, although the process had read the request.

Cause: until its event loop is broken, a stopping entry reads requests and refuses them, so that none is lost while the control task ends. The loop was broken at any moment, also between a refusal and the turn in which evhttp writes it. That loses a request that was read; it is lost by the users' rule if its process was 200 ms late in reading it.

The loop now ends in a turn in which all responses are sent, for which it waits 100 ms at most, for callers that don't read. The control task ends so, too.

Evidence: test_a_loop_ends_after_the_response_to_what_it_has_read fails without the wait (no response), and passes with it.

--- a/common/http.c
+++ b/common/http.c
@@ -12,12 +12,14 @@
 #include <event2/keyvalq_struct.h>
 
 #include "common/address.h"
+#include "common/clock.h"
 #include "common/http.h"
 #include "common/log.h"
 
 #define LISTEN_BACKLOG 1024
 #define MS_PER_S 1000
 #define READ_AHEAD_MAX 65536
+#define LOOP_END_RETRY_US 1000
 /* Connections on which sent data stays unacknowledged for longer are closed. */
 #define RESPONSE_ACK_TIMEOUT_MS 30000
 #define BEARER "Bearer "
@@ -300,6 +302,37 @@
 	return unsent_responses;
 }
 
+struct loop_end {
+	struct event_base *base;
+	int64_t until_ms;
+};
+
+static void try_end_loop(evutil_socket_t fd, short what, void *arg)
+{
+	struct loop_end *end = arg;
+	struct timeval retry = { 0, LOOP_END_RETRY_US };
+
+	(void)fd;
+	(void)what;
+	if (unsent_responses && clock_now_ms(&clock_system) < end->until_ms) {
+		event_base_once(end->base, -1, EV_TIMEOUT, try_end_loop, end,
+				&retry);
+		return;
+	}
+	/* No other callback of this turn runs, which might read a request. */
+	event_base_loopbreak(end->base);
+	g_free(end);
+}
+
+void http_end_loop(struct event_base *base, int timeout_ms)
+{
+	struct loop_end *end = g_new(struct loop_end, 1);
+
+	end->base = base;
+	end->until_ms = clock_now_ms(&clock_system) + timeout_ms;
+	try_end_loop(-1, EV_TIMEOUT, end);
+}
+
 static void send_text(struct evhttp_request *req, int status,
 		      const char *reason, const char *type, const char *text)
 {
--- a/common/http.h
+++ b/common/http.h
@@ -86,6 +86,12 @@
  */
 unsigned http_unsent_responses(void);
 
+/**
+ * Ends the calling thread's event loop once http_unsent_responses() is 0, or
+ * `timeout_ms` have passed. No request is read without a response after that.
+ */
+void http_end_loop(struct event_base *base, int timeout_ms);
+
 /**
  * Returns how many requests to servers of the calling thread are received in
  * part.
--- a/common/task.c
+++ b/common/task.c
@@ -4,8 +4,12 @@
 #include <event2/thread.h>
 #include <glib.h>
 
+#include "common/http.h"
 #include "common/task.h"
 
+/* Time at the end of a task for the last responses to reach their sockets. */
+#define RESPONSES_SENT_MS 100
+
 struct message {
 	task_fn fn;
 	void *arg;
@@ -44,9 +48,9 @@
 	return NULL;
 }
 
-static void break_loop(void *arg)
+static void end_loop(void *arg)
 {
-	event_base_loopbreak(arg);
+	http_end_loop(arg, RESPONSES_SENT_MS);
 }
 
 struct task *task_create(const char *name)
@@ -95,7 +99,7 @@
 
 void task_stop(struct task *task)
 {
-	task_post(task, break_loop, task->base);
+	task_post(task, end_loop, task->base);
 }
 
 void task_join(struct task *task)
--- a/common/task.h
+++ b/common/task.h
@@ -32,7 +32,10 @@
 /** Queues fn(arg) to run on the task's thread and wakes it. */
 void task_post(struct task *task, task_fn fn, void *arg);
 
-/** Ends the event loop once the messages posted so far have run. */
+/**
+ * Ends the event loop once the messages posted so far have run, and responses
+ * to requests that were read are sent, as far as their callers read them.
+ */
 void task_stop(struct task *task);
 
 /** Waits for the thread to end. NULL is allowed. */
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -5,6 +5,8 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 #include <event2/buffer.h>
@@ -372,6 +374,68 @@
 	g_free(trailers);
 }
 
+/* Answers a request as the last thing that its event loop does. */
+static void answer_last(struct evhttp_request *req, void *ctx)
+{
+	struct http_test *test = ctx;
+
+	http_send_text(req, 200, "text/plain", "done");
+	http_end_loop(test->base, WAIT_S * 1000);
+}
+
+/* Returns what a caller receives until its connection ends. */
+static gpointer run_caller(gpointer ctx)
+{
+	const char request[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+	GString *got = g_string_new(NULL);
+	const struct address *address = ctx;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	char piece[512];
+	ssize_t size;
+
+	assert_int_equal(connect(fd, (const struct sockaddr *)&address->socket,
+				 sizeof(address->socket)),
+			 0);
+	assert_int_equal(send(fd, request, sizeof(request) - 1, 0),
+			 sizeof(request) - 1);
+	while ((size = recv(fd, piece, sizeof(piece), 0)) > 0)
+		g_string_append_len(got, piece, size);
+	close(fd);
+	return g_string_free(got, FALSE);
+}
+
+static void test_a_loop_ends_after_the_response_to_what_it_has_read(
+	void **state)
+{
+	struct http_test test = { .base = event_base_new() };
+	struct http_listen_opts opts = {
+		.base = test.base,
+		.address = "127.0.0.1:0",
+		.header_bytes = 4096,
+		.body_bytes = 4096,
+		.timeout_s = WAIT_S,
+		.handle = answer_last,
+		.ctx = &test,
+	};
+	int port = 0;
+	struct evhttp *http = http_listen(&opts, &port, NULL);
+	char text[ADDRESS_MAX], *got;
+	struct address address;
+	GThread *caller;
+
+	(void)state;
+	assert_non_null(http);
+	g_snprintf(text, sizeof(text), "127.0.0.1:%d", port);
+	assert_true(address_parse(text, &address));
+	caller = g_thread_new("caller", run_caller, &address);
+	event_base_dispatch(test.base);
+	evhttp_free(http);
+	event_base_free(test.base);
+	got = g_thread_join(caller);
+	assert_true(g_str_has_suffix(got, "done"));
+	g_free(got);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -385,6 +449,8 @@
 			test_a_server_may_be_freed_with_an_aborted_response),
 		cmocka_unit_test(test_requests_received_in_part_are_counted),
 		cmocka_unit_test(test_a_request_without_end_is_cut),
+		cmocka_unit_test(
+			test_a_loop_ends_after_the_response_to_what_it_has_read),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
