--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -64,6 +64,11 @@
 	call->reported_tokens = 0;
 }
 
+static bool can_resume(const struct call *call)
+{
+	return !call->format->can_resume || call->format->can_resume(call);
+}
+
 static void exclude_replica(struct call *call)
 {
 	struct router_request *route = &call->route;
@@ -72,11 +77,6 @@
 		route->avoid[route->avoid_count++] = call->replica;
 }
 
-static bool can_resume(const struct call *call)
-{
-	return !call->format->can_resume || call->format->can_resume(call);
-}
-
 static bool may_retry(const struct call *call)
 {
 	return call->attempts < call->attempts_max &&
