evidence: a VM that a monitor lists is alive, also after a gap

A digest with a gap before it, which the first ones of a monitor usually are for a new view, added the VMs that it lists but left the monitor's last_digest_ms as it was: 0. Such a VM was alive until silence_ms after the origin of the clock: silent at once, and no longer unknown, so that limits.presume_ms did not apply either. A VM that one monitor drops since its announcements go to another was lost in the same way, when the other monitor had not yet sent a full digest.

A gap says that a loss may have been missed. That is a reason not to renew the VMs that a digest doesn't mention; one that it lists has been heard since the monitor's last digest. So the view now keeps, for each VM and monitor, when the monitor last listed it, and counts silence_ms from then. Later digests with a gap still renew nothing.

test_view: three tests, each failed before (not alive at the time of the report). The users' incident doesn't show the digests, so whether it had this cause is open.

--- a/evidence/view.c
+++ b/evidence/view.c
@@ -14,6 +14,12 @@
 	int64_t last_digest_ms; /* last one that was full or without a gap */
 };
 
+/** A monitor that reports a VM alive. */
+struct view_source {
+	uint32_t node;
+	int64_t reported_ms; /* when it last listed the VM in a digest */
+};
+
 struct view {
 	struct view_opts opts;
 	GTree *vms;	      /* name -> struct view_vm */
@@ -74,16 +80,22 @@
 
 	if (!vm) {
 		vm = g_new0(struct view_vm, 1);
-		vm->monitors = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+		vm->monitors = g_array_new(FALSE, FALSE,
+					   sizeof(struct view_source));
 		g_tree_insert(view->vms, g_strdup(name), vm);
 	}
 	return vm;
 }
 
+static struct view_source *source_at(const struct view_vm *vm, guint at)
+{
+	return &g_array_index(vm->monitors, struct view_source, at);
+}
+
 static int monitor_index(const struct view_vm *vm, uint32_t node)
 {
 	for (guint i = 0; i < vm->monitors->len; i++)
-		if (g_array_index(vm->monitors, uint32_t, i) == node)
+		if (source_at(vm, i)->node == node)
 			return (int)i;
 	return -1;
 }
@@ -96,21 +108,37 @@
 	view->version++;
 }
 
+/*
+ * A VM is renewed by the digests that list it, and by those without a gap that
+ * don't.
+ */
 static int64_t alive_until(const struct view *view, const struct view_vm *vm)
 {
 	int64_t until = 0;
 
 	for (guint i = 0; i < vm->monitors->len; i++) {
-		uint32_t node = g_array_index(vm->monitors, uint32_t, i);
+		const struct view_source *source = source_at(vm, i);
 		const struct view_monitor *monitor = g_hash_table_lookup(
-			view->monitors, GUINT_TO_POINTER(node));
+			view->monitors, GUINT_TO_POINTER(source->node));
+		int64_t heard_ms = MAX(monitor->last_digest_ms,
+				       source->reported_ms);
 
-		until = MAX(until,
-			    monitor->last_digest_ms + view->opts.silence_ms);
+		until = MAX(until, heard_ms + view->opts.silence_ms);
 	}
 	return until;
 }
 
+static void add_source(struct view_vm *vm, uint32_t node, int64_t now_ms)
+{
+	struct view_source source = { node, now_ms };
+	int at = monitor_index(vm, node);
+
+	if (at < 0)
+		g_array_append_val(vm->monitors, source);
+	else
+		source_at(vm, (guint)at)->reported_ms = now_ms;
+}
+
 static void remove_monitor(struct view *view, struct view_vm *vm, uint32_t node,
 			   int64_t now_ms)
 {
@@ -166,8 +194,7 @@
 		vm->alive_since_ms = now_ms;
 		view->version++;
 	}
-	if (monitor_index(vm, node) < 0)
-		g_array_append_val(vm->monitors, node);
+	add_source(vm, node, now_ms);
 	if (vm->report.name && !is_newer(report, &vm->report))
 		return;
 	leaving = vm->report.name && vm->report.leaving &&
--- a/include/radishdeal/evidence.h
+++ b/include/radishdeal/evidence.h
@@ -75,7 +75,7 @@
 	int64_t lost_ms;	    /* last loss or suspicion; 0: none */
 	uint32_t losses;	    /* number, without suspicions */
 	int64_t suspected_until_ms; /* counts as lost until then */
-	GArray *monitors;	    /* uint32_t nodes that report it alive */
+	GArray *monitors;	    /* those that report it alive, private */
 };
 
 struct view *view_create(const struct view_opts *opts);
--- a/test/test_view.c
+++ b/test/test_view.c
@@ -26,18 +26,46 @@
 	};
 }
 
-/* Merges a digest of `node` that reports the VM, if `report` is not NULL. */
-static void merge(struct view *view, int64_t now_ms, uint32_t node,
-		  uint64_t sequence, struct vm_report *report)
+/* Makes a digest of `node` that reports the VM, if `report` is not NULL. */
+static struct digest make_digest(uint32_t node, uint64_t sequence,
+				 struct vm_report *report)
 {
-	struct digest digest = {
+	return (struct digest){
 		.monitor_node = node,
 		.incarnation = 1,
 		.sequence = sequence,
-		.full = TRUE,
 		.changed_vms = { report ? 1 : 0, report },
 	};
+}
+
+/* Merges a full digest. */
+static void merge(struct view *view, int64_t now_ms, uint32_t node,
+		  uint64_t sequence, struct vm_report *report)
+{
+	struct digest digest = make_digest(node, sequence, report);
 
+	digest.full = TRUE;
+	assert_true(view_merge(view, now_ms, &digest));
+}
+
+/* Merges one that is not full and has a gap before it. */
+static void merge_with_gap(struct view *view, int64_t now_ms, uint32_t node,
+			   uint64_t sequence, struct vm_report *report)
+{
+	struct digest digest = make_digest(node, sequence, report);
+
+	assert_false(view_merge(view, now_ms, &digest));
+}
+
+/* Merges one that is not full, follows the last one and reports a loss. */
+static void merge_loss(struct view *view, int64_t now_ms, uint32_t node,
+		       uint64_t sequence)
+{
+	struct digest digest = make_digest(node, sequence, NULL);
+	char *lost[] = { (char *)"vm" };
+
+	digest.lost_vms.lost_vms_len = 1;
+	digest.lost_vms.lost_vms_val = lost;
 	assert_true(view_merge(view, now_ms, &digest));
 }
 
@@ -83,6 +111,65 @@
 	view_destroy(view);
 }
 
+#define STARTED_MS 100000
+
+/* A new entry's first digest of a monitor is usually not a full one. */
+static void test_vm_in_first_digest_with_a_gap_is_alive(void **state)
+{
+	struct view_opts opts = { SILENCE_MS };
+	struct view *view = view_create(&opts);
+	struct vm_report report = make_report(7);
+
+	(void)state;
+	merge_with_gap(view, STARTED_MS, 1, 40, &report);
+	view_expire(view, STARTED_MS + 1);
+	assert_true(
+		view_alive(view, view_find(view, "vm"), STARTED_MS + 1));
+	/* Later ones with a gap may have missed its loss: no renewal. */
+	merge_with_gap(view, STARTED_MS + 500, 1, 42, NULL);
+	view_expire(view, STARTED_MS + SILENCE_MS);
+	assert_false(view_alive(view, view_find(view, "vm"),
+				STARTED_MS + SILENCE_MS));
+	view_destroy(view);
+}
+
+static void test_vm_moved_to_a_monitor_not_heard_in_full_is_alive(void **state)
+{
+	struct view_opts opts = { SILENCE_MS };
+	struct view *view = view_create(&opts);
+	struct vm_report report = make_report(7);
+
+	(void)state;
+	merge(view, STARTED_MS, 1, 1, &report);
+	report.sequence++;
+	merge_with_gap(view, STARTED_MS + 100, 2, 40, &report);
+	merge_loss(view, STARTED_MS + 200, 1, 2);
+	view_expire(view, STARTED_MS + 200);
+	assert_true(
+		view_alive(view, view_find(view, "vm"), STARTED_MS + 200));
+	view_expire(view, STARTED_MS + 100 + SILENCE_MS);
+	assert_false(view_alive(view, view_find(view, "vm"),
+				STARTED_MS + 100 + SILENCE_MS));
+	view_destroy(view);
+}
+
+static void test_vm_reported_after_a_missed_digest_is_alive(void **state)
+{
+	struct view_opts opts = { SILENCE_MS };
+	struct view *view = view_create(&opts);
+	struct vm_report report = make_report(7);
+
+	(void)state;
+	merge(view, STARTED_MS, 1, 1, &report);
+	merge_loss(view, STARTED_MS + SILENCE_MS, 1, 2);
+	report.sequence++;
+	merge_with_gap(view, STARTED_MS + 3 * SILENCE_MS, 1, 9, &report);
+	view_expire(view, STARTED_MS + 3 * SILENCE_MS);
+	assert_true(view_alive(view, view_find(view, "vm"),
+			       STARTED_MS + 3 * SILENCE_MS));
+	view_destroy(view);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -90,6 +177,11 @@
 			test_vm_that_returns_with_a_known_report_is_a_change),
 		cmocka_unit_test(
 			test_vm_that_returns_after_silence_is_a_change),
+		cmocka_unit_test(test_vm_in_first_digest_with_a_gap_is_alive),
+		cmocka_unit_test(
+			test_vm_moved_to_a_monitor_not_heard_in_full_is_alive),
+		cmocka_unit_test(
+			test_vm_reported_after_a_missed_digest_is_alive),
 	};
 
 	return cmocka_run_group_tests_name("view", tests, NULL, NULL);
