entry: changes of an endpoint's health are logged, with the age of reports

That an entry held an endpoint of a plain service for vm-silent could be read off only where it ended attempts there; the users' record can't show it. The change is one line now, as it is for replicas, and both say how long ago the VM was last heard of and how many requests this entry has there.

--- a/entry/services.c
+++ b/entry/services.c
@@ -302,6 +302,14 @@
 			      : 0;
 }
 
+/* -1: never */
+static int64_t heard_ms_ago(const struct entry *entry, const char *vm)
+{
+	const struct view_vm *known = vm ? view_find(entry->view, vm) : NULL;
+
+	return known ? entry_now_ms(entry) - known->heard_ms : -1;
+}
+
 static void update_replica_health(void *ctx,
 				  const struct replica_state *replica)
 {
@@ -332,9 +340,11 @@
 		return;
 	log_note(&services_log,
 		 "replica health changed replica=%u epoch=%" PRIu64 " "
-		 "service=%s state=%s vm=%s",
+		 "service=%s state=%s vm=%s heard_ms_ago=%" PRId64 " requests=%"
+		 "u",
 		 a->replica, a->epoch, a->service, replica_fault_name(fault),
-		 faulty_vm ? faulty_vm : "-");
+		 faulty_vm ? faulty_vm : "-", heard_ms_ago(entry, faulty_vm),
+		 r->outstanding);
 	if (fails_attempts(fault))
 		fail_attempts(entry, a->replica, s, replica_fault_name(fault));
 }
@@ -353,32 +363,59 @@
 	return GPOINTER_TO_UINT(known);
 }
 
+static enum replica_fault plain_fault(const struct entry *entry,
+				      const struct view_vm *vm)
+{
+	if (!view_alive(entry->view, vm, entry_now_ms(entry)))
+		return REPLICA_VM_SILENT;
+	if (vm->report.leaving)
+		return REPLICA_VM_LEAVING;
+	return vm->report.ready ? REPLICA_HEALTHY : REPLICA_VM_NOT_READY;
+}
+
+static void set_plain_health(struct entry_service *s, const struct view_vm *vm,
+			     const struct router_replica *r)
+{
+	const struct entry *entry = s->entry;
+	enum replica_fault fault = plain_fault(entry, vm);
+	int64_t fresh_until_ms = fault ? 0 : vm->fresh_until_ms;
+	bool was_healthy = r->fresh_until_ms != 0;
+
+	router_set_health(s->router, r->id, fresh_until_ms,
+			  replica_fault_name(fault));
+	if (was_healthy != !fault)
+		log_note(&services_log,
+			 "endpoint health changed replica=%u service=%s "
+			 "state=%s vm=%s heard_ms_ago=%" PRId64 " requests=%u",
+			 r->id, s->name, replica_fault_name(fault),
+			 vm->report.name, heard_ms_ago(entry, vm->report.name),
+			 r->outstanding);
+	if (fault == REPLICA_VM_SILENT)
+		fail_attempts(s->entry, r->id, s, replica_fault_name(fault));
+}
+
 /* Endpoints of plain services announce the service that they belong to. */
 static void update_plain_health(void *ctx, const struct view_vm *vm)
 {
 	struct entry *entry = ctx;
-	const struct vm_report *r = &vm->report;
-	struct entry_service *s = *r->service ? services_find(entry, r->service)
-					      : NULL;
+	const struct vm_report *report = &vm->report;
+	struct entry_service *s =
+		*report->service ? services_find(entry, report->service) : NULL;
 	const struct service_state *service =
-		s ? state_service(entry->config, r->service) : NULL;
-	bool vm_alive = view_alive(entry->view, vm, entry_now_ms(entry));
-	bool usable = vm_alive && r->ready && !r->leaving;
+		s ? state_service(entry->config, report->service) : NULL;
+	const struct router_replica *r;
 	uint32_t number;
 
 	if (!service || !service->spec.is_plain)
 		return;
-	number = plain_number(s, r->name);
-	router_put(s->router, number, r->incarnation,
-		   r->slots ? r->slots : service->spec.slots_per_replica,
-		   r->address);
-	router_set_health(s->router, number, usable ? vm->fresh_until_ms : 0,
-			  usable       ? "whole"
-			  : !vm_alive  ? "vm-silent"
-			  : r->leaving ? "vm-leaving"
-				       : "vm-not-ready");
-	if (!vm_alive)
-		fail_attempts(entry, number, s, "vm-silent");
+	number = plain_number(s, report->name);
+	router_put(s->router, number, report->incarnation,
+		   report->slots ? report->slots
+				 : service->spec.slots_per_replica,
+		   report->address);
+	r = router_find(s->router, number);
+	if (r)
+		set_plain_health(s, vm, r);
 }
 
 void services_update_health(struct entry *entry)
--- a/evidence/view.c
+++ b/evidence/view.c
@@ -112,20 +112,20 @@
  * A VM is renewed by the digests that list it, and by those without a gap that
  * don't.
  */
-static int64_t alive_until(const struct view *view, const struct view_vm *vm)
+static void renew(const struct view *view, struct view_vm *vm)
 {
-	int64_t until = 0;
+	int64_t heard_ms = 0;
 
 	for (guint i = 0; i < vm->monitors->len; i++) {
 		const struct view_source *source = source_at(vm, i);
 		const struct view_monitor *monitor = g_hash_table_lookup(
 			view->monitors, GUINT_TO_POINTER(source->node));
-		int64_t heard_ms = MAX(monitor->last_digest_ms,
-				       source->reported_ms);
 
-		until = MAX(until, heard_ms + view->opts.silence_ms);
+		heard_ms = MAX(heard_ms, MAX(monitor->last_digest_ms,
+					     source->reported_ms));
 	}
-	return until;
+	vm->heard_ms = MAX(vm->heard_ms, heard_ms);
+	vm->fresh_until_ms = heard_ms + view->opts.silence_ms;
 }
 
 static void add_source(struct view_vm *vm, uint32_t node, int64_t now_ms)
@@ -147,8 +147,9 @@
 	if (at < 0)
 		return;
 	g_array_remove_index_fast(vm->monitors, (guint)at);
-	vm->fresh_until_ms = alive_until(view, vm);
-	if (!vm->monitors->len)
+	if (vm->monitors->len)
+		renew(view, vm);
+	else
 		mark_lost(view, vm, now_ms);
 }
 
@@ -256,7 +257,7 @@
 
 	(void)key;
 	if (monitor_index(vm, r->monitor->node) >= 0)
-		vm->fresh_until_ms = alive_until(r->view, vm);
+		renew(r->view, vm);
 	return FALSE;
 }
 
--- a/include/radishdeal/evidence.h
+++ b/include/radishdeal/evidence.h
@@ -70,6 +70,7 @@
 /** State of a VM in a view. */
 struct view_vm {
 	struct vm_report report;
+	int64_t heard_ms;	    /* last evidence that it is alive */
 	int64_t fresh_until_ms;	    /* expiry of its liveness if not renewed */
 	int64_t alive_since_ms;	    /* start of the current period alive */
 	int64_t lost_ms;	    /* last loss or suspicion; 0: none */
