entry: doubt about a replica keeps new work away, and ends no answer

Callers lost started streams whose own connections were alive. An entry ended all that it had at a replica when reports of its VMs were late (update_replica_health, update_plain_health), when they named another epoch, or when nothing of it had come for stall_ms (services_check_stalls). A stream whose attempts or retry budget were used up was cut off by it; the others spent an attempt. As each replica's attempts were failed before the next replica's health was updated, they went on to one that was found silent next: with 12 endpoints silent at once two attempts were used up within a millisecond.

Doubt now only decides where new work goes. entry/doubt.c looks at each attempt in the tick. It is moved if its replica is in doubt, nothing has come on its own connection for stall_ms, and it can go on at once: attempts left, a retry in the budget and another usable replica. Otherwise it is kept, and looked at again, until its connection ends or its deadline comes. One line for each decision says why, how long the attempt, its connection and its replica have been silent, and what was missing for a move. An attempt without any answer yet takes the silence of its replica's other responses for its own, so that requests to a replica that has just stalled are moved as soon as before. Once-only calls are spared as before.

Silence is counted without the times in which this process itself did not run (entry/pauses.c), and nothing is judged in the first tick after one: what waits in the sockets has not been read then.

An endpoint of a plain service that produces output is healthy while its VM is silent, as replicas are, and one that has announced its leaving isn't silent.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -72,7 +72,7 @@
 		route->avoid[route->avoid_count++] = call->replica;
 }
 
-static bool may_retry(const struct call *call)
+bool attempt_may_retry(const struct call *call)
 {
 	return call->attempts < call->attempts_max &&
 	       call->replica_ends < REPLICA_ENDS_MAX &&
@@ -122,7 +122,7 @@
 		 (entry_now_us(call->entry) - call->sent_us) / 1000);
 	exclude_replica(call);
 	attempt_finish(call);
-	if (!may_retry(call) ||
+	if (!attempt_may_retry(call) ||
 	    !retry_budget_take(&call->service->retry_budget, now)) {
 		fail_after_attempts(call, why);
 		return;
@@ -146,7 +146,7 @@
 {
 	router_suspect(call->service->router, call->replica,
 		       entry_now_ms(call->entry));
-	if (!call->once_only || may_retry(call)) {
+	if (!call->once_only || attempt_may_retry(call)) {
 		retry(call, "refused the connection");
 		return;
 	}
@@ -215,6 +215,7 @@
 	if (!call->paused || !call->upstream)
 		return;
 	call->paused = false;
+	call->progress_ms = entry_now_ms(call->entry);
 	upstream_pause(call->upstream, false);
 }
 
@@ -255,8 +256,9 @@
 
 static void note_activity(struct call *call)
 {
+	call->progress_ms = entry_now_ms(call->entry);
 	router_response_activity(call->service->router, call->replica,
-				 entry_now_ms(call->entry));
+				 call->progress_ms);
 }
 
 /*
@@ -345,6 +347,7 @@
 		handle_stream_data(call, data);
 		return;
 	}
+	call->data_ms = entry_now_ms(call->entry);
 	note_activity(call);
 	if (evbuffer_get_length(call->response_body) +
 		    evbuffer_get_length(data) >
@@ -407,7 +410,7 @@
 		 "request %s: not run by the endpoint replica=%u "
 		 "status=%d",
 		 call->id, call->replica, call->status);
-	if (may_retry(call)) {
+	if (attempt_may_retry(call)) {
 		retry(call, "says it did not run it");
 		return;
 	}
@@ -418,7 +421,7 @@
 static bool should_retry_failure(const struct call *call)
 {
 	return call->response_class == RESPONSE_FAILED && !call->once_only &&
-	       may_retry(call);
+	       attempt_may_retry(call);
 }
 
 static const char *result_name(enum upstream_result result)
@@ -565,6 +568,9 @@
 	call->data_ms = entry_now_ms(call->entry);
 	call->eventless_ms = 0;
 	call->paused = false;
+	call->progress_ms = call->data_ms;
+	call->doubt = NULL;
+	call->search_due_ms = 0;
 }
 
 static void send_request(struct call *call)
@@ -647,13 +653,8 @@
 	send_request(call);
 }
 
-void attempt_replica_lost(struct call *call, const char *why)
+void attempt_move(struct call *call, const char *why)
 {
-	if (call->state != CALL_DISPATCHED || !call->upstream)
-		return;
-	/* A call that must not be repeated can only wait for its response. */
-	if (call->once_only)
-		return;
 	cancel_upstream(call);
 	handle_failure(call, why);
 }
--- a/entry/call.c
+++ b/entry/call.c
@@ -7,6 +7,7 @@
 #include <event2/bufferevent.h>
 
 #include "common/log.h"
+#include "entry/doubt.h"
 #include "entry/parts.h"
 
 #define OUTPUT_EWMA_WEIGHT 0.05
@@ -337,4 +338,6 @@
 	if (sent && now_ms >= call->deadline_ms &&
 	    !reply_has_started(call->reply))
 		handle_deadline(call);
+	else if (sent)
+		doubt_check(call, now_ms);
 }
--- a/entry/call.h
+++ b/entry/call.h
@@ -149,6 +149,12 @@
 	int64_t eventless_ms; /* time in which data completed no event */
 	bool is_framed;	      /* the response has a length or is chunked */
 	bool paused;	      /* reading from the endpoint is paused */
+	/* Last event of a stream, or data of another response; before, the
+	 * dispatch. */
+	int64_t progress_ms;
+	const char *doubt; /* why the attempt is kept and in doubt, or NULL */
+	int64_t doubt_since_ms;
+	int64_t search_due_ms; /* for another replica */
 };
 
 /**
@@ -240,12 +246,11 @@
  */
 void attempt_finish(struct call *call);
 
-/**
- * Fails the current attempt because its replica has stalled, or has a VM that
- * is silent or in another epoch. A call that may be sent only once keeps
- * waiting for its response.
- */
-void attempt_replica_lost(struct call *call, const char *why);
+/** Whether the call may be sent once more, retry budget aside. */
+bool attempt_may_retry(const struct call *call);
+
+/** Ends the current attempt, and dispatches the call to another replica. */
+void attempt_move(struct call *call, const char *why);
 
 /**
  * Dispatches a call that awaits a replica, or fails it once it has waited too
--- /dev/null
+++ b/entry/doubt.c
@@ -0,0 +1,137 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include <radishdeal/engine.h>
+
+#include "common/log.h"
+#include "entry/doubt.h"
+
+/* Interval between searches for another replica. */
+#define SEARCH_MS 250
+
+static const struct log doubt_log = { "doubt" };
+
+/** Why an attempt is in doubt. */
+struct finding {
+	const char *reason;
+	int64_t silent_ms;   /* since anything came for the attempt */
+	int64_t replica_silent_ms; /* for any attempt there; -1: unknown */
+	int64_t data_age_ms; /* since any byte came on its connection */
+};
+
+static int64_t awake_ms(const struct call *call, int64_t since_ms,
+			int64_t now_ms)
+{
+	return pauses_awake_ms(&call->entry->pauses, since_ms, now_ms);
+}
+
+static bool reported_lost(const struct router_replica *r)
+{
+	return !r->fresh_until_ms &&
+	       (!strcmp(r->fault, replica_fault_name(REPLICA_VM_SILENT)) ||
+		!strcmp(r->fault, replica_fault_name(REPLICA_VM_OTHER_EPOCH)));
+}
+
+/* An engine batches its requests, so a sound one soon sends output of some. */
+static bool is_stalled(const struct call *call, int64_t replica_silent_ms)
+{
+	return engine_has_timings(&call->service->engine) &&
+	       replica_silent_ms >= call->entry->opts.settings->limits.stall_ms;
+}
+
+static void find_doubt(const struct call *call, int64_t now_ms,
+		       struct finding *found)
+{
+	const struct router_replica *r = router_find(call->service->router,
+						     call->replica);
+	bool known = r && r->epoch == call->epoch;
+
+	memset(found, 0, sizeof(*found));
+	found->replica_silent_ms =
+		known ? awake_ms(call, r->last_activity_ms, now_ms) : -1;
+	found->silent_ms = awake_ms(call, call->progress_ms, now_ms);
+	found->data_age_ms = awake_ms(call, call->data_ms, now_ms);
+	if (known && is_stalled(call, found->replica_silent_ms)) {
+		found->reason = "stalled";
+		/* Without an answer of its own, the others' silence counts. */
+		if (!call->status)
+			found->silent_ms = found->replica_silent_ms;
+	} else if (known && reported_lost(r)) {
+		found->reason = r->fault;
+	} else if (r && !known) {
+		found->reason = "replaced";
+	}
+}
+
+static bool has_other_replica(struct call *call, int64_t now_ms)
+{
+	struct router_request route = call->route;
+	struct router_choice choice;
+
+	if (now_ms < call->search_due_ms)
+		return false;
+	if (route.avoid_count < G_N_ELEMENTS(route.avoid))
+		route.avoid[route.avoid_count++] = call->replica;
+	route.no_pending_prefill = false;
+	router_choose(call->service->router, now_ms, ROUTER_FILL_UNLIMITED,
+		      &route, &choice);
+	if (choice.replica && choice.replica != call->replica)
+		return true;
+	call->search_due_ms = now_ms + SEARCH_MS;
+	return false;
+}
+
+/* Returns what keeps the attempt where it is, or NULL. */
+static const char *missing_for_move(struct call *call,
+				    const struct finding *found, int64_t now_ms)
+{
+	if (found->silent_ms < call->entry->opts.settings->limits.stall_ms)
+		return "silence";
+	if (!attempt_may_retry(call))
+		return "attempts";
+	if (!retry_budget_available(&call->service->retry_budget, now_ms))
+		return "retry-budget";
+	return has_other_replica(call, now_ms) ? NULL : "other-replica";
+}
+
+static void log_decision(const struct call *call, const struct finding *found,
+			 const char *missing, int64_t now_ms)
+{
+	log_note(&doubt_log,
+		 "request %s: attempt %s reason=%s replica=%u attempt=%u "
+		 "of=%u doubt_ms=%" PRId64 " silent_ms=%" PRId64
+		 " data_age_ms=%" PRId64 " replica_silent_ms=%" PRId64
+		 " started=%s missing=%s",
+		 call->id, missing ? "kept" : "moved", found->reason,
+		 call->replica, call->attempts, call->attempts_max,
+		 now_ms - call->doubt_since_ms, found->silent_ms,
+		 found->data_age_ms, found->replica_silent_ms,
+		 reply_has_started(call->reply) ? "yes" : "no",
+		 missing ? missing : "-");
+}
+
+void doubt_check(struct call *call, int64_t now_ms)
+{
+	struct finding found;
+	const char *missing;
+
+	/* What isn't read, or wasn't read yet, is no silence. */
+	if (call->once_only || call->paused || call->entry->pauses.just_ended)
+		return;
+	find_doubt(call, now_ms, &found);
+	if (!found.reason) {
+		call->doubt = NULL;
+		return;
+	}
+	if (!call->doubt)
+		call->doubt_since_ms = now_ms;
+	missing = missing_for_move(call, &found, now_ms);
+	if (!missing) {
+		log_decision(call, &found, NULL, now_ms);
+		attempt_move(call, found.reason);
+		return;
+	}
+	if (!call->doubt)
+		log_decision(call, &found, missing, now_ms);
+	call->doubt = found.reason;
+}
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -123,9 +124,14 @@
 static void on_tick(evutil_socket_t fd, short what, void *ctx)
 {
 	struct entry *entry = ctx;
+	int64_t paused_ms = pauses_tick(&entry->pauses, entry_now_ms(entry));
 
 	(void)fd;
 	(void)what;
+	if (paused_ms)
+		log_note(&entry_log,
+			 "this process paused ms=%" PRId64 " open=%u",
+			 paused_ms, g_hash_table_size(entry->calls));
 	view_expire(entry->view, entry_now_ms(entry));
 	if (view_version(entry->view) != entry->health_version)
 		services_update_health(entry);
@@ -233,6 +239,7 @@
 	entry->ends = ends_create(entry);
 	entry->parts = parts_create(entry);
 	entry->started_ms = entry_now_ms(entry);
+	pauses_init(&entry->pauses, TICK_MS, entry->started_ms);
 	g_queue_init(&entry->held_requests);
 	entry->random = g_rand_new_with_seed(opts->seed);
 	if (open_ports(entry, why))
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -18,6 +18,7 @@
 
 #include "common/http.h"
 #include "entry/entry.h"
+#include "entry/pauses.h"
 #include "entry/upstream.h"
 
 #define REQUEST_ID_MAX 64
@@ -79,6 +80,7 @@
 	struct routes *routes; /* of the deployment; NULL before there is one */
 	GQueue held_requests;  /* of struct held_request */
 	int64_t started_ms;
+	struct pauses pauses;	  /* of this process */
 	void *driver;		  /* of opts.driver; NULL for none */
 	struct evhttp *callers;	  /* native interface; NULL with a driver */
 	struct evhttp *endpoints; /* as `callers` */
@@ -170,8 +172,7 @@
 			       uint32_t count);
 
 /**
- * Marks replicas as suspect that have sent nothing for limits.stall_ms, and
- * fails their attempts.
+ * Marks replicas as suspect that have sent nothing for limits.stall_ms.
  */
 void services_check_stalls(struct entry *entry);
 
--- a/entry/services.c
+++ b/entry/services.c
@@ -255,31 +255,6 @@
 
 /* ---- health of replicas ---- */
 
-static void fail_attempts(struct entry *entry, uint32_t replica,
-			  const struct entry_service *service, const char *why)
-{
-	GPtrArray *failed = g_ptr_array_new();
-	GHashTableIter iter;
-	gpointer key;
-
-	g_hash_table_iter_init(&iter, entry->calls);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		struct call *call = key;
-
-		if (call->replica == replica && call->service == service)
-			g_ptr_array_add(failed, call);
-	}
-	for (guint i = 0; i < failed->len; i++)
-		attempt_replica_lost(failed->pdata[i], why);
-	g_ptr_array_unref(failed);
-}
-
-/* A replica whose VM is leaving finishes its requests. */
-static bool fails_attempts(enum replica_fault fault)
-{
-	return fault == REPLICA_VM_SILENT || fault == REPLICA_VM_OTHER_EPOCH;
-}
-
 /*
  * After a restart nothing is known of VMs until they announce themselves. Until
  * then, replicas that were healthy before are presumed to be so.
@@ -345,8 +320,6 @@
 		 a->replica, a->epoch, a->service, replica_fault_name(fault),
 		 faulty_vm ? faulty_vm : "-", heard_ms_ago(entry, faulty_vm),
 		 r->outstanding);
-	if (fails_attempts(fault))
-		fail_attempts(entry, a->replica, s, replica_fault_name(fault));
 }
 
 static uint32_t plain_number(struct entry_service *s, const char *vm)
@@ -363,14 +336,17 @@
 	return GPOINTER_TO_UINT(known);
 }
 
+/* As for replicas, what the VM said of itself takes precedence over silence. */
 static enum replica_fault plain_fault(const struct entry *entry,
 				      const struct view_vm *vm)
 {
-	if (!view_alive(entry->view, vm, entry_now_ms(entry)))
-		return REPLICA_VM_SILENT;
 	if (vm->report.leaving)
 		return REPLICA_VM_LEAVING;
-	return vm->report.ready ? REPLICA_HEALTHY : REPLICA_VM_NOT_READY;
+	if (!vm->report.ready)
+		return REPLICA_VM_NOT_READY;
+	return view_alive(entry->view, vm, entry_now_ms(entry))
+		       ? REPLICA_HEALTHY
+		       : REPLICA_VM_SILENT;
 }
 
 static void set_plain_health(struct entry_service *s, const struct view_vm *vm,
@@ -381,6 +357,11 @@
 	int64_t fresh_until_ms = fault ? 0 : vm->fresh_until_ms;
 	bool was_healthy = r->fresh_until_ms != 0;
 
+	if (fault == REPLICA_VM_SILENT &&
+	    active_until_ms(r) > entry_now_ms(entry)) {
+		fault = REPLICA_HEALTHY;
+		fresh_until_ms = active_until_ms(r);
+	}
 	router_set_health(s->router, r->id, fresh_until_ms,
 			  replica_fault_name(fault));
 	if (was_healthy != !fault)
@@ -390,8 +371,6 @@
 			 r->id, s->name, replica_fault_name(fault),
 			 vm->report.name, heard_ms_ago(entry, vm->report.name),
 			 r->outstanding);
-	if (fault == REPLICA_VM_SILENT)
-		fail_attempts(s->entry, r->id, s, replica_fault_name(fault));
 }
 
 /* Endpoints of plain services announce the service that they belong to. */
@@ -622,8 +601,9 @@
 	int64_t limit = check->service->entry->opts.settings->limits.stall_ms;
 	uint32_t id = r->id;
 
-	if (r->outstanding && check->now_ms - r->last_activity_ms >= limit &&
-	    check->now_ms >= r->suspect_until_ms)
+	if (r->outstanding && check->now_ms >= r->suspect_until_ms &&
+	    pauses_awake_ms(&check->service->entry->pauses, r->last_activity_ms,
+			    check->now_ms) >= limit)
 		g_array_append_val(check->stalled, id);
 }
 
@@ -645,7 +625,6 @@
 			 id, s->name,
 			 (int)s->entry->opts.settings->limits.stall_ms);
 		router_suspect(s->router, id, check.now_ms);
-		fail_attempts(s->entry, id, s, "stalled");
 	}
 	g_array_unref(check.stalled);
 }
@@ -659,6 +638,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (entry->pauses.just_ended)
+		return;
 	g_hash_table_iter_init(&iter, entry->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct entry_service *s = value;
--- a/include/radishdeal/repeats.h
+++ b/include/radishdeal/repeats.h
@@ -45,6 +45,9 @@
 /** Counts a request accepted from a client. */
 void retry_budget_add_request(struct retry_budget *budget, int64_t now_ms);
 
+/** Whether retry_budget_take() would spend a retry now. */
+bool retry_budget_available(const struct retry_budget *budget, int64_t now_ms);
+
 /** Spends one retry. Returns false if the budget is exhausted. */
 bool retry_budget_take(struct retry_budget *budget, int64_t now_ms);
 
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -31,6 +31,7 @@
 #include "test/crash_endpoints.h"
 #include "test/part_clients.h"
 #include "test/script.h"
+#include "test/stream_endpoints.h"
 
 #define ENDLESS_PREFIX "/events/"
 #define ENDLESS_EVENT_BYTES 200000
@@ -111,6 +112,9 @@
 	struct background_request background;
 	GThread *background_thread;
 	struct endless_endpoint *endless, *sound;
+	struct stream_endpoints *streams;
+	int streams_count;
+	volatile gint first_stream_unannounced;
 	volatile gint stop;
 	int requests;
 	int entries;
@@ -387,6 +391,20 @@
 	g_free(path);
 }
 
+static void announce_streams(struct platform_test *test, int sequence)
+{
+	for (int i = 0; i < test->streams_count; i++) {
+		char *name = g_strdup_printf("i-stream%d", i);
+
+		if (!g_atomic_int_get(&test->first_stream_unannounced) ||
+		    i != stream_endpoints_first(test->streams))
+			send_heartbeat(test, name,
+				       stream_endpoints_port(test->streams, i),
+				       sequence);
+		g_free(name);
+	}
+}
+
 static gpointer run_heartbeats(gpointer ctx)
 {
 	struct platform_test *test = ctx;
@@ -403,6 +421,7 @@
 				       endless_endpoint_port(test->sound),
 				       sequence);
 		}
+		announce_streams(test, sequence);
 		usleep(HEARTBEAT_US);
 	}
 	return NULL;
@@ -445,6 +464,55 @@
 	g_free(address);
 }
 
+/* start-streams COUNT events=N gap=MS: endpoints that answer with streams. */
+static void do_start_streams(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	char *address = g_strdup_printf("%s.9:0", test->network);
+	struct stream_endpoints_opts opts = {
+		.address = address,
+		.count = atoi(s->words[1]),
+		.events = (int)script_number(s, "events", 1),
+		.gap_ms = (int)script_number(s, "gap", 100),
+	};
+
+	test->streams = stream_endpoints_start(&opts);
+	test->streams_count = opts.count;
+	test->heartbeat_thread = g_thread_new("heartbeat", run_heartbeats,
+					      test);
+	g_free(address);
+}
+
+/* first-silent 0|1: whether the endpoint of the first stream sends nothing. */
+static void do_first_silent(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+
+	stream_endpoints_set_silent(test->streams, atoi(s->words[1]));
+}
+
+/* first-announced 0|1: whether that endpoint announces itself. */
+static void do_first_announced(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+
+	g_atomic_int_set(&test->first_stream_unannounced, !atoi(s->words[1]));
+}
+
+/* wait-events N: waits until the endpoints have sent N events. */
+static void do_wait_events(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	gint64 deadline = cluster_now_ms() + WAIT_MS;
+
+	while (stream_endpoints_sent(test->streams) < atoi(s->words[1]) &&
+	       cluster_now_ms() < deadline)
+		usleep(POLL_US);
+	if (stream_endpoints_sent(test->streams) < atoi(s->words[1]))
+		script_print(s, "%d events were sent",
+			     stream_endpoints_sent(test->streams));
+}
+
 /* ---- processes ---- */
 
 static char *format_settings(const struct platform_test *test, int node)
@@ -733,6 +801,20 @@
 	g_free(expected);
 }
 
+static bool has_line(const char *text, char *const *words)
+{
+	char **lines = g_strsplit(text, "\n", 0);
+	bool found = false;
+
+	for (int i = 0; lines[i] && !found; i++) {
+		found = true;
+		for (int j = 0; words[j] && found; j++)
+			found = strstr(lines[i], words[j]);
+	}
+	g_strfreev(lines);
+	return found;
+}
+
 /* ---- a request in the background ---- */
 
 /* Retries, unless `once`, until it gets a response, which is the result. */
@@ -803,6 +885,54 @@
 	g_free(test->background.path);
 }
 
+/* stream-end: waits for the request's answer and prints which events it has. */
+static void do_stream_end(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	struct fetch_response *answer = &test->background.answer;
+	char **events;
+	int n = 0;
+
+	g_thread_join(test->background_thread);
+	events = g_strsplit(answer->body ? answer->body : "", "\n\n", 0);
+	for (; events[n] && *events[n]; n++) {
+		char *expected = g_strdup_printf("id: %d\ndata: x", n + 1);
+
+		if (strcmp(events[n], expected) != 0)
+			script_print(s, "event %d is %s", n + 1, events[n]);
+		g_free(expected);
+	}
+	script_print(s, "%s: %s, %d events, %d requests to endpoints",
+		     test->background.path,
+		     answer->status == 200 ? "whole" : "not whole", n,
+		     stream_endpoints_requests(test->streams));
+	g_strfreev(events);
+	fetch_clear(answer);
+	g_free(test->background.address);
+	g_free(test->background.path);
+}
+
+/* wait-log NODE WORD...: waits for a line that has all the words. */
+static void do_wait_log(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	char *path = g_strdup_printf("%s/%s.log", test->folder, s->words[1]);
+	gint64 deadline = cluster_now_ms() + WAIT_MS;
+	bool found = false;
+
+	while (!found && cluster_now_ms() < deadline) {
+		char *text = NULL;
+
+		usleep(POLL_US);
+		if (g_file_get_contents(path, &text, NULL, NULL))
+			found = has_line(text, s->words + 2);
+		g_free(text);
+	}
+	if (!found)
+		script_print(s, "no such line at node %s", s->words[1]);
+	g_free(path);
+}
+
 /* request METHOD PATH key=KEY [status=CODE] [id=ID]: through the entry. */
 static void do_request(struct script *s)
 {
@@ -1351,6 +1481,12 @@
 	{ "start", 0, do_start },
 	{ "start-endpoint", 0, do_start_endpoint },
 	{ "start-endless", 0, do_start_endless },
+	{ "start-streams", 1, do_start_streams },
+	{ "first-silent", 1, do_first_silent },
+	{ "first-announced", 1, do_first_announced },
+	{ "wait-events", 1, do_wait_events },
+	{ "stream-end", 0, do_stream_end },
+	{ "wait-log", 2, do_wait_log },
 	{ "kill", 1, do_kill },
 	{ "restart", 1, do_restart },
 	{ "wipe", 1, do_wipe },
@@ -1418,6 +1554,7 @@
 	g_thread_join(test->heartbeat_thread);
 	endless_endpoint_destroy(test->endless);
 	endless_endpoint_destroy(test->sound);
+	stream_endpoints_stop(test->streams);
 	if (!test->endpoint_thread)
 		return;
 	event_base_loopbreak(test->base);
--- a/test/test_view.c
+++ b/test/test_view.c
@@ -123,8 +123,7 @@
 	(void)state;
 	merge_with_gap(view, STARTED_MS, 1, 40, &report);
 	view_expire(view, STARTED_MS + 1);
-	assert_true(
-		view_alive(view, view_find(view, "vm"), STARTED_MS + 1));
+	assert_true(view_alive(view, view_find(view, "vm"), STARTED_MS + 1));
 	/* Later ones with a gap may have missed its loss: no renewal. */
 	merge_with_gap(view, STARTED_MS + 500, 1, 42, NULL);
 	view_expire(view, STARTED_MS + SILENCE_MS);
@@ -145,8 +144,7 @@
 	merge_with_gap(view, STARTED_MS + 100, 2, 40, &report);
 	merge_loss(view, STARTED_MS + 200, 1, 2);
 	view_expire(view, STARTED_MS + 200);
-	assert_true(
-		view_alive(view, view_find(view, "vm"), STARTED_MS + 200));
+	assert_true(view_alive(view, view_find(view, "vm"), STARTED_MS + 200));
 	view_expire(view, STARTED_MS + 100 + SILENCE_MS);
 	assert_false(view_alive(view, view_find(view, "vm"),
 				STARTED_MS + 100 + SILENCE_MS));
