entry, common: a stop names the calls it ends, the log what it lost

The record of the incident can't tell what the end of a stop's drain cut off. Two calls end 7.0 s after a SIGTERM with outcome-unknown, and nothing says whether their endpoints were still at work, or their bytes had arrived and were not passed on. Nor can it tell whether the stop's own lines were dropped or left out.

Now each call that the end of the drain ends has a line: arrival relative to the stop's begin, age, attempts, whether its response had started, the time since the last byte from its endpoint, what has arrived unread, and whether the end of the response was there but not handled. The process's last line has the number of log lines dropped.

Lines could be lost without a trace when a write failed: write_out() gave up on all that it had taken. They are counted as dropped and reported with the next write that succeeds.

--- a/common/log_sink.c
+++ b/common/log_sink.c
@@ -19,6 +19,7 @@
 	GString *queue;
 	uint64_t dropped[LOG_KIND_COUNT];
 	uint64_t reported[LOG_KIND_COUNT]; /* of `dropped`, logged already */
+	gboolean failed;		   /* the last write */
 	gboolean closing;
 	GThread *writer;
 };
@@ -45,7 +46,8 @@
 	}
 }
 
-static void write_out(struct log_sink *sink, const GString *text)
+/* Returns the number of bytes written: fewer than all after an error. */
+static gsize write_out(struct log_sink *sink, const GString *text)
 {
 	gsize done = 0;
 
@@ -54,41 +56,76 @@
 		ssize_t n;
 
 		if (!wait_writable(sink))
-			return;
+			return done;
 		/* A writable pipe accepts PIPE_BUF bytes without blocking. */
 		n = write(sink->opts.fd, text->str + done, piece);
 		if (n < 0 && errno != EINTR && errno != EAGAIN)
-			return;
+			return done;
 		done += n > 0 ? (gsize)n : 0;
 	}
+	return done;
 }
 
+static gboolean has_unreported(const struct log_sink *sink)
+{
+	return memcmp(sink->reported, sink->dropped, sizeof(sink->reported)) !=
+	       0;
+}
+
+/* After an error, the next line is written before anything is reported. */
 static gboolean has_work(const struct log_sink *sink)
 {
-	return sink->queue->len || memcmp(sink->reported, sink->dropped,
-					  sizeof(sink->reported)) != 0;
+	return sink->queue->len || (!sink->failed && has_unreported(sink));
 }
 
+/* Lines to be written, and those dropped that the last of them reports. */
+struct log_batch {
+	GString *text;
+	gsize report_at; /* offset of the report; the text's size: none */
+	uint64_t dropped[LOG_KIND_COUNT];
+};
+
 /*
  * Returns all queued lines, followed by a line about those dropped since the
  * last report, and empties the queue. The caller holds the lock.
  */
-static GString *dequeue_all(struct log_sink *sink)
+static struct log_batch dequeue_all(struct log_sink *sink)
 {
-	GString *text = sink->queue;
+	struct log_batch batch = { .text = sink->queue,
+				   .report_at = sink->queue->len };
 	uint64_t counts[LOG_KIND_COUNT];
 	char *line;
 
 	sink->queue = g_string_new(NULL);
-	if (!memcmp(sink->reported, sink->dropped, sizeof(sink->reported)))
-		return text;
+	memcpy(batch.dropped, sink->dropped, sizeof(batch.dropped));
+	if (!has_unreported(sink))
+		return batch;
 	for (int i = 0; i < LOG_KIND_COUNT; i++)
 		counts[i] = sink->dropped[i] - sink->reported[i];
-	memcpy(sink->reported, sink->dropped, sizeof(sink->reported));
 	line = sink->opts.format_dropped_line(counts);
-	g_string_append(text, line);
+	g_string_append(batch.text, line);
 	g_free(line);
-	return text;
+	return batch;
+}
+
+static uint64_t count_lines(const struct log_batch *batch, gsize from)
+{
+	uint64_t count = 0;
+
+	for (gsize i = from; i < batch->report_at; i++)
+		count += batch->text->str[i] == '\n';
+	return count;
+}
+
+/* Counts lines that were not written as dropped. The caller holds the lock. */
+static void note_written(struct log_sink *sink, const struct log_batch *batch,
+			 gsize written)
+{
+	sink->failed = written < batch->text->len;
+	if (sink->failed)
+		sink->dropped[LOG_KIND_OTHER] += count_lines(batch, written);
+	else
+		memcpy(sink->reported, batch->dropped, sizeof(sink->reported));
 }
 
 static gpointer run_writer(gpointer ctx)
@@ -97,7 +134,8 @@
 	gboolean closing = FALSE;
 
 	while (!closing) {
-		GString *text;
+		struct log_batch batch;
+		gsize written;
 
 		g_mutex_lock(&sink->lock);
 		while (!has_work(sink) && !sink->closing)
@@ -107,10 +145,13 @@
 		if (!closing)
 			g_usleep(BATCH_DELAY_US);
 		g_mutex_lock(&sink->lock);
-		text = dequeue_all(sink);
+		batch = dequeue_all(sink);
+		g_mutex_unlock(&sink->lock);
+		written = write_out(sink, batch.text);
+		g_mutex_lock(&sink->lock);
+		note_written(sink, &batch, written);
 		g_mutex_unlock(&sink->lock);
-		write_out(sink, text);
-		g_string_free(text, TRUE);
+		g_string_free(batch.text, TRUE);
 	}
 	return NULL;
 }
--- a/common/log_sink.h
+++ b/common/log_sink.h
@@ -4,8 +4,8 @@
  * on a slow reader.
  *
  * Lines about traffic are dropped while the queue is more than half full,
- * others while it is full. The number of dropped lines is logged as soon as
- * there is room. Any thread may write.
+ * others while it is full, and those that could not be written. The number of
+ * dropped lines is logged as soon as there is room. Any thread may write.
  */
 #ifndef COMMON_LOG_SINK_H
 #define COMMON_LOG_SINK_H
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -487,8 +487,10 @@
 		event_base_dispatch(d->base);
 	}
 	log_note(&daemon_log,
-		 "process ends uptime_ms=%" PRId64 " exit_status=%d",
-		 clock_now_ms(&clock_system) - d->started_ms, d->exit_status);
+		 "process ends uptime_ms=%" PRId64 " exit_status=%d "
+		 "log_lines_dropped=%" PRIu64,
+		 clock_now_ms(&clock_system) - d->started_ms, d->exit_status,
+		 log_dropped_count());
 	g_free(why);
 	stop_tasks(d);
 	/* Without their handlers they would change the exit status. */
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -345,6 +345,7 @@
 		handle_stream_data(call, data);
 		return;
 	}
+	call->data_ms = entry_now_ms(call->entry);
 	note_activity(call);
 	if (evbuffer_get_length(call->response_body) +
 		    evbuffer_get_length(data) >
--- a/entry/shutdown.c
+++ b/entry/shutdown.c
@@ -114,6 +114,25 @@
 	early_release(entry);
 }
 
+static void log_ended(const struct call *call)
+{
+	const struct entry *entry = call->entry;
+	int64_t now_us = entry_now_us(entry);
+	int64_t arrived_ms = call->started_us / 1000 - entry->shutdown.began_ms;
+	bool sent = call->upstream != NULL;
+
+	log_note(&shutdown_log,
+		 "request %s: ended by the stop arrived_ms=%" PRId64
+		 " age_ms=%" PRId64 " attempts=%u started=%s quiet_ms=%" PRId64
+		 " unread_bytes=%zu end_pending=%s service=%s replica=%u",
+		 call->id, arrived_ms, (now_us - call->started_us) / 1000,
+		 call->attempts, reply_has_started(call->reply) ? "yes" : "no",
+		 sent ? now_us / 1000 - call->data_ms : 0,
+		 sent ? upstream_unread_bytes(call->upstream) : 0,
+		 sent && upstream_end_pending(call->upstream) ? "yes" : "no",
+		 call->service->name, call->replica);
+}
+
 /* Gives every call that is still open its final response. */
 static void end_calls(struct entry *entry)
 {
@@ -125,6 +144,7 @@
 		g_hash_table_iter_init(&iter, entry->calls);
 		if (!g_hash_table_iter_next(&iter, &key, NULL))
 			return;
+		log_ended(key);
 		call_end_for_shutdown(key);
 	}
 }
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -1,5 +1,6 @@
 #include <errno.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <event2/buffer.h>
@@ -441,6 +442,23 @@
 	return u->end.reused_connection;
 }
 
+size_t upstream_unread_bytes(const struct upstream *u)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(u->conn);
+	evutil_socket_t fd = bufferevent_getfd(bev);
+	int in_socket = 0;
+
+	if (fd >= 0 && ioctl(fd, FIONREAD, &in_socket) < 0)
+		in_socket = 0;
+	return (size_t)in_socket +
+	       evbuffer_get_length(bufferevent_get_input(bev));
+}
+
+bool upstream_end_pending(const struct upstream *u)
+{
+	return !u->req;
+}
+
 void upstream_pause(struct upstream *u, bool paused)
 {
 	struct bufferevent *bev = evhttp_connection_get_bufferevent(u->conn);
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -91,6 +91,12 @@
 /** Whether the request's connection has carried earlier ones. */
 bool upstream_is_reused(const struct upstream *upstream);
 
+/** Returns how much of the response has arrived, but was not delivered. */
+size_t upstream_unread_bytes(const struct upstream *upstream);
+
+/** Whether the response has ended, but the `end` callback is still due. */
+bool upstream_end_pending(const struct upstream *upstream);
+
 /** Pauses or resumes reading the response. */
 void upstream_pause(struct upstream *upstream, bool paused);
 
--- a/test/test_log.c
+++ b/test/test_log.c
@@ -3,6 +3,7 @@
  * for one request.
  */
 #include <setjmp.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
@@ -207,6 +208,45 @@
 	close(pipes[0]);
 }
 
+static void wait_dropped(struct log_sink *sink, uint64_t count)
+{
+	while (log_sink_dropped_count(sink, LOG_KIND_OTHER) != count)
+		g_usleep(1000);
+}
+
+/* A log whose writes fail for a while, such as one on a full disk. */
+static void test_lines_lost_to_failed_writes_are_reported(void **state)
+{
+	int broken[2], sound[2];
+	struct log_sink_opts opts = {
+		.max_queued_bytes = BUFFER_BYTES,
+		.format_dropped_line = format_dropped_line,
+	};
+	struct log_sink *sink;
+	GString *text;
+
+	(void)state;
+	signal(SIGPIPE, SIG_IGN);
+	assert_int_equal(pipe(broken), 0);
+	assert_int_equal(pipe(sound), 0);
+	close(broken[0]);
+	opts.fd = broken[1];
+	sink = log_sink_create(&opts);
+	log_sink_write(sink, LOG_KIND_OTHER, "lost\n", 5);
+	wait_dropped(sink, 1);
+	log_sink_write(sink, LOG_KIND_OTHER, "lost\nlost\n", 10);
+	wait_dropped(sink, 3);
+	assert_int_equal(dup2(sound[1], broken[1]), broken[1]);
+	log_sink_write(sink, LOG_KIND_OTHER, "kept\n", 5);
+	log_sink_destroy(sink);
+	close(broken[1]);
+	close(sound[1]);
+	text = read_all(&sound[0]);
+	assert_string_equal(text->str, "kept\ndropped 0 3\n");
+	g_string_free(text, TRUE);
+	close(sound[0]);
+}
+
 static char *program_path(const char *name)
 {
 	char *self = g_file_read_link("/proc/self/exe", NULL);
@@ -263,6 +303,7 @@
 		cmocka_unit_test(test_announcement_names_staged_models),
 		cmocka_unit_test(test_silent_voter_is_logged_once),
 		cmocka_unit_test(test_slow_reader),
+		cmocka_unit_test(test_lines_lost_to_failed_writes_are_reported),
 		cmocka_unit_test(test_explain),
 	};
 
