entry: what endpoints have sent passes on before a drain ends

Callers got 502, or a stream that was cut off, for a response that their replica had completed: bytes that had arrived at the entry, or the end of a response that was read but not yet handled, were dropped when drain_ms had passed.

Cause: the end of the drain is a timer. In the event loop's iteration in which it fires, sockets are read first, but at most 16 KiB of each, and the end of a response is handled in the next iteration. An entry that is behind, after a suspension or on a loaded machine, has such calls.

Now a call with unread bytes or a pending end is passed over, for 200 ms at most (part of the 500 ms for the last responses); others are ended at once, as before.

--- a/entry/call.c
+++ b/entry/call.c
@@ -319,6 +319,19 @@
 	end_early(call, RD_OUTCOME_UNKNOWN, RD_DRAINING);
 }
 
+GPtrArray *call_list(const struct entry *entry)
+{
+	GPtrArray *calls =
+		g_ptr_array_sized_new(g_hash_table_size(entry->calls));
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, entry->calls);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		g_ptr_array_add(calls, key);
+	return calls;
+}
+
 void call_tick(struct call *call, int64_t now_ms)
 {
 	bool sent = call->state == CALL_DISPATCHED && call->upstream;
--- a/entry/call.h
+++ b/entry/call.h
@@ -213,6 +213,9 @@
  */
 void call_complete_stream(struct call *call);
 
+/** Returns the entry's calls, for g_ptr_array_unref(). */
+GPtrArray *call_list(const struct entry *entry);
+
 /** Checks a call's deadlines and retries one that awaits a replica. */
 void call_tick(struct call *call, int64_t now_ms);
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -4,6 +4,7 @@
 #include "common/address.h"
 #include "common/log.h"
 #include "common/pack.h"
+#include "entry/call.h"
 #include "entry/parts.h"
 #include "entry/shutdown.h"
 #include "entry/take.h"
@@ -103,17 +104,9 @@
 static void tick_calls(struct entry *entry)
 {
 	int64_t now = entry_now_ms(entry);
-	GPtrArray *calls =
-		g_ptr_array_sized_new(g_hash_table_size(entry->calls));
-	GHashTableIter iter;
-	gpointer key;
+	/* Checking a call may end it and start others. */
+	GPtrArray *calls = call_list(entry);
 
-	/*
-	 * Checking a call may end it and start others, so iterate over a copy.
-	 */
-	g_hash_table_iter_init(&iter, entry->calls);
-	while (g_hash_table_iter_next(&iter, &key, NULL))
-		g_ptr_array_add(calls, key);
 	for (guint i = 0; i < calls->len; i++)
 		if (g_hash_table_contains(entry->calls, calls->pdata[i]))
 			call_tick(calls->pdata[i], now);
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -55,6 +55,7 @@
 	int64_t reject_from_ms; /* end of limits.linger_ms */
 	int64_t deadline_ms;	/* end of limits.drain_ms */
 	bool lingered;		/* reject_from_ms has been handled */
+	bool drained;		/* deadline_ms has passed with open calls */
 };
 
 struct entry {
--- a/entry/shutdown.c
+++ b/entry/shutdown.c
@@ -9,6 +9,9 @@
 /* After limits.drain_ms, time for the last responses to reach their sockets. */
 #define FLUSH_MS 500
 
+/* Part of that for what endpoints have sent before the end of the drain. */
+#define PASS_ON_MS 200
+
 /* After limits.linger_ms, time for requests that are being received. */
 #define RECEIVE_MS 2000
 
@@ -133,20 +136,46 @@
 		 call->service->name, call->replica);
 }
 
-/* Gives every call that is still open its final response. */
-static void end_calls(struct entry *entry)
+/* Whether a part of the response has arrived that is still needed. */
+static bool has_arrived(const struct call *call)
 {
-	GHashTableIter iter;
-	gpointer key;
+	return call->upstream &&
+	       (reply_is_open(call->reply) || call->booking_key) &&
+	       (upstream_end_pending(call->upstream) ||
+		upstream_unread_bytes(call->upstream));
+}
 
-	log_phase(entry, "stop: drain_ms have passed; ending open requests");
-	for (;;) {
-		g_hash_table_iter_init(&iter, entry->calls);
-		if (!g_hash_table_iter_next(&iter, &key, NULL))
-			return;
-		log_ended(key);
-		call_end_for_shutdown(key);
+/*
+ * Gives the calls that are still open their final response, but those of which
+ * more can be passed on only from `pass_on_until_ms` on.
+ */
+static void end_calls(struct entry *entry, int64_t pass_on_until_ms)
+{
+	GPtrArray *calls = call_list(entry);
+
+	for (guint i = 0; i < calls->len; i++) {
+		struct call *call = calls->pdata[i];
+
+		if (has_arrived(call) && entry_now_ms(entry) < pass_on_until_ms)
+			continue;
+		log_ended(call);
+		call_end_for_shutdown(call);
 	}
+	g_ptr_array_unref(calls);
+}
+
+static void end_drain(struct entry *entry)
+{
+	struct shutdown *shutdown = &entry->shutdown;
+
+	if (!shutdown->drained) {
+		log_phase(entry, "stop: drain_ms have passed; ending open "
+				 "requests");
+		shutdown->drained = true;
+		/* Later than due if the VM was suspended. */
+		shutdown->deadline_ms = entry_now_ms(entry);
+	}
+	end_calls(entry, shutdown->deadline_ms + PASS_ON_MS);
 }
 
 static bool waits_for_senders(const struct entry *entry)
@@ -173,9 +202,9 @@
 	if (g_hash_table_size(entry->calls)) {
 		if (now < entry->shutdown.deadline_ms)
 			return;
-		/* Later than due if the VM was suspended. */
-		entry->shutdown.deadline_ms = now;
-		end_calls(entry);
+		end_drain(entry);
+		if (g_hash_table_size(entry->calls))
+			return;
 	}
 	if (waits_for_senders(entry))
 		return;
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -37,6 +37,9 @@
 /* A stream that breaks off after an event, and then fails to be resumed. */
 #define UNRESUMABLE_PREFIX "/events/unresumable"
 #define SLOW_PREFIX "/slow/"
+/* More than an entry reads at once. */
+#define SLOW_LARGE_PREFIX "/slow/large"
+#define SLOW_LARGE_BYTES 300000
 /* Answered with the script's `answer` lines, in their order. */
 #define SCRIPTED_SUFFIX "/scripted"
 #define ANSWER_HEAD                                                    \
@@ -49,6 +52,7 @@
 #define HEARTBEAT_US 200000
 #define POLL_US 50000
 #define REQUEST_TIMEOUT_MS 2000
+#define SHOWN_MAX_BYTES 100
 #define BODY_BYTES 4194304 /* limits.body_bytes */
 #define HEAD_BYTES 262144
 /* Sent and not read: Linux enlarges a receive buffer only as it is read. */
@@ -267,6 +271,17 @@
 		http_send_text(req, 200, "text/plain", "whole");
 }
 
+static void answer_slow(struct evhttp_request *req)
+{
+	bool large = g_str_has_prefix(evhttp_request_get_uri(req),
+				      SLOW_LARGE_PREFIX);
+	char *text = large ? g_strnfill(SLOW_LARGE_BYTES, 'x')
+			   : g_strdup("whole");
+
+	http_send_text(req, 200, "text/plain", text);
+	g_free(text);
+}
+
 static void on_answer_slow(evutil_socket_t fd, short what, void *ctx)
 {
 	struct platform_test *test = ctx;
@@ -274,8 +289,7 @@
 	(void)fd;
 	(void)what;
 	for (guint i = 0; i < test->unanswered->len; i++)
-		http_send_text(test->unanswered->pdata[i], 200, "text/plain",
-			       "whole");
+		answer_slow(test->unanswered->pdata[i]);
 	g_ptr_array_set_size(test->unanswered, 0);
 }
 
@@ -794,6 +808,9 @@
 	else if (answer->status != 200)
 		script_print(s, "%s: %d", test->background.path,
 			     answer->status);
+	else if (answer->size > SHOWN_MAX_BYTES)
+		script_print(s, "%s: 200 %zu bytes", test->background.path,
+			     (size_t)answer->size);
 	else
 		script_print(s, "%s: 200 %s", test->background.path,
 			     answer->body);
@@ -1041,6 +1058,12 @@
 	g_string_free(e.got, TRUE);
 }
 
+/* pause MS: for limits of a node that no event shows. */
+static void do_pause(struct script *s)
+{
+	usleep((useconds_t)atoi(s->words[1]) * 1000);
+}
+
 /* resolve NODE [status=CODE]: prints how many addresses a directory returns. */
 static void do_resolve(struct script *s)
 {
@@ -1368,6 +1391,7 @@
 	{ "memory-below", 2, do_memory_below },
 	{ "raw-request", 1, do_raw_request },
 	{ "raw-exchange", 1, do_raw_exchange },
+	{ "pause", 1, do_pause },
 	{ "answer", 1, do_answer },
 	{ "request-begin", 1, do_request_begin },
 	{ "request-end", 0, do_request_end },
