--- a/entry/call.h
+++ b/entry/call.h
@@ -150,7 +150,7 @@
 	char *response_type;
 	struct evbuffer *response_body; /* buffered, or a partial event */
 	uint32_t oversized_at; /* replica whose response was too large; or 0 */
-	int64_t data_ms; /* last data of the stream; before, the dispatch */
+	int64_t data_ms; /* last data of the body; before, the dispatch */
 	int64_t eventless_ms; /* time in which data completed no event */
 	bool is_framed;	      /* the response has a length or is chunked */
 	bool paused;	      /* reading from the endpoint is paused */
@@ -224,6 +224,9 @@
  */
 void call_complete_stream(struct call *call);
 
+/** Returns the entry's calls, for g_ptr_array_unref(). */
+GPtrArray *call_list(const struct entry *entry);
+
 /** Checks a call's deadlines and retries one that awaits a replica. */
 void call_tick(struct call *call, int64_t now_ms);
 
