--- a/soak/check.c
+++ b/soak/check.c
@@ -90,7 +90,7 @@
 {
 	if (r->complete)
 		return false;
-	return run->begun ||
+	return run->begun || run->received ||
 	       (r->sent_us && r->ended_us - r->sent_us > CROSSING_US);
 }
 
@@ -112,7 +112,7 @@
 static bool is_refused_for_good(const struct request *r)
 {
 	return r->complete && r->status >= 400 && r->status < 500 &&
-	       r->status != 408 && r->status != 429;
+	       r->status != 408 && r->status != 421 && r->status != 429;
 }
 
 static void count_refusal(struct soak_result *result, const char *type)
@@ -142,7 +142,10 @@
 		report_request(result, soak, r, "RAN-TWICE");
 	if (r->gave_up)
 		report_request(result, soak, r, "UNANSWERED");
-	if (r->gave_up || !counts_as_lost(r, run))
+	if (r->fault)
+		report_request(result, soak, r, r->fault);
+	result->abandoned += r->abandoned;
+	if (r->gave_up || r->abandoned || !counts_as_lost(r, run))
 		return;
 	if (run->broken || r->ended_us >= r->deadline_us ||
 	    engine_too_slow(r, run))
--- a/soak/endpoints.c
+++ b/soak/endpoints.c
@@ -25,10 +25,18 @@
 	if (!id || !event)
 		return;
 	run = find_or_add(runs, id);
+	if (!strcmp(event, "received")) {
+		run->received++;
+		run->broken = 0;
+		return;
+	}
 	if (!strcmp(event, "begun")) {
 		run->begun++;
 		return;
 	}
+	if (strcmp(event, "served") != 0 && strcmp(event, "broken") != 0 &&
+	    strcmp(event, "cancelled") != 0 && strcmp(event, "rejected") != 0)
+		return;
 	run->served += !strcmp(event, "served");
 	run->broken += !strcmp(event, "broken");
 	run->cancelled += !strcmp(event, "cancelled");
--- a/soak/processes.c
+++ b/soak/processes.c
@@ -91,7 +91,7 @@
 
 void processes_poll(struct soak *soak)
 {
-	for (int node = 1; node <= SOAK_NODES; node++)
+	for (int node = 1; node <= soak->opts.rig->nodes; node++)
 		if (soak->current[node])
 			poll_process(soak, soak->current[node]);
 }
@@ -100,7 +100,7 @@
 {
 	int n = 0;
 
-	for (int node = 1; node <= SOAK_NODES; node++)
+	for (int node = 1; node <= soak->opts.rig->nodes; node++)
 		n += soak->current[node] != NULL;
 	return n;
 }
--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -2,21 +2,21 @@
 #include <signal.h>
 #include <stdio.h>
 
-#include <jansson.h>
-
 #include "soak/soak.h"
 
 #define NEVER_MS (-1)
 #define FIRST_SERIES_MS 1000
 #define DEFAULT_RESTART_MS 500
-#define PRESET_INTERVAL_MS 5000
-#define OPERATOR_TIMEOUT_MS 2000
+#define CHANGE_INTERVAL_MS 5000
+/* From one stop of a control VM to the next. */
+#define CONTROL_STOP_MIN_MS 2500
+#define CONTROL_STOP_MAX_MS 9000
 
 enum action_kind {
 	ACTION_SIGNAL,
 	ACTION_EDIT_SETTINGS,
 	ACTION_RESTART,
-	ACTION_PRESET,
+	ACTION_CHANGE,
 };
 
 struct action {
@@ -33,10 +33,11 @@
 	struct soak *soak;
 	GRand *random;
 	GPtrArray *actions; /* of struct action, pending, in no order */
-	struct action plan[SOAK_NODES + 1]; /* what follows a node's exit */
-	bool restart_pending[SOAK_NODES + 1];
-	GThread *operator; /* changes a preset; NULL while idle */
-	int presets;
+	struct action
+		plan[CLUSTER_NODES_MAX + 1]; /* what follows a node's exit */
+	bool restart_pending[CLUSTER_NODES_MAX + 1];
+	GThread *operator; /* makes a change; NULL while idle */
+	int changes;
 };
 
 static bool chance(struct schedule *s, int percent)
@@ -117,34 +118,58 @@
 	draw_repeats(s, node, at_us);
 }
 
+static int draw_entry(struct schedule *s)
+{
+	return s->soak->opts.rig->first_entry - 1 + draw(s, 1, SOAK_ENTRIES);
+}
+
+static int next_entry(const struct schedule *s, int node)
+{
+	int first = s->soak->opts.rig->first_entry;
+
+	return first + (node - first + 1) % SOAK_ENTRIES;
+}
+
 /* Returns the time of the last of the stops. */
 static int draw_series(struct schedule *s, int at_ms)
 {
-	int node = draw(s, 1, SOAK_NODES);
+	int node = draw_entry(s);
 	int type = draw(s, 0, 99);
-	int stops = type < 35 ? 1 : draw(s, 2, type < 60 ? 3 : SOAK_NODES);
+	int stops = type < 35 ? 1 : draw(s, 2, type < 60 ? 3 : SOAK_ENTRIES);
 	bool at_once = type < 60;
 
 	for (int i = 0; i < stops; i++) {
 		if (i && !at_once)
 			at_ms += draw(s, 0, 3000);
 		draw_stop(s, node, s->soak->began_us + at_ms * 1000);
-		node = node % SOAK_NODES + 1;
+		node = next_entry(s, node);
 	}
 	return at_ms;
 }
 
-static void draw_presets(struct schedule *s)
+static void draw_changes(struct schedule *s)
 {
 	int duration_ms = s->soak->opts.duration_ms;
 
-	for (int ms = PRESET_INTERVAL_MS; ms < duration_ms;
-	     ms += PRESET_INTERVAL_MS)
+	for (int ms = CHANGE_INTERVAL_MS; ms < duration_ms;
+	     ms += CHANGE_INTERVAL_MS)
 		if (chance(s, 50))
-			add(s, ACTION_PRESET, draw(s, 1, SOAK_NODES),
+			add(s, ACTION_CHANGE, draw_entry(s),
 			    s->soak->began_us + (ms - draw(s, 0, 3000)) * 1000);
 }
 
+/* Stops of the VMs that are control only, one after the other. */
+static void draw_control_stops(struct schedule *s)
+{
+	int vms = s->soak->opts.rig->first_entry - 1;
+	int at_ms = draw(s, 0, CONTROL_STOP_MAX_MS);
+
+	while (at_ms < s->soak->opts.duration_ms) {
+		draw_stop(s, draw(s, 1, vms), s->soak->began_us + at_ms * 1000);
+		at_ms += draw(s, CONTROL_STOP_MIN_MS, CONTROL_STOP_MAX_MS);
+	}
+}
+
 struct schedule *schedule_create(struct soak *soak)
 {
 	struct schedule *s = g_new0(struct schedule, 1);
@@ -153,14 +178,18 @@
 	s->soak = soak;
 	s->random = g_rand_new_with_seed(soak->opts.seed);
 	s->actions = g_ptr_array_new_with_free_func(g_free);
-	for (int node = 1; node <= SOAK_NODES; node++)
+	for (int node = 1; node <= soak->opts.rig->nodes; node++)
 		s->plan[node] = (struct action){
 			.restart_ms = DEFAULT_RESTART_MS,
 			.again_ms = NEVER_MS,
 		};
-	draw_presets(s);
+	if (soak->opts.rig == &platform_rig && !soak->opts.platform.stops)
+		return s;
+	draw_changes(s);
 	while (at_ms < soak->opts.duration_ms)
 		at_ms = draw_series(s, at_ms) + draw(s, 1000, 5000);
+	if (soak->opts.platform.control_stops && chance(s, 50))
+		draw_control_stops(s);
 	return s;
 }
 
@@ -208,45 +237,19 @@
 	g_free(text);
 }
 
-/** A change of a preset by an operator, on a thread of its own. */
-struct preset_change {
-	struct cluster *cluster;
+/** A change by an operator, on a thread of its own. */
+struct change {
+	struct soak *soak;
 	int node;
 	int number;
 };
 
-static int64_t read_revision(struct preset_change *change)
+static void *make_change(void *arg)
 {
-	struct fetch_response answer;
-	json_t *body = NULL;
-	int64_t revision;
-
-	if (cluster_operator_request(change->cluster, change->node, "GET",
-				     "/v1/services/assistant", NULL, &answer) &&
-	    answer.status == 200)
-		body = json_loads(answer.body, 0, NULL);
-	fetch_clear(&answer);
-	revision = json_integer_value(json_object_get(body, "revision"));
-	json_decref(body);
-	return revision;
-}
+	struct change *change = arg;
 
-/* A refused change is not repeated. */
-static void *change_preset(void *arg)
-{
-	struct preset_change *change = arg;
-	struct fetch_response answer;
-	char *path = g_strdup_printf("/v1/services/assistant/"
-				     "preset?change_id=soak-%d&base=%d"
-				     "&wait_ms=%d&preset=%s",
-				     change->number, (int)read_revision(change),
-				     OPERATOR_TIMEOUT_MS,
-				     change->number % 2 ? "peak" : "ordinary");
-
-	cluster_operator_request(change->cluster, change->node, "POST", path,
-				 "", &answer);
-	fetch_clear(&answer);
-	g_free(path);
+	change->soak->opts.rig->change(change->soak, change->node,
+				       change->number);
 	g_free(change);
 	return NULL;
 }
@@ -258,15 +261,15 @@
 	s->operator= NULL;
 }
 
-static void start_preset_change(struct schedule *s, int node)
+static void start_change(struct schedule *s, int node)
 {
-	struct preset_change *change = g_new0(struct preset_change, 1);
+	struct change *change = g_new0(struct change, 1);
 
 	join_operator(s);
-	change->cluster = s->soak->cluster;
+	change->soak = s->soak;
 	change->node = node;
-	change->number = ++s->presets;
-	s->operator= g_thread_new("operator", change_preset, change);
+	change->number = ++s->changes;
+	s->operator= g_thread_new("operator", make_change, change);
 }
 
 static void run_action(struct schedule *s, const struct action *a)
@@ -281,15 +284,15 @@
 	case ACTION_RESTART:
 		restart(s, a->node);
 		break;
-	case ACTION_PRESET:
-		start_preset_change(s, a->node);
+	case ACTION_CHANGE:
+		start_change(s, a->node);
 		break;
 	}
 }
 
 static void plan_restarts(struct schedule *s)
 {
-	for (int node = 1; node <= SOAK_NODES; node++) {
+	for (int node = 1; node <= s->soak->opts.rig->nodes; node++) {
 		if (s->soak->current[node] || s->restart_pending[node])
 			continue;
 		add(s, ACTION_RESTART, node,
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -7,7 +7,6 @@
 #include "soak/soak.h"
 
 #define TICK_US 2000
-#define MODEL_REPLICAS 4
 
 enum phase {
 	PHASE_SERIES,  /* callers send, daemons are stopped and restarted */
@@ -37,101 +36,31 @@
 	struct request *r = request;
 
 	g_free(r->refusal);
+	g_free(r->fault);
 	g_free(r->end);
 	g_free(r);
 }
 
 /* ---- set-up ---- */
 
-static char *service_text(const struct cluster *c, const char *name, bool plain)
-{
-	char *hash = cluster_key_hash(c->account_key);
-	char *text = g_strdup_printf(
-		"name = \"%s\"\nkind = \"%s\"\nmodel = \"%s\"\n"
-		"vms_per_replica = 1\naccelerators_per_vm = %d\n"
-		"slots_per_replica = 16\ndeadline_ms = 20000\n"
-		"once_only = [%s]\nbooking_max = 10000\n"
-		"[[presets]]\nname = \"ordinary\"\nreplicas = %d\n"
-		"version = \"1\"\n"
-		"[[presets]]\nname = \"peak\"\nreplicas = %d\n"
-		"version = \"1\"\n"
-		"[[accounts]]\nname = \"studio\"\nkey_sha256 = \"%s\"\n",
-		name, plain ? "plain" : "model", plain ? "" : "tuner",
-		plain ? 0 : 8, plain ? "\"POST /bookings\"" : "",
-		plain ? 1 : MODEL_REPLICAS, plain ? 1 : MODEL_REPLICAS + 1,
-		hash);
-
-	g_free(hash);
-	return text;
-}
-
-static void apply_service(struct cluster *c, const char *name, bool plain)
-{
-	char *text = service_text(c, name, plain);
-
-	cluster_apply_service(c, text);
-	g_free(text);
-}
-
-static void start_endpoints(struct cluster *c)
-{
-	char *engine_log = cluster_path(c, "engine.jsonl");
-	char *plain_log = cluster_path(c, "plain.jsonl");
-	char *runs = cluster_path(c, "plain.runs");
-	const char *const engine[] = { "--domains", "a/a1:3,b/b1:3",
-				       "--step-us", "25000",
-				       "--log",	    engine_log,
-				       NULL };
-	const char *const plain[] = { "--count",    "3",     "--runs",
-				      runs,	    "--log", plain_log,
-				      "--delay-ms", "60",    NULL };
-
-	cluster_start_fake(c, "fake_engine", "engine", engine);
-	cluster_start_fake(c, "fake_service", "plain", plain);
-	g_free(engine_log);
-	g_free(plain_log);
-	g_free(runs);
-}
-
-static struct cluster *create_cluster(void)
-{
-	struct cluster *c = cluster_create(false);
-
-	g_free(c->limits);
-	c->limits = g_strdup_printf("grace_s = %d\nlinger_ms = %d\n"
-				    "drain_ms = %d\n"
-				    "vm_silence_ms = 3200\n"
-				    "home_silence_ms = 6500\n"
-				    "config_lease_ms = 1500\n"
-				    "queue_ms = 1400\nstall_ms = 1000\n"
-				    "presume_ms = 2800\nbody_bytes = "
-				    "16777216\n",
-				    SOAK_GRACE_MS / 1000, SOAK_LINGER_MS,
-				    SOAK_DRAIN_MS);
-	cluster_start(c, SOAK_NODES);
-	start_endpoints(c);
-	apply_service(c, "assistant", false);
-	apply_service(c, "queue", true);
-	cluster_wait_healthy(c, MODEL_REPLICAS);
-	return c;
-}
-
 static void init_soak(struct soak *soak, const struct soak_opts *opts)
 {
 	*soak = (struct soak){ .opts = *opts };
-	soak->cluster = create_cluster();
+	soak->cluster = opts->rig->set_up(soak);
 	g_mutex_init(&soak->lock);
 	soak->processes = g_ptr_array_new_with_free_func(soak_process_free);
 	soak->requests = g_ptr_array_new_with_free_func(soak_request_free);
 	soak->endpoint_runs = g_hash_table_new_full(g_str_hash, g_str_equal,
 						    g_free, g_free);
 	soak->began_us = soak_now_us();
-	for (int node = 1; node <= SOAK_NODES; node++)
+	for (int node = 1; node <= soak->opts.rig->nodes; node++)
 		processes_add(soak, node);
 }
 
 static void clear_soak(struct soak *soak)
 {
+	if (soak->opts.rig->clear)
+		soak->opts.rig->clear(soak);
 	cluster_destroy(soak->cluster);
 	g_mutex_clear(&soak->lock);
 	g_ptr_array_unref(soak->processes);
@@ -148,7 +77,7 @@
 
 static void stop_all(struct soak *soak)
 {
-	for (int node = 1; node <= SOAK_NODES; node++)
+	for (int node = 1; node <= soak->opts.rig->nodes; node++)
 		if (soak->current[node] &&
 		    !process_stop_us(soak->current[node]))
 			processes_signal(soak, node, SIGTERM);
@@ -163,6 +92,8 @@
 	switch (run->phase) {
 	case PHASE_SERIES:
 		schedule_run_due(run->schedule);
+		if (soak->opts.rig->make_faults)
+			soak->opts.rig->make_faults(soak);
 		if (elapsed_ms(soak) < soak->opts.duration_ms)
 			break;
 		callers_finish(run->callers);
@@ -194,10 +125,8 @@
 
 static void read_logs(struct soak *soak)
 {
-	static const char *const names[] = { "engine.jsonl", "plain.jsonl" };
-
-	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-		char *path = cluster_path(soak->cluster, names[i]);
+	for (const char *const *name = soak->opts.rig->logs; *name; name++) {
+		char *path = cluster_path(soak->cluster, *name);
 
 		endpoints_read_log(soak->endpoint_runs, path);
 		g_free(path);
@@ -218,11 +147,12 @@
 static void print_result(const struct soak *soak,
 			 const struct soak_result *result)
 {
-	printf("seed %u: %d requests, %d complete, %d refused, %d excused; "
+	printf("seed %u: %d requests, %d complete, %d refused, %d excused, "
+	       "%d abandoned; "
 	       "%d stops, %d repeated signals, %d early ends; %u findings\n",
 	       soak->opts.seed, result->requests, result->complete,
-	       result->refused, result->excused, result->stops,
-	       result->repeated_signals, result->early_ends,
+	       result->refused, result->excused, result->abandoned,
+	       result->stops, result->repeated_signals, result->early_ends,
 	       result->findings->len);
 	printf("seed %u: refusals:", soak->opts.seed);
 	print_refusals(result);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -19,16 +19,56 @@
 
 #include "test/cluster.h"
 
-#define SOAK_NODES 4
+#define SOAK_ENTRIES 4
 #define SOAK_SIGNALS_MAX 64
 #define SOAK_GRACE_MS 8000
 #define SOAK_LINGER_MS 2900
 #define SOAK_DRAIN_MS 7000
 
+struct soak;
+struct caller;
+
+/** What differs between the interfaces on which a soak can run. */
+struct soak_rig {
+	int first_entry; /* number of the first entry's node */
+	int nodes;	 /* number of daemons, which are numbered from 1 */
+	const char *const *logs; /* names of the endpoints' logs; NULL at end */
+	/** Creates a cluster whose daemons and endpoints run. */
+	struct cluster *(*set_up)(struct soak *soak);
+	void (*clear)(struct soak *soak); /* frees the rig's state; or NULL */
+	/** Makes the n-th change as an operator, on a thread of its own. */
+	void (*change)(struct soak *soak, int node, int n);
+	/** Draws and makes faults of endpoints; or NULL. */
+	void (*make_faults)(struct soak *soak);
+	/** Before each request of a caller; or NULL. */
+	void (*refresh_caller)(struct caller *caller);
+	/** Chooses another entry; sets the caller's node. */
+	void (*choose_entry)(struct caller *caller);
+	/** Sends a request; returns how long to wait before the next, in ms. */
+	int (*make_call)(struct caller *caller);
+	void (*free_caller)(struct caller *caller); /* or NULL */
+};
+
+extern const struct soak_rig native_rig;
+extern const struct soak_rig platform_rig;
+
+/** Load and faults of a soak on the platform's interface. */
+struct soak_platform_opts {
+	const char *daemon; /* path of another build's daemon, or NULL */
+	int busy;	    /* processes that spin */
+	int vms;	    /* of the model's pool */
+	int plain_vms;
+	bool faults;	    /* of endpoints: pauses, late heartbeats, ... */
+	bool control_stops; /* of control VMs, in some seeds */
+	bool stops;
+};
+
 struct soak_opts {
+	const struct soak_rig *rig;
 	uint32_t seed;
 	int duration_ms;
 	int callers;
+	struct soak_platform_opts platform;
 };
 
 /* ---- records ---- */
@@ -71,18 +111,22 @@
 	int64_t ended_us; /* response complete, or connection ended */
 	int64_t deadline_us;
 	bool complete;
-	bool gave_up; /* the connection was open, long after the deadline */
-	bool not_run; /* a response that says so */
+	bool gave_up;	/* the connection was open, long after the deadline */
+	bool abandoned; /* by the caller, after too long a pause */
+	bool not_run;	/* a response that says so */
 	int status;
 	size_t received; /* bytes of the response */
 	char *refusal;	 /* type of a problem response, or NULL */
+	char *fault;	 /* a response that must not be; NULL for none */
 	char *end;	 /* how it ended, for reports */
 };
 
 /** What the endpoints' logs say of one request. */
 struct endpoint_run {
-	int begun, served, broken, cancelled; /* number of such events */
-	int64_t ended_us;		      /* latest event but `begun` */
+	int received;		      /* by an endpoint; only logged by some */
+	int begun, served, cancelled; /* number of such events */
+	int broken;	  /* likewise, since the request was received last */
+	int64_t ended_us; /* latest event but `received` and `begun` */
 };
 
 struct soak {
@@ -93,11 +137,13 @@
 	GPtrArray *requests;	   /* of struct request */
 	GHashTable *endpoint_runs; /* request id -> struct endpoint_run */
 	GMutex lock;		   /* of `current` */
-	struct process *current[SOAK_NODES + 1]; /* by node; NULL when down */
+	/* by node; NULL when down */
+	struct process *current[CLUSTER_NODES_MAX + 1];
+	void *rig_state; /* of the rig */
 };
 
 struct soak_result {
-	int requests, complete, refused, excused;
+	int requests, complete, refused, excused, abandoned;
 	int stops, repeated_signals;
 	int early_ends; /* by a signal, before the process had a handler */
 	GHashTable *refusals; /* type -> number of requests */
--- a/soak/soak_stops.c
+++ b/soak/soak_stops.c
@@ -21,6 +21,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	for (uint32_t seed = first; seed < first + seeds; seed++) {
 		struct soak_opts opts = {
+			.rig = &native_rig,
 			.seed = seed,
 			.duration_ms = seconds * MS_PER_S,
 			.callers = CALLERS,
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -28,7 +28,8 @@
 
 struct cluster {
 	char *folder;
-	char *bin; /* folder of the programs */
+	char *bin;    /* folder of the programs */
+	char *daemon; /* path of another build's daemon, or NULL */
 	char host[32];
 	int node_count;
 	struct cluster_node nodes[CLUSTER_NODES_MAX];
@@ -82,6 +83,10 @@
 pid_t cluster_start_fake(struct cluster *cluster, const char *program,
 			 const char *name, const char *const *arguments);
 
+/** Like cluster_start_fake(), with these arguments and --control only. */
+pid_t cluster_start_plain_fake(struct cluster *cluster, const char *program,
+			       const char *name, const char *const *arguments);
+
 /** POSTs to a fake's control port; false if it refuses. */
 bool cluster_change_fake(struct cluster *cluster, const char *name,
 			 const char *path);
--- a/test/response.h
+++ b/test/response.h
@@ -13,6 +13,7 @@
 struct response {
 	GString *raw;  /* received and not parsed yet */
 	GString *body; /* as far as received */
+	char *head;    /* in lower-case letters; NULL until it is complete */
 	int status;
 	bool head_done;
 	bool chunked;
@@ -26,6 +27,9 @@
 void response_init(struct response *response);
 void response_clear(struct response *response);
 
+/** Copies a header's value; the caller frees it. NULL if it is absent. */
+char *response_header(const struct response *response, const char *name);
+
 /** Adds received bytes. */
 void response_add(struct response *response, const char *data, size_t size);
 
--- a/test/test_stops.c
+++ b/test/test_stops.c
@@ -12,6 +12,7 @@
 static void test_no_request_is_lost_around_stops_in_series(void **state)
 {
 	const struct soak_opts opts = {
+		.rig = &native_rig,
 		.seed = 1,
 		.duration_ms = 20000,
 		.callers = 48,
