--- a/soak/check.c
+++ b/soak/check.c
@@ -12,6 +12,10 @@
 /* The last sixth of the grace period begins here. */
 #define LAST_SIXTH_US (SOAK_GRACE_MS * 1000 / 6 * 5)
 
+/* A cut this long after a signal may be due to it. */
+#define HANGUP_US 3000000
+#define STOP_CUT_US (SOAK_GRACE_MS * 1000 + 1000000)
+
 static const struct endpoint_run no_run;
 
 static const char *const kind_names[REQUEST_KINDS] = {
@@ -32,6 +36,15 @@
 	return run ? run : &no_run;
 }
 
+static const char *reason_of(const struct soak *soak, const struct request *r)
+{
+	const char *reason = soak->reasons
+				     ? g_hash_table_lookup(soak->reasons, r->id)
+				     : NULL;
+
+	return reason ? reason : "no reason";
+}
+
 static void append_process(GString *out, const struct soak *soak,
 			   const struct process *p, int64_t from_us)
 {
@@ -63,13 +76,18 @@
 					  : 0.0,
 			       seconds(r->ended_us - r->begun_us));
 	append_process(out, soak, r->process, r->ended_us);
+	if (run->ended_us)
+		g_string_append_printf(out, "; endpoint's last event %+.3f s",
+				       seconds(run->ended_us - r->ended_us));
 	g_string_append_printf(out,
-			       "; endpoint begun %d served %d broken %d "
-			       "cancelled %d; status %d %s, %zu bytes, %s",
-			       run->begun, run->served, run->broken,
-			       run->cancelled, r->status,
+			       "; endpoint received %d begun %d served %d "
+			       "broken %d cancelled %d; status %d %s, %zu "
+			       "bytes, %s; entry: %s",
+			       run->received, run->begun, run->served,
+			       run->broken, run->cancelled, r->status,
 			       r->refusal ? r->refusal : "", r->received,
-			       r->end ? r->end : "complete");
+			       r->end ? r->end : "complete",
+			       reason_of(soak, r));
 	g_ptr_array_add(result->findings, g_string_free(out, FALSE));
 }
 
@@ -115,12 +133,61 @@
 	       r->status != 408 && r->status != 421 && r->status != 429;
 }
 
-static void count_refusal(struct soak_result *result, const char *type)
+static void count(GHashTable *counts, const char *name)
+{
+	gpointer n = g_hash_table_lookup(counts, name);
+
+	g_hash_table_insert(counts, g_strdup(name),
+			    GINT_TO_POINTER(GPOINTER_TO_INT(n) + 1));
+}
+
+/* Whether the process was being stopped, or had read its settings again. */
+static bool is_around_stop(const struct request *r)
+{
+	for (int i = 0; i < r->process->signal_count; i++) {
+		const struct sent_signal *s = &r->process->signals[i];
+		int64_t until_us = s->number == SIGHUP ? HANGUP_US
+						       : STOP_CUT_US;
+
+		if (r->ended_us >= s->at_us &&
+		    r->sent_us <= s->at_us + until_us)
+			return true;
+	}
+	return false;
+}
+
+/* What the endpoint's own times say of a request that was cut. */
+static const char *phase_of(const struct request *r,
+			    const struct endpoint_run *run)
+{
+	int64_t stop_us = process_stop_us(r->process);
+
+	if (run->served && run->ended_us <= r->ended_us)
+		return "complete at the endpoint";
+	if (!run->begun)
+		return "not begun at an endpoint";
+	if (stop_us && r->sent_us > stop_us + LATE_SEND_US)
+		return "sent late";
+	return "at work";
+}
+
+static void count_cause(const struct soak *soak, const struct request *r,
+			const char *what, struct soak_result *result)
+{
+	char *cause = g_strdup_printf("%s %s, %s", what, reason_of(soak, r),
+				      phase_of(r, run_of(soak, r)));
+
+	count(result->causes, cause);
+	g_free(cause);
+}
+
+static void report_cut(const struct soak *soak, const struct request *r,
+		       struct soak_result *result)
 {
-	gpointer count = g_hash_table_lookup(result->refusals, type);
+	const char *what = is_around_stop(r) ? "LOST" : "CUT";
 
-	g_hash_table_insert(result->refusals, g_strdup(type),
-			    GINT_TO_POINTER(GPOINTER_TO_INT(count) + 1));
+	count_cause(soak, r, what, result);
+	report_request(result, soak, r, what);
 }
 
 static void check_request(const struct soak *soak, const struct request *r,
@@ -132,7 +199,7 @@
 	result->complete += r->complete && r->status == 200;
 	result->refused += r->complete && r->status != 200;
 	if (r->refusal)
-		count_refusal(result, r->refusal);
+		count(result->refusals, r->refusal);
 	if (is_refused_for_good(r))
 		report_request(result, soak, r, "REFUSED-FOR-GOOD");
 	if (r->not_run && run->begun)
@@ -148,10 +215,12 @@
 	if (r->gave_up || r->abandoned || !counts_as_lost(r, run))
 		return;
 	if (run->broken || r->ended_us >= r->deadline_us ||
-	    engine_too_slow(r, run))
+	    engine_too_slow(r, run)) {
 		result->excused++;
-	else
-		report_request(result, soak, r, "LOST");
+		count_cause(soak, r, "excused", result);
+	} else {
+		report_cut(soak, r, result);
+	}
 }
 
 /* ---- processes ---- */
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -52,6 +52,8 @@
 	soak->requests = g_ptr_array_new_with_free_func(soak_request_free);
 	soak->endpoint_runs = g_hash_table_new_full(g_str_hash, g_str_equal,
 						    g_free, g_free);
+	soak->reasons = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      g_free);
 	soak->began_us = soak_now_us();
 	for (int node = 1; node <= soak->opts.rig->nodes; node++)
 		processes_add(soak, node);
@@ -66,6 +68,7 @@
 	g_ptr_array_unref(soak->processes);
 	g_ptr_array_unref(soak->requests);
 	g_hash_table_unref(soak->endpoint_runs);
+	g_hash_table_unref(soak->reasons);
 }
 
 /* ---- the run ---- */
@@ -131,22 +134,33 @@
 		endpoints_read_log(soak->endpoint_runs, path);
 		g_free(path);
 	}
+	for (int node = 1; node <= soak->opts.rig->nodes; node++) {
+		char *name = g_strdup_printf("node%d.log", node);
+		char *path = cluster_path(soak->cluster, name);
+
+		reasons_read_log(soak->reasons, path);
+		g_free(name);
+		g_free(path);
+	}
 }
 
-static void print_refusals(const struct soak_result *result)
+static void print_counts(const char *title, GHashTable *counts,
+			 const struct soak *soak)
 {
 	GHashTableIter iter;
 	gpointer type, count;
 
-	g_hash_table_iter_init(&iter, result->refusals);
+	g_hash_table_iter_init(&iter, counts);
 	while (g_hash_table_iter_next(&iter, &type, &count))
-		printf(" %s=%d", (const char *)type, GPOINTER_TO_INT(count));
-	printf("\n");
+		printf("seed %u: %s %s: %d\n", soak->opts.seed, title,
+		       (const char *)type, GPOINTER_TO_INT(count));
 }
 
 static void print_result(const struct soak *soak,
 			 const struct soak_result *result)
 {
+	guint shown = soak->opts.shown ? soak->opts.shown : G_MAXUINT;
+
 	printf("seed %u: %d requests, %d complete, %d refused, %d excused, "
 	       "%d abandoned; "
 	       "%d stops, %d repeated signals, %d early ends; %u findings\n",
@@ -154,9 +168,9 @@
 	       result->refused, result->excused, result->abandoned,
 	       result->stops, result->repeated_signals, result->early_ends,
 	       result->findings->len);
-	printf("seed %u: refusals:", soak->opts.seed);
-	print_refusals(result);
-	for (guint i = 0; i < result->findings->len; i++)
+	print_counts("refused with", result->refusals, soak);
+	print_counts("ended:", result->causes, soak);
+	for (guint i = 0; i < MIN(shown, result->findings->len); i++)
 		printf("seed %u: %s\n", soak->opts.seed,
 		       (const char *)result->findings->pdata[i]);
 	fflush(stdout);
@@ -185,6 +199,8 @@
 	*result = (struct soak_result){
 		.refusals = g_hash_table_new_full(g_str_hash, g_str_equal,
 						  g_free, NULL),
+		.causes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						NULL),
 		.findings = g_ptr_array_new_with_free_func(g_free),
 	};
 }
@@ -192,5 +208,6 @@
 void soak_result_clear(struct soak_result *result)
 {
 	g_hash_table_unref(result->refusals);
+	g_hash_table_unref(result->causes);
 	g_ptr_array_unref(result->findings);
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -68,6 +68,7 @@
 	uint32_t seed;
 	int duration_ms;
 	int callers;
+	guint shown; /* findings printed at most; 0 for all */
 	struct soak_platform_opts platform;
 };
 
@@ -136,7 +137,8 @@
 	GPtrArray *processes;	   /* of struct process */
 	GPtrArray *requests;	   /* of struct request */
 	GHashTable *endpoint_runs; /* request id -> struct endpoint_run */
-	GMutex lock;		   /* of `current` */
+	GHashTable *reasons; /* request id -> why an entry ended it, text */
+	GMutex lock;	     /* of `current` */
 	/* by node; NULL when down */
 	struct process *current[CLUSTER_NODES_MAX + 1];
 	void *rig_state; /* of the rig */
@@ -147,6 +149,7 @@
 	int stops, repeated_signals;
 	int early_ends; /* by a signal, before the process had a handler */
 	GHashTable *refusals; /* type -> number of requests */
+	GHashTable *causes;   /* of requests lost -> number */
 	GPtrArray *findings;  /* of char *; empty if all checks passed */
 };
 
@@ -200,6 +203,11 @@
 /** Adds what a log of a fake says to a table of struct endpoint_run. */
 void endpoints_read_log(GHashTable *runs, const char *path);
 
+/* ---- reasons.c ---- */
+
+/** Adds what a daemon's log of JSON lines says of refused requests. */
+void reasons_read_log(GHashTable *reasons, const char *path);
+
 /* ---- check.c ---- */
 
 /** Applies all checks to the records of a finished run. */
--- a/soak/soak_platform.c
+++ b/soak/soak_platform.c
@@ -23,6 +23,7 @@
 	OPTION_CONTROL_STOPS,
 	OPTION_VMS,
 	OPTION_PLAIN_VMS,
+	OPTION_SHOW,
 };
 
 static const struct argp_option options[] = {
@@ -36,6 +37,8 @@
 	  "endpoints pause, report late, are slow or crash", 0 },
 	{ "control-stops", OPTION_CONTROL_STOPS, NULL, 0,
 	  "in half of the seeds, control VMs are stopped too", 0 },
+	{ "show", OPTION_SHOW, "N", 0, "findings printed at most, 0 for all",
+	  0 },
 	{ "no-stops", OPTION_NO_STOPS, NULL, 0, "no stops and changes", 0 },
 	{ 0 }
 };
@@ -79,6 +82,9 @@
 	case OPTION_CONTROL_STOPS:
 		platform->control_stops = true;
 		break;
+	case OPTION_SHOW:
+		a->opts.shown = (guint)strtoul(arg, NULL, 10);
+		break;
 	case OPTION_NO_STOPS:
 		platform->stops = false;
 		break;
@@ -103,6 +109,7 @@
 		.opts = { .rig = &platform_rig,
 			  .duration_ms = 20 * MS_PER_S,
 			  .callers = 80,
+			  .shown = 5,
 			  .platform = { .vms = 12,
 					.plain_vms = 3,
 					.stops = true } },
