--- a/soak/check.c
+++ b/soak/check.c
@@ -127,10 +127,13 @@
 }
 
 /* All requests are valid, so a caller may only be told to come again. */
-static bool is_refused_for_good(const struct request *r)
+static bool is_refused_for_good(const struct soak *soak,
+				const struct request *r)
 {
+	if (r->status == 421 && soak->opts.rig == &platform_rig)
+		return false;
 	return r->complete && r->status >= 400 && r->status < 500 &&
-	       r->status != 408 && r->status != 421 && r->status != 429;
+	       r->status != 408 && r->status != 429;
 }
 
 static void count(GHashTable *counts, const char *name)
@@ -200,7 +203,7 @@
 	result->refused += r->complete && r->status != 200;
 	if (r->refusal)
 		count(result->refusals, r->refusal);
-	if (is_refused_for_good(r))
+	if (is_refused_for_good(soak, r))
 		report_request(result, soak, r, "REFUSED-FOR-GOOD");
 	if (r->not_run && run->begun)
 		report_request(result, soak, r, "RAN-THOUGH-NOT-RUN");
--- a/soak/platform.h
+++ b/soak/platform.h
@@ -10,6 +10,7 @@
 
 #include "soak/caller.h"
 #include "soak/soak.h"
+#include "test/response.h"
 
 #define PLATFORM_CONTROL_VMS 3
 #define PLATFORM_STREAM_MS 8000 /* timeouts of the routes */
@@ -42,8 +43,11 @@
 int platform_make_call(struct caller *caller);
 void platform_free_caller(struct caller *caller);
 
-/** The text of a stream for `model`; the caller frees it. */
-char *platform_stream_text(const char *id, const char *model, int prompt,
-			   int output);
+/**
+ * Returns what must not be in a response, as far as it was received; NULL for
+ * nothing.
+ */
+const char *platform_check_response(const struct response *response,
+				    const struct request *request);
 
 #endif
--- a/soak/platform_callers.c
+++ b/soak/platform_callers.c
@@ -127,8 +127,8 @@
 
 /* ---- requests ---- */
 
-char *platform_stream_text(const char *id, const char *model, int prompt,
-			   int output)
+static char *stream_headers(const char *id, const char *model, int prompt,
+			    int output)
 {
 	return g_strdup_printf("Model-Name: %s\r\nToken-Count: %d,%d\r\n"
 			       "Prompt-Prefix: 5c1e07a2:%d,%08x:%d\r\n",
@@ -169,10 +169,9 @@
 	static const int sizes[] = { 200, 2000, 30000 };
 	bool big = caller_draw(c, 0, 99) < BIG_SHARE_PERCENT;
 	char *model = r->kind == REQUEST_STREAM
-			      ? platform_stream_text(r->id,
-						     big ? "big" : "small",
-						     caller_draw(c, 200, 2000),
-						     draw_output(c))
+			      ? stream_headers(r->id, big ? "big" : "small",
+					       caller_draw(c, 200, 2000),
+					       draw_output(c))
 			      : g_strdup("");
 	char *body = g_strnfill((gsize)sizes[caller_draw(c, 0, 2)], 'b');
 	char *text = g_strdup_printf("POST %s%s "
@@ -192,65 +191,6 @@
 
 /* ---- responses ---- */
 
-static const char *check_seal(const struct caller *c, const struct request *r)
-{
-	char *seal = response_header(&c->response, "response-seal");
-	char *expected = g_strdup_printf("seal-%s", r->id);
-	char *id = response_header(&c->response, "attempt-id");
-	const char *fault = NULL;
-
-	if (seal && strcmp(seal, expected) != 0)
-		fault = "MIXED seal of another request";
-	else if (!seal && c->response.status == 200)
-		fault = "MIXED success without a seal";
-	else if (id && strcmp(id, r->id) != 0)
-		fault = "MIXED answer to another request";
-	g_free(seal);
-	g_free(expected);
-	g_free(id);
-	return fault;
-}
-
-/* Each event is "id: N", "data: ID N of COUNT", and a blank line. */
-static const char *check_events(const char *body, const char *id, bool complete)
-{
-	char **events = g_strsplit(body, "\n\n", 0);
-	guint count = g_strv_length(events) - 1; /* complete ones */
-	const char *fault = NULL;
-	int total = 0;
-
-	for (guint i = 0; i < count && !fault; i++) {
-		char name[64];
-		int number, again;
-
-		if (sscanf(events[i], "id: %d\ndata: %63s %d of %d", &number,
-			   name, &again, &total) != 4)
-			fault = "MIXED bytes that are no event";
-		else if (strcmp(name, id) != 0)
-			fault = "MIXED event of another request";
-		else if (number != (int)i + 1 || again != number)
-			fault = "ORDER event missing or doubled";
-	}
-	if (!fault && complete && (!count || (int)count != total))
-		fault = "ORDER complete before its last event";
-	g_strfreev(events);
-	return fault;
-}
-
-static const char *check_body(const struct caller *c, const struct request *r)
-{
-	const char *body = c->response.body->str;
-	size_t size = strlen(r->id);
-
-	if (c->response.status != 200)
-		return NULL;
-	if (r->kind == REQUEST_STREAM)
-		return check_events(body, r->id, r->complete);
-	if (strncmp(body, r->id, MIN(size, c->response.body->len)) != 0)
-		return "MIXED body of another request";
-	return NULL;
-}
-
 static bool promises_not_run(int status)
 {
 	return status == 408 || status == 421 || status == 429 || status == 503;
@@ -258,11 +198,7 @@
 
 static void check_response(struct caller *c, struct request *r)
 {
-	const char *fault = c->response.head_done ? check_seal(c, r) : NULL;
-
-	if (!fault && c->response.head_done)
-		fault = check_body(c, r);
-	r->fault = g_strdup(fault);
+	r->fault = g_strdup(platform_check_response(&c->response, r));
 	r->not_run = r->complete && r->kind == REQUEST_ONCE &&
 		     promises_not_run(r->status);
 	if (r->complete && r->status != 200)
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -6,10 +6,12 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 #include <glib.h>
 
+#include "soak/platform.h"
 #include "soak/soak.h"
 #include "test/response.h"
 
@@ -110,6 +112,199 @@
 	expect_finding(&t, NULL);
 }
 
+static void test_cut_without_a_stop_is_found(void **state)
+{
+	struct records t;
+
+	(void)state;
+	set_up_records(&t);
+	t.request->ended_us = STOP_US - 1 * MS;
+	expect_finding(&t, "CUT");
+	set_up_records(&t);
+	t.request->ended_us = STOP_US + 1 * MS;
+	expect_finding(&t, "LOST");
+	set_up_records(&t);
+	t.process->signals[1] = (struct sent_signal){ SIGHUP,
+						      STOP_US - 400 * MS };
+	t.process->signal_count = 2;
+	t.request->ended_us = STOP_US - 1 * MS;
+	expect_finding(&t, "LOST");
+	set_up_records(&t);
+	t.run->begun = 0;
+	t.run->received = 1;
+	t.request->sent_us = t.request->ended_us - 1 * MS;
+	expect_finding(&t, "LOST");
+}
+
+static void expect_cause(struct records *t, const char *cause)
+{
+	gpointer n;
+
+	check_records(&t->soak, &t->result);
+	n = g_hash_table_lookup(t->result.causes, cause);
+	assert_int_equal(GPOINTER_TO_INT(n), 1);
+	assert_int_equal(g_hash_table_size(t->result.causes), 1);
+	g_ptr_array_unref(t->soak.processes);
+	g_ptr_array_unref(t->soak.requests);
+	g_hash_table_unref(t->soak.endpoint_runs);
+	g_hash_table_unref(t->soak.reasons);
+	soak_result_clear(&t->result);
+}
+
+static void set_up_reason(struct records *t, const char *reason)
+{
+	set_up_records(t);
+	t->soak.reasons = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						g_free);
+	if (reason)
+		g_hash_table_insert(t->soak.reasons, g_strdup("r"),
+				    g_strdup(reason));
+}
+
+static void test_losses_are_counted_by_cause(void **state)
+{
+	struct records t;
+
+	(void)state;
+	set_up_reason(&t, "upstream-broke (stalled)");
+	expect_cause(&t, "LOST upstream-broke (stalled), at work");
+	set_up_reason(&t, NULL);
+	t.run->served = 1;
+	t.run->ended_us = t.request->ended_us - 1 * MS;
+	expect_cause(&t, "LOST no reason, complete at the endpoint");
+	set_up_reason(&t, NULL);
+	t.request->sent_us = STOP_US + 3001 * MS;
+	t.request->ended_us = STOP_US + 4000 * MS;
+	expect_cause(&t, "LOST no reason, sent late");
+	set_up_reason(&t, NULL);
+	t.run->broken = 1;
+	expect_cause(&t, "excused no reason, at work");
+}
+
+static void test_caller_that_abandons_has_lost_nothing(void **state)
+{
+	struct records t;
+
+	(void)state;
+	set_up_records(&t);
+	t.request->abandoned = true;
+	expect_finding(&t, NULL);
+}
+
+static void test_fault_of_a_response_is_found(void **state)
+{
+	struct records t;
+
+	(void)state;
+	set_up_records(&t);
+	t.request->complete = true;
+	t.request->fault = g_strdup("MIXED");
+	expect_finding(&t, "MIXED");
+}
+
+/* Runs the check of responses on one with this head and body. */
+static void expect_fault(const char *head, const char *body, bool complete,
+			 const char *expected)
+{
+	struct request request = {
+		.id = "r1",
+		.kind = REQUEST_STREAM,
+		.complete = complete,
+	};
+	struct response response;
+	char *text = g_strdup_printf("HTTP/1.1 %s\r\nContent-Length: 9999"
+				     "\r\n\r\n%s",
+				     head, body);
+	const char *fault;
+
+	response_init(&response);
+	response_add(&response, text, strlen(text));
+	fault = platform_check_response(&response, &request);
+	if (expected)
+		assert_non_null(fault);
+	if (expected)
+		assert_string_equal(fault, expected);
+	else
+		assert_null(fault);
+	response_clear(&response);
+	g_free(text);
+}
+
+static void test_responses_on_the_platform(void **state)
+{
+	const char *head = "200 OK\r\nAttempt-Id: r1\r\nResponse-Seal: seal-r1";
+	const char *both = "id: 1\ndata: r1 1 of 2\n\n"
+			   "id: 2\ndata: r1 2 of 2\n\n";
+
+	(void)state;
+	expect_fault(head, both, true, NULL);
+	expect_fault(head, "id: 1\ndata: r1 1 of 2\n\nid: 2\nda", false, NULL);
+	expect_fault(head, "id: 1\ndata: r1 1 of 2\n\n", true,
+		     "ORDER complete before its last event");
+	expect_fault(head, "id: 2\ndata: r1 2 of 2\n\n", false,
+		     "ORDER event missing or doubled");
+	expect_fault(head, "id: 1\ndata: r2 1 of 2\n\n", false,
+		     "MIXED event of another request");
+	expect_fault(head, "garbled\n\n", false,
+		     "MIXED bytes that are no event");
+	expect_fault("200 OK\r\nAttempt-Id: r1\r\nResponse-Seal: seal-r2", both,
+		     true, "MIXED seal of another request");
+	expect_fault("200 OK\r\nAttempt-Id: r2\r\nResponse-Seal: seal-r1", both,
+		     true, "MIXED answer to another request");
+	expect_fault("200 OK\r\nAttempt-Id: r1", both, true,
+		     "MIXED success without a seal");
+	expect_fault("503 No\r\nAttempt-Id: r1", "full", true, NULL);
+}
+
+/* Writes lines to a file; returns its path, which the caller frees. */
+static char *write_log(const char *lines)
+{
+	char *path = NULL;
+	int fd = g_file_open_tmp("soak-log-XXXXXX", &path, NULL);
+
+	assert_true(fd >= 0);
+	close(fd);
+	assert_true(g_file_set_contents(path, lines, -1, NULL));
+	return path;
+}
+
+static void test_readers_of_logs(void **state)
+{
+	GHashTable *runs = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, g_free);
+	GHashTable *reasons = g_hash_table_new_full(g_str_hash, g_str_equal,
+						    g_free, g_free);
+	char *path = write_log("{\"t_us\":1,\"event\":\"received\",\"request\""
+			       ":\"r\"}\n"
+			       "{\"t_us\":2,\"event\":\"begun\",\"request\":"
+			       "\"r\"}\n"
+			       "{\"t_us\":3,\"event\":\"broken\",\"request\":"
+			       "\"r\"}\n"
+			       "{\"t_us\":4,\"event\":\"received\",\"request\""
+			       ":\"r\"}\n"
+			       "{\"t_us\":5,\"event\":\"cancelled\","
+			       "\"request\":\"r\"}\n"
+			       "{\"event\":\"refused\",\"request\":\"r\","
+			       "\"code\":\"deadline\",\"detail\":\"-\"}\n");
+	const struct endpoint_run *run;
+
+	(void)state;
+	endpoints_read_log(runs, path);
+	reasons_read_log(reasons, path);
+	run = g_hash_table_lookup(runs, "r");
+	assert_int_equal(run->received, 2);
+	assert_int_equal(run->begun, 1);
+	/* The endpoint that had it last did not break it off. */
+	assert_int_equal(run->broken, 0);
+	assert_int_equal(run->cancelled, 1);
+	assert_int_equal(run->ended_us, 5);
+	assert_string_equal(g_hash_table_lookup(reasons, "r"), "deadline (-)");
+	unlink(path);
+	g_free(path);
+	g_hash_table_unref(runs);
+	g_hash_table_unref(reasons);
+}
+
 static void test_loss_by_endpoint_or_deadline_is_excused(void **state)
 {
 	struct records t;
@@ -173,6 +368,17 @@
 	set_up_records(&t);
 	t.run->begun = 0;
 	t.request->complete = true;
+	t.request->status = 421;
+	expect_finding(&t, "REFUSED-FOR-GOOD");
+	set_up_records(&t);
+	t.soak.opts.rig = &platform_rig;
+	t.run->begun = 0;
+	t.request->complete = true;
+	t.request->status = 421;
+	expect_finding(&t, NULL);
+	set_up_records(&t);
+	t.run->begun = 0;
+	t.request->complete = true;
 	t.request->status = 503;
 	expect_finding(&t, NULL);
 }
@@ -282,6 +488,12 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_request_at_an_endpoint_is_lost),
 		cmocka_unit_test(test_request_that_waited_is_lost),
+		cmocka_unit_test(test_cut_without_a_stop_is_found),
+		cmocka_unit_test(test_losses_are_counted_by_cause),
+		cmocka_unit_test(test_caller_that_abandons_has_lost_nothing),
+		cmocka_unit_test(test_fault_of_a_response_is_found),
+		cmocka_unit_test(test_responses_on_the_platform),
+		cmocka_unit_test(test_readers_of_logs),
 		cmocka_unit_test(test_loss_by_endpoint_or_deadline_is_excused),
 		cmocka_unit_test(test_request_without_an_end_is_found),
 		cmocka_unit_test(test_only_work_in_the_last_sixth_is_excused),
