--- a/Makefile
+++ b/Makefile
@@ -148,11 +148,13 @@
 torture: tests
 	$B/bench/bench_torture $(SEED) $(SEEDS)
 
-# Stops real processes in series, SECONDS long for each of SEEDS seeds.
+# Stops real processes in series, SECONDS long for each of SEEDS seeds:
+# make soak WHAT=stops|platform OPTIONS=...
 SECONDS ?= 20
 soak: SEEDS = 1
+soak: WHAT = stops
 soak: tests
-	$B/soak/soak_stops $(SEED) $(SEEDS) $(SECONDS)
+	$B/soak/soak_$(WHAT) $(SEED) $(SEEDS) $(SECONDS) $(OPTIONS)
 
 wire:
 	sh wire/regenerate.sh
--- a/soak/platform_faults.c
+++ b/soak/platform_faults.c
@@ -1,6 +1,7 @@
 /* Faults of endpoints, drawn from the seed: pauses, late heartbeats, ... */
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "soak/platform.h"
 
@@ -12,31 +13,37 @@
 /* A stream pauses, but its VM goes on to report. */
 #define HOLD_MIN_MS 1200
 #define HOLD_MAX_MS 1800
+/* Longer than a group stalls before it breaks. */
+#define DARK_MIN_MS 4000
+#define DARK_MAX_MS 9000
 
 struct platform_faults {
 	struct soak *soak;
 	GRand *random;
+	char **groups; /* NULL: all */
 	int64_t next_us;
 	int64_t continue_us; /* of the stopped process; 0 if it runs */
-	int made;
 };
 
-/** A fault of one VM or all; percentages add up to less than 100. */
+/** A fault of one VM or all. */
 struct vm_fault {
-	int percent;
+	const char *group; /* name in the option */
+	int weight;
 	bool all;
-	const char *what;
+	const char *what; /* for the endpoints; NULL: their process stops */
 	int min_ms, max_ms;
 };
 
 static const struct vm_fault vm_faults[] = {
-	{ 15, false, "pause", PAUSE_MIN_MS, PAUSE_MAX_MS },
-	{ 25, false, "hold", HOLD_MIN_MS, HOLD_MAX_MS },
-	{ 10, true, "skip-beats", 1000, 4000 },
-	{ 10, false, "skip-beats", 1000, 8000 },
-	{ 10, true, "late-beats:3000", 3000, 8000 },
-	{ 10, false, "slow:4", 3000, 8000 },
-	{ 4, false, "crash", 0, 0 },
+	{ "stop", 16, true, NULL, PAUSE_MIN_MS, PAUSE_MAX_MS },
+	{ "pause", 15, false, "pause", PAUSE_MIN_MS, PAUSE_MAX_MS },
+	{ "hold", 25, false, "hold", HOLD_MIN_MS, HOLD_MAX_MS },
+	{ "late", 10, true, "skip-beats", 1000, 4000 },
+	{ "late", 10, false, "skip-beats", 1000, 8000 },
+	{ "late", 10, true, "late-beats:3000", 3000, 8000 },
+	{ "slow", 10, false, "slow:4", 3000, 8000 },
+	{ "crash", 4, false, "crash", 0, 0 },
+	{ "dark", 3, false, "pause", DARK_MIN_MS, DARK_MAX_MS },
 };
 
 static int draw(struct platform_faults *f, int from, int to)
@@ -49,11 +56,10 @@
 	return ((struct platform_rig *)f->soak->rig_state)->engine;
 }
 
-static void stop_engine(struct platform_faults *f, int64_t now)
+static void stop_engine(struct platform_faults *f, int ms)
 {
 	kill(engine_of(f), SIGSTOP);
-	f->continue_us = now + draw(f, PAUSE_MIN_MS, PAUSE_MAX_MS) *
-				       (int64_t)US_PER_MS;
+	f->continue_us = soak_now_us() + ms * (int64_t)US_PER_MS;
 }
 
 static void change_vm(struct platform_faults *f, const struct vm_fault *fault)
@@ -71,19 +77,52 @@
 	g_free(path);
 }
 
-static void make_fault(struct platform_faults *f, int64_t now)
+static int weight_of(const struct platform_faults *f,
+		     const struct vm_fault *fault)
 {
-	int n = draw(f, 0, 99);
-
-	f->made++;
-	for (size_t i = 0; i < G_N_ELEMENTS(vm_faults); i++) {
-		if (n < vm_faults[i].percent) {
-			change_vm(f, &vm_faults[i]);
-			return;
-		}
-		n -= vm_faults[i].percent;
+	if (f->groups &&
+	    !g_strv_contains((const char *const *)f->groups, fault->group))
+		return 0;
+	return fault->weight;
+}
+
+static const struct vm_fault *draw_fault(struct platform_faults *f)
+{
+	const struct vm_fault *fault = vm_faults;
+	int sum = 0, n;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(vm_faults); i++)
+		sum += weight_of(f, &vm_faults[i]);
+	n = draw(f, 0, sum - 1);
+	while (n >= weight_of(f, fault))
+		n -= weight_of(f, fault++);
+	return fault;
+}
+
+static void make_fault(struct platform_faults *f)
+{
+	const struct vm_fault *fault = draw_fault(f);
+
+	if (fault->what)
+		change_vm(f, fault);
+	else
+		stop_engine(f, draw(f, fault->min_ms, fault->max_ms));
+}
+
+bool platform_faults_known(const char *list)
+{
+	char **groups = g_strsplit(list, ",", 0);
+	bool known = groups[0] != NULL;
+
+	for (int i = 0; groups[i]; i++) {
+		bool found = !strcmp(groups[i], "all");
+
+		for (size_t j = 0; j < G_N_ELEMENTS(vm_faults); j++)
+			found |= !strcmp(groups[i], vm_faults[j].group);
+		known &= found;
 	}
-	stop_engine(f, now);
+	g_strfreev(groups);
+	return known;
 }
 
 void platform_faults_run(struct platform_faults *f)
@@ -96,7 +135,7 @@
 	}
 	if (f->continue_us || now < f->next_us)
 		return;
-	make_fault(f, now);
+	make_fault(f);
 	f->next_us = now + draw(f, INTERVAL_MIN_MS, INTERVAL_MAX_MS) *
 				   (int64_t)US_PER_MS;
 }
@@ -104,8 +143,11 @@
 struct platform_faults *platform_faults_create(struct soak *soak)
 {
 	struct platform_faults *f = g_new0(struct platform_faults, 1);
+	const char *list = soak->opts.platform.faults;
 
 	f->soak = soak;
+	if (list && strcmp(list, "all") != 0)
+		f->groups = g_strsplit(list, ",", 0);
 	f->random = g_rand_new_with_seed(soak->opts.seed ^ 0x5eedu);
 	return f;
 }
@@ -113,5 +155,6 @@
 void platform_faults_free(struct platform_faults *f)
 {
 	g_rand_free(f->random);
+	g_strfreev(f->groups);
 	g_free(f);
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -58,7 +58,9 @@
 	int busy;	    /* processes that spin */
 	int vms;	    /* of the model's pool */
 	int plain_vms;
-	bool faults;	    /* of endpoints: pauses, late heartbeats, ... */
+	/** Kinds of faults of endpoints, with commas, or "all"; NULL: none. */
+	const char *faults;
+	int stride;	    /* token steps of an event */
 	bool control_stops; /* of control VMs, in some seeds */
 	bool stops;
 };
@@ -153,6 +155,11 @@
 	GPtrArray *findings;  /* of char *; empty if all checks passed */
 };
 
+/* ---- platform_faults.c ---- */
+
+/** Whether these are names of faults, separated by commas. */
+bool platform_faults_known(const char *list);
+
 /* ---- soak.c ---- */
 
 /** Runs one seed; prints the findings. soak_result_clear() frees. */
--- a/soak/soak_platform.c
+++ b/soak/soak_platform.c
@@ -24,6 +24,7 @@
 	OPTION_VMS,
 	OPTION_PLAIN_VMS,
 	OPTION_SHOW,
+	OPTION_STRIDE,
 };
 
 static const struct argp_option options[] = {
@@ -33,8 +34,11 @@
 	{ "vms", OPTION_VMS, "N", 0, "VMs of the model's pool", 0 },
 	{ "plain-vms", OPTION_PLAIN_VMS, "N", 0, "VMs of the plain service",
 	  0 },
-	{ "faults", OPTION_FAULTS, NULL, 0,
-	  "endpoints pause, report late, are slow or crash", 0 },
+	{ "faults", OPTION_FAULTS, "LIST", 0,
+	  "of endpoints: all, or some of stop, pause, hold, late, slow, crash, "
+	  "dark",
+	  0 },
+	{ "stride", OPTION_STRIDE, "N", 0, "tokens of an event", 0 },
 	{ "control-stops", OPTION_CONTROL_STOPS, NULL, 0,
 	  "in half of the seeds, control VMs are stopped too", 0 },
 	{ "show", OPTION_SHOW, "N", 0, "findings printed at most, 0 for all",
@@ -77,11 +81,16 @@
 		platform->plain_vms = atoi(arg);
 		break;
 	case OPTION_FAULTS:
-		platform->faults = true;
+		if (!platform_faults_known(arg))
+			argp_failure(state, 1, 0, "--faults %s: unknown", arg);
+		platform->faults = arg;
 		break;
 	case OPTION_CONTROL_STOPS:
 		platform->control_stops = true;
 		break;
+	case OPTION_STRIDE:
+		platform->stride = atoi(arg);
+		break;
 	case OPTION_SHOW:
 		a->opts.shown = (guint)strtoul(arg, NULL, 10);
 		break;
@@ -112,6 +121,7 @@
 			  .shown = 5,
 			  .platform = { .vms = 12,
 					.plain_vms = 3,
+					.stride = 5,
 					.stops = true } },
 	};
 	uint32_t failed = 0;
--- a/test/fakes/platform_batch.c
+++ b/test/fakes/platform_batch.c
@@ -32,7 +32,7 @@
 
 struct platform_batch {
 	struct platform_vm *vm;
-	GPtrArray *queue; /* of struct generation, in order of arrival */
+	GPtrArray *queue; /* of struct generation, in order of arrival; owned */
 	struct event *pass;
 	bool pending;
 	int64_t due_us;
@@ -48,7 +48,6 @@
 static void remove_generation(struct generation *g)
 {
 	g_ptr_array_remove(g->vm->batch->queue, g);
-	g_free(g);
 }
 
 /* ---- ends ---- */
@@ -88,8 +87,10 @@
 
 void platform_batch_abort(struct platform_vm *vm, const char *why)
 {
-	while (vm->batch && vm->batch->queue->len)
-		break_off(vm->batch->queue->pdata[0], why);
+	GPtrArray *queue = vm->batch ? vm->batch->queue : NULL;
+
+	for (guint i = queue ? queue->len : 0; i > 0; i--)
+		break_off(queue->pdata[i - 1], why);
 }
 
 /** A response of which evhttp has not yet written everything. */
@@ -317,8 +318,8 @@
 {
 	struct platform_vm *vm = b->vm;
 
-	while (b->queue->len)
-		end_work(b->queue->pdata[0], "stalled");
+	for (guint i = b->queue->len; i > 0; i--)
+		end_work(b->queue->pdata[i - 1], "stalled");
 	vm->state = GROUP_BROKEN;
 	platform_log(vm, "group-broken", NULL);
 	platform_beats_send_now(vm->beats);
@@ -384,7 +385,7 @@
 	if (!vm->batch) {
 		vm->batch = g_new0(struct platform_batch, 1);
 		vm->batch->vm = vm;
-		vm->batch->queue = g_ptr_array_new();
+		vm->batch->queue = g_ptr_array_new_with_free_func(g_free);
 		vm->batch->pass = evtimer_new(vm->pool->base, on_pass,
 					      vm->batch);
 	}
