--- /dev/null
+++ b/soak/platform_faults.c
@@ -0,0 +1,160 @@
+/* Faults of endpoints, drawn from the seed: pauses, late heartbeats, ... */
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "soak/platform.h"
+
+#define US_PER_MS 1000
+#define INTERVAL_MIN_MS 300
+#define INTERVAL_MAX_MS 2500
+#define PAUSE_MIN_MS 300
+#define PAUSE_MAX_MS 3000
+/* A stream pauses, but its VM goes on to report. */
+#define HOLD_MIN_MS 1200
+#define HOLD_MAX_MS 1800
+/* Longer than a group stalls before it breaks. */
+#define DARK_MIN_MS 4000
+#define DARK_MAX_MS 9000
+
+struct platform_faults {
+	struct soak *soak;
+	GRand *random;
+	char **groups; /* NULL: all */
+	int64_t next_us;
+	int64_t continue_us; /* of the stopped process; 0 if it runs */
+};
+
+/** A fault of one VM or all. */
+struct vm_fault {
+	const char *group; /* name in the option */
+	int weight;
+	bool all;
+	const char *what; /* for the endpoints; NULL: their process stops */
+	int min_ms, max_ms;
+};
+
+static const struct vm_fault vm_faults[] = {
+	{ "stop", 16, true, NULL, PAUSE_MIN_MS, PAUSE_MAX_MS },
+	{ "pause", 15, false, "pause", PAUSE_MIN_MS, PAUSE_MAX_MS },
+	{ "hold", 25, false, "hold", HOLD_MIN_MS, HOLD_MAX_MS },
+	{ "late", 10, true, "skip-beats", 1000, 4000 },
+	{ "late", 10, false, "skip-beats", 1000, 8000 },
+	{ "late", 10, true, "late-beats:3000", 3000, 8000 },
+	{ "slow", 10, false, "slow:4", 3000, 8000 },
+	{ "crash", 4, false, "crash", 0, 0 },
+	{ "dark", 3, false, "pause", DARK_MIN_MS, DARK_MAX_MS },
+};
+
+static int draw(struct platform_faults *f, int from, int to)
+{
+	return g_rand_int_range(f->random, from, to + 1);
+}
+
+static pid_t engine_of(const struct platform_faults *f)
+{
+	return ((struct platform_rig *)f->soak->rig_state)->engine;
+}
+
+static void stop_engine(struct platform_faults *f, int ms)
+{
+	kill(engine_of(f), SIGSTOP);
+	f->continue_us = soak_now_us() + ms * (int64_t)US_PER_MS;
+}
+
+static void change_vm(struct platform_faults *f, const struct vm_fault *fault)
+{
+	int vm = draw(f, 0, f->soak->opts.platform.vms - 1);
+	char *number = fault->all ? g_strdup("all") : g_strdup_printf("%d", vm);
+	char *path = g_strdup_printf("/set?vm=%s&what=%s&ms=%d", number,
+				     fault->what,
+				     draw(f, fault->min_ms, fault->max_ms));
+
+	if (!cluster_change_fake(f->soak->cluster, "models", path))
+		printf("seed %u: the endpoints refused %s\n",
+		       f->soak->opts.seed, path);
+	g_free(number);
+	g_free(path);
+}
+
+static int weight_of(const struct platform_faults *f,
+		     const struct vm_fault *fault)
+{
+	if (f->groups &&
+	    !g_strv_contains((const char *const *)f->groups, fault->group))
+		return 0;
+	return fault->weight;
+}
+
+static const struct vm_fault *draw_fault(struct platform_faults *f)
+{
+	const struct vm_fault *fault = vm_faults;
+	int sum = 0, n;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(vm_faults); i++)
+		sum += weight_of(f, &vm_faults[i]);
+	n = draw(f, 0, sum - 1);
+	while (n >= weight_of(f, fault))
+		n -= weight_of(f, fault++);
+	return fault;
+}
+
+static void make_fault(struct platform_faults *f)
+{
+	const struct vm_fault *fault = draw_fault(f);
+
+	if (fault->what)
+		change_vm(f, fault);
+	else
+		stop_engine(f, draw(f, fault->min_ms, fault->max_ms));
+}
+
+bool platform_faults_known(const char *list)
+{
+	char **groups = g_strsplit(list, ",", 0);
+	bool known = groups[0] != NULL;
+
+	for (int i = 0; groups[i]; i++) {
+		bool found = !strcmp(groups[i], "all");
+
+		for (size_t j = 0; j < G_N_ELEMENTS(vm_faults); j++)
+			found |= !strcmp(groups[i], vm_faults[j].group);
+		known &= found;
+	}
+	g_strfreev(groups);
+	return known;
+}
+
+void platform_faults_run(struct platform_faults *f)
+{
+	int64_t now = soak_now_us();
+
+	if (f->continue_us && now >= f->continue_us) {
+		kill(engine_of(f), SIGCONT);
+		f->continue_us = 0;
+	}
+	if (f->continue_us || now < f->next_us)
+		return;
+	make_fault(f);
+	f->next_us = now + draw(f, INTERVAL_MIN_MS, INTERVAL_MAX_MS) *
+				   (int64_t)US_PER_MS;
+}
+
+struct platform_faults *platform_faults_create(struct soak *soak)
+{
+	struct platform_faults *f = g_new0(struct platform_faults, 1);
+	const char *list = soak->opts.platform.faults;
+
+	f->soak = soak;
+	if (list && strcmp(list, "all") != 0)
+		f->groups = g_strsplit(list, ",", 0);
+	f->random = g_rand_new_with_seed(soak->opts.seed ^ 0x5eedu);
+	return f;
+}
+
+void platform_faults_free(struct platform_faults *f)
+{
+	g_rand_free(f->random);
+	g_strfreev(f->groups);
+	g_free(f);
+}
