--- a/entry/call.h
+++ b/entry/call.h
@@ -150,10 +150,10 @@
 	char *response_type;
 	struct evbuffer *response_body; /* buffered, or a partial event */
 	uint32_t oversized_at; /* replica whose response was too large; or 0 */
-	int64_t data_ms; /* last data of the body; before, the dispatch */
-	int64_t eventless_ms; /* time in which data completed no event */
-	bool is_framed;	      /* the response has a length or is chunked */
-	bool paused;	      /* reading from the endpoint is paused */
+	int64_t data_ms;       /* last data of the body; before, the dispatch */
+	int64_t eventless_ms;  /* time in which data completed no event */
+	bool is_framed;	       /* the response has a length or is chunked */
+	bool paused;	       /* reading from the endpoint is paused */
 	/* Last event of a stream, or data of another response; before, the
 	 * dispatch. */
 	int64_t progress_ms;
