entry: the limit on silence is kept to the microsecond

Checks are due at whole shares of the limit since the last byte, so that an early timer doesn't count and the limit is never undercut. test_upstream also has an endpoint that accepts no connection: given up as not sent.

--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -22,7 +22,7 @@
 #define SILENT_CHECKS 5
 /* evhttp's own timeout doesn't look for unread bytes, so it must not be met. */
 #define EVHTTP_TIMEOUT_S 86400
-#define MS_PER_S 1000
+#define US_PER_S 1000000
 #define US_PER_MS 1000
 
 static const struct log upstream_log = { "upstream" };
@@ -47,7 +47,7 @@
 	bool paused;
 	struct event *check; /* for silence */
 	int silent_checks;
-	int64_t active_ms; /* when bytes were last received or sent */
+	int64_t active_us; /* when bytes were last received or sent */
 	struct upstream_end end;
 	bool head_done; /* the final response's */
 	bool head_has_nul;
@@ -95,16 +95,17 @@
 	return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-static struct timeval timeval_of(int ms)
+static struct timeval timeval_of(int64_t us)
 {
-	return (struct timeval){ ms / MS_PER_S, (ms % MS_PER_S) * US_PER_MS };
+	return (struct timeval){ us / US_PER_S, us % US_PER_S };
 }
 
 static void release_connection(struct upstream *u, bool reusable)
 {
 	struct upstream_pool *pool = u->pool;
 	GQueue *queue = g_hash_table_lookup(pool->idle, u->address);
-	struct timeval idle = timeval_of(u->opts.idle_timeout_ms);
+	struct timeval idle =
+		timeval_of((int64_t)u->opts.idle_timeout_ms * US_PER_MS);
 
 	g_hash_table_remove(pool->active, u);
 	event_free(u->check);
@@ -167,7 +168,7 @@
 static void note_activity(struct upstream *u)
 {
 	u->silent_checks = 0;
-	u->active_ms = clock_now_ms(&clock_system);
+	u->active_us = clock_now_us(&clock_system);
 }
 
 static void on_output(struct evbuffer *buffer,
@@ -287,14 +288,15 @@
 
 /* ---- silence ---- */
 
-static int check_interval_ms(const struct upstream *u)
+static int64_t check_interval_us(const struct upstream *u)
 {
-	return MAX(1, u->opts.idle_timeout_ms / SILENT_CHECKS);
+	return (int64_t)MAX(1, u->opts.idle_timeout_ms) * US_PER_MS /
+	       SILENT_CHECKS;
 }
 
-static void schedule_check(struct upstream *u, int after_ms)
+static void schedule_check(struct upstream *u, int64_t after_us)
 {
-	struct timeval after = timeval_of(after_ms);
+	struct timeval after = timeval_of(after_us);
 
 	event_add(u->check, &after);
 }
@@ -302,8 +304,9 @@
 static void on_check(evutil_socket_t fd, short what, void *arg)
 {
 	struct upstream *u = arg;
-	int interval_ms = check_interval_ms(u);
-	int64_t silent_ms = clock_now_ms(&clock_system) - u->active_ms;
+	int64_t next_us = check_interval_us(u);
+	int64_t due_us = (u->silent_checks + 1) * next_us;
+	int64_t silent_us = clock_now_us(&clock_system) - u->active_us;
 
 	(void)fd;
 	(void)what;
@@ -311,12 +314,12 @@
 		return;
 	if (u->paused)
 		note_activity(u);
-	else if (silent_ms < interval_ms)
-		interval_ms -= (int)silent_ms;
-	else
+	else if (silent_us >= due_us)
 		u->silent_checks++;
+	else
+		next_us = due_us - silent_us;
 	if (u->silent_checks < SILENT_CHECKS) {
-		schedule_check(u, interval_ms);
+		schedule_check(u, next_us);
 		return;
 	}
 	u->end.failure = "timeout";
@@ -506,7 +509,7 @@
 	g_hash_table_add(pool->active, u);
 	u->check = evtimer_new(pool->base, on_check, u);
 	note_activity(u);
-	schedule_check(u, check_interval_ms(u));
+	schedule_check(u, check_interval_us(u));
 	/* A failure is reported through on_done(), as any other. */
 	(void)evhttp_make_request(u->conn, u->req, request->method,
 				  request->path);
--- a/test/test_upstream.c
+++ b/test/test_upstream.c
@@ -23,6 +23,7 @@
 #define SUSPENSION_MS (3 * IDLE_TIMEOUT_MS)
 #define SUSPEND_AFTER_MS 200
 #define PENDING_MAX_BYTES 65536
+#define QUEUED_CONNECTIONS 8 /* more than a backlog of 1 takes */
 #define HEAD                                                                 \
 	"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: " \
 	"chunked\r\n\r\n"
@@ -216,6 +217,53 @@
 		    IDLE_TIMEOUT_MS * 1000);
 }
 
+/* Connections that fill the queue of a listener that accepts none. */
+static void fill_queue(const char *text, int *fds, int count)
+{
+	struct address address;
+
+	assert_true(address_parse(text, &address));
+	for (int i = 0; i < count; i++) {
+		fds[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)connect(fds[i], (const struct sockaddr *)&address.socket,
+			      sizeof(address.socket));
+	}
+}
+
+static void test_an_endpoint_that_accepts_nothing_is_given_up_as_not_sent(
+	void **state)
+{
+	struct upstream_test test = { .base = event_base_new() };
+	char address[ADDRESS_MAX];
+	struct upstream_request request = {
+		.address = address,
+		.method = EVHTTP_REQ_GET,
+		.path = "/",
+		.idle_timeout_ms = IDLE_TIMEOUT_MS,
+		.pending_max_bytes = PENDING_MAX_BYTES,
+		.data = on_data,
+		.end = on_end,
+		.ctx = &test,
+	};
+	int fds[QUEUED_CONNECTIONS];
+	int listener = open_listener(address, sizeof(address));
+
+	(void)state;
+	fill_queue(address, fds, QUEUED_CONNECTIONS);
+	test.pool = upstream_pool_create(test.base);
+	test.started_us = g_get_monotonic_time();
+	(void)upstream_send(test.pool, &request);
+	event_base_dispatch(test.base);
+	assert_true(test.ended);
+	assert_int_equal(test.end.result, UPSTREAM_NOT_SENT);
+	assert_true(test.ended_us - test.started_us >= IDLE_TIMEOUT_MS * 1000);
+	upstream_pool_destroy(test.pool);
+	event_base_free(test.base);
+	for (int i = 0; i < QUEUED_CONNECTIONS; i++)
+		close(fds[i]);
+	close(listener);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -223,6 +271,8 @@
 			test_a_suspended_process_does_not_cut_an_answer),
 		cmocka_unit_test(test_a_slow_caller_does_not_cut_an_answer),
 		cmocka_unit_test(test_a_silent_endpoint_is_given_up),
+		cmocka_unit_test(
+			test_an_endpoint_that_accepts_nothing_is_given_up_as_not_sent),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
