entry: a stream's silence ends no answer before its deadline

A stream from whose connection nothing came for 5 s was taken for broken and cut off ("broke off"), if its attempts or retry budget were used up or no other replica was there, although its endpoint would have gone on. The users' rules say that a replica's silence is no reason to end an answer sooner.

Five seconds of silence are a reason for doubt now, as the others in entry/doubt.c: the stream is moved if it can go on elsewhere, else it waits. The timeout of its connection lies after its deadline; for streams without one (the native interface), it is the time that their first event may take. A request that could not be sent for 5 s fails as before: it did not run.

Data that completes no event for 5 s still ends an attempt (endless-slow.script): it is the endpoint's own output that is faulty, a silent stream doesn't reach that limit, and the process's own pauses count for 1.25 s at most.

Tests, real processes: silence-ends-no-stream (failed before: the stream was cut off after two requests to the same endpoint), silence-moves-a-stream (the other side; went on before, too).

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -10,8 +10,8 @@
 #include "entry/parts.h"
 
 /*
- * A stream without a complete event for this long is resumed on another
- * replica. Also the longest wait for a replica to retry at.
+ * A stream that gets data without a complete event for this long is cut. Also
+ * the longest wait for a replica to retry at.
  */
 #define STALL_LIMIT_MS 5000
 /* Counts of a gap between data that complete no event. */
@@ -26,6 +26,11 @@
 #define STREAM_CHUNK_MAX_BYTES 262144u
 /* A request under which so many replicas ended isn't sent to another. */
 #define REPLICA_ENDS_MAX 2u
+/* Limit on the time until a stream's request is sent. */
+#define UNSENT_STREAM_MS 5000
+/* Lets a stream's deadline come before the timeout of its connection. */
+#define DEADLINE_MARGIN_MS 1000
+#define US_PER_MS 1000
 
 static const struct log attempt_log = { "call" };
 
@@ -573,8 +578,24 @@
 	call->search_due_ms = 0;
 }
 
+/*
+ * Silence alone ends no stream: its deadline does. One without a deadline may
+ * be silent as long as its first event may take.
+ */
+static int64_t stream_idle_ms(const struct call *call)
+{
+	int64_t now_ms = entry_now_ms(call->entry);
+	int64_t until_ms = call->completion_deadline_ms;
+
+	if (!until_ms)
+		until_ms = now_ms + call->deadline_ms -
+			   call->started_us / US_PER_MS;
+	return MAX(0, until_ms - now_ms) + DEADLINE_MARGIN_MS;
+}
+
 static void send_request(struct call *call)
 {
+	int64_t left_ms = MAX(1, call->deadline_ms - entry_now_ms(call->entry));
 	struct upstream_request request = {
 		.id = call->id,
 		.address = call->address,
@@ -583,7 +604,8 @@
 		.add_headers = add_headers,
 		.once_only = call->once_only,
 		.close_delimited = call->format->close_delimited,
-		.idle_timeout_ms = STALL_LIMIT_MS,
+		.unsent_timeout_ms = (int)left_ms,
+		.idle_timeout_ms = (int)left_ms,
 		.pending_max_bytes = STREAM_CHUNK_MAX_BYTES,
 		.head = on_head,
 		.data = on_data,
@@ -591,9 +613,10 @@
 		.ctx = call,
 	};
 
-	if (!call->stream) {
-		request.idle_timeout_ms = (int)MAX(
-			1, call->deadline_ms - entry_now_ms(call->entry));
+	if (call->stream) {
+		request.unsent_timeout_ms = UNSENT_STREAM_MS;
+		request.idle_timeout_ms = (int)stream_idle_ms(call);
+	} else {
 		request.pending_max_bytes =
 			(size_t)call->entry->opts.settings->limits.body_bytes;
 	}
--- a/entry/call.c
+++ b/entry/call.c
@@ -335,6 +335,8 @@
 		attempt_tick_awaiting(call, now_ms);
 		return;
 	}
+	if (sent)
+		upstream_tick(call->upstream);
 	if (sent && now_ms >= call->deadline_ms &&
 	    !reply_has_started(call->reply))
 		handle_deadline(call);
--- a/entry/doubt.c
+++ b/entry/doubt.c
@@ -6,6 +6,8 @@
 #include "common/log.h"
 #include "entry/doubt.h"
 
+/* A stream that is silent for longer is in doubt, whatever its replica does. */
+#define SILENT_STREAM_MS 5000
 /* Interval between searches for another replica. */
 #define SEARCH_MS 250
 
@@ -14,9 +16,9 @@
 /** Why an attempt is in doubt. */
 struct finding {
 	const char *reason;
-	int64_t silent_ms;   /* since anything came for the attempt */
+	int64_t silent_ms;	   /* since anything came for the attempt */
 	int64_t replica_silent_ms; /* for any attempt there; -1: unknown */
-	int64_t data_age_ms; /* since any byte came on its connection */
+	int64_t data_age_ms;	   /* since any byte came on its connection */
 };
 
 static int64_t awake_ms(const struct call *call, int64_t since_ms,
@@ -60,6 +62,8 @@
 		found->reason = r->fault;
 	} else if (r && !known) {
 		found->reason = "replaced";
+	} else if (call->stream && found->silent_ms >= SILENT_STREAM_MS) {
+		found->reason = "silent";
 	}
 }
 
@@ -98,16 +102,16 @@
 			 const char *missing, int64_t now_ms)
 {
 	log_note(&doubt_log,
-		 "request %s: attempt %s reason=%s replica=%u attempt=%u "
-		 "of=%u doubt_ms=%" PRId64 " silent_ms=%" PRId64
-		 " data_age_ms=%" PRId64 " replica_silent_ms=%" PRId64
-		 " started=%s missing=%s",
+		 "request %s: attempt %s reason=%s missing=%s replica=%u "
+		 "attempt=%u of=%u started=%s "
+		 "doubt_ms=%" PRId64 " silent_ms=%" PRId64 " "
+		 "data_age_ms=%" PRId64 " replica_silent_ms=%" PRId64,
 		 call->id, missing ? "kept" : "moved", found->reason,
-		 call->replica, call->attempts, call->attempts_max,
-		 now_ms - call->doubt_since_ms, found->silent_ms,
-		 found->data_age_ms, found->replica_silent_ms,
+		 missing ? missing : "-", call->replica, call->attempts,
+		 call->attempts_max,
 		 reply_has_started(call->reply) ? "yes" : "no",
-		 missing ? missing : "-");
+		 now_ms - call->doubt_since_ms, found->silent_ms,
+		 found->data_age_ms, found->replica_silent_ms);
 }
 
 void doubt_check(struct call *call, int64_t now_ms)
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -30,8 +30,9 @@
 	struct evhttp_request *req; /* NULL once evhttp has freed it */
 	bool bytes_sent;	    /* some of the request was sent */
 	bool cancelled;
-	bool cut;	   /* the response exceeds the limits of `guard` */
-	bool closed;	   /* by the endpoint, before the response's end */
+	bool cut;    /* the response exceeds the limits of `guard` */
+	bool closed; /* by the endpoint, before the response's end */
+	bool idle_timeout_set;
 	bool not_reusable; /* opts.head() ruled out reuse of `conn` */
 	struct upstream_end end;
 	bool head_done; /* the final response's */
@@ -386,19 +387,24 @@
 			       g_bytes_ref(u->opts.body));
 }
 
+static void set_timeout(struct upstream *u, int timeout_ms)
+{
+	struct timeval tv = { timeout_ms / 1000, (timeout_ms % 1000) * 1000 };
+
+	evhttp_connection_set_timeout_tv(u->conn, &tv);
+}
+
 struct upstream *upstream_send(struct upstream_pool *pool,
 			       const struct upstream_request *request)
 {
 	struct upstream *u = g_new0(struct upstream, 1);
-	struct timeval idle = { request->idle_timeout_ms / 1000,
-				(request->idle_timeout_ms % 1000) * 1000 };
 	struct bufferevent *bev;
 
 	u->pool = pool;
 	u->opts = *request;
 	u->address = g_strdup(request->address);
 	u->conn = acquire_connection(pool, u->address, request->once_only);
-	evhttp_connection_set_timeout_tv(u->conn, &idle);
+	set_timeout(u, request->unsent_timeout_ms);
 	bev = evhttp_connection_get_bufferevent(u->conn);
 	/* evhttp connects again if the connection was closed since. */
 	u->end.reused_connection = bufferevent_getfd(bev) >= 0;
@@ -436,6 +442,15 @@
 			&no_delay);
 }
 
+void upstream_tick(struct upstream *u)
+{
+	if (u->idle_timeout_set || !u->bytes_sent || !u->req)
+		return;
+	u->idle_timeout_set = true;
+	if (u->opts.idle_timeout_ms != u->opts.unsent_timeout_ms)
+		set_timeout(u, u->opts.idle_timeout_ms);
+}
+
 bool upstream_is_reused(const struct upstream *u)
 {
 	return u->end.reused_connection;
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -60,8 +60,10 @@
 	void (*add_headers)(void *ctx, struct evkeyvalq *out);
 	GBytes *body; /* may be NULL */
 	bool once_only;
-	bool close_delimited;	  /* a response may end with its connection */
-	int idle_timeout_ms;	  /* limit on the time without response bytes */
+	bool close_delimited;  /* a response may end with its connection */
+	int unsent_timeout_ms; /* limit on the time until it is sent */
+	int idle_timeout_ms;   /* then, limit on the time without response bytes
+				*/
 	size_t pending_max_bytes; /* limit on an incomplete chunk */
 	/**
 	 * Called with the status and headers of the response. Returns whether
@@ -91,6 +93,9 @@
 /** Whether the request's connection has carried earlier ones. */
 bool upstream_is_reused(const struct upstream *upstream);
 
+/** Applies idle_timeout_ms once the request was sent; call it regularly. */
+void upstream_tick(struct upstream *upstream);
+
 /** Pauses or resumes reading the response. */
 void upstream_pause(struct upstream *upstream, bool paused);
 
