--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -10,8 +10,8 @@
 #include "entry/parts.h"
 
 /*
- * A stream without a complete event for this long is resumed on another
- * replica. Also the longest wait for a replica to retry at.
+ * A stream that gets data without a complete event for this long is cut. Also
+ * the longest wait for a replica to retry at.
  */
 #define STALL_LIMIT_MS 5000
 /* Counts of a gap between data that complete no event. */
@@ -26,6 +26,11 @@
 #define STREAM_CHUNK_MAX_BYTES 262144u
 /* A request under which so many replicas ended isn't sent to another. */
 #define REPLICA_ENDS_MAX 2u
+/* Limit on the time until a stream's request is sent. */
+#define UNSENT_STREAM_MS 5000
+/* Lets a stream's deadline come before the timeout of its connection. */
+#define DEADLINE_MARGIN_MS 1000
+#define US_PER_MS 1000
 
 static const struct log attempt_log = { "call" };
 
@@ -77,7 +82,7 @@
 		route->avoid[route->avoid_count++] = call->replica;
 }
 
-static bool may_retry(const struct call *call)
+bool attempt_may_retry(const struct call *call)
 {
 	return call->attempts < call->attempts_max &&
 	       call->replica_ends < REPLICA_ENDS_MAX && can_resume(call) &&
@@ -127,7 +132,7 @@
 		 (entry_now_us(call->entry) - call->sent_us) / 1000);
 	exclude_replica(call);
 	attempt_finish(call);
-	if (!may_retry(call) ||
+	if (!attempt_may_retry(call) ||
 	    !retry_budget_take(&call->service->retry_budget, now)) {
 		fail_after_attempts(call, why);
 		return;
@@ -151,7 +156,7 @@
 {
 	router_suspect(call->service->router, call->replica,
 		       entry_now_ms(call->entry));
-	if (!call->once_only || may_retry(call)) {
+	if (!call->once_only || attempt_may_retry(call)) {
 		retry(call, "refused the connection");
 		return;
 	}
@@ -220,6 +225,7 @@
 	if (!call->paused || !call->upstream)
 		return;
 	call->paused = false;
+	call->progress_ms = entry_now_ms(call->entry);
 	upstream_pause(call->upstream, false);
 }
 
@@ -260,8 +266,9 @@
 
 static void note_activity(struct call *call)
 {
+	call->progress_ms = entry_now_ms(call->entry);
 	router_response_activity(call->service->router, call->replica,
-				 entry_now_ms(call->entry));
+				 call->progress_ms);
 }
 
 /*
@@ -350,6 +357,7 @@
 		handle_stream_data(call, data);
 		return;
 	}
+	call->data_ms = entry_now_ms(call->entry);
 	note_activity(call);
 	if (evbuffer_get_length(call->response_body) +
 		    evbuffer_get_length(data) >
@@ -412,7 +420,7 @@
 		 "request %s: not run by the endpoint replica=%u "
 		 "status=%d",
 		 call->id, call->replica, call->status);
-	if (may_retry(call)) {
+	if (attempt_may_retry(call)) {
 		retry(call, "says it did not run it");
 		return;
 	}
@@ -423,7 +431,7 @@
 static bool should_retry_failure(const struct call *call)
 {
 	return call->response_class == RESPONSE_FAILED && !call->once_only &&
-	       may_retry(call);
+	       attempt_may_retry(call);
 }
 
 static const char *result_name(enum upstream_result result)
@@ -570,10 +578,29 @@
 	call->data_ms = entry_now_ms(call->entry);
 	call->eventless_ms = 0;
 	call->paused = false;
+	call->progress_ms = call->data_ms;
+	call->doubt = NULL;
+	call->search_due_ms = 0;
+}
+
+/*
+ * Silence alone ends no stream: its deadline does. One without a deadline may
+ * be silent as long as its first event may take.
+ */
+static int64_t stream_idle_ms(const struct call *call)
+{
+	int64_t now_ms = entry_now_ms(call->entry);
+	int64_t until_ms = call->completion_deadline_ms;
+
+	if (!until_ms)
+		until_ms = now_ms + call->deadline_ms -
+			   call->started_us / US_PER_MS;
+	return MAX(0, until_ms - now_ms) + DEADLINE_MARGIN_MS;
 }
 
 static void send_request(struct call *call)
 {
+	int64_t left_ms = MAX(1, call->deadline_ms - entry_now_ms(call->entry));
 	struct upstream_request request = {
 		.id = call->id,
 		.address = call->address,
@@ -582,7 +609,8 @@
 		.add_headers = add_headers,
 		.once_only = call->once_only,
 		.close_delimited = call->format->close_delimited,
-		.idle_timeout_ms = STALL_LIMIT_MS,
+		.unsent_timeout_ms = (int)left_ms,
+		.idle_timeout_ms = (int)left_ms,
 		.pending_max_bytes = STREAM_CHUNK_MAX_BYTES,
 		.head = on_head,
 		.data = on_data,
@@ -590,9 +618,10 @@
 		.ctx = call,
 	};
 
-	if (!call->stream) {
-		request.idle_timeout_ms = (int)MAX(
-			1, call->deadline_ms - entry_now_ms(call->entry));
+	if (call->stream) {
+		request.unsent_timeout_ms = UNSENT_STREAM_MS;
+		request.idle_timeout_ms = (int)stream_idle_ms(call);
+	} else {
 		request.pending_max_bytes =
 			(size_t)call->entry->opts.settings->limits.body_bytes;
 	}
@@ -652,13 +681,8 @@
 	send_request(call);
 }
 
-void attempt_replica_lost(struct call *call, const char *why)
+void attempt_move(struct call *call, const char *why)
 {
-	if (call->state != CALL_DISPATCHED || !call->upstream)
-		return;
-	/* A call that must not be repeated can only wait for its response. */
-	if (call->once_only)
-		return;
 	cancel_upstream(call);
 	handle_failure(call, why);
 }
--- a/entry/services.c
+++ b/entry/services.c
@@ -254,31 +254,6 @@
 
 /* ---- health of replicas ---- */
 
-static void fail_attempts(struct entry *entry, uint32_t replica,
-			  const struct entry_service *service, const char *why)
-{
-	GPtrArray *failed = g_ptr_array_new();
-	GHashTableIter iter;
-	gpointer key;
-
-	g_hash_table_iter_init(&iter, entry->calls);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		struct call *call = key;
-
-		if (call->replica == replica && call->service == service)
-			g_ptr_array_add(failed, call);
-	}
-	for (guint i = 0; i < failed->len; i++)
-		attempt_replica_lost(failed->pdata[i], why);
-	g_ptr_array_unref(failed);
-}
-
-/* A replica whose VM is leaving finishes its requests. */
-static bool fails_attempts(enum replica_fault fault)
-{
-	return fault == REPLICA_VM_SILENT || fault == REPLICA_VM_OTHER_EPOCH;
-}
-
 /*
  * After a restart nothing is known of VMs until they announce themselves. Until
  * then, replicas that were healthy before are presumed to be so.
@@ -301,6 +276,14 @@
 			      : 0;
 }
 
+/* -1: never */
+static int64_t heard_ms_ago(const struct entry *entry, const char *vm)
+{
+	const struct view_vm *known = vm ? view_find(entry->view, vm) : NULL;
+
+	return known ? entry_now_ms(entry) - known->heard_ms : -1;
+}
+
 static void update_replica_health(void *ctx,
 				  const struct replica_state *replica)
 {
@@ -331,11 +314,11 @@
 		return;
 	log_note(&services_log,
 		 "replica health changed replica=%u epoch=%" PRIu64 " "
-		 "service=%s state=%s vm=%s",
+		 "service=%s state=%s vm=%s heard_ms_ago=%" PRId64 " requests=%"
+		 "u",
 		 a->replica, a->epoch, a->service, replica_fault_name(fault),
-		 faulty_vm ? faulty_vm : "-");
-	if (fails_attempts(fault))
-		fail_attempts(entry, a->replica, s, replica_fault_name(fault));
+		 faulty_vm ? faulty_vm : "-", heard_ms_ago(entry, faulty_vm),
+		 r->outstanding);
 }
 
 static uint32_t plain_number(struct entry_service *s, const char *vm)
@@ -352,32 +335,65 @@
 	return GPOINTER_TO_UINT(known);
 }
 
+/* As for replicas, what the VM said of itself takes precedence over silence. */
+static enum replica_fault plain_fault(const struct entry *entry,
+				      const struct view_vm *vm)
+{
+	if (vm->report.leaving)
+		return REPLICA_VM_LEAVING;
+	if (!vm->report.ready)
+		return REPLICA_VM_NOT_READY;
+	return view_alive(entry->view, vm, entry_now_ms(entry))
+		       ? REPLICA_HEALTHY
+		       : REPLICA_VM_SILENT;
+}
+
+static void set_plain_health(struct entry_service *s, const struct view_vm *vm,
+			     const struct router_replica *r)
+{
+	const struct entry *entry = s->entry;
+	enum replica_fault fault = plain_fault(entry, vm);
+	int64_t fresh_until_ms = fault ? 0 : vm->fresh_until_ms;
+	bool was_healthy = r->fresh_until_ms != 0;
+
+	if (fault == REPLICA_VM_SILENT &&
+	    active_until_ms(r) > entry_now_ms(entry)) {
+		fault = REPLICA_HEALTHY;
+		fresh_until_ms = active_until_ms(r);
+	}
+	router_set_health(s->router, r->id, fresh_until_ms,
+			  replica_fault_name(fault));
+	if (was_healthy != !fault)
+		log_note(&services_log,
+			 "endpoint health changed replica=%u service=%s "
+			 "state=%s vm=%s heard_ms_ago=%" PRId64 " requests=%u",
+			 r->id, s->name, replica_fault_name(fault),
+			 vm->report.name, heard_ms_ago(entry, vm->report.name),
+			 r->outstanding);
+}
+
 /* Endpoints of plain services announce the service that they belong to. */
 static void update_plain_health(void *ctx, const struct view_vm *vm)
 {
 	struct entry *entry = ctx;
-	const struct vm_report *r = &vm->report;
-	struct entry_service *s = *r->service ? services_find(entry, r->service)
-					      : NULL;
+	const struct vm_report *report = &vm->report;
+	struct entry_service *s =
+		*report->service ? services_find(entry, report->service) : NULL;
 	const struct service_state *service =
-		s ? state_service(entry->config, r->service) : NULL;
-	bool vm_alive = view_alive(entry->view, vm, entry_now_ms(entry));
-	bool usable = vm_alive && r->ready && !r->leaving;
+		s ? state_service(entry->config, report->service) : NULL;
+	const struct router_replica *r;
 	uint32_t number;
 
 	if (!service || !service->spec.is_plain)
 		return;
-	number = plain_number(s, r->name);
-	router_put(s->router, number, r->incarnation,
-		   r->slots ? r->slots : service->spec.slots_per_replica,
-		   r->address);
-	router_set_health(s->router, number, usable ? vm->fresh_until_ms : 0,
-			  usable       ? "whole"
-			  : !vm_alive  ? "vm-silent"
-			  : r->leaving ? "vm-leaving"
-				       : "vm-not-ready");
-	if (!vm_alive)
-		fail_attempts(entry, number, s, "vm-silent");
+	number = plain_number(s, report->name);
+	router_put(s->router, number, report->incarnation,
+		   report->slots ? report->slots
+				 : service->spec.slots_per_replica,
+		   report->address);
+	r = router_find(s->router, number);
+	if (r)
+		set_plain_health(s, vm, r);
 }
 
 void services_update_health(struct entry *entry)
@@ -584,8 +600,9 @@
 	int64_t limit = check->service->entry->opts.settings->limits.stall_ms;
 	uint32_t id = r->id;
 
-	if (r->outstanding && check->now_ms - r->last_activity_ms >= limit &&
-	    check->now_ms >= r->suspect_until_ms)
+	if (r->outstanding && check->now_ms >= r->suspect_until_ms &&
+	    pauses_awake_ms(&check->service->entry->pauses, r->last_activity_ms,
+			    check->now_ms) >= limit)
 		g_array_append_val(check->stalled, id);
 }
 
@@ -607,7 +624,6 @@
 			 id, s->name,
 			 (int)s->entry->opts.settings->limits.stall_ms);
 		router_suspect(s->router, id, check.now_ms);
-		fail_attempts(s->entry, id, s, "stalled");
 	}
 	g_array_unref(check.stalled);
 }
@@ -621,6 +637,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (entry->pauses.just_ended)
+		return;
 	g_hash_table_iter_init(&iter, entry->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct entry_service *s = value;
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -105,7 +105,7 @@
 	struct upstream_pool *pool = u->pool;
 	GQueue *queue = g_hash_table_lookup(pool->idle, u->address);
 	struct timeval idle =
-		timeval_of((int64_t)u->opts.idle_timeout_ms * US_PER_MS);
+		timeval_of((int64_t)u->opts.unsent_timeout_ms * US_PER_MS);
 
 	g_hash_table_remove(pool->active, u);
 	event_free(u->check);
@@ -290,8 +290,10 @@
 
 static int64_t check_interval_us(const struct upstream *u)
 {
-	return (int64_t)MAX(1, u->opts.idle_timeout_ms) * US_PER_MS /
-	       SILENT_CHECKS;
+	int limit_ms = u->bytes_sent ? u->opts.idle_timeout_ms
+				     : u->opts.unsent_timeout_ms;
+
+	return (int64_t)MAX(1, limit_ms) * US_PER_MS / SILENT_CHECKS;
 }
 
 static void schedule_check(struct upstream *u, int64_t after_us)
