entry: a stopping entry takes only what it can end in time

Callers lost streams that they had sent up to 2.9 s after a SIGTERM: the entry accepted them, passed them on to a replica, and cut them off 7.0 s after the SIGTERM. In the record two calls came 1.9 s after it and were ended so after 5.1 s. It needs streams of 4 to 5 s, or a loaded machine on which they take as long.

Cause: what a stopping entry accepts depended on the time alone, not on how long the call takes.

Now an entry measures how long calls of a service, route and expected output take, and refuses at once, not run, with Retry-After and Connection: close, what would outlast its drain: at arrival, before a dispatch from the queue and before another attempt. Open calls that are older than the completed ones count, so that it is seen early when endpoints slow down.

Not changed: the drain's 7.0 s of the 8 s.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -7,6 +7,7 @@
 #include <event2/bufferevent.h>
 
 #include "common/log.h"
+#include "entry/call_class.h"
 #include "entry/parts.h"
 
 /*
@@ -72,12 +73,19 @@
 		route->avoid[route->avoid_count++] = call->replica;
 }
 
+/* A started stream goes on for as long as its entry can. */
+static bool has_time_left(const struct call *call)
+{
+	return reply_has_started(call->reply) || call_has_time(call);
+}
+
 static bool may_retry(const struct call *call)
 {
 	return call->attempts < call->attempts_max &&
 	       call->replica_ends < REPLICA_ENDS_MAX &&
 	       (reply_is_open(call->reply) || call->booking_key) &&
-	       entry_now_ms(call->entry) < call->deadline_ms;
+	       entry_now_ms(call->entry) < call->deadline_ms &&
+	       has_time_left(call);
 }
 
 /*
@@ -393,6 +401,7 @@
 		 call->id, call->replica, call->status, size,
 		 (entry_now_us(call->entry) - call->started_us) / 1000);
 	parts_answered(call);
+	call_class_add_complete(call);
 	attempt_finish(call);
 	if (call->booking_key)
 		booking_end(call, BOOKING_ANSWERED, call->status,
@@ -661,6 +670,10 @@
 
 void attempt_tick_awaiting(struct call *call, int64_t now_ms)
 {
+	if (!has_time_left(call)) {
+		fail_after_attempts(call, "no time is left to go on");
+		return;
+	}
 	if (redispatch(call) || now_ms < call->replica_wait_until_ms)
 		return;
 	fail_after_attempts(call, "no replica to go on at");
--- a/entry/call.c
+++ b/entry/call.c
@@ -7,7 +7,9 @@
 #include <event2/bufferevent.h>
 
 #include "common/log.h"
+#include "entry/call_class.h"
 #include "entry/parts.h"
+#include "entry/shutdown.h"
 
 #define OUTPUT_EWMA_WEIGHT 0.05
 #define US_PER_MS 1000
@@ -52,6 +54,9 @@
 
 	call->entry = entry;
 	call->service = opts->service;
+	call->call_class = call_class_ref(
+		call->service, opts->route_name ? opts->route_name : "",
+		opts->route.output_tokens);
 	call->format = opts->format;
 	call->data = opts->data;
 	call->stream = opts->stream;
@@ -116,6 +121,7 @@
 	if (call->body)
 		g_bytes_unref(call->body);
 	call->format->free_data(call->data);
+	call_class_unref(call->call_class);
 	g_free(call->account);
 	g_free(call->path);
 	g_free(call->booking_key);
@@ -225,6 +231,7 @@
 
 	if (!reply_has_started(call->reply))
 		call_start_stream(call);
+	call_class_add_complete(call);
 	service->mean_output += OUTPUT_EWMA_WEIGHT *
 				(call->tokens - service->mean_output);
 	count_outcome(call, COUNTER_COMPLETED);
@@ -332,6 +339,20 @@
 	return calls;
 }
 
+bool call_has_time(const struct call *call)
+{
+	struct shutdown_question question = {
+		.id = call->id,
+		.prospect = { .call_class = call->call_class,
+			      .service = call->service,
+			      .route = &call->route,
+			      .since = SINCE_DISPATCH },
+		.ends_by_ms = call->completion_deadline_ms,
+	};
+
+	return shutdown_leaves_time(&question);
+}
+
 void call_tick(struct call *call, int64_t now_ms)
 {
 	bool sent = call->state == CALL_DISPATCHED && call->upstream;
--- a/entry/call.h
+++ b/entry/call.h
@@ -91,6 +91,7 @@
 	struct entry *entry;
 	struct entry_service *service;
 	struct reply *reply; /* to the caller */
+	struct call_class *call_class;
 	const struct call_format *format;
 	void *data; /* owned by `format` */
 	enum call_state state;
@@ -157,6 +158,7 @@
  */
 struct call_opts {
 	struct entry_service *service;
+	const char *route_name; /* NULL on the native interface */
 	struct evhttp_request *req;
 	const struct call_format *format;
 	void *data;
@@ -226,6 +228,12 @@
  */
 void call_end_for_shutdown(struct call *call);
 
+/**
+ * Whether a call that is sent to an endpoint now is expected to end before its
+ * entry stops.
+ */
+bool call_has_time(const struct call *call);
+
 /** Frees a call without a response, because the entry is destroyed. */
 void call_abandon(struct call *call);
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -4,7 +4,7 @@
 #include "common/address.h"
 #include "common/log.h"
 #include "common/pack.h"
-#include "entry/call.h"
+#include "entry/call_class.h"
 #include "entry/parts.h"
 #include "entry/shutdown.h"
 #include "entry/take.h"
@@ -221,6 +221,7 @@
 	entry->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						entry_service_free);
 	entry->calls = g_hash_table_new(NULL, NULL);
+	entry->call_classes = call_classes_create();
 	entry->unrecorded = g_hash_table_new(NULL, NULL);
 	entry->pool = upstream_pool_create(entry->base);
 	entry->ends = ends_create(entry);
@@ -304,6 +305,7 @@
 	if (entry->endpoints)
 		evhttp_free(entry->endpoints);
 	g_hash_table_unref(entry->calls);
+	g_hash_table_unref(entry->call_classes);
 	booking_drop_unrecorded(entry);
 	g_hash_table_unref(entry->services);
 	clear_known_entries(entry);
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -23,6 +23,7 @@
 #define REQUEST_ID_MAX 64
 
 struct call;
+struct call_class;
 struct ends;
 struct parts;
 
@@ -71,10 +72,11 @@
 	struct view *view;
 	uint64_t health_version; /* view_version() at the last health update */
 	bool full_digest_due;
-	GHashTable *services;	/* name -> struct entry_service */
-	GHashTable *calls;	/* set of struct call */
-	struct ends *ends;	/* of replicas */
-	struct parts *parts;	/* of prompts */
+	GHashTable *services;	  /* name -> struct entry_service */
+	GHashTable *calls;	  /* set of struct call */
+	GHashTable *call_classes; /* name -> struct call_class */
+	struct ends *ends;	  /* of replicas */
+	struct parts *parts;	  /* of prompts */
 	GHashTable *unrecorded; /* outcomes of bookings, to be recorded again */
 	struct upstream_pool *pool;
 	struct routes *routes; /* of the deployment; NULL before there is one */
--- a/entry/services.c
+++ b/entry/services.c
@@ -679,6 +679,10 @@
 	int64_t started = entry_now_us(entry);
 	struct router_choice choice;
 
+	if (!call_has_time(call)) {
+		call_reject_queued(call, RD_DRAINING);
+		return true;
+	}
 	if (has_timings && ticket->overdue && overdue_limit_reached(s))
 		return false;
 	call->route.no_pending_prefill = has_timings && ticket->overdue;
--- a/entry/shutdown.c
+++ b/entry/shutdown.c
@@ -12,6 +12,9 @@
 /* Part of that for what endpoints have sent before the end of the drain. */
 #define PASS_ON_MS 200
 
+/* What a stream of which nothing is known is expected to take of a drain. */
+#define UNKNOWN_DRAIN_PERMILLE 750
+
 /* After limits.linger_ms, time for requests that are being received. */
 #define RECEIVE_MS 2000
 
@@ -110,6 +113,33 @@
 	       entry_now_ms(entry) >= entry->shutdown.reject_from_ms;
 }
 
+bool shutdown_leaves_time(const struct shutdown_question *question)
+{
+	const struct call_prospect *prospect = &question->prospect;
+	const struct entry *entry = prospect->service->entry;
+	int64_t left_ms = entry->shutdown.deadline_ms - entry_now_ms(entry);
+	int64_t expected_ms;
+
+	if (!shutdown_begun(entry) ||
+	    (question->ends_by_ms &&
+	     question->ends_by_ms <= entry->shutdown.deadline_ms))
+		return true;
+	expected_ms = call_class_expected_ms(prospect);
+	if (expected_ms < 0 && question->new_stream)
+		expected_ms = UNKNOWN_DRAIN_PERMILLE *
+			      (entry->shutdown.deadline_ms -
+			       entry->shutdown.began_ms) /
+			      1000;
+	if (expected_ms <= left_ms)
+		return true;
+	log_info(&shutdown_log,
+		 "request %s: would outlast the stop expected_ms=%" PRId64
+		 " left_ms=%" PRId64 " since=%s",
+		 question->id, expected_ms, left_ms,
+		 prospect->since == SINCE_ARRIVAL ? "arrival" : "dispatch");
+	return false;
+}
+
 static void start_rejecting(struct entry *entry)
 {
 	log_phase(entry, "stop: rejecting new requests");
--- a/entry/shutdown.h
+++ b/entry/shutdown.h
@@ -10,7 +10,7 @@
 #ifndef ENTRY_SHUTDOWN_H
 #define ENTRY_SHUTDOWN_H
 
-#include "entry/entry_internal.h"
+#include "entry/call_class.h"
 
 /** Starts the stop; done(arg) is called once, from shutdown_tick(). */
 void shutdown_begin(struct entry *entry, task_fn done, void *arg);
@@ -27,6 +27,21 @@
 /** Whether new requests are to be rejected because of a stop. */
 bool shutdown_rejects(const struct entry *entry);
 
+/** Asks whether a call can end before its entry does. */
+struct shutdown_question {
+	const char *id; /* of the request */
+	struct call_prospect prospect;
+	bool new_stream;    /* that was not accepted yet */
+	int64_t ends_by_ms; /* it ends by then in any case; 0: no limit */
+};
+
+/**
+ * Whether the call is expected to end before limits.drain_ms have passed; true
+ * without a stop. If nothing is known, a new stream is expected to take most of
+ * limits.drain_ms, and any other call is accepted.
+ */
+bool shutdown_leaves_time(const struct shutdown_question *question);
+
 /** Advances the stop, if there is one. */
 void shutdown_tick(struct entry *entry);
 
--- a/entry/take.c
+++ b/entry/take.c
@@ -102,6 +102,42 @@
 	return r->service ? RD_OK : RD_NO_REPLICA;
 }
 
+static int64_t arrival_ms(const struct routed_request *r)
+{
+	return r->request->arrived_ms ? r->request->arrived_ms
+				      : entry_now_ms(r->entry);
+}
+
+static int64_t deadline_ms(const struct routed_request *r)
+{
+	int64_t timeout_ms = r->request->caller_timeout_ms
+				     ? r->request->caller_timeout_ms
+				     : TIMEOUT_MAX_MS;
+
+	return arrival_ms(r) + MIN(timeout_ms, (int64_t)r->route->timeout_ms);
+}
+
+/* Whether the request's call can end before the entry does. */
+static bool has_time(const struct routed_request *r)
+{
+	struct shutdown_question question = {
+		.id = r->request->id,
+		.prospect = { .service = r->service,
+			      .route = &r->request->route,
+			      .since = SINCE_ARRIVAL },
+		.new_stream = r->route->kind == ROUTE_STREAM,
+		.ends_by_ms = deadline_ms(r),
+	};
+	struct call_class *call_class = call_class_ref(
+		r->service, r->route->name, r->request->route.output_tokens);
+	bool has_time;
+
+	question.prospect.call_class = call_class;
+	has_time = shutdown_leaves_time(&question);
+	call_class_unref(call_class);
+	return has_time;
+}
+
 static enum rd_result route_request(struct routed_request *r)
 {
 	struct entry *entry = r->entry;
@@ -118,7 +154,10 @@
 		return code;
 	if (shutdown_rejects(entry))
 		return RD_DRAINING;
-	return find_service(r);
+	code = find_service(r);
+	if (!code && !has_time(r))
+		return RD_DRAINING;
+	return code;
 }
 
 /*
@@ -143,15 +182,11 @@
 	const struct caller_request *request = r->request;
 	const struct route_spec *route = r->route;
 	struct entry *entry = r->entry;
-	int64_t timeout_ms = request->caller_timeout_ms
-				     ? request->caller_timeout_ms
-				     : TIMEOUT_MAX_MS;
-	int64_t now = request->arrived_ms ? request->arrived_ms
-					  : entry_now_ms(entry);
-	int64_t deadline_ms = now + MIN(timeout_ms, (int64_t)route->timeout_ms);
+	int64_t ends_by_ms = deadline_ms(r);
 	bool stream = route->kind == ROUTE_STREAM;
 	struct call_opts opts = {
 		.service = r->service,
+		.route_name = route->name,
 		.req = request->req,
 		.format = request->format,
 		.data = request->data,
@@ -161,9 +196,10 @@
 		.priority = r->account && r->account->has_priority
 				    ? r->account->priority
 				    : route->priority,
-		.deadline_ms = deadline_ms,
-		.completion_deadline_ms = deadline_ms,
-		.objective_deadline_ms = objective_deadline_ms(r, now),
+		.deadline_ms = ends_by_ms,
+		.completion_deadline_ms = ends_by_ms,
+		.objective_deadline_ms = objective_deadline_ms(r,
+							       arrival_ms(r)),
 		.path = request->target,
 		.body = http_body(request->req),
 		.once_only = route->kind == ROUTE_ONCE ||
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -40,6 +40,9 @@
 /* More than an entry reads at once. */
 #define SLOW_LARGE_PREFIX "/slow/large"
 #define SLOW_LARGE_BYTES 300000
+/* Streams of two events, as many ms apart as the rest of the path says. */
+#define LONG_PREFIX "/long/"
+#define SHORT_PREFIX "/short/"
 /* Answered with the script's `answer` lines, in their order. */
 #define SCRIPTED_SUFFIX "/scripted"
 #define ANSWER_HEAD                                                    \
@@ -118,6 +121,7 @@
 	volatile gint stop;
 	int requests;
 	int entries;
+	int linger_ms;
 	struct crash_endpoints *crash_endpoints;
 	struct part_clients *sound_at[NODES + 1], *bad;
 	gint64 late_ms; /* see do_wait_late() */
@@ -162,6 +166,37 @@
 	evbuffer_free(piece);
 }
 
+static void on_stream_over(evutil_socket_t fd, short what, void *arg)
+{
+	struct evbuffer *piece = evbuffer_new();
+	struct evhttp_request *req = arg;
+
+	(void)fd;
+	(void)what;
+	evbuffer_add_printf(piece, "id: 2\ndata: y\n\n");
+	evhttp_send_reply_chunk(req, piece);
+	/* Only frees the request if its connection was closed. */
+	evhttp_send_reply_end(req);
+	evbuffer_free(piece);
+}
+
+static void send_lasting(struct platform_test *test, struct evhttp_request *req)
+{
+	const char *uri = evhttp_request_get_uri(req);
+	long ms = strtol(strrchr(uri, '/') + 1, NULL, 10);
+	struct timeval delay = { ms / 1000, ms % 1000 * 1000 };
+	struct evbuffer *piece = evbuffer_new();
+
+	evbuffer_add_printf(piece, "id: 1\ndata: x\n\n");
+	evhttp_add_header(evhttp_request_get_output_headers(req),
+			  "Content-Type", "text/event-stream");
+	evhttp_send_reply_start(req, 200, "OK");
+	evhttp_send_reply_chunk(req, piece);
+	evbuffer_free(piece);
+	event_base_once(test->base, -1, EV_TIMEOUT, on_stream_over, req,
+			&delay);
+}
+
 static void on_reset(evutil_socket_t fd, short what, void *arg)
 {
 	/* On Linux, sends a reset. */
@@ -265,6 +300,11 @@
 		send_endless(req);
 		return;
 	}
+	if (g_str_has_prefix(evhttp_request_get_uri(req), LONG_PREFIX) ||
+	    g_str_has_prefix(evhttp_request_get_uri(req), SHORT_PREFIX)) {
+		send_lasting(test, req);
+		return;
+	}
 	if (g_str_has_prefix(evhttp_request_get_uri(req), SLOW_PREFIX))
 		g_ptr_array_add(test->unanswered, req);
 	else
@@ -497,8 +537,9 @@
 		g_string_append_printf(text, "%s\"%s.%d:%d\"",
 				       i > 1 ? ", " : "", test->network, i,
 				       test->ports[PORT_CONTROL]);
-	g_string_append(text, "]\n[limits]\nlinger_ms = 500\n"
-			      "early_wait_ms = 20000\n"
+	g_string_append_printf(text, "]\n[limits]\nlinger_ms = %d\n",
+			       test->linger_ms);
+	g_string_append(text, "early_wait_ms = 20000\n"
 			      "drain_ms = 3000\n[log]\nlevel = \"note\"\n");
 	g_free(peers);
 	g_free(control);
@@ -557,12 +598,13 @@
 	return wait_node(test, node);
 }
 
-/* start [entries=N] */
+/* start [entries=N] [linger=MS] */
 static void do_start(struct script *s)
 {
 	struct platform_test *test = s->ctx;
 
 	test->entries = (int)script_number(s, "entries", 1);
+	test->linger_ms = (int)script_number(s, "linger", 500);
 	test->bootstrap = true;
 	for (int i = 1; i <= CONTROL_VMS + test->entries; i++)
 		start_node(test, i);
@@ -1058,6 +1100,31 @@
 	g_string_free(e.got, TRUE);
 }
 
+static void print_field(struct script *s, const char *head, const char *name)
+{
+	char *lower = g_ascii_strdown(head, -1);
+	char *prefix = g_strdup_printf("\r\n%s: ", name);
+	const char *found = strstr(lower, prefix);
+	const char *value = found ? found + strlen(prefix) : "none";
+
+	script_print(s, "%s: %.*s", name, (int)strcspn(value, "\r\n"), value);
+	g_free(prefix);
+	g_free(lower);
+}
+
+/* raw-refusal TEXT: as raw-request, and prints what tells callers to return. */
+static void do_raw_refusal(struct script *s)
+{
+	struct exchange e;
+
+	exchange(s, &e);
+	script_print(s, "%.12s, %s, endpoint received %d", e.got->str, e.end,
+		     e.received);
+	print_field(s, e.got->str, "connection");
+	print_field(s, e.got->str, "retry-after");
+	g_string_free(e.got, TRUE);
+}
+
 /* pause MS: for limits of a node that no event shows. */
 static void do_pause(struct script *s)
 {
@@ -1391,6 +1458,7 @@
 	{ "memory-below", 2, do_memory_below },
 	{ "raw-request", 1, do_raw_request },
 	{ "raw-exchange", 1, do_raw_exchange },
+	{ "raw-refusal", 1, do_raw_refusal },
 	{ "pause", 1, do_pause },
 	{ "answer", 1, do_answer },
 	{ "request-begin", 1, do_request_begin },
