test: torture ends each schedule with a final fault and a bound

Schedules ended with all faults removed and 20 s to converge. Each schedule now ends so, once all is calm and the voters are complete; after it a leader must be ready within the users' recoverS (12 s at election_ms 500, so 24 election timeouts) plus the time that the members are down.

--- a/bench/bench_torture.c
+++ b/bench/bench_torture.c
@@ -41,6 +41,7 @@
 	range->totals.acknowledged += r->acknowledged;
 	range->totals.snapshots += r->snapshots;
 	range->totals.terms += r->terms;
+	range->totals.final_wipes += r->final_wipes;
 	pthread_mutex_unlock(&range->lock);
 	g_free(r->fault);
 }
@@ -92,11 +93,13 @@
 	for (int i = 0; i < threads; i++)
 		pthread_join(ids[i], NULL);
 	printf("seeds %u to %u: %u failed; %u crashes, %u lost disks, "
+	       "%u of them as the final fault, "
 	       "%u pauses, %u partitions, "
 	       "%u membership changes, %u transfers, %u terms, "
 	       "%u snapshots installed, %u changes acknowledged\n",
 	       range.first, range.first + range.count - 1, range.failed,
-	       range.totals.crashes, range.totals.wipes, range.totals.pauses,
+	       range.totals.crashes, range.totals.wipes,
+	       range.totals.final_wipes, range.totals.pauses,
 	       range.totals.partitions, range.totals.config_changes,
 	       range.totals.transfers, range.totals.terms,
 	       range.totals.snapshots, range.totals.acknowledged);
--- a/test/test_torture.c
+++ b/test/test_torture.c
@@ -35,7 +35,7 @@
 
 static void run_schedules(enum torture_disk disk)
 {
-	uint32_t acknowledged = 0, crashes = 0, snapshots = 0;
+	uint32_t acknowledged = 0, crashes = 0, snapshots = 0, final_wipes = 0;
 
 	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
 		struct torture_result result;
@@ -46,11 +46,13 @@
 		acknowledged += result.acknowledged;
 		crashes += result.crashes;
 		snapshots += result.snapshots;
+		final_wipes += result.final_wipes;
 	}
-	/* Without changes, crashes and snapshots nothing was tested. */
+	/* Without changes, faults and snapshots nothing was tested. */
 	assert_true(acknowledged > SEEDS * 5);
 	assert_true(crashes > SEEDS);
 	assert_true(snapshots > SEEDS / 10);
+	assert_true(final_wipes > SEEDS / 10);
 }
 
 static void test_schedules(void **state)
--- a/test/torture.c
+++ b/test/torture.c
@@ -16,6 +16,15 @@
 #define STEP_US 5000
 #define SCHEDULE_MS 12000
 #define CONVERGE_MS 20000
+#define ELECTION_MS 300
+/*
+ * Time for a ready leader after the final fault: recoverS of the users' pages,
+ * 12 s, in election timeouts of deploy/control.toml.in.
+ */
+#define RECOVER_MS (24 * ELECTION_MS)
+/* Wait for an acknowledgement, right after which the final fault occurs. */
+#define FINAL_ACK_MS 3000
+#define FINAL_DOWN_MS 1000
 #define DRIFT_PERMILLE 50
 #define SERVICE "torture"
 #define OPERATORS 3
@@ -85,6 +94,7 @@
 	int max_gap_us;		  /* upper limit of the time between changes */
 	double vote_crash_chance; /* of a crash right after a vote */
 	int64_t no_faults_until_us; /* no new faults or changes until then */
+	int64_t recover_until_us;   /* a leader is due until then; 0: not */
 	bool faults_stopped;	    /* no more faults until the end */
 	struct torture_result *result;
 };
@@ -255,7 +265,7 @@
 	s->node.id = vm->node;
 	s->node.data_centre = (char *)centres[vm->node - 1];
 	s->cluster.name = (char *)"torture";
-	s->cluster.election_ms = 300;
+	s->cluster.election_ms = ELECTION_MS;
 	s->cluster.heartbeat_ms = 50;
 	s->cluster.drift_permille = DRIFT_PERMILLE;
 	s->limits.segment_bytes = 16384;
@@ -609,6 +619,19 @@
 	return true;
 }
 
+/* Whether the leader's members are committed, and its voters all present. */
+static bool has_spare_voter(const struct simulation *sim,
+			    const struct vm *leader)
+{
+	const struct raft *raft = group_raft(leader->group);
+	const struct member_config *config = raft_config(raft);
+
+	return config->members.members_len == MEMBERS &&
+	       same_config(config,
+			   raft_config_at(raft, raft_commit_index(raft))) &&
+	       voters_present(sim, config) && voter_count(config) >= VOTERS;
+}
+
 /*
  * A lost disk is tolerated while there are at least three voters, all members
  * have applied every committed entry, and no membership change is in progress.
@@ -631,10 +654,7 @@
 		    !same_config(config, raft_config(group_raft(vm->group))))
 			return false;
 	}
-	return config->members.members_len == MEMBERS &&
-	       same_config(config,
-			   raft_config_at(group_raft(leader->group), commit)) &&
-	       voters_present(sim, config) && voter_count(config) >= VOTERS;
+	return has_spare_voter(sim, leader);
 }
 
 static void lose_disk(struct vm *vm)
@@ -914,6 +934,138 @@
 	return g_string_free(text, FALSE);
 }
 
+/* Promotes a learner while voters are missing, as control/members.c does. */
+static void restore_voters(struct simulation *sim)
+{
+	struct vm *leader = pick_leader(sim);
+	struct member_config config = { { 0 } };
+
+	if (!leader ||
+	    !CODEC_COPY(member_config, raft_config(group_raft(leader->group)),
+			&config))
+		return;
+	for (u_int i = 0; i < config.members.members_len; i++) {
+		struct member *m = &config.members.members_val[i];
+
+		if (m->voter || voter_count(&config) >= VOTERS)
+			continue;
+		m->voter = TRUE;
+		(void)group_propose_config(leader->group, &config);
+		break;
+	}
+	CODEC_FREE(member_config, &config);
+}
+
+/* One step without new faults. */
+static void quiet_step(struct simulation *sim)
+{
+	step(sim);
+	add_missing_members(sim);
+	restore_voters(sim);
+}
+
+/* Until a disk may be lost, or for the time that convergence may take. */
+static void settle(struct simulation *sim)
+{
+	int64_t until = sim->now_us + (int64_t)CONVERGE_MS * 1000;
+
+	stop_faults(sim);
+	while (sim->now_us < until && !sim->result->fault &&
+	       !can_lose_disk(sim))
+		quiet_step(sim);
+}
+
+static void await_acknowledgement(struct simulation *sim)
+{
+	int64_t until = sim->now_us + (int64_t)FINAL_ACK_MS * 1000;
+	uint32_t before = sim->result->acknowledged;
+
+	while (sim->now_us < until && !sim->result->fault &&
+	       sim->result->acknowledged == before)
+		quiet_step(sim);
+}
+
+static void power_off(struct simulation *sim, struct vm *vm)
+{
+	if (vm->group)
+		vm_crash(vm);
+	vm->down_until_us = sim->now_us +
+			    g_rand_int_range(sim->random, 10, FINAL_DOWN_MS) *
+				    1000;
+}
+
+static bool is_voter_of(const struct member_config *config, const struct vm *vm)
+{
+	for (u_int i = 0; i < config->members.members_len; i++)
+		if (config->members.members_val[i].node == vm->node)
+			return config->members.members_val[i].voter;
+	return false;
+}
+
+enum final_fault {
+	FINAL_ALL_DARK,
+	FINAL_DISK,
+	FINAL_DISK_VOTERS_DARK, /* and the other voters lose power */
+	FINAL_DISK_ALL_DARK,	/* and all others lose power */
+	FINAL_FAULTS,
+};
+
+/*
+ * Right after an acknowledgement all members lose power, or one loses its disk,
+ * alone or while the others lose power at the same moment.
+ */
+static void final_fault(struct simulation *sim)
+{
+	enum final_fault kind;
+	const struct vm *leader;
+	struct member_config voters = { { 0 } };
+	int lost = g_rand_int_range(sim->random, 0, MEMBERS);
+
+	settle(sim);
+	await_acknowledgement(sim);
+	kind = (enum final_fault)g_rand_int_range(sim->random, 0, FINAL_FAULTS);
+	leader = pick_leader(sim);
+	if (!leader || !has_spare_voter(sim, leader))
+		kind = FINAL_ALL_DARK;
+	if (leader)
+		(void)CODEC_COPY(member_config,
+				 raft_config(group_raft(leader->group)),
+				 &voters);
+	for (int i = 0; i < MEMBERS; i++) {
+		struct vm *vm = &sim->vms[i];
+
+		if (kind != FINAL_ALL_DARK && i == lost)
+			lose_disk(vm);
+		else if (kind == FINAL_ALL_DARK ||
+			 kind == FINAL_DISK_ALL_DARK ||
+			 (kind == FINAL_DISK_VOTERS_DARK &&
+			  is_voter_of(&voters, vm)))
+			power_off(sim, vm);
+	}
+	sim->result->final_wipes += kind != FINAL_ALL_DARK;
+	sim->recover_until_us = sim->now_us +
+				(int64_t)(FINAL_DOWN_MS + RECOVER_MS) * 1000;
+	CODEC_FREE(member_config, &voters);
+}
+
+static void check_recovery(struct simulation *sim)
+{
+	char *description;
+
+	if (!sim->recover_until_us)
+		return;
+	for (int i = 0; i < MEMBERS; i++)
+		if (sim->vms[i].group &&
+		    group_is_ready_leader(sim->vms[i].group))
+			sim->recover_until_us = 0;
+	if (!sim->recover_until_us || sim->now_us < sim->recover_until_us)
+		return;
+	description = describe_members(sim);
+	report_fault(sim, "no leader %d ms after the final fault%s",
+		     FINAL_DOWN_MS + RECOVER_MS, description);
+	g_free(description);
+}
+
 static void converge(struct simulation *sim)
 {
 	char *description;
@@ -921,7 +1073,6 @@
 	int64_t until = sim->now_us + (int64_t)CONVERGE_MS * 1000;
 	int64_t stop = sim->now_us + (int64_t)CONVERGE_MS * 500;
 
-	stop_faults(sim);
 	while (sim->now_us < until && !sim->result->fault) {
 		sim->now_us += STEP_US;
 		deliver(sim);
@@ -931,6 +1082,7 @@
 			step_operator(&sim->operators[i]);
 		add_missing_members(sim);
 		check_leases(sim);
+		check_recovery(sim);
 		if (sim->now_us > stop && converged(sim)) {
 			check_states(sim);
 			return;
@@ -1021,6 +1173,8 @@
 	world_init(&sim, seed, disk, result);
 	while (sim.now_us < (int64_t)SCHEDULE_MS * 1000 && !result->fault)
 		step(&sim);
+	if (!result->fault)
+		final_fault(&sim);
 	if (!result->fault)
 		converge(&sim);
 	world_clear(&sim);
--- a/test/torture.h
+++ b/test/torture.h
@@ -6,8 +6,13 @@
  * slow; messages are lost, duplicated and reordered; operators make concurrent
  * changes and resend them.
  *
+ * Each schedule ends, once all is calm, with a final fault right after an
+ * acknowledgement: all members lose power, or one loses its disk, alone or
+ * while the others lose power at the same moment.
+ *
  * Checked throughout: at most one leader per term, at most one valid lease at a
- * time, and all members apply the same command at an index. Checked at the end:
+ * time, and all members apply the same command at an index. Checked after the
+ * final fault: a leader is ready within the users' time. Checked at the end:
  * all members have the same state, each change was applied once, and no
  * acknowledged change is missing.
  */
@@ -26,6 +31,7 @@
 	uint32_t snapshots;    /* received by members that lagged too far */
 	uint32_t acknowledged; /* changes that operators got acknowledged */
 	uint32_t terms;
+	uint32_t final_wipes; /* final faults in which a disk was lost */
 };
 
 /** Who waits for the disk. */
