--- a/soak/check.c
+++ b/soak/check.c
@@ -165,6 +165,8 @@
 {
 	int64_t stop_us = process_stop_us(r->process);
 
+	if (run->stalled)
+		return "its replica lost a VM";
 	if (run->served && run->ended_us <= r->ended_us)
 		return "complete at the endpoint";
 	if (!run->begun)
@@ -217,7 +219,7 @@
 	result->abandoned += r->abandoned;
 	if (r->gave_up || r->abandoned || !counts_as_lost(r, run))
 		return;
-	if (run->broken || r->ended_us >= r->deadline_us ||
+	if (run->broken || run->stalled || r->ended_us >= r->deadline_us ||
 	    engine_too_slow(r, run)) {
 		result->excused++;
 		count_cause(soak, r, "excused", result);
--- a/soak/endpoints.c
+++ b/soak/endpoints.c
@@ -27,7 +27,11 @@
 	run = find_or_add(runs, id);
 	if (!strcmp(event, "received")) {
 		run->received++;
-		run->broken = 0;
+		run->broken = run->stalled = 0;
+		return;
+	}
+	if (!strcmp(event, "stalled")) {
+		run->stalled++;
 		return;
 	}
 	if (!strcmp(event, "begun")) {
--- a/soak/platform_faults.c
+++ b/soak/platform_faults.c
@@ -43,7 +43,7 @@
 	{ "late", 10, true, "late-beats:3000", 3000, 8000 },
 	{ "slow", 10, false, "slow:4", 3000, 8000 },
 	{ "crash", 4, false, "crash", 0, 0 },
-	{ "dark", 3, false, "pause", DARK_MIN_MS, DARK_MAX_MS },
+	{ "dark", 3, false, "dark", DARK_MIN_MS, DARK_MAX_MS },
 };
 
 static int draw(struct platform_faults *f, int from, int to)
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -129,7 +129,8 @@
 	int received;		      /* by an endpoint; only logged by some */
 	int begun, served, cancelled; /* number of such events */
 	int broken;	  /* likewise, since the request was received last */
-	int64_t ended_us; /* latest event but `received` and `begun` */
+	int stalled;	  /* its replica has lost a VM; likewise */
+	int64_t ended_us; /* latest of the end events */
 };
 
 struct soak {
--- a/test/fakes/fake_platform_engine.c
+++ b/test/fakes/fake_platform_engine.c
@@ -189,6 +189,8 @@
 {
 	if (!strcmp(what, "pause"))
 		vm->paused_until_us = after_ms(ms);
+	else if (!strcmp(what, "dark"))
+		vm->dark_until_us = after_ms(ms);
 	else if (!strcmp(what, "hold"))
 		vm->held_until_us = after_ms(ms);
 	else if (!strcmp(what, "skip-beats"))
@@ -210,7 +212,7 @@
 
 /*
  * POST /set?vm=N|all&what=CHANGE&ms=DURATION. N counts from 0. CHANGE: pause,
- * hold, skip-beats, late-beats:MS, slow:FACTOR, crash.
+ * dark, hold, skip-beats, late-beats:MS, slow:FACTOR, crash.
  */
 static void handle_control(struct evhttp_request *req, void *ctx)
 {
--- a/test/fakes/platform_batch.c
+++ b/test/fakes/platform_batch.c
@@ -27,6 +27,7 @@
 	int written, output;
 	int sent_event; /* number of the last event */
 	bool admitted, began;
+	bool stalled; /* logged */
 	int64_t deadline_us;
 };
 
@@ -325,6 +326,17 @@
 	platform_beats_send_now(vm->beats);
 }
 
+static void log_stalled(const struct platform_batch *b)
+{
+	for (guint i = 0; i < b->queue->len; i++) {
+		struct generation *g = b->queue->pdata[i];
+
+		if (!g->stalled)
+			log_generation(g, "stalled");
+		g->stalled = true;
+	}
+}
+
 /* Whether the pass may go on. */
 static bool makes_progress(struct platform_batch *b)
 {
@@ -335,6 +347,8 @@
 		vm->broken_at_us = 0;
 		return platform_vm_runs(vm) && now >= vm->held_until_us;
 	}
+	if (platform_group_lost(vm))
+		log_stalled(b);
 	if (!vm->broken_at_us)
 		vm->broken_at_us = now + vm->pool->engine.stall_ms *
 						 (int64_t)US_PER_MS;
--- a/test/fakes/platform_vm.h
+++ b/test/fakes/platform_vm.h
@@ -67,6 +67,7 @@
 	int sequence; /* of heartbeats */
 	bool alive;
 	int64_t paused_until_us; /* neither serves nor sends heartbeats */
+	int64_t dark_until_us;	 /* likewise, for longer than groups stall */
 	int64_t held_until_us;	 /* its batch makes no progress */
 	double slow;		 /* factor on all times; 1 for none */
 	int64_t slow_until_us;
@@ -124,6 +125,8 @@
 void platform_groups_reset(struct platform_vm *vm);
 /** Whether all members are in the group of `head`. */
 bool platform_group_whole(const struct platform_vm *head);
+/** Whether a member has ended, left or gone dark. */
+bool platform_group_lost(const struct platform_vm *head);
 /** The group's factor on all times: that of its slowest member. */
 double platform_group_slowness(const struct platform_vm *head);
 const char *platform_group_state_name(enum group_state state);
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -280,6 +280,8 @@
 			       "\"r\"}\n"
 			       "{\"t_us\":3,\"event\":\"broken\",\"request\":"
 			       "\"r\"}\n"
+			       "{\"t_us\":3,\"event\":\"stalled\",\"request\":"
+			       "\"r\"}\n"
 			       "{\"t_us\":4,\"event\":\"received\",\"request\""
 			       ":\"r\"}\n"
 			       "{\"t_us\":5,\"event\":\"cancelled\","
@@ -296,6 +298,7 @@
 	assert_int_equal(run->begun, 1);
 	/* The endpoint that had it last did not break it off. */
 	assert_int_equal(run->broken, 0);
+	assert_int_equal(run->stalled, 0);
 	assert_int_equal(run->cancelled, 1);
 	assert_int_equal(run->ended_us, 5);
 	assert_string_equal(g_hash_table_lookup(reasons, "r"), "deadline (-)");
@@ -314,6 +317,9 @@
 	t.run->broken = 1;
 	expect_finding(&t, NULL);
 	set_up_records(&t);
+	t.run->stalled = 1;
+	expect_finding(&t, NULL);
+	set_up_records(&t);
 	t.request->deadline_us = t.request->ended_us;
 	expect_finding(&t, NULL);
 }
