soak: an endpoint that completes after the cut was still at work

Its process was stopped while the entry's drain ended; it wrote the rest to a closed connection when it ran again. That counted as complete, so the users' excuse for work in the last sixth of the grace period did not apply. A request that was complete at the endpoint before the cut is lost as before.

--- a/soak/check.c
+++ b/soak/check.c
@@ -112,6 +112,12 @@
 	       (r->sent_us && r->ended_us - r->sent_us > CROSSING_US);
 }
 
+static bool is_complete_at_endpoint(const struct request *r,
+				    const struct endpoint_run *run)
+{
+	return run->served && run->ended_us <= r->ended_us;
+}
+
 /* Whether the engine was still at work in the last sixth of the grace period */
 static bool engine_too_slow(const struct request *r,
 			    const struct endpoint_run *run)
@@ -119,7 +125,7 @@
 	int64_t stop_us = process_stop_us(r->process);
 	int64_t sixth_us = stop_us + LAST_SIXTH_US;
 
-	return stop_us && run->begun && !run->served &&
+	return stop_us && run->begun && !is_complete_at_endpoint(r, run) &&
 	       (r->kind == REQUEST_STREAM || r->kind == REQUEST_CHAT) &&
 	       r->sent_us && r->sent_us <= stop_us + LATE_SEND_US &&
 	       r->ended_us >= sixth_us &&
@@ -167,7 +173,7 @@
 
 	if (run->stalled)
 		return "its replica lost a VM";
-	if (run->served && run->ended_us <= r->ended_us)
+	if (is_complete_at_endpoint(r, run))
 		return "complete at the endpoint";
 	if (!run->begun)
 		return "not begun at an endpoint";
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -357,6 +357,21 @@
 	expect_finding(&t, "LOST");
 	set_up_records(&t);
 	t.process->exited_us = t.request->ended_us = sixth_us + 1 * MS;
+	t.run->served = 1;
+	t.run->ended_us = t.request->ended_us - 1 * MS;
+	expect_finding(&t, "LOST");
+	set_up_records(&t);
+	t.process->exited_us = t.request->ended_us = sixth_us + 1 * MS;
+	t.run->served = 1;
+	t.run->ended_us = t.request->ended_us + 1 * MS;
+	expect_finding(&t, NULL);
+	set_up_records(&t);
+	t.process->exited_us = t.request->ended_us = sixth_us - 1 * MS;
+	t.run->served = 1;
+	t.run->ended_us = t.request->ended_us + 1 * MS;
+	expect_finding(&t, "LOST");
+	set_up_records(&t);
+	t.process->exited_us = t.request->ended_us = sixth_us + 1 * MS;
 	t.run->begun = 0;
 	expect_finding(&t, "LOST");
 }
