entry: a moved answer goes on where it was if no other endpoint takes it

Callers saw streams cut off while their endpoint only paused: after 1 s of silence the attempt was moved, its connection was closed, and the other replica refused (full, 503 not run) or sent nothing. With both attempts used up the stream was lost, though its endpoint went on 0.2 to 0.8 s later.

Class: something sound is given up before its replacement is known to work. A move now keeps the attempt: its connection stays open and unread until the other endpoint sends an event (or the body of a plain answer). If that one refuses, fails or breaks off, or more arrives on the kept connection first, the kept attempt goes on and the other is cancelled. It counts as an attempt, as before, so no more replicas are tried than the route allows. An attempt whose head has arrived but not been passed on, or whose request isn't sent, is ended as before: the head would be replaced by another's.

stream-outlives-a-refused-move and stream-outlives-a-silent-move failed before (one run each: not whole, 0 events) and pass.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -8,6 +8,7 @@
 
 #include "common/log.h"
 #include "entry/call_class.h"
+#include "entry/kept.h"
 #include "entry/parts.h"
 
 /*
@@ -130,14 +131,19 @@
 		call_fail_not_run(call, RD_NO_REPLICA, why, RETRY_AFTER_MS);
 }
 
-static void retry(struct call *call, const char *why)
+static void log_failed_attempt(const struct call *call, const char *why)
 {
-	int64_t now = entry_now_ms(call->entry);
-
 	log_note(&attempt_log,
 		 "request %s: %s replica=%u attempt=%u tokens=%u ms=%" PRId64,
 		 call->id, why, call->replica, call->attempts, call->tokens,
 		 (entry_now_us(call->entry) - call->sent_us) / 1000);
+}
+
+static void retry(struct call *call, const char *why)
+{
+	int64_t now = entry_now_ms(call->entry);
+
+	log_failed_attempt(call, why);
 	exclude_replica(call);
 	attempt_finish(call);
 	if (!attempt_may_retry(call) ||
@@ -164,6 +170,10 @@
 {
 	router_suspect(call->service->router, call->replica,
 		       entry_now_ms(call->entry));
+	if (call->kept) {
+		kept_restore(call, "refused the connection");
+		return;
+	}
 	if (!call->once_only || attempt_may_retry(call)) {
 		retry(call, "refused the connection");
 		return;
@@ -176,6 +186,10 @@
 static void handle_failure(struct call *call, const char *why)
 {
 	call->may_have_run = true;
+	if (call->kept) {
+		kept_restore(call, why);
+		return;
+	}
 	if (!call->once_only) {
 		retry(call, why);
 		return;
@@ -314,8 +328,10 @@
 		measure_decode_rate(call, tokens);
 	}
 	stalled = is_stalled(call, evbuffer_get_length(events) != 0);
-	if (evbuffer_get_length(events))
+	if (evbuffer_get_length(events)) {
 		note_activity(call);
+		kept_drop(call);
+	}
 	if (evbuffer_get_length(events) && reply_is_open(call->reply))
 		forward_events(call, events);
 	evbuffer_free(events);
@@ -367,6 +383,9 @@
 	}
 	call->data_ms = entry_now_ms(call->entry);
 	note_activity(call);
+	if (call->response_class == RESPONSE_FORWARD &&
+	    call->status < HTTP_BADREQUEST)
+		kept_drop(call);
 	if (evbuffer_get_length(call->response_body) +
 		    evbuffer_get_length(data) >
 	    limit) {
@@ -412,6 +431,7 @@
 		 "ms=%" PRId64,
 		 call->id, call->replica, call->status, size,
 		 (entry_now_us(call->entry) - call->started_us) / 1000);
+	kept_drop(call);
 	parts_answered(call);
 	call_class_add_complete(call);
 	attempt_finish(call);
@@ -429,6 +449,10 @@
 		 "request %s: not run by the endpoint replica=%u "
 		 "status=%d",
 		 call->id, call->replica, call->status);
+	if (call->kept) {
+		kept_restore(call, "says it did not run it");
+		return;
+	}
 	if (attempt_may_retry(call)) {
 		retry(call, "says it did not run it");
 		return;
@@ -527,6 +551,7 @@
 
 static void complete_stream(struct call *call)
 {
+	kept_drop(call);
 	parts_answered(call);
 	call_complete_stream(call);
 }
@@ -552,7 +577,8 @@
 		handle_failure(call, "broke off");
 	else if (call->response_class == RESPONSE_NOT_RUN)
 		handle_not_run(call);
-	else if (should_retry_failure(call))
+	else if (should_retry_failure(call) ||
+		 (call->kept && call->response_class == RESPONSE_FAILED))
 		handle_failure(call, "failed");
 	else if (reply_has_started(call->reply) && !is_stream(call))
 		handle_failure(call, "refused to go on with the stream");
@@ -692,8 +718,27 @@
 
 void attempt_move(struct call *call, const char *why)
 {
-	cancel_upstream(call);
-	handle_failure(call, why);
+	if (!kept_is_possible(call)) {
+		cancel_upstream(call);
+		handle_failure(call, why);
+		return;
+	}
+	log_failed_attempt(call, why);
+	exclude_replica(call);
+	call->may_have_run = true;
+	kept_set(call);
+	if (!retry_budget_take(&call->service->retry_budget,
+			       entry_now_ms(call->entry)) ||
+	    !redispatch(call))
+		kept_restore(call, "no other replica");
+}
+
+bool attempt_check_kept(struct call *call)
+{
+	if (!kept_has_arrived(call))
+		return false;
+	kept_restore(call, "more of the response has arrived");
+	return true;
 }
 
 void attempt_tick_awaiting(struct call *call, int64_t now_ms)
--- a/entry/call.c
+++ b/entry/call.c
@@ -9,6 +9,7 @@
 #include "common/log.h"
 #include "entry/call_class.h"
 #include "entry/doubt.h"
+#include "entry/kept.h"
 #include "entry/parts.h"
 #include "entry/shutdown.h"
 
@@ -114,6 +115,7 @@
 
 static void destroy(struct call *call)
 {
+	kept_drop(call);
 	attempt_finish(call);
 	release_admission(call);
 	g_hash_table_remove(call->entry->calls, call);
@@ -356,6 +358,13 @@
 	return shutdown_leaves_time(&question);
 }
 
+static void check_attempt(struct call *call, int64_t now_ms)
+{
+	/* What has arrived is read before it is in doubt again. */
+	if (!attempt_check_kept(call))
+		doubt_check(call, now_ms);
+}
+
 void call_tick(struct call *call, int64_t now_ms)
 {
 	bool sent = call->state == CALL_DISPATCHED && call->upstream;
@@ -375,5 +384,5 @@
 	    !reply_has_started(call->reply))
 		handle_deadline(call);
 	else if (sent)
-		doubt_check(call, now_ms);
+		check_attempt(call, now_ms);
 }
--- a/entry/call.h
+++ b/entry/call.h
@@ -18,6 +18,7 @@
 #define RETRY_AFTER_MS 1000
 
 struct call;
+struct kept_attempt;
 
 #define PROMPT_PARTS_MAX 16
 
@@ -135,6 +136,7 @@
 	uint64_t epoch;
 	char address[ADDRESS_MAX];
 	struct upstream *upstream;
+	struct kept_attempt *kept; /* while another is tried; or NULL */
 	int64_t sent_us;
 	int64_t first_byte_us;	 /* stream headers sent to the caller */
 	int64_t first_event_us;	 /* of this attempt; 0: none */
@@ -265,9 +267,18 @@
 /** Whether the call may be sent once more, retry budget aside. */
 bool attempt_may_retry(const struct call *call);
 
-/** Ends the current attempt, and dispatches the call to another replica. */
+/**
+ * Dispatches the call to another replica. The current attempt goes on if that
+ * one doesn't answer.
+ */
 void attempt_move(struct call *call, const char *why);
 
+/**
+ * Goes on with the kept attempt if more of its response has arrived. Returns
+ * whether it does.
+ */
+bool attempt_check_kept(struct call *call);
+
 /**
  * Dispatches a call that awaits a replica, or fails it once it has waited too
  * long.
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -552,6 +552,14 @@
 	return !u->req;
 }
 
+bool upstream_can_wait(const struct upstream *u)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(u->conn);
+
+	return is_open(u) && u->bytes_sent &&
+	       !evbuffer_get_length(bufferevent_get_output(bev));
+}
+
 void upstream_pause(struct upstream *u, bool paused)
 {
 	struct bufferevent *bev = evhttp_connection_get_bufferevent(u->conn);
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -99,6 +99,12 @@
 /** Whether the response has ended, but the `end` callback is still due. */
 bool upstream_end_pending(const struct upstream *upstream);
 
+/**
+ * Whether no callback runs while reading is paused: the request was sent, and
+ * its response has not ended.
+ */
+bool upstream_can_wait(const struct upstream *upstream);
+
 /** Pauses or resumes reading the response. */
 void upstream_pause(struct upstream *upstream, bool paused);
 
--- a/test/stream_endpoints.c
+++ b/test/stream_endpoints.c
@@ -27,7 +27,7 @@
 	int count;
 	struct endpoint endpoints[STREAM_ENDPOINTS_MAX];
 	GPtrArray *streams; /* of struct stream; those that are open */
-	volatile gint first, silent, sent, requests;
+	volatile gint first, silent, others_silent, full, sent, requests;
 };
 
 struct stream {
@@ -55,8 +55,10 @@
 
 static bool is_silent(const struct endpoint *e)
 {
-	return g_atomic_int_get(&e->all->silent) &&
-	       g_atomic_int_get(&e->all->first) == e->number;
+	bool is_first = g_atomic_int_get(&e->all->first) == e->number;
+
+	return g_atomic_int_get(is_first ? &e->all->silent
+					 : &e->all->others_silent);
 }
 
 static void send_event(struct stream *stream)
@@ -88,22 +90,28 @@
 	g_ptr_array_remove_fast(all->streams, stream);
 }
 
-static void handle_request(struct evhttp_request *req, void *ctx)
+static bool is_full(const struct endpoint *e)
+{
+	return g_atomic_int_get(&e->all->full) &&
+	       g_atomic_int_get(&e->all->first) != e->number;
+}
+
+static void refuse(struct evhttp_request *req)
+{
+	evhttp_add_header(evhttp_request_get_output_headers(req),
+			  "Not-Executed", "full");
+	evhttp_send_reply(req, HTTP_SERVUNAVAIL, "full", NULL);
+}
+
+static void begin_stream(struct endpoint *e, struct evhttp_request *req)
 {
-	struct endpoint *e = ctx;
 	struct stream_endpoints *all = e->all;
 	struct stream *stream = g_new0(struct stream, 1);
 	struct timeval gap = { all->gap_ms / 1000,
 			       (all->gap_ms % 1000) * 1000 };
 	struct evkeyvalq *out = evhttp_request_get_output_headers(req);
-	const char *id = http_header(req, "Attempt-Id");
 	const char *last = http_header(req, "Last-Event-Id");
 
-	(void)g_atomic_int_compare_and_exchange(&all->first, NO_ENDPOINT,
-						e->number);
-	g_atomic_int_inc(&all->requests);
-	if (id)
-		evhttp_add_header(out, "Attempt-Id", id);
 	evhttp_add_header(out, "Response-Seal", "seal");
 	evhttp_add_header(out, "Content-Type", "text/event-stream");
 	evhttp_send_reply_start(req, 200, "OK");
@@ -125,6 +133,23 @@
 	return NULL;
 }
 
+static void handle_request(struct evhttp_request *req, void *ctx)
+{
+	struct endpoint *e = ctx;
+	const char *id = http_header(req, "Attempt-Id");
+
+	(void)g_atomic_int_compare_and_exchange(&e->all->first, NO_ENDPOINT,
+						e->number);
+	g_atomic_int_inc(&e->all->requests);
+	if (id)
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+				  "Attempt-Id", id);
+	if (is_full(e))
+		refuse(req);
+	else
+		begin_stream(e, req);
+}
+
 static void listen_on(struct endpoint *e, const char *address)
 {
 	struct http_listen_opts opts = {
@@ -191,6 +216,17 @@
 	g_atomic_int_set(&all->silent, silent);
 }
 
+void stream_endpoints_set_others_silent(struct stream_endpoints *all,
+					bool silent)
+{
+	g_atomic_int_set(&all->others_silent, silent);
+}
+
+void stream_endpoints_set_full(struct stream_endpoints *all, bool full)
+{
+	g_atomic_int_set(&all->full, full);
+}
+
 int stream_endpoints_sent(struct stream_endpoints *all)
 {
 	return g_atomic_int_get(&all->sent);
--- a/test/stream_endpoints.h
+++ b/test/stream_endpoints.h
@@ -34,6 +34,13 @@
 /** Whether that endpoint sends nothing from now on; the others go on. */
 void stream_endpoints_set_silent(struct stream_endpoints *all, bool silent);
 
+/** Whether all other endpoints send no events from now on. */
+void stream_endpoints_set_others_silent(struct stream_endpoints *all,
+					bool silent);
+
+/** Whether all other endpoints refuse requests, as not run, from now on. */
+void stream_endpoints_set_full(struct stream_endpoints *all, bool full);
+
 /** Numbers of events sent and of requests received, by all. */
 int stream_endpoints_sent(struct stream_endpoints *all);
 int stream_endpoints_requests(struct stream_endpoints *all);
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -545,6 +545,22 @@
 	stream_endpoints_set_silent(test->streams, atoi(s->words[1]));
 }
 
+/* others-silent 0|1: whether all but that endpoint send no events. */
+static void do_others_silent(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+
+	stream_endpoints_set_others_silent(test->streams, atoi(s->words[1]));
+}
+
+/* others-full 0|1: whether all but that endpoint refuse requests. */
+static void do_others_full(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+
+	stream_endpoints_set_full(test->streams, atoi(s->words[1]));
+}
+
 /* first-announced 0|1: whether that endpoint announces itself. */
 static void do_first_announced(struct script *s)
 {
@@ -1574,6 +1590,8 @@
 	{ "start-streams", 1, do_start_streams },
 	{ "first-silent", 1, do_first_silent },
 	{ "first-announced", 1, do_first_announced },
+	{ "others-full", 1, do_others_full },
+	{ "others-silent", 1, do_others_silent },
 	{ "wait-events", 1, do_wait_events },
 	{ "stream-end", 0, do_stream_end },
 	{ "wait-log", 2, do_wait_log },
