entry: a stalled replica's silence counts for the requests that came to it later

With attempts moved by their own silence, a request that had reached a replica just before it was found stalled, or that was sent again to a dark one after its suspicion had ended, waited another stall_ms.

A stall is this entry's own evidence about all attempts at the replica, so its length counts for each of them. So does the time since the replica's last response, if reports hold its VMs for lost and this entry saw it fail and has heard nothing of it since. Stalls are found before attempts are looked at, so that none is moved from one stalled replica to another.

--- a/entry/doubt.c
+++ b/entry/doubt.c
@@ -41,6 +41,12 @@
 	       replica_silent_ms >= call->entry->opts.settings->limits.stall_ms;
 }
 
+/* Whether this entry saw it fail, and has seen no response of it since. */
+static bool unheard_since_suspected(const struct router_replica *r)
+{
+	return r->suspected_ms && r->last_response_ms <= r->suspected_ms;
+}
+
 static void find_doubt(const struct call *call, int64_t now_ms,
 		       struct finding *found)
 {
@@ -55,11 +61,15 @@
 	found->data_age_ms = awake_ms(call, call->data_ms, now_ms);
 	if (known && is_stalled(call, found->replica_silent_ms)) {
 		found->reason = "stalled";
-		/* Without an answer of its own, the others' silence counts. */
-		if (!call->status)
-			found->silent_ms = found->replica_silent_ms;
+		/* A request that came later gets no answer either. */
+		found->silent_ms = MAX(found->silent_ms,
+				       found->replica_silent_ms);
 	} else if (known && reported_lost(r)) {
 		found->reason = r->fault;
+		if (unheard_since_suspected(r))
+			found->silent_ms = MAX(
+				found->silent_ms,
+				awake_ms(call, r->last_response_ms, now_ms));
 	} else if (r && !known) {
 		found->reason = "replaced";
 	} else if (call->stream && found->silent_ms >= SILENT_STREAM_MS) {
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -138,8 +138,10 @@
 	early_tick(entry, entry_now_ms(entry));
 	ends_tick(entry->ends);
 	parts_tick(entry->parts);
-	tick_calls(entry);
+	/* First, so that no call is moved from one stalled replica to another.
+	 */
 	services_check_stalls(entry);
+	tick_calls(entry);
 	services_dispatch_queued(entry);
 	if (entry_now_ms(entry) - entry->status_sent_ms >= STATUS_MS)
 		entry_send_status(entry);
--- a/include/radishdeal/router.h
+++ b/include/radishdeal/router.h
@@ -43,6 +43,7 @@
 	const char *fault;	     /* name of the fault if unhealthy */
 	int64_t suspect_until_ms;    /* a request failed there: not used until
 				      * then, or until cleared; 0 if not */
+	int64_t suspected_ms;	     /* when it was last marked so; 0: never */
 	int64_t last_activity_ms;    /* last progress, or last request sent
 				      * while it was idle */
 	int64_t last_response_ms;    /* last progress */
--- a/routing/router.c
+++ b/routing/router.c
@@ -99,6 +99,7 @@
 	r->prefill_us = DEFAULT_PREFILL_US;
 	r->fresh_until_ms = 0;
 	r->fault = "no-evidence";
+	r->suspected_ms = 0;
 	r->suspect_until_ms = 0;
 	clear_prefixes(r);
 }
@@ -152,8 +153,10 @@
 {
 	struct router_replica *r = find_replica(router, id);
 
-	if (r)
-		r->suspect_until_ms = now_ms + SUSPECT_MS;
+	if (!r)
+		return;
+	r->suspected_ms = now_ms;
+	r->suspect_until_ms = now_ms + SUSPECT_MS;
 }
 
 void router_clear_suspect(struct router *router, uint32_t id)
