--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -42,6 +42,7 @@
 	char *runs;	       /* file to which fake_service appends each run */
 	GHashTable *revisions; /* service -> revision accepted last */
 	int changes;
+	int killed; /* node of the last `kill` */
 	int settings_pipe; /* read by a starting daemon; -1 for none */
 	bool passed;
 };
@@ -68,6 +69,8 @@
 
 	if (g_ascii_isdigit(*word))
 		return atoi(word);
+	if (!strcmp(word, "killed"))
+		return test_of(s)->killed;
 	leader = cluster_wait_leader(c);
 	if (!strcmp(word, "leader"))
 		return leader;
@@ -398,7 +401,10 @@
 
 static void do_kill(struct script *s)
 {
-	cluster_signal_node(cluster_of(s), node_of(s, s->words[1]), SIGKILL);
+	struct proc_test *test = test_of(s);
+
+	test->killed = node_of(s, s->words[1]);
+	cluster_signal_node(cluster_of(s), test->killed, SIGKILL);
 }
 
 /* pause NODE [MS]: stops a daemon by a signal; with MS, resumes it after. */
@@ -420,7 +426,7 @@
 
 static void do_restart(struct script *s)
 {
-	cluster_start_node(cluster_of(s), atoi(s->words[1]));
+	cluster_start_node(cluster_of(s), node_of(s, s->words[1]));
 }
 
 /*
@@ -477,7 +483,7 @@
 
 static void do_wipe(struct script *s)
 {
-	cluster_wipe_node(cluster_of(s), atoi(s->words[1]));
+	cluster_wipe_node(cluster_of(s), node_of(s, s->words[1]));
 }
 
 static void do_terminate(struct script *s)
