consensus: two stopping members don't hand leadership to and fro

A transfer went to the first voter whose log was complete. A member that has just handed leadership over is stopping: for four election timeouts it is not chosen by the one that it chose.

--- a/consensus/leader.c
+++ b/consensus/leader.c
@@ -10,6 +10,8 @@
 #define SNAPSHOT_CHUNK_BYTES (256u * 1024)
 /* A snapshot chunk without a reply is sent again after this many heartbeats. */
 #define CHUNK_RETRY_HEARTBEATS 5
+/* Longer than the rest of a stop, shorter than a restart and another stop. */
+#define HANDED_OVER_ELECTIONS 4
 
 struct progress *raft_find_progress(const struct raft *raft, uint64_t id)
 {
@@ -250,6 +252,15 @@
 		raft_broadcast(raft, now_ms, true);
 }
 
+/* A member that has just handed leadership over is stopping. */
+static bool has_just_handed_over(const struct raft *raft, int64_t now_ms,
+				 uint64_t id)
+{
+	return id == raft->handed_by &&
+	       now_ms - raft->handed_ms <
+		       (int64_t)HANDED_OVER_ELECTIONS * raft->election_ms;
+}
+
 static void transfer_if_caught_up(struct raft *raft, int64_t now_ms)
 {
 	for (guint i = 0; i < raft->progress->len; i++) {
@@ -264,6 +275,7 @@
 		/* One that has stopped may have matched the log before. */
 		if (p->match != log_last(&raft->log) ||
 		    p->acked_send_ms < raft->transfer_started_ms ||
+		    has_just_handed_over(raft, now_ms, p->id) ||
 		    !raft_is_voter(raft_latest_config(raft), p->id))
 			continue;
 		raft_send(raft, &timeout_now, true);
--- a/consensus/raft.c
+++ b/consensus/raft.c
@@ -155,6 +155,13 @@
 		raft_campaign(raft, now_ms, true, false);
 }
 
+static void take_over(struct raft *raft, int64_t now_ms, uint64_t from)
+{
+	raft->handed_by = from;
+	raft->handed_ms = now_ms;
+	raft_campaign(raft, now_ms, false, true);
+}
+
 static void handle_leader_message(struct raft *raft, int64_t now_ms,
 				  const struct raft_message *message)
 {
@@ -165,7 +172,7 @@
 	else if (message->kind == RAFT_SNAPSHOT)
 		raft_on_snapshot(raft, now_ms, message);
 	else
-		raft_campaign(raft, now_ms, false, true);
+		take_over(raft, now_ms, message->from);
 }
 
 static void reject_stale_term(struct raft *raft,
--- a/consensus/raft_internal.h
+++ b/consensus/raft_internal.h
@@ -62,6 +62,8 @@
 	GArray *progress; /* of struct progress, on the leader */
 	bool transferring;
 	int64_t transfer_started_ms, transfer_deadline_ms;
+	uint64_t handed_by; /* member that handed leadership over; 0: none */
+	int64_t handed_ms;
 };
 
 /* raft.c */
--- a/include/radishdeal/raft.h
+++ b/include/radishdeal/raft.h
@@ -156,9 +156,10 @@
 				   uint64_t *index);
 
 /**
- * Starts a transfer of leadership to another voter whose log is complete and
- * who replies after this call. Proposals fail until the transfer ends or
- * election_ms have passed. A call during a transfer changes nothing.
+ * Starts a transfer of leadership to another voter whose log is complete, who
+ * replies after this call, and who has not just handed leadership to this one.
+ * Proposals fail until the transfer ends or election_ms have passed. A call
+ * during a transfer changes nothing.
  */
 enum rd_result raft_transfer_leadership(struct raft *raft, int64_t now_ms);
 
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -42,7 +42,7 @@
 	char *runs;	       /* file to which fake_service appends each run */
 	GHashTable *revisions; /* service -> revision accepted last */
 	int changes;
-	int killed; /* node of the last `kill` */
+	int killed;	   /* node of the last `kill` */
 	int settings_pipe; /* read by a starting daemon; -1 for none */
 	bool passed;
 };
--- a/test/test_transfer.c
+++ b/test/test_transfer.c
@@ -265,6 +265,32 @@
 	assert_int_equal(result, RD_OK);
 }
 
+/* Two members stop at the same time; the third one goes on. */
+static void test_two_stopping_members_do_not_hand_over_to_and_fro(void **state)
+{
+	struct group_test *test = *state;
+	struct test_member *leader = wait_for_leader(test);
+	const struct test_member *last = &test->members[MEMBERS - 1];
+	uint64_t term;
+
+	if (leader == last) {
+		(void)transfer_ms(test, leader);
+		leader = wait_for_leader(test);
+	}
+	for (int i = 0; i < 5 * ELECTION_MS; i++)
+		step(test);
+	term = raft_term(leader->raft);
+	for (int i = 0; i < WAIT_MS && raft_role(last->raft) != RAFT_LEADER;
+	     i++) {
+		for (int j = 0; j < MEMBERS - 1; j++)
+			(void)raft_transfer_leadership(test->members[j].raft,
+						       test->now_ms);
+		step(test);
+	}
+	assert_int_equal(raft_role(last->raft), RAFT_LEADER);
+	assert_in_range(raft_term(last->raft) - term, 1, 2);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -276,6 +302,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_repeated_transfer_kept_refusing_proposals, setup,
 			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_two_stopping_members_do_not_hand_over_to_and_fro,
+			setup, teardown),
 	};
 
 	return cmocka_run_group_tests_name("transfer", tests, NULL, NULL);
