soak: a change that takes long no longer holds up signals and reaping

The main thread waited for the operator's last change before it started the next. That this wait was the cause is by reading.

--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -37,6 +37,7 @@
 		plan[CLUSTER_NODES_MAX + 1]; /* what follows a node's exit */
 	bool restart_pending[CLUSTER_NODES_MAX + 1];
 	GThread *operator; /* makes a change; NULL while idle */
+	gint changing;	   /* atomic; the operator is at work */
 	int changes;
 };
 
@@ -240,6 +241,7 @@
 /** A change by an operator, on a thread of its own. */
 struct change {
 	struct soak *soak;
+	gint *changing;
 	int node;
 	int number;
 };
@@ -250,6 +252,7 @@
 
 	change->soak->opts.rig->change(change->soak, change->node,
 				       change->number);
+	g_atomic_int_set(change->changing, 0);
 	g_free(change);
 	return NULL;
 }
@@ -261,12 +264,18 @@
 	s->operator= NULL;
 }
 
+/* Drops a change while another goes on: signals and reaping must not wait. */
 static void start_change(struct schedule *s, int node)
 {
-	struct change *change = g_new0(struct change, 1);
+	struct change *change;
 
+	if (g_atomic_int_get(&s->changing))
+		return;
 	join_operator(s);
+	g_atomic_int_set(&s->changing, 1);
+	change = g_new0(struct change, 1);
 	change->soak = s->soak;
+	change->changing = &s->changing;
 	change->node = node;
 	change->number = ++s->changes;
 	s->operator= g_thread_new("operator", make_change, change);
