entry: a review's findings on kept attempts and moves

Bytes count beyond those that were there; a failed replica is avoided and no other is searched for stall_ms; such streams aren't moved; silence counts from the last byte on the call's own connection. Also: a node without a data folder isn't taken for a former one (control/feed.c).

--- a/control/feed.c
+++ b/control/feed.c
@@ -121,7 +121,8 @@
 	if (now_ms > e->lease_until_ms)
 		return false;
 	if (request->member_id != e->member)
-		return request->member_id == e->former_member;
+		return e->former_member &&
+		       request->member_id == e->former_member;
 	return request->incarnation < e->incarnation;
 }
 
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -80,6 +80,9 @@
 {
 	struct router_request *route = &call->route;
 
+	for (uint32_t i = 0; i < route->avoid_count; i++)
+		if (route->avoid[i] == call->replica)
+			return;
 	if (route->avoid_count < G_N_ELEMENTS(route->avoid))
 		route->avoid[route->avoid_count++] = call->replica;
 }
@@ -131,6 +134,13 @@
 		call_fail_not_run(call, RD_NO_REPLICA, why, RETRY_AFTER_MS);
 }
 
+/* Goes on with the kept attempt, since the current one has failed. */
+static void go_back(struct call *call, const char *why)
+{
+	exclude_replica(call);
+	kept_restore(call, why);
+}
+
 static void log_failed_attempt(const struct call *call, const char *why)
 {
 	log_note(&attempt_log,
@@ -171,7 +181,7 @@
 	router_suspect(call->service->router, call->replica,
 		       entry_now_ms(call->entry));
 	if (call->kept) {
-		kept_restore(call, "refused the connection");
+		go_back(call, "refused the connection");
 		return;
 	}
 	if (!call->once_only || attempt_may_retry(call)) {
@@ -187,7 +197,7 @@
 {
 	call->may_have_run = true;
 	if (call->kept) {
-		kept_restore(call, why);
+		go_back(call, why);
 		return;
 	}
 	if (!call->once_only) {
@@ -247,7 +257,7 @@
 	if (!call->paused || !call->upstream)
 		return;
 	call->paused = false;
-	call->progress_ms = entry_now_ms(call->entry);
+	call->data_ms = entry_now_ms(call->entry);
 	upstream_pause(call->upstream, false);
 }
 
@@ -288,9 +298,8 @@
 
 static void note_activity(struct call *call)
 {
-	call->progress_ms = entry_now_ms(call->entry);
 	router_response_activity(call->service->router, call->replica,
-				 call->progress_ms);
+				 entry_now_ms(call->entry));
 }
 
 /*
@@ -328,10 +337,10 @@
 		measure_decode_rate(call, tokens);
 	}
 	stalled = is_stalled(call, evbuffer_get_length(events) != 0);
-	if (evbuffer_get_length(events)) {
+	if (evbuffer_get_length(events))
 		note_activity(call);
+	if (tokens)
 		kept_drop(call);
-	}
 	if (evbuffer_get_length(events) && reply_is_open(call->reply))
 		forward_events(call, events);
 	evbuffer_free(events);
@@ -383,9 +392,6 @@
 	}
 	call->data_ms = entry_now_ms(call->entry);
 	note_activity(call);
-	if (call->response_class == RESPONSE_FORWARD &&
-	    call->status < HTTP_BADREQUEST)
-		kept_drop(call);
 	if (evbuffer_get_length(call->response_body) +
 		    evbuffer_get_length(data) >
 	    limit) {
@@ -450,7 +456,7 @@
 		 "status=%d",
 		 call->id, call->replica, call->status);
 	if (call->kept) {
-		kept_restore(call, "says it did not run it");
+		go_back(call, "says it did not run it");
 		return;
 	}
 	if (attempt_may_retry(call)) {
@@ -613,7 +619,6 @@
 	call->data_ms = entry_now_ms(call->entry);
 	call->eventless_ms = 0;
 	call->paused = false;
-	call->progress_ms = call->data_ms;
 	call->doubt = NULL;
 	call->search_due_ms = 0;
 }
--- a/entry/call.h
+++ b/entry/call.h
@@ -157,9 +157,6 @@
 	int64_t eventless_ms;  /* time in which data completed no event */
 	bool is_framed;	       /* the response has a length or is chunked */
 	bool paused;	       /* reading from the endpoint is paused */
-	/* Last event of a stream, or data of another response; before, the
-	 * dispatch. */
-	int64_t progress_ms;
 	const char *doubt; /* why the attempt is kept and in doubt, or NULL */
 	int64_t doubt_since_ms;
 	int64_t search_due_ms; /* for another replica */
--- a/entry/doubt.c
+++ b/entry/doubt.c
@@ -5,6 +5,7 @@
 
 #include "common/log.h"
 #include "entry/doubt.h"
+#include "entry/parts.h"
 
 /* A stream that is silent for longer is in doubt, whatever its replica does. */
 #define SILENT_STREAM_MS 5000
@@ -16,9 +17,8 @@
 /** Why an attempt is in doubt. */
 struct finding {
 	const char *reason;
-	int64_t silent_ms;	   /* since anything came for the attempt */
+	int64_t silent_ms;	   /* since anything came on its connection */
 	int64_t replica_silent_ms; /* for any attempt there; -1: unknown */
-	int64_t data_age_ms;	   /* since any byte came on its connection */
 };
 
 static int64_t awake_ms(const struct call *call, int64_t since_ms,
@@ -57,8 +57,7 @@
 	memset(found, 0, sizeof(*found));
 	found->replica_silent_ms =
 		known ? awake_ms(call, r->last_activity_ms, now_ms) : -1;
-	found->silent_ms = awake_ms(call, call->progress_ms, now_ms);
-	found->data_age_ms = awake_ms(call, call->data_ms, now_ms);
+	found->silent_ms = awake_ms(call, call->data_ms, now_ms);
 	if (known && is_stalled(call, found->replica_silent_ms)) {
 		found->reason = "stalled";
 		/* A request that came later gets no answer either. */
@@ -105,7 +104,10 @@
 		return "attempts";
 	if (!retry_budget_available(&call->service->retry_budget, now_ms))
 		return "retry-budget";
-	return has_other_replica(call, now_ms) ? NULL : "other-replica";
+	if (!has_other_replica(call, now_ms))
+		return "other-replica";
+	/* A move would end it: as a trial, or as its part is held now. */
+	return call->trial_part || parts_are_held(call) ? "part" : NULL;
 }
 
 static void log_decision(const struct call *call, const struct finding *found,
@@ -115,13 +117,13 @@
 		 "request %s: attempt %s reason=%s missing=%s replica=%u "
 		 "attempt=%u of=%u started=%s "
 		 "doubt_ms=%" PRId64 " silent_ms=%" PRId64 " "
-		 "data_age_ms=%" PRId64 " replica_silent_ms=%" PRId64,
+		 "replica_silent_ms=%" PRId64,
 		 call->id, missing ? "kept" : "moved", found->reason,
 		 missing ? missing : "-", call->replica, call->attempts,
 		 call->attempts_max,
 		 reply_has_started(call->reply) ? "yes" : "no",
 		 now_ms - call->doubt_since_ms, found->silent_ms,
-		 found->data_age_ms, found->replica_silent_ms);
+		 found->replica_silent_ms);
 }
 
 void doubt_check(struct call *call, int64_t now_ms)
--- a/entry/kept.c
+++ b/entry/kept.c
@@ -27,7 +27,7 @@
 	struct evbuffer *response_body;
 	int64_t data_ms;
 	int64_t eventless_ms;
-	int64_t progress_ms;
+	size_t unread_bytes; /* when it was set aside, e.g. half a chunk */
 };
 
 #define SWAP(type, a, b)           \
@@ -61,7 +61,6 @@
 	SWAP(uint32_t, call->reported_tokens, kept->reported_tokens);
 	SWAP(int64_t, call->data_ms, kept->data_ms);
 	SWAP(int64_t, call->eventless_ms, kept->eventless_ms);
-	SWAP(int64_t, call->progress_ms, kept->progress_ms);
 }
 
 static void swap_response(struct call *call, struct kept_attempt *kept)
@@ -101,6 +100,7 @@
 	call->kept = g_new0(struct kept_attempt, 1);
 	call->kept->response_body = evbuffer_new();
 	upstream_pause(call->upstream, true);
+	call->kept->unread_bytes = upstream_unread_bytes(call->upstream);
 	swap_attempts(call, call->kept);
 }
 
@@ -114,11 +114,18 @@
 	call->state = CALL_DISPATCHED;
 	call->paused = false;
 	call->doubt = NULL;
-	call->progress_ms = entry_now_ms(call->entry);
+	/* The replica may look silent until what has arrived is read. */
+	call->search_due_ms = entry_now_ms(call->entry) +
+			      call->entry->opts.settings->limits.stall_ms;
+	call->data_ms = entry_now_ms(call->entry);
 	log_note(&kept_log,
 		 "request %s: kept attempt goes on replica=%u other=%u "
 		 "reason=\"%s\"",
 		 call->id, call->replica, other, why);
+	/* The sample must not include the time in which nothing was read. */
+	if (call->rate_sampled_us)
+		call->rate_sampled_us = entry_now_us(call->entry);
+	call->rate_sample_tokens = 0;
 	upstream_pause(call->upstream, false);
 }
 
@@ -136,5 +143,8 @@
 
 bool kept_has_arrived(const struct call *call)
 {
-	return call->kept && upstream_unread_bytes(call->kept->upstream);
+	const struct kept_attempt *kept = call->kept;
+
+	return kept &&
+	       upstream_unread_bytes(kept->upstream) > kept->unread_bytes;
 }
--- a/entry/parts.c
+++ b/entry/parts.c
@@ -116,6 +116,14 @@
 				  (int)found->retry_after_ms);
 }
 
+bool parts_are_held(const struct call *call)
+{
+	struct quarantine_check found;
+
+	check(call, &found);
+	return found.verdict == QUARANTINE_HELD;
+}
+
 bool parts_refuse(struct call *call, bool dispatched)
 {
 	struct parts *parts = call->entry->parts;
--- a/entry/parts.h
+++ b/entry/parts.h
@@ -17,6 +17,9 @@
 struct parts *parts_create(struct entry *entry);
 void parts_destroy(struct parts *parts);
 
+/** Whether the call would be refused for one of its parts. */
+bool parts_are_held(const struct call *call);
+
 /**
  * Refuses and frees a call that isn't at an endpoint if one of its parts is
  * held. Returns whether it did. `dispatched` makes an allowed call with a held
