--- a/entry/doubt.c
+++ b/entry/doubt.c
@@ -71,7 +71,7 @@
 				awake_ms(call, r->last_response_ms, now_ms));
 	} else if (r && !known) {
 		found->reason = "replaced";
-	} else if (call->stream && found->data_age_ms >= SILENT_STREAM_MS) {
+	} else if (call->stream && found->silent_ms >= SILENT_STREAM_MS) {
 		found->reason = "silent";
 	}
 }
