entry: a refused move tries another replica before it goes back

After a failed move another replica is tried at once if the call may be sent again; else the kept attempt goes on, unless replicas ended under the request.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -134,13 +134,6 @@
 		call_fail_not_run(call, RD_NO_REPLICA, why, RETRY_AFTER_MS);
 }
 
-/* Goes on with the kept attempt, since the current one has failed. */
-static void go_back(struct call *call, const char *why)
-{
-	exclude_replica(call);
-	kept_restore(call, why);
-}
-
 static void log_failed_attempt(const struct call *call, const char *why)
 {
 	log_note(&attempt_log,
@@ -149,6 +142,31 @@
 		 (entry_now_us(call->entry) - call->sent_us) / 1000);
 }
 
+static bool try_another(struct call *call)
+{
+	struct retry_budget *budget = &call->service->retry_budget;
+
+	return attempt_may_retry(call) &&
+	       retry_budget_take(budget, entry_now_ms(call->entry)) &&
+	       redispatch(call);
+}
+
+/*
+ * After the current attempt has failed: tries another replica, or goes on with
+ * the kept attempt. A request under which replicas end isn't waited for: the
+ * kept one is probably silent for the same reason.
+ */
+static void go_back(struct call *call, const char *why)
+{
+	log_failed_attempt(call, why);
+	exclude_replica(call);
+	attempt_finish(call);
+	if (call->replica_ends >= REPLICA_ENDS_MAX)
+		fail_after_attempts(call, why);
+	else if (!try_another(call))
+		kept_restore(call, why);
+}
+
 static void retry(struct call *call, const char *why)
 {
 	int64_t now = entry_now_ms(call->entry);
--- a/entry/kept.c
+++ b/entry/kept.c
@@ -106,8 +106,6 @@
 
 void kept_restore(struct call *call, const char *why)
 {
-	uint32_t other = call->replica;
-
 	attempt_finish(call);
 	swap_attempts(call, call->kept);
 	free_kept(call);
@@ -119,9 +117,8 @@
 			      call->entry->opts.settings->limits.stall_ms;
 	call->data_ms = entry_now_ms(call->entry);
 	log_note(&kept_log,
-		 "request %s: kept attempt goes on replica=%u other=%u "
-		 "reason=\"%s\"",
-		 call->id, call->replica, other, why);
+		 "request %s: kept attempt goes on replica=%u reason=\"%s\"",
+		 call->id, call->replica, why);
 	/* The sample must not include the time in which nothing was read. */
 	if (call->rate_sampled_us)
 		call->rate_sampled_us = entry_now_us(call->entry);
