--- a/control/leaderless.c
+++ b/control/leaderless.c
@@ -63,10 +63,10 @@
 
 	g_string_append_printf(line,
 			       "no leader elapsed_ms=%" PRId64 " term=%" PRIu64
-			       " last_index=%" PRIu64 " commit=%" PRIu64 " memb"
-			       "ers=",
+			       " last_index=%" PRIu64 " commit=%" PRIu64 " ",
 			       elapsed_ms, raft_term(raft),
 			       raft_last_index(raft), raft_commit_index(raft));
+	g_string_append(line, "members=");
 	for (u_int i = 0; i < config->members.members_len; i++)
 		append_member(control, &config->members.members_val[i], line);
 	if (!config->members.members_len)
--- a/entry/services.c
+++ b/entry/services.c
@@ -314,8 +314,8 @@
 		return;
 	log_note(&services_log,
 		 "replica health changed replica=%u epoch=%" PRIu64 " "
-		 "service=%s state=%s vm=%s heard_ms_ago=%" PRId64 " requests=%"
-		 "u",
+		 "service=%s state=%s vm=%s "
+		 "heard_ms_ago=%" PRId64 " requests=%u",
 		 a->replica, a->epoch, a->service, replica_fault_name(fault),
 		 faulty_vm ? faulty_vm : "-", heard_ms_ago(entry, faulty_vm),
 		 r->outstanding);
--- a/test/stream_endpoints.c
+++ b/test/stream_endpoints.c
@@ -6,6 +6,7 @@
 #include <cmocka.h>
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <glib.h>
 
 #include "common/http.h"
@@ -27,7 +28,7 @@
 	int count;
 	struct endpoint endpoints[STREAM_ENDPOINTS_MAX];
 	GPtrArray *streams; /* of struct stream; those that are open */
-	volatile gint first, silent, others_silent, full, sent, requests;
+	volatile gint first, silent, half, others_silent, full, sent, requests;
 };
 
 struct stream {
@@ -35,6 +36,7 @@
 	struct evhttp_request *req; /* NULL once its client has left */
 	struct event *timer;
 	int next; /* id of its next event */
+	bool half_sent;
 };
 
 static void free_stream(gpointer data)
@@ -71,6 +73,20 @@
 	g_atomic_int_inc(&stream->endpoint->all->sent);
 }
 
+/* Of the next event; the rest never comes. */
+static void send_half_chunk(struct stream *stream)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(
+		evhttp_request_get_connection(stream->req));
+
+	if (stream->half_sent)
+		return;
+	stream->half_sent = true;
+	evbuffer_add_printf(bufferevent_get_output(bev), "1f\r\nid: %d\n",
+			    stream->next);
+	bufferevent_enable(bev, EV_WRITE);
+}
+
 static void on_gap(evutil_socket_t fd, short what, void *ctx)
 {
 	struct stream *stream = ctx;
@@ -78,8 +94,12 @@
 
 	(void)fd;
 	(void)what;
-	if (is_silent(stream->endpoint))
+	if (is_silent(stream->endpoint)) {
+		if (g_atomic_int_get(&all->half) &&
+		    g_atomic_int_get(&all->first) == stream->endpoint->number)
+			send_half_chunk(stream);
 		return;
+	}
 	if (stream->next <= all->events) {
 		send_event(stream);
 		return;
@@ -216,6 +236,11 @@
 	g_atomic_int_set(&all->silent, silent);
 }
 
+void stream_endpoints_set_half(struct stream_endpoints *all, bool half)
+{
+	g_atomic_int_set(&all->half, half);
+}
+
 void stream_endpoints_set_others_silent(struct stream_endpoints *all,
 					bool silent)
 {
--- a/test/stream_endpoints.h
+++ b/test/stream_endpoints.h
@@ -34,6 +34,9 @@
 /** Whether that endpoint sends nothing from now on; the others go on. */
 void stream_endpoints_set_silent(struct stream_endpoints *all, bool silent);
 
+/** Whether that endpoint sends half a chunk before it falls silent. */
+void stream_endpoints_set_half(struct stream_endpoints *all, bool half);
+
 /** Whether all other endpoints send no events from now on. */
 void stream_endpoints_set_others_silent(struct stream_endpoints *all,
 					bool silent);
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -537,11 +537,13 @@
 	g_free(address);
 }
 
-/* first-silent 0|1: whether the endpoint of the first stream sends nothing. */
+/* first-silent 0|1 [half=1]: whether the endpoint of the first stream sends
+ * nothing, after half a chunk. */
 static void do_first_silent(struct script *s)
 {
 	struct platform_test *test = s->ctx;
 
+	stream_endpoints_set_half(test->streams, script_number(s, "half", 0));
 	stream_endpoints_set_silent(test->streams, atoi(s->words[1]));
 }
 
