--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -142,6 +142,13 @@
 		 (entry_now_us(call->entry) - call->sent_us) / 1000);
 }
 
+static void end_failed_attempt(struct call *call, const char *why)
+{
+	log_failed_attempt(call, why);
+	exclude_replica(call);
+	attempt_finish(call);
+}
+
 static bool try_another(struct call *call)
 {
 	struct retry_budget *budget = &call->service->retry_budget;
@@ -158,9 +165,7 @@
  */
 static void go_back(struct call *call, const char *why)
 {
-	log_failed_attempt(call, why);
-	exclude_replica(call);
-	attempt_finish(call);
+	end_failed_attempt(call, why);
 	if (call->replica_ends >= REPLICA_ENDS_MAX)
 		fail_after_attempts(call, why);
 	else if (!try_another(call))
@@ -171,9 +176,7 @@
 {
 	int64_t now = entry_now_ms(call->entry);
 
-	log_failed_attempt(call, why);
-	exclude_replica(call);
-	attempt_finish(call);
+	end_failed_attempt(call, why);
 	if (!attempt_may_retry(call) ||
 	    !retry_budget_take(&call->service->retry_budget, now)) {
 		fail_after_attempts(call, why);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -131,8 +131,7 @@
 	early_tick(entry, entry_now_ms(entry));
 	ends_tick(entry->ends);
 	parts_tick(entry->parts);
-	/* First, so that no call is moved from one stalled replica to another.
-	 */
+	/* First, lest a call is moved from one stalled replica to another. */
 	services_check_stalls(entry);
 	tick_calls(entry);
 	services_dispatch_queued(entry);
--- a/entry/services.c
+++ b/entry/services.c
@@ -270,10 +270,19 @@
  * A replica with a VM missing produces no output. So a replica that is
  * producing output is healthy, even if its VMs cannot reach their monitors.
  */
-static int64_t active_until_ms(const struct router_replica *r)
+static void overrule_silence(const struct entry *entry,
+			     const struct router_replica *r,
+			     enum replica_fault *fault, int64_t *fresh_until_ms)
 {
-	return r->outstanding ? r->last_response_ms + EVIDENCE_STREAM_VALID_MS
-			      : 0;
+	int64_t active_until_ms =
+		r->outstanding ? r->last_response_ms + EVIDENCE_STREAM_VALID_MS
+			       : 0;
+
+	if (*fault != REPLICA_VM_SILENT ||
+	    active_until_ms <= entry_now_ms(entry))
+		return;
+	*fault = REPLICA_HEALTHY;
+	*fresh_until_ms = active_until_ms;
 }
 
 /* -1: never */
@@ -303,11 +312,7 @@
 	fault = view_check_replica(entry->view, a, entry_now_ms(entry),
 				   presumed_until_ms(entry, replica),
 				   &faulty_vm, &fresh_until_ms);
-	if (fault == REPLICA_VM_SILENT &&
-	    active_until_ms(r) > entry_now_ms(entry)) {
-		fault = REPLICA_HEALTHY;
-		fresh_until_ms = active_until_ms(r);
-	}
+	overrule_silence(entry, r, &fault, &fresh_until_ms);
 	router_set_health(s->router, a->replica, fresh_until_ms,
 			  replica_fault_name(fault));
 	if (was_healthy == !fault)
@@ -356,11 +361,7 @@
 	int64_t fresh_until_ms = fault ? 0 : vm->fresh_until_ms;
 	bool was_healthy = r->fresh_until_ms != 0;
 
-	if (fault == REPLICA_VM_SILENT &&
-	    active_until_ms(r) > entry_now_ms(entry)) {
-		fault = REPLICA_HEALTHY;
-		fresh_until_ms = active_until_ms(r);
-	}
+	overrule_silence(entry, r, &fault, &fresh_until_ms);
 	router_set_health(s->router, r->id, fresh_until_ms,
 			  replica_fault_name(fault));
 	if (was_healthy != !fault)
--- a/soak/endpoints.c
+++ b/soak/endpoints.c
@@ -47,7 +47,9 @@
 	run->ended_us = json_integer_value(json_object_get(line, "t_us"));
 }
 
-void endpoints_read_log(GHashTable *runs, const char *path)
+void soak_read_log(const char *path, const char *only,
+		   void (*visit)(GHashTable *table, json_t *line),
+		   GHashTable *table)
 {
 	char *text = NULL;
 	char **lines;
@@ -56,11 +58,18 @@
 		cluster_fail("%s: cannot be read", path);
 	lines = g_strsplit(text, "\n", 0);
 	for (int i = 0; lines[i]; i++) {
-		json_t *line = json_loads(lines[i], 0, NULL);
+		json_t *line = strstr(lines[i], only)
+				       ? json_loads(lines[i], 0, NULL)
+				       : NULL;
 
-		add_event(runs, line);
+		visit(table, line);
 		json_decref(line);
 	}
 	g_strfreev(lines);
 	g_free(text);
 }
+
+void endpoints_read_log(GHashTable *runs, const char *path)
+{
+	soak_read_log(path, "", add_event, runs);
+}
--- a/soak/reasons.c
+++ b/soak/reasons.c
@@ -25,20 +25,5 @@
 
 void reasons_read_log(GHashTable *reasons, const char *path)
 {
-	char *text = NULL;
-	char **lines;
-
-	if (!g_file_get_contents(path, &text, NULL, NULL))
-		cluster_fail("%s: cannot be read", path);
-	lines = g_strsplit(text, "\n", 0);
-	for (int i = 0; lines[i]; i++) {
-		json_t *line = strstr(lines[i], "\"refused\"")
-				       ? json_loads(lines[i], 0, NULL)
-				       : NULL;
-
-		add_line(reasons, line);
-		json_decref(line);
-	}
-	g_strfreev(lines);
-	g_free(text);
+	soak_read_log(path, "\"refused\"", add_line, reasons);
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -16,6 +16,7 @@
 #include <stdint.h>
 
 #include <glib.h>
+#include <jansson.h>
 
 #include "test/cluster.h"
 
@@ -208,6 +209,14 @@
 
 /* ---- endpoints.c ---- */
 
+/**
+ * Reads a log of JSON lines: visits each that has the text `only`; NULL for
+ * any other line.
+ */
+void soak_read_log(const char *path, const char *only,
+		   void (*visit)(GHashTable *table, json_t *line),
+		   GHashTable *table);
+
 /** Adds what a log of a fake says to a table of struct endpoint_run. */
 void endpoints_read_log(GHashTable *runs, const char *path);
 
