test: requests beyond an endpoint's limit, which fails

Two of four endpoints name a limit of 2 requests a second in their answers; eight clients send what two entries take. From 3 s after that on, an endpoint may get one and a half times what the limit allows in 4 s, and 5 more, which is 17.

The bound is the users' rule, the 3 s are its contactMs.

--- a/test/crash_endpoints.c
+++ b/test/crash_endpoints.c
@@ -21,6 +21,13 @@
 #define ANNOUNCE_TIMEOUT_MS 500
 #define FIRST_HOST 20
 #define CUT_US 10000
+#define LIMIT_CHARS 16
+
+struct arrival {
+	gint64 at_ms;
+	int endpoint;
+	bool has_part;
+};
 
 /** A request that waits for its answer. */
 struct waiting {
@@ -52,7 +59,10 @@
 	volatile gint stop, mode; /* `mode` is an enum crash_mode */
 	GMutex lock;
 	struct endpoint *endpoints;
-	GArray *ends, *arrivals; /* of gint64, times; under the lock */
+	GArray *ends; /* of gint64, times; under the lock, as what follows */
+	GArray *arrivals; /* of struct arrival, in their order */
+	int limited;	  /* endpoints that name `limit` */
+	char limit[LIMIT_CHARS];
 };
 
 static void listen_again(struct endpoint *e);
@@ -232,6 +242,20 @@
 	return found;
 }
 
+/* Notes the arrival, and adds the limit to the answer's head. */
+static void take_arrival(struct endpoint *e, bool has_part,
+			 struct evkeyvalq *out)
+{
+	struct crash_endpoints *all = e->all;
+	struct arrival arrival = { cluster_now_ms(), e->number, has_part };
+
+	g_mutex_lock(&all->lock);
+	g_array_append_val(all->arrivals, arrival);
+	if (e->number < all->limited)
+		evhttp_add_header(out, "Server-Limit", all->limit);
+	g_mutex_unlock(&all->lock);
+}
+
 static void handle_request(struct evhttp_request *req, void *ctx)
 {
 	struct endpoint *e = ctx;
@@ -240,7 +264,6 @@
 	struct timeval after = { 0, all->opts.answer_ms * 1000 };
 	struct evkeyvalq *out = evhttp_request_get_output_headers(req);
 	const char *id = http_header(req, "Attempt-Id");
-	gint64 now = cluster_now_ms();
 
 	if (id)
 		evhttp_add_header(out, "Attempt-Id", id);
@@ -249,11 +272,7 @@
 	w->req = req;
 	w->has_part = has_part(all, req);
 	w->timer = evtimer_new(all->base, on_begin, w);
-	if (w->has_part) {
-		g_mutex_lock(&all->lock);
-		g_array_append_val(all->arrivals, now);
-		g_mutex_unlock(&all->lock);
-	}
+	take_arrival(e, w->has_part, out);
 	g_ptr_array_add(e->waiting, w);
 	event_add(w->timer, &after);
 }
@@ -378,7 +397,7 @@
 	all->control = g_strdupv((char **)opts->control);
 	all->base = event_base_new();
 	all->ends = g_array_new(FALSE, FALSE, sizeof(gint64));
-	all->arrivals = g_array_new(FALSE, FALSE, sizeof(gint64));
+	all->arrivals = g_array_new(FALSE, FALSE, sizeof(struct arrival));
 	g_mutex_init(&all->lock);
 	all->endpoints = g_new0(struct endpoint, opts->count);
 	for (int i = 0; i < opts->count; i++) {
@@ -426,6 +445,15 @@
 	g_atomic_int_set(&all->mode, (gint)mode);
 }
 
+void crash_endpoints_set_limit(struct crash_endpoints *all, int count,
+			       const char *limit)
+{
+	g_mutex_lock(&all->lock);
+	all->limited = count;
+	g_strlcpy(all->limit, limit, sizeof(all->limit));
+	g_mutex_unlock(&all->lock);
+}
+
 void crash_endpoints_end_all(struct crash_endpoints *all)
 {
 	event_base_once(all->base, -1, EV_TIMEOUT, on_end_all, all, NULL);
@@ -459,8 +487,36 @@
 	int n = 0;
 
 	g_mutex_lock(&all->lock);
-	for (guint i = 0; i < all->arrivals->len; i++)
-		n += g_array_index(all->arrivals, gint64, i) >= since_ms;
+	for (guint i = 0; i < all->arrivals->len; i++) {
+		const struct arrival *a = &g_array_index(all->arrivals,
+							 struct arrival, i);
+
+		n += a->has_part && a->at_ms >= since_ms;
+	}
 	g_mutex_unlock(&all->lock);
 	return n;
 }
+
+int crash_endpoints_most(struct crash_endpoints *all, int endpoint,
+			 gint64 since_ms, int window_ms)
+{
+	GArray *times = g_array_new(FALSE, FALSE, sizeof(gint64));
+	guint first = 0, most = 0;
+
+	g_mutex_lock(&all->lock);
+	for (guint i = 0; i < all->arrivals->len; i++) {
+		const struct arrival *a = &g_array_index(all->arrivals,
+							 struct arrival, i);
+
+		if (a->endpoint != endpoint || a->at_ms < since_ms)
+			continue;
+		g_array_append_val(times, a->at_ms);
+		while (a->at_ms - g_array_index(times, gint64, first) >=
+		       window_ms)
+			first++;
+		most = MAX(most, times->len - first);
+	}
+	g_mutex_unlock(&all->lock);
+	g_array_unref(times);
+	return (int)most;
+}
--- a/test/crash_endpoints.h
+++ b/test/crash_endpoints.h
@@ -2,7 +2,8 @@
  * @file
  * Endpoints of a plain service that end when they begin to answer a request
  * whose prompt has a certain part: all their connections are reset, new ones
- * are refused, and after a while the endpoint is back under another name.
+ * are refused, and after a while the endpoint is back under another name. Some
+ * may name a limit on the requests that they take.
  *
  * They run and announce themselves on threads of their own; every function may
  * be called from any thread.
@@ -47,6 +48,13 @@
 void crash_endpoints_set_mode(struct crash_endpoints *endpoints,
 			      enum crash_mode mode);
 
+/**
+ * The first `count` endpoints name `limit` in all answers from now on; none do
+ * if it is 0.
+ */
+void crash_endpoints_set_limit(struct crash_endpoints *endpoints, int count,
+			       const char *limit);
+
 /** Ends all endpoints at once, as the loss of a rack does. */
 void crash_endpoints_end_all(struct crash_endpoints *endpoints);
 
@@ -60,4 +68,11 @@
 int crash_endpoints_arrivals(struct crash_endpoints *endpoints,
 			     gint64 since_ms);
 
+/**
+ * Returns the most requests that an endpoint got in any `window_ms` that began
+ * at `since_ms` or later.
+ */
+int crash_endpoints_most(struct crash_endpoints *endpoints, int endpoint,
+			 gint64 since_ms, int window_ms);
+
 #endif
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -64,6 +64,12 @@
 #define BODY_BUFFERS_BYTES 6500000
 /* From the fifth end on, for all entries to know of it. */
 #define LATE_MS 3000
+/* For all entries to know of a limit that an endpoint names. */
+#define LIMIT_KNOWN_MS 3000
+/* What a limit allows in a window: one and a half times as much, and some. */
+#define LIMIT_WINDOW_MS 4000
+#define LIMIT_TOLERANCE 1.5
+#define LIMIT_EXTRA 5
 /* Of endpoints that end: from a request to its answer; from an end to return.
  */
 #define ANSWER_MS 40
@@ -129,6 +135,9 @@
 	struct crash_endpoints *crash_endpoints;
 	struct part_clients *sound_at[NODES + 1], *bad;
 	gint64 late_ms; /* see do_wait_late() */
+	int limited;	/* endpoints, see do_limit_endpoints() */
+	double limit;	/* requests a second */
+	gint64 limited_ms;
 };
 
 static char *address_of(const struct platform_test *test, int node,
@@ -1540,6 +1549,47 @@
 		script_print(s, "%d requests with the part arrived", arrivals);
 }
 
+/* limit-endpoints COUNT LIMIT: the first COUNT name it from now on. */
+static void do_limit_endpoints(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+
+	test->limited = atoi(s->words[1]);
+	test->limit = g_ascii_strtod(s->words[2], NULL);
+	test->limited_ms = cluster_now_ms();
+	crash_endpoints_set_limit(test->crash_endpoints, test->limited,
+				  s->words[2]);
+}
+
+/*
+ * limits-kept for=MS: waits until the limits have been known for that long;
+ * then none may have been exceeded.
+ */
+static void do_limits_kept(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	gint64 known_ms = test->limited_ms + LIMIT_KNOWN_MS;
+	gint64 until_ms = known_ms + (gint64)script_number(s, "for", 0);
+	int allowed =
+		(int)(test->limit * LIMIT_TOLERANCE * LIMIT_WINDOW_MS / 1000) +
+		LIMIT_EXTRA;
+
+	while (cluster_now_ms() < until_ms)
+		usleep(POLL_US);
+	for (int i = 0; i < test->limited; i++) {
+		int most = crash_endpoints_most(test->crash_endpoints, i,
+						known_ms, LIMIT_WINDOW_MS);
+
+		fprintf(stderr, "endpoint %d got %d requests in %d ms\n", i,
+			most, LIMIT_WINDOW_MS);
+		if (most <= allowed)
+			script_print(s, "endpoint %d: limit kept", i);
+		else
+			script_print(s, "endpoint %d got %d, allowed %d", i,
+				     most, allowed);
+	}
+}
+
 static void stop_clients(struct platform_test *test)
 {
 	part_clients_stop(test->bad);
@@ -1635,6 +1685,8 @@
 	{ "wait-late", 0, do_wait_late },
 	{ "late-arrivals", 0, do_late_arrivals },
 	{ "wait-ready", 1, do_wait_ready },
+	{ "limit-endpoints", 2, do_limit_endpoints },
+	{ "limits-kept", 0, do_limits_kept },
 	{ 0 },
 };
 
