entry: the limits that endpoints name are read and logged

What logs lacked: no line told that an answer names a limit, so that they could not tell entries that don't know of it from entries that exceed it. Each entry now logs 'limit named' at each change, with its share, and 'limit lifted', and counts endpoints with a limit (limited_endpoints). Nothing is held back by it yet.

--- a/common/counters.h
+++ b/common/counters.h
@@ -38,6 +38,8 @@
 	X(QUEUED, "requests_queued", "gauge", "requests waiting for a slot") \
 	X(REPLICA_ENDS, "replica_ends_total", "counter",                     \
 	  "replicas that ended with requests of this entry")                 \
+	X(LIMITED_ENDPOINTS, "limited_endpoints", "gauge",                   \
+	  "endpoints that name a limit on their requests")                   \
 	X(PARTS_HELD, "prompt_parts_held", "gauge",                          \
 	  "prompt parts in quarantine")                                      \
 	X(PARTS_REFUSED, "quarantined_total", "counter",                     \
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -9,6 +9,7 @@
 #include "common/log.h"
 #include "entry/call_class.h"
 #include "entry/kept.h"
+#include "entry/limits.h"
 #include "entry/parts.h"
 
 /*
@@ -393,6 +394,7 @@
 	call->response_type = g_strdup(type ? type : "");
 	call->response_class = call->format->classify_response(call, status,
 							       headers);
+	limits_read(call, headers);
 	if (call->response_class != RESPONSE_MISMATCHED)
 		return true;
 	/* Its body may never end, nor be followed by this call's response. */
@@ -699,14 +701,14 @@
 		 "request %s: sent replica=%u epoch=%" PRIu64 " at=%s "
 		 "service=%s prompt=%u present=%u cost_ms=%.1f cached=%u "
 		 "candidates=%u stale=%u "
-		 "suspect=%u full=%u failed=%u slow=%u left_out=%s "
+		 "suspect=%u full=%u failed=%u slow=%u limited=%u left_out=%s "
 		 "after_ms=%" PRId64,
 		 call->id, choice->replica, choice->epoch, choice->address,
 		 call->service->name, call->route.prompt_tokens,
 		 choice->in_flight, choice->cost_ms, choice->cached_tokens,
 		 choice->candidates, choice->stale, choice->suspects,
 		 choice->full, choice->avoided, choice->stragglers,
-		 *choice->excluded ? choice->excluded : "-",
+		 choice->limited, *choice->excluded ? choice->excluded : "-",
 		 (call->sent_us - call->started_us) / 1000);
 }
 
@@ -730,6 +732,7 @@
 	call->state = CALL_DISPATCHED;
 	call->replica = choice->replica;
 	call->epoch = choice->epoch;
+	call->endpoint = choice->endpoint;
 	g_strlcpy(call->address, choice->address, sizeof(call->address));
 	router_sent(call->service->router, choice->replica, entry_now_ms(entry),
 		    &call->route);
--- a/entry/call.h
+++ b/entry/call.h
@@ -38,6 +38,8 @@
 
 /** Protocol callbacks that translate a call between callers and endpoints. */
 struct call_format {
+	/** Header in which an endpoint names its limit; NULL for none. */
+	const char *limit_header;
 	/** Adds the headers of the request to the endpoint. */
 	void (*request_headers)(const struct call *call, struct evkeyvalq *out);
 	/**
@@ -135,6 +137,7 @@
 	uint32_t replica;
 	uint64_t epoch;
 	char address[ADDRESS_MAX];
+	uint64_t endpoint; /* names it in request limits; 0: none */
 	struct upstream *upstream;
 	struct kept_attempt *kept; /* while another is tried; or NULL */
 	int64_t sent_us;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -6,6 +6,7 @@
 #include "common/log.h"
 #include "common/pack.h"
 #include "entry/call_class.h"
+#include "entry/limits.h"
 #include "entry/parts.h"
 #include "entry/shutdown.h"
 #include "entry/take.h"
@@ -34,6 +35,16 @@
 	return entry_now_ms(entry) < entry->lease_until_ms;
 }
 
+GArray *entry_list_nodes(const struct entry *entry)
+{
+	GArray *nodes = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+
+	for (uint32_t i = 0; i < entry->known_entry_count; i++)
+		if (*entry->known_entries[i].callers_address)
+			g_array_append_val(nodes, entry->known_entries[i].node);
+	return nodes;
+}
+
 void entry_schedule_dispatch(struct entry *entry)
 {
 	struct timeval no_delay = { 0, 0 };
@@ -237,6 +248,7 @@
 	pauses_init(&entry->pauses, TICK_MS, entry->started_ms);
 	g_queue_init(&entry->held_requests);
 	entry->random = g_rand_new_with_seed(opts->seed);
+	entry->limits = limits_create(entry);
 	if (open_ports(entry, why))
 		return entry;
 	entry_destroy(entry);
@@ -316,6 +328,7 @@
 	g_hash_table_unref(entry->call_classes);
 	booking_drop_unrecorded(entry);
 	g_hash_table_unref(entry->services);
+	limits_destroy(entry->limits);
 	clear_known_entries(entry);
 	monitor_destroy(entry->monitor);
 	view_destroy(entry->view);
@@ -434,6 +447,7 @@
 		else
 			changed = apply_deltas(entry, reply);
 		update_known_entries(entry, reply);
+		limits_update_entries(entry->limits);
 		entry->lease_until_ms = MAX(entry->lease_until_ms,
 					    m->update->lease_until_ms);
 		entry->ever_configured = true;
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -26,6 +26,7 @@
 struct call;
 struct call_class;
 struct ends;
+struct limits;
 struct parts;
 
 /** Per-service state of this entry. */
@@ -79,6 +80,7 @@
 	GHashTable *call_classes; /* name -> struct call_class */
 	struct ends *ends;	  /* of replicas */
 	struct parts *parts;	  /* of prompts */
+	struct limits *limits;	  /* of endpoints */
 	GHashTable *unrecorded; /* outcomes of bookings, to be recorded again */
 	uint32_t open_records;	/* these, and those that are being recorded */
 	struct upstream_pool *pool;
@@ -110,6 +112,9 @@
  */
 bool entry_has_lease(const struct entry *entry);
 
+/** Returns the nodes of the known entries, as an array of uint32_t. */
+GArray *entry_list_nodes(const struct entry *entry);
+
 /** Schedules a dispatch of queued calls on the next loop iteration. */
 void entry_schedule_dispatch(struct entry *entry);
 
--- a/entry/kept.c
+++ b/entry/kept.c
@@ -12,6 +12,7 @@
 	uint32_t replica;
 	uint64_t epoch;
 	char address[ADDRESS_MAX];
+	uint64_t endpoint;
 	int64_t sent_us;
 	int64_t first_event_us;
 	int64_t rate_sampled_us;
@@ -44,6 +45,7 @@
 	SWAP(struct upstream *, call->upstream, kept->upstream);
 	SWAP(uint32_t, call->replica, kept->replica);
 	SWAP(uint64_t, call->epoch, kept->epoch);
+	SWAP(uint64_t, call->endpoint, kept->endpoint);
 	g_strlcpy(address, call->address, sizeof(address));
 	g_strlcpy(call->address, kept->address, sizeof(call->address));
 	g_strlcpy(kept->address, address, sizeof(kept->address));
--- a/entry/parts.c
+++ b/entry/parts.c
@@ -328,15 +328,11 @@
 
 static void update_entries(struct parts *parts)
 {
-	const struct entry *entry = parts->entry;
-	uint32_t *nodes = g_new(uint32_t, entry->known_entry_count + 1);
-	uint32_t count = 0;
-
-	for (uint32_t i = 0; i < entry->known_entry_count; i++)
-		if (*entry->known_entries[i].callers_address)
-			nodes[count++] = entry->known_entries[i].node;
-	quarantine_set_entries(parts->quarantine, nodes, count);
-	g_free(nodes);
+	GArray *nodes = entry_list_nodes(parts->entry);
+
+	quarantine_set_entries(parts->quarantine, (uint32_t *)nodes->data,
+			       nodes->len);
+	g_array_unref(nodes);
 }
 
 void parts_apply_reply(struct parts *parts, const struct config_update *update)
--- a/entry/services.c
+++ b/entry/services.c
@@ -10,6 +10,7 @@
 #include "common/log.h"
 #include "control/demands.h"
 #include "entry/call.h"
+#include "entry/limits.h"
 
 #define PREFIXES_PER_REPLICA 4096
 /*
@@ -66,6 +67,7 @@
 		.entry = (uint32_t)entry->opts.settings->node.id,
 		.subset = (uint32_t)entry->opts.settings->limits.subset,
 		.prefix_max = PREFIXES_PER_REPLICA,
+		.limits = limits_table(entry->limits),
 	};
 	const struct limit_settings *limits = &entry->opts.settings->limits;
 	struct retry_budget_opts retry_budget = {
@@ -109,11 +111,11 @@
 
 static uint32_t count_entries(const struct entry *entry)
 {
-	uint32_t count = 0;
+	GArray *nodes = entry_list_nodes(entry);
+	uint32_t count = MAX(nodes->len, 1);
 
-	for (uint32_t i = 0; i < entry->known_entry_count; i++)
-		count += *entry->known_entries[i].callers_address != '\0';
-	return MAX(count, 1);
+	g_array_unref(nodes);
+	return count;
 }
 
 struct pool_count {
@@ -184,10 +186,12 @@
 	const struct service_state *service = state_service(entry->config,
 							    a->service);
 
-	if (s && service && a->vms.vms_len)
-		router_put(s->router, a->replica, a->epoch,
-			   service->spec.slots_per_replica,
-			   a->vms.vms_val[0].address);
+	if (!s || !service || !a->vms.vms_len)
+		return;
+	router_put(s->router, a->replica, a->epoch,
+		   service->spec.slots_per_replica, a->vms.vms_val[0].address);
+	router_set_endpoint(s->router, a->replica,
+			    limits_endpoint(a->vms.vms_val[0].name));
 }
 
 struct removal {
@@ -392,6 +396,7 @@
 		   report->slots ? report->slots
 				 : service->spec.slots_per_replica,
 		   report->address);
+	router_set_endpoint(s->router, number, limits_endpoint(report->name));
 	r = router_find(s->router, number);
 	if (r)
 		set_plain_health(s, vm, r);
--- a/include/radishdeal/admission.h
+++ b/include/radishdeal/admission.h
@@ -37,7 +37,8 @@
 	int64_t objective_deadline_ms; /* latest dispatch that meets the latency
 					* objective; 0: no objective */
 	int64_t deadline_ms;	       /* expires if still queued then */
-	bool overdue; /* has missed its objective while queued */
+	int64_t least_wait_ms; /* until it can be dispatched, at the least */
+	bool overdue;	       /* has missed its objective while queued */
 	GList link;
 	GList objective_link;
 	bool waiting; /* is queued */
@@ -56,7 +57,8 @@
 
 /**
  * Queues a request. `cost` is its estimated number of tokens. The caller sets
- * `objective_deadline_ms` of the ticket beforehand. Returns RD_OVERLOADED, with
+ * `objective_deadline_ms` and `least_wait_ms` of the ticket beforehand. Returns
+ * RD_OVERLOADED, with
  * the advised retry delay in `retry_ms`, if the request is not expected to be
  * dispatched before `deadline_ms`.
  */
@@ -94,6 +96,10 @@
 /** Returns the number of requests queued. */
 uint32_t admission_waiting(const struct admission *admission);
 
+/** Returns how many queued requests go before a new one of an account. */
+uint32_t admission_ahead(const struct admission *admission,
+			 const char *account);
+
 /** Returns the number of requests being served. */
 uint32_t admission_serving(const struct admission *admission);
 
--- a/include/radishdeal/router.h
+++ b/include/radishdeal/router.h
@@ -18,6 +18,8 @@
 
 #include <glib.h>
 
+#include <radishdeal/request_limits.h>
+
 #define ROUTER_PREFIX_MAX 64
 
 /** The properties of a request that matter for its routing. */
@@ -39,6 +41,7 @@
 	uint64_t epoch;
 	uint32_t slots;
 	char address[64];	     /* of the head VM */
+	uint64_t endpoint;	     /* names the head VM in limits; 0: none */
 	int64_t fresh_until_ms;	     /* expiry of its health; 0: unhealthy */
 	const char *fault;	     /* name of the fault if unhealthy */
 	int64_t suspect_until_ms;    /* a request failed there: not used until
@@ -92,6 +95,8 @@
 	uint32_t subset;     /* replicas that one entry uses; 0: all */
 	uint32_t prefix_max; /* hashes stored per replica */
 	const struct router_policy *policy; /* NULL: router_policy_cost */
+	/** Of all routers of this entry; not owned. NULL: none. */
+	struct request_limits *limits;
 };
 
 struct router *router_create(const struct router_opts *opts);
@@ -101,6 +106,9 @@
 void router_put(struct router *router, uint32_t id, uint64_t epoch,
 		uint32_t slots, const char *address);
 
+/** Sets the endpoint whose request limit applies to a replica. */
+void router_set_endpoint(struct router *router, uint32_t id, uint64_t endpoint);
+
 /** Removes a replica and the counts of its requests in flight. */
 void router_remove(struct router *router, uint32_t id);
 
@@ -147,12 +155,13 @@
 	uint32_t replica; /* 0: none */
 	uint64_t epoch;
 	const char *address; /* valid until the next change of the router */
+	uint64_t endpoint;
 	double cost_ms;
 	uint32_t in_flight; /* known requests at the replica */
 	uint32_t cached_tokens;
 	uint32_t candidates;
 	/* Excluded by reason; `full` includes those with pending prefills. */
-	uint32_t stale, suspects, full, avoided, stragglers;
+	uint32_t stale, suspects, full, avoided, stragglers, limited;
 	char excluded[64]; /* "id:reason" of the first one excluded */
 };
 
--- a/routing/admission.c
+++ b/routing/admission.c
@@ -186,7 +186,8 @@
 	double wait_ms;
 
 	advance_window(a, now_ms);
-	wait_ms = expected_wait_ms(a, account);
+	wait_ms = MAX(expected_wait_ms(a, account),
+		      (double)ticket->least_wait_ms);
 	if ((double)now_ms + wait_ms > (double)deadline_ms) {
 		*retry_ms = MAX(
 			RETRY_MIN_MS,
@@ -359,6 +360,28 @@
 	return a->waiting;
 }
 
+uint32_t admission_ahead(const struct admission *a, const char *name)
+{
+	const struct admission_account *account =
+		g_hash_table_lookup(a->by_name, name);
+	uint32_t own = account ? account->queue.length : 0;
+	uint32_t weight = account ? account->weight : 1;
+	uint32_t ahead = own;
+
+	for (guint i = 0; i < a->accounts->len; i++) {
+		const struct admission_account *other = a->accounts->pdata[i];
+
+		if (other == account)
+			continue;
+		if (account && other->priority < account->priority)
+			ahead += other->queue.length;
+		else if (!account || other->priority == account->priority)
+			ahead += MIN(other->queue.length,
+				     (own + 1) * other->weight / weight);
+	}
+	return ahead;
+}
+
 uint32_t admission_serving(const struct admission *a)
 {
 	return a->serving;
--- a/routing/router.c
+++ b/routing/router.c
@@ -126,6 +126,14 @@
 	g_strlcpy(r->address, address, sizeof(r->address));
 }
 
+void router_set_endpoint(struct router *router, uint32_t id, uint64_t endpoint)
+{
+	struct router_replica *r = find_replica(router, id);
+
+	if (r)
+		r->endpoint = endpoint;
+}
+
 void router_remove(struct router *router, uint32_t id)
 {
 	struct router_replica *r = find_replica(router, id);
@@ -569,6 +577,7 @@
 		choice->replica = r->id;
 		choice->epoch = r->epoch;
 		choice->address = r->address;
+		choice->endpoint = r->endpoint;
 		choice->in_flight = r->outstanding + r->other_requests;
 		choice->cached_tokens = cached_tokens(r, request);
 	}
