routing, entry: endpoints get no more requests than the limit that they name

What callers saw: nothing yet; endpoints in need went on getting all requests, 34 in 4 s where 25 are allowed, and answer late or not at all once they give way.

Cause: no entry read the limit. Class: what an endpoint says of itself in an answer is passed on and heeded by nobody; load is known by counts alone.

Change: each entry has a token bucket with an equal share of each named limit. What is sent there, for whatever reason, takes a token; a replica without one is no candidate. If all usable replicas have limits, a request waits for its turn or is refused on arrival, with the time until the tokens suffice as Retry-After.

Why it works: shares add up to the limit without a message, entries count as sharing for two leases after they were last listed, and what all may have saved up is at most 2 + 2 x limit. The first try gave each entry a bucket of one token: 28 entries sent 28 requests at once after a pause (limit 1, 11 allowed), which is why only some share a low limit and the others send probes at random phases.

--- a/entry/call.c
+++ b/entry/call.c
@@ -10,6 +10,7 @@
 #include "entry/call_class.h"
 #include "entry/doubt.h"
 #include "entry/kept.h"
+#include "entry/limits.h"
 #include "entry/parts.h"
 #include "entry/shutdown.h"
 
@@ -281,6 +282,9 @@
 	call->state = CALL_QUEUED;
 	call->ticket.ctx = call;
 	call->ticket.objective_deadline_ms = call->objective_deadline_ms;
+	call->ticket.least_wait_ms = limits_wait_ms(
+		call->service,
+		admission_ahead(call->service->admission, call->account) + 1);
 	if (admission_enqueue(call->service->admission, now, &call->ticket,
 			      call->account, cost, until, &retry_ms)) {
 		call_fail_not_run(call, RD_OVERLOADED, NULL, (int)retry_ms);
@@ -291,8 +295,10 @@
 
 void call_reject_queued(struct call *call, enum rd_result code)
 {
+	int64_t wait_ms = limits_wait_ms(call->service, 1);
+
 	release_admission(call);
-	call_fail_not_run(call, code, NULL, RETRY_AFTER_MS);
+	call_fail_not_run(call, code, NULL, (int)MAX(RETRY_AFTER_MS, wait_ms));
 }
 
 /* ---- deadlines ---- */
--- a/routing/request_limits.c
+++ b/routing/request_limits.c
@@ -6,13 +6,19 @@
 
 #include <radishdeal/request_limits.h>
 
-/* What an entry may save up of its share, beside one request. */
+/*
+ * Each entry that shares a limit may save up one request, or so much of its
+ * share. So only so many entries share a limit, and each request a second of
+ * it.
+ */
 #define BURST_S 0.5
-/* So many entries share each request a second, and so many any limit. */
+#define USERS_MIN 2
 #define USERS_PER_REQUEST 2
-#define USERS_MIN 4u
-/* Requests a second, of all entries, to an endpoint whatever its limit. */
-#define PROBES_PER_S 0.5
+/* Requests a second, of all other entries, to an endpoint whatever its limit.
+ */
+#define PROBES_PER_S 0.25
+/* How long a probe may be sent once it is due, lest all send theirs at once. */
+#define PROBE_OPEN_MS 1000
 /* Endpoints come back under new names, and their old limits stay unused. */
 #define LIMITS_MAX 8192u
 #define LIMIT_CHARS_MAX 16
@@ -25,6 +31,9 @@
 	double tokens; /* at `filled_ms` */
 	int64_t filled_ms;
 	int64_t named_ms; /* by the last answer */
+	bool probes_only;
+	double probe_phase; /* of the time between two probes, 0 to 1 */
+	int64_t last_probe; /* its number */
 };
 
 struct sharing_node {
@@ -92,19 +101,29 @@
 	return before < users;
 }
 
-static double share_of(const struct request_limits *limits, uint64_t endpoint,
-		       double per_s)
+static uint32_t count_users(double per_s, uint32_t nodes)
+{
+	double users = USERS_MIN + USERS_PER_REQUEST * per_s;
+
+	return users < nodes ? (uint32_t)users : nodes;
+}
+
+/* Sets whether this entry shares the limit, and how much it gets. */
+static void divide(const struct request_limits *limits,
+		   struct limit_entry *entry)
 {
 	uint32_t nodes = limits->nodes->len + 1;
-	uint32_t users = nodes;
-	double probe = PROBES_PER_S / nodes;
-
-	if (per_s * USERS_PER_REQUEST < nodes)
-		users = MIN(nodes, MAX(USERS_MIN,
-				       (uint32_t)(per_s * USERS_PER_REQUEST)));
-	if (!is_user(limits, endpoint, users))
-		return probe;
-	return MAX(per_s / users, probe);
+	uint32_t users = count_users(entry->per_s, nodes);
+	double share = entry->per_s / users;
+	uint32_t others = nodes - users;
+
+	entry->probes_only = !is_user(limits, entry->endpoint, users);
+	/* So little that a probe comes earlier. */
+	if (share < PROBES_PER_S / nodes) {
+		entry->probes_only = true;
+		others = nodes;
+	}
+	entry->share_per_s = entry->probes_only ? PROBES_PER_S / others : share;
 }
 
 static double depth(const struct limit_entry *entry)
@@ -125,10 +144,51 @@
 {
 	entry->tokens = tokens_at(entry, now_ms);
 	entry->filled_ms = now_ms;
-	entry->share_per_s = share_of(limits, entry->endpoint, entry->per_s);
+	divide(limits, entry);
 	entry->tokens = MIN(entry->tokens, depth(entry));
 }
 
+/* ---- probes ---- */
+
+static double probe_period_ms(const struct limit_entry *entry)
+{
+	return MS_PER_S / entry->share_per_s;
+}
+
+/* Returns the number of the last probe that has come due. */
+static int64_t due_probe(const struct limit_entry *entry, int64_t now_ms)
+{
+	return (int64_t)floor((double)now_ms / probe_period_ms(entry) -
+			      entry->probe_phase);
+}
+
+static int64_t probe_due_ms(const struct limit_entry *entry, int64_t number)
+{
+	return (int64_t)ceil(((double)number + entry->probe_phase) *
+			     probe_period_ms(entry));
+}
+
+static int64_t probe_wait_ms(const struct limit_entry *entry, int64_t now_ms)
+{
+	int64_t number = due_probe(entry, now_ms);
+
+	if (number != entry->last_probe &&
+	    now_ms - probe_due_ms(entry, number) < PROBE_OPEN_MS)
+		return 0;
+	return MAX(1, probe_due_ms(entry, number + 1) - now_ms);
+}
+
+/* Returns the time until this entry may send a request. */
+static int64_t wait_ms(const struct limit_entry *entry, int64_t now_ms)
+{
+	double missing;
+
+	if (entry->probes_only)
+		return probe_wait_ms(entry, now_ms);
+	missing = MAX(0, 1 - tokens_at(entry, now_ms));
+	return (int64_t)ceil(missing / entry->share_per_s * MS_PER_S);
+}
+
 /* ---- entries ---- */
 
 static bool contains(const uint32_t *nodes, uint32_t count, uint32_t node)
@@ -224,6 +284,8 @@
 		drop_oldest(limits);
 	entry->endpoint = endpoint;
 	entry->tokens = g_rand_double(limits->random);
+	entry->probe_phase = g_rand_double(limits->random);
+	entry->last_probe = INT64_MIN;
 	entry->filled_ms = now_ms;
 	g_hash_table_insert(limits->by_endpoint, &entry->endpoint, entry);
 	return entry;
@@ -258,15 +320,14 @@
 			uint64_t endpoint, struct request_limit *out)
 {
 	const struct limit_entry *entry = find(limits, endpoint);
-	double missing;
 
 	if (!entry)
 		return false;
 	out->per_s = entry->per_s;
 	out->share_per_s = entry->share_per_s;
-	out->allowed = tokens_at(entry, now_ms);
-	missing = MAX(0, 1 - out->allowed);
-	out->wait_ms = (int64_t)ceil(missing / entry->share_per_s * MS_PER_S);
+	out->wait_ms = wait_ms(entry, now_ms);
+	out->allowed = entry->probes_only ? !out->wait_ms
+					  : tokens_at(entry, now_ms);
 	return true;
 }
 
@@ -275,7 +336,7 @@
 {
 	const struct limit_entry *entry = find(limits, endpoint);
 
-	return !entry || tokens_at(entry, now_ms) >= 1;
+	return !entry || !wait_ms(entry, now_ms);
 }
 
 void request_limits_take(struct request_limits *limits, int64_t now_ms,
@@ -285,6 +346,7 @@
 
 	if (!entry)
 		return;
+	entry->last_probe = due_probe(entry, now_ms);
 	entry->tokens = tokens_at(entry, now_ms) - 1;
 	entry->filled_ms = now_ms;
 }
--- a/routing/router.c
+++ b/routing/router.c
@@ -415,7 +415,16 @@
 		       (uint64_t)r->slots * max_fill_permille;
 }
 
-static bool is_candidate(const struct router_replica *r, int64_t now_ms,
+/* Whether the endpoint's limit leaves no request to this entry now. */
+static bool is_limited(const struct router *router,
+		       const struct router_replica *r, int64_t now_ms)
+{
+	return router->opts.limits && r->endpoint &&
+	       !request_limits_allow(router->opts.limits, now_ms, r->endpoint);
+}
+
+static bool is_candidate(const struct router *router,
+			 const struct router_replica *r, int64_t now_ms,
 			 uint32_t max_fill_permille,
 			 const struct router_request *request,
 			 struct router_choice *choice)
@@ -430,6 +439,8 @@
 	else if (is_full(r, max_fill_permille) ||
 		 (request->no_pending_prefill && r->pending_prefills))
 		exclude(choice, r, &choice->full, "full");
+	else if (is_limited(router, r, now_ms))
+		exclude(choice, r, &choice->limited, "limited");
 	else
 		return true;
 	return false;
@@ -470,7 +481,8 @@
 	for (guint i = 0; i < router->subset->len; i++) {
 		struct router_replica *r = router->subset->pdata[i];
 
-		if (is_candidate(r, now_ms, max_fill_permille, request, choice))
+		if (is_candidate(router, r, now_ms, max_fill_permille, request,
+				 choice))
 			g_ptr_array_add(candidates, r);
 	}
 	choice->candidates = candidates->len;
@@ -595,6 +607,8 @@
 		return;
 	if (!r->outstanding)
 		r->last_activity_ms = now_ms;
+	if (router->opts.limits && r->endpoint)
+		request_limits_take(router->opts.limits, now_ms, r->endpoint);
 	r->outstanding++;
 	r->outstanding_tokens += request->output_tokens;
 	r->pending_prefills++;
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -1561,6 +1561,31 @@
 				  s->words[2]);
 }
 
+/*
+ * sound-refused requests=N within=MS: whether each entry answers so many sound
+ * requests in time, and most of them by a refusal.
+ */
+static void do_sound_refused(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	int requests = (int)script_number(s, "requests", 100);
+	gint64 within_ms = script_number(s, "within", 0);
+
+	for (int i = ENTRY; i < ENTRY + test->entries; i++) {
+		gint64 began_ms = cluster_now_ms();
+		struct part_counts counts;
+		gint64 took_ms;
+
+		wait_answers(s, test->sound_at[i], requests, &counts);
+		took_ms = cluster_now_ms() - began_ms;
+		if (took_ms <= within_ms && counts.refused > counts.sent / 2)
+			script_print(s, "entry %d refuses in time", i);
+		else
+			script_print(s, "entry %d refused %d of %d in %d ms", i,
+				     counts.refused, counts.sent, (int)took_ms);
+	}
+}
+
 /*
  * limits-kept for=MS: waits until the limits have been known for that long;
  * then none may have been exceeded.
@@ -1687,6 +1712,7 @@
 	{ "wait-ready", 1, do_wait_ready },
 	{ "limit-endpoints", 2, do_limit_endpoints },
 	{ "limits-kept", 0, do_limits_kept },
+	{ "sound-refused", 0, do_sound_refused },
 	{ 0 },
 };
 
