entry: lines of an attempt name what its caller asked for

'sent' and the lines of failed attempts now have 'content', a hash of account, method, host, path and body, which is the same when a caller sends the request again; headers and keys are left out. Nothing depends on it yet.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -138,8 +138,10 @@
 static void log_failed_attempt(const struct call *call, const char *why)
 {
 	log_note(&attempt_log,
-		 "request %s: %s replica=%u attempt=%u tokens=%u ms=%" PRId64,
-		 call->id, why, call->replica, call->attempts, call->tokens,
+		 "request %s: %s replica=%u attempt=%u content=%" PRIx64
+		 " tokens=%u ms=%" PRId64,
+		 call->id, why, call->replica, call->attempts, call->content,
+		 call->tokens,
 		 (entry_now_us(call->entry) - call->sent_us) / 1000);
 }
 
@@ -699,12 +701,13 @@
 {
 	log_info(&attempt_log,
 		 "request %s: sent replica=%u epoch=%" PRIu64 " at=%s "
-		 "service=%s prompt=%u present=%u cost_ms=%.1f cached=%u "
+		 "service=%s content=%" PRIx64 " prompt=%u present=%u "
+					       "cost_ms=%.1f cached=%u "
 		 "candidates=%u stale=%u "
 		 "suspect=%u full=%u failed=%u slow=%u limited=%u left_out=%s "
 		 "after_ms=%" PRId64,
 		 call->id, choice->replica, choice->epoch, choice->address,
-		 call->service->name, call->route.prompt_tokens,
+		 call->service->name, call->content, call->route.prompt_tokens,
 		 choice->in_flight, choice->cost_ms, choice->cached_tokens,
 		 choice->candidates, choice->stale, choice->suspects,
 		 choice->full, choice->avoided, choice->stragglers,
--- a/entry/call.c
+++ b/entry/call.c
@@ -6,6 +6,8 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
+#include <xxhash.h>
+
 #include "common/log.h"
 #include "entry/call_class.h"
 #include "entry/doubt.h"
@@ -51,6 +53,33 @@
 		destroy(call);
 }
 
+static void hash_text(XXH3_state_t *hash, const char *text)
+{
+	/* With its end, so that two texts can't be divided in another way. */
+	XXH3_64bits_update(hash, text ? text : "", text ? strlen(text) + 1 : 1);
+}
+
+/* Leaves out headers and keys, which may differ each time. */
+static uint64_t content_of(const struct call_opts *opts, const char *method)
+{
+	XXH3_state_t *hash = XXH3_createState();
+	gsize size = 0;
+	const void *body = opts->body ? g_bytes_get_data(opts->body, &size)
+				      : NULL;
+	uint64_t digest;
+
+	XXH3_64bits_reset(hash);
+	hash_text(hash, opts->account);
+	hash_text(hash, method);
+	hash_text(hash, opts->host);
+	hash_text(hash, opts->path);
+	if (size)
+		XXH3_64bits_update(hash, body, size);
+	digest = XXH3_64bits_digest(hash);
+	XXH3_freeState(hash);
+	return digest;
+}
+
 void call_start(struct entry *entry, const struct call_opts *opts)
 {
 	struct call *call = g_new0(struct call, 1);
@@ -73,6 +102,7 @@
 	call->objective_deadline_ms = opts->objective_deadline_ms;
 	call->method = evhttp_request_get_command(opts->req);
 	call->path = g_strdup(opts->path);
+	call->content = content_of(opts, http_method(opts->req));
 	call->body = opts->body;
 	call->once_only = opts->once_only;
 	call->attempts_max = MAX(opts->attempts_max, 1);
--- a/entry/call.h
+++ b/entry/call.h
@@ -125,6 +125,8 @@
 	char *booking_key; /* NULL for none */
 	uint64_t claim_id;
 	uint64_t body_hash;
+	/* Of what the caller asks for; the same if it sends that again. */
+	uint64_t content;
 
 	struct admission_ticket ticket;
 	bool admitted; /* the ticket was taken; admission_finish() is due */
@@ -183,6 +185,7 @@
 	int64_t deadline_ms;
 	int64_t completion_deadline_ms;
 	int64_t objective_deadline_ms;
+	const char *host; /* as far as it selects the service; may be NULL */
 	const char *path;
 	GBytes *body;
 	bool once_only;
--- a/entry/take.c
+++ b/entry/take.c
@@ -200,6 +200,7 @@
 		.completion_deadline_ms = ends_by_ms,
 		.objective_deadline_ms = objective_deadline_ms(r,
 							       arrival_ms(r)),
+		.host = request->host,
 		.path = request->target,
 		.body = http_body(request->req),
 		.once_only = route->kind == ROUTE_ONCE ||
