test: a repeated request that ends endpoints, which fails

Two clients send one request again and again, at two entries; each of six endpoints that begins to answer it ends and is back after 1.5 s. From 3 s after the third end on at most 3 may reach an endpoint (the users' rule); 118 did, and 254 until the test's end. Sound requests of the same account were served 8 of 109 and 0 of 104 times.

--- a/test/crash_endpoints.c
+++ b/test/crash_endpoints.c
@@ -52,7 +52,7 @@
 
 struct crash_endpoints {
 	struct crash_endpoints_opts opts;
-	char *network, *service, *part;
+	char *network, *service, *part, *path;
 	char **control;
 	struct event_base *base;
 	GThread *thread, *announcer;
@@ -235,9 +235,13 @@
 		     struct evhttp_request *req)
 {
 	const char *prefix = http_header(req, "Prompt-Prefix");
-	char *item = g_strdup_printf("%s:", all->part);
-	bool found = prefix && strstr(prefix, item);
+	char *item;
+	bool found;
 
+	if (all->path)
+		return !strcmp(evhttp_request_get_uri(req), all->path);
+	item = g_strdup_printf("%s:", all->part);
+	found = prefix && strstr(prefix, item);
 	g_free(item);
 	return found;
 }
@@ -394,6 +398,7 @@
 	all->network = g_strdup(opts->network);
 	all->service = g_strdup(opts->service);
 	all->part = g_strdup(opts->part);
+	all->path = g_strdup(opts->path);
 	all->control = g_strdupv((char **)opts->control);
 	all->base = event_base_new();
 	all->ends = g_array_new(FALSE, FALSE, sizeof(gint64));
@@ -437,6 +442,7 @@
 	g_free(all->network);
 	g_free(all->service);
 	g_free(all->part);
+	g_free(all->path);
 	g_free(all);
 }
 
--- a/test/crash_endpoints.h
+++ b/test/crash_endpoints.h
@@ -1,9 +1,10 @@
 /**
  * @file
  * Endpoints of a plain service that end when they begin to answer a request
- * whose prompt has a certain part: all their connections are reset, new ones
- * are refused, and after a while the endpoint is back under another name. Some
- * may name a limit on the requests that they take.
+ * whose prompt has a certain part, or with a certain path: all their
+ * connections are reset, new ones are refused, and after a while the endpoint
+ * is back under another name. Some may name a limit on the requests that they
+ * take.
  *
  * They run and announce themselves on threads of their own; every function may
  * be called from any thread.
@@ -17,7 +18,7 @@
 
 struct crash_endpoints;
 
-/** What an endpoint does when it begins to answer a request with the part. */
+/** What an endpoint does when it begins to answer such a request. */
 enum crash_mode {
 	CRASH_END,    /* all its connections are reset */
 	CRASH_CUT,    /* as CRASH_END, after a head without a length; the
@@ -32,7 +33,8 @@
 	const char *network; /* first three parts of the addresses */
 	int count;
 	const char *service;
-	const char *part; /* hexadecimal id, as in requests */
+	const char *part; /* hexadecimal id, as in requests; or NULL */
+	const char *path; /* instead, as in requests; or NULL */
 	enum crash_mode mode;
 	int answer_ms; /* from a request to the begin of its answer */
 	int back_ms;   /* from an end to the return */
--- a/test/part_clients.c
+++ b/test/part_clients.c
@@ -6,10 +6,11 @@
 
 #define OTHER_PARTS 8u
 #define PREFIX_MAX 96
+#define PREFIX_HEADER 10 /* the last of a request's headers */
 
 struct part_clients {
 	char **entries;
-	char *part;
+	char *part, *path;
 	int per_entry, pause_ms, timeout_ms;
 	GPtrArray *threads;
 	volatile gint stop;
@@ -39,16 +40,16 @@
 	guint number = (guint)g_atomic_int_add((gint *)&all->number, 1);
 	char prefix[PREFIX_MAX], id[16];
 	const char *headers[] = {
-		"Host",	       "shop.example",	   "X-Api-Key",
-		"k1",	       "Attempt-Id",	   id,
-		"Token-Count", "150,10",	   "Prompt-Prefix",
-		prefix,	       "Request-Deadline", "3000",
+		"Host",	       "shop.example",	"X-Api-Key",
+		"k1",	       "Attempt-Id",	id,
+		"Token-Count", "150,10",	"Request-Deadline",
+		"3000",	       "Prompt-Prefix", prefix,
 		NULL
 	};
 	struct fetch_request request = {
 		.address = client->entry,
 		.method = "POST",
-		.path = "/llm/x",
+		.path = all->path ? all->path : "/llm/x",
 		.headers = headers,
 		.body = "q",
 		.body_size = -1,
@@ -57,7 +58,10 @@
 	struct fetch_response response;
 
 	make_prefix(all, number, prefix);
-	g_snprintf(id, sizeof(id), "%s%x", all->part ? "b" : "a", number);
+	if (all->path)
+		headers[PREFIX_HEADER] = NULL;
+	g_snprintf(id, sizeof(id), "%s%x", all->part || all->path ? "b" : "a",
+		   number);
 	(void)fetch(&request, &response);
 	g_mutex_lock(&all->lock);
 	all->counts.sent++;
@@ -85,6 +89,7 @@
 
 	all->entries = g_strdupv((char **)opts->entries);
 	all->part = g_strdup(opts->part);
+	all->path = g_strdup(opts->path);
 	all->per_entry = opts->per_entry;
 	all->pause_ms = opts->pause_ms;
 	all->timeout_ms = opts->timeout_ms;
@@ -114,6 +119,7 @@
 	g_mutex_clear(&all->lock);
 	g_strfreev(all->entries);
 	g_free(all->part);
+	g_free(all->path);
 	g_free(all);
 }
 
--- a/test/part_clients.h
+++ b/test/part_clients.h
@@ -2,7 +2,7 @@
  * @file
  * Clients on threads of their own that send requests with prompt parts, one
  * after the other, until they are stopped. All share the key and the first part
- * of the prompt; no two requests are alike.
+ * of the prompt, their path and their body.
  */
 #ifndef TEST_PART_CLIENTS_H
 #define TEST_PART_CLIENTS_H
@@ -15,8 +15,11 @@
 	char *const *entries; /* addresses; `per_entry` clients at each */
 	int per_entry;
 	const char *part; /* in the middle of each prompt; NULL: any */
-	int pause_ms;	  /* between a client's requests */
-	int timeout_ms;	  /* after it a client leaves */
+	/** All send the same request, without a prompt, to this path; or NULL.
+	 */
+	const char *path;
+	int pause_ms;	/* between a client's requests */
+	int timeout_ms; /* after it a client leaves */
 };
 
 struct part_clients *part_clients_start(const struct part_clients_opts *opts);
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -62,7 +62,7 @@
 /* Sent and not read: Linux enlarges a receive buffer only as it is read. */
 #define HEAD_BUFFERS_BYTES 1048576
 #define BODY_BUFFERS_BYTES 6500000
-/* From the fifth end on, for all entries to know of it. */
+/* From the last end that may be counted on, for all entries to know. */
 #define LATE_MS 3000
 /* For all entries to know of a limit that an endpoint names. */
 #define LIMIT_KNOWN_MS 3000
@@ -1376,7 +1376,7 @@
 	script_fail(s, "unknown mode %s", name);
 }
 
-/* start-crash-endpoints COUNT part=ID [mode=MODE] */
+/* start-crash-endpoints COUNT part=ID|path=PATH [mode=MODE] */
 static void do_start_crash_endpoints(struct script *s)
 {
 	struct platform_test *test = s->ctx;
@@ -1385,7 +1385,8 @@
 		.network = test->network,
 		.count = atoi(s->words[1]),
 		.service = "web",
-		.part = script_value(s, "part", ""),
+		.part = script_value(s, "part", NULL),
+		.path = script_value(s, "path", NULL),
 		.mode = crash_mode(s, script_value(s, "mode", "end")),
 		.answer_ms = ANSWER_MS,
 		.back_ms = BACK_MS,
@@ -1442,13 +1443,14 @@
 		test->sound_at[i] = start_clients(test, i, i, &opts);
 }
 
-/* bad-begin part=ID [timeout=MS]: clients whose requests have it. */
+/* bad-begin part=ID|path=PATH [timeout=MS]: clients whose requests have it. */
 static void do_bad_begin(struct script *s)
 {
 	struct platform_test *test = s->ctx;
 	struct part_clients_opts opts = {
 		.per_entry = 1,
-		.part = script_value(s, "part", ""),
+		.part = script_value(s, "part", NULL),
+		.path = script_value(s, "path", NULL),
 		.pause_ms = 100,
 		.timeout_ms = (int)script_number(s, "timeout",
 						 CLIENT_TIMEOUT_MS),
@@ -1504,13 +1506,14 @@
 }
 
 /*
- * wait-late: waits until LATE_MS have passed since the fifth end, or since the
- * last one if no further ones come.
+ * wait-late [ends=N]: waits until LATE_MS have passed since the N-th end, or
+ * since the last one if no further ones come.
  */
 static void do_wait_late(struct script *s)
 {
 	struct platform_test *test = s->ctx;
 	gint64 deadline = cluster_now_ms() + WAIT_MS;
+	int counted = (int)script_number(s, "ends", 5);
 	gint64 now, from;
 
 	do {
@@ -1519,7 +1522,7 @@
 		usleep(POLL_US);
 		now = cluster_now_ms();
 		from = crash_endpoints_end_ms(test->crash_endpoints,
-					      MIN(ends, 5));
+					      MIN(ends, counted));
 		test->late_ms = from + LATE_MS;
 	} while ((!from || now < test->late_ms) && now < deadline);
 	if (!from)
@@ -1529,8 +1532,8 @@
 }
 
 /*
- * late-arrivals bad=N most=M: after N further answers to requests with the part
- * at most M requests with it may have reached endpoints since wait-late.
+ * late-arrivals bad=N most=M: after N further answers to requests that end
+ * endpoints, at most M of them may have reached endpoints since wait-late.
  */
 static void do_late_arrivals(struct script *s)
 {
@@ -1543,10 +1546,9 @@
 	arrivals = crash_endpoints_arrivals(test->crash_endpoints,
 					    test->late_ms);
 	if (arrivals <= most)
-		script_print(s, "at most %d requests with the part arrived",
-			     most);
+		script_print(s, "at most %d such requests arrived", most);
 	else
-		script_print(s, "%d requests with the part arrived", arrivals);
+		script_print(s, "%d such requests arrived", arrivals);
 }
 
 /* limit-endpoints COUNT LIMIT: the first COUNT name it from now on. */
