entry, routing: a request that ends endpoints again and again is held, wherever it comes

What callers saw: a request under which three endpoints had ended was sent to endpoints 10 to 16 times more as its caller repeated it, and 17 to 22 ended in all; others of the same service found no endpoint, half of them in the record.

Cause: evidence on ends was kept for parts of prompts only. These requests have none; each repeat was a new call, which ends up to two more endpoints.

Change: a request's content (account, method, host, path, body) is one more part in the same quarantine and the same exchange. A content that is held explains its ends to other contents, and to a part only if it was at all ends of that part; one entry at a time tries it again. An attempt that was sent after another of its call had ended with its replica is a separate event, however soon its own ends: ends 40 ms apart counted as one. Any 2xx is a success, not only 200.

--- a/bench/bench_quarantine.c
+++ b/bench/bench_quarantine.c
@@ -12,8 +12,9 @@
  * ends      replicas ended
  * by part   of them by a bad part
  * after     requests with one bad part that reached replicas later than 3 s
- *           after the fifth end by it (worst; those of entries that are cut off
- *           or just restarted count too)
+ *           after the fifth end by it, or with one bad content after the third
+ *           (worst; those of entries that are cut off or just restarted count
+ *           too)
  * served%   sound requests answered
  * refused%  sound requests refused, which no bad part was in
  * held s    how long a sound part was refused without a success (worst)
@@ -41,6 +42,9 @@
 #define CONFIRM_TICK_MS 50
 #define POLL_MS 200
 #define CONTACT_MS 3000
+/* Ends from which on the users count further requests. */
+#define PART_ENDS 5u
+#define CONTENT_ENDS 3u
 #define QUEUE_MS 3000
 #define REPEAT_MS 1000
 #define REPEATS_MAX 2
@@ -49,7 +53,10 @@
 #define MIDDLE_PARTS 300
 #define MIDDLES 2
 #define BAD_PARTS 2
-#define PARTS_MAX 4
+#define PARTS_MAX 5 /* the content included, as the last */
+/* One request in so many has one of a few contents; others have their own. */
+#define ALIKE_EVERY 10
+#define ALIKE_CONTENTS 5
 #define SOUND_PER_S 2.0	 /* for each replica */
 #define MESSAGE_BYTES 20 /* source, cursor and the length of the list */
 
@@ -101,7 +108,8 @@
 	double load;	     /* factor on the sound requests; 0: 1 */
 	uint32_t bad_permille; /* of its requests end their replica; 0: all */
 	uint32_t grey;	       /* replicas that break 40% of the connections */
-	bool large;	       /* also played with most entries */
+	bool whole; /* the bad requests are alike, and no part is bad */
+	bool large; /* also played with most entries */
 };
 
 static const struct scenario scenarios[] = {
@@ -148,6 +156,36 @@
 	  .bad_per_s = { 3 },
 	  .cut_ms = 5000,
 	  .leader_ms = 7000 },
+	{ .name = "one request",
+	  .large = true,
+	  .bad_per_s = { 1 },
+	  .whole = true },
+	{ .name = "one request, 20 a second",
+	  .large = true,
+	  .bad_per_s = { 20 },
+	  .whole = true },
+	{ .name = "one request, 1 in 3 s",
+	  .bad_per_s = { 0.33 },
+	  .whole = true },
+	{ .name = "two requests at once",
+	  .bad_per_s = { 1, 1 },
+	  .whole = true },
+	{ .name = "one request, back after 2 s",
+	  .bad_per_s = { 3 },
+	  .down_ms = 2000,
+	  .whole = true },
+	{ .name = "one request, 10 min",
+	  .bad_per_s = { 1 },
+	  .duration_ms = 600000,
+	  .whole = true },
+	{ .name = "one request, chance ends",
+	  .bad_per_s = { 1 },
+	  .chance_ms = 60000,
+	  .whole = true },
+	{ .name = "one request, entries restart",
+	  .bad_per_s = { 1 },
+	  .restart_ms = 2000,
+	  .whole = true },
 	{ .name = "chance ends", .chance_ms = 60000 },
 	{ .name = "chance ends, few requests",
 	  .chance_ms = 60000,
@@ -215,7 +253,7 @@
 struct totals {
 	uint32_t ends, bad_ends;
 	uint32_t ends_by_part[BAD_PARTS], after[BAD_PARTS], bad_after;
-	int64_t fifth_ms[BAD_PARTS];
+	int64_t counted_ms[BAD_PARTS]; /* of the end that `after` refers to */
 	uint32_t sound, served, refused;
 	int64_t longest_false_ms;
 	int64_t recovered_ms; /* first success after the part recovered */
@@ -237,12 +275,19 @@
 	GHashTable *parts;	  /* id -> struct part_state */
 	GHashTable *on_probation; /* entry and part -> request */
 	double leader_bytes_second;
+	uint64_t request_number; /* of the last one */
 	struct totals totals;
 };
 
 /* ---- parts ---- */
 
 #define BAD_PART_ID 900001u
+/* As drawn by draw_middle(). */
+#define WHOLE_COMMON_PART 10002u
+#define WHOLE_RARE_PART 20250u
+#define BAD_CONTENT_ID (QUARANTINE_CONTENT | BAD_PART_ID)
+#define ALIKE_CONTENT_ID (QUARANTINE_CONTENT | 10000000u)
+#define CONTENT_ID (QUARANTINE_CONTENT | 20000000u)
 
 static struct part_state *get_part(struct simulation *sim, uint64_t part)
 {
@@ -272,11 +317,36 @@
 	return (uint64_t)(position + 1) * 10000 + (uint64_t)rank;
 }
 
+static uint64_t content_of(struct simulation *sim, const struct request *r)
+{
+	uint64_t number = ++sim->request_number;
+
+	if (r->bad >= 0 && sim->scenario->whole)
+		return BAD_CONTENT_ID + (uint64_t)r->bad;
+	if (number % ALIKE_EVERY)
+		return CONTENT_ID + number;
+	return ALIKE_CONTENT_ID + number / ALIKE_EVERY % ALIKE_CONTENTS;
+}
+
+/* A request that is repeated has the same parts each time. */
+static void set_whole_parts(struct request *r)
+{
+	r->parts[r->part_count++] = 1;
+	r->parts[r->part_count++] = WHOLE_COMMON_PART;
+	r->parts[r->part_count++] = WHOLE_RARE_PART + (uint64_t)r->bad;
+}
+
 static void draw_parts(struct simulation *sim, struct request *r)
 {
 	uint32_t n = 0;
 	int bad_at = g_rand_int_range(sim->random, 0, MIDDLES);
 
+	if (r->bad >= 0 && sim->scenario->whole) {
+		set_whole_parts(r);
+		r->parts[r->part_count++] = content_of(sim, r);
+		return;
+	}
+
 	r->parts[n++] = g_rand_int_range(sim->random, 0, 20)
 				? 1
 				: (uint64_t)g_rand_int_range(sim->random, 2, 6);
@@ -284,6 +354,7 @@
 		r->parts[n++] = r->bad >= 0 && i == bad_at
 					? BAD_PART_ID + (uint64_t)r->bad
 					: draw_middle(sim, i);
+	r->parts[n++] = content_of(sim, r);
 	r->part_count = n;
 }
 
@@ -301,6 +372,7 @@
 {
 	struct part_state *state = get_part(sim, part);
 
+	part &= ~QUARANTINE_CONTENT;
 	if (part >= BAD_PART_ID && part < BAD_PART_ID + BAD_PARTS)
 		return;
 	if (state->refused_since_ms < 0)
@@ -408,10 +480,10 @@
 		state->success_ms = sim->now_ms;
 		state->refused_since_ms = -1;
 	}
-	if (sim->policy->rule == RULE_QUARANTINE)
-		quarantine_add_success(entry->quarantine,
-				       sim->now_ms + entry->clock_ms, r->parts,
-				       r->part_count);
+	if (sim->policy->rule != RULE_QUARANTINE)
+		return;
+	quarantine_add_success(entry->quarantine, sim->now_ms + entry->clock_ms,
+			       r->parts, r->part_count);
 }
 
 static void learn_end(struct simulation *sim, const struct pending_end *end)
@@ -498,8 +570,8 @@
 	r->grey_break = (uint32_t)to < s->grey &&
 			g_rand_int_range(sim->random, 0, 10) < 4;
 	r->attempts++;
-	if (is_bad_now(sim, r) && sim->totals.fifth_ms[r->bad] &&
-	    sim->now_ms > sim->totals.fifth_ms[r->bad] + CONTACT_MS)
+	if (is_bad_now(sim, r) && sim->totals.counted_ms[r->bad] &&
+	    sim->now_ms > sim->totals.counted_ms[r->bad] + CONTACT_MS)
 		sim->totals.after[r->bad]++;
 	count_in_flight(sim, r, 1);
 	g_ptr_array_add(sim->replicas[to].requests, r);
@@ -680,8 +752,9 @@
 
 		if (r->ends_replica && r->first_ms <= sim->now_ms) {
 			sim->totals.bad_ends++;
-			if (++sim->totals.ends_by_part[r->bad] == 5)
-				sim->totals.fifth_ms[r->bad] = sim->now_ms;
+			if (++sim->totals.ends_by_part[r->bad] ==
+			    (sim->scenario->whole ? CONTENT_ENDS : PART_ENDS))
+				sim->totals.counted_ms[r->bad] = sim->now_ms;
 			end_replica(sim, at);
 			return;
 		}
@@ -1056,8 +1129,8 @@
 			}
 		}
 		printf("entries_%d: ", sizes[n]);
-		meter_report("bad_requests_after_fifth_end", worst_after,
-			     "requests", 3, worst_after <= 3);
+		meter_report("bad_requests_late", worst_after, "requests", 3,
+			     worst_after <= 3);
 		printf("entries_%d: ", sizes[n]);
 		meter_report("sound_requests_refused",
 			     100 * refused / MAX(1, sound), "percent", 1,
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -597,8 +597,10 @@
 	log_end(call, end);
 	if (connection_broke(call, end) &&
 	    ends_add_break(call->entry->ends, call) &&
-	    end->result == UPSTREAM_CLOSED)
+	    end->result == UPSTREAM_CLOSED) {
 		call->replica_ends++;
+		call->last_end_ms = entry_now_ms(call->entry);
+	}
 	if (end->result == UPSTREAM_NOT_SENT)
 		handle_not_sent(call);
 	else if (end->result == UPSTREAM_EXCEEDED)
@@ -702,7 +704,7 @@
 	log_info(&attempt_log,
 		 "request %s: sent replica=%u epoch=%" PRIu64 " at=%s "
 		 "service=%s content=%" PRIx64 " prompt=%u present=%u "
-					       "cost_ms=%.1f cached=%u "
+		 "cost_ms=%.1f cached=%u "
 		 "candidates=%u stale=%u "
 		 "suspect=%u full=%u failed=%u slow=%u limited=%u left_out=%s "
 		 "after_ms=%" PRId64,
--- a/entry/call.c
+++ b/entry/call.c
@@ -8,6 +8,8 @@
 
 #include <xxhash.h>
 
+#include <radishdeal/quarantine.h>
+
 #include "common/log.h"
 #include "entry/call_class.h"
 #include "entry/doubt.h"
@@ -75,7 +77,7 @@
 	hash_text(hash, opts->path);
 	if (size)
 		XXH3_64bits_update(hash, body, size);
-	digest = XXH3_64bits_digest(hash);
+	digest = XXH3_64bits_digest(hash) | QUARANTINE_CONTENT;
 	XXH3_freeState(hash);
 	return digest;
 }
@@ -109,6 +111,7 @@
 	call->booking_key = g_strdup(opts->booking_key);
 	call->route = opts->route;
 	call->parts = opts->parts;
+	call->parts.ids[call->parts.count++] = call->content;
 	call->response_body = evbuffer_new();
 	g_hash_table_add(entry->calls, call);
 	call->service->calls++;
--- a/entry/call.h
+++ b/entry/call.h
@@ -22,10 +22,13 @@
 
 #define PROMPT_PARTS_MAX 16
 
-/** The parts of a prompt that other requests may share, in their order. */
+/**
+ * The parts of a prompt that other requests may share, in their order. Those of
+ * a call have its content as the last.
+ */
 struct prompt_parts {
 	uint32_t count;
-	uint64_t ids[PROMPT_PARTS_MAX];
+	uint64_t ids[PROMPT_PARTS_MAX + 1];
 };
 
 /** Classification of an endpoint's response by its status and headers. */
@@ -134,6 +137,7 @@
 	struct prompt_parts parts;
 	uint32_t attempts;
 	uint32_t replica_ends; /* under this call */
+	int64_t last_end_ms;   /* of these; 0: none */
 	uint64_t trial_part;   /* held part that this attempt tries; or 0 */
 	bool may_have_run;     /* at some endpoint */
 	uint32_t replica;
--- a/entry/callers.c
+++ b/entry/callers.c
@@ -6,6 +6,7 @@
 #include <event2/keyvalq_struct.h>
 
 #include <radishdeal/prefix.h>
+#include <radishdeal/quarantine.h>
 
 #include "common/key_hash.h"
 #include "common/log.h"
@@ -151,7 +152,8 @@
 {
 	for (uint32_t i = 0;
 	     i + 1 < route->prefix_count && i < PROMPT_PARTS_MAX; i++)
-		parts->ids[parts->count++] = route->prefix[i];
+		parts->ids[parts->count++] = route->prefix[i] &
+					     ~QUARANTINE_CONTENT;
 }
 
 static void estimate_chat_tokens(json_t *chat, struct router_request *route)
--- a/entry/ends.c
+++ b/entry/ends.c
@@ -135,7 +135,8 @@
 {
 	struct broken_call broken = { .parts = call->parts,
 				      .trial_part = call->trial_part,
-				      .late = is_late(call) };
+				      .late = is_late(call),
+				      .previous_end_ms = call->last_end_ms };
 	struct pending_end *p;
 
 	if (!end_is_unexplained(call) || lives_on(ends, call))
@@ -143,7 +144,7 @@
 	p = find_or_add(ends, call);
 	p->last_break_ms = entry_now_ms(ends->entry);
 	p->end.requests++;
-	if (!call->parts.count || p->end.calls->len == CALLS_PER_END_MAX)
+	if (p->end.calls->len == CALLS_PER_END_MAX)
 		return true;
 	g_array_append_val(p->end.calls, broken);
 	/* The decision on this end is the result of the trial. */
@@ -226,7 +227,8 @@
 		const struct broken_call *broken =
 			&g_array_index(end->calls, struct broken_call, i);
 
-		for (uint32_t j = 0; j < broken->parts.count; j++)
+		/* The last is the content, which the attempt's lines name. */
+		for (uint32_t j = 0; j + 1 < broken->parts.count; j++)
 			count_part(counts, broken->parts.ids[j]);
 	}
 	g_array_sort(counts, compare_counts);
--- a/entry/ends.h
+++ b/entry/ends.h
@@ -17,6 +17,7 @@
 	struct prompt_parts parts;
 	uint64_t trial_part; /* as of the call */
 	bool late;	     /* its first event was received a while before */
+	int64_t previous_end_ms; /* the last one under the same call; or 0 */
 };
 
 /** The end of a replica, as seen by this entry. */
--- a/entry/parts.c
+++ b/entry/parts.c
@@ -15,6 +15,7 @@
 /* Bytes that it had sent before may still be read for so long. */
 #define UNREAD_MS 20
 #define UNPROVEN_MAX 4096u
+#define HTTP_REDIRECTS 300 /* the first status beyond the successes */
 
 static const struct log parts_log = { "parts" };
 
@@ -104,7 +105,8 @@
 	char detail[80];
 
 	g_snprintf(detail, sizeof(detail),
-		   "part %" PRIx64 " is held: %u replicas ended in a row",
+		   "%s %" PRIx64 " is held: %u replicas ended in a row",
+		   found->part == call->content ? "content" : "part",
 		   found->part, found->ends);
 	counters_add(call->entry->opts.counters, COUNTER_PARTS_REFUSED, 1);
 	if (call->ticket.waiting)
@@ -186,8 +188,7 @@
 	/* Refusing a call frees it, so iterate over a copy. */
 	g_hash_table_iter_init(&iter, entry->calls);
 	while (g_hash_table_iter_next(&iter, &key, NULL))
-		if (((struct call *)key)->parts.count)
-			g_ptr_array_add(calls, key);
+		g_ptr_array_add(calls, key);
 	for (guint i = 0; i < calls->len; i++)
 		if (g_hash_table_contains(entry->calls, calls->pdata[i]))
 			sweep_call(calls->pdata[i]);
@@ -225,10 +226,23 @@
 	return name ? (uint32_t)XXH3_64bits(name, strlen(name)) : end->replica;
 }
 
+/*
+ * A call that was sent on after an end brought about another one, or was there
+ * by chance once more. However soon that was, it isn't the same event.
+ */
+static int64_t dated_apart_ms(const struct replica_ended *end,
+			      const struct broken_call *broken)
+{
+	int64_t apart_ms = broken->previous_end_ms + QUARANTINE_SAME_EVENT_MS +
+			   1;
+
+	return broken->previous_end_ms ? MAX(end->at_ms, apart_ms) : end->at_ms;
+}
+
 void parts_add_end(struct parts *parts, const struct replica_ended *end,
 		   const struct broken_call *broken)
 {
-	quarantine_add_end(parts->quarantine, end->at_ms,
+	quarantine_add_end(parts->quarantine, dated_apart_ms(end, broken),
 			   shared_number(parts->entry, end), end->epoch,
 			   broken->parts.ids, broken->parts.count,
 			   broken->late);
@@ -255,7 +269,7 @@
 	struct parts *parts = call->entry->parts;
 
 	/* An endpoint may have rejected the request without serving it. */
-	if (call->status != HTTP_OK || !call->parts.count)
+	if (call->status < HTTP_OK || call->status >= HTTP_REDIRECTS)
 		return;
 	if (call->is_framed)
 		quarantine_add_success(parts->quarantine,
--- a/include/radishdeal/quarantine.h
+++ b/include/radishdeal/quarantine.h
@@ -1,7 +1,9 @@
 /**
  * @file
  * Quarantine of prompt parts: finds the part of a prompt (a prefix block, or a
- * part that the caller names) that ends each replica which serves it.
+ * part that the caller names) that ends each replica which serves it. What a
+ * caller asks for as a whole, the request's content, counts as one more part:
+ * it is the same if a caller sends the request again.
  *
  * Evidence for each part: the replica ends under which a request with the part
  * was in flight, and its last success. An end counts once, however many
@@ -29,8 +31,11 @@
 
 #include "wire/radishdeal.h"
 
-/** Parts of one request that are regarded. */
-#define QUARANTINE_REQUEST_PARTS_MAX 16
+/** Set in the id of a content, clear in those of other parts. */
+#define QUARANTINE_CONTENT (UINT64_C(1) << 63)
+
+/** Parts of one request that are regarded, its content included. */
+#define QUARANTINE_REQUEST_PARTS_MAX 17
 
 /**
  * A part that ends replicas mostly does so when its answer begins. An end later
@@ -38,6 +43,9 @@
  */
 #define QUARANTINE_LATE_MS 500
 
+/** Ends that are this close count as one, unless `same_event_ms` says else. */
+#define QUARANTINE_SAME_EVENT_MS 50
+
 /** Records in one message. */
 #define QUARANTINE_REPORT_MAX 64
 
@@ -58,7 +66,8 @@
 struct quarantine_opts {
 	uint32_t node;		/* of this entry; 0: of the control leader */
 	uint32_t parts_max;	/* parts with ends */
-	uint32_t successes_max; /* parts whose last success is known */
+	uint32_t successes_max; /* parts whose last success is known; and as
+				 * many contents */
 	uint32_t ends_min;	/* in a row, to hold a part */
 	int32_t same_event_ms;	/* ends this close count as one */
 	int32_t hold_ms;	/* before the first trial */
--- a/routing/part_records.c
+++ b/routing/part_records.c
@@ -3,6 +3,8 @@
 #include <math.h>
 #include <string.h>
 
+#include <radishdeal/quarantine.h>
+
 /*
  * Times that differ by less belong to the same event, seen through messages of
  * different delay. Without the tolerance, two instances would change each
@@ -25,7 +27,7 @@
 struct part_success {
 	uint64_t part;
 	struct part_count answered;
-	GList link; /* in part_records.by_success */
+	GList link; /* in the list of its kind */
 };
 
 void part_records_init(struct part_records *records,
@@ -37,7 +39,10 @@
 	records->successes = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						   NULL, g_free);
 	g_queue_init(&records->by_change);
-	g_queue_init(&records->by_success);
+	g_queue_init(&records->contents.by_time);
+	g_queue_init(&records->others.by_time);
+	records->contents.max = opts->successes_max;
+	records->others.max = opts->successes_max;
 }
 
 void part_records_clear(struct part_records *records)
@@ -287,11 +292,14 @@
 static void note_success(struct part_records *records, int64_t now_ms,
 			 uint64_t part)
 {
+	struct part_successes *list = part & QUARANTINE_CONTENT
+					      ? &records->contents
+					      : &records->others;
 	struct part_success *success = g_hash_table_lookup(records->successes,
 							   &part);
 
 	if (success) {
-		g_queue_unlink(&records->by_success, &success->link);
+		g_queue_unlink(&list->by_time, &success->link);
 	} else {
 		success = g_new0(struct part_success, 1);
 		success->part = part;
@@ -301,10 +309,10 @@
 				    success);
 	}
 	count_one(&success->answered, now_ms);
-	g_queue_push_tail_link(&records->by_success, &success->link);
-	if (records->by_success.length <= records->opts.successes_max)
+	g_queue_push_tail_link(&list->by_time, &success->link);
+	if (list->by_time.length <= list->max)
 		return;
-	success = g_queue_pop_head_link(&records->by_success)->data;
+	success = g_queue_pop_head_link(&list->by_time)->data;
 	g_hash_table_remove(records->successes, &success->part);
 }
 
--- a/routing/part_records.h
+++ b/routing/part_records.h
@@ -40,6 +40,15 @@
 	int64_t first_end_ms, last_end_ms, hold_until_ms;
 };
 
+/**
+ * Parts whose last success is known; the oldest are dropped. Most contents
+ * occur once, and must not displace what is known of other parts.
+ */
+struct part_successes {
+	GQueue by_time; /* of struct part_success, latest last */
+	uint32_t max;
+};
+
 /** A count that loses half of its value in a fixed time. */
 struct part_count {
 	double count; /* at `time_ms` */
@@ -58,7 +67,7 @@
 	GHashTable *parts;     /* id -> struct part_entry */
 	GQueue by_change;      /* of struct part_entry, latest change last */
 	GHashTable *successes; /* id -> struct part_success */
-	GQueue by_success;     /* of struct part_success, latest last */
+	struct part_successes contents, others;
 	struct part_count answered; /* requests */
 	uint64_t last_change;
 	bool changed; /* since the owner reset it */
--- a/routing/part_verdict.c
+++ b/routing/part_verdict.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#include <radishdeal/quarantine.h>
+
 #define END_WEIGHT 2u /* of a late one: 1 */
 
 /**
@@ -38,19 +40,32 @@
 	return x->replica == y->replica && x->epoch == y->epoch;
 }
 
+enum part_kind { KIND_CONTENT, KIND_OTHER, KINDS };
+
+static enum part_kind kind_of(const struct part_entry *entry)
+{
+	return entry->part & QUARANTINE_CONTENT ? KIND_CONTENT : KIND_OTHER;
+}
+
+/** Ends that something held explains, for one kind of parts. */
+struct explanation {
+	bool *explained;
+	uint32_t *unexplained_from; /* how many from this one on are not */
+};
+
 /**
  * All replica ends, each once, numbered from the oldest on, which is as the
  * parts' ends refer to them.
  */
 struct end_table {
 	GPtrArray *ends; /* of struct part_end, which belong to the records */
-	bool *explained; /* by a part that is held */
-	uint32_t *unexplained_from; /* how many from this one on are not */
+	struct explanation explanations[KINDS];
 };
 
-static bool counts(const struct part_end *end, const struct end_table *table)
+static bool counts(const struct part_end *end,
+		   const struct explanation *explanation)
 {
-	return !end->cleared && !table->explained[end->number];
+	return !end->cleared && !explanation->explained[end->number];
 }
 
 struct series {
@@ -74,7 +89,8 @@
 /* The ends of a part that nothing else explains, as events. */
 static void count_events(const struct part_verdict_opts *opts,
 			 const struct part_entry *entry,
-			 const struct end_table *table, struct series *series)
+			 const struct explanation *explanation,
+			 struct series *series)
 {
 	int64_t event_ms = 0;
 	uint32_t event_weight = 0;
@@ -84,7 +100,7 @@
 		const struct part_end *end = &entry->ends[i - 1];
 		int64_t gap_ms = end->time_ms - event_ms;
 
-		if (!counts(end, table))
+		if (!counts(end, explanation))
 			continue;
 		series->ends++;
 		if (series->events && gap_ms <= opts->same_event_ms) {
@@ -108,7 +124,8 @@
 /* ---- chance ---- */
 
 /* The ends that nothing explains, at least `since_ms`. */
-static uint32_t count_since(const struct end_table *table, int64_t since_ms)
+static uint32_t count_since(const struct end_table *table, enum part_kind kind,
+			    int64_t since_ms)
 {
 	guint low = 0, high = table->ends->len;
 
@@ -121,7 +138,7 @@
 		else
 			high = middle;
 	}
-	return table->unexplained_from[low];
+	return table->explanations[kind].unexplained_from[low];
 }
 
 /*
@@ -157,6 +174,41 @@
 	return chance(series->ends, all, share) + silence;
 }
 
+static bool has_end(const struct part_entry *entry, uint32_t number)
+{
+	for (uint32_t i = 0; i < entry->end_count; i++)
+		if (entry->ends[i].number == number && !entry->ends[i].cleared)
+			return true;
+	return false;
+}
+
+/*
+ * Requests with a part at fault are at several ends themselves when they are
+ * repeated. So a content explains the ends of a part only if it was at all of
+ * them.
+ */
+static bool is_explained_by(const struct part_entry *content,
+			    const struct part_entry *part)
+{
+	for (uint32_t i = 0; i < part->end_count; i++)
+		if (!part->ends[i].cleared &&
+		    !has_end(content, part->ends[i].number))
+			return false;
+	return true;
+}
+
+static bool is_explained(const GPtrArray *held, const struct part_entry *part)
+{
+	for (guint i = 0; i < held->len; i++) {
+		const struct part_entry *content = held->pdata[i];
+
+		if (kind_of(content) == KIND_CONTENT &&
+		    is_explained_by(content, part))
+			return true;
+	}
+	return false;
+}
+
 struct suspect {
 	struct part_entry *entry;
 	struct series series;
@@ -168,6 +220,9 @@
 {
 	if (a->significance != b->significance)
 		return a->significance > b->significance;
+	/* Fewer requests are refused for a content. */
+	if (kind_of(a->entry) != kind_of(b->entry))
+		return kind_of(a->entry) == KIND_CONTENT;
 	if (a->entry->success_ms != b->entry->success_ms)
 		return a->entry->success_ms < b->entry->success_ms;
 	return a->entry->part < b->entry->part;
@@ -175,23 +230,26 @@
 
 /* Returns false if there is no suspect left. */
 static bool find_worst(const struct part_verdict_opts *opts,
-		       const GPtrArray *candidates,
+		       const GPtrArray *candidates, const GPtrArray *held,
 		       const struct end_table *table, struct suspect *worst)
 {
 	worst->entry = NULL;
 	for (guint i = 0; i < candidates->len; i++) {
 		struct suspect s = { .entry = candidates->pdata[i] };
+		enum part_kind kind = kind_of(s.entry);
 
 		if (s.entry->held)
 			continue;
-		count_events(opts, s.entry, table, &s.series);
+		count_events(opts, s.entry, &table->explanations[kind],
+			     &s.series);
 		if (!is_enough(opts, s.series.weight))
 			continue;
-		s.significance =
-			significance(s.entry, &s.series,
-				     count_since(table, s.series.first_ms));
+		s.significance = significance(s.entry, &s.series,
+					      count_since(table, kind,
+							  s.series.first_ms));
 		if (s.significance >= SIGNIFICANCE &&
-		    (!worst->entry || is_worse(&s, worst)))
+		    (!worst->entry || is_worse(&s, worst)) &&
+		    (kind == KIND_CONTENT || !is_explained(held, s.entry)))
 			*worst = s;
 	}
 	return worst->entry != NULL;
@@ -211,24 +269,34 @@
 	entry->hold_until_ms = series->last_ms + hold_ms;
 }
 
-static void count_unexplained(struct end_table *table)
+static void count_unexplained(struct explanation *explanation, guint ends)
 {
 	uint32_t count = 0;
 
-	table->unexplained_from[table->ends->len] = 0;
-	for (guint i = table->ends->len; i > 0; i--) {
-		count += !table->explained[i - 1];
-		table->unexplained_from[i - 1] = count;
+	explanation->unexplained_from[ends] = 0;
+	for (guint i = ends; i > 0; i--) {
+		count += !explanation->explained[i - 1];
+		explanation->unexplained_from[i - 1] = count;
 	}
 }
 
 static void explain_ends(struct end_table *table,
-			 const struct part_entry *entry)
+			 const struct part_entry *entry, enum part_kind kind)
 {
+	struct explanation *explanation = &table->explanations[kind];
+
 	for (uint32_t i = 0; i < entry->end_count; i++)
 		if (!entry->ends[i].cleared)
-			table->explained[entry->ends[i].number] = true;
-	count_unexplained(table);
+			explanation->explained[entry->ends[i].number] = true;
+	count_unexplained(explanation, table->ends->len);
+}
+
+/* A content explains ends to other contents only; see is_explained_by(). */
+static void explain(struct end_table *table, const struct part_entry *entry)
+{
+	explain_ends(table, entry, KIND_CONTENT);
+	if (kind_of(entry) == KIND_OTHER)
+		explain_ends(table, entry, KIND_OTHER);
 }
 
 static GPtrArray *reset(const struct part_records *records, uint32_t ends_min)
@@ -305,16 +373,22 @@
 	g_ptr_array_sort(table->ends, compare_times);
 	number_ends(records, ends, table->ends);
 	g_hash_table_unref(ends);
-	table->explained = g_new0(bool, table->ends->len + 1);
-	table->unexplained_from = g_new(uint32_t, table->ends->len + 1);
-	count_unexplained(table);
+	for (int kind = 0; kind < KINDS; kind++) {
+		struct explanation *e = &table->explanations[kind];
+
+		e->explained = g_new0(bool, table->ends->len + 1);
+		e->unexplained_from = g_new(uint32_t, table->ends->len + 1);
+		count_unexplained(e, table->ends->len);
+	}
 }
 
 static void end_table_clear(struct end_table *table)
 {
 	g_ptr_array_unref(table->ends);
-	g_free(table->explained);
-	g_free(table->unexplained_from);
+	for (int kind = 0; kind < KINDS; kind++) {
+		g_free(table->explanations[kind].explained);
+		g_free(table->explanations[kind].unexplained_from);
+	}
 }
 
 static void hold_suspects(const struct part_verdict_opts *opts,
@@ -326,9 +400,9 @@
 
 	end_table_init(&table, records);
 	while (held->len < HELD_MAX &&
-	       find_worst(opts, candidates, &table, &worst)) {
+	       find_worst(opts, candidates, held, &table, &worst)) {
 		hold(opts, worst.entry, &worst.series);
-		explain_ends(&table, worst.entry);
+		explain(&table, worst.entry);
 		g_ptr_array_add(held, worst.entry);
 	}
 	end_table_clear(&table);
--- a/routing/quarantine.c
+++ b/routing/quarantine.c
@@ -15,7 +15,6 @@
  */
 #define LEADER_ENDS_MIN 2
 
-#define SAME_EVENT_MS 50
 #define HOLD_MS 30000
 #define HOLD_GROWTH 4u
 #define RECORD_MS 600000
@@ -112,21 +111,44 @@
 	return XXH3_64bits_withSeed(&node, sizeof(node), part);
 }
 
+/* Number of entries that may try the part before this one. */
+static uint64_t entries_before(const struct quarantine *q, uint64_t part)
+{
+	uint64_t rank = trial_rank(part, q->opts.node), before = 0;
+
+	for (guint i = 0; i < q->entries->len; i++)
+		before += trial_rank(part, g_array_index(q->entries, uint32_t,
+							 i)) < rank;
+	return before;
+}
+
+/*
+ * The users allow few runs of a content for good. So one entry at a time may
+ * try it, and hears of the result of the one before, as half of the turn is
+ * left.
+ */
+static bool is_turn_for_content(const struct quarantine *q,
+				const struct part_entry *entry,
+				int64_t since_ms)
+{
+	uint64_t turn = (uint64_t)(since_ms / TRIAL_TURN_MS);
+
+	return since_ms % TRIAL_TURN_MS < TRIAL_TURN_MS / 2 &&
+	       turn % MAX(q->entries->len, 1) == entries_before(q, entry->part);
+}
+
 static bool may_try(const struct quarantine *q, const struct part_entry *entry,
 		    int64_t now_ms)
 {
-	int64_t turn = (now_ms - entry->hold_until_ms) / TRIAL_TURN_MS;
-	uint64_t rank, entries, before = 0;
+	int64_t since_ms = now_ms - entry->hold_until_ms;
+	int64_t turn = since_ms / TRIAL_TURN_MS;
 
-	if (!q->opts.node || entry->on_trial || now_ms < entry->hold_until_ms)
+	if (!q->opts.node || entry->on_trial || since_ms < 0)
 		return false;
-	entries = UINT64_C(1) << MIN(turn, TRIAL_TURNS_MAX);
-	rank = trial_rank(entry->part, q->opts.node);
-	for (guint i = 0; i < q->entries->len; i++)
-		before += trial_rank(entry->part,
-				     g_array_index(q->entries, uint32_t, i)) <
-			  rank;
-	return before < entries;
+	if (entry->part & QUARANTINE_CONTENT)
+		return is_turn_for_content(q, entry, since_ms);
+	return entries_before(q, entry->part) <
+	       UINT64_C(1) << MIN(turn, TRIAL_TURNS_MAX);
 }
 
 static struct part_entry *find_held(const struct quarantine *q, uint64_t part)
@@ -148,7 +170,7 @@
 	if (!q->opts.ends_min)
 		q->opts.ends_min = ENDS_MIN;
 	if (!q->opts.same_event_ms)
-		q->opts.same_event_ms = SAME_EVENT_MS;
+		q->opts.same_event_ms = QUARANTINE_SAME_EVENT_MS;
 	if (!q->opts.hold_growth)
 		q->opts.hold_growth = HOLD_GROWTH;
 	if (!q->opts.hold_ms)
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -117,13 +117,19 @@
 	return ((struct quarantine_test *)s->ctx)->now_ms + node->clock_ms;
 }
 
-/* Each letter stands for a part. */
+/* Each letter stands for a part; a capital one for a content. */
+static uint64_t get_part(char letter)
+{
+	return (uint64_t)letter |
+	       (g_ascii_isupper(letter) ? QUARANTINE_CONTENT : 0);
+}
+
 static uint32_t get_parts(const char *letters, uint64_t *parts)
 {
 	uint32_t count = 0;
 
 	for (; *letters; letters++)
-		parts[count++] = (uint64_t)*letters;
+		parts[count++] = get_part(*letters);
 	return count;
 }
 
@@ -233,14 +239,14 @@
 	struct test_node *node = get_node(s, 1);
 
 	quarantine_begin_trial(node->quarantine, now_at(s, node),
-			       (uint64_t)*s->words[2]);
+			       get_part(*s->words[2]));
 }
 
 /* end-trial NODE PART */
 static void run_end_trial(struct script *s)
 {
 	quarantine_end_trial(get_node(s, 1)->quarantine,
-			     (uint64_t)*s->words[2]);
+			     get_part(*s->words[2]));
 }
 
 /* records NODE: how many there are */
