--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -203,7 +203,7 @@
 static void handle_not_sent(struct call *call)
 {
 	router_suspect(call->service->router, call->replica,
-		       entry_now_ms(call->entry));
+		       entry_now_ms(call->entry), SUSPECT_UNREACHABLE);
 	if (call->kept) {
 		go_back(call, "refused the connection");
 		return;
@@ -436,7 +436,7 @@
 static void handle_exceeded(struct call *call)
 {
 	router_suspect(call->service->router, call->replica,
-		       entry_now_ms(call->entry));
+		       entry_now_ms(call->entry), SUSPECT_FAULTY);
 	fail_cut(call, "sent a head or framing without end");
 }
 
@@ -448,7 +448,7 @@
 {
 	if (call->oversized_at && call->oversized_at != call->replica)
 		router_suspect(call->service->router, call->oversized_at,
-			       entry_now_ms(call->entry));
+			       entry_now_ms(call->entry), SUSPECT_FAULTY);
 }
 
 static void finish_response(struct call *call)
--- a/entry/services.c
+++ b/entry/services.c
@@ -450,7 +450,7 @@
 	router_set_load(s->router, replica_number(s, report),
 			report->load.running + report->load.waiting,
 			report->load.step_us);
-	router_clear_suspect(s->router, replica_number(s, report));
+	router_heard(s->router, replica_number(s, report));
 }
 
 struct load_list {
@@ -629,7 +629,7 @@
 			 "silent_ms=%d",
 			 id, s->name,
 			 (int)s->entry->opts.settings->limits.stall_ms);
-		router_suspect(s->router, id, check.now_ms);
+		router_suspect(s->router, id, check.now_ms, SUSPECT_STALLED);
 	}
 	g_array_unref(check.stalled);
 }
--- a/include/radishdeal/router.h
+++ b/include/radishdeal/router.h
@@ -35,6 +35,13 @@
 				  * this entry */
 };
 
+/** Why a replica is suspect. */
+enum suspicion {
+	SUSPECT_UNREACHABLE, /* it didn't take a request */
+	SUSPECT_STALLED,     /* it sends nothing of any response */
+	SUSPECT_FAULTY,	     /* it answers badly */
+};
+
 /** State of a replica in the router. */
 struct router_replica {
 	uint32_t id;
@@ -47,6 +54,7 @@
 	int64_t suspect_until_ms;    /* a request failed there: not used until
 				      * then, or until cleared; 0 if not */
 	int64_t suspected_ms;	     /* when it was last marked so; 0: never */
+	enum suspicion suspicion;    /* until `suspect_until_ms` */
 	int64_t last_activity_ms;    /* last progress, or last request sent
 				      * while it was idle */
 	int64_t last_response_ms;    /* last progress */
@@ -120,11 +128,17 @@
 		       int64_t fresh_until_ms, const char *fault);
 
 /**
- * Marks a replica as suspect after a failed request. It is excluded for a fixed
- * time or until router_clear_suspect().
+ * Marks a replica as suspect. It is excluded for a fixed time, or until
+ * evidence against this suspicion; a lesser one doesn't replace a graver one.
+ */
+void router_suspect(struct router *router, uint32_t id, int64_t now_ms,
+		    enum suspicion why);
+
+/**
+ * Its head VM has reported: ends the suspicion that it is unreachable. A report
+ * tells nothing of its answers.
  */
-void router_suspect(struct router *router, uint32_t id, int64_t now_ms);
-void router_clear_suspect(struct router *router, uint32_t id);
+void router_heard(struct router *router, uint32_t id);
 
 /**
  * Applies a replica's load report, which may be outdated. `total` is the number
--- a/routing/router.c
+++ b/routing/router.c
@@ -157,21 +157,25 @@
 	r->fault = fault;
 }
 
-void router_suspect(struct router *router, uint32_t id, int64_t now_ms)
+void router_suspect(struct router *router, uint32_t id, int64_t now_ms,
+		    enum suspicion why)
 {
 	struct router_replica *r = find_replica(router, id);
 
 	if (!r)
 		return;
 	r->suspected_ms = now_ms;
+	if (now_ms < r->suspect_until_ms && why < r->suspicion)
+		return;
+	r->suspicion = why;
 	r->suspect_until_ms = now_ms + SUSPECT_MS;
 }
 
-void router_clear_suspect(struct router *router, uint32_t id)
+void router_heard(struct router *router, uint32_t id)
 {
 	struct router_replica *r = find_replica(router, id);
 
-	if (r)
+	if (r && r->suspicion == SUSPECT_UNREACHABLE)
 		r->suspect_until_ms = 0;
 }
 
@@ -184,6 +188,8 @@
 		return;
 	r->last_activity_ms = now_ms;
 	r->last_response_ms = now_ms;
+	if (r->suspicion == SUSPECT_STALLED)
+		r->suspect_until_ms = 0;
 }
 
 /* ---- subset of this entry ---- */
--- a/test/test_cores.c
+++ b/test/test_cores.c
@@ -382,18 +382,34 @@
 				       r->now_ms, 1, atoll(s->words[2]));
 }
 
+/* suspect ID [stalled=1|faulty=1] */
 static void route_suspect(struct script *s)
 {
 	struct routing_test *r = s->ctx;
+	enum suspicion why = SUSPECT_UNREACHABLE;
 
-	router_suspect(r->router, (uint32_t)atoi(s->words[1]), r->now_ms);
+	if (script_number(s, "stalled", 0))
+		why = SUSPECT_STALLED;
+	if (script_number(s, "faulty", 0))
+		why = SUSPECT_FAULTY;
+	router_suspect(r->router, (uint32_t)atoi(s->words[1]), r->now_ms, why);
 }
 
-static void route_clear_suspect(struct script *s)
+/* activity ID: something of a response has come from it */
+static void route_activity(struct script *s)
 {
 	struct routing_test *r = s->ctx;
 
-	router_clear_suspect(r->router, (uint32_t)atoi(s->words[1]));
+	router_response_activity(r->router, (uint32_t)atoi(s->words[1]),
+				 r->now_ms);
+}
+
+/* heard ID: its head VM has reported */
+static void route_heard(struct script *s)
+{
+	struct routing_test *r = s->ctx;
+
+	router_heard(r->router, (uint32_t)atoi(s->words[1]));
 }
 
 /* load ID REQUESTS [step_us=]: a load report of a replica */
@@ -555,7 +571,8 @@
 	{ "ttft-sample", 1, add_ttft_sample },
 	{ "step-samples", 2, route_step_samples },
 	{ "suspect", 1, route_suspect },
-	{ "clear-suspect", 1, route_clear_suspect },
+	{ "heard", 1, route_heard },
+	{ "activity", 1, route_activity },
 	{ "load", 2, route_load },
 	{ "steps", 0, route_steps },
 	{ "cache-reset", 1, route_cache_reset },
