routing: contents that end replicas together are held together

Cause: while few endpoints are left, such requests wait together and are at each end together; the first one that was held explained these ends, and each further one needed three ends more.

A held content explains nothing to other contents now.

--- a/bench/bench_quarantine.c
+++ b/bench/bench_quarantine.c
@@ -52,7 +52,7 @@
 #define LEADERS 3
 #define MIDDLE_PARTS 300
 #define MIDDLES 2
-#define BAD_PARTS 2
+#define BAD_PARTS 4
 #define PARTS_MAX 5 /* the content included, as the last */
 /* One request in so many has one of a few contents; others have their own. */
 #define ALIKE_EVERY 10
@@ -170,6 +170,10 @@
 	{ .name = "two requests at once",
 	  .bad_per_s = { 1, 1 },
 	  .whole = true },
+	{ .name = "four requests at once, back after 2 s",
+	  .bad_per_s = { 2, 2, 2, 2 },
+	  .down_ms = 2000,
+	  .whole = true },
 	{ .name = "one request, back after 2 s",
 	  .bad_per_s = { 3 },
 	  .down_ms = 2000,
--- a/routing/part_verdict.c
+++ b/routing/part_verdict.c
@@ -40,32 +40,19 @@
 	return x->replica == y->replica && x->epoch == y->epoch;
 }
 
-enum part_kind { KIND_CONTENT, KIND_OTHER, KINDS };
-
-static enum part_kind kind_of(const struct part_entry *entry)
-{
-	return entry->part & QUARANTINE_CONTENT ? KIND_CONTENT : KIND_OTHER;
-}
-
-/** Ends that something held explains, for one kind of parts. */
-struct explanation {
-	bool *explained;
-	uint32_t *unexplained_from; /* how many from this one on are not */
-};
-
 /**
  * All replica ends, each once, numbered from the oldest on, which is as the
  * parts' ends refer to them.
  */
 struct end_table {
 	GPtrArray *ends; /* of struct part_end, which belong to the records */
-	struct explanation explanations[KINDS];
+	bool *explained; /* by a part that is held, and is no content */
+	uint32_t *unexplained_from; /* how many from this one on are not */
 };
 
-static bool counts(const struct part_end *end,
-		   const struct explanation *explanation)
+static bool counts(const struct part_end *end, const struct end_table *table)
 {
-	return !end->cleared && !explanation->explained[end->number];
+	return !end->cleared && !table->explained[end->number];
 }
 
 struct series {
@@ -89,8 +76,7 @@
 /* The ends of a part that nothing else explains, as events. */
 static void count_events(const struct part_verdict_opts *opts,
 			 const struct part_entry *entry,
-			 const struct explanation *explanation,
-			 struct series *series)
+			 const struct end_table *table, struct series *series)
 {
 	int64_t event_ms = 0;
 	uint32_t event_weight = 0;
@@ -100,7 +86,7 @@
 		const struct part_end *end = &entry->ends[i - 1];
 		int64_t gap_ms = end->time_ms - event_ms;
 
-		if (!counts(end, explanation))
+		if (!counts(end, table))
 			continue;
 		series->ends++;
 		if (series->events && gap_ms <= opts->same_event_ms) {
@@ -124,8 +110,7 @@
 /* ---- chance ---- */
 
 /* The ends that nothing explains, at least `since_ms`. */
-static uint32_t count_since(const struct end_table *table, enum part_kind kind,
-			    int64_t since_ms)
+static uint32_t count_since(const struct end_table *table, int64_t since_ms)
 {
 	guint low = 0, high = table->ends->len;
 
@@ -138,7 +123,7 @@
 		else
 			high = middle;
 	}
-	return table->explanations[kind].unexplained_from[low];
+	return table->unexplained_from[low];
 }
 
 /*
@@ -174,6 +159,13 @@
 	return chance(series->ends, all, share) + silence;
 }
 
+/* ---- contents ---- */
+
+static bool is_content(const struct part_entry *entry)
+{
+	return entry->part & QUARANTINE_CONTENT;
+}
+
 static bool has_end(const struct part_entry *entry, uint32_t number)
 {
 	for (uint32_t i = 0; i < entry->end_count; i++)
@@ -182,12 +174,7 @@
 	return false;
 }
 
-/*
- * Requests with a part at fault are at several ends themselves when they are
- * repeated. So a content explains the ends of a part only if it was at all of
- * them.
- */
-static bool is_explained_by(const struct part_entry *content,
+static bool was_at_all_ends(const struct part_entry *content,
 			    const struct part_entry *part)
 {
 	for (uint32_t i = 0; i < part->end_count; i++)
@@ -197,18 +184,24 @@
 	return true;
 }
 
-static bool is_explained(const GPtrArray *held, const struct part_entry *part)
+/*
+ * Requests with a part at fault are at several ends themselves when they are
+ * repeated. So a content that is held explains the ends of a part only if it
+ * was at all of them. To other contents it explains nothing: requests that end
+ * replicas wait together for one that is back, and are at its end together.
+ */
+static bool is_explained_by_content(const GPtrArray *held,
+				    const struct part_entry *part)
 {
-	for (guint i = 0; i < held->len; i++) {
-		const struct part_entry *content = held->pdata[i];
-
-		if (kind_of(content) == KIND_CONTENT &&
-		    is_explained_by(content, part))
+	for (guint i = 0; i < held->len; i++)
+		if (is_content(held->pdata[i]) &&
+		    was_at_all_ends(held->pdata[i], part))
 			return true;
-	}
 	return false;
 }
 
+/* ---- choice ---- */
+
 struct suspect {
 	struct part_entry *entry;
 	struct series series;
@@ -221,8 +214,8 @@
 	if (a->significance != b->significance)
 		return a->significance > b->significance;
 	/* Fewer requests are refused for a content. */
-	if (kind_of(a->entry) != kind_of(b->entry))
-		return kind_of(a->entry) == KIND_CONTENT;
+	if (is_content(a->entry) != is_content(b->entry))
+		return is_content(a->entry);
 	if (a->entry->success_ms != b->entry->success_ms)
 		return a->entry->success_ms < b->entry->success_ms;
 	return a->entry->part < b->entry->part;
@@ -236,20 +229,19 @@
 	worst->entry = NULL;
 	for (guint i = 0; i < candidates->len; i++) {
 		struct suspect s = { .entry = candidates->pdata[i] };
-		enum part_kind kind = kind_of(s.entry);
 
 		if (s.entry->held)
 			continue;
-		count_events(opts, s.entry, &table->explanations[kind],
-			     &s.series);
+		count_events(opts, s.entry, table, &s.series);
 		if (!is_enough(opts, s.series.weight))
 			continue;
-		s.significance = significance(s.entry, &s.series,
-					      count_since(table, kind,
-							  s.series.first_ms));
+		s.significance =
+			significance(s.entry, &s.series,
+				     count_since(table, s.series.first_ms));
 		if (s.significance >= SIGNIFICANCE &&
 		    (!worst->entry || is_worse(&s, worst)) &&
-		    (kind == KIND_CONTENT || !is_explained(held, s.entry)))
+		    (is_content(s.entry) ||
+		     !is_explained_by_content(held, s.entry)))
 			*worst = s;
 	}
 	return worst->entry != NULL;
@@ -269,34 +261,24 @@
 	entry->hold_until_ms = series->last_ms + hold_ms;
 }
 
-static void count_unexplained(struct explanation *explanation, guint ends)
+static void count_unexplained(struct end_table *table)
 {
 	uint32_t count = 0;
 
-	explanation->unexplained_from[ends] = 0;
-	for (guint i = ends; i > 0; i--) {
-		count += !explanation->explained[i - 1];
-		explanation->unexplained_from[i - 1] = count;
+	table->unexplained_from[table->ends->len] = 0;
+	for (guint i = table->ends->len; i > 0; i--) {
+		count += !table->explained[i - 1];
+		table->unexplained_from[i - 1] = count;
 	}
 }
 
 static void explain_ends(struct end_table *table,
-			 const struct part_entry *entry, enum part_kind kind)
+			 const struct part_entry *entry)
 {
-	struct explanation *explanation = &table->explanations[kind];
-
 	for (uint32_t i = 0; i < entry->end_count; i++)
 		if (!entry->ends[i].cleared)
-			explanation->explained[entry->ends[i].number] = true;
-	count_unexplained(explanation, table->ends->len);
-}
-
-/* A content explains ends to other contents only; see is_explained_by(). */
-static void explain(struct end_table *table, const struct part_entry *entry)
-{
-	explain_ends(table, entry, KIND_CONTENT);
-	if (kind_of(entry) == KIND_OTHER)
-		explain_ends(table, entry, KIND_OTHER);
+			table->explained[entry->ends[i].number] = true;
+	count_unexplained(table);
 }
 
 static GPtrArray *reset(const struct part_records *records, uint32_t ends_min)
@@ -373,22 +355,16 @@
 	g_ptr_array_sort(table->ends, compare_times);
 	number_ends(records, ends, table->ends);
 	g_hash_table_unref(ends);
-	for (int kind = 0; kind < KINDS; kind++) {
-		struct explanation *e = &table->explanations[kind];
-
-		e->explained = g_new0(bool, table->ends->len + 1);
-		e->unexplained_from = g_new(uint32_t, table->ends->len + 1);
-		count_unexplained(e, table->ends->len);
-	}
+	table->explained = g_new0(bool, table->ends->len + 1);
+	table->unexplained_from = g_new(uint32_t, table->ends->len + 1);
+	count_unexplained(table);
 }
 
 static void end_table_clear(struct end_table *table)
 {
 	g_ptr_array_unref(table->ends);
-	for (int kind = 0; kind < KINDS; kind++) {
-		g_free(table->explanations[kind].explained);
-		g_free(table->explanations[kind].unexplained_from);
-	}
+	g_free(table->explained);
+	g_free(table->unexplained_from);
 }
 
 static void hold_suspects(const struct part_verdict_opts *opts,
@@ -402,7 +378,8 @@
 	while (held->len < HELD_MAX &&
 	       find_worst(opts, candidates, held, &table, &worst)) {
 		hold(opts, worst.entry, &worst.series);
-		explain(&table, worst.entry);
+		if (!is_content(worst.entry))
+			explain_ends(&table, worst.entry);
 		g_ptr_array_add(held, worst.entry);
 	}
 	end_table_clear(&table);
