soak: endpoints that name limits, and whether entries keep to them

The fakes of the platform's interface name limits for 8 to 12 s in their answers (fault group 'limit', VMs of the model and of the plain service, one or all). The check counts, from 3 s after a limit was first named on, what arrives in 4 s from entries that weren't started or signalled in the 3 s before.

--- a/soak/check.c
+++ b/soak/check.c
@@ -3,7 +3,7 @@
 
 #include <sys/wait.h>
 
-#include "soak/soak.h"
+#include "soak/limits.h"
 
 /* A request sent later than this before the connection's end crosses it. */
 #define CROSSING_US 200000
@@ -272,4 +272,6 @@
 		check_request(soak, soak->requests->pdata[i], result);
 	for (guint i = 0; i < soak->processes->len; i++)
 		check_process(soak, soak->processes->pdata[i], result);
+	if (soak->limits)
+		limits_check(soak, result);
 }
--- a/soak/platform_faults.c
+++ b/soak/platform_faults.c
@@ -25,25 +25,34 @@
 	int64_t continue_us; /* of the stopped process; 0 if it runs */
 };
 
+/* Long enough for a limit to be known, and for a window after that. */
+#define LIMIT_MIN_MS 8000
+#define LIMIT_MAX_MS 12000
+
 /** A fault of one VM or all. */
 struct vm_fault {
 	const char *group; /* name in the option */
+	const char *what;  /* for the endpoints; NULL: their process stops */
 	int weight;
-	bool all;
-	const char *what; /* for the endpoints; NULL: their process stops */
 	int min_ms, max_ms;
+	bool all;
+	bool plain; /* of the plain service, not of the model */
 };
 
 static const struct vm_fault vm_faults[] = {
-	{ "stop", 16, true, NULL, PAUSE_MIN_MS, PAUSE_MAX_MS },
-	{ "pause", 15, false, "pause", PAUSE_MIN_MS, PAUSE_MAX_MS },
-	{ "hold", 25, false, "hold", HOLD_MIN_MS, HOLD_MAX_MS },
-	{ "late", 10, true, "skip-beats", 1000, 4000 },
-	{ "late", 10, false, "skip-beats", 1000, 8000 },
-	{ "late", 10, true, "late-beats:3000", 3000, 8000 },
-	{ "slow", 10, false, "slow:4", 3000, 8000 },
-	{ "crash", 4, false, "crash", 0, 0 },
-	{ "dark", 3, false, "dark", DARK_MIN_MS, DARK_MAX_MS },
+	{ "stop", NULL, 16, PAUSE_MIN_MS, PAUSE_MAX_MS, true, false },
+	{ "pause", "pause", 15, PAUSE_MIN_MS, PAUSE_MAX_MS, false, false },
+	{ "hold", "hold", 25, HOLD_MIN_MS, HOLD_MAX_MS, false, false },
+	{ "late", "skip-beats", 10, 1000, 4000, true, false },
+	{ "late", "skip-beats", 10, 1000, 8000, false, false },
+	{ "late", "late-beats:3000", 10, 3000, 8000, true, false },
+	{ "slow", "slow:4", 10, 3000, 8000, false, false },
+	{ "crash", "crash", 4, 0, 0, false, false },
+	{ "dark", "dark", 3, DARK_MIN_MS, DARK_MAX_MS, false, false },
+	{ "limit", "limit:2", 8, LIMIT_MIN_MS, LIMIT_MAX_MS, false, false },
+	{ "limit", "limit:0.5", 4, LIMIT_MIN_MS, LIMIT_MAX_MS, true, false },
+	{ "limit", "limit:1", 8, LIMIT_MIN_MS, LIMIT_MAX_MS, false, true },
+	{ "limit", "limit:3", 4, LIMIT_MIN_MS, LIMIT_MAX_MS, true, true },
 };
 
 static int draw(struct platform_faults *f, int from, int to)
@@ -64,13 +73,15 @@
 
 static void change_vm(struct platform_faults *f, const struct vm_fault *fault)
 {
-	int vm = draw(f, 0, f->soak->opts.platform.vms - 1);
+	const struct soak_platform_opts *opts = &f->soak->opts.platform;
+	int vm = draw(f, 0, (fault->plain ? opts->plain_vms : opts->vms) - 1);
 	char *number = fault->all ? g_strdup("all") : g_strdup_printf("%d", vm);
 	char *path = g_strdup_printf("/set?vm=%s&what=%s&ms=%d", number,
 				     fault->what,
 				     draw(f, fault->min_ms, fault->max_ms));
 
-	if (!cluster_change_fake(f->soak->cluster, "models", path))
+	if (!cluster_change_fake(f->soak->cluster,
+				 fault->plain ? "web" : "models", path))
 		printf("seed %u: the endpoints refused %s\n",
 		       f->soak->opts.seed, path);
 	g_free(number);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "soak/limits.h"
 #include "soak/soak.h"
 
 #define TICK_US 2000
@@ -54,6 +55,7 @@
 						    g_free, g_free);
 	soak->reasons = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      g_free);
+	soak->limits = limits_table_create();
 	soak->began_us = soak_now_us();
 	for (int node = 1; node <= soak->opts.rig->nodes; node++)
 		processes_add(soak, node);
@@ -69,6 +71,7 @@
 	g_ptr_array_unref(soak->requests);
 	g_hash_table_unref(soak->endpoint_runs);
 	g_hash_table_unref(soak->reasons);
+	g_hash_table_unref(soak->limits);
 }
 
 /* ---- the run ---- */
@@ -132,6 +135,7 @@
 		char *path = cluster_path(soak->cluster, *name);
 
 		endpoints_read_log(soak->endpoint_runs, path);
+		limits_read_log(soak->limits, path);
 		g_free(path);
 	}
 	for (int node = 1; node <= soak->opts.rig->nodes; node++) {
@@ -163,11 +167,12 @@
 
 	printf("seed %u: %d requests, %d complete, %d refused, %d excused, "
 	       "%d abandoned; "
-	       "%d stops, %d repeated signals, %d early ends; %u findings\n",
+	       "%d stops, %d repeated signals, %d early ends; %d limits; "
+	       "%u findings\n",
 	       soak->opts.seed, result->requests, result->complete,
 	       result->refused, result->excused, result->abandoned,
 	       result->stops, result->repeated_signals, result->early_ends,
-	       result->findings->len);
+	       result->limits, result->findings->len);
 	print_counts("refused with", result->refusals, soak);
 	print_counts("ended:", result->causes, soak);
 	for (guint i = 0; i < MIN(shown, result->findings->len); i++)
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -142,6 +142,7 @@
 	GPtrArray *requests;	   /* of struct request */
 	GHashTable *endpoint_runs; /* request id -> struct endpoint_run */
 	GHashTable *reasons; /* request id -> why an entry ended it, text */
+	GHashTable *limits;  /* of endpoints, see limits.h; NULL for none */
 	GMutex lock;	     /* of `current` */
 	/* by node; NULL when down */
 	struct process *current[CLUSTER_NODES_MAX + 1];
@@ -152,6 +153,7 @@
 	int requests, complete, refused, excused, abandoned;
 	int stops, repeated_signals;
 	int early_ends; /* by a signal, before the process had a handler */
+	int limits;	/* named by endpoints */
 	GHashTable *refusals; /* type -> number of requests */
 	GHashTable *causes;   /* of requests lost -> number */
 	GPtrArray *findings;  /* of char *; empty if all checks passed */
--- a/test/fakes/fake_platform_engine.c
+++ b/test/fakes/fake_platform_engine.c
@@ -201,6 +201,10 @@
 	else if (g_str_has_prefix(what, "slow:")) {
 		vm->slow = g_ascii_strtod(strchr(what, ':') + 1, NULL);
 		vm->slow_until_us = after_ms(ms);
+	} else if (g_str_has_prefix(what, "limit:")) {
+		vm->limit = g_ascii_strtod(strchr(what, ':') + 1, NULL);
+		vm->limited_until_us = after_ms(ms);
+		vm->limit_named = false;
 	} else if (!strcmp(what, "crash"))
 		crash(vm);
 	else
@@ -212,7 +216,7 @@
 
 /*
  * POST /set?vm=N|all&what=CHANGE&ms=DURATION. N counts from 0. CHANGE: pause,
- * dark, hold, skip-beats, late-beats:MS, slow:FACTOR, crash.
+ * dark, hold, skip-beats, late-beats:MS, slow:FACTOR, limit:PER_S, crash.
  */
 static void handle_control(struct evhttp_request *req, void *ctx)
 {
--- a/test/fakes/platform_batch.c
+++ b/test/fakes/platform_batch.c
@@ -140,6 +140,7 @@
 	evhttp_add_header(out, "Attempt-Id", g->id);
 	evhttp_add_header(out, "Response-Seal", seal);
 	evhttp_add_header(out, "Weight-Versions", "1");
+	platform_vm_name_limit(g->vm, out);
 	evhttp_add_header(out, "Content-Type", "text/event-stream");
 	evhttp_send_reply_start(g->req, 200, "OK");
 	g_free(seal);
--- a/test/fakes/platform_plain.c
+++ b/test/fakes/platform_plain.c
@@ -52,6 +52,7 @@
 	http_unwatch_disconnect(c->req, IDLE_TIMEOUT_S);
 	evhttp_add_header(out, "Attempt-Id", c->id);
 	evhttp_add_header(out, "Response-Seal", seal);
+	platform_vm_name_limit(c->vm, out);
 	log_call(c, "served");
 	http_send_text(c->req, 200, "text/plain", body);
 	call_free(c);
--- a/test/fakes/platform_vm.c
+++ b/test/fakes/platform_vm.c
@@ -53,7 +53,23 @@
 	fake_log(vm->pool->log, line);
 }
 
-void platform_reject(const struct platform_vm *vm, struct evhttp_request *req,
+void platform_vm_name_limit(struct platform_vm *vm, struct evkeyvalq *out)
+{
+	char text[32];
+
+	if (fake_now_us() >= vm->limited_until_us)
+		return;
+	g_snprintf(text, sizeof(text), "%.1f", vm->limit);
+	evhttp_add_header(out, "Server-Limit", text);
+	if (!vm->limit_named)
+		platform_log(vm, "limit named",
+			     json_pack("{s:f,s:I}", "per_s", vm->limit,
+				       "until_us",
+				       (json_int_t)vm->limited_until_us));
+	vm->limit_named = true;
+}
+
+void platform_reject(struct platform_vm *vm, struct evhttp_request *req,
 		     int status)
 {
 	struct evkeyvalq *out = evhttp_request_get_output_headers(req);
@@ -61,6 +77,7 @@
 
 	evhttp_add_header(out, "Not-Executed", "1");
 	evhttp_add_header(out, "At-Server", vm->id);
+	platform_vm_name_limit(vm, out);
 	if (id) {
 		evhttp_add_header(out, "Attempt-Id", id);
 		platform_log(vm, "rejected",
@@ -269,6 +286,7 @@
 	vm->born_ms = g_get_real_time() / US_PER_MS;
 	vm->sequence = 0;
 	vm->slow = 1;
+	vm->limited_until_us = 0;
 	g_snprintf(vm->id, sizeof(vm->id), "i-%s-%d-%x", vm->pool->service,
 		   vm->number, (unsigned)(vm->born_ms & 0xffffff));
 	platform_log(vm, "started", NULL);
--- a/test/fakes/platform_vm.h
+++ b/test/fakes/platform_vm.h
@@ -69,7 +69,10 @@
 	int64_t paused_until_us; /* neither serves nor sends heartbeats */
 	int64_t dark_until_us;	 /* likewise, for longer than groups stall */
 	int64_t held_until_us;	 /* its batch makes no progress */
-	double slow;		 /* factor on all times; 1 for none */
+	double limit;		 /* requests a second that its answers name */
+	int64_t limited_until_us;
+	bool limit_named;
+	double slow; /* factor on all times; 1 for none */
 	int64_t slow_until_us;
 
 	/* the VM's group */
@@ -107,12 +110,15 @@
 /** Factor on the VM's times at this moment. */
 double platform_vm_slowness(const struct platform_vm *vm);
 
+/** Adds the VM's limit, if it has one, to the head of an answer. */
+void platform_vm_name_limit(struct platform_vm *vm, struct evkeyvalq *out);
+
 /** Writes a line with the time, the event and the VM; `detail` is merged. */
 void platform_log(const struct platform_vm *vm, const char *event,
 		  json_t *detail);
 
 /** Sends a 421 or 503 that says that the request was not run. */
-void platform_reject(const struct platform_vm *vm, struct evhttp_request *req,
+void platform_reject(struct platform_vm *vm, struct evhttp_request *req,
 		     int status);
 
 /* platform_groups.c */
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -11,6 +11,7 @@
 #include <cmocka.h>
 #include <glib.h>
 
+#include "soak/limits.h"
 #include "soak/platform.h"
 #include "soak/soak.h"
 #include "test/response.h"
@@ -136,6 +137,63 @@
 	expect_finding(&t, "LOST");
 }
 
+/*
+ * Adds a log in which a VM names 1 request a second at STOP_US - 9 s, and gets
+ * `count` requests from 3 s after that on, `gap_ms` apart.
+ */
+static void add_limit(struct records *t, int count, int gap_ms)
+{
+	GString *log = g_string_new(NULL);
+	char *path;
+	int fd = g_file_open_tmp("radishdeal-XXXXXX", &path, NULL);
+
+	g_string_append_printf(log,
+			       "{\"t_us\": %d, \"event\": \"limit named\", "
+			       "\"vm\": \"i-1\", \"per_s\": 1.0, "
+			       "\"until_us\": %d}\n",
+			       STOP_US - 9000 * MS, STOP_US);
+	for (int i = 0; i < count; i++)
+		g_string_append_printf(log,
+				       "{\"t_us\": %d, \"event\": "
+				       "\"received\", \"vm\": "
+				       "\"i-1\", \"request\": \"r\"}\n",
+				       STOP_US - 6000 * MS + i * gap_ms * MS);
+	assert_int_equal(write(fd, log->str, log->len), log->len);
+	close(fd);
+	t->soak.limits = limits_table_create();
+	limits_read_log(t->soak.limits, path);
+	unlink(path);
+	g_free(path);
+	g_string_free(log, TRUE);
+}
+
+static void expect_limit(int count, int gap_ms, int64_t started_us,
+			 const char *name)
+{
+	struct records t;
+
+	set_up_records(&t);
+	t.request->complete = true;
+	t.process->started_us = started_us;
+	add_limit(&t, count, gap_ms);
+	expect_finding(&t, name);
+	g_hash_table_unref(t.soak.limits);
+}
+
+/* One and a half times as much as in 4 s is allowed, and 5 more: 11. */
+static void test_limit_is_exceeded(void **state)
+{
+	(void)state;
+	expect_limit(11, 10, 0, NULL);
+	expect_limit(12, 10, 0, "LIMIT");
+	/* The twelfth is in another window. */
+	expect_limit(12, 400, 0, NULL);
+	/* The entry doesn't know of it yet. */
+	expect_limit(12, 10, STOP_US - 8000 * MS, NULL);
+	/* After the end of the limit. */
+	expect_limit(40, 1000, 0, NULL);
+}
+
 static void expect_cause(struct records *t, const char *cause)
 {
 	gpointer n;
@@ -523,6 +581,7 @@
 		cmocka_unit_test(test_ends_of_processes),
 		cmocka_unit_test(test_signal_before_a_process_is_up_ends_it),
 		cmocka_unit_test(test_reader_of_responses),
+		cmocka_unit_test(test_limit_is_exceeded),
 	};
 
 	return cmocka_run_group_tests_name("soak", tests, NULL, NULL);
--- a/test/test_stops_platform.c
+++ b/test/test_stops_platform.c
@@ -48,6 +48,12 @@
 	expect_no_findings(42, "hold");
 }
 
+static void test_limits_are_kept_around_stops(void **state)
+{
+	(void)state;
+	expect_no_findings(43, "limit");
+}
+
 static void test_late_heartbeats_cut_no_stream(void **state)
 {
 	(void)state;
@@ -60,6 +66,7 @@
 		cmocka_unit_test(
 			test_no_stream_of_a_replica_is_lost_around_stops),
 		cmocka_unit_test(test_streams_that_pause_are_not_cut),
+		cmocka_unit_test(test_limits_are_kept_around_stops),
 		cmocka_unit_test(test_late_heartbeats_cut_no_stream),
 	};
 
