routing, entry, docs: limits and contents read once more

A check for nodes listed twice cost a pass over the list for each and changed nothing. The overview names both matters. Behaviour is the same: test_request_limits passes unchanged.

--- a/entry/limits.c
+++ b/entry/limits.c
@@ -10,8 +10,7 @@
 #include "entry/limits.h"
 
 #define MISDIRECTED 421
-/* Entries are dropped from the list while a new leader doesn't know them yet.
- */
+/* A new leader's list lacks the entries that haven't polled it yet. */
 #define ENTRY_HOLD_LEASES 2
 #define US_PER_MS 1000
 #define MS_PER_S 1000.0
--- a/entry/parts.h
+++ b/entry/parts.h
@@ -1,8 +1,9 @@
 /**
  * @file
- * Containment of prompt parts that end replicas: feeds this entry's evidence
- * and that of other entries to the quarantine, and refuses requests with a part
- * that it holds. Runs on the entry task.
+ * Containment of prompt parts, and of requests as a whole, that end replicas:
+ * feeds this entry's evidence and that of other entries to the quarantine, and
+ * refuses requests with a part or content that it holds. Runs on the entry
+ * task.
  */
 #ifndef ENTRY_PARTS_H
 #define ENTRY_PARTS_H
--- a/routing/request_limits.c
+++ b/routing/request_limits.c
@@ -191,14 +191,6 @@
 
 /* ---- entries ---- */
 
-static bool contains(const uint32_t *nodes, uint32_t count, uint32_t node)
-{
-	for (uint32_t i = 0; i < count; i++)
-		if (nodes[i] == node)
-			return true;
-	return false;
-}
-
 /* Returns whether a node was removed. */
 static bool remove_unlisted(struct request_limits *limits, int64_t now_ms)
 {
@@ -241,8 +233,7 @@
 	bool changed = false;
 
 	for (uint32_t i = 0; i < count; i++)
-		if (nodes[i] != limits->opts.node &&
-		    !contains(nodes, i, nodes[i]))
+		if (nodes[i] != limits->opts.node)
 			changed |= note_listed(limits, now_ms, nodes[i]);
 	changed |= remove_unlisted(limits, now_ms);
 	if (!changed)
