soak: a request that ends each endpoint, repeated while entries are stopped

With the fault group 'bad' one in 40 requests of the callers is the same one; each VM of the plain service that begins to answer it ends, and is back after 2 to 4 s under another name. The check allows three runs later than 3 s after the third end, from entries that weren't started or signalled in the 3 s before.

--- a/soak/check.c
+++ b/soak/check.c
@@ -3,6 +3,7 @@
 
 #include <sys/wait.h>
 
+#include "soak/bad_runs.h"
 #include "soak/limits.h"
 
 /* A request sent later than this before the connection's end crosses it. */
@@ -19,7 +20,8 @@
 static const struct endpoint_run no_run;
 
 static const char *const kind_names[REQUEST_KINDS] = {
-	"stream", "chat", "call", "booking", "once", "upload", "download",
+	"stream", "chat",   "call",	"booking",
+	"once",	  "upload", "download", "bad",
 };
 
 static double seconds(int64_t us)
@@ -225,6 +227,9 @@
 	result->abandoned += r->abandoned;
 	if (r->gave_up || r->abandoned || !counts_as_lost(r, run))
 		return;
+	/* Its answer is the end of an endpoint; see bad_runs.c for its runs. */
+	if (r->kind == REQUEST_BAD)
+		return;
 	if (run->broken || run->stalled || r->ended_us >= r->deadline_us ||
 	    engine_too_slow(r, run)) {
 		result->excused++;
@@ -274,4 +279,6 @@
 		check_process(soak, soak->processes->pdata[i], result);
 	if (soak->limits)
 		limits_check(soak, result);
+	if (soak->bad_runs)
+		bad_runs_check(soak, result);
 }
--- a/soak/limits.c
+++ b/soak/limits.c
@@ -6,7 +6,7 @@
 #include "soak/limits.h"
 
 #define US_PER_S 1000000
-/* For all entries to know of a limit; also how long a restart excuses one. */
+/* For all entries to know of a limit. */
 #define KNOWN_US (3 * US_PER_S)
 /* What a limit allows in a window: one and a half times as much, and some. */
 #define WINDOW_S 4
@@ -112,35 +112,11 @@
 
 /* ---- checking ---- */
 
-static GHashTable *index_requests(const struct soak *soak)
-{
-	GHashTable *by_id = g_hash_table_new(g_str_hash, g_str_equal);
-
-	for (guint i = 0; i < soak->requests->len; i++) {
-		struct request *r = soak->requests->pdata[i];
-
-		g_hash_table_insert(by_id, r->id, r);
-	}
-	return by_id;
-}
-
-/* An entry that has just been started, or signalled, is excused. */
-static bool is_excused(const struct process *p, int64_t at_us)
-{
-	if (at_us < p->started_us + KNOWN_US)
-		return true;
-	for (int i = 0; i < p->signal_count; i++)
-		if (at_us >= p->signals[i].at_us &&
-		    at_us < p->signals[i].at_us + KNOWN_US)
-			return true;
-	return false;
-}
-
 static bool counts(GHashTable *by_id, const struct limits_arrival *arrival)
 {
 	const struct request *r = g_hash_table_lookup(by_id, arrival->request);
 
-	return r && !is_excused(r->process, arrival->at_us);
+	return r && process_in_touch(r->process, arrival->at_us);
 }
 
 /* Returns the most requests in a window that lies within the period. */
@@ -188,7 +164,7 @@
 
 void limits_check(const struct soak *soak, struct soak_result *result)
 {
-	GHashTable *by_id = index_requests(soak);
+	GHashTable *by_id = soak_index_requests(soak);
 	GHashTableIter iter;
 	gpointer key, value;
 
--- a/soak/platform.h
+++ b/soak/platform.h
@@ -19,6 +19,8 @@
 #define PLATFORM_GAP_MS 300
 #define PLATFORM_HOST "shop.example"
 #define PLATFORM_KEY "k1"
+/* Fault group: callers send a request that ends its endpoint. */
+#define PLATFORM_BAD_REQUESTS "bad"
 
 struct platform_faults;
 
--- a/soak/platform_callers.c
+++ b/soak/platform_callers.c
@@ -15,6 +15,7 @@
 #define KEEPS_LONGER 3
 #define BIG_SHARE_PERCENT 67
 #define MS_PER_S 1000
+#define BAD_EVERY 40
 
 /** What a caller knows of the entries. */
 struct directory {
@@ -147,6 +148,10 @@
 {
 	int n = caller_draw(c, 0, 99);
 
+	if (platform_faults_include(c->soak->opts.platform.faults,
+				    PLATFORM_BAD_REQUESTS) &&
+	    caller_draw(c, 1, BAD_EVERY) == 1)
+		return REQUEST_BAD;
 	if (n < 80)
 		return REQUEST_STREAM;
 	return n < 90 ? REQUEST_CALL : REQUEST_ONCE;
@@ -156,6 +161,8 @@
 {
 	if (kind == REQUEST_STREAM)
 		return "/chat/";
+	if (kind == REQUEST_BAD)
+		return "/web/bad/";
 	return kind == REQUEST_CALL ? "/web/" : "/book/";
 }
 
@@ -173,16 +180,19 @@
 					       caller_draw(c, 200, 2000),
 					       draw_output(c))
 			      : g_strdup("");
-	char *body = g_strnfill((gsize)sizes[caller_draw(c, 0, 2)], 'b');
+	int size = sizes[caller_draw(c, 0, 2)];
+	/* All are the same, but for their headers. */
+	bool bad = r->kind == REQUEST_BAD;
+	char *body = g_strnfill((gsize)(bad ? sizes[0] : size), 'b');
 	char *text = g_strdup_printf("POST %s%s "
 				     "HTTP/1.1\r\nHost: " PLATFORM_HOST "\r\n"
 				     "Attempt-Id: "
 				     "%s\r\nX-Api-Key: " PLATFORM_KEY "\r\n"
 				     "Request-Deadline: "
 				     "%d\r\n%sContent-Length: %zu\r\n\r\n%s",
-				     prefix_of(r->kind), r->id, r->id,
-				     timeout_of(r->kind), model, strlen(body),
-				     body);
+				     prefix_of(r->kind), bad ? "" : r->id,
+				     r->id, timeout_of(r->kind), model,
+				     strlen(body), body);
 
 	g_free(model);
 	g_free(body);
--- a/soak/platform_faults.c
+++ b/soak/platform_faults.c
@@ -104,6 +104,9 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(vm_faults); i++)
 		sum += weight_of(f, &vm_faults[i]);
+	/* Only callers make faults. */
+	if (!sum)
+		return NULL;
 	n = draw(f, 0, sum - 1);
 	while (n >= weight_of(f, fault))
 		n -= weight_of(f, fault++);
@@ -114,6 +117,8 @@
 {
 	const struct vm_fault *fault = draw_fault(f);
 
+	if (!fault)
+		return;
 	if (fault->what)
 		change_vm(f, fault);
 	else
@@ -126,7 +131,8 @@
 	bool known = groups[0] != NULL;
 
 	for (int i = 0; groups[i]; i++) {
-		bool found = !strcmp(groups[i], "all");
+		bool found = !strcmp(groups[i], "all") ||
+			     !strcmp(groups[i], PLATFORM_BAD_REQUESTS);
 
 		for (size_t j = 0; j < G_N_ELEMENTS(vm_faults); j++)
 			found |= !strcmp(groups[i], vm_faults[j].group);
@@ -136,6 +142,16 @@
 	return known;
 }
 
+bool platform_faults_include(const char *list, const char *group)
+{
+	char **groups = g_strsplit(list ? list : "", ",", 0);
+	bool included = g_strv_contains((const char *const *)groups, "all") ||
+			g_strv_contains((const char *const *)groups, group);
+
+	g_strfreev(groups);
+	return included;
+}
+
 void platform_faults_run(struct platform_faults *f)
 {
 	int64_t now = soak_now_us();
--- a/soak/processes.c
+++ b/soak/processes.c
@@ -8,6 +8,8 @@
 #include "common/address.h"
 #include "soak/soak.h"
 
+/* In touch again so long after a start or a signal. */
+#define TOUCH_US 3000000
 #define PROBE_TIMEOUT_US 100000
 
 static void set_current(struct soak *soak, int node, struct process *p)
@@ -41,6 +43,17 @@
 	cluster_signal_node(soak->cluster, node, number);
 }
 
+bool process_in_touch(const struct process *p, int64_t at_us)
+{
+	if (at_us < p->started_us + TOUCH_US)
+		return false;
+	for (int i = 0; i < p->signal_count; i++)
+		if (at_us >= p->signals[i].at_us &&
+		    at_us < p->signals[i].at_us + TOUCH_US)
+			return false;
+	return true;
+}
+
 int64_t process_stop_us(const struct process *p)
 {
 	for (int i = 0; i < p->signal_count; i++)
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "soak/bad_runs.h"
 #include "soak/limits.h"
 #include "soak/soak.h"
 
@@ -42,6 +43,18 @@
 	g_free(r);
 }
 
+GHashTable *soak_index_requests(const struct soak *soak)
+{
+	GHashTable *by_id = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < soak->requests->len; i++) {
+		struct request *r = soak->requests->pdata[i];
+
+		g_hash_table_insert(by_id, r->id, r);
+	}
+	return by_id;
+}
+
 /* ---- set-up ---- */
 
 static void init_soak(struct soak *soak, const struct soak_opts *opts)
@@ -56,6 +69,7 @@
 	soak->reasons = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      g_free);
 	soak->limits = limits_table_create();
+	soak->bad_runs = bad_runs_create();
 	soak->began_us = soak_now_us();
 	for (int node = 1; node <= soak->opts.rig->nodes; node++)
 		processes_add(soak, node);
@@ -72,6 +86,7 @@
 	g_hash_table_unref(soak->endpoint_runs);
 	g_hash_table_unref(soak->reasons);
 	g_hash_table_unref(soak->limits);
+	bad_runs_free(soak->bad_runs);
 }
 
 /* ---- the run ---- */
@@ -136,6 +151,7 @@
 
 		endpoints_read_log(soak->endpoint_runs, path);
 		limits_read_log(soak->limits, path);
+		bad_runs_read_log(soak->bad_runs, path);
 		g_free(path);
 	}
 	for (int node = 1; node <= soak->opts.rig->nodes; node++) {
@@ -168,11 +184,11 @@
 	printf("seed %u: %d requests, %d complete, %d refused, %d excused, "
 	       "%d abandoned; "
 	       "%d stops, %d repeated signals, %d early ends; %d limits; "
-	       "%u findings\n",
+	       "%d ends by bad requests; %u findings\n",
 	       soak->opts.seed, result->requests, result->complete,
 	       result->refused, result->excused, result->abandoned,
 	       result->stops, result->repeated_signals, result->early_ends,
-	       result->limits, result->findings->len);
+	       result->limits, result->bad_ends, result->findings->len);
 	print_counts("refused with", result->refusals, soak);
 	print_counts("ended:", result->causes, soak);
 	for (guint i = 0; i < MIN(shown, result->findings->len); i++)
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -103,6 +103,7 @@
 	REQUEST_ONCE,	  /* once only, without a key */
 	REQUEST_UPLOAD,	  /* long body, sent in pieces */
 	REQUEST_DOWNLOAD, /* long response, read slowly */
+	REQUEST_BAD,	  /* the same each time; ends its endpoint */
 	REQUEST_KINDS
 };
 
@@ -143,7 +144,8 @@
 	GHashTable *endpoint_runs; /* request id -> struct endpoint_run */
 	GHashTable *reasons; /* request id -> why an entry ended it, text */
 	GHashTable *limits;  /* of endpoints, see limits.h; NULL for none */
-	GMutex lock;	     /* of `current` */
+	struct bad_runs *bad_runs; /* see bad_runs.h; NULL for none */
+	GMutex lock;		   /* of `current` */
 	/* by node; NULL when down */
 	struct process *current[CLUSTER_NODES_MAX + 1];
 	void *rig_state; /* of the rig */
@@ -154,6 +156,7 @@
 	int stops, repeated_signals;
 	int early_ends; /* by a signal, before the process had a handler */
 	int limits;	/* named by endpoints */
+	int bad_ends;	/* endpoints that were ended by a bad request */
 	GHashTable *refusals; /* type -> number of requests */
 	GHashTable *causes;   /* of requests lost -> number */
 	GPtrArray *findings;  /* of char *; empty if all checks passed */
@@ -164,6 +167,9 @@
 /** Whether these are names of faults, separated by commas. */
 bool platform_faults_known(const char *list);
 
+/** Whether the faults `list`, which may be NULL, include a group. */
+bool platform_faults_include(const char *list, const char *group);
+
 /* ---- soak.c ---- */
 
 /** Runs one seed; prints the findings. soak_result_clear() frees. */
@@ -177,6 +183,9 @@
 void soak_process_free(gpointer process);
 void soak_request_free(gpointer request);
 
+/** Returns a table of the requests by their ids, for g_hash_table_unref(). */
+GHashTable *soak_index_requests(const struct soak *soak);
+
 /* ---- processes.c ---- */
 
 /** Adds the record of a daemon that has just been started. */
@@ -185,6 +194,8 @@
 /** Reaps daemons that ended; kills those that outlast the grace period. */
 void processes_poll(struct soak *soak);
 int processes_running(const struct soak *soak);
+/** Whether it wasn't started or signalled for a while before. */
+bool process_in_touch(const struct process *process, int64_t at_us);
 /** Time of the first SIGTERM or SIGINT, 0 if there was none. */
 int64_t process_stop_us(const struct process *process);
 
--- a/test/fakes/fake_platform_engine.c
+++ b/test/fakes/fake_platform_engine.c
@@ -170,21 +170,6 @@
 	return fake_now_us() + ms * (int64_t)US_PER_MS;
 }
 
-static void on_revive(evutil_socket_t fd, short what, void *ctx)
-{
-	(void)fd;
-	(void)what;
-	platform_vm_restart(ctx);
-}
-
-static void crash(struct platform_vm *vm)
-{
-	struct timeval after = { REVIVE_MS / 1000, REVIVE_MS % 1000 * 1000 };
-
-	platform_vm_crash(vm);
-	event_base_once(vm->pool->base, -1, EV_TIMEOUT, on_revive, vm, &after);
-}
-
 static bool change_vm(struct platform_vm *vm, const char *what, int ms)
 {
 	if (!strcmp(what, "pause"))
@@ -206,7 +191,7 @@
 		vm->limited_until_us = after_ms(ms);
 		vm->limit_named = false;
 	} else if (!strcmp(what, "crash"))
-		crash(vm);
+		platform_vm_crash_for(vm, REVIVE_MS);
 	else
 		return false;
 	platform_log(vm, "change",
--- a/test/fakes/platform_vm.c
+++ b/test/fakes/platform_vm.c
@@ -302,6 +302,7 @@
 	vm->number = (int)pool->vms->len;
 	g_strlcpy(vm->host, host, sizeof(vm->host));
 	vm->members = g_ptr_array_new_with_free_func(g_free);
+	vm->plain_calls = g_ptr_array_new();
 	g_ptr_array_add(pool->vms, vm);
 	platform_groups_init(vm);
 	listen_on(vm, address);
@@ -318,9 +319,25 @@
 	platform_log(vm, "crashed", NULL);
 	vm->alive = false;
 	platform_batch_abort(vm, "crash");
+	platform_plain_abort(vm);
 	platform_groups_reset(vm);
 }
 
+static void on_return(evutil_socket_t fd, short what, void *ctx)
+{
+	(void)fd;
+	(void)what;
+	platform_vm_restart(ctx);
+}
+
+void platform_vm_crash_for(struct platform_vm *vm, int ms)
+{
+	struct timeval after = { ms / 1000, ms % 1000 * US_PER_MS };
+
+	platform_vm_crash(vm);
+	event_base_once(vm->pool->base, -1, EV_TIMEOUT, on_return, vm, &after);
+}
+
 void platform_vm_restart(struct platform_vm *vm)
 {
 	if (vm->alive)
--- a/test/fakes/platform_vm.h
+++ b/test/fakes/platform_vm.h
@@ -89,6 +89,7 @@
 	struct event *join_timer, *stage_timer, *open_timer;
 	int64_t broken_at_us; /* when a stalled group breaks; 0 for none */
 	struct platform_batch *batch;
+	GPtrArray *plain_calls; /* of a plain service, in progress */
 };
 
 /** Adds a VM that listens on `host` and starts to send heartbeats. */
@@ -98,6 +99,9 @@
 /** Resets all connections; the VM is gone until platform_vm_restart(). */
 void platform_vm_crash(struct platform_vm *vm);
 
+/** The same, and platform_vm_restart() after so long. */
+void platform_vm_crash_for(struct platform_vm *vm, int ms);
+
 /** Starts a VM again with a new id, at its address. */
 void platform_vm_restart(struct platform_vm *vm);
 
@@ -148,7 +152,10 @@
 
 /* platform_plain.c */
 
-/** Answers a request after the pool's plain_ms. */
+/** Breaks off all work. */
+void platform_plain_abort(struct platform_vm *vm);
+
+/** Answers a request after the pool's plain_ms, or ends the VM by it. */
 void platform_plain_add(struct platform_vm *vm, struct evhttp_request *req);
 
 /* platform_beats.c */
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -11,6 +11,7 @@
 #include <cmocka.h>
 #include <glib.h>
 
+#include "soak/bad_runs.h"
 #include "soak/limits.h"
 #include "soak/platform.h"
 #include "soak/soak.h"
@@ -194,6 +195,52 @@
 	expect_limit(40, 1000, 0, NULL);
 }
 
+/* Adds a log in which request "r" ends three VMs, and is sent again later. */
+static void add_bad_runs(struct records *t, int again, int after_ms)
+{
+	GString *log = g_string_new(NULL);
+	char *path;
+	int fd = g_file_open_tmp("radishdeal-XXXXXX", &path, NULL);
+
+	for (int i = 0; i < 3 + again; i++)
+		g_string_append_printf(
+			log,
+			"{\"t_us\": %d, \"event\": \"%s\", \"vm\": \"i-1\", "
+			"\"request\": \"r\"}\n",
+			i < 3 ? 4000 * MS : (4000 + after_ms) * MS,
+			i < 3 ? "ends its VM" : "will end its VM");
+	assert_int_equal(write(fd, log->str, log->len), log->len);
+	close(fd);
+	t->soak.bad_runs = bad_runs_create();
+	bad_runs_read_log(t->soak.bad_runs, path);
+	unlink(path);
+	g_free(path);
+	g_string_free(log, TRUE);
+}
+
+static void expect_bad_runs(int again, int after_ms, int64_t started_us,
+			    const char *name)
+{
+	struct records t;
+
+	set_up_records(&t);
+	t.request->complete = true;
+	t.process->started_us = started_us;
+	add_bad_runs(&t, again, after_ms);
+	expect_finding(&t, name);
+	bad_runs_free(t.soak.bad_runs);
+}
+
+static void test_bad_request_is_sent_too_often(void **state)
+{
+	(void)state;
+	expect_bad_runs(3, 3001, 0, NULL);
+	expect_bad_runs(4, 3001, 0, "BUDGET");
+	/* The entries may not know yet, or were just started. */
+	expect_bad_runs(9, 2999, 0, NULL);
+	expect_bad_runs(9, 3001, 6000 * MS, NULL);
+}
+
 static void expect_cause(struct records *t, const char *cause)
 {
 	gpointer n;
@@ -582,6 +629,7 @@
 		cmocka_unit_test(test_signal_before_a_process_is_up_ends_it),
 		cmocka_unit_test(test_reader_of_responses),
 		cmocka_unit_test(test_limit_is_exceeded),
+		cmocka_unit_test(test_bad_request_is_sent_too_often),
 	};
 
 	return cmocka_run_group_tests_name("soak", tests, NULL, NULL);
--- a/test/test_stops_platform.c
+++ b/test/test_stops_platform.c
@@ -54,6 +54,12 @@
 	expect_no_findings(43, "limit");
 }
 
+static void test_request_that_ends_endpoints_is_contained(void **state)
+{
+	(void)state;
+	expect_no_findings(7102, "bad");
+}
+
 static void test_late_heartbeats_cut_no_stream(void **state)
 {
 	(void)state;
@@ -67,6 +73,7 @@
 			test_no_stream_of_a_replica_is_lost_around_stops),
 		cmocka_unit_test(test_streams_that_pause_are_not_cut),
 		cmocka_unit_test(test_limits_are_kept_around_stops),
+		cmocka_unit_test(test_request_that_ends_endpoints_is_contained),
 		cmocka_unit_test(test_late_heartbeats_cut_no_stream),
 	};
 
