--- a/common/counters.h
+++ b/common/counters.h
@@ -41,7 +41,7 @@
 	X(LIMITED_ENDPOINTS, "limited_endpoints", "gauge",                   \
 	  "endpoints that name a limit on their requests")                   \
 	X(PARTS_HELD, "prompt_parts_held", "gauge",                          \
-	  "prompt parts in quarantine")                                      \
+	  "prompt parts and contents of requests in quarantine")             \
 	X(PARTS_REFUSED, "quarantined_total", "counter",                     \
 	  "requests refused because of a part in quarantine")                \
 	X(PART_TRIALS, "prompt_part_trials_total", "counter",                \
