test: the soak's new log tests use the writer that was there

add_limit() and add_bad_runs() each wrote a log to a temporary file by themselves, though write_log() in the same file does it. It moves up and serves all three.

--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -138,6 +138,18 @@
 	expect_finding(&t, "LOST");
 }
 
+/* Writes lines to a file; returns its path, which the caller frees. */
+static char *write_log(const char *lines)
+{
+	char *path = NULL;
+	int fd = g_file_open_tmp("soak-log-XXXXXX", &path, NULL);
+
+	assert_true(fd >= 0);
+	close(fd);
+	assert_true(g_file_set_contents(path, lines, -1, NULL));
+	return path;
+}
+
 /*
  * Adds a log in which a VM names 1 request a second at STOP_US - 9 s, and gets
  * `count` requests from 3 s after that on, `gap_ms` apart.
@@ -146,7 +158,6 @@
 {
 	GString *log = g_string_new(NULL);
 	char *path;
-	int fd = g_file_open_tmp("radishdeal-XXXXXX", &path, NULL);
 
 	g_string_append_printf(log,
 			       "{\"t_us\": %d, \"event\": \"limit named\", "
@@ -159,8 +170,7 @@
 				       "\"received\", \"vm\": "
 				       "\"i-1\", \"request\": \"r\"}\n",
 				       STOP_US - 6000 * MS + i * gap_ms * MS);
-	assert_int_equal(write(fd, log->str, log->len), log->len);
-	close(fd);
+	path = write_log(log->str);
 	t->soak.limits = limits_table_create();
 	limits_read_log(t->soak.limits, path);
 	unlink(path);
@@ -200,7 +210,6 @@
 {
 	GString *log = g_string_new(NULL);
 	char *path;
-	int fd = g_file_open_tmp("radishdeal-XXXXXX", &path, NULL);
 
 	for (int i = 0; i < 3 + again; i++)
 		g_string_append_printf(
@@ -209,8 +218,7 @@
 			"\"request\": \"r\"}\n",
 			i < 3 ? 4000 * MS : (4000 + after_ms) * MS,
 			i < 3 ? "ends its VM" : "will end its VM");
-	assert_int_equal(write(fd, log->str, log->len), log->len);
-	close(fd);
+	path = write_log(log->str);
 	t->soak.bad_runs = bad_runs_create();
 	bad_runs_read_log(t->soak.bad_runs, path);
 	unlink(path);
@@ -361,18 +369,6 @@
 	expect_fault("503 No\r\nAttempt-Id: r1", "full", true, NULL);
 }
 
-/* Writes lines to a file; returns its path, which the caller frees. */
-static char *write_log(const char *lines)
-{
-	char *path = NULL;
-	int fd = g_file_open_tmp("soak-log-XXXXXX", &path, NULL);
-
-	assert_true(fd >= 0);
-	close(fd);
-	assert_true(g_file_set_contents(path, lines, -1, NULL));
-	return path;
-}
-
 static void test_readers_of_logs(void **state)
 {
 	GHashTable *runs = g_hash_table_new_full(g_str_hash, g_str_equal,
