entry, routing: whether an entry reaches any endpoint, in log and metrics

Nothing is routed by it yet. The connect probe of control is now in common/, can be cancelled, and can ask that a connection stays open for a while.

Test: test_links (8 scripts in simulated time: silent cut, refused connections, a lost rack, slow answers, own pause). test_platform and test_log pass.

--- a/control/placer_watch.c
+++ b/control/placer_watch.c
@@ -7,7 +7,7 @@
 #include "common/log.h"
 #include "control/feed.h"
 #include "control/placer_internal.h"
-#include "control/probe.h"
+#include "common/probe.h"
 
 /* No entry received a byte from the replica for this long. */
 #define STALL_TIMEOUT_MS 800
@@ -65,8 +65,13 @@
 		return;
 	o->probing = true;
 	o->probed_ms = now;
-	probe_start(placer->control->base, seen->report.address,
-		    PROBE_TIMEOUT_MS, on_probed, o);
+	(void)probe_start(placer->control->base,
+			  &(struct probe_opts){
+				  .address = seen->report.address,
+				  .timeout_ms = PROBE_TIMEOUT_MS,
+				  .done = on_probed,
+				  .ctx = o,
+			  });
 }
 
 static void probe_if_stalled(void *ctx, const struct replica_state *replica)
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -11,6 +11,7 @@
 #include "entry/kept.h"
 #include "entry/limits.h"
 #include "entry/parts.h"
+#include "entry/reach.h"
 
 /*
  * A stream that gets data without a complete event for this long is cut. Also
@@ -43,6 +44,8 @@
 		return;
 	upstream_cancel(call->upstream);
 	call->upstream = NULL;
+	if (!call->paused)
+		reach_ended(call);
 	counters_add(call->entry->opts.counters, COUNTER_IN_FLIGHT, -1);
 }
 
@@ -282,6 +285,7 @@
 		return;
 	call->paused = false;
 	call->data_ms = entry_now_ms(call->entry);
+	reach_sent(call);
 	upstream_pause(call->upstream, false);
 }
 
@@ -295,6 +299,8 @@
 					 call);
 	if (unsent_bytes > OUTPUT_HIGH_WATER_BYTES && call->upstream) {
 		call->paused = true;
+		/* What isn't read is no silence of the endpoint. */
+		reach_ended(call);
 		upstream_pause(call->upstream, true);
 	}
 }
@@ -391,6 +397,7 @@
 	struct call *call = ctx;
 	const char *type = evhttp_find_header(headers, "Content-Type");
 
+	reach_heard(call);
 	call->status = status;
 	g_free(call->response_type);
 	call->response_type = g_strdup(type ? type : "");
@@ -410,6 +417,7 @@
 	struct call *call = ctx;
 	size_t limit = (size_t)call->entry->opts.settings->limits.body_bytes;
 
+	reach_heard(call);
 	call->response_bytes += evbuffer_get_length(data);
 	if (is_stream(call)) {
 		handle_stream_data(call, data);
@@ -592,6 +600,11 @@
 	struct call *call = ctx;
 
 	call->upstream = NULL;
+	if (!call->paused)
+		reach_ended(call);
+	if (end->result != UPSTREAM_COMPLETE &&
+	    end->result != UPSTREAM_EXCEEDED)
+		reach_failed(call);
 	counters_add(call->entry->opts.counters, COUNTER_IN_FLIGHT, -1);
 	call->is_framed = end->framing != FRAMING_CLOSE;
 	log_end(call, end);
@@ -694,6 +707,7 @@
 	}
 	request.body = call->format->request_body(call);
 	call->upstream = upstream_send(call->entry->pool, &request);
+	reach_sent(call);
 	if (request.body)
 		g_bytes_unref(request.body);
 }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -8,6 +8,7 @@
 #include "entry/call_class.h"
 #include "entry/limits.h"
 #include "entry/parts.h"
+#include "entry/reach.h"
 #include "entry/shutdown.h"
 #include "entry/take.h"
 #include "wire/codec.h"
@@ -140,6 +141,7 @@
 	if (view_version(entry->view) != entry->health_version)
 		services_update_health(entry);
 	early_tick(entry, entry_now_ms(entry));
+	reach_tick(entry->reach);
 	ends_tick(entry->ends);
 	parts_tick(entry->parts);
 	/* First, lest a call is moved from one stalled replica to another. */
@@ -249,6 +251,7 @@
 	g_queue_init(&entry->held_requests);
 	entry->random = g_rand_new_with_seed(opts->seed);
 	entry->limits = limits_create(entry);
+	entry->reach = reach_create(entry);
 	if (open_ports(entry, why))
 		return entry;
 	entry_destroy(entry);
@@ -329,6 +332,7 @@
 	booking_drop_unrecorded(entry);
 	g_hash_table_unref(entry->services);
 	limits_destroy(entry->limits);
+	reach_destroy(entry->reach);
 	clear_known_entries(entry);
 	monitor_destroy(entry->monitor);
 	view_destroy(entry->view);
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -28,6 +28,7 @@
 struct ends;
 struct limits;
 struct parts;
+struct reach;
 
 /** Per-service state of this entry. */
 struct entry_service {
@@ -81,6 +82,7 @@
 	struct ends *ends;	  /* of replicas */
 	struct parts *parts;	  /* of prompts */
 	struct limits *limits;	  /* of endpoints */
+	struct reach *reach;	  /* of endpoints, by this entry */
 	GHashTable *unrecorded; /* outcomes of bookings, to be recorded again */
 	uint32_t open_records;	/* these, and those that are being recorded */
 	struct upstream_pool *pool;
--- a/test/test_log.c
+++ b/test/test_log.c
@@ -18,7 +18,7 @@
 #include "common/log_json.h"
 #include "common/log_sink.h"
 #include "control/control_internal.h"
-#include "control/probe.h"
+#include "common/probe.h"
 
 #define BUFFER_BYTES 4096u
 #define LINES 50000
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -23,7 +23,7 @@
 
 #include "common/address.h"
 #include "control/feed.h"
-#include "control/probe.h"
+#include "common/probe.h"
 #include "control/release.h"
 #include "entry/entry_internal.h"
 #include "platform/answers.h"
@@ -752,7 +752,13 @@
 	char *address = g_strdup_printf("127.0.0.1:%d", port);
 	int reachable = -1;
 
-	probe_start(base, address, 2000, on_probed, &reachable);
+	(void)probe_start(base, &(struct probe_opts){
+					.address = address,
+					.timeout_ms = 2000,
+					.done = on_probed,
+					.ctx = &reachable,
+				});
+	assert_int_equal(reachable, -1);
 	event_base_dispatch(base);
 	g_free(address);
 	return reachable;
