test: callers of an entry that reaches no endpoint, which fails

Eight endpoints find out by /proc which process has opened a connection, and answer nothing on those of one entry, or reset them.

--- a/test/crash_endpoints.c
+++ b/test/crash_endpoints.c
@@ -14,6 +14,7 @@
 #include "common/http.h"
 #include "test/cluster.h"
 #include "test/crash_endpoints.h"
+#include "test/socket_owner.h"
 
 #define ANNOUNCE_US 100000
 /* From the announcement that an endpoint leaves to its end. */
@@ -63,6 +64,7 @@
 	GArray *arrivals; /* of struct arrival, in their order */
 	int limited;	  /* endpoints that name `limit` */
 	char limit[LIMIT_CHARS];
+	volatile gint cut_pid, cut_mode; /* an enum cut_mode */
 };
 
 static void listen_again(struct endpoint *e);
@@ -209,6 +211,19 @@
 	w->cut = true;
 }
 
+static bool is_cut_off(const struct waiting *w)
+{
+	pid_t pid = (pid_t)g_atomic_int_get(&w->endpoint->all->cut_pid);
+	struct evhttp_connection *conn = evhttp_request_get_connection(w->req);
+	char *ip = NULL;
+	ev_uint16_t port = 0;
+
+	if (!pid || !conn)
+		return false;
+	evhttp_connection_get_peer(conn, &ip, &port);
+	return ip && socket_is_of(pid, ip, port);
+}
+
 static void on_begin(evutil_socket_t fd, short what, void *ctx)
 {
 	struct waiting *w = ctx;
@@ -217,6 +232,11 @@
 
 	(void)fd;
 	(void)what;
+	if (is_cut_off(w)) {
+		if (g_atomic_int_get(&e->all->cut_mode) == CUT_RESET)
+			close_alone(w);
+		return;
+	}
 	if (mode == CRASH_RESET && !e->number)
 		close_alone(w);
 	else if (!w->has_part || mode == CRASH_RESET)
@@ -460,6 +480,13 @@
 	g_mutex_unlock(&all->lock);
 }
 
+void crash_endpoints_cut_off(struct crash_endpoints *all, pid_t pid,
+			     enum cut_mode how)
+{
+	g_atomic_int_set(&all->cut_mode, (gint)how);
+	g_atomic_int_set(&all->cut_pid, (gint)pid);
+}
+
 void crash_endpoints_end_all(struct crash_endpoints *all)
 {
 	event_base_once(all->base, -1, EV_TIMEOUT, on_end_all, all, NULL);
--- a/test/crash_endpoints.h
+++ b/test/crash_endpoints.h
@@ -13,6 +13,7 @@
 #define TEST_CRASH_ENDPOINTS_H
 
 #include <stdbool.h>
+#include <sys/types.h>
 
 #include <glib.h>
 
@@ -57,6 +58,19 @@
 void crash_endpoints_set_limit(struct crash_endpoints *endpoints, int count,
 			       const char *limit);
 
+/** How a process is cut off from all endpoints. */
+enum cut_mode {
+	CUT_RESET,  /* its connections are reset, new ones at their request */
+	CUT_SILENT, /* nothing more comes on any of its connections */
+};
+
+/**
+ * Cuts a process off from all endpoints; the others still reach them. 0 ends
+ * it, and connections that were cut stay so.
+ */
+void crash_endpoints_cut_off(struct crash_endpoints *endpoints, pid_t pid,
+			     enum cut_mode how);
+
 /** Ends all endpoints at once, as the loss of a rack does. */
 void crash_endpoints_end_all(struct crash_endpoints *endpoints);
 
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -1505,6 +1505,23 @@
 	}
 }
 
+/* cut-off NODE reset|silent: that entry reaches no endpoint from now on. */
+static void do_cut_off(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+
+	crash_endpoints_cut_off(
+		test->crash_endpoints, test->pids[atoi(s->words[1])],
+		!strcmp(s->words[2], "reset") ? CUT_RESET : CUT_SILENT);
+}
+
+static void do_restore_links(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+
+	crash_endpoints_cut_off(test->crash_endpoints, 0, CUT_SILENT);
+}
+
 /*
  * wait-late [ends=N]: waits until LATE_MS have passed since the N-th end, or
  * since the last one if no further ones come.
@@ -1704,6 +1721,8 @@
 	{ "sound-begin", 0, do_sound_begin },
 	{ "crash-mode", 1, do_crash_mode },
 	{ "crash-all", 0, do_crash_all },
+	{ "cut-off", 2, do_cut_off },
+	{ "restore-links", 0, do_restore_links },
 	{ "bad-begin", 0, do_bad_begin },
 	{ "bad-end", 0, do_bad_end },
 	{ "bad-answers", 1, do_bad_answers },
