entry, routing: an entry without links to endpoints serves through others

Cause: an entry has one way to an endpoint, its own, and takes each failure for one of the replica; the second attempt goes over the same dead links.

Then new, moved and unsent requests go to another entry in the callers' protocol, marked so that they go no further; the entry reports no free capacity, and directories leave it out while others have some. An entry is also asked if two replicas took no connection. Requests that break although connections are accepted count, too: the test found a cut of that kind, where probes succeed.

--- a/common/counters.h
+++ b/common/counters.h
@@ -30,6 +30,8 @@
 	  "dispatches after the first of a request")                         \
 	X(RESUMES, "resumes_total", "counter",                               \
 	  "streams continued on another dispatch")                           \
+	X(RELAYED, "relayed_total", "counter",                               \
+	  "requests sent through another entry")                             \
 	X(ANSWERS_CUT, "answers_cut_total", "counter",                       \
 	  "answers of endpoints cut at a limit on their bytes or stalls")    \
 	X(TOKENS, "tokens_total", "counter", "tokens passed to callers")     \
--- a/control/control.h
+++ b/control/control.h
@@ -116,6 +116,9 @@
 	int64_t at_ms; /* when the ages in `parts` applied; on clock_system */
 };
 
+/** Whether new callers should be sent to an entry, by its last status. */
+bool control_entry_takes_callers(const struct entry_info *entry);
+
 /** Releases the arrays of a status. */
 void entry_status_clear(struct entry_status *status);
 
--- a/control/feed.c
+++ b/control/feed.c
@@ -8,6 +8,9 @@
 #include "control/feed.h"
 #include "wire/codec.h"
 
+/* An entry with less free capacity is not advertised to callers. */
+#define FREE_PERMILLE_MIN 50u
+
 struct feed {
 	struct feed_opts opts;
 	uint32_t *nodes;
@@ -165,6 +168,11 @@
 	g_strlcpy(e->data_centre, request->data_centre, sizeof(e->data_centre));
 }
 
+bool control_entry_takes_callers(const struct entry_info *entry)
+{
+	return !entry->draining && entry->free_permille >= FREE_PERMILLE_MIN;
+}
+
 static void add_deltas(const struct feed *feed, uint64_t applied,
 		       struct poll_reply *reply)
 {
--- a/entry/addresses.c
+++ b/entry/addresses.c
@@ -5,14 +5,6 @@
 
 #include "entry/entry_internal.h"
 
-/* An entry with less free capacity is not advertised to callers. */
-#define FREE_PERMILLE_MIN 50u
-
-static bool accepts_callers(const struct entry_info *e)
-{
-	return !e->draining && e->free_permille >= FREE_PERMILLE_MIN;
-}
-
 struct ranked {
 	double rank;
 	const struct entry_info *entry;
@@ -40,7 +32,7 @@
 		const struct entry_info *e = &entry->known_entries[i];
 		double uniform = g_rand_double_range(entry->random, 1e-9, 1.0);
 
-		if (!accepts_callers(e))
+		if (!control_entry_takes_callers(e))
 			continue;
 		/* Orders as u^(1/w) does: Efraimidis and Spirakis (2006). */
 		ranks[n].rank = -(-__builtin_log(uniform)) / e->free_permille;
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -12,6 +12,7 @@
 #include "entry/limits.h"
 #include "entry/parts.h"
 #include "entry/reach.h"
+#include "entry/relay.h"
 
 /*
  * A stream that gets data without a complete event for this long is cut. Also
@@ -30,11 +31,16 @@
 #define STREAM_CHUNK_MAX_BYTES 262144u
 /* A request under which so many replicas ended isn't sent to another. */
 #define REPLICA_ENDS_MAX 2u
+/* Replicas that can't be connected to without using up attempts. */
+#define UNREACHED_FREE 2u
 /* Limit on the time until a stream's request is sent. */
 #define UNSENT_STREAM_MS 5000
 /* Lets a stream's deadline come before the timeout of its connection. */
 #define DEADLINE_MARGIN_MS 1000
 #define US_PER_MS 1000
+#define TOO_MANY_REQUESTS 429
+/* Limit on the time until a request to another entry is sent. */
+#define RELAY_UNSENT_MS 500
 
 static const struct log attempt_log = { "call" };
 
@@ -72,6 +78,8 @@
 		router_done(call->service->router, call->replica, call->epoch,
 			    expected - MIN(expected, call->reported_tokens));
 	call->replica = 0;
+	call->peer = 0;
+	call->endpoint = 0;
 	call->reported_tokens = 0;
 }
 
@@ -84,6 +92,8 @@
 {
 	struct router_request *route = &call->route;
 
+	if (!call->replica)
+		return;
 	for (uint32_t i = 0; i < route->avoid_count; i++)
 		if (route->avoid[i] == call->replica)
 			return;
@@ -106,6 +116,14 @@
 	       has_time_left(call);
 }
 
+static void count_retry(const struct call *call)
+{
+	counters_add(call->entry->opts.counters,
+		     reply_has_started(call->reply) ? COUNTER_RESUMES
+						    : COUNTER_RETRIES,
+		     1);
+}
+
 /*
  * Dispatches a call again to any usable replica, even one whose slots are all
  * taken: the call has already passed admission.
@@ -115,15 +133,16 @@
 	struct entry *entry = call->entry;
 	struct router_choice choice;
 
+	if (relay_wanted(call) && attempt_relay(call)) {
+		count_retry(call);
+		return true;
+	}
 	call->route.no_pending_prefill = false;
 	router_choose(call->service->router, entry_now_ms(entry),
 		      ROUTER_FILL_UNLIMITED, &call->route, &choice);
 	if (!choice.replica)
 		return false;
-	counters_add(entry->opts.counters,
-		     reply_has_started(call->reply) ? COUNTER_RESUMES
-						    : COUNTER_RETRIES,
-		     1);
+	count_retry(call);
 	attempt_dispatch(call, &choice);
 	return true;
 }
@@ -135,16 +154,17 @@
 		call_fail(call, RD_UPSTREAM_BROKE, OUTCOME_UNKNOWN, why,
 			  RETRY_AFTER_MS);
 	else
-		call_fail_not_run(call, RD_NO_REPLICA, why, RETRY_AFTER_MS);
+		call_fail_not_run(call, RD_NO_REPLICA, why,
+				  MAX(RETRY_AFTER_MS, call->peer_retry_ms));
 }
 
 static void log_failed_attempt(const struct call *call, const char *why)
 {
 	log_note(&attempt_log,
-		 "request %s: %s replica=%u attempt=%u content=%" PRIx64
-		 " tokens=%u ms=%" PRId64,
-		 call->id, why, call->replica, call->attempts, call->content,
-		 call->tokens,
+		 "request %s: %s replica=%u entry=%u attempt=%u "
+		 "content=%" PRIx64 " tokens=%u ms=%" PRId64,
+		 call->id, why, call->replica, call->peer, call->attempts,
+		 call->content, call->tokens,
 		 (entry_now_us(call->entry) - call->sent_us) / 1000);
 }
 
@@ -202,11 +222,24 @@
 						  call->deadline_ms);
 }
 
-/* The endpoint has not run the call, so even a once-only one may be retried. */
-static void handle_not_sent(struct call *call)
+/* An attempt that reached nobody is none of those that the route allows. */
+static void note_unreached(struct call *call)
 {
+	if (call->peer) {
+		relay_peer_failed(call);
+		call->attempts--;
+		return;
+	}
 	router_suspect(call->service->router, call->replica,
 		       entry_now_ms(call->entry), SUSPECT_UNREACHABLE);
+	if (call->unreached++ < UNREACHED_FREE && relay_possible(call))
+		call->attempts--;
+}
+
+/* The endpoint has not run the call, so even a once-only one may be retried. */
+static void handle_not_sent(struct call *call)
+{
+	note_unreached(call);
 	if (call->kept) {
 		go_back(call, "refused the connection");
 		return;
@@ -401,8 +434,10 @@
 	call->status = status;
 	g_free(call->response_type);
 	call->response_type = g_strdup(type ? type : "");
-	call->response_class = call->format->classify_response(call, status,
-							       headers);
+	call->response_class = call->peer
+				       ? relay_classify(call, status, headers)
+				       : call->format->classify_response(
+						 call, status, headers);
 	limits_read(call, headers);
 	if (call->response_class != RESPONSE_MISMATCHED)
 		return true;
@@ -485,13 +520,21 @@
 static void handle_not_run(struct call *call)
 {
 	log_info(&attempt_log,
-		 "request %s: not run by the endpoint replica=%u "
+		 "request %s: not run by the endpoint replica=%u entry=%u "
 		 "status=%d",
-		 call->id, call->replica, call->status);
+		 call->id, call->replica, call->peer, call->status);
 	if (call->kept) {
 		go_back(call, "says it did not run it");
 		return;
 	}
+	/* It says when to come back, as this entry would. */
+	if (call->peer && call->status == TOO_MANY_REQUESTS) {
+		attempt_finish(call);
+		call_fail_not_run(call, RD_OVERLOADED,
+				  "another entry refused it",
+				  call->peer_retry_ms);
+		return;
+	}
 	if (attempt_may_retry(call)) {
 		retry(call, "says it did not run it");
 		return;
@@ -644,7 +687,12 @@
 {
 	const struct call *call = ctx;
 
-	call->format->request_headers(call, out);
+	if (!call->peer) {
+		call->format->request_headers(call, out);
+		return;
+	}
+	call->format->relay_headers(call, out);
+	relay_add_header(call, out);
 }
 
 static void reset_response(struct call *call)
@@ -705,8 +753,13 @@
 		request.pending_max_bytes =
 			(size_t)call->entry->opts.settings->limits.body_bytes;
 	}
+	if (call->peer)
+		request.unsent_timeout_ms = MIN(request.unsent_timeout_ms,
+						RELAY_UNSENT_MS);
 	request.body = call->format->request_body(call);
-	call->upstream = upstream_send(call->entry->pool, &request);
+	call->upstream = upstream_send(call->peer ? call->entry->peer_pool
+						  : call->entry->pool,
+				       &request);
 	reach_sent(call);
 	if (request.body)
 		g_bytes_unref(request.body);
@@ -731,24 +784,58 @@
 		 (call->sent_us - call->started_us) / 1000);
 }
 
-void attempt_dispatch(struct call *call, const struct router_choice *choice)
+static void leave_queue(struct call *call)
 {
 	struct entry *entry = call->entry;
 
-	if (parts_refuse(call, true))
+	if (!call->ticket.waiting)
 		return;
-	if (call->ticket.waiting) {
-		admission_dequeue(call->service->admission, &call->ticket);
-		call->admitted = true;
-		counters_record_duration(entry->opts.counters, HISTOGRAM_QUEUE,
-					 entry_now_us(entry) -
-						 call->started_us);
-	}
-	call->sent_us = entry_now_us(entry);
-	log_choice(call, choice);
+	admission_dequeue(call->service->admission, &call->ticket);
+	call->admitted = true;
+	counters_record_duration(entry->opts.counters, HISTOGRAM_QUEUE,
+				 entry_now_us(entry) - call->started_us);
+}
+
+static void begin_attempt(struct call *call)
+{
+	leave_queue(call);
+	call->sent_us = entry_now_us(call->entry);
 	reset_response(call);
 	call->attempts++;
 	call->state = CALL_DISPATCHED;
+	counters_add(call->entry->opts.counters, COUNTER_IN_FLIGHT, 1);
+}
+
+bool attempt_relay(struct call *call)
+{
+	if (!relay_choose(call))
+		return false;
+	begin_attempt(call);
+	counters_add(call->entry->opts.counters, COUNTER_RELAYED, 1);
+	log_info(&attempt_log,
+		 "request %s: sent to another entry entry=%u at=%s service=%s "
+		 "attempt=%u unreached=%u after_ms=%" PRId64,
+		 call->id, call->peer, call->address, call->service->name,
+		 call->attempts, call->unreached,
+		 (call->sent_us - call->started_us) / US_PER_MS);
+	send_request(call);
+	return true;
+}
+
+void attempt_leave_unsent(struct call *call)
+{
+	cancel_upstream(call);
+	handle_not_sent(call);
+}
+
+void attempt_dispatch(struct call *call, const struct router_choice *choice)
+{
+	struct entry *entry = call->entry;
+
+	if (parts_refuse(call, true))
+		return;
+	begin_attempt(call);
+	log_choice(call, choice);
 	call->replica = choice->replica;
 	call->epoch = choice->epoch;
 	call->endpoint = choice->endpoint;
@@ -760,7 +847,6 @@
 	call->service->overdue_awaiting_first += call->overdue_awaiting_first
 							 ? 1
 							 : 0;
-	counters_add(entry->opts.counters, COUNTER_IN_FLIGHT, 1);
 	send_request(call);
 }
 
--- a/entry/call.c
+++ b/entry/call.c
@@ -16,6 +16,8 @@
 #include "entry/kept.h"
 #include "entry/limits.h"
 #include "entry/parts.h"
+#include "entry/reach.h"
+#include "entry/relay.h"
 #include "entry/shutdown.h"
 
 #define OUTPUT_EWMA_WEIGHT 0.05
@@ -82,6 +84,15 @@
 	return digest;
 }
 
+/* A request counts once, at the entry that has its caller. */
+static void count_request(struct call *call)
+{
+	int64_t now = entry_now_ms(call->entry);
+
+	retry_budget_add_request(&call->service->retry_budget, now);
+	demand_add(&call->service->demand, now, call->route.prompt_tokens);
+}
+
 void call_start(struct entry *entry, const struct call_opts *opts)
 {
 	struct call *call = g_new0(struct call, 1);
@@ -107,6 +118,7 @@
 	call->content = content_of(opts, http_method(opts->req));
 	call->body = opts->body;
 	call->once_only = opts->once_only;
+	call->relayed = opts->relayed;
 	call->attempts_max = MAX(opts->attempts_max, 1);
 	call->booking_key = g_strdup(opts->booking_key);
 	call->route = opts->route;
@@ -115,10 +127,8 @@
 	call->response_body = evbuffer_new();
 	g_hash_table_add(entry->calls, call);
 	call->service->calls++;
-	retry_budget_add_request(&call->service->retry_budget,
-				 entry_now_ms(entry));
-	demand_add(&call->service->demand, entry_now_ms(entry),
-		   call->route.prompt_tokens);
+	if (!call->relayed)
+		count_request(call);
 	call->reply = reply_create(&(struct reply_opts){
 		.req = opts->req,
 		.request_id = call->id,
@@ -304,6 +314,17 @@
 					  call->service->router, &expected));
 }
 
+static int64_t least_wait_ms(const struct call *call)
+{
+	uint32_t ahead;
+
+	/* The limits here aren't those of the entry that will send it. */
+	if (relay_wanted(call))
+		return 0;
+	ahead = admission_ahead(call->service->admission, call->account);
+	return limits_wait_ms(call->service, ahead + 1);
+}
+
 void call_enqueue(struct call *call)
 {
 	struct entry *entry = call->entry;
@@ -315,9 +336,7 @@
 	call->state = CALL_QUEUED;
 	call->ticket.ctx = call;
 	call->ticket.objective_deadline_ms = call->objective_deadline_ms;
-	call->ticket.least_wait_ms = limits_wait_ms(
-		call->service,
-		admission_ahead(call->service->admission, call->account) + 1);
+	call->ticket.least_wait_ms = least_wait_ms(call);
 	if (admission_enqueue(call->service->admission, now, &call->ticket,
 			      call->account, cost, until, &retry_ms)) {
 		call_fail_not_run(call, RD_OVERLOADED, NULL, (int)retry_ms);
@@ -397,8 +416,19 @@
 	return shutdown_leaves_time(&question);
 }
 
+/* Whether its connection to an endpoint isn't open, and probably never is. */
+static bool waits_for_link(const struct call *call)
+{
+	return !call->peer && reach_state(call->entry->reach) == LINKS_DOWN &&
+	       upstream_is_connecting(call->upstream);
+}
+
 static void check_attempt(struct call *call, int64_t now_ms)
 {
+	if (waits_for_link(call)) {
+		attempt_leave_unsent(call);
+		return;
+	}
 	/* What has arrived is read before it is in doubt again. */
 	if (!attempt_check_kept(call))
 		doubt_check(call, now_ms);
--- a/entry/call.h
+++ b/entry/call.h
@@ -21,6 +21,7 @@
 struct kept_attempt;
 
 #define PROMPT_PARTS_MAX 16
+#define PEERS_TRIED_MAX 4
 
 /**
  * The parts of a prompt that other requests may share, in their order. Those of
@@ -45,6 +46,11 @@
 	const char *limit_header;
 	/** Adds the headers of the request to the endpoint. */
 	void (*request_headers)(const struct call *call, struct evkeyvalq *out);
+	/**
+	 * Adds the headers of the request to another entry, as the caller sent
+	 * them. NULL: such calls can't be sent to one.
+	 */
+	void (*relay_headers)(const struct call *call, struct evkeyvalq *out);
 	/**
 	 * Returns the body of the request to the endpoint as a new reference,
 	 * or NULL for none.
@@ -136,6 +142,12 @@
 	struct router_request route;
 	struct prompt_parts parts;
 	uint32_t attempts;
+	uint32_t unreached; /* replicas that couldn't be connected to */
+	bool relayed;	    /* by another entry, which has the caller */
+	uint32_t peer;	    /* entry that has the attempt; 0: an endpoint */
+	uint32_t peers_tried[PEERS_TRIED_MAX]; /* entries */
+	uint32_t peers_tried_count;
+	int peer_retry_ms;     /* as another entry says; 0: not */
 	uint32_t replica_ends; /* under this call */
 	int64_t last_end_ms;   /* of these; 0: none */
 	uint64_t trial_part;   /* held part that this attempt tries; or 0 */
@@ -193,6 +205,7 @@
 	const char *path;
 	GBytes *body;
 	bool once_only;
+	bool relayed; /* by another entry */
 	uint32_t attempts_max;
 	const char *booking_key;
 	struct router_request route;
@@ -262,6 +275,17 @@
 
 /* attempt.c: dispatch of a call to an endpoint */
 
+/**
+ * Sends a call to another entry. Returns false if there is none that may take
+ * it.
+ */
+bool attempt_relay(struct call *call);
+
+/**
+ * Gives up an attempt whose connection isn't open yet; nothing of it was sent.
+ */
+void attempt_leave_unsent(struct call *call);
+
 /** Dispatches a call to the chosen replica. */
 void attempt_dispatch(struct call *call, const struct router_choice *choice);
 
--- a/entry/doubt.c
+++ b/entry/doubt.c
@@ -6,6 +6,8 @@
 #include "common/log.h"
 #include "entry/doubt.h"
 #include "entry/parts.h"
+#include "entry/reach.h"
+#include "entry/relay.h"
 
 /* A stream that is silent for longer is in doubt, whatever its replica does. */
 #define SILENT_STREAM_MS 5000
@@ -14,11 +16,17 @@
 
 static const struct log doubt_log = { "doubt" };
 
+/* An entry that has a request moves it itself before this. */
+#define SILENT_PEER_MS 1500
+/* Silence of an attempt that is moved once all links are down. */
+#define SILENT_LINK_MS 250
+
 /** Why an attempt is in doubt. */
 struct finding {
 	const char *reason;
 	int64_t silent_ms;	   /* since anything came on its connection */
 	int64_t replica_silent_ms; /* for any attempt there; -1: unknown */
+	int64_t limit_ms;	   /* on `silent_ms`, for a move */
 };
 
 static int64_t awake_ms(const struct call *call, int64_t since_ms,
@@ -55,10 +63,19 @@
 	bool known = r && r->epoch == call->epoch;
 
 	memset(found, 0, sizeof(*found));
+	found->limit_ms = call->entry->opts.settings->limits.stall_ms;
 	found->replica_silent_ms =
 		known ? awake_ms(call, r->last_activity_ms, now_ms) : -1;
 	found->silent_ms = awake_ms(call, call->data_ms, now_ms);
-	if (known && is_stalled(call, found->replica_silent_ms)) {
+	if (call->peer) {
+		found->limit_ms = SILENT_PEER_MS;
+		if (call->stream && found->silent_ms >= SILENT_PEER_MS)
+			found->reason = "entry-silent";
+	} else if (reach_state(call->entry->reach) == LINKS_DOWN &&
+		   relay_possible(call)) {
+		found->limit_ms = SILENT_LINK_MS;
+		found->reason = "links-down";
+	} else if (known && is_stalled(call, found->replica_silent_ms)) {
 		found->reason = "stalled";
 		/* A request that came later gets no answer either. */
 		found->silent_ms = MAX(found->silent_ms,
@@ -81,6 +98,8 @@
 	struct router_request route = call->route;
 	struct router_choice choice;
 
+	if (relay_wanted(call) && relay_possible(call))
+		return true;
 	if (now_ms < call->search_due_ms)
 		return false;
 	if (route.avoid_count < G_N_ELEMENTS(route.avoid))
@@ -98,7 +117,7 @@
 static const char *missing_for_move(struct call *call,
 				    const struct finding *found, int64_t now_ms)
 {
-	if (found->silent_ms < call->entry->opts.settings->limits.stall_ms)
+	if (found->silent_ms < found->limit_ms)
 		return "silence";
 	if (!attempt_may_retry(call))
 		return "attempts";
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -9,6 +9,7 @@
 #include "entry/limits.h"
 #include "entry/parts.h"
 #include "entry/reach.h"
+#include "entry/relay.h"
 #include "entry/shutdown.h"
 #include "entry/take.h"
 #include "wire/codec.h"
@@ -66,7 +67,8 @@
 	uint32_t calls = g_hash_table_size(entry->calls);
 	int64_t limit = entry->opts.settings->limits.connections;
 
-	if (calls >= limit)
+	/* Another entry would have to serve its callers. */
+	if (calls >= limit || reach_state(entry->reach) == LINKS_DOWN)
 		return 0;
 	return (uint32_t)(PERMILLE_FULL - calls * PERMILLE_FULL / limit);
 }
@@ -244,6 +246,7 @@
 	entry->call_classes = call_classes_create();
 	entry->unrecorded = g_hash_table_new(NULL, NULL);
 	entry->pool = upstream_pool_create(entry->base);
+	entry->peer_pool = upstream_pool_create(entry->base);
 	entry->ends = ends_create(entry);
 	entry->parts = parts_create(entry);
 	entry->started_ms = entry_now_ms(entry);
@@ -252,6 +255,7 @@
 	entry->random = g_rand_new_with_seed(opts->seed);
 	entry->limits = limits_create(entry);
 	entry->reach = reach_create(entry);
+	entry->relay = relay_create(entry);
 	if (open_ports(entry, why))
 		return entry;
 	entry_destroy(entry);
@@ -318,6 +322,7 @@
 	early_drop(entry);
 	drop_calls(entry);
 	upstream_pool_destroy(entry->pool);
+	upstream_pool_destroy(entry->peer_pool);
 	ends_destroy(entry->ends);
 	parts_destroy(entry->parts);
 	if (entry->driver)
@@ -333,6 +338,7 @@
 	g_hash_table_unref(entry->services);
 	limits_destroy(entry->limits);
 	reach_destroy(entry->reach);
+	relay_destroy(entry->relay);
 	clear_known_entries(entry);
 	monitor_destroy(entry->monitor);
 	view_destroy(entry->view);
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -29,6 +29,7 @@
 struct limits;
 struct parts;
 struct reach;
+struct relay;
 
 /** Per-service state of this entry. */
 struct entry_service {
@@ -83,9 +84,11 @@
 	struct parts *parts;	  /* of prompts */
 	struct limits *limits;	  /* of endpoints */
 	struct reach *reach;	  /* of endpoints, by this entry */
+	struct relay *relay;	  /* to other entries */
 	GHashTable *unrecorded; /* outcomes of bookings, to be recorded again */
 	uint32_t open_records;	/* these, and those that are being recorded */
-	struct upstream_pool *pool;
+	struct upstream_pool *pool;	 /* connections to endpoints */
+	struct upstream_pool *peer_pool; /* connections to other entries */
 	struct routes *routes; /* of the deployment; NULL before there is one */
 	GQueue held_requests;  /* of struct held_request */
 	int64_t started_ms;
--- a/entry/kept.c
+++ b/entry/kept.c
@@ -10,6 +10,7 @@
 struct kept_attempt {
 	struct upstream *upstream;
 	uint32_t replica;
+	uint32_t peer;
 	uint64_t epoch;
 	char address[ADDRESS_MAX];
 	uint64_t endpoint;
@@ -44,6 +45,7 @@
 
 	SWAP(struct upstream *, call->upstream, kept->upstream);
 	SWAP(uint32_t, call->replica, kept->replica);
+	SWAP(uint32_t, call->peer, kept->peer);
 	SWAP(uint64_t, call->epoch, kept->epoch);
 	SWAP(uint64_t, call->endpoint, kept->endpoint);
 	g_strlcpy(address, call->address, sizeof(address));
--- a/entry/reach.c
+++ b/entry/reach.c
@@ -220,6 +220,11 @@
 	return links_state(reach->links);
 }
 
+bool reach_allows(const struct call *call)
+{
+	return links_allow(call->entry->reach->links, !call->once_only);
+}
+
 bool reach_in_doubt(const struct reach *reach)
 {
 	return links_in_doubt(reach->links, now_ms(reach));
@@ -240,6 +245,7 @@
 	targets = list_targets(reach);
 	usable = targets->len;
 	links_tick(reach->links, now_ms(reach), usable);
+	log_change(reach);
 	if (links_probe_due(reach->links, now_ms(reach), usable))
 		send_probes(reach, targets);
 	g_array_unref(targets);
--- a/entry/reach.h
+++ b/entry/reach.h
@@ -30,6 +30,9 @@
 /** Applies time limits and sends probes that are due. */
 void reach_tick(struct reach *reach);
 
+/** Whether the call's next attempt may be made at an endpoint. */
+bool reach_allows(const struct call *call);
+
 enum links_state reach_state(const struct reach *reach);
 
 /** Whether reach_state() may soon be LINKS_DOWN. */
--- a/entry/services.c
+++ b/entry/services.c
@@ -11,6 +11,7 @@
 #include "control/demands.h"
 #include "entry/call.h"
 #include "entry/limits.h"
+#include "entry/relay.h"
 
 #define PREFIXES_PER_REPLICA 4096
 /*
@@ -706,6 +707,8 @@
 		call_reject_queued(call, RD_DRAINING);
 		return true;
 	}
+	if (relay_wanted(call) && attempt_relay(call))
+		return true;
 	if (has_timings && ticket->overdue && overdue_limit_reached(s))
 		return false;
 	call->route.no_pending_prefill = has_timings && ticket->overdue;
--- a/entry/take.c
+++ b/entry/take.c
@@ -145,6 +145,9 @@
 
 	if (!entry->routes)
 		return RD_CUT_OFF;
+	code = relay_check_hop(entry, &r->request->hop);
+	if (code)
+		return code;
 	r->route = routes_find(entry->routes, r->request->host,
 			       r->request->target);
 	if (!r->route)
@@ -205,7 +208,11 @@
 		.body = http_body(request->req),
 		.once_only = route->kind == ROUTE_ONCE ||
 			     (stream && !route->resumable),
-		.attempts_max = route->attempts_max,
+		.relayed = request->hop.attempts,
+		.attempts_max = request->hop.attempts
+					? MIN(request->hop.attempts,
+					      route->attempts_max)
+					: route->attempts_max,
 		.route = request->route,
 		.parts = request->parts,
 	};
@@ -236,7 +243,8 @@
 			  const struct caller_request *request)
 {
 	counters_add(entry->opts.counters, COUNTER_REQUESTS, 1);
-	if (!entry->routes && early_hold_request(entry, request))
+	if (!entry->routes && !request->hop.attempts &&
+	    early_hold_request(entry, request))
 		return;
 	entry_handle_held_request(entry, request);
 }
--- a/entry/take.h
+++ b/entry/take.h
@@ -7,6 +7,7 @@
 #define ENTRY_TAKE_H
 
 #include "entry/call.h"
+#include "entry/relay.h"
 
 /**
  * A decoded request. Strings are borrowed; ownership of `data` passes to the
@@ -23,6 +24,7 @@
 	const char *model;  /* NULL for none */
 	int64_t caller_timeout_ms; /* timeout stated by the caller; 0 if none */
 	int64_t arrived_ms;	   /* arrival at this entry; 0 for now */
+	struct relay_hop hop;	   /* if it is another entry's */
 	struct router_request route;
 	struct prompt_parts parts;
 };
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -535,6 +535,17 @@
 	return u->end.reused_connection;
 }
 
+bool upstream_is_connecting(const struct upstream *u)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(u->conn);
+	struct sockaddr_storage peer;
+	socklen_t size = sizeof(peer);
+	evutil_socket_t fd = bufferevent_getfd(bev);
+
+	return is_open(u) && !u->bytes_sent &&
+	       (fd < 0 || getpeername(fd, (struct sockaddr *)&peer, &size));
+}
+
 size_t upstream_unread_bytes(const struct upstream *u)
 {
 	struct bufferevent *bev = evhttp_connection_get_bufferevent(u->conn);
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -90,6 +90,9 @@
  */
 void upstream_cancel(struct upstream *upstream);
 
+/** Whether the request waits for its connection to be opened. */
+bool upstream_is_connecting(const struct upstream *upstream);
+
 /** Whether the request's connection has carried earlier ones. */
 bool upstream_is_reused(const struct upstream *upstream);
 
--- a/routing/links.c
+++ b/routing/links.c
@@ -14,6 +14,8 @@
 /* So many endpoints, or all if there are fewer, have to be silent or fail. */
 #define DOUBT_ENDPOINTS 2u
 #define DOWN_ENDPOINTS 3u
+/* Others would be heard in this time, if so many failed for another reason. */
+#define UNHEARD_MS 100
 #define PROBE_INTERVAL_MS 1000
 #define DOWN_PROBE_INTERVAL_MS 400
 /* A trial without an answer has failed after so long. */
@@ -25,15 +27,18 @@
 struct link {
 	uint32_t open;	   /* requests */
 	int64_t silent_ms; /* since when, while there are any */
-	bool failed;	   /* since any endpoint was reached */
+	bool failed;	   /* since an endpoint was reached anew */
+	bool unheard;	   /* failed since any endpoint was heard */
 };
 
 struct links {
 	enum links_state state;
-	GHashTable *links; /* endpoint -> struct link */
-	uint32_t waiting;  /* links with open requests */
-	uint32_t failed;   /* links that have failed */
-	int64_t silent_ms; /* of all: since when, while any waits */
+	GHashTable *links;  /* endpoint -> struct link */
+	uint32_t waiting;   /* links with open requests */
+	uint32_t failed;    /* links that have failed */
+	uint32_t unheard;   /* links that failed since any was heard */
+	int64_t unheard_ms; /* when the first of them did */
+	int64_t silent_ms;  /* of all: since when, while any waits */
 	double usual_ms;
 	bool probing;
 	int64_t probed_ms; /* begin of the last round */
@@ -85,7 +90,20 @@
 
 	(void)key;
 	(void)ctx;
-	return !link->open && !link->failed;
+	return !link->open && !link->failed && !link->unheard;
+}
+
+static void clear_unheard(struct links *links)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!links->unheard)
+		return;
+	links->unheard = 0;
+	g_hash_table_iter_init(&iter, links->links);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct link *)value)->unheard = false;
 }
 
 static void forget_failures(struct links *links)
@@ -105,6 +123,7 @@
 	links->state = state;
 	links->state_ms = now_ms;
 	links->trial = 0;
+	clear_unheard(links);
 	forget_failures(links);
 	/* What is silent was so for a reason that is known now. */
 	links_paused(links, now_ms);
@@ -151,6 +170,7 @@
 	if (links->waiting && links->state == LINKS_UP && !links->probing)
 		note_silence(links, now_ms - links->silent_ms);
 	links->silent_ms = now_ms;
+	clear_unheard(links);
 	if (fresh && links->failed)
 		forget_failures(links);
 	if (links->state == LINKS_TRIED && endpoint == links->trial)
@@ -161,8 +181,12 @@
 {
 	struct link *link = find_or_add(links, endpoint);
 
+	if (!links->unheard)
+		links->unheard_ms = now_ms;
 	links->failed += link->failed ? 0 : 1;
+	links->unheard += link->unheard ? 0 : 1;
 	link->failed = true;
+	link->unheard = true;
 	if (links->state == LINKS_TRIED && endpoint == links->trial)
 		enter(links, now_ms, LINKS_DOWN);
 }
@@ -177,7 +201,7 @@
 	if (link->open)
 		return;
 	links->waiting--;
-	if (!link->failed)
+	if (is_unused(NULL, link, NULL))
 		g_hash_table_remove(links->links, &endpoint);
 }
 
@@ -278,9 +302,19 @@
 		       MIN(DOWN_ENDPOINTS, MAX(usable, 1));
 }
 
+/* Connections are accepted, but requests to most endpoints break them. */
+static bool most_fail(const struct links *links, int64_t now_ms,
+		      uint32_t usable)
+{
+	return links->unheard >= MAX(DOWN_ENDPOINTS, usable / 2) &&
+	       now_ms - links->unheard_ms >= UNHEARD_MS;
+}
+
 void links_tick(struct links *links, int64_t now_ms, uint32_t usable)
 {
-	if (links->state == LINKS_UP && all_are_silent(links, now_ms, usable))
+	if (links->state == LINKS_UP &&
+	    (all_are_silent(links, now_ms, usable) ||
+	     most_fail(links, now_ms, usable)))
 		enter(links, now_ms, LINKS_DOWN);
 	else if (links->state == LINKS_TRIED && links->trial &&
 		 now_ms - links->trial_ms >= TRIAL_MS)
