entry, routing: links are judged for each service, and by how many endpoints fail

Now each service has its own state; an entry takes no callers while it has lost half of all endpoints.

Failures at two thirds of the endpoints within a second now are enough, whatever probes say, and a round of probes follows at once.

--- a/common/counters.h
+++ b/common/counters.h
@@ -42,8 +42,8 @@
 	  "replicas that ended with requests of this entry")                 \
 	X(LIMITED_ENDPOINTS, "limited_endpoints", "gauge",                   \
 	  "endpoints that name a limit on their requests")                   \
-	X(LINKS_DOWN, "endpoint_links_down", "gauge",                        \
-	  "1 while this entry reaches no endpoint at all")                   \
+	X(LINKS_DOWN, "services_unreachable", "gauge",                       \
+	  "services of which this entry reaches no endpoint at all")         \
 	X(PARTS_HELD, "prompt_parts_held", "gauge",                          \
 	  "prompt parts and contents of requests in quarantine")             \
 	X(PARTS_REFUSED, "quarantined_total", "counter",                     \
--- a/entry/call.c
+++ b/entry/call.c
@@ -419,7 +419,7 @@
 /* Whether its connection to an endpoint isn't open, and probably never is. */
 static bool waits_for_link(const struct call *call)
 {
-	return !call->peer && reach_state(call->entry->reach) == LINKS_DOWN &&
+	return !call->peer && reach_state(call->service->reach) == LINKS_DOWN &&
 	       upstream_is_connecting(call->upstream);
 }
 
--- a/entry/doubt.c
+++ b/entry/doubt.c
@@ -71,7 +71,7 @@
 		found->limit_ms = SILENT_PEER_MS;
 		if (call->stream && found->silent_ms >= SILENT_PEER_MS)
 			found->reason = "entry-silent";
-	} else if (reach_state(call->entry->reach) == LINKS_DOWN &&
+	} else if (reach_state(call->service->reach) == LINKS_DOWN &&
 		   relay_possible(call)) {
 		found->limit_ms = SILENT_LINK_MS;
 		found->reason = "links-down";
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -68,7 +68,7 @@
 	int64_t limit = entry->opts.settings->limits.connections;
 
 	/* Another entry would have to serve its callers. */
-	if (calls >= limit || reach_state(entry->reach) == LINKS_DOWN)
+	if (calls >= limit || reach_lost_most(entry))
 		return 0;
 	return (uint32_t)(PERMILLE_FULL - calls * PERMILLE_FULL / limit);
 }
@@ -143,7 +143,7 @@
 	if (view_version(entry->view) != entry->health_version)
 		services_update_health(entry);
 	early_tick(entry, entry_now_ms(entry));
-	reach_tick(entry->reach);
+	reach_tick(entry);
 	ends_tick(entry->ends);
 	parts_tick(entry->parts);
 	/* First, lest a call is moved from one stalled replica to another. */
@@ -254,7 +254,6 @@
 	g_queue_init(&entry->held_requests);
 	entry->random = g_rand_new_with_seed(opts->seed);
 	entry->limits = limits_create(entry);
-	entry->reach = reach_create(entry);
 	entry->relay = relay_create(entry);
 	if (open_ports(entry, why))
 		return entry;
@@ -337,7 +336,6 @@
 	booking_drop_unrecorded(entry);
 	g_hash_table_unref(entry->services);
 	limits_destroy(entry->limits);
-	reach_destroy(entry->reach);
 	relay_destroy(entry->relay);
 	clear_known_entries(entry);
 	monitor_destroy(entry->monitor);
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -48,6 +48,7 @@
 	struct router_policy policy;
 	struct router *router;
 	struct admission *admission;
+	struct reach *reach;	   /* of its endpoints, by this entry */
 	GHashTable *plain_numbers; /* VM name -> endpoint number */
 	GHashTable *plain_names;   /* endpoint number -> VM name */
 	uint32_t next_plain_number;
@@ -83,7 +84,6 @@
 	struct ends *ends;	  /* of replicas */
 	struct parts *parts;	  /* of prompts */
 	struct limits *limits;	  /* of endpoints */
-	struct reach *reach;	  /* of endpoints, by this entry */
 	struct relay *relay;	  /* to other entries */
 	GHashTable *unrecorded; /* outcomes of bookings, to be recorded again */
 	uint32_t open_records;	/* these, and those that are being recorded */
--- a/entry/reach.c
+++ b/entry/reach.c
@@ -20,6 +20,7 @@
 
 struct reach {
 	struct entry *entry;
+	struct entry_service *service;
 	struct links *links;
 	struct probe_slot slots[PROBES];
 	uint32_t probe_count, open_probes, reached; /* of the round */
@@ -27,12 +28,13 @@
 	enum links_state state; /* as logged last */
 };
 
-struct reach *reach_create(struct entry *entry)
+struct reach *reach_create(struct entry_service *service)
 {
 	struct reach *reach = g_new0(struct reach, 1);
 
-	reach->entry = entry;
-	reach->links = links_create(entry_now_ms(entry));
+	reach->entry = service->entry;
+	reach->service = service;
+	reach->links = links_create(entry_now_ms(service->entry));
 	return reach;
 }
 
@@ -60,9 +62,11 @@
 
 	links_get_evidence(reach->links, now_ms(reach), &e);
 	log_note(&reach_log,
-		 "%s state=%s was=%s silent_ms=%" PRId64 " usual_ms=%" PRId64
+		 "%s service=%s state=%s was=%s silent_ms=%" PRId64 " usual_ms="
+								    "%" PRId64
 		 " waiting=%u silent=%u failed=%u probes=%u reached=%u",
-		 what, links_state_name(links_state(reach->links)),
+		 what, reach->service->name,
+		 links_state_name(links_state(reach->links)),
 		 links_state_name(reach->state), e.silent_ms, e.usual_ms,
 		 e.waiting, e.silent, e.failed, reach->probe_count,
 		 reach->reached);
@@ -76,15 +80,13 @@
 		return;
 	log_evidence(reach, "links to endpoints changed");
 	reach->state = state;
-	counters_set(reach->entry->opts.counters, COUNTER_LINKS_DOWN,
-		     state == LINKS_DOWN);
 }
 
 /* ---- evidence ---- */
 
 void reach_sent(const struct call *call)
 {
-	struct reach *reach = call->entry->reach;
+	struct reach *reach = call->service->reach;
 
 	if (call->endpoint)
 		links_sent(reach->links, now_ms(reach), call->endpoint);
@@ -92,7 +94,7 @@
 
 void reach_heard(const struct call *call)
 {
-	struct reach *reach = call->entry->reach;
+	struct reach *reach = call->service->reach;
 
 	if (call->endpoint && call->upstream)
 		links_heard(reach->links, now_ms(reach), call->endpoint,
@@ -101,7 +103,7 @@
 
 void reach_failed(const struct call *call)
 {
-	struct reach *reach = call->entry->reach;
+	struct reach *reach = call->service->reach;
 
 	if (call->endpoint)
 		links_failed(reach->links, now_ms(reach), call->endpoint);
@@ -110,7 +112,7 @@
 void reach_ended(const struct call *call)
 {
 	if (call->endpoint)
-		links_ended(call->entry->reach->links, call->endpoint);
+		links_ended(call->service->reach->links, call->endpoint);
 }
 
 /* ---- probes ---- */
@@ -150,13 +152,8 @@
 		.targets = g_array_new(FALSE, FALSE, sizeof(struct target)),
 		.now_ms = now_ms(reach),
 	};
-	GHashTableIter iter;
-	gpointer value;
 
-	g_hash_table_iter_init(&iter, reach->entry->services);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		router_each(((struct entry_service *)value)->router, add_target,
-			    &list);
+	router_each(reach->service->router, add_target, &list);
 	/* By hash, so that neighbours are no rack. */
 	g_array_sort(list.targets, compare_targets);
 	return list.targets;
@@ -222,7 +219,7 @@
 
 bool reach_allows(const struct call *call)
 {
-	return links_allow(call->entry->reach->links, !call->once_only);
+	return links_allow(call->service->reach->links, !call->once_only);
 }
 
 bool reach_in_doubt(const struct reach *reach)
@@ -230,10 +227,9 @@
 	return links_in_doubt(reach->links, now_ms(reach));
 }
 
-void reach_tick(struct reach *reach)
+static void tick(struct reach *reach)
 {
 	GArray *targets;
-	uint32_t usable;
 
 	if (reach->entry->pauses.just_ended) {
 		links_paused(reach->links, now_ms(reach));
@@ -243,11 +239,55 @@
 	if (reach->state == LINKS_UP && !reach_in_doubt(reach))
 		return;
 	targets = list_targets(reach);
-	usable = targets->len;
-	links_tick(reach->links, now_ms(reach), usable);
+	links_tick(reach->links, now_ms(reach), targets->len);
 	log_change(reach);
-	if (links_probe_due(reach->links, now_ms(reach), usable))
+	if (links_probe_due(reach->links, now_ms(reach), targets->len))
 		send_probes(reach, targets);
 	g_array_unref(targets);
-	log_change(reach);
+}
+
+void reach_tick(struct entry *entry)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int64_t down = 0;
+
+	g_hash_table_iter_init(&iter, entry->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct entry_service *s = value;
+
+		tick(s->reach);
+		down += reach_state(s->reach) == LINKS_DOWN;
+	}
+	counters_set(entry->opts.counters, COUNTER_LINKS_DOWN, down);
+}
+
+struct usable_count {
+	int64_t now_ms;
+	uint32_t usable;
+};
+
+static void count_usable(void *ctx, const struct router_replica *r)
+{
+	struct usable_count *count = ctx;
+
+	count->usable += count->now_ms < r->fresh_until_ms;
+}
+
+bool reach_lost_most(const struct entry *entry)
+{
+	struct usable_count all = { .now_ms = entry_now_ms(entry) };
+	struct usable_count down = all;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, entry->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct entry_service *s = value;
+
+		router_each(s->router, count_usable, &all);
+		if (reach_state(s->reach) == LINKS_DOWN)
+			router_each(s->router, count_usable, &down);
+	}
+	return 2 * down.usable > all.usable;
 }
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -203,14 +203,14 @@
 	hop->attempts = MAX(hop->attempts, 1);
 }
 
-enum rd_result relay_check_hop(const struct entry *entry,
+enum rd_result relay_check_hop(const struct entry_service *service,
 			       const struct relay_hop *hop)
 {
 	if (!hop->attempts)
 		return RD_OK;
-	if (reach_state(entry->reach) == LINKS_DOWN)
+	if (reach_state(service->reach) == LINKS_DOWN)
 		return RD_NO_REPLICA;
-	return revision_of(entry) < hop->revision ? RD_CUT_OFF : RD_OK;
+	return revision_of(service->entry) < hop->revision ? RD_CUT_OFF : RD_OK;
 }
 
 void relay_mark_error(struct evhttp_request *req)
--- a/entry/relay.h
+++ b/entry/relay.h
@@ -53,7 +53,7 @@
 void relay_read_hop(struct evhttp_request *req, struct relay_hop *hop);
 
 /** Returns why this entry can't take another's request, or RD_OK. */
-enum rd_result relay_check_hop(const struct entry *entry,
+enum rd_result relay_check_hop(const struct entry_service *service,
 			       const struct relay_hop *hop);
 
 /** Marks an error response, if the request is another entry's. */
--- a/entry/services.c
+++ b/entry/services.c
@@ -11,6 +11,7 @@
 #include "control/demands.h"
 #include "entry/call.h"
 #include "entry/limits.h"
+#include "entry/reach.h"
 #include "entry/relay.h"
 
 #define PREFIXES_PER_REPLICA 4096
@@ -33,6 +34,7 @@
 {
 	struct entry_service *s = data;
 
+	reach_destroy(s->reach);
 	router_destroy(s->router);
 	admission_destroy(s->admission);
 	g_hash_table_unref(s->plain_names);
@@ -89,6 +91,7 @@
 		opts.policy = &s->policy;
 	s->router = router_create(&opts);
 	s->admission = admission_create();
+	s->reach = reach_create(s);
 	s->plain_numbers = g_hash_table_new_full(g_str_hash, g_str_equal,
 						 g_free, NULL);
 	s->plain_names = g_hash_table_new(NULL, NULL);
--- a/entry/take.c
+++ b/entry/take.c
@@ -145,9 +145,6 @@
 
 	if (!entry->routes)
 		return RD_CUT_OFF;
-	code = relay_check_hop(entry, &r->request->hop);
-	if (code)
-		return code;
 	r->route = routes_find(entry->routes, r->request->host,
 			       r->request->target);
 	if (!r->route)
@@ -158,6 +155,8 @@
 	if (shutdown_rejects(entry))
 		return RD_DRAINING;
 	code = find_service(r);
+	if (!code)
+		code = relay_check_hop(r->service, &r->request->hop);
 	if (!code && !has_time(r))
 		return RD_DRAINING;
 	return code;
--- a/routing/links.c
+++ b/routing/links.c
@@ -4,6 +4,7 @@
 
 /* A silence of all endpoints that is always usual. */
 #define USUAL_MS 150
+#define USUAL_MAX_MS 1000
 /* Silences this many times as long as the usual one are doubtful. */
 #define DOUBT_FACTOR 2
 /* Silences this many times as long show that no endpoint answers. */
@@ -16,6 +17,8 @@
 #define DOWN_ENDPOINTS 3u
 /* Others would be heard in this time, if so many failed for another reason. */
 #define UNHEARD_MS 100
+/* Failures that are no older count for how many endpoints fail. */
+#define RECENT_MS 1000
 #define PROBE_INTERVAL_MS 1000
 #define DOWN_PROBE_INTERVAL_MS 400
 /* A trial without an answer has failed after so long. */
@@ -28,17 +31,16 @@
 	uint32_t open;	   /* requests */
 	int64_t silent_ms; /* since when, while there are any */
 	bool failed;	   /* since an endpoint was reached anew */
-	bool unheard;	   /* failed since any endpoint was heard */
+	int64_t failed_ms; /* last failure; 0: none since it was heard */
 };
 
 struct links {
 	enum links_state state;
-	GHashTable *links;  /* endpoint -> struct link */
-	uint32_t waiting;   /* links with open requests */
-	uint32_t failed;    /* links that have failed */
-	uint32_t unheard;   /* links that failed since any was heard */
-	int64_t unheard_ms; /* when the first of them did */
-	int64_t silent_ms;  /* of all: since when, while any waits */
+	GHashTable *links; /* endpoint -> struct link */
+	uint32_t waiting;  /* links with open requests */
+	uint32_t failed;   /* links that have failed */
+	int64_t heard_ms;  /* when any was heard last */
+	int64_t silent_ms; /* of all: since when, while any waits */
 	double usual_ms;
 	bool probing;
 	int64_t probed_ms; /* begin of the last round */
@@ -90,32 +92,30 @@
 
 	(void)key;
 	(void)ctx;
-	return !link->open && !link->failed && !link->unheard;
+	return !link->open && !link->failed && !link->failed_ms;
 }
 
-static void clear_unheard(struct links *links)
+static void forget_failures(struct links *links)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!links->unheard)
-		return;
-	links->unheard = 0;
+	links->failed = 0;
 	g_hash_table_iter_init(&iter, links->links);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((struct link *)value)->unheard = false;
+		((struct link *)value)->failed = false;
+	g_hash_table_foreach_remove(links->links, is_unused, NULL);
 }
 
-static void forget_failures(struct links *links)
+static void forget_all_failures(struct links *links)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	links->failed = 0;
 	g_hash_table_iter_init(&iter, links->links);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((struct link *)value)->failed = false;
-	g_hash_table_foreach_remove(links->links, is_unused, NULL);
+		((struct link *)value)->failed_ms = 0;
+	forget_failures(links);
 }
 
 static void enter(struct links *links, int64_t now_ms, enum links_state state)
@@ -123,8 +123,9 @@
 	links->state = state;
 	links->state_ms = now_ms;
 	links->trial = 0;
-	clear_unheard(links);
-	forget_failures(links);
+	links->heard_ms = now_ms;
+	links->probed_ms = now_ms - PROBE_INTERVAL_MS;
+	forget_all_failures(links);
 	/* What is silent was so for a reason that is known now. */
 	links_paused(links, now_ms);
 }
@@ -156,7 +157,7 @@
 		links->usual_ms = ms;
 	else
 		links->usual_ms += USUAL_DECAY * (ms - links->usual_ms);
-	links->usual_ms = MAX(links->usual_ms, USUAL_MS);
+	links->usual_ms = CLAMP(links->usual_ms, USUAL_MS, USUAL_MAX_MS);
 }
 
 void links_heard(struct links *links, int64_t now_ms, uint64_t endpoint,
@@ -164,13 +165,15 @@
 {
 	struct link *link = find(links, endpoint);
 
-	if (link)
+	if (link) {
 		link->silent_ms = now_ms;
+		link->failed_ms = 0;
+	}
 	/* One that ends the loss of all links is not usual. */
 	if (links->waiting && links->state == LINKS_UP && !links->probing)
 		note_silence(links, now_ms - links->silent_ms);
 	links->silent_ms = now_ms;
-	clear_unheard(links);
+	links->heard_ms = now_ms;
 	if (fresh && links->failed)
 		forget_failures(links);
 	if (links->state == LINKS_TRIED && endpoint == links->trial)
@@ -181,12 +184,9 @@
 {
 	struct link *link = find_or_add(links, endpoint);
 
-	if (!links->unheard)
-		links->unheard_ms = now_ms;
 	links->failed += link->failed ? 0 : 1;
-	links->unheard += link->unheard ? 0 : 1;
 	link->failed = true;
-	link->unheard = true;
+	link->failed_ms = now_ms;
 	if (links->state == LINKS_TRIED && endpoint == links->trial)
 		enter(links, now_ms, LINKS_DOWN);
 }
@@ -302,19 +302,46 @@
 		       MIN(DOWN_ENDPOINTS, MAX(usable, 1));
 }
 
-/* Connections are accepted, but requests to most endpoints break them. */
+/* Counts the links whose last news is a failure in that time. */
+static uint32_t count_failed(const struct links *links, int64_t from_ms,
+			     int64_t until_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t failed = 0;
+
+	g_hash_table_iter_init(&iter, links->links);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct link *link = value;
+
+		failed += link->failed_ms && link->failed_ms >= from_ms &&
+			  link->failed_ms <= until_ms;
+	}
+	return failed;
+}
+
+/*
+ * Connections are accepted, but requests break them: at half of the endpoints
+ * while none is heard, or at most of them whatever the others do.
+ */
 static bool most_fail(const struct links *links, int64_t now_ms,
 		      uint32_t usable)
 {
-	return links->unheard >= MAX(DOWN_ENDPOINTS, usable / 2) &&
-	       now_ms - links->unheard_ms >= UNHEARD_MS;
+	uint32_t unheard = count_failed(links, links->heard_ms,
+					now_ms - UNHEARD_MS);
+	uint32_t recent = count_failed(links, now_ms - RECENT_MS, now_ms);
+
+	return unheard >= MAX(DOWN_ENDPOINTS, usable / 2) ||
+	       (recent >= DOWN_ENDPOINTS && 3 * recent >= 2 * usable);
 }
 
 void links_tick(struct links *links, int64_t now_ms, uint32_t usable)
 {
-	if (links->state == LINKS_UP &&
-	    (all_are_silent(links, now_ms, usable) ||
-	     most_fail(links, now_ms, usable)))
+	if (links->state != LINKS_UP && !usable)
+		enter(links, now_ms, LINKS_UP);
+	else if (links->state == LINKS_UP &&
+		 (all_are_silent(links, now_ms, usable) ||
+		  most_fail(links, now_ms, usable)))
 		enter(links, now_ms, LINKS_DOWN);
 	else if (links->state == LINKS_TRIED && links->trial &&
 		 now_ms - links->trial_ms >= TRIAL_MS)
