--- a/routing/links.c
+++ b/routing/links.c
@@ -17,8 +17,6 @@
 #define DOWN_ENDPOINTS 3u
 /* Others would be heard in this time, if so many failed for another reason. */
 #define UNHEARD_MS 100
-/* Failures that are no older count for how many endpoints fail. */
-#define RECENT_MS 1000
 #define PROBE_INTERVAL_MS 1000
 #define DOWN_PROBE_INTERVAL_MS 400
 /* A trial without an answer has failed after so long. */
@@ -123,7 +121,6 @@
 	links->state = state;
 	links->state_ms = now_ms;
 	links->trial = 0;
-	links->heard_ms = now_ms;
 	links->probed_ms = now_ms - PROBE_INTERVAL_MS;
 	forget_all_failures(links);
 	/* What is silent was so for a reason that is known now. */
@@ -302,37 +299,29 @@
 		       MIN(DOWN_ENDPOINTS, MAX(usable, 1));
 }
 
-/* Counts the links whose last news is a failure in that time. */
-static uint32_t count_failed(const struct links *links, int64_t from_ms,
-			     int64_t until_ms)
+/* Counts the links that failed up to a time, and none was heard since. */
+static uint32_t count_unheard(const struct links *links, int64_t until_ms)
 {
 	GHashTableIter iter;
 	gpointer value;
-	uint32_t failed = 0;
+	uint32_t unheard = 0;
 
 	g_hash_table_iter_init(&iter, links->links);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct link *link = value;
 
-		failed += link->failed_ms && link->failed_ms >= from_ms &&
-			  link->failed_ms <= until_ms;
+		unheard += link->failed_ms >= links->heard_ms &&
+			   link->failed_ms && link->failed_ms <= until_ms;
 	}
-	return failed;
+	return unheard;
 }
 
-/*
- * Connections are accepted, but requests break them: at half of the endpoints
- * while none is heard, or at most of them whatever the others do.
- */
+/* Connections are accepted, but requests break them. */
 static bool most_fail(const struct links *links, int64_t now_ms,
 		      uint32_t usable)
 {
-	uint32_t unheard = count_failed(links, links->heard_ms,
-					now_ms - UNHEARD_MS);
-	uint32_t recent = count_failed(links, now_ms - RECENT_MS, now_ms);
-
-	return unheard >= MAX(DOWN_ENDPOINTS, usable / 2) ||
-	       (recent >= DOWN_ENDPOINTS && 3 * recent >= 2 * usable);
+	return count_unheard(links, now_ms - UNHEARD_MS) >=
+	       MAX(DOWN_ENDPOINTS, usable / 2);
 }
 
 void links_tick(struct links *links, int64_t now_ms, uint32_t usable)
