test: endpoints that ask for rest, or say that they leave, which fail

20 requests reach an endpoint in a rest of 2 s, 80 in one of 6 s if all endpoints rest (two are allowed, from half a second on); endpoints that say in their answers that they leave get 106 and 91 requests from 3 s to 7 s after the first.

--- a/test/crash_endpoints.c
+++ b/test/crash_endpoints.c
@@ -23,6 +23,9 @@
 #define FIRST_HOST 20
 #define CUT_US 10000
 #define LIMIT_CHARS 16
+/* What is on its way as a rest is asked for doesn't count. */
+#define GRACE_MS 500
+#define MS_PER_S 1000
 
 struct arrival {
 	gint64 at_ms;
@@ -49,6 +52,8 @@
 	struct event *return_timer;
 	bool alive;   /* under the lock, as `leaving` */
 	bool leaving; /* to be announced, and then to end */
+	gint64 rest_from_ms, rest_until_ms; /* under the lock */
+	int in_rest;			    /* requests; likewise */
 };
 
 struct crash_endpoints {
@@ -64,6 +69,9 @@
 	GArray *arrivals; /* of struct arrival, in their order */
 	int limited;	  /* endpoints that name `limit` */
 	char limit[LIMIT_CHARS];
+	int resting, rest_s; /* endpoints, and how long they ask for */
+	int most_in_rest;
+	volatile gint leaving;		 /* endpoints that say so */
 	volatile gint cut_pid, cut_mode; /* an enum cut_mode */
 };
 
@@ -280,6 +288,30 @@
 	g_mutex_unlock(&all->lock);
 }
 
+/* Whether the request is turned away; counts those that come in a rest. */
+static bool asks_for_rest(struct endpoint *e, struct evkeyvalq *out)
+{
+	struct crash_endpoints *all = e->all;
+	gint64 now = cluster_now_ms();
+	char seconds[LIMIT_CHARS];
+	bool asks;
+
+	g_mutex_lock(&all->lock);
+	asks = e->number < all->resting && now >= e->rest_until_ms;
+	if (asks) {
+		e->rest_from_ms = now + GRACE_MS;
+		e->rest_until_ms = now + all->rest_s * MS_PER_S;
+		e->in_rest = 0;
+		g_snprintf(seconds, sizeof(seconds), "%d", all->rest_s);
+		evhttp_add_header(out, "Retry-After", seconds);
+	} else if (now >= e->rest_from_ms && now < e->rest_until_ms) {
+		e->in_rest++;
+		all->most_in_rest = MAX(all->most_in_rest, e->in_rest);
+	}
+	g_mutex_unlock(&all->lock);
+	return asks;
+}
+
 static void handle_request(struct evhttp_request *req, void *ctx)
 {
 	struct endpoint *e = ctx;
@@ -292,13 +324,18 @@
 	if (id)
 		evhttp_add_header(out, "Attempt-Id", id);
 	evhttp_add_header(out, "Response-Seal", "seal");
+	if (e->number < g_atomic_int_get(&all->leaving))
+		evhttp_add_header(out, "Server-Leaving", "1");
 	w->endpoint = e;
 	w->req = req;
 	w->has_part = has_part(all, req);
 	w->timer = evtimer_new(all->base, on_begin, w);
 	take_arrival(e, w->has_part, out);
 	g_ptr_array_add(e->waiting, w);
-	event_add(w->timer, &after);
+	if (asks_for_rest(e, out))
+		refuse(w);
+	else
+		event_add(w->timer, &after);
 }
 
 static void listen_again(struct endpoint *e)
@@ -480,6 +517,30 @@
 	g_mutex_unlock(&all->lock);
 }
 
+void crash_endpoints_set_rest(struct crash_endpoints *all, int count,
+			      int rest_s)
+{
+	g_mutex_lock(&all->lock);
+	all->resting = count;
+	all->rest_s = rest_s;
+	g_mutex_unlock(&all->lock);
+}
+
+int crash_endpoints_most_in_rest(struct crash_endpoints *all)
+{
+	int most;
+
+	g_mutex_lock(&all->lock);
+	most = all->most_in_rest;
+	g_mutex_unlock(&all->lock);
+	return most;
+}
+
+void crash_endpoints_set_leaving(struct crash_endpoints *all, int count)
+{
+	g_atomic_int_set(&all->leaving, count);
+}
+
 void crash_endpoints_cut_off(struct crash_endpoints *all, pid_t pid,
 			     enum cut_mode how)
 {
--- a/test/crash_endpoints.h
+++ b/test/crash_endpoints.h
@@ -58,6 +58,22 @@
 void crash_endpoints_set_limit(struct crash_endpoints *endpoints, int count,
 			       const char *limit);
 
+/**
+ * The first `count` endpoints turn one request away and ask for `rest_s` of
+ * rest, again and again; none do if it is 0.
+ */
+void crash_endpoints_set_rest(struct crash_endpoints *endpoints, int count,
+			      int rest_s);
+
+/**
+ * Returns the most requests that came in one rest, from GRACE_MS after it was
+ * asked for. Meant for a single entry.
+ */
+int crash_endpoints_most_in_rest(struct crash_endpoints *endpoints);
+
+/** The first `count` endpoints say in all answers that they leave. */
+void crash_endpoints_set_leaving(struct crash_endpoints *endpoints, int count);
+
 /** How a process is cut off from all endpoints. */
 enum cut_mode {
 	CUT_RESET,  /* its connections are reset, new ones at their request */
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -1505,6 +1505,54 @@
 	}
 }
 
+/* rest-endpoints COUNT SECONDS: the first COUNT ask for rest again and again.
+ */
+static void do_rest_endpoints(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+
+	crash_endpoints_set_rest(test->crash_endpoints, atoi(s->words[1]),
+				 atoi(s->words[2]));
+}
+
+/* rests-kept most=N: whether at most N requests came in any rest so far. */
+static void do_rests_kept(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	int most = crash_endpoints_most_in_rest(test->crash_endpoints);
+
+	if (most <= (int)script_number(s, "most", 0))
+		script_print(s, "rests kept");
+	else
+		script_print(s, "%d requests in one rest", most);
+}
+
+/*
+ * leave-by-answer COUNT after=MS for=MS: the first COUNT say so in their
+ * answers; none may get a request from `after` on, for that long.
+ */
+static void do_leave_by_answer(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	int count = atoi(s->words[1]);
+	int for_ms = (int)script_number(s, "for", 0);
+	gint64 from_ms;
+
+	crash_endpoints_set_leaving(test->crash_endpoints, count);
+	usleep((useconds_t)script_number(s, "after", 0) * 1000);
+	from_ms = cluster_now_ms();
+	usleep((useconds_t)for_ms * 1000);
+	for (int i = 0; i < count; i++) {
+		int most = crash_endpoints_most(test->crash_endpoints, i,
+						from_ms, for_ms);
+
+		if (most)
+			script_print(s, "endpoint %d got %d requests", i, most);
+		else
+			script_print(s, "endpoint %d got none", i);
+	}
+}
+
 /* cut-off NODE reset|silent: that entry reaches no endpoint from now on. */
 static void do_cut_off(struct script *s)
 {
@@ -1722,6 +1770,9 @@
 	{ "crash-mode", 1, do_crash_mode },
 	{ "crash-all", 0, do_crash_all },
 	{ "cut-off", 2, do_cut_off },
+	{ "rest-endpoints", 2, do_rest_endpoints },
+	{ "rests-kept", 0, do_rests_kept },
+	{ "leave-by-answer", 1, do_leave_by_answer },
 	{ "restore-links", 0, do_restore_links },
 	{ "bad-begin", 0, do_bad_begin },
 	{ "bad-end", 0, do_bad_end },
