routing, entry: endpoints that ask for rest get none of an entry's requests

An endpoint that sheds even has few requests, so it was chosen first.

Change: request_limits holds rests beside limits, and the router asks it for each request that is sent. If all endpoints rest or are limited, calls that can't be sent before their deadline are refused at arrival, and now also in the queue and after an attempt, with the time that is left as Retry-After.

--- a/common/counters.h
+++ b/common/counters.h
@@ -42,6 +42,8 @@
 	  "replicas that ended with requests of this entry")                 \
 	X(LIMITED_ENDPOINTS, "limited_endpoints", "gauge",                   \
 	  "endpoints that name a limit on their requests")                   \
+	X(RESTS, "rests_total", "counter",                                   \
+	  "answers by which endpoints asked this entry for rest")            \
 	X(LINKS_DOWN, "services_unreachable", "gauge",                       \
 	  "services of which this entry reaches no endpoint at all")         \
 	X(PARTS_HELD, "prompt_parts_held", "gauge",                          \
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -38,7 +38,6 @@
 /* Lets a stream's deadline come before the timeout of its connection. */
 #define DEADLINE_MARGIN_MS 1000
 #define US_PER_MS 1000
-#define TOO_MANY_REQUESTS 429
 /* Limit on the time until a request to another entry is sent. */
 #define RELAY_UNSENT_MS 500
 
@@ -150,12 +149,15 @@
 /* Ends a call after its last attempt failed. */
 static void fail_after_attempts(struct call *call, const char *why)
 {
+	int64_t wait_ms = limits_wait_ms(call->service, 1);
+
 	if (call->may_have_run || reply_has_started(call->reply))
 		call_fail(call, RD_UPSTREAM_BROKE, OUTCOME_UNKNOWN, why,
 			  RETRY_AFTER_MS);
 	else
 		call_fail_not_run(call, RD_NO_REPLICA, why,
-				  MAX(RETRY_AFTER_MS, call->peer_retry_ms));
+				  (int)MAX(MAX(RETRY_AFTER_MS, wait_ms),
+					   call->peer_retry_ms));
 }
 
 static void log_failed_attempt(const struct call *call, const char *why)
@@ -528,7 +530,7 @@
 		return;
 	}
 	/* It says when to come back, as this entry would. */
-	if (call->peer && call->status == TOO_MANY_REQUESTS) {
+	if (call->peer && call->status == HTTP_TOO_MANY_REQUESTS) {
 		attempt_finish(call);
 		call_fail_not_run(call, RD_OVERLOADED,
 				  "another entry refused it",
@@ -881,7 +883,12 @@
 		fail_after_attempts(call, "no time is left to go on");
 		return;
 	}
-	if (redispatch(call) || now_ms < call->replica_wait_until_ms)
+	if (redispatch(call))
 		return;
-	fail_after_attempts(call, "no replica to go on at");
+	if (now_ms >= call->replica_wait_until_ms)
+		fail_after_attempts(call, "no replica to go on at");
+	else if (!reply_has_started(call->reply) &&
+		 now_ms + limits_wait_ms(call->service, 1) >
+			 call->replica_wait_until_ms)
+		fail_after_attempts(call, "all endpoints want rest");
 }
--- a/entry/call.h
+++ b/entry/call.h
@@ -20,6 +20,8 @@
 struct call;
 struct kept_attempt;
 
+#define HTTP_TOO_MANY_REQUESTS 429
+
 #define PROMPT_PARTS_MAX 16
 #define PEERS_TRIED_MAX 4
 
--- a/entry/limits.c
+++ b/entry/limits.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
@@ -110,12 +111,66 @@
 		 per_s, known ? before.per_s : -1, after.share_per_s);
 }
 
+/*
+ * Reads how long the endpoint wants no request of this entry; 0 for not at
+ * all. Of several values the longest counts.
+ */
+static int64_t find_rest_ms(const struct call *call,
+			    const struct evkeyvalq *headers)
+{
+	struct evkeyval *header;
+	int64_t longest_ms = 0;
+
+	TAILQ_FOREACH(header, headers, next)
+	{
+		int64_t rest_ms;
+
+		if (g_ascii_strcasecmp(header->key, "Retry-After") != 0)
+			continue;
+		if (request_limit_parse_rest(header->value, &rest_ms))
+			longest_ms = MAX(longest_ms, rest_ms);
+		else
+			log_note(&limits_log,
+				 "request %s: rest not understood replica=%u "
+				 "at=%s value=\"%.32s\"",
+				 call->id, call->replica, call->address,
+				 header->value);
+	}
+	return longest_ms;
+}
+
+/* Whatever else is wrong with such an answer, the endpoint has too much. */
+static void read_rest(const struct call *call, const struct evkeyvalq *headers)
+{
+	const struct entry *entry = call->entry;
+	int64_t now = entry_now_ms(entry);
+	int64_t rest_ms;
+
+	if (call->status != HTTP_SERVUNAVAIL &&
+	    call->status != HTTP_TOO_MANY_REQUESTS)
+		return;
+	rest_ms = find_rest_ms(call, headers);
+	if (!rest_ms)
+		return;
+	request_limits_rest(entry->limits->table, now, call->endpoint, rest_ms);
+	log_note(&limits_log,
+		 "request %s: rest asked for replica=%u at=%s service=%s "
+		 "status=%d rest_ms=%" PRId64 " left_ms=%" PRId64,
+		 call->id, call->replica, call->address, call->service->name,
+		 call->status, rest_ms,
+		 request_limits_rest_ms(entry->limits->table, now,
+					call->endpoint));
+	counters_add(entry->opts.counters, COUNTER_RESTS, 1);
+}
+
 void limits_read(struct call *call, const struct evkeyvalq *headers)
 {
 	struct limits *limits = call->entry->limits;
 	enum finding finding;
 	double per_s = 0;
 
+	if (call->endpoint)
+		read_rest(call, headers);
 	/* It may be another endpoint's, which took the address over. */
 	if (call->response_class == RESPONSE_MISMATCHED ||
 	    call->status == MISDIRECTED || !call->endpoint)
@@ -153,17 +208,25 @@
 	uint32_t usable, unlimited;
 	double allowed, share_per_s;
 	int64_t first_ms; /* until any endpoint may get one */
+	int64_t rest_ms;  /* until the first rest ends */
 };
 
 static void add_replica(void *ctx, const struct router_replica *r)
 {
 	struct wait *wait = ctx;
 	struct request_limit limit;
+	int64_t rest_ms;
 
 	if (wait->now_ms >= r->fresh_until_ms ||
 	    wait->now_ms < r->suspect_until_ms)
 		return;
 	wait->usable++;
+	rest_ms = request_limits_rest_ms(wait->table, wait->now_ms,
+					 r->endpoint);
+	if (rest_ms) {
+		wait->rest_ms = MIN(wait->rest_ms, rest_ms);
+		return;
+	}
 	if (!request_limits_get(wait->table, wait->now_ms, r->endpoint,
 				&limit)) {
 		wait->unlimited++;
@@ -179,15 +242,21 @@
 	const struct entry *entry = service->entry;
 	struct wait wait = { .table = entry->limits->table,
 			     .now_ms = entry_now_ms(entry),
-			     .first_ms = INT64_MAX };
+			     .first_ms = INT64_MAX,
+			     .rest_ms = INT64_MAX };
 	double missing;
+	int64_t limited_ms;
 
-	if (!request_limits_count(wait.table))
+	if (!request_limits_count(wait.table) &&
+	    !request_limits_rests(wait.table))
 		return 0;
 	router_each(service->router, add_replica, &wait);
 	if (!wait.usable || wait.unlimited)
 		return 0;
+	if (!wait.share_per_s)
+		return wait.rest_ms;
 	missing = MAX(0, requests - wait.allowed);
-	return MAX(wait.first_ms,
-		   (int64_t)ceil(missing / wait.share_per_s * MS_PER_S));
+	limited_ms = MAX(wait.first_ms,
+			 (int64_t)ceil(missing / wait.share_per_s * MS_PER_S));
+	return MIN(limited_ms, wait.rest_ms);
 }
--- a/entry/limits.h
+++ b/entry/limits.h
@@ -21,7 +21,7 @@
 /** Returns the number that stands for the endpoint on a VM; never 0. */
 uint64_t limits_endpoint(const char *vm);
 
-/** Takes what the head of the call's current response says of a limit. */
+/** Takes what the head of the call's response says of a limit, or of rest. */
 void limits_read(struct call *call, const struct evkeyvalq *headers);
 
 /** Updates the entries that share the limits. */
@@ -29,7 +29,8 @@
 
 /**
  * Returns the time until the `requests`-th request from now on can be sent
- * within the limits; 0 if an endpoint of the service has none.
+ * within the limits and after rests; 0 if an endpoint of the service has
+ * neither.
  */
 int64_t limits_wait_ms(const struct entry_service *service, uint32_t requests);
 
--- a/entry/services.c
+++ b/entry/services.c
@@ -660,12 +660,23 @@
 
 /* ---- dispatch of queued calls ---- */
 
+/* Returns the time in which no call can be sent to an endpoint. */
+static int64_t wait_for_endpoints_ms(const struct entry_service *s)
+{
+	/* Other entries' endpoints may take them earlier. */
+	if (reach_state(s->reach) != LINKS_UP)
+		return 0;
+	return limits_wait_ms(s, 1);
+}
+
+/* Rejects the calls that expire before any endpoint takes one. */
 static void reject_expired(struct entry_service *s)
 {
 	int64_t now = entry_now_ms(s->entry);
+	int64_t until_ms = now + wait_for_endpoints_ms(s);
 	struct admission_ticket *ticket;
 
-	while ((ticket = admission_pop_expired(s->admission, now))) {
+	while ((ticket = admission_pop_expired(s->admission, until_ms))) {
 		uint32_t free_slots, slots;
 
 		router_capacity(s->router, now, &free_slots, &slots);
--- a/include/radishdeal/request_limits.h
+++ b/include/radishdeal/request_limits.h
@@ -9,6 +9,8 @@
  * of them, some of the entries share it. The others, and an endpoint that takes
  * nothing, get a request now and then that shows whether the limit still holds.
  *
+ * An endpoint may also ask one entry for rest; then that one sends it nothing.
+ *
  * The module does no I/O and takes the time as an argument. An instance must
  * be used from one thread only.
  */
@@ -47,6 +49,23 @@
 bool request_limits_lift(struct request_limits *limits, uint64_t endpoint,
 			 int64_t sent_ms);
 
+/**
+ * The endpoint wants no request of this entry for a time from now on; of
+ * several rests the one that ends last holds.
+ */
+void request_limits_rest(struct request_limits *limits, int64_t now_ms,
+			 uint64_t endpoint, int64_t rest_ms);
+
+/** Returns how much longer an endpoint rests; 0 if it doesn't. */
+int64_t request_limits_rest_ms(const struct request_limits *limits,
+			       int64_t now_ms, uint64_t endpoint);
+
+/** Number of rests that are known, of which some may be over. */
+uint32_t request_limits_rests(const struct request_limits *limits);
+
+/** Parses the value of Retry-After in seconds; dates are not understood. */
+bool request_limit_parse_rest(const char *text, int64_t *rest_ms);
+
 /** State of one endpoint's limit at this entry. */
 struct request_limit {
 	double per_s;	    /* as named */
--- a/routing/request_limits.c
+++ b/routing/request_limits.c
@@ -22,6 +22,8 @@
 /* Endpoints come back under new names, and their old limits stay unused. */
 #define LIMITS_MAX 8192u
 #define LIMIT_CHARS_MAX 16
+/* A longer rest is taken for a mistake; the endpoint can ask again. */
+#define REST_MAX_MS 600000
 #define MS_PER_S 1000.0
 
 struct limit_entry {
@@ -45,6 +47,7 @@
 	struct request_limits_opts opts;
 	GRand *random;
 	GHashTable *by_endpoint; /* -> struct limit_entry */
+	GHashTable *rests;	 /* endpoint -> int64_t, end of its rest */
 	GArray *nodes;		 /* of struct sharing_node, but for this one */
 };
 
@@ -57,6 +60,8 @@
 	limits->random = g_rand_new_with_seed(opts->seed);
 	limits->by_endpoint = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						    NULL, g_free);
+	limits->rests = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					      g_free, g_free);
 	limits->nodes = g_array_new(FALSE, FALSE, sizeof(struct sharing_node));
 	return limits;
 }
@@ -67,6 +72,7 @@
 		return;
 	g_array_unref(limits->nodes);
 	g_hash_table_unref(limits->by_endpoint);
+	g_hash_table_unref(limits->rests);
 	g_rand_free(limits->random);
 	g_free(limits);
 }
@@ -327,7 +333,8 @@
 {
 	const struct limit_entry *entry = find(limits, endpoint);
 
-	return !entry || !wait_ms(entry, now_ms);
+	return !request_limits_rest_ms(limits, now_ms, endpoint) &&
+	       (!entry || !wait_ms(entry, now_ms));
 }
 
 void request_limits_take(struct request_limits *limits, int64_t now_ms,
@@ -347,6 +354,57 @@
 	return g_hash_table_size(limits->by_endpoint);
 }
 
+/* ---- rests ---- */
+
+static gboolean is_over(gpointer key, gpointer value, gpointer now_ms)
+{
+	(void)key;
+	return *(const int64_t *)value <= *(const int64_t *)now_ms;
+}
+
+void request_limits_rest(struct request_limits *limits, int64_t now_ms,
+			 uint64_t endpoint, int64_t rest_ms)
+{
+	int64_t until_ms = now_ms + rest_ms;
+	int64_t *known = g_hash_table_lookup(limits->rests, &endpoint);
+
+	if (known) {
+		*known = MAX(*known, until_ms);
+		return;
+	}
+	/* So that endpoints that are gone don't fill the table. */
+	g_hash_table_foreach_remove(limits->rests, is_over, &now_ms);
+	g_hash_table_insert(limits->rests,
+			    g_memdup2(&endpoint, sizeof(endpoint)),
+			    g_memdup2(&until_ms, sizeof(until_ms)));
+}
+
+int64_t request_limits_rest_ms(const struct request_limits *limits,
+			       int64_t now_ms, uint64_t endpoint)
+{
+	const int64_t *until_ms;
+
+	if (!g_hash_table_size(limits->rests))
+		return 0;
+	until_ms = g_hash_table_lookup(limits->rests, &endpoint);
+	return until_ms ? MAX(0, *until_ms - now_ms) : 0;
+}
+
+uint32_t request_limits_rests(const struct request_limits *limits)
+{
+	return g_hash_table_size(limits->rests);
+}
+
+bool request_limit_parse_rest(const char *text, int64_t *rest_ms)
+{
+	double seconds;
+
+	if (!request_limit_parse(text, &seconds))
+		return false;
+	*rest_ms = (int64_t)MIN(seconds * MS_PER_S, (double)REST_MAX_MS);
+	return true;
+}
+
 bool request_limit_parse(const char *text, double *per_s)
 {
 	size_t whole = strspn(text, G_CSET_DIGITS);
--- a/routing/router.c
+++ b/routing/router.c
@@ -421,6 +421,14 @@
 		       (uint64_t)r->slots * max_fill_permille;
 }
 
+/* Whether the endpoint has asked this entry for rest. */
+static bool is_resting(const struct router *router,
+		       const struct router_replica *r, int64_t now_ms)
+{
+	return router->opts.limits && r->endpoint &&
+	       request_limits_rest_ms(router->opts.limits, now_ms, r->endpoint);
+}
+
 /* Whether the endpoint's limit leaves no request to this entry now. */
 static bool is_limited(const struct router *router,
 		       const struct router_replica *r, int64_t now_ms)
@@ -445,6 +453,8 @@
 	else if (is_full(r, max_fill_permille) ||
 		 (request->no_pending_prefill && r->pending_prefills))
 		exclude(choice, r, &choice->full, "full");
+	else if (is_resting(router, r, now_ms))
+		exclude(choice, r, &choice->limited, "resting");
 	else if (is_limited(router, r, now_ms))
 		exclude(choice, r, &choice->limited, "limited");
 	else
--- a/test/test_request_limits.c
+++ b/test/test_request_limits.c
@@ -225,14 +225,62 @@
 	g_free(text);
 }
 
-static const struct script_command commands[] = {
-	{ "entries", 1, do_entries }, { "list", 2, do_list },
-	{ "named", 2, do_named },     { "unnamed", 1, do_unnamed },
-	{ "show", 1, do_show },	      { "demand", 1, do_demand },
-	{ "kept", 0, do_kept },	      { "used", 0, do_used },
-	{ "sent", 0, do_sent },	      { "wait", 1, do_wait },
-	{ "parse", 0, do_parse },     { 0 }
-};
+/* rest ENDPOINT SECONDS: asked for by an answer, of the first entry */
+static void do_rest(struct script *s)
+{
+	struct limits_test *t = s->ctx;
+
+	request_limits_rest(t->entries[1], t->now_ms,
+			    (uint64_t)atoi(s->words[1]),
+			    atoi(s->words[2]) * (int64_t)MS_PER_S);
+}
+
+static void do_resting(struct script *s)
+{
+	struct limits_test *t = s->ctx;
+
+	script_print(s, "endpoint %s rests for %d ms", s->words[1],
+		     (int)request_limits_rest_ms(t->entries[1], t->now_ms,
+						 (uint64_t)atoi(s->words[1])));
+}
+
+static void do_allow(struct script *s)
+{
+	struct limits_test *t = s->ctx;
+
+	script_print(s, "endpoint %s may get one: %d", s->words[1],
+		     request_limits_allow(t->entries[1], t->now_ms,
+					  (uint64_t)atoi(s->words[1])));
+}
+
+/* parse-rest TEXT */
+static void do_parse_rest(struct script *s)
+{
+	int64_t rest_ms = -1;
+
+	if (request_limit_parse_rest(s->words[1], &rest_ms))
+		script_print(s, "%s: %d ms", s->words[1], (int)rest_ms);
+	else
+		script_print(s, "%s: not understood", s->words[1]);
+}
+
+static const struct script_command commands[] = { { "entries", 1, do_entries },
+						  { "list", 2, do_list },
+						  { "named", 2, do_named },
+						  { "unnamed", 1, do_unnamed },
+						  { "show", 1, do_show },
+						  { "demand", 1, do_demand },
+						  { "kept", 0, do_kept },
+						  { "used", 0, do_used },
+						  { "sent", 0, do_sent },
+						  { "wait", 1, do_wait },
+						  { "parse", 0, do_parse },
+						  { "rest", 2, do_rest },
+						  { "resting", 1, do_resting },
+						  { "allow", 1, do_allow },
+						  { "parse-rest", 1,
+						    do_parse_rest },
+						  { 0 } };
 
 static void run(const char *path, const struct script_command *all)
 {
