entry: endpoints that say in their answers that they leave get no more requests

What users say: an answer may carry Server-Leaving before the announcements say so; from drainMs later no request may reach that endpoint from the entry that passed it on (DRAIN).

Cause: nothing read the header, the same as of Retry-After. Change: the VM is noted with its incarnation, and its replica counts as leaving at once, until the VM is announced with another start. Native interface: X-Leaving.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -9,6 +9,7 @@
 #include "common/log.h"
 #include "entry/call_class.h"
 #include "entry/kept.h"
+#include "entry/leaving.h"
 #include "entry/limits.h"
 #include "entry/parts.h"
 #include "entry/reach.h"
@@ -441,6 +442,7 @@
 				       : call->format->classify_response(
 						 call, status, headers);
 	limits_read(call, headers);
+	leaving_read(call, headers);
 	if (call->response_class != RESPONSE_MISMATCHED)
 		return true;
 	/* Its body may never end, nor be followed by this call's response. */
--- a/entry/call.c
+++ b/entry/call.c
@@ -14,6 +14,7 @@
 #include "entry/call_class.h"
 #include "entry/doubt.h"
 #include "entry/kept.h"
+#include "entry/leaving.h"
 #include "entry/limits.h"
 #include "entry/parts.h"
 #include "entry/reach.h"
@@ -251,6 +252,7 @@
 		if (type && *type)
 			evhttp_add_header(headers, "Content-Type", type);
 		call->format->response_headers(call, headers);
+		leaving_add_header(call, headers);
 		if (call->entry->draining)
 			evhttp_add_header(headers, "Connection", "close");
 		count_outcome(call, COUNTER_COMPLETED);
@@ -264,6 +266,7 @@
 	struct evkeyvalq *headers = reply_headers(call->reply);
 
 	call->format->response_headers(call, headers);
+	leaving_add_header(call, headers);
 	if (call->entry->draining)
 		evhttp_add_header(headers, "Connection", "close");
 	reply_start_stream(call->reply);
--- a/entry/call.h
+++ b/entry/call.h
@@ -46,6 +46,8 @@
 struct call_format {
 	/** Header in which an endpoint names its limit; NULL for none. */
 	const char *limit_header;
+	/** Header by which an endpoint says that it leaves; NULL for none. */
+	const char *leaving_header;
 	/** Adds the headers of the request to the endpoint. */
 	void (*request_headers)(const struct call *call, struct evkeyvalq *out);
 	/**
@@ -170,7 +172,8 @@
 	uint32_t reported_tokens;    /* reported to the router */
 	uint32_t tokens;	     /* of a stream, forwarded so far */
 
-	int status; /* of the endpoint's response */
+	int status;			  /* of the endpoint's response */
+	char leaving_vm[RD_NAME_MAX + 1]; /* that sent it and leaves; or "" */
 	enum response_class response_class;
 	size_t response_bytes; /* of its body, so far */
 	char *response_type;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -6,6 +6,7 @@
 #include "common/log.h"
 #include "common/pack.h"
 #include "entry/call_class.h"
+#include "entry/leaving.h"
 #include "entry/limits.h"
 #include "entry/parts.h"
 #include "entry/reach.h"
@@ -254,6 +255,7 @@
 	g_queue_init(&entry->held_requests);
 	entry->random = g_rand_new_with_seed(opts->seed);
 	entry->limits = limits_create(entry);
+	entry->leaving = leaving_create(entry);
 	entry->relay = relay_create(entry);
 	if (open_ports(entry, why))
 		return entry;
@@ -336,6 +338,7 @@
 	booking_drop_unrecorded(entry);
 	g_hash_table_unref(entry->services);
 	limits_destroy(entry->limits);
+	leaving_destroy(entry->leaving);
 	relay_destroy(entry->relay);
 	clear_known_entries(entry);
 	monitor_destroy(entry->monitor);
--- a/entry/entry_internal.h
+++ b/entry/entry_internal.h
@@ -26,6 +26,7 @@
 struct call;
 struct call_class;
 struct ends;
+struct leaving;
 struct limits;
 struct parts;
 struct reach;
@@ -84,6 +85,7 @@
 	struct ends *ends;	  /* of replicas */
 	struct parts *parts;	  /* of prompts */
 	struct limits *limits;	  /* of endpoints */
+	struct leaving *leaving;  /* endpoints, by their answers */
 	struct relay *relay;	  /* to other entries */
 	GHashTable *unrecorded; /* outcomes of bookings, to be recorded again */
 	uint32_t open_records;	/* these, and those that are being recorded */
--- a/entry/native.c
+++ b/entry/native.c
@@ -135,6 +135,7 @@
 #define NATIVE_CALLS(classify)                                                 \
 	{                                                                      \
 		.limit_header = "X-Request-Limit",                             \
+		.leaving_header = "X-Leaving",                                 \
 		.request_headers = request_headers,                            \
 		.request_body = request_body, .classify_response = (classify), \
 		.response_headers = response_headers,                          \
--- a/entry/reach.c
+++ b/entry/reach.c
@@ -64,7 +64,7 @@
 	log_note(&reach_log,
 		 "%s service=%s state=%s was=%s silent_ms=%" PRId64 " usual_ms="
 		 "%" PRId64 " waiting=%u silent=%u failed=%u probes=%u "
-			    "reached=%u",
+		 "reached=%u",
 		 what, reach->service->name,
 		 links_state_name(links_state(reach->links)),
 		 links_state_name(reach->state), e.silent_ms, e.usual_ms,
--- a/entry/services.c
+++ b/entry/services.c
@@ -10,6 +10,7 @@
 #include "common/log.h"
 #include "control/demands.h"
 #include "entry/call.h"
+#include "entry/leaving.h"
 #include "entry/limits.h"
 #include "entry/reach.h"
 #include "entry/relay.h"
@@ -301,6 +302,16 @@
 	return known ? entry_now_ms(entry) - known->heard_ms : -1;
 }
 
+/* Returns the name of a VM that has said that it leaves, or NULL. */
+static const char *find_leaving(const struct entry *entry,
+				const struct assign_replica *a)
+{
+	for (u_int i = 0; i < a->vms.vms_len; i++)
+		if (leaving_has(entry->leaving, a->vms.vms_val[i].name))
+			return a->vms.vms_val[i].name;
+	return NULL;
+}
+
 static void update_replica_health(void *ctx,
 				  const struct replica_state *replica)
 {
@@ -309,7 +320,7 @@
 	struct entry_service *s = services_find(entry, a->service);
 	const struct router_replica *r;
 	enum replica_fault fault;
-	const char *faulty_vm;
+	const char *faulty_vm, *leaving_vm;
 	int64_t fresh_until_ms;
 	bool was_healthy;
 
@@ -321,6 +332,12 @@
 				   presumed_until_ms(entry, replica),
 				   &faulty_vm, &fresh_until_ms);
 	overrule_silence(entry, r, &fault, &fresh_until_ms);
+	leaving_vm = find_leaving(entry, a);
+	if (leaving_vm) {
+		fault = REPLICA_VM_LEAVING;
+		faulty_vm = leaving_vm;
+		fresh_until_ms = 0;
+	}
 	router_set_health(s->router, a->replica, fresh_until_ms,
 			  replica_fault_name(fault));
 	if (was_healthy == !fault)
@@ -352,7 +369,7 @@
 static enum replica_fault plain_fault(const struct entry *entry,
 				      const struct view_vm *vm)
 {
-	if (vm->report.leaving)
+	if (vm->report.leaving || leaving_has(entry->leaving, vm->report.name))
 		return REPLICA_VM_LEAVING;
 	if (!vm->report.ready)
 		return REPLICA_VM_NOT_READY;
