soak, routing: entries without links in the soak; answers, not bytes, show that links are well

The soak on the platform's interface has a fault group "links": what one entry sends to any endpoint isn't read for 1 to 6 s, or its connections are reset at its requests, while streams that began before go on. The five process tests of cuts and of requests that end endpoints pass.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	$(wildcard test/fakes/fake_*.c))
 BENCH_BIN := $(patsubst bench/%.c,$B/bench/%,$(wildcard bench/bench_*.c))
 HELPER_OBJ := $(patsubst %.c,$B/%.o,$(filter-out test/test_%,\
-	$(wildcard test/*.c)))
+	$(wildcard test/*.c)) test/fakes/socket_owner.c)
 FAKE_OBJ := $(patsubst %.c,$B/%.o,$(filter-out test/fakes/fake_%,\
 	$(wildcard test/fakes/*.c)))
 SOAK_BIN := $(patsubst %.c,$B/%,$(wildcard soak/soak_*.c))
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -433,7 +433,7 @@
 	struct call *call = ctx;
 	const char *type = evhttp_find_header(headers, "Content-Type");
 
-	reach_heard(call);
+	reach_answered(call);
 	call->status = status;
 	g_free(call->response_type);
 	call->response_type = g_strdup(type ? type : "");
--- a/entry/reach.c
+++ b/entry/reach.c
@@ -92,13 +92,21 @@
 		links_sent(reach->links, now_ms(reach), call->endpoint);
 }
 
-void reach_heard(const struct call *call)
+void reach_answered(const struct call *call)
 {
 	struct reach *reach = call->service->reach;
 
 	if (call->endpoint && call->upstream)
-		links_heard(reach->links, now_ms(reach), call->endpoint,
-			    !upstream_is_reused(call->upstream));
+		links_answered(reach->links, now_ms(reach), call->endpoint,
+			       !upstream_is_reused(call->upstream));
+}
+
+void reach_heard(const struct call *call)
+{
+	struct reach *reach = call->service->reach;
+
+	if (call->endpoint)
+		links_heard(reach->links, now_ms(reach), call->endpoint);
 }
 
 void reach_failed(const struct call *call)
--- a/entry/reach.h
+++ b/entry/reach.h
@@ -19,7 +19,10 @@
 /** The call's attempt was given to a connection to an endpoint. */
 void reach_sent(const struct call *call);
 
-/** Bytes of the response to the call's attempt came. */
+/** The head of the response to the call's attempt came. */
+void reach_answered(const struct call *call);
+
+/** Further bytes of that response came. */
 void reach_heard(const struct call *call);
 
 /** The connection of the call's attempt could not be opened, or broke. */
--- a/include/radishdeal/links.h
+++ b/include/radishdeal/links.h
@@ -34,12 +34,15 @@
 /** A request was given to a connection to the endpoint. */
 void links_sent(struct links *links, int64_t now_ms, uint64_t endpoint);
 
+/** Bytes of a response came, other than its head. */
+void links_heard(struct links *links, int64_t now_ms, uint64_t endpoint);
+
 /**
- * Bytes of a response came. `fresh`: on a connection that no earlier request
+ * The head of a response came. `fresh`: on a connection that no earlier request
  * had used.
  */
-void links_heard(struct links *links, int64_t now_ms, uint64_t endpoint,
-		 bool fresh);
+void links_answered(struct links *links, int64_t now_ms, uint64_t endpoint,
+		    bool fresh);
 
 /** The endpoint's connection could not be opened, or broke. */
 void links_failed(struct links *links, int64_t now_ms, uint64_t endpoint);
--- a/routing/links.c
+++ b/routing/links.c
@@ -15,8 +15,8 @@
 /* So many endpoints, or all if there are fewer, have to be silent or fail. */
 #define DOUBT_ENDPOINTS 2u
 #define DOWN_ENDPOINTS 3u
-/* Others would be heard in this time, if so many failed for another reason. */
-#define UNHEARD_MS 100
+/* Others would answer in this time, if so many failed for another reason. */
+#define UNANSWERED_MS 100
 #define PROBE_INTERVAL_MS 1000
 #define DOWN_PROBE_INTERVAL_MS 400
 /* A trial without an answer has failed after so long. */
@@ -29,16 +29,16 @@
 	uint32_t open;	   /* requests */
 	int64_t silent_ms; /* since when, while there are any */
 	bool failed;	   /* since an endpoint was reached anew */
-	int64_t failed_ms; /* last failure; 0: none since it was heard */
+	int64_t failed_ms; /* last failure; 0: none since it answered */
 };
 
 struct links {
 	enum links_state state;
-	GHashTable *links; /* endpoint -> struct link */
-	uint32_t waiting;  /* links with open requests */
-	uint32_t failed;   /* links that have failed */
-	int64_t heard_ms;  /* when any was heard last */
-	int64_t silent_ms; /* of all: since when, while any waits */
+	GHashTable *links;   /* endpoint -> struct link */
+	uint32_t waiting;    /* links with open requests */
+	uint32_t failed;     /* links that have failed */
+	int64_t answered_ms; /* when the last response began */
+	int64_t silent_ms;   /* of all: since when, while any waits */
 	double usual_ms;
 	bool probing;
 	int64_t probed_ms; /* begin of the last round */
@@ -157,20 +157,27 @@
 	links->usual_ms = CLAMP(links->usual_ms, USUAL_MS, USUAL_MAX_MS);
 }
 
-void links_heard(struct links *links, int64_t now_ms, uint64_t endpoint,
-		 bool fresh)
+void links_heard(struct links *links, int64_t now_ms, uint64_t endpoint)
 {
 	struct link *link = find(links, endpoint);
 
-	if (link) {
+	if (link)
 		link->silent_ms = now_ms;
-		link->failed_ms = 0;
-	}
 	/* One that ends the loss of all links is not usual. */
 	if (links->waiting && links->state == LINKS_UP && !links->probing)
 		note_silence(links, now_ms - links->silent_ms);
 	links->silent_ms = now_ms;
-	links->heard_ms = now_ms;
+}
+
+void links_answered(struct links *links, int64_t now_ms, uint64_t endpoint,
+		    bool fresh)
+{
+	struct link *link = find(links, endpoint);
+
+	links_heard(links, now_ms, endpoint);
+	links->answered_ms = now_ms;
+	if (link)
+		link->failed_ms = 0;
 	if (fresh && links->failed)
 		forget_failures(links);
 	if (links->state == LINKS_TRIED && endpoint == links->trial)
@@ -299,29 +306,34 @@
 		       MIN(DOWN_ENDPOINTS, MAX(usable, 1));
 }
 
-/* Counts the links that failed up to a time, and none was heard since. */
-static uint32_t count_unheard(const struct links *links, int64_t until_ms)
+/* Counts the links that failed up to a time, and none has answered since. */
+static uint32_t count_unanswered(const struct links *links, int64_t until_ms)
 {
 	GHashTableIter iter;
 	gpointer value;
-	uint32_t unheard = 0;
+	uint32_t unanswered = 0;
 
 	g_hash_table_iter_init(&iter, links->links);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct link *link = value;
 
-		unheard += link->failed_ms >= links->heard_ms &&
-			   link->failed_ms && link->failed_ms <= until_ms;
+		unanswered += link->failed_ms >= links->answered_ms &&
+			      link->failed_ms && link->failed_ms <= until_ms;
 	}
-	return unheard;
+	return unanswered;
 }
 
-/* Connections are accepted, but requests break them. */
+/*
+ * Connections are accepted, but requests break them. Streams that began before
+ * may go on.
+ */
 static bool most_fail(const struct links *links, int64_t now_ms,
 		      uint32_t usable)
 {
-	return count_unheard(links, now_ms - UNHEARD_MS) >=
-	       MAX(DOWN_ENDPOINTS, usable / 2);
+	uint32_t enough = MIN(MAX(DOWN_ENDPOINTS, usable / 2),
+			      MAX(DOUBT_ENDPOINTS, usable));
+
+	return count_unanswered(links, now_ms - UNANSWERED_MS) >= enough;
 }
 
 void links_tick(struct links *links, int64_t now_ms, uint32_t usable)
--- a/soak/platform_faults.c
+++ b/soak/platform_faults.c
@@ -17,6 +17,11 @@
 #define DARK_MIN_MS 4000
 #define DARK_MAX_MS 9000
 
+/* Long enough for an entry to find out, and to serve for a while after that. */
+#define CUT_MIN_MS 1000
+#define CUT_MAX_MS 6000
+#define ENTRY_GROUP "links"
+
 struct platform_faults {
 	struct soak *soak;
 	GRand *random;
@@ -53,6 +58,8 @@
 	{ "limit", "limit:0.5", 4, LIMIT_MIN_MS, LIMIT_MAX_MS, true, false },
 	{ "limit", "limit:1", 8, LIMIT_MIN_MS, LIMIT_MAX_MS, false, true },
 	{ "limit", "limit:3", 4, LIMIT_MIN_MS, LIMIT_MAX_MS, true, true },
+	{ ENTRY_GROUP, "cut", 10, CUT_MIN_MS, CUT_MAX_MS, true, false },
+	{ ENTRY_GROUP, "reset", 10, CUT_MIN_MS, CUT_MAX_MS, true, false },
 };
 
 static int draw(struct platform_faults *f, int from, int to)
@@ -88,6 +95,22 @@
 	g_free(path);
 }
 
+/* Cuts an entry off from all endpoints, of the model and the plain service. */
+static void cut_entry(struct platform_faults *f, const struct vm_fault *fault)
+{
+	struct cluster *c = f->soak->cluster;
+	int entry = draw(f, PLATFORM_CONTROL_VMS, c->node_count - 1);
+	int ms = draw(f, fault->min_ms, fault->max_ms);
+	char *path = g_strdup_printf("/set?vm=all&what=%s:%d&ms=%d",
+				     fault->what, (int)c->nodes[entry].pid, ms);
+
+	if (!cluster_change_fake(c, "web", path) ||
+	    !cluster_change_fake(c, "models", path))
+		printf("seed %u: the endpoints refused %s\n",
+		       f->soak->opts.seed, path);
+	g_free(path);
+}
+
 static int weight_of(const struct platform_faults *f,
 		     const struct vm_fault *fault)
 {
@@ -119,7 +142,9 @@
 
 	if (!fault)
 		return;
-	if (fault->what)
+	if (!strcmp(fault->group, ENTRY_GROUP))
+		cut_entry(f, fault);
+	else if (fault->what)
 		change_vm(f, fault);
 	else
 		stop_engine(f, draw(f, fault->min_ms, fault->max_ms));
--- a/soak/soak_platform.c
+++ b/soak/soak_platform.c
@@ -36,7 +36,7 @@
 	  0 },
 	{ "faults", OPTION_FAULTS, "LIST", 0,
 	  "of endpoints: all, or some of stop, pause, hold, late, slow, crash, "
-	  "dark, limit, bad",
+	  "dark, limit, links, bad",
 	  0 },
 	{ "stride", OPTION_STRIDE, "N", 0, "tokens of an event", 0 },
 	{ "control-stops", OPTION_CONTROL_STOPS, NULL, 0,
--- a/test/crash_endpoints.c
+++ b/test/crash_endpoints.c
@@ -14,7 +14,7 @@
 #include "common/http.h"
 #include "test/cluster.h"
 #include "test/crash_endpoints.h"
-#include "test/socket_owner.h"
+#include "test/fakes/socket_owner.h"
 
 #define ANNOUNCE_US 100000
 /* From the announcement that an endpoint leaves to its end. */
--- a/test/fakes/fake_platform_engine.c
+++ b/test/fakes/fake_platform_engine.c
@@ -190,6 +190,11 @@
 		vm->limit = g_ascii_strtod(strchr(what, ':') + 1, NULL);
 		vm->limited_until_us = after_ms(ms);
 		vm->limit_named = false;
+	} else if (g_str_has_prefix(what, "cut:") ||
+		   g_str_has_prefix(what, "reset:")) {
+		vm->pool->cut_pid = (pid_t)atoi(strchr(what, ':') + 1);
+		vm->pool->cut_resets = *what == 'r';
+		vm->pool->cut_until_us = after_ms(ms);
 	} else if (!strcmp(what, "crash"))
 		platform_vm_crash_for(vm, REVIVE_MS);
 	else
@@ -201,7 +206,9 @@
 
 /*
  * POST /set?vm=N|all&what=CHANGE&ms=DURATION. N counts from 0. CHANGE: pause,
- * dark, hold, skip-beats, late-beats:MS, slow:FACTOR, limit:PER_S, crash.
+ * dark, hold, skip-beats, late-beats:MS, slow:FACTOR, limit:PER_S, crash; and
+ * of the whole pool cut:PID, reset:PID: what that process sends isn't read, or
+ * its connections are reset.
  */
 static void handle_control(struct evhttp_request *req, void *ctx)
 {
--- a/test/fakes/platform_vm.c
+++ b/test/fakes/platform_vm.c
@@ -7,6 +7,7 @@
 #include "common/http.h"
 #include "test/fakes/announcer.h"
 #include "test/fakes/platform_vm.h"
+#include "test/fakes/socket_owner.h"
 
 #define HEADER_BYTES 65536
 #define BODY_BYTES (32 * 1024 * 1024)
@@ -232,10 +233,11 @@
 		http_abort_response(req, 1);
 }
 
-static void read_later(struct platform_vm *vm, struct evhttp_request *req)
+static void read_later(struct platform_vm *vm, struct evhttp_request *req,
+		       int64_t at_us)
 {
 	struct unread *u = g_new0(struct unread, 1);
-	int64_t us = MAX(silent_until_us(vm) - fake_now_us(), 0);
+	int64_t us = MAX(at_us - fake_now_us(), 0);
 	struct timeval after = { us / G_USEC_PER_SEC, us % G_USEC_PER_SEC };
 
 	u->vm = vm;
@@ -246,14 +248,31 @@
 	event_add(u->timer, &after);
 }
 
+static bool is_cut_off(const struct platform_pool *pool,
+		       struct evhttp_request *req)
+{
+	struct evhttp_connection *conn = evhttp_request_get_connection(req);
+	char *ip = NULL;
+	ev_uint16_t port = 0;
+
+	if (!pool->cut_pid || !conn || fake_now_us() >= pool->cut_until_us)
+		return false;
+	evhttp_connection_get_peer(conn, &ip, &port);
+	return ip && socket_is_of(pool->cut_pid, ip, port);
+}
+
 static void handle(struct evhttp_request *req, void *ctx)
 {
 	struct platform_vm *vm = ctx;
 
-	if (platform_vm_runs(vm))
+	if (!platform_vm_runs(vm))
+		read_later(vm, req, silent_until_us(vm));
+	else if (!is_cut_off(vm->pool, req))
 		dispatch(vm, req);
+	else if (vm->pool->cut_resets)
+		http_abort_response(req, 1);
 	else
-		read_later(vm, req);
+		read_later(vm, req, vm->pool->cut_until_us);
 }
 
 /* ---- life ---- */
--- a/test/fakes/platform_vm.h
+++ b/test/fakes/platform_vm.h
@@ -43,6 +43,10 @@
 	char **controls;  /* addresses of the control VMs */
 	struct platform_engine_opts engine;
 	GPtrArray *vms; /* of struct platform_vm */
+	/** Process whose requests are not read; 0: none. */
+	pid_t cut_pid;
+	bool cut_resets; /* its connections, at its requests */
+	int64_t cut_until_us;
 	FILE *log;
 	GRand *random;
 };
--- a/test/socket_owner.c
+++ b/test/fakes/socket_owner.c
@@ -6,7 +6,7 @@
 #include <glib.h>
 #include <unistd.h>
 
-#include "test/socket_owner.h"
+#include "test/fakes/socket_owner.h"
 
 #define LINE_MAX_BYTES 512
 #define LINK_MAX_BYTES 64
@@ -24,7 +24,7 @@
 
 		if (sscanf(line,
 			   " %*d: %" SCNx32 ":%" SCNx32 " %*s %*s %*s %*s %*s "
-							"%*s %*s %" SCNu64,
+			   "%*s %*s %" SCNu64,
 			   &address, &local_port, &inode) == 3 &&
 		    address == inet_addr(ip) && local_port == port)
 			found = inode;
--- a/test/socket_owner.h
+++ b/test/fakes/socket_owner.h
@@ -3,8 +3,8 @@
  * Tells which process has opened a connection, so that an endpoint can treat
  * the entries of a test differently.
  */
-#ifndef TEST_SOCKET_OWNER_H
-#define TEST_SOCKET_OWNER_H
+#ifndef TEST_FAKES_SOCKET_OWNER_H
+#define TEST_FAKES_SOCKET_OWNER_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/test/test_links.c
+++ b/test/test_links.c
@@ -61,25 +61,26 @@
 	each(s, links_sent);
 }
 
-static void heard_reused(struct links *links, int64_t now_ms, uint64_t endpoint)
+static void answered(struct links *links, int64_t now_ms, uint64_t endpoint)
 {
-	links_heard(links, now_ms, endpoint, false);
+	links_answered(links, now_ms, endpoint, false);
 }
 
-static void heard_fresh(struct links *links, int64_t now_ms, uint64_t endpoint)
+static void answered_fresh(struct links *links, int64_t now_ms,
+			   uint64_t endpoint)
 {
-	links_heard(links, now_ms, endpoint, true);
+	links_answered(links, now_ms, endpoint, true);
 }
 
-/* heard FIRST [LAST]: on connections that were used before */
+/* heard FIRST [LAST]: answers, on connections that were used before */
 static void do_heard(struct script *s)
 {
-	each(s, heard_reused);
+	each(s, answered);
 }
 
 static void do_heard_fresh(struct script *s)
 {
-	each(s, heard_fresh);
+	each(s, answered_fresh);
 }
 
 static void do_failed(struct script *s)
@@ -127,17 +128,23 @@
 		     links_state_name(t->shown));
 }
 
-/* wait MS [heard=ENDPOINT]: with bytes of that one at each tick */
+/*
+ * wait MS [heard=ENDPOINT] [data=ENDPOINT]: with answers of that one at each
+ * tick, or with more of an answer
+ */
 static void do_wait(struct script *s)
 {
 	struct links_test *t = s->ctx;
 	int64_t until_ms = t->now_ms + atoi(s->words[1]);
 	uint64_t heard = (uint64_t)script_number(s, "heard", 0);
+	uint64_t data = (uint64_t)script_number(s, "data", 0);
 
 	while (t->now_ms < until_ms) {
 		tick(s);
 		if (heard)
-			links_heard(t->links, t->now_ms, heard, false);
+			links_answered(t->links, t->now_ms, heard, false);
+		if (data)
+			links_heard(t->links, t->now_ms, data);
 	}
 }
 
