--- a/routing/links.c
+++ b/routing/links.c
@@ -21,6 +21,7 @@
 #define DOWN_PROBE_INTERVAL_MS 400
 /* A trial without an answer has failed after so long. */
 #define TRIAL_MS 1000
+#define TRIAL_PAUSE_MS 1000
 /* Without a request to try, probes that succeed are enough after so long. */
 #define TRIED_MS 2000
 
@@ -127,6 +128,13 @@
 	links_paused(links, now_ms);
 }
 
+/* A trial is a caller's request, so the next one isn't sent at once. */
+static void fail_trial(struct links *links, int64_t now_ms)
+{
+	enter(links, now_ms, LINKS_DOWN);
+	links->probed_ms = now_ms + TRIAL_PAUSE_MS - DOWN_PROBE_INTERVAL_MS;
+}
+
 /* ---- evidence ---- */
 
 void links_sent(struct links *links, int64_t now_ms, uint64_t endpoint)
@@ -192,7 +200,7 @@
 	link->failed = true;
 	link->failed_ms = now_ms;
 	if (links->state == LINKS_TRIED && endpoint == links->trial)
-		enter(links, now_ms, LINKS_DOWN);
+		fail_trial(links, now_ms);
 }
 
 void links_ended(struct links *links, uint64_t endpoint)
@@ -346,7 +354,7 @@
 		enter(links, now_ms, LINKS_DOWN);
 	else if (links->state == LINKS_TRIED && links->trial &&
 		 now_ms - links->trial_ms >= TRIAL_MS)
-		enter(links, now_ms, LINKS_DOWN);
+		fail_trial(links, now_ms);
 	else if (links->state == LINKS_TRIED && !links->trial &&
 		 now_ms - links->state_ms >= TRIED_MS)
 		enter(links, now_ms, LINKS_UP);
