routing, entry: probes of a paused process say nothing; a trial that is given up makes room

Found on reading the change: a process that was paused while its probes were open took their timeouts for lost links, and a trial whose caller left was waited for until its time limit, which counted as a failure. Scripts: own-pause (last part), trial-is-given-up.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -647,11 +647,11 @@
 	struct call *call = ctx;
 
 	call->upstream = NULL;
-	if (!call->paused)
-		reach_ended(call);
 	if (end->result != UPSTREAM_COMPLETE &&
 	    end->result != UPSTREAM_EXCEEDED)
 		reach_failed(call);
+	if (!call->paused)
+		reach_ended(call);
 	counters_add(call->entry->opts.counters, COUNTER_IN_FLIGHT, -1);
 	call->is_framed = end->framing != FRAMING_CLOSE;
 	log_end(call, end);
--- a/entry/reach.c
+++ b/entry/reach.c
@@ -24,6 +24,7 @@
 	struct links *links;
 	struct probe_slot slots[PROBES];
 	uint32_t probe_count, open_probes, reached; /* of the round */
+	int64_t round_ms;			    /* when it began */
 	uint64_t last_probed;	/* endpoint; the next round begins after it */
 	enum links_state state; /* as logged last */
 };
@@ -167,6 +168,15 @@
 	return list.targets;
 }
 
+/* A process that was paused sees its own probes time out. */
+static bool was_paused(const struct reach *reach)
+{
+	int64_t now = now_ms(reach);
+
+	return pauses_awake_ms(&reach->entry->pauses, reach->round_ms, now) <
+	       now - reach->round_ms;
+}
+
 static void on_probed(void *ctx, bool reachable)
 {
 	struct probe_slot *slot = ctx;
@@ -177,7 +187,8 @@
 	reach->reached += reachable;
 	if (reach->open_probes)
 		return;
-	links_probed(reach->links, now_ms(reach), reach->probe_count,
+	links_probed(reach->links, now_ms(reach),
+		     was_paused(reach) ? 0 : reach->probe_count,
 		     reach->reached);
 	log_change(reach);
 }
@@ -208,6 +219,7 @@
 		first++;
 	reach->probe_count = MIN(PROBES, targets->len);
 	reach->open_probes = reach->probe_count;
+	reach->round_ms = now_ms(reach);
 	reach->reached = 0;
 	if (reach->state == LINKS_UP)
 		log_evidence(reach, "no endpoint answers: probing");
--- a/entry/reach.h
+++ b/entry/reach.h
@@ -28,7 +28,7 @@
 /** The connection of the call's attempt could not be opened, or broke. */
 void reach_failed(const struct call *call);
 
-/** The call's attempt is over. */
+/** The call's attempt is over. After reach_failed(). */
 void reach_ended(const struct call *call);
 
 /** For all services, applies time limits and sends probes that are due. */
--- a/include/radishdeal/links.h
+++ b/include/radishdeal/links.h
@@ -47,7 +47,7 @@
 /** The endpoint's connection could not be opened, or broke. */
 void links_failed(struct links *links, int64_t now_ms, uint64_t endpoint);
 
-/** A request that was sent has ended, or is given up. */
+/** A request that was sent has ended, or is given up. After links_failed(). */
 void links_ended(struct links *links, uint64_t endpoint);
 
 /** This process did not run for a while, so its silences say nothing. */
@@ -71,7 +71,10 @@
  */
 bool links_probe_due(struct links *links, int64_t now_ms, uint32_t usable);
 
-/** Ends a round of probes; `reached` of `probes` were accepted. */
+/**
+ * Ends a round of probes; `reached` of `probes` were accepted. 0 `probes`: the
+ * round says nothing.
+ */
 void links_probed(struct links *links, int64_t now_ms, uint32_t probes,
 		  uint32_t reached);
 
--- a/routing/links.c
+++ b/routing/links.c
@@ -213,6 +213,9 @@
 	if (link->open)
 		return;
 	links->waiting--;
+	/* Its caller has left, or it was moved: another one may try. */
+	if (links->state == LINKS_TRIED && endpoint == links->trial)
+		links->trial = 0;
 	if (is_unused(NULL, link, NULL))
 		g_hash_table_remove(links->links, &endpoint);
 }
--- a/test/test_links.c
+++ b/test/test_links.c
@@ -21,6 +21,7 @@
 	struct links *links;
 	int64_t now_ms;
 	uint32_t usable;   /* endpoints */
+	uint32_t probes;   /* of a round; 0: it says nothing */
 	uint32_t reached;  /* probes of a round that succeed */
 	int64_t probed_ms; /* end of the open round; 0: none */
 	int rounds;
@@ -43,6 +44,14 @@
 	t->reached = (uint32_t)atoi(s->words[1]);
 }
 
+/* probes N: of each round from now on; 0: rounds say nothing */
+static void do_probes(struct script *s)
+{
+	struct links_test *t = s->ctx;
+
+	t->probes = (uint32_t)atoi(s->words[1]);
+}
+
 /* Calls `fn` for the endpoints FIRST to LAST of a command. */
 static void each(struct script *s,
 		 void (*fn)(struct links *links, int64_t now_ms,
@@ -115,7 +124,7 @@
 	links_tick(t->links, t->now_ms, t->usable);
 	if (t->probed_ms && t->now_ms >= t->probed_ms) {
 		t->probed_ms = 0;
-		links_probed(t->links, t->now_ms, PROBES, t->reached);
+		links_probed(t->links, t->now_ms, t->probes, t->reached);
 	}
 	if (links_probe_due(t->links, t->now_ms, t->usable)) {
 		t->probed_ms = t->now_ms + PROBE_MS;
@@ -176,6 +185,7 @@
 static const struct script_command commands[] = {
 	{ "endpoints", 1, do_endpoints },
 	{ "reach", 1, do_reach },
+	{ "probes", 1, do_probes },
 	{ "sent", 1, do_sent },
 	{ "heard", 1, do_heard },
 	{ "heard-fresh", 1, do_heard_fresh },
@@ -190,7 +200,9 @@
 
 static void run(const char *path, const struct script_command *list)
 {
-	struct links_test t = { .usable = 8, .reached = PROBES };
+	struct links_test t = { .usable = 8,
+				.probes = PROBES,
+				.reached = PROBES };
 
 	t.links = links_create(0);
 	script_check(path, list, &t);
