entry: a status and a count that stood twice stand once

Found on reading the change: the status 421 was named in limits.c and leaving.c, and the number of replicas that can't be connected to before another entry is asked in relay.c and attempt.c, where both have to be the same. Values and behaviour are unchanged.

Checked: build, clang-format and clang-tidy of the five files, and the process tests requests-to-endpoints-that-leave-by-answer, entry-without-links-serves and requests-beyond-an-endpoints-limit pass.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -32,8 +32,6 @@
 #define STREAM_CHUNK_MAX_BYTES 262144u
 /* A request under which so many replicas ended isn't sent to another. */
 #define REPLICA_ENDS_MAX 2u
-/* Replicas that can't be connected to without using up attempts. */
-#define UNREACHED_FREE 2u
 /* Limit on the time until a stream's request is sent. */
 #define UNSENT_STREAM_MS 5000
 /* Lets a stream's deadline come before the timeout of its connection. */
@@ -235,7 +233,7 @@
 	}
 	router_suspect(call->service->router, call->replica,
 		       entry_now_ms(call->entry), SUSPECT_UNREACHABLE);
-	if (call->unreached++ < UNREACHED_FREE && relay_possible(call))
+	if (call->unreached++ < UNREACHED_MAX && relay_possible(call))
 		call->attempts--;
 }
 
--- a/entry/call.h
+++ b/entry/call.h
@@ -20,8 +20,12 @@
 struct call;
 struct kept_attempt;
 
+#define HTTP_MISDIRECTED 421
 #define HTTP_TOO_MANY_REQUESTS 429
 
+/* Replicas that can't be connected to before another entry is asked. */
+#define UNREACHED_MAX 2u
+
 #define PROMPT_PARTS_MAX 16
 #define PEERS_TRIED_MAX 4
 
--- a/entry/leaving.c
+++ b/entry/leaving.c
@@ -4,8 +4,6 @@
 #include "common/log.h"
 #include "entry/leaving.h"
 
-#define MISDIRECTED 421
-
 static const struct log leaving_log = { "leaving" };
 
 struct leaving {
@@ -81,7 +79,7 @@
 	*call->leaving_vm = '\0';
 	/* It may be another endpoint's, which took the address over. */
 	if (!value || !vm || call->response_class == RESPONSE_MISMATCHED ||
-	    call->status == MISDIRECTED || !strcmp(value, "0"))
+	    call->status == HTTP_MISDIRECTED || !strcmp(value, "0"))
 		return;
 	g_strlcpy(call->leaving_vm, vm, sizeof(call->leaving_vm));
 	note(call->entry->leaving, call, vm);
--- a/entry/limits.c
+++ b/entry/limits.c
@@ -10,7 +10,6 @@
 #include "common/log.h"
 #include "entry/limits.h"
 
-#define MISDIRECTED 421
 /* A new leader's list lacks the entries that haven't polled it yet. */
 #define ENTRY_HOLD_LEASES 2
 #define US_PER_MS 1000
@@ -173,7 +172,7 @@
 		read_rest(call, headers);
 	/* It may be another endpoint's, which took the address over. */
 	if (call->response_class == RESPONSE_MISMATCHED ||
-	    call->status == MISDIRECTED || !call->endpoint)
+	    call->status == HTTP_MISDIRECTED || !call->endpoint)
 		return;
 	finding = find_limit(call, headers, &per_s);
 	if (finding == LIMIT_NAMED)
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -8,8 +8,6 @@
 
 /* An entry that took no connection isn't chosen for so long. */
 #define PEER_AVOID_MS 2000
-/* Replicas that can't be connected to before another entry is asked. */
-#define UNREACHED_MAX 2u
 #define HOP_FORMAT "attempts=%" PRIu32 " revision=%" PRIu64
 #define HOP_BYTES 64
 #define HTTP_BAD_REQUEST_CLASS 4
