--- a/review/3/deregister.c
+++ b/review/2/deregister.c
@@ -16,14 +16,14 @@
 
 #define SERVICE "shop"
 #define REPLICAS 3
-#define REPLACEMENTS 8
+#define REPLACEMENTS 16
 #define ENTRIES 2
 #define CLIENTS 6
 #define WORK_S 0.06
 #define PAUSE_S 0.04
 #define WARM_UP_S 5.0
 /* From a replica's start until the one that it replaces leaves. */
-#define OVERLAP_S 3.0
+#define OVERLAP_S 2.5
 /* What a replica serves beyond drainMs. */
 #define LONGER_S 0.6
 /* Allowance for the stand-in's own reading. */
--- a/review/lib/rv.c
+++ b/review/lib/rv.c
@@ -21,7 +21,7 @@
 
 #define PROGRAM "target/radishdeald"
 #define REQUEST_MAX 65536
-#define PLATFORM_WAIT_S 1000 /* ms in which a call to control is answered */
+#define CONTROL_WAIT_MS 1000
 #define REPLICA_HOST_FIRST 100
 
 static FILE *record;
@@ -668,6 +668,8 @@
 
 /* ---- stand-ins for replicas ---- */
 
+rv_reach_fn rv_reaches;
+
 struct connection {
 	struct rv_replica *replica;
 	int fd;
@@ -741,6 +743,10 @@
 	inet_ntop(AF_INET, &c.peer.sin_addr, request.peer_ip,
 		  sizeof(request.peer_ip));
 	request.peer_port = ntohs(c.peer.sin_port);
+	if (rv_reaches && !rv_reaches(request.peer_ip, request.peer_port)) {
+		reset_fd(c.fd);
+		open = false;
+	}
 	while (open && !c.replica->ended &&
 	       (size = read_request(c.fd, &in, &request))) {
 		char value[32] = "";
@@ -803,7 +809,7 @@
 	for (int i = 0; i < RV_CONTROLS; i++) {
 		int node = 1 + (first + i) % RV_CONTROLS;
 		int status = rv_post_json(rv_address(node, RV_CONTROL), path,
-					  json, PLATFORM_WAIT_S);
+					  json, CONTROL_WAIT_MS);
 
 		if (status >= 200 && status < 300)
 			return node;
@@ -832,12 +838,10 @@
 
 int rv_deregister(struct rv_replica *r)
 {
-	char path[128], json[128];
+	char path[128];
 
 	snprintf(path, sizeof(path), "/v1/instances/%s/deregister", r->id);
-	snprintf(json, sizeof(json), "{\"born\":%lld,\"sequence\":%ld}",
-		 (long long)r->born, ++r->sequence);
-	return call_control(path, json);
+	return call_control(path, "");
 }
 
 static void *send_heartbeats(void *arg)
--- a/review/lib/rv.h
+++ b/review/lib/rv.h
@@ -118,6 +118,12 @@
 typedef bool (*rv_serve_fn)(struct rv_replica *replica,
 			    const struct rv_request *request);
 
+/** Whether a new connection from this address reaches the replica. */
+typedef bool (*rv_reach_fn)(const char *ip, int port);
+
+/** NULL: all do. Others are reset at once. */
+extern rv_reach_fn rv_reaches;
+
 struct rv_replica {
 	char id[32], service[32], address[48];
 	int slots;
