--- a/review/2/deregister.c
+++ b/review/2/deregister.c
@@ -1,7 +1,7 @@
 /*
  * The replicas of a plain service are replaced one after the other. The ones
- * that leave deregister first, at a node that they pick among those that serve
- * control, then go on serving for drainMs and a little longer, and exit.
+ * that leave deregister first, then go on serving for drainMs and a little
+ * longer, and exit. Their calls go to the nodes that serve control by turns.
  *
  * The rule is broken if a request reaches one of them later than drainMs after
  * the acknowledgement. Without the disruption, they report "draining" first.
@@ -16,7 +16,7 @@
 
 #define SERVICE "shop"
 #define REPLICAS 3
-#define REPLACEMENTS 16
+#define REPLACEMENTS 10
 #define ENTRIES 2
 #define CLIENTS 6
 #define WORK_S 0.06
@@ -105,7 +105,8 @@
 	int node;
 
 	*place = start_replica();
-	rv_sleep(OVERLAP_S);
+	/* At any time between two heartbeats. */
+	rv_sleep(OVERLAP_S + rv_random() * RV_BEAT_MS / 1000.0);
 	if (rv_trouble()) {
 		old->silent = true;
 		rv_sleep(0.01);
--- a/review/lib/rv.c
+++ b/review/lib/rv.c
@@ -799,15 +799,15 @@
 }
 
 /*
- * Makes a call to a node that is picked among those that serve control, then
- * to the next ones until one acknowledges it within a second.
+ * Makes a call to the node after the one of its last call, by turns among those
+ * that serve control, then to the next ones until one acknowledges it within a
+ * second.
  */
-static int call_control(const char *path, const char *json)
+static int call_control(struct rv_replica *r, const char *path,
+			const char *json)
 {
-	int first = (int)(rv_random() * RV_CONTROLS);
-
 	for (int i = 0; i < RV_CONTROLS; i++) {
-		int node = 1 + (first + i) % RV_CONTROLS;
+		int node = 1 + (int)(r->calls++ % RV_CONTROLS);
 		int status = rv_post_json(rv_address(node, RV_CONTROL), path,
 					  json, CONTROL_WAIT_MS);
 
@@ -830,7 +830,7 @@
 		 r->service, r->address, r->slots,
 		 r->draining ? "draining" : "ready", (long long)r->born,
 		 ++r->sequence);
-	node = call_control(path, json);
+	node = call_control(r, path, json);
 	if (node)
 		r->heard_by = node;
 	return node;
@@ -841,7 +841,7 @@
 	char path[128];
 
 	snprintf(path, sizeof(path), "/v1/instances/%s/deregister", r->id);
-	return call_control(path, "");
+	return call_control(r, path, "");
 }
 
 static void *send_heartbeats(void *arg)
@@ -867,6 +867,7 @@
 	clock_gettime(CLOCK_REALTIME, &now);
 	r->born = (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
 	r->slots = 6;
+	r->calls = (unsigned)(rv_random() * RV_CONTROLS);
 	r->serve = serve;
 	r->ctx = ctx;
 	snprintf(r->service, sizeof(r->service), "%s", service);
--- a/review/lib/rv.h
+++ b/review/lib/rv.h
@@ -133,14 +133,15 @@
 	void *ctx;
 	int64_t born;
 	long sequence;
+	unsigned calls;	     /* to control */
 	int heard_by;	     /* node that acknowledged the last heartbeat */
 	int listener;
 	volatile bool ended; /* accepts nothing, connections are broken */
 };
 
 /**
- * Starts a replica of a plain service, which sends heartbeats. Each call goes
- * to a node that it picks among those that serve control, then to the next.
+ * Starts a replica of a plain service, which sends heartbeats. Its calls go to
+ * the nodes that serve control by turns.
  */
 struct rv_replica *rv_start_replica(const char *service, rv_serve_fn serve,
 				    void *ctx);
