--- a/review/2/deregister.c
+++ b/review/2/deregister.c
@@ -12,7 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "rv.h"
+#include "../lib/rv.h"
 
 #define SERVICE "shop"
 #define REPLICAS 3
@@ -95,7 +95,8 @@
 
 static struct rv_replica *start_replica(void)
 {
-	return rv_start_replica(SERVICE, serve, calloc(1, sizeof(struct leave)));
+	return rv_start_replica(SERVICE, serve,
+				calloc(1, sizeof(struct leave)));
 }
 
 static int replace(struct rv_replica **place)
--- a/review/3/last_tenant.c
+++ b/review/3/last_tenant.c
@@ -10,7 +10,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "rv.h"
+#include "../lib/rv.h"
 
 #define SERVICE "shop"
 #define ENTRIES 2
@@ -33,8 +33,8 @@
 	"\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,"
 	"\"idleTimeoutMs\":15000},\"tenants\":[%s]}";
 
-static const char tenant[] =
-	"{\"name\":\"shop-1\",\"apiKeys\":[\"" HELD "\"],\"priority\":1}";
+static const char tenant[] = "{\"name\":\"shop-1\",\"apiKeys\":[\"" HELD
+			     "\"],\"priority\":1}";
 
 static volatile int runs, foreign; /* foreign: with a key never held */
 
--- a/review/lib/rv.c
+++ b/review/lib/rv.c
@@ -388,8 +388,7 @@
 		unsigned address, local_port;
 		unsigned long long inode;
 
-		if (sscanf(line,
-			   " %*d: %x:%x %*s %*s %*s %*s %*s %*s %*s %llu",
+		if (sscanf(line, " %*d: %x:%x %*s %*s %*s %*s %*s %*s %*s %llu",
 			   &address, &local_port, &inode) == 3 &&
 		    address == inet_addr(ip) && (int)local_port == port)
 			found = inode;
@@ -503,7 +502,7 @@
 		const char *value, *end;
 
 		line++;
-		if (strncasecmp(line, name, length) || line[length] != ':')
+		if (strncasecmp(line, name, length) != 0 || line[length] != ':')
 			continue;
 		value = line + length + 1;
 		value += strspn(value, " \t");
@@ -631,9 +630,7 @@
 			answer->whole = answer_is_whole(answer, n == 0);
 		if (n > 0 || answer->whole)
 			continue;
-		answer->why = n == -2  ? "timeout"
-			      : n == 0 ? "closed"
-				       : "reset";
+		answer->why = n == -2 ? "timeout" : n == 0 ? "closed" : "reset";
 	}
 	close(fd);
 	free(in.bytes);
@@ -859,7 +856,7 @@
 				    void *ctx)
 {
 	struct rv_replica *r = calloc(1, sizeof(*r));
-	struct sockaddr_in address;
+	struct sockaddr_in address = { 0 };
 	socklen_t size = sizeof(address);
 	struct timespec now;
 	char ip[32];
--- a/review/lib/rv.h
+++ b/review/lib/rv.h
@@ -75,11 +75,11 @@
 /* ---- HTTP client ---- */
 
 struct rv_answer {
-	int status;  /* 0: none */
-	bool whole;  /* the body is complete */
-	char *head;  /* with its first line */
-	char *body;  /* decoded, with a NUL */
-	size_t size; /* of the body */
+	int status;	 /* 0: none */
+	bool whole;	 /* the body is complete */
+	char *head;	 /* with its first line */
+	char *body;	 /* decoded, with a NUL */
+	size_t size;	 /* of the body */
 	const char *why; /* there is no whole answer */
 };
 
@@ -127,14 +127,14 @@
 struct rv_replica {
 	char id[32], service[32], address[48];
 	int slots;
-	bool draining;	     /* as it says of itself */
-	bool silent;	     /* sends no heartbeats */
+	bool draining; /* as it says of itself */
+	bool silent;   /* sends no heartbeats */
 	rv_serve_fn serve;
 	void *ctx;
 	int64_t born;
 	long sequence;
-	unsigned calls;	     /* to control */
-	int heard_by;	     /* node that acknowledged the last heartbeat */
+	unsigned calls; /* to control */
+	int heard_by;	/* node that acknowledged the last heartbeat */
 	int listener;
 	volatile bool ended; /* accepts nothing, connections are broken */
 };
