--- a/review/lib/rv.c
+++ b/review/lib/rv.c
@@ -22,6 +22,7 @@
 #define PROGRAM "target/radishdeald"
 #define REQUEST_MAX 65536
 #define CONTROL_WAIT_MS 1000
+#define GRACE_S 8.0
 #define REPLICA_HOST_FIRST 100
 
 static FILE *record;
@@ -34,6 +35,7 @@
 static struct {
 	pid_t pid;
 	int starts;
+	bool added_control;
 } nodes[RV_NODES_MAX + 1];
 static int replicas;
 static unsigned seed;
@@ -284,10 +286,15 @@
 	return replace(text, mark, value);
 }
 
+static bool has_control(int node)
+{
+	return node <= RV_CONTROLS || nodes[node].added_control;
+}
+
 /* Fills in a template of the deploy file as the platform does. */
 static void write_settings(int node, bool bootstrap, char *path, size_t size)
 {
-	bool control = node <= RV_CONTROLS;
+	bool control = has_control(node);
 	char *text = read_file(control ? "deploy/control.toml.in"
 				       : "deploy/entry.toml.in");
 	char value[256];
@@ -351,7 +358,31 @@
 	}
 	nodes[node].pid = pid;
 	rv_say("node %d started (%s), pid %d", node,
-	       node <= RV_CONTROLS ? "control" : "entry", (int)pid);
+	       has_control(node) ? "control" : "entry", (int)pid);
+}
+
+void rv_add_control(int node)
+{
+	nodes[node].added_control = true;
+	rv_start_node(node);
+}
+
+void rv_remove_control(int node)
+{
+	double until = rv_now() + GRACE_S;
+	char path[128];
+
+	rv_say("node %d is removed: SIGTERM", node);
+	kill(nodes[node].pid, SIGTERM);
+	while (waitpid(nodes[node].pid, NULL, WNOHANG) == 0) {
+		if (rv_now() > until)
+			kill(nodes[node].pid, SIGKILL);
+		rv_sleep(0.02);
+	}
+	nodes[node].pid = 0;
+	snprintf(path, sizeof(path), "%s/data%d", folder, node);
+	remove_folder(path);
+	rv_say("node %d has ended; its disk is gone", node);
 }
 
 void rv_start_system(int entry_count)
--- a/review/lib/rv.h
+++ b/review/lib/rv.h
@@ -60,6 +60,15 @@
 /** Starts nodes 1 to 3 with the control role and `entries` entries. */
 void rv_start_system(int entries);
 void rv_start_node(int node);
+
+/** Starts a machine with the control role that is new, with an empty disk. */
+void rv_add_control(int node);
+
+/**
+ * Removes a machine with the control role for good: SIGTERM, then SIGKILL after
+ * graceS. Its disk goes with it.
+ */
+void rv_remove_control(int node);
 void rv_signal_node(int node, int signal);
 pid_t rv_node_pid(int node);
 
