--- a/common/fetch.c
+++ b/common/fetch.c
@@ -13,6 +13,7 @@
 
 struct fetch_state {
 	struct event_base *base;
+	const struct fetch_request *request;
 	struct fetch_response *response;
 	struct answer_guard guard;
 	struct evbuffer *body;
@@ -67,6 +68,7 @@
 static void on_done(struct evhttp_request *req, void *arg)
 {
 	struct fetch_state *f = arg;
+	const char *wanted = f->request->wanted_header;
 	struct evkeyvalq *headers;
 	const char *type;
 
@@ -78,6 +80,9 @@
 	f->complete = true;
 	f->response->status = evhttp_request_get_response_code(req);
 	f->response->type = g_strdup(type ? type : "");
+	if (wanted)
+		f->response->header =
+			g_strdup(evhttp_find_header(headers, wanted));
 	f->response->size = evbuffer_get_length(f->body);
 	f->response->body = g_malloc0(f->response->size + 1);
 	evbuffer_copyout(f->body, f->response->body, f->response->size);
@@ -120,7 +125,7 @@
 
 bool fetch(const struct fetch_request *r, struct fetch_response *response)
 {
-	struct fetch_state f = { .response = response };
+	struct fetch_state f = { .request = r, .response = response };
 	struct timeval timeout = { r->timeout_ms / 1000,
 				   (r->timeout_ms % 1000) * 1000 };
 	struct evhttp_connection *conn;
@@ -164,6 +169,7 @@
 void fetch_clear(struct fetch_response *response)
 {
 	g_free(response->type);
+	g_free(response->header);
 	g_free(response->body);
 	memset(response, 0, sizeof(*response));
 }
--- a/common/fetch.h
+++ b/common/fetch.h
@@ -20,16 +20,18 @@
 	const char *key;	    /* bearer token, or NULL */
 	const char *type;	    /* content type, or NULL */
 	const char *const *headers; /* name, value, ..., NULL; or NULL */
+	const char *wanted_header;  /* of the response; or NULL */
 	const char *body;
 	gssize body_size; /* in bytes; -1: up to the NUL */
 	int timeout_ms;
 };
 
 struct fetch_response {
-	int status; /* 0: no complete response */
-	bool sent;  /* the request may have reached the server */
-	char *type; /* content type, empty if absent; NULL for no response */
-	char *body; /* NUL-terminated; NULL for no response */
+	int status;   /* 0: no complete response */
+	bool sent;    /* the request may have reached the server */
+	char *type;   /* content type, empty if absent; NULL for no response */
+	char *header; /* value of `wanted_header`; NULL if absent */
+	char *body;   /* NUL-terminated; NULL for no response */
 	gsize size;
 };
 
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -1,12 +1,16 @@
 /* Dispatch of a call to an endpoint, handling of the response and retries. */
+#include <assert.h>
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/keyvalq_struct.h>
 
 #include "common/log.h"
+#include "entry/attempt.h"
 #include "entry/call_class.h"
 #include "entry/kept.h"
 #include "entry/leaving.h"
@@ -42,27 +46,52 @@
 
 static const struct log attempt_log = { "call" };
 
+struct attempt *attempt_create(void)
+{
+	struct attempt *attempt = g_new0(struct attempt, 1);
+
+	TAILQ_INIT(&attempt->response.headers);
+	attempt->response.body = evbuffer_new();
+	return attempt;
+}
+
+static void clear_response(struct response *response)
+{
+	evhttp_clear_headers(&response->headers);
+	g_free(response->type);
+	evbuffer_free(response->body);
+}
+
+void attempt_free(struct attempt *attempt)
+{
+	if (!attempt)
+		return;
+	clear_response(&attempt->response);
+	g_free(attempt);
+}
+
 static void cancel_upstream(struct call *call)
 {
-	if (!call->upstream)
+	if (!call->attempt->upstream)
 		return;
-	upstream_cancel(call->upstream);
-	call->upstream = NULL;
-	if (!call->paused)
+	upstream_cancel(call->attempt->upstream);
+	call->attempt->upstream = NULL;
+	if (!call->attempt->paused)
 		reach_ended(call);
 	counters_add(call->entry->opts.counters, COUNTER_IN_FLIGHT, -1);
 }
 
 static void clear_awaiting_first(struct call *call)
 {
-	if (call->awaiting_first)
-		router_prefill_done(call->service->router, call->replica,
-				    call->epoch, call->route.prompt_tokens);
-	call->awaiting_first = false;
-	call->service->overdue_awaiting_first -= call->overdue_awaiting_first
-							 ? 1
-							 : 0;
-	call->overdue_awaiting_first = false;
+	if (call->attempt->awaiting_first)
+		router_prefill_done(call->service->router,
+				    call->attempt->replica,
+				    call->attempt->epoch,
+				    call->route.prompt_tokens);
+	call->attempt->awaiting_first = false;
+	call->service->overdue_awaiting_first -=
+		call->attempt->overdue_awaiting_first ? 1 : 0;
+	call->attempt->overdue_awaiting_first = false;
 }
 
 void attempt_finish(struct call *call)
@@ -72,13 +101,15 @@
 	cancel_upstream(call);
 	parts_attempt_over(call);
 	clear_awaiting_first(call);
-	if (call->replica)
-		router_done(call->service->router, call->replica, call->epoch,
-			    expected - MIN(expected, call->reported_tokens));
-	call->replica = 0;
-	call->peer = 0;
-	call->endpoint = 0;
-	call->reported_tokens = 0;
+	if (call->attempt->replica)
+		router_done(call->service->router, call->attempt->replica,
+			    call->attempt->epoch,
+			    expected - MIN(expected,
+					   call->attempt->reported_tokens));
+	call->attempt->replica = 0;
+	call->attempt->peer = 0;
+	call->attempt->endpoint = 0;
+	call->attempt->reported_tokens = 0;
 }
 
 static bool can_resume(const struct call *call)
@@ -90,13 +121,13 @@
 {
 	struct router_request *route = &call->route;
 
-	if (!call->replica)
+	if (!call->attempt->replica)
 		return;
 	for (uint32_t i = 0; i < route->avoid_count; i++)
-		if (route->avoid[i] == call->replica)
+		if (route->avoid[i] == call->attempt->replica)
 			return;
 	if (route->avoid_count < G_N_ELEMENTS(route->avoid))
-		route->avoid[route->avoid_count++] = call->replica;
+		route->avoid[route->avoid_count++] = call->attempt->replica;
 }
 
 /* A started stream goes on for as long as its entry can. */
@@ -154,9 +185,10 @@
 		call_fail(call, RD_UPSTREAM_BROKE, OUTCOME_UNKNOWN, why,
 			  RETRY_AFTER_MS);
 	else
-		call_fail_not_run(call, RD_NO_REPLICA, why,
-				  (int)MAX(MAX(RETRY_AFTER_MS, wait_ms),
-					   call->peer_retry_ms));
+		call_fail_not_run(
+			call, RD_NO_REPLICA, why,
+			(int)MAX(MAX(RETRY_AFTER_MS, wait_ms),
+				 call->attempt->response.retry_after_ms));
 }
 
 static void log_failed_attempt(const struct call *call, const char *why)
@@ -164,9 +196,9 @@
 	log_note(&attempt_log,
 		 "request %s: %s replica=%u entry=%u attempt=%u "
 		 "content=%" PRIx64 " tokens=%u ms=%" PRId64,
-		 call->id, why, call->replica, call->peer, call->attempts,
-		 call->content, call->tokens,
-		 (entry_now_us(call->entry) - call->sent_us) / 1000);
+		 call->id, why, call->attempt->replica, call->attempt->peer,
+		 call->attempts, call->content, call->tokens,
+		 (entry_now_us(call->entry) - call->attempt->sent_us) / 1000);
 }
 
 static void end_failed_attempt(struct call *call, const char *why)
@@ -226,12 +258,12 @@
 /* An attempt that reached nobody is none of those that the route allows. */
 static void note_unreached(struct call *call)
 {
-	if (call->peer) {
+	if (call->attempt->peer) {
 		relay_peer_failed(call);
 		call->attempts--;
 		return;
 	}
-	router_suspect(call->service->router, call->replica,
+	router_suspect(call->service->router, call->attempt->replica,
 		       entry_now_ms(call->entry), SUSPECT_UNREACHABLE);
 	if (call->unreached++ < UNREACHED_MAX && relay_possible(call))
 		call->attempts--;
@@ -276,7 +308,7 @@
 static void fail_cut(struct call *call, const char *why)
 {
 	log_note(&attempt_log, "request %s: response cut: %s replica=%u at=%s",
-		 call->id, why, call->replica, call->address);
+		 call->id, why, call->attempt->replica, call->attempt->address);
 	counters_add(call->entry->opts.counters, COUNTER_ANSWERS_CUT, 1);
 	handle_failure(call, why);
 }
@@ -287,27 +319,28 @@
 {
 	int64_t now_us = entry_now_us(call->entry);
 
-	router_progress(call->service->router, call->replica, tokens);
-	call->reported_tokens += tokens;
+	router_progress(call->service->router, call->attempt->replica, tokens);
+	call->attempt->reported_tokens += tokens;
 	clear_awaiting_first(call);
-	if (!call->first_event_us)
-		call->first_event_us = now_us;
-	if (!call->rate_sampled_us) {
-		call->rate_sampled_us = now_us;
-		call->rate_sample_tokens = 0;
-		router_add_prefill_sample(call->service->router, call->replica,
+	if (!call->attempt->first_event_us)
+		call->attempt->first_event_us = now_us;
+	if (!call->attempt->rate_sampled_us) {
+		call->attempt->rate_sampled_us = now_us;
+		call->attempt->rate_sample_tokens = 0;
+		router_add_prefill_sample(call->service->router,
+					  call->attempt->replica,
 					  call->route.prompt_tokens,
-					  now_us - call->sent_us);
+					  now_us - call->attempt->sent_us);
 		return;
 	}
-	call->rate_sample_tokens += tokens;
-	if (call->rate_sample_tokens < RATE_SAMPLE_TOKENS)
+	call->attempt->rate_sample_tokens += tokens;
+	if (call->attempt->rate_sample_tokens < RATE_SAMPLE_TOKENS)
 		return;
-	router_add_step_sample(call->service->router, call->replica,
-			       now_us / 1000, call->rate_sample_tokens,
-			       now_us - call->rate_sampled_us);
-	call->rate_sampled_us = now_us;
-	call->rate_sample_tokens = 0;
+	router_add_step_sample(call->service->router, call->attempt->replica,
+			       now_us / 1000, call->attempt->rate_sample_tokens,
+			       now_us - call->attempt->rate_sampled_us);
+	call->attempt->rate_sampled_us = now_us;
+	call->attempt->rate_sample_tokens = 0;
 }
 
 static void on_output_drained(struct evhttp_connection *conn, void *ctx)
@@ -315,12 +348,12 @@
 	struct call *call = ctx;
 
 	(void)conn;
-	if (!call->paused || !call->upstream)
+	if (!call->attempt->paused || !call->attempt->upstream)
 		return;
-	call->paused = false;
-	call->data_ms = entry_now_ms(call->entry);
+	call->attempt->paused = false;
+	call->attempt->data_ms = entry_now_ms(call->entry);
 	reach_sent(call);
-	upstream_pause(call->upstream, false);
+	upstream_pause(call->attempt->upstream, false);
 }
 
 static void forward_events(struct call *call, struct evbuffer *events)
@@ -331,11 +364,11 @@
 		call_start_stream(call);
 	unsent_bytes = reply_send_events(call->reply, events, on_output_drained,
 					 call);
-	if (unsent_bytes > OUTPUT_HIGH_WATER_BYTES && call->upstream) {
-		call->paused = true;
+	if (unsent_bytes > OUTPUT_HIGH_WATER_BYTES && call->attempt->upstream) {
+		call->attempt->paused = true;
 		/* What isn't read is no silence of the endpoint. */
 		reach_ended(call);
-		upstream_pause(call->upstream, true);
+		upstream_pause(call->attempt->upstream, true);
 	}
 }
 
@@ -346,11 +379,11 @@
 	char piece[COPIED_PIECE_MAX_BYTES];
 
 	if (size > sizeof(piece)) {
-		evbuffer_add_buffer(call->response_body, data);
+		evbuffer_add_buffer(call->attempt->response.body, data);
 		return;
 	}
 	evbuffer_remove(data, piece, size);
-	evbuffer_add(call->response_body, piece, size);
+	evbuffer_add(call->attempt->response.body, piece, size);
 }
 
 /* Ends the attempt before its response, whose connection is closed. */
@@ -362,7 +395,7 @@
 
 static void note_activity(struct call *call)
 {
-	router_response_activity(call->service->router, call->replica,
+	router_response_activity(call->service->router, call->attempt->replica,
 				 entry_now_ms(call->entry));
 }
 
@@ -373,11 +406,12 @@
 static bool is_stalled(struct call *call, bool event_complete)
 {
 	int64_t now = entry_now_ms(call->entry);
-	int64_t gap = MIN(now - call->data_ms, STALL_GAP_MAX_MS);
+	int64_t gap = MIN(now - call->attempt->data_ms, STALL_GAP_MAX_MS);
 
-	call->data_ms = now;
-	call->eventless_ms = event_complete ? 0 : call->eventless_ms + gap;
-	return call->eventless_ms >= STALL_LIMIT_MS;
+	call->attempt->data_ms = now;
+	call->attempt->eventless_ms =
+		event_complete ? 0 : call->attempt->eventless_ms + gap;
+	return call->attempt->eventless_ms >= STALL_LIMIT_MS;
 }
 
 static const char *format_fault(const struct call *call)
@@ -393,7 +427,8 @@
 	uint32_t tokens;
 
 	add_response_data(call, data);
-	tokens = call->format->move_events(call, call->response_body, events);
+	tokens = call->format->move_events(call, call->attempt->response.body,
+					   events);
 	if (tokens) {
 		call->tokens += tokens;
 		counters_add(call->entry->opts.counters, COUNTER_TOKENS,
@@ -411,7 +446,7 @@
 	if (format_fault(call)) {
 		cancel_upstream(call);
 		handle_failure(call, format_fault(call));
-	} else if (evbuffer_get_length(call->response_body) >
+	} else if (evbuffer_get_length(call->attempt->response.body) >
 		   INCOMPLETE_EVENT_MAX_BYTES) {
 		cut_response(call, "sent an event that is too long");
 	} else if (stalled) {
@@ -419,29 +454,49 @@
 	}
 }
 
+/* Whether it is what an endpoint says of the request, to be passed on whole. */
+static bool is_endpoints_answer(const struct response *response)
+{
+	return response->class == RESPONSE_FORWARD ||
+	       response->class == RESPONSE_FAILED;
+}
+
 static bool is_stream(const struct call *call)
 {
 	return call->stream && call->method != EVHTTP_REQ_HEAD &&
-	       call->status == HTTP_OK &&
-	       call->response_class == RESPONSE_FORWARD;
+	       call->attempt->response.status == HTTP_OK &&
+	       call->attempt->response.class == RESPONSE_FORWARD;
 }
 
-static bool on_head(void *ctx, int status, struct evkeyvalq *headers)
+/* Reads what the caller may get of the response, and what others need of it. */
+static void read_head(struct call *call, int status, struct evkeyvalq *headers)
 {
-	struct call *call = ctx;
+	const struct call_format *format = call->format;
+	struct response *response = &call->attempt->response;
 	const char *type = evhttp_find_header(headers, "Content-Type");
 
-	reach_answered(call);
-	call->status = status;
-	g_free(call->response_type);
-	call->response_type = g_strdup(type ? type : "");
-	call->response_class = call->peer
-				       ? relay_classify(call, status, headers)
-				       : call->format->classify_response(
-						 call, status, headers);
+	response->status = status;
+	g_free(response->type);
+	response->type = g_strdup(type ? type : "");
+	response->class = call->attempt->peer
+				  ? relay_classify(call, status, headers)
+				  : format->classify_response(call, status,
+							      headers);
+	/* The caller of a resumed stream has the headers of the first one. */
+	if (is_endpoints_answer(response) && format->copy_response_headers &&
+	    !reply_has_started(call->reply))
+		format->copy_response_headers(headers, &response->headers);
 	limits_read(call, headers);
 	leaving_read(call, headers);
-	if (call->response_class != RESPONSE_MISMATCHED)
+}
+
+static bool on_head(void *ctx, int status, struct evkeyvalq *headers)
+{
+	struct call *call = ctx;
+
+	reach_answered(call);
+	read_head(call, status, headers);
+	if (call->attempt->response.class != RESPONSE_MISMATCHED)
 		return true;
 	/* Its body may never end, nor be followed by this call's response. */
 	cancel_upstream(call);
@@ -455,17 +510,17 @@
 	size_t limit = (size_t)call->entry->opts.settings->limits.body_bytes;
 
 	reach_heard(call);
-	call->response_bytes += evbuffer_get_length(data);
+	call->attempt->response.bytes += evbuffer_get_length(data);
 	if (is_stream(call)) {
 		handle_stream_data(call, data);
 		return;
 	}
-	call->data_ms = entry_now_ms(call->entry);
+	call->attempt->data_ms = entry_now_ms(call->entry);
 	note_activity(call);
-	if (evbuffer_get_length(call->response_body) +
+	if (evbuffer_get_length(call->attempt->response.body) +
 		    evbuffer_get_length(data) >
 	    limit) {
-		call->oversized_at = call->replica;
+		call->oversized_at = call->attempt->replica;
 		cut_response(call, "answered with more than body_bytes");
 		return;
 	}
@@ -480,7 +535,7 @@
  */
 static void handle_exceeded(struct call *call)
 {
-	router_suspect(call->service->router, call->replica,
+	router_suspect(call->service->router, call->attempt->replica,
 		       entry_now_ms(call->entry), SUSPECT_FAULTY);
 	fail_cut(call, "sent a head or framing without end");
 }
@@ -491,32 +546,38 @@
  */
 static void suspect_oversized(struct call *call)
 {
-	if (call->oversized_at && call->oversized_at != call->replica)
+	if (call->oversized_at && call->oversized_at != call->attempt->replica)
 		router_suspect(call->service->router, call->oversized_at,
 			       entry_now_ms(call->entry), SUSPECT_FAULTY);
 }
 
 static void finish_response(struct call *call)
 {
-	size_t size = evbuffer_get_length(call->response_body);
-	const void *body = evbuffer_pullup(call->response_body, -1);
+	const struct response *response = &call->attempt->response;
+	size_t size = evbuffer_get_length(response->body);
+	const void *body = evbuffer_pullup(response->body, -1);
 
+	assert(is_endpoints_answer(response));
 	suspect_oversized(call);
 	log_info(&attempt_log,
 		 "request %s: response complete replica=%u status=%d bytes=%zu "
 		 "ms=%" PRId64,
-		 call->id, call->replica, call->status, size,
+		 call->id, call->attempt->replica,
+		 call->attempt->response.status, size,
 		 (entry_now_us(call->entry) - call->started_us) / 1000);
 	kept_drop(call);
 	parts_answered(call);
 	call_class_add_complete(call);
 	attempt_finish(call);
 	if (call->booking_key)
-		booking_end(call, BOOKING_ANSWERED, call->status,
-			    call->response_type, body ? body : "", size);
+		booking_end(call, BOOKING_ANSWERED,
+			    call->attempt->response.status,
+			    call->attempt->response.type, body ? body : "",
+			    size);
 	else
-		call_respond(call, call->status, call->response_type,
-			     body ? body : "", size);
+		call_respond(call, call->attempt->response.status,
+			     call->attempt->response.type, body ? body : "",
+			     size);
 }
 
 static void handle_not_run(struct call *call)
@@ -524,17 +585,19 @@
 	log_info(&attempt_log,
 		 "request %s: not run by the endpoint replica=%u entry=%u "
 		 "status=%d",
-		 call->id, call->replica, call->peer, call->status);
+		 call->id, call->attempt->replica, call->attempt->peer,
+		 call->attempt->response.status);
 	if (call->kept) {
 		go_back(call, "says it did not run it");
 		return;
 	}
 	/* It says when to come back, as this entry would. */
-	if (call->peer && call->status == HTTP_TOO_MANY_REQUESTS) {
+	if (call->attempt->peer &&
+	    call->attempt->response.status == HTTP_TOO_MANY_REQUESTS) {
 		attempt_finish(call);
 		call_fail_not_run(call, RD_OVERLOADED,
 				  "another entry refused it",
-				  call->peer_retry_ms);
+				  call->attempt->response.retry_after_ms);
 		return;
 	}
 	if (attempt_may_retry(call)) {
@@ -547,8 +610,8 @@
 
 static bool should_retry_failure(const struct call *call)
 {
-	return call->response_class == RESPONSE_FAILED && !call->once_only &&
-	       attempt_may_retry(call);
+	return call->attempt->response.class == RESPONSE_FAILED &&
+	       !call->once_only && attempt_may_retry(call);
 }
 
 static const char *result_name(enum upstream_result result)
@@ -573,6 +636,7 @@
 		[RESPONSE_FORWARD] = "forward",
 		[RESPONSE_NOT_RUN] = "not-run",
 		[RESPONSE_FAILED] = "failed",
+		[RESPONSE_NO_ANSWER] = "no-answer",
 		[RESPONSE_MISMATCHED] = "mismatched",
 	};
 
@@ -584,9 +648,9 @@
 {
 	return end->result != UPSTREAM_COMPLETE ||
 	       end->framing == FRAMING_CLOSE ||
-	       call->response_class == RESPONSE_FAILED ||
-	       call->response_class == RESPONSE_MISMATCHED ||
-	       (is_stream(call) && !call->response_bytes);
+	       call->attempt->response.class == RESPONSE_FAILED ||
+	       call->attempt->response.class == RESPONSE_MISMATCHED ||
+	       (is_stream(call) && !call->attempt->response.bytes);
 }
 
 static void log_end(const struct call *call, const struct upstream_end *end)
@@ -596,12 +660,14 @@
 	       "request %s: endpoint's response ended result=%s replica=%u "
 	       "attempt=%u status=%d class=%s framing=%s failure=%s "
 	       "connection=%s bytes=%zu incomplete=%zu tokens=%u started=%s",
-	       call->id, result_name(end->result), call->replica,
-	       call->attempts, call->status, class_name(call->response_class),
+	       call->id, result_name(end->result), call->attempt->replica,
+	       call->attempts, call->attempt->response.status,
+	       class_name(call->attempt->response.class),
 	       upstream_framing_name(end->framing),
 	       end->failure ? end->failure : "-",
-	       end->reused_connection ? "reused" : "new", call->response_bytes,
-	       evbuffer_get_length(call->response_body), call->tokens,
+	       end->reused_connection ? "reused" : "new",
+	       call->attempt->response.bytes,
+	       evbuffer_get_length(call->attempt->response.body), call->tokens,
 	       reply_has_started(call->reply) ? "yes" : "no");
 }
 
@@ -625,7 +691,7 @@
 			     const struct upstream_end *end)
 {
 	bool unfinished = is_stream(call) &&
-			  (!call->response_bytes ||
+			  (!call->attempt->response.bytes ||
 			   !call->format->stream_complete(call));
 
 	return end->result == UPSTREAM_CLOSED ||
@@ -644,14 +710,14 @@
 {
 	struct call *call = ctx;
 
-	call->upstream = NULL;
+	call->attempt->upstream = NULL;
 	if (end->result != UPSTREAM_COMPLETE &&
 	    end->result != UPSTREAM_EXCEEDED)
 		reach_failed(call);
-	if (!call->paused)
+	if (!call->attempt->paused)
 		reach_ended(call);
 	counters_add(call->entry->opts.counters, COUNTER_IN_FLIGHT, -1);
-	call->is_framed = end->framing != FRAMING_CLOSE;
+	call->attempt->response.is_framed = end->framing != FRAMING_CLOSE;
 	log_end(call, end);
 	if (connection_broke(call, end) &&
 	    ends_add_break(call->entry->ends, call) &&
@@ -666,10 +732,13 @@
 	else if (end->result == UPSTREAM_FAILED ||
 		 end->result == UPSTREAM_CLOSED)
 		handle_failure(call, "broke off");
-	else if (call->response_class == RESPONSE_NOT_RUN)
+	else if (call->attempt->response.class == RESPONSE_NOT_RUN)
 		handle_not_run(call);
+	else if (call->attempt->response.class == RESPONSE_NO_ANSWER)
+		handle_failure(call, "another entry has no answer");
 	else if (should_retry_failure(call) ||
-		 (call->kept && call->response_class == RESPONSE_FAILED))
+		 (call->kept &&
+		  call->attempt->response.class == RESPONSE_FAILED))
 		handle_failure(call, "failed");
 	else if (reply_has_started(call->reply) && !is_stream(call))
 		handle_failure(call, "refused to go on with the stream");
@@ -677,7 +746,7 @@
 		finish_response(call);
 	else if (!call->format->stream_complete(call))
 		handle_failure(call, "ended the stream early");
-	else if (!call->response_bytes && !nothing_is_left(call, end))
+	else if (!call->attempt->response.bytes && !nothing_is_left(call, end))
 		handle_failure(call, "ended the stream before an event");
 	else
 		complete_stream(call);
@@ -689,7 +758,7 @@
 {
 	const struct call *call = ctx;
 
-	if (!call->peer) {
+	if (!call->attempt->peer) {
 		call->format->request_headers(call, out);
 		return;
 	}
@@ -699,16 +768,16 @@
 
 static void reset_response(struct call *call)
 {
-	evbuffer_drain(call->response_body,
-		       evbuffer_get_length(call->response_body));
-	call->status = 0;
-	call->response_bytes = 0;
-	call->response_class = RESPONSE_FORWARD;
-	call->first_event_us = 0;
-	call->rate_sampled_us = 0;
-	call->data_ms = entry_now_ms(call->entry);
-	call->eventless_ms = 0;
-	call->paused = false;
+	struct attempt *attempt = call->attempt;
+
+	clear_response(&attempt->response);
+	attempt->response = (struct response){ .body = evbuffer_new() };
+	TAILQ_INIT(&attempt->response.headers);
+	attempt->first_event_us = 0;
+	attempt->rate_sampled_us = 0;
+	attempt->data_ms = entry_now_ms(call->entry);
+	attempt->eventless_ms = 0;
+	attempt->paused = false;
 	call->doubt = NULL;
 	call->search_due_ms = 0;
 }
@@ -733,7 +802,7 @@
 	int64_t left_ms = MAX(1, call->deadline_ms - entry_now_ms(call->entry));
 	struct upstream_request request = {
 		.id = call->id,
-		.address = call->address,
+		.address = call->attempt->address,
 		.method = call->method,
 		.path = call->path,
 		.add_headers = add_headers,
@@ -755,13 +824,14 @@
 		request.pending_max_bytes =
 			(size_t)call->entry->opts.settings->limits.body_bytes;
 	}
-	if (call->peer)
+	if (call->attempt->peer)
 		request.unsent_timeout_ms = MIN(request.unsent_timeout_ms,
 						RELAY_UNSENT_MS);
 	request.body = call->format->request_body(call);
-	call->upstream = upstream_send(call->peer ? call->entry->peer_pool
-						  : call->entry->pool,
-				       &request);
+	call->attempt->upstream = upstream_send(call->attempt->peer
+							? call->entry->peer_pool
+							: call->entry->pool,
+						&request);
 	reach_sent(call);
 	if (request.body)
 		g_bytes_unref(request.body);
@@ -783,7 +853,7 @@
 		 choice->candidates, choice->stale, choice->suspects,
 		 choice->full, choice->avoided, choice->stragglers,
 		 choice->limited, *choice->excluded ? choice->excluded : "-",
-		 (call->sent_us - call->started_us) / 1000);
+		 (call->attempt->sent_us - call->started_us) / 1000);
 }
 
 static void leave_queue(struct call *call)
@@ -801,7 +871,7 @@
 static void begin_attempt(struct call *call)
 {
 	leave_queue(call);
-	call->sent_us = entry_now_us(call->entry);
+	call->attempt->sent_us = entry_now_us(call->entry);
 	reset_response(call);
 	call->attempts++;
 	call->state = CALL_DISPATCHED;
@@ -817,9 +887,9 @@
 	log_info(&attempt_log,
 		 "request %s: sent to another entry entry=%u at=%s service=%s "
 		 "attempt=%u unreached=%u after_ms=%" PRId64,
-		 call->id, call->peer, call->address, call->service->name,
-		 call->attempts, call->unreached,
-		 (call->sent_us - call->started_us) / US_PER_MS);
+		 call->id, call->attempt->peer, call->attempt->address,
+		 call->service->name, call->attempts, call->unreached,
+		 (call->attempt->sent_us - call->started_us) / US_PER_MS);
 	send_request(call);
 	return true;
 }
@@ -838,17 +908,17 @@
 		return;
 	begin_attempt(call);
 	log_choice(call, choice);
-	call->replica = choice->replica;
-	call->epoch = choice->epoch;
-	call->endpoint = choice->endpoint;
-	g_strlcpy(call->address, choice->address, sizeof(call->address));
+	call->attempt->replica = choice->replica;
+	call->attempt->epoch = choice->epoch;
+	call->attempt->endpoint = choice->endpoint;
+	g_strlcpy(call->attempt->address, choice->address,
+		  sizeof(call->attempt->address));
 	router_sent(call->service->router, choice->replica, entry_now_ms(entry),
 		    &call->route);
-	call->awaiting_first = true;
-	call->overdue_awaiting_first = call->route.no_pending_prefill;
-	call->service->overdue_awaiting_first += call->overdue_awaiting_first
-							 ? 1
-							 : 0;
+	call->attempt->awaiting_first = true;
+	call->attempt->overdue_awaiting_first = call->route.no_pending_prefill;
+	call->service->overdue_awaiting_first +=
+		call->attempt->overdue_awaiting_first ? 1 : 0;
 	send_request(call);
 }
 
--- a/entry/call.c
+++ b/entry/call.c
@@ -11,6 +11,7 @@
 #include <radishdeal/quarantine.h>
 
 #include "common/log.h"
+#include "entry/attempt.h"
 #include "entry/call_class.h"
 #include "entry/doubt.h"
 #include "entry/kept.h"
@@ -125,7 +126,7 @@
 	call->route = opts->route;
 	call->parts = opts->parts;
 	call->parts.ids[call->parts.count++] = call->content;
-	call->response_body = evbuffer_new();
+	call->attempt = attempt_create();
 	g_hash_table_add(entry->calls, call);
 	call->service->calls++;
 	if (!call->relayed)
@@ -167,7 +168,7 @@
 	call->service->calls--;
 	reply_destroy(call->reply);
 	entry_schedule_dispatch(call->entry);
-	evbuffer_free(call->response_body);
+	attempt_free(call->attempt);
 	if (call->body)
 		g_bytes_unref(call->body);
 	call->format->free_data(call->data);
@@ -175,7 +176,6 @@
 	g_free(call->account);
 	g_free(call->path);
 	g_free(call->booking_key);
-	g_free(call->response_type);
 	g_free(call);
 }
 
@@ -272,7 +272,8 @@
 	reply_start_stream(call->reply);
 	call->first_byte_us = entry_now_us(call->entry);
 	estimate_add(&call->service->first_byte,
-		     (double)(call->first_byte_us - call->sent_us) / US_PER_MS);
+		     (double)(call->first_byte_us - call->attempt->sent_us) /
+			     US_PER_MS);
 	counters_record_duration(call->entry->opts.counters, HISTOGRAM_TTFT,
 				 call->first_byte_us - call->started_us);
 }
@@ -290,7 +291,7 @@
 	log_info(&call_log,
 		 "request %s: stream complete service=%s replica=%u tokens=%u "
 		 "first_ms=%" PRId64 " ms=%" PRId64,
-		 call->id, service->name, call->replica, call->tokens,
+		 call->id, service->name, call->attempt->replica, call->tokens,
 		 (call->first_byte_us - call->started_us) / 1000,
 		 (entry_now_us(call->entry) - call->started_us) / 1000);
 	reply_end_stream(call->reply);
@@ -362,7 +363,7 @@
 static void end_early(struct call *call, enum rd_result sent,
 		      enum rd_result not_sent)
 {
-	bool may_have_run = call->may_have_run || call->upstream;
+	bool may_have_run = call->may_have_run || call->attempt->upstream;
 
 	attempt_finish(call);
 	if (may_have_run)
@@ -387,7 +388,8 @@
 	/* A response that waits to be recorded shows that the call has run. */
 	if (call->state == CALL_RECORDING)
 		call->may_have_run = true;
-	if (call->booking_key && !call->may_have_run && !call->upstream)
+	if (call->booking_key && !call->may_have_run &&
+	    !call->attempt->upstream)
 		booking_release(call);
 	end_early(call, RD_OUTCOME_UNKNOWN, RD_DRAINING);
 }
@@ -422,8 +424,9 @@
 /* Whether its connection to an endpoint isn't open, and probably never is. */
 static bool waits_for_link(const struct call *call)
 {
-	return !call->peer && reach_state(call->service->reach) == LINKS_DOWN &&
-	       upstream_is_connecting(call->upstream);
+	return !call->attempt->peer &&
+	       reach_state(call->service->reach) == LINKS_DOWN &&
+	       upstream_is_connecting(call->attempt->upstream);
 }
 
 static void check_attempt(struct call *call, int64_t now_ms)
@@ -439,7 +442,7 @@
 
 void call_tick(struct call *call, int64_t now_ms)
 {
-	bool sent = call->state == CALL_DISPATCHED && call->upstream;
+	bool sent = call->state == CALL_DISPATCHED && call->attempt->upstream;
 	bool awaiting_replica = call->state == CALL_AWAITING_REPLICA;
 
 	if (call->completion_deadline_ms &&
--- a/entry/call.h
+++ b/entry/call.h
@@ -10,15 +10,14 @@
 #ifndef ENTRY_CALL_H
 #define ENTRY_CALL_H
 
-#include "common/address.h"
 #include "entry/entry_internal.h"
 #include "entry/reply.h"
 
 /* Retry delay sent to callers whose request may soon succeed. */
 #define RETRY_AFTER_MS 1000
 
+struct attempt;
 struct call;
-struct kept_attempt;
 
 #define HTTP_MISDIRECTED 421
 #define HTTP_TOO_MANY_REQUESTS 429
@@ -43,6 +42,7 @@
 	RESPONSE_FORWARD,    /* forwarded to the caller unchanged */
 	RESPONSE_NOT_RUN,    /* the endpoint states that the call did not run */
 	RESPONSE_FAILED,     /* ran and failed; another endpoint may succeed */
+	RESPONSE_NO_ANSWER,  /* another entry's error; it may have run */
 	RESPONSE_MISMATCHED, /* cannot be this request's response */
 };
 
@@ -64,12 +64,16 @@
 	 * or NULL for none.
 	 */
 	GBytes *(*request_body)(const struct call *call);
+	/** Classifies an endpoint's response by its status and headers. */
+	enum response_class (*classify_response)(
+		const struct call *call, int status,
+		const struct evkeyvalq *headers);
 	/**
-	 * Classifies a response by its status and headers; may copy headers
-	 * that the response to the caller needs.
+	 * Copies what the caller gets of the headers of an endpoint's response
+	 * to `to`. May be NULL: nothing.
 	 */
-	enum response_class (*classify_response)(struct call *call, int status,
-						 struct evkeyvalq *headers);
+	void (*copy_response_headers)(const struct evkeyvalq *from,
+				      struct evkeyvalq *to);
 	/** Adds the headers of the response to the caller. */
 	void (*response_headers)(const struct call *call,
 				 struct evkeyvalq *out);
@@ -152,41 +156,17 @@
 	uint32_t attempts;
 	uint32_t unreached; /* replicas that couldn't be connected to */
 	bool relayed;	    /* by another entry, which has the caller */
-	uint32_t peer;	    /* entry that has the attempt; 0: an endpoint */
 	uint32_t peers_tried[PEERS_TRIED_MAX]; /* entries */
 	uint32_t peers_tried_count;
-	int peer_retry_ms;     /* as another entry says; 0: not */
-	uint32_t replica_ends; /* under this call */
-	int64_t last_end_ms;   /* of these; 0: none */
-	uint64_t trial_part;   /* held part that this attempt tries; or 0 */
-	bool may_have_run;     /* at some endpoint */
-	uint32_t replica;
-	uint64_t epoch;
-	char address[ADDRESS_MAX];
-	uint64_t endpoint; /* names it in request limits; 0: none */
-	struct upstream *upstream;
-	struct kept_attempt *kept; /* while another is tried; or NULL */
-	int64_t sent_us;
+	struct attempt *attempt; /* the current one, or the last */
+	struct attempt *kept;	 /* while another is tried; or NULL */
+	uint32_t replica_ends;	 /* under this call */
+	int64_t last_end_ms;	 /* of these; 0: none */
+	bool may_have_run;	 /* at some endpoint */
 	int64_t first_byte_us;	 /* stream headers sent to the caller */
-	int64_t first_event_us;	 /* of this attempt; 0: none */
-	int64_t rate_sampled_us; /* start of the current decode rate sample */
-	uint32_t rate_sample_tokens;
-	bool overdue_awaiting_first; /* counted in the service */
-	bool awaiting_first;	     /* dispatched, no first event yet */
-	uint32_t reported_tokens;    /* reported to the router */
-	uint32_t tokens;	     /* of a stream, forwarded so far */
+	uint32_t tokens;	 /* of a stream, forwarded so far */
 
-	int status;			  /* of the endpoint's response */
-	char leaving_vm[RD_NAME_MAX + 1]; /* that sent it and leaves; or "" */
-	enum response_class response_class;
-	size_t response_bytes; /* of its body, so far */
-	char *response_type;
-	struct evbuffer *response_body; /* buffered, or a partial event */
 	uint32_t oversized_at; /* replica whose response was too large; or 0 */
-	int64_t data_ms;       /* last data of the body; before, the dispatch */
-	int64_t eventless_ms;  /* time in which data completed no event */
-	bool is_framed;	       /* the response has a length or is chunked */
-	bool paused;	       /* reading from the endpoint is paused */
 	const char *doubt; /* why the attempt is kept and in doubt, or NULL */
 	int64_t doubt_since_ms;
 	int64_t search_due_ms; /* for another replica */
@@ -282,49 +262,6 @@
 /** Sends the head of the caller's stream. */
 void call_start_stream(struct call *call);
 
-/* attempt.c: dispatch of a call to an endpoint */
-
-/**
- * Sends a call to another entry. Returns false if there is none that may take
- * it.
- */
-bool attempt_relay(struct call *call);
-
-/**
- * Gives up an attempt whose connection isn't open yet; nothing of it was sent.
- */
-void attempt_leave_unsent(struct call *call);
-
-/** Dispatches a call to the chosen replica. */
-void attempt_dispatch(struct call *call, const struct router_choice *choice);
-
-/**
- * Ends the current attempt: cancels its request and updates the router's
- * counts. No callback of the attempt follows.
- */
-void attempt_finish(struct call *call);
-
-/** Whether the call may be sent once more, retry budget aside. */
-bool attempt_may_retry(const struct call *call);
-
-/**
- * Dispatches the call to another replica. The current attempt goes on if that
- * one doesn't answer.
- */
-void attempt_move(struct call *call, const char *why);
-
-/**
- * Goes on with the kept attempt if more of its response has arrived. Returns
- * whether it does.
- */
-bool attempt_check_kept(struct call *call);
-
-/**
- * Dispatches a call that awaits a replica, or fails it once it has waited too
- * long.
- */
-void attempt_tick_awaiting(struct call *call, int64_t now_ms);
-
 /* booking.c: idempotency records in the replicated state */
 void booking_begin(struct call *call);
 /** Frees the outcomes that wait to be recorded; no task runs any more. */
--- a/entry/call_class.c
+++ b/entry/call_class.c
@@ -1,5 +1,6 @@
 #include <radishdeal/engine.h>
 
+#include "entry/attempt.h"
 #include "entry/call.h"
 #include "entry/call_class.h"
 
@@ -62,7 +63,7 @@
 static int64_t age_ms(const struct call *call, enum call_since since)
 {
 	int64_t from_us = since == SINCE_ARRIVAL ? call->started_us
-						 : call->sent_us;
+						 : call->attempt->sent_us;
 
 	return (entry_now_us(call->entry) - from_us) / 1000;
 }
@@ -72,7 +73,7 @@
 	struct recent_times *recent = call->call_class->recent;
 
 	/* An error takes less time than what was asked for. */
-	if (call->status >= HTTP_BADREQUEST)
+	if (call->attempt->response.status >= HTTP_BADREQUEST)
 		return;
 	add_recent(&recent[SINCE_ARRIVAL], age_ms(call, SINCE_ARRIVAL));
 	/* The last attempt of a resumed stream is a part of it. */
--- a/entry/doubt.c
+++ b/entry/doubt.c
@@ -4,6 +4,7 @@
 #include <radishdeal/engine.h>
 
 #include "common/log.h"
+#include "entry/attempt.h"
 #include "entry/doubt.h"
 #include "entry/parts.h"
 #include "entry/reach.h"
@@ -59,15 +60,15 @@
 		       struct finding *found)
 {
 	const struct router_replica *r = router_find(call->service->router,
-						     call->replica);
-	bool known = r && r->epoch == call->epoch;
+						     call->attempt->replica);
+	bool known = r && r->epoch == call->attempt->epoch;
 
 	memset(found, 0, sizeof(*found));
 	found->limit_ms = call->entry->opts.settings->limits.stall_ms;
 	found->replica_silent_ms =
 		known ? awake_ms(call, r->last_activity_ms, now_ms) : -1;
-	found->silent_ms = awake_ms(call, call->data_ms, now_ms);
-	if (call->peer) {
+	found->silent_ms = awake_ms(call, call->attempt->data_ms, now_ms);
+	if (call->attempt->peer) {
 		found->limit_ms = SILENT_PEER_MS;
 		if (call->stream && found->silent_ms >= SILENT_PEER_MS)
 			found->reason = "entry-silent";
@@ -103,11 +104,11 @@
 	if (now_ms < call->search_due_ms)
 		return false;
 	if (route.avoid_count < G_N_ELEMENTS(route.avoid))
-		route.avoid[route.avoid_count++] = call->replica;
+		route.avoid[route.avoid_count++] = call->attempt->replica;
 	route.no_pending_prefill = false;
 	router_choose(call->service->router, now_ms, ROUTER_FILL_UNLIMITED,
 		      &route, &choice);
-	if (choice.replica && choice.replica != call->replica)
+	if (choice.replica && choice.replica != call->attempt->replica)
 		return true;
 	call->search_due_ms = now_ms + SEARCH_MS;
 	return false;
@@ -126,7 +127,8 @@
 	if (!has_other_replica(call, now_ms))
 		return "other-replica";
 	/* A move would end it: as a trial, or as its part is held now. */
-	return call->trial_part || parts_are_held(call) ? "part" : NULL;
+	return call->attempt->trial_part || parts_are_held(call) ? "part"
+								 : NULL;
 }
 
 static void log_decision(const struct call *call, const struct finding *found,
@@ -138,8 +140,8 @@
 		 "doubt_ms=%" PRId64 " silent_ms=%" PRId64 " "
 		 "replica_silent_ms=%" PRId64,
 		 call->id, missing ? "kept" : "moved", found->reason,
-		 missing ? missing : "-", call->replica, call->attempts,
-		 call->attempts_max,
+		 missing ? missing : "-", call->attempt->replica,
+		 call->attempts, call->attempts_max,
 		 reply_has_started(call->reply) ? "yes" : "no",
 		 now_ms - call->doubt_since_ms, found->silent_ms,
 		 found->replica_silent_ms);
@@ -151,7 +153,8 @@
 	const char *missing;
 
 	/* What isn't read, or wasn't read yet, is no silence. */
-	if (call->once_only || call->paused || call->entry->pauses.just_ended)
+	if (call->once_only || call->attempt->paused ||
+	    call->entry->pauses.just_ended)
 		return;
 	find_doubt(call, now_ms, &found);
 	if (!found.reason) {
--- a/entry/ends.c
+++ b/entry/ends.c
@@ -4,6 +4,7 @@
 #include <radishdeal/quarantine.h>
 
 #include "common/log.h"
+#include "entry/attempt.h"
 #include "entry/parts.h"
 
 /* Time from the last break for another response to show that the VM lives. */
@@ -76,7 +77,8 @@
 
 static bool is_of_end(const struct call *call, const struct replica_ended *end)
 {
-	return call->replica == end->replica && call->epoch == end->epoch &&
+	return call->attempt->replica == end->replica &&
+	       call->attempt->epoch == end->epoch &&
 	       !strcmp(call->service->name, end->service);
 }
 
@@ -92,8 +94,8 @@
 	}
 	p = g_new0(struct pending_end, 1);
 	p->end.service = g_strdup(call->service->name);
-	p->end.replica = call->replica;
-	p->end.epoch = call->epoch;
+	p->end.replica = call->attempt->replica;
+	p->end.epoch = call->attempt->epoch;
 	p->end.at_ms = entry_now_ms(ends->entry);
 	p->end.calls = g_array_new(FALSE, FALSE, sizeof(struct broken_call));
 	g_ptr_array_add(ends->pending, p);
@@ -104,9 +106,9 @@
 static bool end_is_unexplained(const struct call *call)
 {
 	const struct router_replica *r = router_find(call->service->router,
-						     call->replica);
+						     call->attempt->replica);
 
-	return r && r->epoch == call->epoch &&
+	return r && r->epoch == call->attempt->epoch &&
 	       (r->fresh_until_ms ||
 		strcmp(r->fault, replica_fault_name(REPLICA_VM_LEAVING)) != 0);
 }
@@ -117,24 +119,25 @@
 	for (GList *l = ends->decided.head; l; l = l->next) {
 		const struct decided_end *d = l->data;
 
-		if (d->replica == call->replica && d->epoch == call->epoch &&
+		if (d->replica == call->attempt->replica &&
+		    d->epoch == call->attempt->epoch &&
 		    !strcmp(d->service, call->service->name))
-			return call->sent_us / US_PER_MS > d->at_ms;
+			return call->attempt->sent_us / US_PER_MS > d->at_ms;
 	}
 	return false;
 }
 
 static bool is_late(const struct call *call)
 {
-	return call->first_event_us &&
-	       entry_now_us(call->entry) - call->first_event_us >
+	return call->attempt->first_event_us &&
+	       entry_now_us(call->entry) - call->attempt->first_event_us >
 		       QUARANTINE_LATE_MS * US_PER_MS;
 }
 
 bool ends_add_break(struct ends *ends, struct call *call)
 {
 	struct broken_call broken = { .parts = call->parts,
-				      .trial_part = call->trial_part,
+				      .trial_part = call->attempt->trial_part,
 				      .late = is_late(call),
 				      .previous_end_ms = call->last_end_ms };
 	struct pending_end *p;
@@ -148,7 +151,7 @@
 		return true;
 	g_array_append_val(p->end.calls, broken);
 	/* The decision on this end is the result of the trial. */
-	call->trial_part = 0;
+	call->attempt->trial_part = 0;
 	return true;
 }
 
@@ -167,9 +170,9 @@
 		const struct call *call = key;
 
 		/* A paused connection doesn't show that it was closed. */
-		open += call->upstream && !call->paused &&
+		open += call->attempt->upstream && !call->attempt->paused &&
 			is_of_end(call, end) &&
-			call->sent_us / US_PER_MS < end->at_ms;
+			call->attempt->sent_us / US_PER_MS < end->at_ms;
 	}
 	return open;
 }
--- a/entry/leaving.c
+++ b/entry/leaving.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "common/log.h"
+#include "entry/attempt.h"
 #include "entry/leaving.h"
 
 static const struct log leaving_log = { "leaving" };
@@ -62,31 +63,37 @@
 	log_note(&leaving_log,
 		 "request %s: endpoint says that it leaves vm=%s replica=%u "
 		 "entry=%u at=%s announced=%s",
-		 call->id, name, call->replica, call->peer, call->address,
+		 call->id, name, call->attempt->replica, call->attempt->peer,
+		 call->attempt->address,
 		 vm->report.leaving ? "leaving" : "staying");
 	services_update_health(leaving->entry);
 }
 
 void leaving_read(struct call *call, const struct evkeyvalq *headers)
 {
-	const char *header = call->peer ? LEAVING_HEADER
-					: call->format->leaving_header;
+	const char *header = call->attempt->peer ? LEAVING_HEADER
+						 : call->format->leaving_header;
 	const char *value = header ? evhttp_find_header(headers, header) : NULL;
-	const char *vm = call->peer ? value
-				    : services_head_vm(call->service,
-						       call->replica);
+	const char *vm = call->attempt->peer
+				 ? value
+				 : services_head_vm(call->service,
+						    call->attempt->replica);
 
-	*call->leaving_vm = '\0';
+	*call->attempt->response.leaving_vm = '\0';
 	/* It may be another endpoint's, which took the address over. */
-	if (!value || !vm || call->response_class == RESPONSE_MISMATCHED ||
-	    call->status == HTTP_MISDIRECTED || !strcmp(value, "0"))
+	if (!value || !vm ||
+	    call->attempt->response.class == RESPONSE_MISMATCHED ||
+	    call->attempt->response.status == HTTP_MISDIRECTED ||
+	    !strcmp(value, "0"))
 		return;
-	g_strlcpy(call->leaving_vm, vm, sizeof(call->leaving_vm));
+	g_strlcpy(call->attempt->response.leaving_vm, vm,
+		  sizeof(call->attempt->response.leaving_vm));
 	note(call->entry->leaving, call, vm);
 }
 
 void leaving_add_header(const struct call *call, struct evkeyvalq *out)
 {
-	if (call->relayed && *call->leaving_vm)
-		evhttp_add_header(out, LEAVING_HEADER, call->leaving_vm);
+	if (call->relayed && *call->attempt->response.leaving_vm)
+		evhttp_add_header(out, LEAVING_HEADER,
+				  call->attempt->response.leaving_vm);
 }
--- a/entry/limits.c
+++ b/entry/limits.c
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include "common/log.h"
+#include "entry/attempt.h"
 #include "entry/limits.h"
 
 /* A new leader's list lacks the entries that haven't polled it yet. */
@@ -82,8 +83,8 @@
 			log_note(&limits_log,
 				 "request %s: limit not understood replica=%u "
 				 "at=%s value=\"%.32s\"",
-				 call->id, call->replica, call->address,
-				 header->value);
+				 call->id, call->attempt->replica,
+				 call->attempt->address, header->value);
 			return LIMIT_INVALID;
 		}
 		*per_s = finding == LIMIT_NAMED ? MIN(*per_s, value) : value;
@@ -96,18 +97,20 @@
 {
 	int64_t now = entry_now_ms(limits->entry);
 	struct request_limit before = { 0 }, after = { 0 };
-	bool known = request_limits_get(limits->table, now, call->endpoint,
-					&before);
+	bool known = request_limits_get(limits->table, now,
+					call->attempt->endpoint, &before);
 
-	request_limits_put(limits->table, now, call->endpoint, per_s);
-	(void)request_limits_get(limits->table, now, call->endpoint, &after);
+	request_limits_put(limits->table, now, call->attempt->endpoint, per_s);
+	(void)request_limits_get(limits->table, now, call->attempt->endpoint,
+				 &after);
 	if (known && before.per_s == after.per_s)
 		return;
 	log_note(&limits_log,
 		 "request %s: limit named replica=%u at=%s service=%s "
 		 "per_s=%.3f was=%.3f share_per_s=%.3f",
-		 call->id, call->replica, call->address, call->service->name,
-		 per_s, known ? before.per_s : -1, after.share_per_s);
+		 call->id, call->attempt->replica, call->attempt->address,
+		 call->service->name, per_s, known ? before.per_s : -1,
+		 after.share_per_s);
 }
 
 /*
@@ -132,8 +135,8 @@
 			log_note(&limits_log,
 				 "request %s: rest not understood replica=%u "
 				 "at=%s value=\"%.32s\"",
-				 call->id, call->replica, call->address,
-				 header->value);
+				 call->id, call->attempt->replica,
+				 call->attempt->address, header->value);
 	}
 	return longest_ms;
 }
@@ -145,20 +148,21 @@
 	int64_t now = entry_now_ms(entry);
 	int64_t rest_ms;
 
-	if (call->status != HTTP_SERVUNAVAIL &&
-	    call->status != HTTP_TOO_MANY_REQUESTS)
+	if (call->attempt->response.status != HTTP_SERVUNAVAIL &&
+	    call->attempt->response.status != HTTP_TOO_MANY_REQUESTS)
 		return;
 	rest_ms = find_rest_ms(call, headers);
 	if (!rest_ms)
 		return;
-	request_limits_rest(entry->limits->table, now, call->endpoint, rest_ms);
+	request_limits_rest(entry->limits->table, now, call->attempt->endpoint,
+			    rest_ms);
 	log_note(&limits_log,
 		 "request %s: rest asked for replica=%u at=%s service=%s "
 		 "status=%d rest_ms=%" PRId64 " left_ms=%" PRId64,
-		 call->id, call->replica, call->address, call->service->name,
-		 call->status, rest_ms,
+		 call->id, call->attempt->replica, call->attempt->address,
+		 call->service->name, call->attempt->response.status, rest_ms,
 		 request_limits_rest_ms(entry->limits->table, now,
-					call->endpoint));
+					call->attempt->endpoint));
 	counters_add(entry->opts.counters, COUNTER_RESTS, 1);
 }
 
@@ -168,22 +172,23 @@
 	enum finding finding;
 	double per_s = 0;
 
-	if (call->endpoint)
+	if (call->attempt->endpoint)
 		read_rest(call, headers);
 	/* It may be another endpoint's, which took the address over. */
-	if (call->response_class == RESPONSE_MISMATCHED ||
-	    call->status == HTTP_MISDIRECTED || !call->endpoint)
+	if (call->attempt->response.class == RESPONSE_MISMATCHED ||
+	    call->attempt->response.status == HTTP_MISDIRECTED ||
+	    !call->attempt->endpoint)
 		return;
 	finding = find_limit(call, headers, &per_s);
 	if (finding == LIMIT_NAMED)
 		put(limits, call, per_s);
 	else if (finding == LIMIT_ABSENT &&
-		 request_limits_lift(limits->table, call->endpoint,
-				     call->sent_us / US_PER_MS))
+		 request_limits_lift(limits->table, call->attempt->endpoint,
+				     call->attempt->sent_us / US_PER_MS))
 		log_note(&limits_log,
 			 "request %s: limit lifted replica=%u at=%s service=%s",
-			 call->id, call->replica, call->address,
-			 call->service->name);
+			 call->id, call->attempt->replica,
+			 call->attempt->address, call->service->name);
 	counters_set(limits->entry->opts.counters, COUNTER_LIMITED_ENDPOINTS,
 		     request_limits_count(limits->table));
 }
--- a/entry/native.c
+++ b/entry/native.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "entry/attempt.h"
 #include "entry/native.h"
 
 struct native_data *native_data_new(const char *content_type, json_t *chat)
@@ -33,9 +34,9 @@
 
 	evhttp_add_header(out, "Content-Type", data->content_type);
 	evhttp_add_header(out, "X-Request-Id", call->id);
-	snprintf(value, sizeof(value), "%u", call->replica);
+	snprintf(value, sizeof(value), "%u", call->attempt->replica);
 	evhttp_add_header(out, "X-Replica", value);
-	snprintf(value, sizeof(value), "%" PRIu64, call->epoch);
+	snprintf(value, sizeof(value), "%" PRIu64, call->attempt->epoch);
 	evhttp_add_header(out, "X-Epoch", value);
 	snprintf(value, sizeof(value), "%u", call->priority);
 	evhttp_add_header(out, "X-Priority", value);
@@ -75,9 +76,8 @@
  * Engines reject a request with 409 or 503, without running it, if they are not
  * the replica or not in the epoch that it names.
  */
-static enum response_class classify_engine_response(struct call *call,
-						    int status,
-						    struct evkeyvalq *headers)
+static enum response_class classify_engine_response(
+	const struct call *call, int status, const struct evkeyvalq *headers)
 {
 	(void)call;
 	(void)headers;
@@ -85,9 +85,8 @@
 							   : RESPONSE_FORWARD;
 }
 
-static enum response_class classify_plain_response(struct call *call,
-						   int status,
-						   struct evkeyvalq *headers)
+static enum response_class classify_plain_response(
+	const struct call *call, int status, const struct evkeyvalq *headers)
 {
 	(void)call;
 	(void)status;
@@ -97,7 +96,7 @@
 
 static void response_headers(const struct call *call, struct evkeyvalq *out)
 {
-	if (call->stream && call->status == HTTP_OK) {
+	if (call->stream && call->attempt->response.status == HTTP_OK) {
 		evhttp_add_header(out, "Content-Type", "text/event-stream");
 		evhttp_add_header(out, "Cache-Control", "no-store");
 	}
--- a/entry/parts.c
+++ b/entry/parts.c
@@ -7,6 +7,7 @@
 #include <radishdeal/quarantine.h>
 
 #include "common/log.h"
+#include "entry/attempt.h"
 #include "entry/parts.h"
 #include "wire/codec.h"
 
@@ -142,7 +143,7 @@
 			 found.part, found.ends, call->id);
 		counters_add(call->entry->opts.counters, COUNTER_PART_TRIALS,
 			     1);
-		call->trial_part = found.part;
+		call->attempt->trial_part = found.part;
 		quarantine_begin_trial(parts->quarantine,
 				       entry_now_ms(call->entry), found.part);
 	}
@@ -152,10 +153,10 @@
 /* Whether a call is at an endpoint that has sent nothing of its answer. */
 static bool may_cancel(const struct call *call)
 {
-	return call->state == CALL_DISPATCHED && call->upstream &&
-	       !call->once_only && !call->trial_part && !call->tokens &&
-	       !reply_has_started(call->reply) &&
-	       !evbuffer_get_length(call->response_body);
+	return call->state == CALL_DISPATCHED && call->attempt->upstream &&
+	       !call->once_only && !call->attempt->trial_part &&
+	       !call->tokens && !reply_has_started(call->reply) &&
+	       !evbuffer_get_length(call->attempt->response.body);
 }
 
 /* A part that is held would end the replica that has the call. */
@@ -199,10 +200,10 @@
 
 void parts_attempt_over(struct call *call)
 {
-	if (call->trial_part)
+	if (call->attempt->trial_part)
 		quarantine_end_trial(call->entry->parts->quarantine,
-				     call->trial_part);
-	call->trial_part = 0;
+				     call->attempt->trial_part);
+	call->attempt->trial_part = 0;
 }
 
 void parts_trial_undecided(struct parts *parts, uint64_t part)
@@ -255,12 +256,12 @@
 	struct unproven *u = g_new0(struct unproven, 1);
 
 	u->end.service = g_strdup(call->service->name);
-	u->end.replica = call->replica;
-	u->end.epoch = call->epoch;
+	u->end.replica = call->attempt->replica;
+	u->end.epoch = call->attempt->epoch;
 	u->end.at_ms = entry_now_ms(call->entry);
 	u->call.parts = call->parts;
-	u->call.trial_part = call->trial_part;
-	call->trial_part = 0;
+	u->call.trial_part = call->attempt->trial_part;
+	call->attempt->trial_part = 0;
 	g_queue_push_tail(&parts->unproven, u);
 }
 
@@ -269,9 +270,10 @@
 	struct parts *parts = call->entry->parts;
 
 	/* An endpoint may have rejected the request without serving it. */
-	if (call->status < HTTP_OK || call->status >= HTTP_REDIRECTS)
+	if (call->attempt->response.status < HTTP_OK ||
+	    call->attempt->response.status >= HTTP_REDIRECTS)
 		return;
-	if (call->is_framed)
+	if (call->attempt->response.is_framed)
 		quarantine_add_success(parts->quarantine,
 				       entry_now_ms(call->entry),
 				       call->parts.ids, call->parts.count);
--- a/entry/reach.c
+++ b/entry/reach.c
@@ -3,6 +3,7 @@
 
 #include "common/log.h"
 #include "common/probe.h"
+#include "entry/attempt.h"
 #include "entry/reach.h"
 #include "entry/upstream.h"
 
@@ -89,39 +90,44 @@
 {
 	struct reach *reach = call->service->reach;
 
-	if (call->endpoint)
-		links_sent(reach->links, now_ms(reach), call->endpoint);
+	if (call->attempt->endpoint)
+		links_sent(reach->links, now_ms(reach),
+			   call->attempt->endpoint);
 }
 
 void reach_answered(const struct call *call)
 {
 	struct reach *reach = call->service->reach;
 
-	if (call->endpoint && call->upstream)
-		links_answered(reach->links, now_ms(reach), call->endpoint,
-			       !upstream_is_reused(call->upstream));
+	if (call->attempt->endpoint && call->attempt->upstream)
+		links_answered(reach->links, now_ms(reach),
+			       call->attempt->endpoint,
+			       !upstream_is_reused(call->attempt->upstream));
 }
 
 void reach_heard(const struct call *call)
 {
 	struct reach *reach = call->service->reach;
 
-	if (call->endpoint)
-		links_heard(reach->links, now_ms(reach), call->endpoint);
+	if (call->attempt->endpoint)
+		links_heard(reach->links, now_ms(reach),
+			    call->attempt->endpoint);
 }
 
 void reach_failed(const struct call *call)
 {
 	struct reach *reach = call->service->reach;
 
-	if (call->endpoint)
-		links_failed(reach->links, now_ms(reach), call->endpoint);
+	if (call->attempt->endpoint)
+		links_failed(reach->links, now_ms(reach),
+			     call->attempt->endpoint);
 }
 
 void reach_ended(const struct call *call)
 {
-	if (call->endpoint)
-		links_ended(call->service->reach->links, call->endpoint);
+	if (call->attempt->endpoint)
+		links_ended(call->service->reach->links,
+			    call->attempt->endpoint);
 }
 
 /* ---- probes ---- */
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "common/log.h"
+#include "entry/attempt.h"
 #include "entry/reach.h"
 #include "entry/relay.h"
 
@@ -124,8 +125,9 @@
 	if (!e)
 		return false;
 	call->peers_tried[call->peers_tried_count++] = e->node;
-	call->peer = e->node;
-	g_strlcpy(call->address, e->callers_address, sizeof(call->address));
+	call->attempt->peer = e->node;
+	g_strlcpy(call->attempt->address, e->callers_address,
+		  sizeof(call->attempt->address));
 	return true;
 }
 
@@ -136,9 +138,10 @@
 	log_note(&relay_log,
 		 "request %s: entry takes no connection entry=%u at=%s "
 		 "avoided_ms=%d",
-		 call->id, call->peer, call->address, PEER_AVOID_MS);
+		 call->id, call->attempt->peer, call->attempt->address,
+		 PEER_AVOID_MS);
 	g_hash_table_insert(call->entry->relay->avoid,
-			    GUINT_TO_POINTER(call->peer),
+			    GUINT_TO_POINTER(call->attempt->peer),
 			    g_memdup2(&until_ms, sizeof(until_ms)));
 }
 
@@ -168,7 +171,7 @@
 	const char *text = evhttp_find_header(headers, "Retry-After");
 
 	if (text)
-		call->peer_retry_ms = (int)CLAMP(
+		call->attempt->response.retry_after_ms = (int)CLAMP(
 			g_ascii_strtod(text, NULL) * MS_PER_S, 0, G_MAXINT32);
 }
 
@@ -182,7 +185,7 @@
 	if (status == HTTP_SERVUNAVAIL ||
 	    status / STATUS_CLASS == HTTP_BAD_REQUEST_CLASS)
 		return RESPONSE_NOT_RUN;
-	return RESPONSE_FAILED;
+	return RESPONSE_NO_ANSWER;
 }
 
 /* ---- at the entry that gets the request ---- */
--- a/entry/services.c
+++ b/entry/services.c
@@ -9,6 +9,7 @@
 
 #include "common/log.h"
 #include "control/demands.h"
+#include "entry/attempt.h"
 #include "entry/call.h"
 #include "entry/leaving.h"
 #include "entry/limits.h"
--- a/entry/shutdown.c
+++ b/entry/shutdown.c
@@ -2,6 +2,7 @@
 #include <inttypes.h>
 
 #include "common/log.h"
+#include "entry/attempt.h"
 #include "entry/call.h"
 #include "entry/shutdown.h"
 #include "entry/take.h"
@@ -152,7 +153,7 @@
 	const struct entry *entry = call->entry;
 	int64_t now_us = entry_now_us(entry);
 	int64_t arrived_ms = call->started_us / 1000 - entry->shutdown.began_ms;
-	bool sent = call->upstream != NULL;
+	bool sent = call->attempt->upstream != NULL;
 
 	log_note(&shutdown_log,
 		 "request %s: ended by the stop arrived_ms=%" PRId64
@@ -160,19 +161,20 @@
 		 " unread_bytes=%zu end_pending=%s service=%s replica=%u",
 		 call->id, arrived_ms, (now_us - call->started_us) / 1000,
 		 call->attempts, reply_has_started(call->reply) ? "yes" : "no",
-		 sent ? now_us / 1000 - call->data_ms : 0,
-		 sent ? upstream_unread_bytes(call->upstream) : 0,
-		 sent && upstream_end_pending(call->upstream) ? "yes" : "no",
-		 call->service->name, call->replica);
+		 sent ? now_us / 1000 - call->attempt->data_ms : 0,
+		 sent ? upstream_unread_bytes(call->attempt->upstream) : 0,
+		 sent && upstream_end_pending(call->attempt->upstream) ? "yes"
+								       : "no",
+		 call->service->name, call->attempt->replica);
 }
 
 /* Whether a part of the response has arrived that is still needed. */
 static bool has_arrived(const struct call *call)
 {
-	return call->upstream &&
+	return call->attempt->upstream &&
 	       (reply_is_open(call->reply) || call->booking_key) &&
-	       (upstream_end_pending(call->upstream) ||
-		upstream_unread_bytes(call->upstream));
+	       (upstream_end_pending(call->attempt->upstream) ||
+		upstream_unread_bytes(call->attempt->upstream));
 }
 
 /*
--- a/test/crash_endpoints.c
+++ b/test/crash_endpoints.c
@@ -73,6 +73,7 @@
 	int most_in_rest;
 	volatile gint leaving;		 /* endpoints that say so */
 	volatile gint cut_pid, cut_mode; /* an enum cut_mode */
+	volatile gint failing_pid;	 /* see crash_endpoints_fail_at() */
 };
 
 static void listen_again(struct endpoint *e);
@@ -176,6 +177,12 @@
 	free_waiting(w);
 }
 
+static void answer_failure(struct waiting *w)
+{
+	evhttp_send_reply(w->req, 500, "failed", NULL);
+	free_waiting(w);
+}
+
 static void answer(struct waiting *w)
 {
 	evbuffer_add_printf(evhttp_request_get_output_buffer(w->req), "whole");
@@ -219,9 +226,9 @@
 	w->cut = true;
 }
 
-static bool is_cut_off(const struct waiting *w)
+/* Whether the process has sent the request. */
+static bool is_of(const struct waiting *w, pid_t pid)
 {
-	pid_t pid = (pid_t)g_atomic_int_get(&w->endpoint->all->cut_pid);
 	struct evhttp_connection *conn = evhttp_request_get_connection(w->req);
 	char *ip = NULL;
 	ev_uint16_t port = 0;
@@ -237,14 +244,22 @@
 	struct waiting *w = ctx;
 	struct endpoint *e = w->endpoint;
 	enum crash_mode mode = (enum crash_mode)g_atomic_int_get(&e->all->mode);
+	pid_t failing = (pid_t)g_atomic_int_get(&e->all->failing_pid);
 
 	(void)fd;
 	(void)what;
-	if (is_cut_off(w)) {
+	if (is_of(w, (pid_t)g_atomic_int_get(&e->all->cut_pid))) {
 		if (g_atomic_int_get(&e->all->cut_mode) == CUT_RESET)
 			close_alone(w);
 		return;
 	}
+	if (failing) {
+		if (is_of(w, failing))
+			answer_failure(w);
+		else
+			close_alone(w);
+		return;
+	}
 	if (mode == CRASH_RESET && !e->number)
 		close_alone(w);
 	else if (!w->has_part || mode == CRASH_RESET)
@@ -548,6 +563,11 @@
 	g_atomic_int_set(&all->cut_pid, (gint)pid);
 }
 
+void crash_endpoints_fail_at(struct crash_endpoints *all, pid_t pid)
+{
+	g_atomic_int_set(&all->failing_pid, (gint)pid);
+}
+
 void crash_endpoints_end_all(struct crash_endpoints *all)
 {
 	event_base_once(all->base, -1, EV_TIMEOUT, on_end_all, all, NULL);
--- a/test/crash_endpoints.h
+++ b/test/crash_endpoints.h
@@ -87,6 +87,12 @@
 void crash_endpoints_cut_off(struct crash_endpoints *endpoints, pid_t pid,
 			     enum cut_mode how);
 
+/**
+ * From now on requests of this process are answered 500, and those of others
+ * are reset; 0 ends it.
+ */
+void crash_endpoints_fail_at(struct crash_endpoints *endpoints, pid_t pid);
+
 /** Ends all endpoints at once, as the loss of a rack does. */
 void crash_endpoints_end_all(struct crash_endpoints *endpoints);
 
--- a/test/part_clients.c
+++ b/test/part_clients.c
@@ -51,11 +51,13 @@
 		.method = "POST",
 		.path = all->path ? all->path : "/llm/x",
 		.headers = headers,
+		.wanted_header = "Response-Seal",
 		.body = "q",
 		.body_size = -1,
 		.timeout_ms = all->timeout_ms,
 	};
 	struct fetch_response response;
+	bool success, failure;
 
 	make_prefix(all, number, prefix);
 	if (all->path)
@@ -63,9 +65,13 @@
 	g_snprintf(id, sizeof(id), "%s%x", all->part || all->path ? "b" : "a",
 		   number);
 	(void)fetch(&request, &response);
+	success = response.status == 200;
+	failure = response.status == 500;
 	g_mutex_lock(&all->lock);
 	all->counts.sent++;
-	all->counts.served += response.status == 200;
+	all->counts.served += success;
+	all->counts.failed += failure;
+	all->counts.mixed += response.header && !success && !failure;
 	all->counts.refused += response.status == 503 || response.status == 429;
 	g_mutex_unlock(&all->lock);
 	fetch_clear(&response);
--- a/test/part_clients.h
+++ b/test/part_clients.h
@@ -29,6 +29,9 @@
 struct part_counts {
 	int sent, served; /* `sent` have their answer */
 	int refused;	  /* 503 or 429 */
+	int failed;	  /* 500, as an endpoint answers */
+	int mixed; /* an endpoint's seal with a status that none of them gives
+		    */
 };
 
 void part_clients_reset(struct part_clients *clients);
--- a/test/test_call_class.c
+++ b/test/test_call_class.c
@@ -6,6 +6,7 @@
 
 #include <cmocka.h>
 
+#include "entry/attempt.h"
 #include "entry/call.h"
 #include "entry/call_class.h"
 
@@ -19,6 +20,7 @@
 	struct entry_service service;
 	struct router_request route;
 	struct call_class *call_class;
+	struct attempt attempt; /* of the calls made last, at one time */
 };
 
 static int64_t test_now_us(void *ctx)
@@ -61,15 +63,18 @@
 
 static struct call new_call(struct class_test *test)
 {
+	test->attempt = (struct attempt){
+		.sent_us = test->now_us,
+		.response = { .status = HTTP_OK },
+	};
 	return (struct call){
 		.entry = &test->entry,
 		.service = &test->service,
 		.call_class = test->call_class,
 		.state = CALL_DISPATCHED,
 		.started_us = test->now_us,
-		.sent_us = test->now_us,
+		.attempt = &test->attempt,
 		.attempts = 1,
-		.status = HTTP_OK,
 	};
 }
 
@@ -89,7 +94,7 @@
 	for (int i = 0; i < count; i++) {
 		struct call call = new_call(test);
 
-		call.status = status;
+		call.attempt->response.status = status;
 		advance_ms(test, ms);
 		call_class_add_complete(&call);
 	}
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -51,7 +51,7 @@
 	"Content-Type: text/event-stream\r\nConnection: close\r\n"
 #define CONTROL_VMS 3
 #define ENTRY 4 /* the first entry */
-#define NODES 5 /* the last is the second entry, if there are two */
+#define NODES 6 /* entries are the last, up to three */
 #define WAIT_MS 30000
 #define HEARTBEAT_US 200000
 #define POLL_US 50000
@@ -1431,16 +1431,18 @@
 	return clients;
 }
 
-/* sound-begin: clients whose requests lack the part, at each entry. */
+/* sound-begin [node=N]: clients whose requests lack the part, at each entry. */
 static void do_sound_begin(struct script *s)
 {
 	struct platform_test *test = s->ctx;
+	int node = (int)script_number(s, "node", 0);
 	struct part_clients_opts opts = { .per_entry = 4,
 					  .pause_ms = 10,
 					  .timeout_ms = CLIENT_TIMEOUT_MS };
 
 	for (int i = ENTRY; i < ENTRY + test->entries; i++)
-		test->sound_at[i] = start_clients(test, i, i, &opts);
+		if (!node || i == node)
+			test->sound_at[i] = start_clients(test, i, i, &opts);
 }
 
 /* bad-begin part=ID|path=PATH [timeout=MS]: clients whose requests have it. */
@@ -1570,6 +1572,40 @@
 	crash_endpoints_cut_off(test->crash_endpoints, 0, CUT_SILENT);
 }
 
+/* fail-at NODE: endpoints answer 500 to it, and reset requests of others. */
+static void do_fail_at(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+
+	crash_endpoints_fail_at(test->crash_endpoints,
+				test->pids[atoi(s->words[1])]);
+}
+
+/*
+ * sound-failures NODE failed=N: waits until N answers of an entry are an
+ * endpoint's 500. None may have an endpoint's seal with another error.
+ */
+static void do_sound_failures(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	int node = atoi(s->words[1]);
+	int failed = (int)script_number(s, "failed", 1);
+	gint64 deadline = cluster_now_ms() + WAIT_MS;
+	struct part_counts counts;
+
+	part_clients_reset(test->sound_at[node]);
+	do {
+		usleep(POLL_US);
+		part_clients_count(test->sound_at[node], &counts);
+	} while (counts.failed < failed && cluster_now_ms() < deadline);
+	if (counts.failed >= failed && !counts.mixed)
+		script_print(s, "entry %d tells its errors from endpoints'",
+			     node);
+	else
+		script_print(s, "%d of %d answers failed, %d are mixed",
+			     counts.failed, counts.sent, counts.mixed);
+}
+
 /*
  * wait-late [ends=N]: waits until LATE_MS have passed since the N-th end, or
  * since the last one if no further ones come.
@@ -1774,6 +1810,8 @@
 	{ "rests-kept", 0, do_rests_kept },
 	{ "leave-by-answer", 1, do_leave_by_answer },
 	{ "restore-links", 0, do_restore_links },
+	{ "fail-at", 1, do_fail_at },
+	{ "sound-failures", 1, do_sound_failures },
 	{ "bad-begin", 0, do_bad_begin },
 	{ "bad-end", 0, do_bad_end },
 	{ "bad-answers", 1, do_bad_answers },
