control: caught-up learners vote, and the end of a voter's process is seen

Cause: a learner was promoted only once a voter had been silent for 2.5 s, so the second end left one voter of three beside two members with all data. Ruled out: the leader's handover (broken whichever VMs end, and by kills).

Learners that lack nothing are promoted by twos while all voters are well, so two voters may end at once beside two successors. A voter whose process has closed its links and isn't back after 0.5 s counts as lost.

--- a/control/control_internal.h
+++ b/control/control_internal.h
@@ -15,6 +15,7 @@
 #include "control/group.h"
 
 struct follow;
+struct member_health;
 struct operators;
 struct placer;
 struct proposals;
@@ -114,6 +115,11 @@
  * or the node is not known.
  */
 int64_t peers_lost_ms(const struct control *control, uint32_t node);
+/**
+ * Returns since when there has been none because the node's process closed or
+ * refused it; 0 if there is one, or the node is only silent.
+ */
+int64_t peers_closed_ms(const struct control *control, uint32_t node);
 /** Notifies all processes, this one included, to poll the leader now. */
 void peers_notify_update(struct control *control);
 /** Whether bytes to peers, or replies to their calls, are not sent yet. */
@@ -223,12 +229,12 @@
 				int64_t lost_ms);
 
 /**
- * Returns the log line about the voter that has not replied for too long, or
- * about its end; NULL if nothing has changed. `node` is 0 if there is none,
- * `reported` the node of the last line. The caller frees.
+ * Returns the log line about the voter that is lost, or about its end; NULL if
+ * nothing has changed. `node` is 0 if there is none, and `health` NULL then;
+ * `reported` is the node of the last line. The caller frees.
  */
-char *members_silence_line(uint32_t *reported, uint32_t node, int64_t silent_ms,
-			   int64_t limit_ms);
+char *members_lost_line(uint32_t *reported, uint32_t node,
+			const struct member_health *health, int64_t limit_ms);
 
 /**
  * Proposes an operator's change: promote, demote or remove the member on a
--- a/control/members.c
+++ b/control/members.c
@@ -1,7 +1,7 @@
 /*
  * Membership of the consensus group, managed by the leader: a node with a new
- * data folder is added as a learner, and a voter that stays unreachable is
- * replaced by a learner. Operators can promote, demote and remove members.
+ * data folder is added as a learner, and consensus/membership.h says who votes.
+ * Operators can promote, demote and remove members.
  */
 #include <inttypes.h>
 #include <stdlib.h>
@@ -9,13 +9,15 @@
 
 #include "common/address.h"
 #include "common/log.h"
+#include "consensus/membership.h"
 #include "control/control_internal.h"
 #include "wire/codec.h"
 
-/* A learner may be promoted if it lags by at most this many log entries. */
-#define PROMOTION_MAX_LAG 64u
 /* A node counts as live if it replied or polled within this time. */
 #define LIVE_TIMEOUT_MS 1000
+/* A process whose links are closed for so long has ended; else they are back.
+ */
+#define ENDED_AFTER_MS 500
 
 static const struct log members_log = { "members" };
 
@@ -49,13 +51,6 @@
 	return result;
 }
 
-/** What the leader knows of a member. */
-struct member_health {
-	bool live; /* it has replied, within LIVE_TIMEOUT_MS */
-	int64_t silent_ms;
-	uint64_t lag; /* log entries that it lacks */
-};
-
 int64_t members_silent_since_ms(const struct raft_progress *progress,
 				int64_t lost_ms)
 {
@@ -64,67 +59,41 @@
 	return MIN(progress->last_reply_ms, lost_ms);
 }
 
-/* Returns false if the leader does not replicate to the member. */
-static bool member_health(const struct control *control, const struct member *m,
-			  struct member_health *health)
-{
-	const struct raft *raft = group_raft(control->group);
-	struct raft_progress progress;
-
-	*health = (struct member_health){ .live = true };
-	if (m->id == group_member_id(control->group))
-		return true;
-	if (!raft_progress(raft, m->id, &progress))
-		return false;
-	health->silent_ms = control_now_ms(control) -
-			    members_silent_since_ms(
-				    &progress, peers_lost_ms(control, m->node));
-	health->live = progress.replied && health->silent_ms < LIVE_TIMEOUT_MS;
-	health->lag = raft_last_index(raft) - progress.match;
-	return true;
-}
-
-static bool has_live_voter(const struct control *control,
-			   const struct member_config *config,
-			   const char *data_centre)
+/* Whether the link to the member's process was closed, and stays so. */
+static bool has_ended(const struct control *control, const struct member *m,
+		      const struct raft_progress *progress)
 {
-	for (u_int i = 0; i < config->members.members_len; i++) {
-		const struct member *m = &config->members.members_val[i];
-		struct member_health health;
+	int64_t lost_ms = peers_closed_ms(control, m->node);
+	int64_t ended_ms = MAX(lost_ms, progress->last_reply_ms);
 
-		if (m->voter && !strcmp(m->data_centre, data_centre) &&
-		    member_health(control, m, &health) && health.live)
-			return true;
-	}
-	return false;
+	return lost_ms && control_now_ms(control) - ended_ms >= ENDED_AFTER_MS;
 }
 
-/*
- * A live learner whose log is nearly complete, preferably in a data centre
- * without a live voter; NULL if there is none.
- */
-static struct member *find_promotable_learner(const struct control *control,
-					      struct member_config *config)
+/* One to which the leader does not replicate yet counts as silent. */
+static struct member_health member_health(const struct control *control,
+					  const struct member *m)
 {
-	struct member *best = NULL;
+	const struct raft *raft = group_raft(control->group);
+	struct member_health health = { 0 };
+	struct raft_progress progress;
 
-	for (u_int i = 0; i < config->members.members_len; i++) {
-		struct member *m = &config->members.members_val[i];
-		struct member_health health;
-
-		if (m->voter || !member_health(control, m, &health) ||
-		    !health.live || health.lag > PROMOTION_MAX_LAG)
-			continue;
-		if (!best ||
-		    (has_live_voter(control, config, best->data_centre) &&
-		     !has_live_voter(control, config, m->data_centre)))
-			best = m;
+	if (m->id == group_member_id(control->group)) {
+		health.live = true;
+		return health;
 	}
-	return best;
+	if (!raft_progress(raft, m->id, &progress))
+		return health;
+	health.silent_ms = control_now_ms(control) -
+			   members_silent_since_ms(
+				   &progress, peers_lost_ms(control, m->node));
+	health.live = progress.replied && health.silent_ms < LIVE_TIMEOUT_MS;
+	health.ended = has_ended(control, m, &progress);
+	health.lag = raft_last_index(raft) - progress.match;
+	return health;
 }
 
-char *members_silence_line(uint32_t *reported, uint32_t node, int64_t silent_ms,
-			   int64_t limit_ms)
+char *members_lost_line(uint32_t *reported, uint32_t node,
+			const struct member_health *health, int64_t limit_ms)
 {
 	uint32_t before = *reported;
 
@@ -132,49 +101,37 @@
 	if (node == before)
 		return NULL;
 	if (node)
-		return g_strdup_printf("voter on node %u has not replied for "
-				       "%d ms, limit %d ms: to be replaced",
-				       node, (int)silent_ms, (int)limit_ms);
+		return g_strdup_printf("voter on node %u is lost silent_ms=%d "
+				       "limit_ms=%d process_ended=%s",
+				       node, (int)health->silent_ms,
+				       (int)limit_ms,
+				       health->ended ? "yes" : "no");
 	return g_strdup_printf("voter on node %u replies again or was replaced",
 			       before);
 }
 
-static void log_silence(struct control *control, uint32_t node,
-			int64_t silent_ms, int64_t limit_ms)
+/* Logs which voter is lost, once for each. */
+static void log_lost_voter(struct control *control,
+			   const struct membership_opts *opts,
+			   const struct member_config *config,
+			   const struct member_health *health)
 {
-	char *line = members_silence_line(&control->silent_voter, node,
-					  silent_ms, limit_ms);
-
+	uint32_t node = 0;
+	char *line;
+	u_int i;
+
+	for (i = 0; !node && i < config->members.members_len; i++)
+		if (config->members.members_val[i].voter &&
+		    membership_is_lost(opts, &health[i]))
+			node = config->members.members_val[i].node;
+	line = members_lost_line(&control->silent_voter, node,
+				 node ? &health[i - 1] : NULL,
+				 opts->replace_after_ms);
 	if (line)
-		log_info(&members_log, "%s", line);
+		log_note(&members_log, "%s", line);
 	g_free(line);
 }
 
-static struct member *find_lost_voter(struct control *control,
-				      struct member_config *config)
-{
-	int64_t limit_ms = control->opts.settings->cluster.replace_after_ms;
-
-	for (u_int i = 0; i < config->members.members_len; i++) {
-		struct member *m = &config->members.members_val[i];
-		struct member_health health;
-
-		if (m->voter && member_health(control, m, &health) &&
-		    health.silent_ms > limit_ms) {
-			log_silence(control, m->node, health.silent_ms,
-				    limit_ms);
-			return m;
-		}
-	}
-	log_silence(control, 0, 0, limit_ms);
-	return NULL;
-}
-
-static u_int target_voters(const struct control *control)
-{
-	return daemon_settings_voter_count(control->opts.settings);
-}
-
 static u_int count_voters(const struct member_config *config)
 {
 	u_int count = 0;
@@ -184,33 +141,30 @@
 	return count;
 }
 
-/*
- * Replaces a lost voter in two changes of one voter each: first the learner is
- * promoted, then the lost voter is demoted. Between the two, a group of three
- * has four voters and needs three of them, which are the two live voters and
- * the promoted learner.
- */
-static bool replace_lost_voter(struct control *control,
-			       struct member_config *config)
+/* Changes a vote, if the rules for the group ask for it. */
+static void change_votes(struct control *control, struct member_config *config)
 {
-	struct member *lost = find_lost_voter(control, config);
-	struct member *learner;
-
-	if (lost && count_voters(config) > target_voters(control)) {
-		lost->voter = FALSE;
-		(void)propose_change(control, config, "lost voter demoted",
-				     lost->node);
-		return true;
+	const struct membership_opts opts = {
+		.target_voters =
+			daemon_settings_voter_count(control->opts.settings),
+		.replace_after_ms =
+			control->opts.settings->cluster.replace_after_ms,
+	};
+	u_int count = config->members.members_len;
+	struct member_health *health = g_new(struct member_health, count);
+	struct membership_change change;
+
+	for (u_int i = 0; i < count; i++)
+		health[i] = member_health(control,
+					  &config->members.members_val[i]);
+	log_lost_voter(control, &opts, config, health);
+	if (membership_next(&opts, config, health, &change)) {
+		struct member *m = &config->members.members_val[change.at];
+
+		m->voter = change.voter;
+		(void)propose_change(control, config, change.what, m->node);
 	}
-	if (!lost && count_voters(config) >= target_voters(control))
-		return false;
-	learner = find_promotable_learner(control, config);
-	if (!learner)
-		return false;
-	learner->voter = TRUE;
-	(void)propose_change(control, config, "learner promoted to voter",
-			     learner->node);
-	return true;
+	g_free(health);
 }
 
 static const struct peer_settings *find_peer_settings(
@@ -328,7 +282,7 @@
 			&config))
 		return;
 	if (!add_new_member(control, &config))
-		(void)replace_lost_voter(control, &config);
+		change_votes(control, &config);
 	CODEC_FREE(member_config, &config);
 }
 
@@ -363,10 +317,8 @@
 
 	for (u_int i = 0; i < config->members.members_len; i++) {
 		const struct member *m = &config->members.members_val[i];
-		struct member_health health;
 
-		if (m->voter && member_health(control, m, &health) &&
-		    health.live)
+		if (m->voter && member_health(control, m).live)
 			live++;
 	}
 	return live > count_voters(config) / 2;
--- a/control/peers.c
+++ b/control/peers.c
@@ -283,6 +283,13 @@
 	return peer ? peer->lost_ms : 0;
 }
 
+int64_t peers_closed_ms(const struct control *control, uint32_t node)
+{
+	const struct peer *peer = control_peer(control, node);
+
+	return peer && rpc_client_peer_closed(peer->client) ? peer->lost_ms : 0;
+}
+
 /* ---- sending ---- */
 
 void peers_send_raft(struct control *control, uint64_t member, GBytes *bytes)
--- a/test/test_log.c
+++ b/test/test_log.c
@@ -17,6 +17,7 @@
 
 #include "common/log_json.h"
 #include "common/log_sink.h"
+#include "consensus/membership.h"
 #include "control/control_internal.h"
 #include "common/probe.h"
 
@@ -99,7 +100,8 @@
 static void expect_silence(uint32_t *reported, uint32_t node,
 			   const char *expected)
 {
-	char *line = members_silence_line(reported, node, 2600, 2500);
+	const struct member_health health = { .silent_ms = 2600 };
+	char *line = members_lost_line(reported, node, &health, 2500);
 
 	assert_string_equal(line ? line : "none", expected);
 	g_free(line);
@@ -113,12 +115,12 @@
 	(void)state;
 	expect_silence(&reported, 0, "none");
 	expect_silence(&reported, 2,
-		       "voter on node 2 has not replied for 2600 ms, limit "
-		       "2500 ms: to be replaced");
+		       "voter on node 2 is lost silent_ms=2600 limit_ms=2500 "
+		       "process_ended=no");
 	expect_silence(&reported, 2, "none");
 	expect_silence(&reported, 3,
-		       "voter on node 3 has not replied for 2600 ms, limit "
-		       "2500 ms: to be replaced");
+		       "voter on node 3 is lost silent_ms=2600 limit_ms=2500 "
+		       "process_ended=no");
 	expect_silence(&reported, 3, "none");
 	expect_silence(&reported, 0,
 		       "voter on node 3 replies again or was replaced");
--- /dev/null
+++ b/test/test_replacement.c
@@ -0,0 +1,326 @@
+/*
+ * Servers of a consensus group that are replaced: each leader applies the rules
+ * for its members (consensus/membership.h), in simulated time. Two or three of
+ * the first servers end, in all orders, at all times between, with a notice of
+ * their end or without one.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "consensus/membership.h"
+#include "test/raft_network.h"
+#include "wire/codec.h"
+
+#define TARGET 3
+#define FIRST_VOTERS 3u
+#define REPLACE_AFTER_MS 2500
+#define LIVE_MS 1000
+/* From the end of a process until its peers know of it. */
+#define ENDED_MS 500
+#define TICK_MS 50
+/* For successors to be taken in. */
+#define SETTLE_MS 10000
+/* From the last end: the users' recoverS. */
+#define RECOVER_MS 12000
+
+/** How a server ends; others see the end of a process, but not a silence. */
+enum how { HOW_ENDED, HOW_SILENT, HOWS };
+
+struct replacement {
+	struct network net;
+	int64_t ended_ms[SERVERS]; /* when its process ended; 0: not */
+	int64_t tick_ms;
+};
+
+static void server_health(const struct replacement *r,
+			  const struct server *leader, const struct member *m,
+			  struct member_health *health)
+{
+	struct raft_progress progress;
+	int64_t now_ms = r->net.now_ms, ended_ms = r->ended_ms[m->id - 1];
+
+	*health = (struct member_health){ .live = true };
+	if (!raft_progress(leader->raft, m->id, &progress))
+		return;
+	health->silent_ms = now_ms - progress.last_reply_ms;
+	health->live = progress.replied && health->silent_ms < LIVE_MS;
+	health->ended = ended_ms && now_ms - ended_ms >= ENDED_MS;
+	health->lag = raft_last_index(leader->raft) - progress.match;
+}
+
+/* What a leader does in each tick. */
+static void apply_rules(struct replacement *r, struct server *leader)
+{
+	const struct membership_opts opts = { TARGET, REPLACE_AFTER_MS };
+	const struct member_config *config = raft_config(leader->raft);
+	struct member_health health[SERVERS];
+	struct membership_change change;
+	struct member_config next = { { 0 } };
+	uint64_t index;
+
+	for (u_int i = 0; i < config->members.members_len; i++)
+		server_health(r, leader, &config->members.members_val[i],
+			      &health[i]);
+	if (!membership_next(&opts, config, health, &change))
+		return;
+	assert_true(CODEC_COPY(member_config, config, &next));
+	next.members.members_val[change.at].voter = change.voter;
+	(void)raft_propose_config(leader->raft, r->net.now_ms, &next, &index);
+	CODEC_FREE(member_config, &next);
+}
+
+static void run_ms(struct replacement *r, int64_t ms)
+{
+	int64_t until_ms = r->net.now_ms + ms;
+
+	while (r->net.now_ms < until_ms) {
+		struct server *leader = ready_leader(&r->net);
+
+		if (leader && r->net.now_ms >= r->tick_ms) {
+			apply_rules(r, leader);
+			r->tick_ms = r->net.now_ms + TICK_MS;
+		}
+		network_step(&r->net);
+	}
+}
+
+/* A group of three, to which the other servers are added and catch up. */
+static void set_up(struct replacement *r, u_int successors)
+{
+	memset(r, 0, sizeof(*r));
+	network_init(&r->net, FIRST_VOTERS);
+	for (u_int i = 0; i < successors; i++)
+		change_membership(&r->net, FIRST_VOTERS + i + 1, LEARNER);
+	run_ms(r, SETTLE_MS);
+}
+
+static void end_server(struct replacement *r, uint64_t id, enum how how)
+{
+	server_crash(&r->net.servers[id - 1]);
+	if (how == HOW_ENDED)
+		r->ended_ms[id - 1] = r->net.now_ms;
+}
+
+/* The id at `place` in the order in which the leader comes first or last. */
+static uint64_t nth_voter(struct replacement *r, u_int leader_at, u_int place)
+{
+	uint64_t leader = run_until_leader(&r->net)->id;
+	uint64_t id = 1;
+
+	if (place == leader_at)
+		return leader;
+	for (u_int others = place > leader_at ? place - 1 : place;; id++) {
+		if (id == leader)
+			continue;
+		if (!others--)
+			return id;
+	}
+}
+
+static uint64_t propose_entry(struct server *leader)
+{
+	GBytes *data = g_bytes_new_static("x", 1);
+	uint64_t index = 0;
+
+	assert_int_equal(RD_OK,
+			 raft_propose(leader->raft, leader->network->now_ms,
+				      data, &index));
+	g_bytes_unref(data);
+	return index;
+}
+
+/* One history: the first `ends` voters of an order end, `gap_ms` apart. */
+struct history {
+	u_int successors, ends;
+	u_int leader_at; /* place of the leader in the order */
+	enum how how[FIRST_VOTERS];
+	int64_t gap_ms;
+};
+
+/* Whether what was committed before is there after, with a leader. */
+static bool survives(const struct history *history)
+{
+	struct replacement r;
+	uint64_t ids[FIRST_VOTERS], index;
+	struct server *leader;
+	bool found;
+
+	set_up(&r, history->successors);
+	for (u_int i = 0; i < history->ends; i++)
+		ids[i] = nth_voter(&r, history->leader_at, i);
+	index = propose_entry(run_until_leader(&r.net));
+	while (raft_commit_index(run_until_leader(&r.net)->raft) < index)
+		network_step(&r.net);
+	for (u_int i = 0; i < history->ends; i++) {
+		if (i)
+			run_ms(&r, history->gap_ms);
+		end_server(&r, ids[i], history->how[i]);
+	}
+	run_ms(&r, RECOVER_MS);
+	leader = ready_leader(&r.net);
+	found = leader && raft_commit_index(leader->raft) >= index;
+	network_clear(&r.net);
+	return found;
+}
+
+static void check_history(const struct history *history)
+{
+	if (!survives(history))
+		fail_msg("%u successors, %u ends %d ms apart, the leader's "
+			 "at %u, how %d %d %d: no leader",
+			 history->successors, history->ends,
+			 (int)history->gap_ms, history->leader_at,
+			 history->how[0], history->how[1], history->how[2]);
+}
+
+/*
+ * Guards against LOST: two servers whose successors have caught up end less
+ * than 2.5 s apart, and no leader could be elected any more.
+ */
+static void test_two_end_whose_successors_have_caught_up(void **state)
+{
+	struct history history = { .successors = 2, .ends = 2 };
+
+	(void)state;
+	for (int64_t gap_ms = 0; gap_ms <= 5000; gap_ms += 250) {
+		history.gap_ms = gap_ms;
+		for (history.leader_at = 0; history.leader_at < FIRST_VOTERS;
+		     history.leader_at++) {
+			for (int how = 0; how < HOWS * HOWS; how++) {
+				history.how[0] = (enum how)(how % HOWS);
+				history.how[1] = (enum how)(how / HOWS);
+				check_history(&history);
+			}
+		}
+	}
+}
+
+/* One server is replaced as planned, and a second later another is lost. */
+static void test_another_is_lost_after_a_replacement(void **state)
+{
+	struct history history = { .successors = 1, .ends = 2 };
+
+	(void)state;
+	history.how[0] = HOW_ENDED;
+	history.how[1] = HOW_SILENT;
+	/* The leader's own end needs an election first. */
+	for (history.leader_at = 1; history.leader_at < FIRST_VOTERS;
+	     history.leader_at++)
+		for (int64_t gap_ms = 1000; gap_ms <= 5000; gap_ms += 250) {
+			history.gap_ms = gap_ms;
+			check_history(&history);
+		}
+}
+
+/*
+ * All three end, each as soon as the one before is left out: with two
+ * successors two of three voters are left in the end.
+ */
+static void test_three_end_one_after_the_other(void **state)
+{
+	struct history history = { .ends = 3 };
+
+	(void)state;
+	history.gap_ms = REPLACE_AFTER_MS + LIVE_MS + 4 * ELECTION_MS;
+	for (int how = 0; how < HOWS * 2; how++) {
+		history.successors = 2 + (u_int)how / HOWS;
+		for (u_int i = 0; i < FIRST_VOTERS; i++)
+			history.how[i] = (enum how)(how % HOWS);
+		for (history.leader_at = 0; history.leader_at < FIRST_VOTERS;
+		     history.leader_at++)
+			check_history(&history);
+	}
+}
+
+/* ---- the rules by themselves ---- */
+
+static u_int voters_after(u_int successors, int64_t ms)
+{
+	struct replacement r;
+	const struct member_config *config;
+	u_int voters = 0;
+
+	set_up(&r, successors);
+	run_ms(&r, ms);
+	config = raft_config(run_until_leader(&r.net)->raft);
+	for (u_int i = 0; i < config->members.members_len; i++)
+		voters += config->members.members_val[i].voter ? 1 : 0;
+	network_clear(&r.net);
+	return voters;
+}
+
+static void test_voters_grow_by_two(void **state)
+{
+	(void)state;
+	assert_int_equal(3, voters_after(0, SETTLE_MS));
+	assert_int_equal(3, voters_after(1, SETTLE_MS));
+	assert_int_equal(5, voters_after(2, SETTLE_MS));
+	assert_int_equal(5, voters_after(3, SETTLE_MS));
+}
+
+static bool is_voter(struct replacement *r, uint64_t id)
+{
+	const struct member_config *config =
+		raft_config(run_until_leader(&r->net)->raft);
+
+	for (u_int i = 0; i < config->members.members_len; i++)
+		if (config->members.members_val[i].id == id)
+			return config->members.members_val[i].voter;
+	return false;
+}
+
+/* A restart without a successor takes no vote away. */
+static void test_restart_keeps_the_vote(void **state)
+{
+	struct replacement r;
+	uint64_t id;
+
+	(void)state;
+	set_up(&r, 0);
+	id = nth_voter(&r, 0, 1);
+	end_server(&r, id, HOW_ENDED);
+	run_ms(&r, SETTLE_MS);
+	assert_true(is_voter(&r, id));
+	server_start(&r.net.servers[id - 1]);
+	r.ended_ms[id - 1] = 0;
+	run_ms(&r, SETTLE_MS);
+	assert_non_null(ready_leader(&r.net));
+	network_clear(&r.net);
+}
+
+/* A former voter that is back, with its disk, is a voter again. */
+static void test_back_a_second_later_among_five(void **state)
+{
+	struct replacement r;
+	uint64_t id;
+
+	(void)state;
+	set_up(&r, 2);
+	id = nth_voter(&r, 0, 1);
+	end_server(&r, id, HOW_ENDED);
+	run_ms(&r, 1000);
+	server_start(&r.net.servers[id - 1]);
+	r.ended_ms[id - 1] = 0;
+	run_ms(&r, SETTLE_MS);
+	assert_true(is_voter(&r, id));
+	network_clear(&r.net);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_two_end_whose_successors_have_caught_up),
+		cmocka_unit_test(test_another_is_lost_after_a_replacement),
+		cmocka_unit_test(test_three_end_one_after_the_other),
+		cmocka_unit_test(test_voters_grow_by_two),
+		cmocka_unit_test(test_restart_keeps_the_vote),
+		cmocka_unit_test(test_back_a_second_later_among_five),
+	};
+
+	return cmocka_run_group_tests_name("replacement", tests, NULL, NULL);
+}
--- a/test/torture.c
+++ b/test/torture.c
@@ -6,6 +6,7 @@
 
 #include <xxhash.h>
 
+#include "consensus/membership.h"
 #include "control/group.h"
 #include "test/memory_fs.h"
 #include "test/torture.h"
@@ -25,6 +26,10 @@
 /* Wait for an acknowledgement, right after which the final fault occurs. */
 #define FINAL_ACK_MS 3000
 #define FINAL_DOWN_MS 1000
+/* Silences of a member that isn't live any more, and of a voter that is lost.
+ */
+#define LIVE_MS 1000
+#define REPLACE_AFTER_MS 2500
 #define DRIFT_PERMILLE 50
 #define SERVICE "torture"
 #define OPERATORS 3
@@ -934,24 +939,42 @@
 	return g_string_free(text, FALSE);
 }
 
-/* Promotes a learner while voters are missing, as control/members.c does. */
-static void restore_voters(struct simulation *sim)
+static struct member_health health_of(struct vm *leader, const struct member *m)
+{
+	const struct raft *raft = group_raft(leader->group);
+	struct member_health health = { 0 };
+	struct raft_progress progress;
+
+	if (m->id == group_member_id(leader->group)) {
+		health.live = true;
+	} else if (raft_progress(raft, m->id, &progress)) {
+		health.silent_ms = vm_now_us(leader) / 1000 -
+				   progress.last_reply_ms;
+		health.live = progress.replied && health.silent_ms < LIVE_MS;
+		health.lag = raft_last_index(raft) - progress.match;
+	}
+	return health;
+}
+
+/* Changes a vote if the rules for the group ask for it. */
+static void apply_member_rules(struct simulation *sim)
 {
+	const struct membership_opts opts = { VOTERS, REPLACE_AFTER_MS };
 	struct vm *leader = pick_leader(sim);
+	struct member_health health[2 * MEMBERS];
 	struct member_config config = { { 0 } };
+	struct membership_change change;
 
-	if (!leader ||
+	if (!leader || !group_is_ready_leader(leader->group) ||
 	    !CODEC_COPY(member_config, raft_config(group_raft(leader->group)),
 			&config))
 		return;
-	for (u_int i = 0; i < config.members.members_len; i++) {
-		struct member *m = &config.members.members_val[i];
-
-		if (m->voter || voter_count(&config) >= VOTERS)
-			continue;
-		m->voter = TRUE;
-		(void)group_propose_config(leader->group, &config);
-		break;
+	for (u_int i = 0; i < config.members.members_len; i++)
+		health[i] = health_of(leader, &config.members.members_val[i]);
+	if (membership_next(&opts, &config, health, &change)) {
+		config.members.members_val[change.at].voter = change.voter;
+		if (group_propose_config(leader->group, &config) == RD_OK)
+			sim->result->config_changes++;
 	}
 	CODEC_FREE(member_config, &config);
 }
@@ -961,7 +984,7 @@
 {
 	step(sim);
 	add_missing_members(sim);
-	restore_voters(sim);
+	apply_member_rules(sim);
 }
 
 /* Until a disk may be lost, or for the time that convergence may take. */
--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -102,6 +102,13 @@
 /** Returns whether the handshake is complete. */
 bool rpc_client_is_ready(const struct rpc_client *client);
 
+/**
+ * Returns whether the peer has closed or reset the last connection, or refused
+ * a later one, and none has been opened since: a silent or unreachable peer
+ * does neither.
+ */
+bool rpc_client_peer_closed(const struct rpc_client *client);
+
 /**
  * Sends a call; `done` runs once. Returns false, without running `done`, if the
  * client is not ready.
--- a/wire/rpc_client.c
+++ b/wire/rpc_client.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <string.h>
 
 #include <event2/bufferevent.h>
@@ -39,6 +40,7 @@
 	struct bufferevent *bev;
 	struct rpc_session session;
 	enum client_state state;
+	bool peer_closed;    /* see rpc_client_peer_closed() */
 	struct event *timer; /* by state: reconnect, timeout or ping */
 	GHashTable *pending; /* xid -> struct pending_call */
 	uint32_t next_xid;
@@ -172,6 +174,7 @@
 			  client->server_nonce, client->session.key);
 	client->session.authenticated = true;
 	client->state = STATE_READY;
+	client->peer_closed = false;
 	client->unanswered_pings = 0;
 	set_timer(client, PING_INTERVAL_MS);
 	if (client->opts.ready_changed)
@@ -220,9 +223,19 @@
 	}
 }
 
+/* Whether the peer's end of the connection said that it is over. */
+static bool closed_by_peer(short events, int error)
+{
+	return events & BEV_EVENT_EOF ||
+	       (events & BEV_EVENT_ERROR &&
+		(error == ECONNREFUSED || error == ECONNRESET ||
+		 error == EPIPE));
+}
+
 static void on_event(struct bufferevent *bev, short events, void *ctx)
 {
 	struct rpc_client *client = ctx;
+	int error = EVUTIL_SOCKET_ERROR();
 
 	if (events & BEV_EVENT_CONNECTED) {
 		address_set_tcp_options(bufferevent_getfd(bev),
@@ -230,6 +243,8 @@
 		send_hello(client);
 		return;
 	}
+	if (closed_by_peer(events, error))
+		client->peer_closed = true;
 	disconnect(client);
 }
 
@@ -310,6 +325,11 @@
 	return client->state == STATE_READY;
 }
 
+bool rpc_client_peer_closed(const struct rpc_client *client)
+{
+	return client->peer_closed;
+}
+
 static void on_call_timeout(evutil_socket_t fd, short events, void *ctx)
 {
 	(void)fd;
