storage: the log is synced when it is read at a start

Cause: entries found in a segment after a kill counted as durable, but only the page cache had them, and nothing synced that segment any more. Ruled out: the order of syncs (losses of power alone do no harm in the torture).

--- a/bench/bench_torture.c
+++ b/bench/bench_torture.c
@@ -17,22 +17,30 @@
 	pthread_mutex_t lock;
 };
 
+static const char *const crash_names[] = {
+	[TORTURE_POWER] = "power",
+	[TORTURE_POWER_OR_KILL] = "power-or-kill",
+};
+
 static const char *const disk_names[] = {
 	[TORTURE_DISK_INLINE] = "inline",
 	[TORTURE_DISK_THREAD] = "thread",
 };
 
-static void add_result(struct seed_range *range, uint32_t seed,
-		       enum torture_disk disk, struct torture_result *r)
+static void add_result(struct seed_range *range,
+		       const struct torture_opts *opts,
+		       struct torture_result *r)
 {
 	pthread_mutex_lock(&range->lock);
 	if (r->fault) {
 		range->failed++;
-		printf("seed %u, disk %s: %s\n", seed, disk_names[disk],
+		printf("seed %u, disk %s, crash %s: %s\n", opts->seed,
+		       disk_names[opts->disk], crash_names[opts->crash],
 		       r->fault);
 		fflush(stdout);
 	}
 	range->totals.crashes += r->crashes;
+	range->totals.kills += r->kills;
 	range->totals.pauses += r->pauses;
 	range->totals.partitions += r->partitions;
 	range->totals.wipes += r->wipes;
@@ -47,12 +55,21 @@
 }
 
 static void run_schedule(struct seed_range *range, uint32_t seed,
-			 enum torture_disk disk)
+			 enum torture_disk disk, enum torture_crash crash)
 {
+	struct torture_opts opts = { seed, disk, crash };
 	struct torture_result result;
 
-	torture_run(seed, disk, &result);
-	add_result(range, seed, disk, &result);
+	torture_run(&opts, &result);
+	add_result(range, &opts, &result);
+}
+
+static void run_seed(struct seed_range *range, uint32_t seed)
+{
+	run_schedule(range, seed, TORTURE_DISK_INLINE, TORTURE_POWER);
+	run_schedule(range, seed, TORTURE_DISK_THREAD, TORTURE_POWER);
+	run_schedule(range, seed, TORTURE_DISK_INLINE, TORTURE_POWER_OR_KILL);
+	run_schedule(range, seed, TORTURE_DISK_THREAD, TORTURE_POWER_OR_KILL);
 }
 
 static void *run_worker(void *arg)
@@ -68,8 +85,7 @@
 		pthread_mutex_unlock(&range->lock);
 		if (!seed)
 			return NULL;
-		run_schedule(range, seed, TORTURE_DISK_INLINE);
-		run_schedule(range, seed, TORTURE_DISK_THREAD);
+		run_seed(range, seed);
 	}
 }
 
@@ -92,13 +108,14 @@
 		pthread_create(&ids[i], NULL, run_worker, &range);
 	for (int i = 0; i < threads; i++)
 		pthread_join(ids[i], NULL);
-	printf("seeds %u to %u: %u failed; %u crashes, %u lost disks, "
+	printf("seeds %u to %u: %u failed; %u crashes, %u of them kills, "
+	       "%u lost disks, "
 	       "%u of them as the final fault, "
 	       "%u pauses, %u partitions, "
 	       "%u membership changes, %u transfers, %u terms, "
 	       "%u snapshots installed, %u changes acknowledged\n",
 	       range.first, range.first + range.count - 1, range.failed,
-	       range.totals.crashes, range.totals.wipes,
+	       range.totals.crashes, range.totals.kills, range.totals.wipes,
 	       range.totals.final_wipes, range.totals.pauses,
 	       range.totals.partitions, range.totals.config_changes,
 	       range.totals.transfers, range.totals.terms,
--- a/storage/storage.c
+++ b/storage/storage.c
@@ -361,20 +361,26 @@
 	}
 }
 
-static enum rd_result truncate_torn_tail(struct storage *s, const char *name,
-					 uint64_t size)
+/*
+ * Cuts off what follows the first `size` bytes, and syncs the rest: after the
+ * end of a process a file has all that was written to it, durable or not, and
+ * what is read here counts as durable.
+ */
+static enum rd_result make_durable(struct storage *s, const char *name,
+				   uint64_t size, bool is_torn)
 {
 	const struct storage_fs *fs = s->opts.fs;
 	int handle = fs->open(fs->ctx, name);
-	int error;
+	int error = 0;
 
 	if (handle < 0)
 		return fail(s, name, "open", handle);
-	error = fs->truncate(fs->ctx, handle, size);
+	if (is_torn)
+		error = fs->truncate(fs->ctx, handle, size);
 	if (!error)
 		error = fs->sync(fs->ctx, handle);
 	fs->close(fs->ctx, handle);
-	return error ? fail(s, name, "truncate", error) : RD_OK;
+	return error ? fail(s, name, "sync", error) : RD_OK;
 }
 
 static enum rd_result read_segment(struct storage *s,
@@ -411,8 +417,8 @@
 		result = reject(s, RD_DAMAGED, name,
 				"bad checksum at byte %" PRIu64 " of %" PRIu64,
 				offset, size);
-	else if (offset < size)
-		result = truncate_torn_tail(s, name, offset);
+	else
+		result = make_durable(s, name, offset, offset < size);
 	r->torn_bytes += size - offset;
 	segment.bytes = offset;
 	g_array_append_val(s->segments, segment);
--- a/test/memory_fs.c
+++ b/test/memory_fs.c
@@ -349,6 +349,13 @@
 	fs->failed = false;
 }
 
+void memory_fs_kill(struct memory_fs *fs)
+{
+	g_ptr_array_set_size(fs->handles, 0);
+	fs->until_failure = -1;
+	fs->failed = false;
+}
+
 void memory_fs_wipe(struct memory_fs *fs)
 {
 	g_ptr_array_set_size(fs->handles, 0);
--- a/test/memory_fs.h
+++ b/test/memory_fs.h
@@ -38,6 +38,12 @@
 /** Loses unsynced data and names, except for a random part. */
 void memory_fs_crash(struct memory_fs *fs);
 
+/**
+ * Closes all files, as the end of a process does: what it has written stays,
+ * but is not synced for that.
+ */
+void memory_fs_kill(struct memory_fs *fs);
+
 /** Removes all files, as if the disk had been replaced. */
 void memory_fs_wipe(struct memory_fs *fs);
 
--- a/test/torture.c
+++ b/test/torture.c
@@ -30,6 +30,8 @@
  */
 #define LIVE_MS 1000
 #define REPLACE_AFTER_MS 2500
+/* More than the operations of a job that syncs entries. */
+#define KILL_OPERATIONS 5
 #define DRIFT_PERMILLE 50
 #define SERVICE "torture"
 #define OPERATORS 3
@@ -86,6 +88,8 @@
 	GRand *random;
 	enum torture_disk disk;
 	GRand *disk_random; /* apart, so that both kinds have one schedule */
+	enum torture_crash crash;
+	GRand *kill_random; /* likewise */
 	int64_t now_us;
 	struct vm vms[MEMBERS];
 	struct operator operators[OPERATORS];
@@ -318,20 +322,57 @@
 	g_free(why);
 }
 
-static void vm_crash(struct vm *vm)
+/* The job may have reached the disk, or parts of it. */
+static void lose_power(struct vm *vm)
 {
-	/* The job may have reached the disk, or parts of it. */
 	if (vm->job_begun && g_rand_boolean(vm->simulation->disk_random))
 		group_run_job(vm->group);
 	group_destroy(vm->group);
 	vm->group = NULL;
 	memory_fs_crash(vm->fs);
+}
+
+/* The process ends after some of its job's operations. */
+static void kill_process(struct vm *vm)
+{
+	struct simulation *sim = vm->simulation;
+
+	if (vm->job_begun) {
+		memory_fs_fail_after(vm->fs,
+				     g_rand_int_range(sim->kill_random, 1,
+						      KILL_OPERATIONS),
+				     EIO);
+		group_run_job(vm->group);
+	}
+	group_destroy(vm->group);
+	vm->group = NULL;
+	memory_fs_kill(vm->fs);
+	sim->result->kills++;
+}
+
+static bool is_kill(const struct simulation *sim)
+{
+	return sim->crash == TORTURE_POWER_OR_KILL &&
+	       g_rand_boolean(sim->kill_random);
+}
+
+static void vm_go_down(struct vm *vm, bool kill)
+{
+	if (kill)
+		kill_process(vm);
+	else
+		lose_power(vm);
 	vm->simulation->result->crashes++;
 	vm->down_until_us = vm->simulation->now_us +
 			    g_rand_int_range(vm->simulation->random, 10000,
 					     3000000);
 }
 
+static void vm_crash(struct vm *vm)
+{
+	vm_go_down(vm, is_kill(vm->simulation));
+}
+
 static bool vm_is_running(const struct vm *vm)
 {
 	return vm->group && vm->simulation->now_us >= vm->paused_until_us;
@@ -770,7 +811,9 @@
 		if (vm->group)
 			return;
 		/* If an injected failure prevented the start, retry later. */
-		if (memory_fs_failed(vm->fs))
+		if (memory_fs_failed(vm->fs) && is_kill(sim))
+			memory_fs_kill(vm->fs);
+		else if (memory_fs_failed(vm->fs))
 			memory_fs_crash(vm->fs);
 		return;
 	}
@@ -1011,7 +1054,9 @@
 static void power_off(struct simulation *sim, struct vm *vm)
 {
 	if (vm->group)
-		vm_crash(vm);
+		vm_go_down(vm, false);
+	else
+		memory_fs_crash(vm->fs);
 	vm->down_until_us = sim->now_us +
 			    g_rand_int_range(sim->random, 10, FINAL_DOWN_MS) *
 				    1000;
@@ -1119,16 +1164,18 @@
 
 /* ---- one schedule ---- */
 
-static void world_init(struct simulation *sim, uint32_t seed,
-		       enum torture_disk disk, struct torture_result *result)
+static void world_init(struct simulation *sim, const struct torture_opts *opts,
+		       struct torture_result *result)
 {
 	static const int delays_us[] = { 8000, 60000, 250000 };
 	static const int gaps_us[] = { 20000, 200000, 3000000 };
 
 	memset(sim, 0, sizeof(*sim));
-	sim->random = g_rand_new_with_seed(seed);
-	sim->disk = disk;
-	sim->disk_random = g_rand_new_with_seed(~seed);
+	sim->random = g_rand_new_with_seed(opts->seed);
+	sim->disk = opts->disk;
+	sim->disk_random = g_rand_new_with_seed(~opts->seed);
+	sim->crash = opts->crash;
+	sim->kill_random = g_rand_new_with_seed(~opts->seed);
 	sim->max_delay_us = delays_us[g_rand_int_range(sim->random, 0, 3)];
 	sim->max_gap_us = gaps_us[g_rand_int_range(sim->random, 0, 3)];
 	sim->vote_crash_chance = chance(sim, 0.5) ? 0.3 : 0;
@@ -1185,15 +1232,15 @@
 	g_hash_table_unref(sim->acknowledged);
 	g_rand_free(sim->random);
 	g_rand_free(sim->disk_random);
+	g_rand_free(sim->kill_random);
 }
 
-void torture_run(uint32_t seed, enum torture_disk disk,
-		 struct torture_result *result)
+void torture_run(const struct torture_opts *opts, struct torture_result *result)
 {
 	struct simulation sim;
 
 	memset(result, 0, sizeof(*result));
-	world_init(&sim, seed, disk, result);
+	world_init(&sim, opts, result);
 	while (sim.now_us < (int64_t)SCHEDULE_MS * 1000 && !result->fault)
 		step(&sim);
 	if (!result->fault)
--- a/test/torture.h
+++ b/test/torture.h
@@ -1,7 +1,8 @@
 /**
  * @file
  * Fault injection for a consensus group, in simulated time and with seeded
- * random schedules: members crash at any write, pause, lose their disks, are
+ * random schedules: members lose power or are killed at any write, pause, lose
+ * their disks, are
  * partitioned in one or both directions, and their clocks drift; disks are
  * slow; messages are lost, duplicated and reordered; operators make concurrent
  * changes and resend them.
@@ -26,8 +27,9 @@
 
 /** What happened in one schedule. */
 struct torture_result {
-	char *fault; /* first violation found, or NULL; g_free() */
-	uint32_t crashes, pauses, partitions, wipes, config_changes, transfers;
+	char *fault;	  /* first violation found, or NULL; g_free() */
+	uint32_t crashes; /* with `kills` */
+	uint32_t kills, pauses, partitions, wipes, config_changes, transfers;
 	uint32_t snapshots;    /* received by members that lagged too far */
 	uint32_t acknowledged; /* changes that operators got acknowledged */
 	uint32_t terms;
@@ -40,8 +42,22 @@
 	TORTURE_DISK_THREAD, /* another thread; the member goes on meanwhile */
 };
 
-/** Runs one schedule. Runs with the same arguments are identical. */
-void torture_run(uint32_t seed, enum torture_disk disk,
+/** What a crash of a member is. */
+enum torture_crash {
+	TORTURE_POWER, /* a loss of power: what isn't synced is lost */
+	/* Or the end of its process: what it has written stays, until a loss of
+	 * power that comes before it is synced. */
+	TORTURE_POWER_OR_KILL,
+};
+
+struct torture_opts {
+	uint32_t seed;
+	enum torture_disk disk;
+	enum torture_crash crash;
+};
+
+/** Runs one schedule. Runs with the same options are identical. */
+void torture_run(const struct torture_opts *opts,
 		 struct torture_result *result);
 
 #endif
