evidence: a VM's leaving counts in an outdated report, too

Cause: the control VM that was told reported the leaving with a sequence of its own making; views that had a later heartbeat through another control VM dropped the report as outdated, and the leaving with it. Ruled out: lost digests (a leaving in the VM's own heartbeat isn't concerned).

Leaving is final for a start of a VM, so a view takes it from any report of that start. The monitor's report goes above all that is known.

--- a/evidence/home.c
+++ b/evidence/home.c
@@ -134,6 +134,20 @@
 	return status_changed;
 }
 
+/*
+ * Above all that is known of the VM, for views that drop what is outdated as a
+ * whole.
+ */
+static uint64_t next_sequence(const struct vm_report *own,
+			      const struct vm_report *known)
+{
+	uint64_t last = own->sequence;
+
+	if (known && known->incarnation == own->incarnation)
+		last = MAX(last, known->sequence);
+	return last + 1;
+}
+
 bool monitor_mark_leaving(struct monitor *monitor, int64_t now_ms,
 			  const struct vm_report *known, const char *name)
 {
@@ -144,7 +158,7 @@
 		if (vm->report.leaving)
 			return false;
 		vm->report.leaving = TRUE;
-		vm->report.sequence++;
+		vm->report.sequence = next_sequence(&vm->report, known);
 		vm->changed = true;
 		return true;
 	}
@@ -152,8 +166,7 @@
 		return false;
 	report = *known;
 	report.leaving = TRUE;
-	/* Takes precedence over the last report of the VM's monitors. */
-	report.sequence++;
+	report.sequence = next_sequence(known, NULL);
 	return monitor_handle_announcement(monitor, now_ms, &report);
 }
 
--- a/evidence/view.c
+++ b/evidence/view.c
@@ -184,6 +184,20 @@
 	g_free(model);
 }
 
+/*
+ * Leaving is final until the VM restarts with a new incarnation, whichever of
+ * its monitors was told and whichever has its last announcement.
+ */
+static void take_leaving(struct view *view, struct vm_report *known,
+			 const struct vm_report *report)
+{
+	if (!report->leaving || known->leaving ||
+	    known->incarnation != report->incarnation)
+		return;
+	known->leaving = TRUE;
+	view->version++;
+}
+
 static void apply_report(struct view *view, uint32_t node,
 			 const struct vm_report *report, int64_t now_ms)
 {
@@ -196,8 +210,10 @@
 		view->version++;
 	}
 	add_source(vm, node, now_ms);
-	if (vm->report.name && !is_newer(report, &vm->report))
+	if (vm->report.name && !is_newer(report, &vm->report)) {
+		take_leaving(view, &vm->report, report);
 		return;
+	}
 	leaving = vm->report.name && vm->report.leaving &&
 		  vm->report.incarnation == report->incarnation;
 	loaded = get_loaded_model(&vm->report, report);
@@ -205,7 +221,6 @@
 	if (!CODEC_COPY(vm_report, report, &vm->report))
 		g_assert_not_reached();
 	set_loaded_model(&vm->report, loaded);
-	/* Leaving is final until the VM restarts with a new incarnation. */
 	vm->report.leaving |= leaving;
 	view->version++;
 }
--- a/test/test_view.c
+++ b/test/test_view.c
@@ -117,6 +117,39 @@
 	view_destroy(view);
 }
 
+/*
+ * Guards against DRAIN: a VM's leaving, told to another monitor than the one
+ * that had its last heartbeat, was dropped with the outdated report that told
+ * it.
+ */
+static void test_leaving_counts_in_an_outdated_report(void **state)
+{
+	struct view_opts opts = { SILENCE_MS };
+	struct view *view = view_create(&opts);
+	struct vm_report heartbeat = make_report(9);
+	struct vm_report leaving = make_report(8);
+	uint64_t version;
+
+	(void)state;
+	leaving.leaving = TRUE;
+	merge(view, 1000, 2, 1, &heartbeat);
+	version = view_version(view);
+	merge(view, 1010, 1, 1, &leaving);
+	assert_true(view_find(view, "vm")->report.leaving);
+	assert_true(view_version(view) > version);
+	/* It stays until the VM's next start. */
+	heartbeat.sequence = 10;
+	merge(view, 1020, 2, 2, &heartbeat);
+	assert_true(view_find(view, "vm")->report.leaving);
+	heartbeat.incarnation = 2;
+	merge(view, 1030, 2, 3, &heartbeat);
+	assert_false(view_find(view, "vm")->report.leaving);
+	/* An earlier start's leaving says nothing of this one. */
+	merge(view, 1040, 1, 2, &leaving);
+	assert_false(view_find(view, "vm")->report.leaving);
+	view_destroy(view);
+}
+
 static void test_vm_that_returns_after_silence_is_a_change(void **state)
 {
 	struct view_opts opts = { SILENCE_MS };
@@ -198,6 +231,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_clock_set_back_does_not_shut_out_a_monitor),
+		cmocka_unit_test(test_leaving_counts_in_an_outdated_report),
 		cmocka_unit_test(
 			test_vm_that_returns_with_a_known_report_is_a_change),
 		cmocka_unit_test(
