entry: another entry gets one attempt at a time

Cause: the other entry could use all attempts that were left, and the first one counted them as one. Ruled out: attempts that reached nobody.

Each relay carries one attempt, the one that the first entry counts. As for any entry, an attempt that reached no endpoint isn't counted at the other one.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -265,7 +265,8 @@
 	}
 	router_suspect(call->service->router, call->attempt->replica,
 		       entry_now_ms(call->entry), SUSPECT_UNREACHABLE);
-	if (call->unreached++ < UNREACHED_MAX && relay_possible(call))
+	if (call->unreached++ < UNREACHED_MAX &&
+	    (call->relayed || relay_possible(call)))
 		call->attempts--;
 }
 
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -9,6 +9,8 @@
 
 /* An entry that took no connection isn't chosen for so long. */
 #define PEER_AVOID_MS 2000
+/* At the other entry: what it sends counts as the one attempt made here. */
+#define ATTEMPTS_EACH 1u
 #define HOP_FORMAT "attempts=%" PRIu32 " revision=%" PRIu64
 #define HOP_BYTES 64
 #define HTTP_BAD_REQUEST_CLASS 4
@@ -156,12 +158,9 @@
 
 void relay_add_header(const struct call *call, struct evkeyvalq *out)
 {
-	/* The attempt that is being sent counts already. */
-	uint32_t before = call->attempts ? call->attempts - 1 : 0;
-	uint32_t left = call->attempts_max - MIN(before, call->attempts_max);
 	char text[HOP_BYTES];
 
-	g_snprintf(text, sizeof(text), HOP_FORMAT, MAX(left, 1),
+	g_snprintf(text, sizeof(text), HOP_FORMAT, ATTEMPTS_EACH,
 		   revision_of(call->entry));
 	evhttp_add_header(out, RELAY_HEADER, text);
 }
--- a/test/crash_endpoints.c
+++ b/test/crash_endpoints.c
@@ -71,6 +71,8 @@
 	char limit[LIMIT_CHARS];
 	int resting, rest_s; /* endpoints, and how long they ask for */
 	int most_in_rest;
+	GHashTable *runs; /* Attempt-Id -> number of runs */
+	int most_runs;
 	volatile gint leaving;		 /* endpoints that say so */
 	volatile gint cut_pid, cut_mode; /* an enum cut_mode */
 	volatile gint failing_pid;	 /* see crash_endpoints_fail_at() */
@@ -239,6 +241,21 @@
 	return ip && socket_is_of(pid, ip, port);
 }
 
+static void count_run(const struct waiting *w)
+{
+	struct crash_endpoints *all = w->endpoint->all;
+	const char *id = http_header(w->req, "Attempt-Id");
+	int runs;
+
+	if (!id)
+		return;
+	g_mutex_lock(&all->lock);
+	runs = GPOINTER_TO_INT(g_hash_table_lookup(all->runs, id)) + 1;
+	g_hash_table_insert(all->runs, g_strdup(id), GINT_TO_POINTER(runs));
+	all->most_runs = MAX(all->most_runs, runs);
+	g_mutex_unlock(&all->lock);
+}
+
 static void on_begin(evutil_socket_t fd, short what, void *ctx)
 {
 	struct waiting *w = ctx;
@@ -253,6 +270,7 @@
 			close_alone(w);
 		return;
 	}
+	count_run(w);
 	if (failing) {
 		if (is_of(w, failing))
 			answer_failure(w);
@@ -475,6 +493,8 @@
 	all->base = event_base_new();
 	all->ends = g_array_new(FALSE, FALSE, sizeof(gint64));
 	all->arrivals = g_array_new(FALSE, FALSE, sizeof(struct arrival));
+	all->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  NULL);
 	g_mutex_init(&all->lock);
 	all->endpoints = g_new0(struct endpoint, opts->count);
 	for (int i = 0; i < opts->count; i++) {
@@ -508,6 +528,7 @@
 	event_base_free(all->base);
 	g_array_unref(all->ends);
 	g_array_unref(all->arrivals);
+	g_hash_table_unref(all->runs);
 	g_mutex_clear(&all->lock);
 	g_strfreev(all->control);
 	g_free(all->endpoints);
@@ -575,6 +596,16 @@
 
 /* ---- counts ---- */
 
+int crash_endpoints_most_runs(struct crash_endpoints *all)
+{
+	int most;
+
+	g_mutex_lock(&all->lock);
+	most = all->most_runs;
+	g_mutex_unlock(&all->lock);
+	return most;
+}
+
 int crash_endpoints_ends(struct crash_endpoints *all)
 {
 	int n;
--- a/test/crash_endpoints.h
+++ b/test/crash_endpoints.h
@@ -93,6 +93,12 @@
  */
 void crash_endpoints_fail_at(struct crash_endpoints *endpoints, pid_t pid);
 
+/**
+ * Returns the most times that a request with one Attempt-Id ran at endpoints,
+ * not counting those of a process that is cut off.
+ */
+int crash_endpoints_most_runs(struct crash_endpoints *endpoints);
+
 /** Ends all endpoints at once, as the loss of a rack does. */
 void crash_endpoints_end_all(struct crash_endpoints *endpoints);
 
--- a/test/test_platform_proc.c
+++ b/test/test_platform_proc.c
@@ -1606,6 +1606,18 @@
 			     counts.failed, counts.sent, counts.mixed);
 }
 
+/* runs-kept most=N: whether each request so far ran at most N times. */
+static void do_runs_kept(struct script *s)
+{
+	struct platform_test *test = s->ctx;
+	int runs = crash_endpoints_most_runs(test->crash_endpoints);
+
+	if (runs <= script_number(s, "most", 0))
+		script_print(s, "attempts are kept");
+	else
+		script_print(s, "a request ran %d times", runs);
+}
+
 /*
  * wait-late [ends=N]: waits until LATE_MS have passed since the N-th end, or
  * since the last one if no further ones come.
@@ -1812,6 +1824,7 @@
 	{ "restore-links", 0, do_restore_links },
 	{ "fail-at", 1, do_fail_at },
 	{ "sound-failures", 1, do_sound_failures },
+	{ "runs-kept", 1, do_runs_kept },
 	{ "bad-begin", 0, do_bad_begin },
 	{ "bad-end", 0, do_bad_end },
 	{ "bad-answers", 1, do_bad_answers },
