--- a/entry/kept.c
+++ b/entry/kept.c
@@ -26,7 +26,7 @@
 
 bool kept_is_possible(const struct call *call)
 {
-	/* Another response's head would take the place of this one's. */
+	/* Its head is passed on only with its first event. */
 	bool head_unsent = call->attempt->response.status &&
 			   !reply_has_started(call->reply);
 
