--- a/control/members.c
+++ b/control/members.c
@@ -15,8 +15,7 @@
 
 /* A node counts as live if it replied or polled within this time. */
 #define LIVE_TIMEOUT_MS 1000
-/* A process whose links are closed for so long has ended; else they are back.
- */
+/* A process that has closed its links for so long has ended. */
 #define ENDED_AFTER_MS 500
 
 static const struct log members_log = { "members" };
@@ -69,7 +68,7 @@
 	return lost_ms && control_now_ms(control) - ended_ms >= ENDED_AFTER_MS;
 }
 
-/* One to which the leader does not replicate yet counts as silent. */
+/* One to which the leader doesn't replicate yet is neither live nor lost. */
 static struct member_health member_health(const struct control *control,
 					  const struct member *m)
 {
--- a/entry/kept.c
+++ b/entry/kept.c
@@ -26,7 +26,7 @@
 
 bool kept_is_possible(const struct call *call)
 {
-	/* Its head is passed on only with its first event. */
+	/* One whose head the caller doesn't have is ended by a move. */
 	bool head_unsent = call->attempt->response.status &&
 			   !reply_has_started(call->reply);
 
