evidence: being told of a VM's leaving counts as hearing of it

Cause: the control VM that was told had not heard of the endpoint itself for longer than a silence lasts, as heartbeats go to the control VMs by turns. The digest that was to tell the leaving listed the endpoint as lost. Ruled out: a report that is dropped as outdated (both entries sent on all the time, and the endpoints without late requests had been told in the same way).

Test: test_leaving_is_told_by_a_monitor_without_recent_heartbeats, failed before.

--- a/evidence/home.c
+++ b/evidence/home.c
@@ -159,6 +159,7 @@
 			return false;
 		vm->report.leaving = TRUE;
 		vm->report.sequence = next_sequence(&vm->report, known);
+		vm->last_announced_ms = now_ms;
 		vm->changed = true;
 		return true;
 	}
--- a/test/test_view.c
+++ b/test/test_view.c
@@ -150,6 +150,32 @@
 	view_destroy(view);
 }
 
+/*
+ * Guards against DRAIN: a monitor that had not heard of the VM for long listed
+ * it as lost in place of leaving, though it had just been told.
+ */
+static void test_leaving_is_told_by_a_monitor_without_recent_heartbeats(
+	void **state)
+{
+	struct monitor_opts opts = { .node = 1, .silence_ms = SILENCE_MS };
+	struct monitor *monitor = monitor_create(&opts);
+	struct vm_report heartbeat = make_report(7), elsewhere = make_report(9);
+	int64_t told_ms = 1000 + 2 * SILENCE_MS;
+	struct digest digest;
+
+	(void)state;
+	assert_true(monitor_handle_announcement(monitor, 1000, &heartbeat));
+	assert_true(monitor_mark_leaving(monitor, told_ms, &elsewhere, "vm"));
+	monitor_make_digest(monitor, told_ms, false, &digest);
+	assert_int_equal(0, digest.lost_vms.lost_vms_len);
+	assert_int_equal(1, digest.changed_vms.changed_vms_len);
+	assert_true(digest.changed_vms.changed_vms_val[0].leaving);
+	assert_true(digest.changed_vms.changed_vms_val[0].sequence >
+		    elsewhere.sequence);
+	monitor_digest_clear(&digest);
+	monitor_destroy(monitor);
+}
+
 static void test_vm_that_returns_after_silence_is_a_change(void **state)
 {
 	struct view_opts opts = { SILENCE_MS };
@@ -232,6 +258,8 @@
 		cmocka_unit_test(
 			test_clock_set_back_does_not_shut_out_a_monitor),
 		cmocka_unit_test(test_leaving_counts_in_an_outdated_report),
+		cmocka_unit_test(
+			test_leaving_is_told_by_a_monitor_without_recent_heartbeats),
 		cmocka_unit_test(
 			test_vm_that_returns_with_a_known_report_is_a_change),
 		cmocka_unit_test(
