entry: a response is initialised in one place, and keeps its buffer

Found by reading the change once more: attempt_create() and reset_response() each set up a response, and every attempt freed its body's buffer and made a new one, also the first, whose buffer was just made. The buffer is emptied, as before the attempts held their responses.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -46,27 +46,31 @@
 
 static const struct log attempt_log = { "call" };
 
+/* `body` is empty, and belongs to the response then. */
+static void init_response(struct response *response, struct evbuffer *body)
+{
+	*response = (struct response){ .body = body };
+	TAILQ_INIT(&response->headers);
+}
+
 struct attempt *attempt_create(void)
 {
 	struct attempt *attempt = g_new0(struct attempt, 1);
 
-	TAILQ_INIT(&attempt->response.headers);
-	attempt->response.body = evbuffer_new();
+	init_response(&attempt->response, evbuffer_new());
 	return attempt;
 }
 
-static void clear_response(struct response *response)
+static void clear_head(struct response *response)
 {
 	evhttp_clear_headers(&response->headers);
 	g_free(response->type);
-	evbuffer_free(response->body);
 }
 
 void attempt_free(struct attempt *attempt)
 {
-	if (!attempt)
-		return;
-	clear_response(&attempt->response);
+	clear_head(&attempt->response);
+	evbuffer_free(attempt->response.body);
 	g_free(attempt);
 }
 
@@ -770,10 +774,11 @@
 static void reset_response(struct call *call)
 {
 	struct attempt *attempt = call->attempt;
+	struct evbuffer *body = attempt->response.body;
 
-	clear_response(&attempt->response);
-	attempt->response = (struct response){ .body = evbuffer_new() };
-	TAILQ_INIT(&attempt->response.headers);
+	evbuffer_drain(body, evbuffer_get_length(body));
+	clear_head(&attempt->response);
+	init_response(&attempt->response, body);
 	attempt->first_event_us = 0;
 	attempt->rate_sampled_us = 0;
 	attempt->data_ms = entry_now_ms(call->entry);
