consensus: what a leader knows of a member is computed in one place

Found by reading the change once more: live, silent, ended and lag were worked out by control/members.c, the torture and test_replacement, each with its own limits; control looked for the lost voter with a loop of its own; voters were counted by a twin of raft_voter_count().

membership_health() and membership_find_lost() serve all three, so the tests exercise the product's limits. A peer's link is one value (peers_link()) in place of two look-ups. The header's comment overstated how many voters may end at once: all but one of the target. test_replacement's two returns of a server are one function; test_rpc's copy of an address is gone. Rules, limits and assertions are the same.

--- a/consensus/membership.c
+++ b/consensus/membership.c
@@ -3,11 +3,16 @@
 #include <glib.h>
 
 #include "consensus/membership.h"
+#include "consensus/raft_internal.h"
 
 /* A learner may replace a voter if it lags by at most this many entries. */
 #define PROMOTION_MAX_LAG 64u
 /* One that is added to voters that are well has all that there is. */
 #define GROWTH_MAX_LAG 0u
+/* A member counts as live if it has replied within this time. */
+#define LIVE_TIMEOUT_MS 1000
+/* A process that has closed its link for so long has ended. */
+#define ENDED_AFTER_MS 500
 
 /** A configuration with what is known of its members. */
 struct group_view {
@@ -17,19 +22,38 @@
 	u_int count;
 };
 
-bool membership_is_lost(const struct membership_opts *opts,
-			const struct member_health *health)
+int64_t membership_silent_since_ms(const struct raft_progress *progress,
+				   int64_t lost_ms)
 {
-	return health->ended || health->silent_ms > opts->replace_after_ms;
+	if (progress->replied || !lost_ms)
+		return progress->last_reply_ms;
+	return MIN(progress->last_reply_ms, lost_ms);
 }
 
-static u_int count_voters(const struct group_view *view)
+static bool has_ended(const struct raft_progress *progress, int64_t now_ms,
+		      const struct member_link *link)
 {
-	u_int voters = 0;
+	int64_t ended_ms = MAX(link->lost_ms, progress->last_reply_ms);
 
-	for (u_int i = 0; i < view->count; i++)
-		voters += view->members[i].voter ? 1 : 0;
-	return voters;
+	return link->lost_ms && link->closed &&
+	       now_ms - ended_ms >= ENDED_AFTER_MS;
+}
+
+struct member_health membership_health(const struct raft *leader, uint64_t id,
+				       int64_t now_ms,
+				       const struct member_link *link)
+{
+	struct member_health health = { .live = id == leader->id };
+	struct raft_progress progress;
+
+	if (health.live || !raft_progress(leader, id, &progress))
+		return health;
+	health.silent_ms = now_ms -
+			   membership_silent_since_ms(&progress, link->lost_ms);
+	health.live = progress.replied && health.silent_ms < LIVE_TIMEOUT_MS;
+	health.ended = has_ended(&progress, now_ms, link);
+	health.lag = raft_last_index(leader) - progress.match;
+	return health;
 }
 
 static bool is_well(const struct member_health *health)
@@ -87,11 +111,19 @@
 	return found;
 }
 
-static bool find_lost_voter(const struct group_view *view, u_int *at)
+static bool is_lost(const struct membership_opts *opts,
+		    const struct member_health *health)
 {
-	for (u_int i = 0; i < view->count; i++) {
-		if (!view->members[i].voter ||
-		    !membership_is_lost(view->opts, &view->health[i]))
+	return health->ended || health->silent_ms > opts->replace_after_ms;
+}
+
+bool membership_find_lost(const struct membership_opts *opts,
+			  const struct member_config *config,
+			  const struct member_health *health, u_int *at)
+{
+	for (u_int i = 0; i < config->members.members_len; i++) {
+		if (!config->members.members_val[i].voter ||
+		    !is_lost(opts, &health[i]))
 			continue;
 		*at = i;
 		return true;
@@ -128,8 +160,8 @@
 {
 	struct group_view view = { opts, config->members.members_val, health,
 				   config->members.members_len };
-	u_int voters = count_voters(&view);
-	bool lost = find_lost_voter(&view, &change->at);
+	u_int voters = (u_int)raft_voter_count(config);
+	bool lost = membership_find_lost(opts, config, health, &change->at);
 
 	if (lost && voters > opts->target_voters) {
 		change->voter = false;
--- a/consensus/membership.h
+++ b/consensus/membership.h
@@ -4,10 +4,9 @@
  * leader sees it. No I/O and no state; any thread may call.
  *
  * The group has a target number of voters. While more members are well it has
- * up to twice the target less one, in steps of two, so that as many as the
- * target may be replaced soon after one another, or be lost at once, as long as
- * their successors are voters. Voters that are lost are demoted down to the
- * target, and below it replaced.
+ * up to twice the target less one, in steps of two, of which all but one of the
+ * target may end at once. Voters that are lost are demoted down to the target,
+ * and at the target replaced.
  */
 #ifndef CONSENSUS_MEMBERSHIP_H
 #define CONSENSUS_MEMBERSHIP_H
@@ -15,12 +14,20 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <radishdeal/raft.h>
+
 #include "wire/radishdeal.h"
 
+/** The leader's own connection to a member's process. */
+struct member_link {
+	int64_t lost_ms; /* since when there is none; 0: there is one */
+	bool closed;	 /* the process closed or refused it */
+};
+
 /** What the leader knows of a member. */
 struct member_health {
-	bool live;  /* it has replied lately; the leader itself is live */
-	bool ended; /* its process has ended, or closed its link for good */
+	bool live;	   /* it has replied lately; the leader is live */
+	bool ended;	   /* its process has ended */
 	int64_t silent_ms; /* since its last reply; 0 for the leader */
 	uint64_t lag;	   /* log entries that it lacks */
 };
@@ -38,11 +45,28 @@
 };
 
 /**
- * Returns whether the voter is lost: its process has ended, or it has been
- * silent for too long.
+ * Returns since when a member has been silent. One that has not replied to this
+ * leader may have been silent before its election: at least since `lost_ms`,
+ * when its connection was lost (0: it was not).
+ */
+int64_t membership_silent_since_ms(const struct raft_progress *progress,
+				   int64_t lost_ms);
+
+/**
+ * Returns what a leader knows of a member. One to which it doesn't replicate
+ * yet is neither live nor lost.
+ */
+struct member_health membership_health(const struct raft *leader, uint64_t id,
+				       int64_t now_ms,
+				       const struct member_link *link);
+
+/**
+ * Finds the first voter that is lost: its process has ended, or it has been
+ * silent for too long. `health` is as for membership_next().
  */
-bool membership_is_lost(const struct membership_opts *opts,
-			const struct member_health *health);
+bool membership_find_lost(const struct membership_opts *opts,
+			  const struct member_config *config,
+			  const struct member_health *health, u_int *at);
 
 /**
  * Finds the next change. `health` has an element for each member of the
--- a/control/control_internal.h
+++ b/control/control_internal.h
@@ -10,12 +10,12 @@
 
 #include <radishdeal/evidence.h>
 
+#include "consensus/membership.h"
 #include "control/control.h"
 #include "control/feed.h"
 #include "control/group.h"
 
 struct follow;
-struct member_health;
 struct operators;
 struct placer;
 struct proposals;
@@ -110,16 +110,8 @@
 void peers_connect(struct control *control);
 void peers_close(struct control *control);
 void peers_send_raft(struct control *control, uint64_t member, GBytes *bytes);
-/**
- * Returns since when there has been no connection to a node; 0 if there is one,
- * or the node is not known.
- */
-int64_t peers_lost_ms(const struct control *control, uint32_t node);
-/**
- * Returns since when there has been none because the node's process closed or
- * refused it; 0 if there is one, or the node is only silent.
- */
-int64_t peers_closed_ms(const struct control *control, uint32_t node);
+/** Returns this process's connection to a node; if unknown, as if open. */
+struct member_link peers_link(const struct control *control, uint32_t node);
 /** Notifies all processes, this one included, to poll the leader now. */
 void peers_notify_update(struct control *control);
 /** Whether bytes to peers, or replies to their calls, are not sent yet. */
@@ -220,17 +212,9 @@
 /** Proposes the next automatic change, if one is due; leader only. */
 void members_tick(struct control *control);
 
-/**
- * Returns since when a member has been silent. One that has not replied to this
- * leader may have been silent before its election: at least since `lost_ms`,
- * when its connection was lost (0: it was not).
- */
-int64_t members_silent_since_ms(const struct raft_progress *progress,
-				int64_t lost_ms);
-
 /**
  * Returns the log line about the voter that is lost, or about its end; NULL if
- * nothing has changed. `node` is 0 if there is none, and `health` NULL then;
+ * nothing has changed. `node` is 0 if there is none, and `health` unused then;
  * `reported` is the node of the last line. The caller frees.
  */
 char *members_lost_line(uint32_t *reported, uint32_t node,
--- a/control/members.c
+++ b/control/members.c
@@ -9,14 +9,11 @@
 
 #include "common/address.h"
 #include "common/log.h"
-#include "consensus/membership.h"
 #include "control/control_internal.h"
 #include "wire/codec.h"
 
-/* A node counts as live if it replied or polled within this time. */
-#define LIVE_TIMEOUT_MS 1000
-/* A process that has closed its links for so long has ended. */
-#define ENDED_AFTER_MS 500
+/* A node counts as running if it polled within this time. */
+#define POLL_TIMEOUT_MS 1000
 
 static const struct log members_log = { "members" };
 
@@ -50,45 +47,13 @@
 	return result;
 }
 
-int64_t members_silent_since_ms(const struct raft_progress *progress,
-				int64_t lost_ms)
-{
-	if (progress->replied || !lost_ms)
-		return progress->last_reply_ms;
-	return MIN(progress->last_reply_ms, lost_ms);
-}
-
-/* Whether the link to the member's process was closed, and stays so. */
-static bool has_ended(const struct control *control, const struct member *m,
-		      const struct raft_progress *progress)
-{
-	int64_t lost_ms = peers_closed_ms(control, m->node);
-	int64_t ended_ms = MAX(lost_ms, progress->last_reply_ms);
-
-	return lost_ms && control_now_ms(control) - ended_ms >= ENDED_AFTER_MS;
-}
-
-/* One to which the leader doesn't replicate yet is neither live nor lost. */
 static struct member_health member_health(const struct control *control,
 					  const struct member *m)
 {
-	const struct raft *raft = group_raft(control->group);
-	struct member_health health = { 0 };
-	struct raft_progress progress;
+	const struct member_link link = peers_link(control, m->node);
 
-	if (m->id == group_member_id(control->group)) {
-		health.live = true;
-		return health;
-	}
-	if (!raft_progress(raft, m->id, &progress))
-		return health;
-	health.silent_ms = control_now_ms(control) -
-			   members_silent_since_ms(
-				   &progress, peers_lost_ms(control, m->node));
-	health.live = progress.replied && health.silent_ms < LIVE_TIMEOUT_MS;
-	health.ended = has_ended(control, m, &progress);
-	health.lag = raft_last_index(raft) - progress.match;
-	return health;
+	return membership_health(group_raft(control->group), m->id,
+				 control_now_ms(control), &link);
 }
 
 char *members_lost_line(uint32_t *reported, uint32_t node,
@@ -117,14 +82,11 @@
 {
 	uint32_t node = 0;
 	char *line;
-	u_int i;
-
-	for (i = 0; !node && i < config->members.members_len; i++)
-		if (config->members.members_val[i].voter &&
-		    membership_is_lost(opts, &health[i]))
-			node = config->members.members_val[i].node;
-	line = members_lost_line(&control->silent_voter, node,
-				 node ? &health[i - 1] : NULL,
+	u_int at = 0;
+
+	if (membership_find_lost(opts, config, health, &at))
+		node = config->members.members_val[at].node;
+	line = members_lost_line(&control->silent_voter, node, &health[at],
 				 opts->replace_after_ms);
 	if (line)
 		log_note(&members_log, "%s", line);
@@ -305,7 +267,7 @@
 	struct poll_time p = { .node = node };
 
 	feed_each_entry(control->feed, record_poll_time, &p);
-	return control_now_ms(control) - p.polled_ms < LIVE_TIMEOUT_MS;
+	return control_now_ms(control) - p.polled_ms < POLL_TIMEOUT_MS;
 }
 
 /* Whether the live voters are a majority of all voters in the configuration. */
--- a/control/peers.c
+++ b/control/peers.c
@@ -276,18 +276,16 @@
 	return NULL;
 }
 
-int64_t peers_lost_ms(const struct control *control, uint32_t node)
+struct member_link peers_link(const struct control *control, uint32_t node)
 {
 	const struct peer *peer = control_peer(control, node);
+	struct member_link link = { 0 };
 
-	return peer ? peer->lost_ms : 0;
-}
-
-int64_t peers_closed_ms(const struct control *control, uint32_t node)
-{
-	const struct peer *peer = control_peer(control, node);
-
-	return peer && rpc_client_peer_closed(peer->client) ? peer->lost_ms : 0;
+	if (!peer)
+		return link;
+	link.lost_ms = peer->lost_ms;
+	link.closed = rpc_client_peer_closed(peer->client);
+	return link;
 }
 
 /* ---- sending ---- */
--- a/test/test_log.c
+++ b/test/test_log.c
@@ -17,7 +17,6 @@
 
 #include "common/log_json.h"
 #include "common/log_sink.h"
-#include "consensus/membership.h"
 #include "control/control_internal.h"
 #include "common/probe.h"
 
--- a/test/test_membership.c
+++ b/test/test_membership.c
@@ -220,10 +220,10 @@
 	struct raft_progress live = { .replied = true, .last_reply_ms = 9000 };
 
 	(void)state;
-	assert_int_equal(7000, members_silent_since_ms(&gone, 7000));
-	assert_int_equal(9000, members_silent_since_ms(&gone, 9500));
-	assert_int_equal(9000, members_silent_since_ms(&gone, 0));
-	assert_int_equal(9000, members_silent_since_ms(&live, 7000));
+	assert_int_equal(7000, membership_silent_since_ms(&gone, 7000));
+	assert_int_equal(9000, membership_silent_since_ms(&gone, 9500));
+	assert_int_equal(9000, membership_silent_since_ms(&gone, 0));
+	assert_int_equal(9000, membership_silent_since_ms(&live, 7000));
 }
 
 int main(void)
--- a/test/test_replacement.c
+++ b/test/test_replacement.c
@@ -20,8 +20,6 @@
 #define FIRST_VOTERS 3u
 #define REPLACE_AFTER_MS 2500
 #define LIVE_MS 1000
-/* From the end of a process until its peers know of it. */
-#define ENDED_MS 500
 #define TICK_MS 50
 /* For successors to be taken in. */
 #define SETTLE_MS 10000
@@ -37,20 +35,14 @@
 	int64_t tick_ms;
 };
 
-static void server_health(const struct replacement *r,
-			  const struct server *leader, const struct member *m,
-			  struct member_health *health)
+static struct member_health server_health(const struct replacement *r,
+					  const struct server *leader,
+					  const struct member *m)
 {
-	struct raft_progress progress;
-	int64_t now_ms = r->net.now_ms, ended_ms = r->ended_ms[m->id - 1];
+	const struct member_link link = { .lost_ms = r->ended_ms[m->id - 1],
+					  .closed = true };
 
-	*health = (struct member_health){ .live = true };
-	if (!raft_progress(leader->raft, m->id, &progress))
-		return;
-	health->silent_ms = now_ms - progress.last_reply_ms;
-	health->live = progress.replied && health->silent_ms < LIVE_MS;
-	health->ended = ended_ms && now_ms - ended_ms >= ENDED_MS;
-	health->lag = raft_last_index(leader->raft) - progress.match;
+	return membership_health(leader->raft, m->id, r->net.now_ms, &link);
 }
 
 /* What a leader does in each tick. */
@@ -64,8 +56,8 @@
 	uint64_t index;
 
 	for (u_int i = 0; i < config->members.members_len; i++)
-		server_health(r, leader, &config->members.members_val[i],
-			      &health[i]);
+		health[i] = server_health(r, leader,
+					  &config->members.members_val[i]);
 	if (!membership_next(&opts, config, health, &change))
 		return;
 	assert_true(CODEC_COPY(member_config, config, &next));
@@ -263,6 +255,14 @@
 	assert_int_equal(5, voters_after(3, SETTLE_MS));
 }
 
+/* Starts a server that has ended, with its disk. */
+static void return_server(struct replacement *r, uint64_t id)
+{
+	server_start(&r->net.servers[id - 1]);
+	r->ended_ms[id - 1] = 0;
+	run_ms(r, SETTLE_MS);
+}
+
 static bool is_voter(struct replacement *r, uint64_t id)
 {
 	const struct member_config *config =
@@ -286,9 +286,7 @@
 	end_server(&r, id, HOW_ENDED);
 	run_ms(&r, SETTLE_MS);
 	assert_true(is_voter(&r, id));
-	server_start(&r.net.servers[id - 1]);
-	r.ended_ms[id - 1] = 0;
-	run_ms(&r, SETTLE_MS);
+	return_server(&r, id);
 	assert_non_null(ready_leader(&r.net));
 	network_clear(&r.net);
 }
@@ -304,9 +302,7 @@
 	id = nth_voter(&r, 0, 1);
 	end_server(&r, id, HOW_ENDED);
 	run_ms(&r, 1000);
-	server_start(&r.net.servers[id - 1]);
-	r.ended_ms[id - 1] = 0;
-	run_ms(&r, SETTLE_MS);
+	return_server(&r, id);
 	assert_true(is_voter(&r, id));
 	network_clear(&r.net);
 }
--- a/test/test_rpc.c
+++ b/test/test_rpc.c
@@ -108,7 +108,6 @@
 	struct rpc_identity server_identity, client_identity;
 	struct rpc_server *server;
 	struct rpc_client *client;
-	char *address;
 };
 
 static void on_ready_changed(void *ctx, bool ready)
@@ -143,7 +142,6 @@
 		.ctx = test,
 	};
 
-	test->address = g_strdup(address);
 	test->client = rpc_client_create(&opts);
 }
 
@@ -164,7 +162,6 @@
 	rpc_server_destroy(test->server);
 	event_base_free(test->base);
 	g_bytes_unref(test->server_identity.keys[0]);
-	g_free(test->address);
 }
 
 /* Runs until the client's readiness changes, or the watchdog ends it. */
--- a/test/torture.c
+++ b/test/torture.c
@@ -26,9 +26,7 @@
 /* Wait for an acknowledgement, right after which the final fault occurs. */
 #define FINAL_ACK_MS 3000
 #define FINAL_DOWN_MS 1000
-/* Silences of a member that isn't live any more, and of a voter that is lost.
- */
-#define LIVE_MS 1000
+/* Silence of a voter that is lost. */
 #define REPLACE_AFTER_MS 2500
 /* More than the operations of a job that syncs entries. */
 #define KILL_OPERATIONS 5
@@ -982,27 +980,11 @@
 	return g_string_free(text, FALSE);
 }
 
-static struct member_health health_of(struct vm *leader, const struct member *m)
-{
-	const struct raft *raft = group_raft(leader->group);
-	struct member_health health = { 0 };
-	struct raft_progress progress;
-
-	if (m->id == group_member_id(leader->group)) {
-		health.live = true;
-	} else if (raft_progress(raft, m->id, &progress)) {
-		health.silent_ms = vm_now_us(leader) / 1000 -
-				   progress.last_reply_ms;
-		health.live = progress.replied && health.silent_ms < LIVE_MS;
-		health.lag = raft_last_index(raft) - progress.match;
-	}
-	return health;
-}
-
 /* Changes a vote if the rules for the group ask for it. */
 static void apply_member_rules(struct simulation *sim)
 {
 	const struct membership_opts opts = { VOTERS, REPLACE_AFTER_MS };
+	const struct member_link link = { 0 }; /* none is known */
 	struct vm *leader = pick_leader(sim);
 	struct member_health health[2 * MEMBERS];
 	struct member_config config = { { 0 } };
@@ -1013,7 +995,9 @@
 			&config))
 		return;
 	for (u_int i = 0; i < config.members.members_len; i++)
-		health[i] = health_of(leader, &config.members.members_val[i]);
+		health[i] = membership_health(group_raft(leader->group),
+					      config.members.members_val[i].id,
+					      vm_now_us(leader) / 1000, &link);
 	if (membership_next(&opts, &config, health, &change)) {
 		config.members.members_val[change.at].voter = change.voter;
 		if (group_propose_config(leader->group, &config) == RD_OK)
--- a/test/torture.h
+++ b/test/torture.h
@@ -2,10 +2,9 @@
  * @file
  * Fault injection for a consensus group, in simulated time and with seeded
  * random schedules: members lose power or are killed at any write, pause, lose
- * their disks, are
- * partitioned in one or both directions, and their clocks drift; disks are
- * slow; messages are lost, duplicated and reordered; operators make concurrent
- * changes and resend them.
+ * their disks, are partitioned in one or both directions, and their clocks
+ * drift; disks are slow; messages are lost, duplicated and reordered; operators
+ * make concurrent changes and resend them.
  *
  * Each schedule ends, once all is calm, with a final fault right after an
  * acknowledgement: all members lose power, or one loses its disk, alone or
@@ -28,7 +27,7 @@
 /** What happened in one schedule. */
 struct torture_result {
 	char *fault;	  /* first violation found, or NULL; g_free() */
-	uint32_t crashes; /* with `kills` */
+	uint32_t crashes; /* `kills` among them */
 	uint32_t kills, pauses, partitions, wipes, config_changes, transfers;
 	uint32_t snapshots;    /* received by members that lagged too far */
 	uint32_t acknowledged; /* changes that operators got acknowledged */
