--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -28,13 +28,26 @@
 core=() # the machines of the core, the oldest first
 next=1
 
+# A small configuration.
+document() # VERSION
+{
+	cat <<- EOF
+	{"version":$1,"routes":[{"name":"r-1","host":"a.example",
+	"pathPrefix":"/a/","kind":"safe","timeoutMs":1500,"priority":2,
+	"service":"plain-1","maxAttempts":2,"authExempt":true}],
+	"services":[{"name":"plain-1","healthPath":"/health","maxConns":96,
+	"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,
+	"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}
+	EOF
+}
+
 add_machine() # BOOTSTRAP SEED_MACHINE...
 {
 	local bootstrap=$1
 
 	shift
 	ZONE[$next]=zone-$((next % ZONES))
-	write_settings "$next" "$bootstrap" "$(seeds_json "$@")"
+	write_settings control "$next" "$bootstrap" "$(seeds_json "$@")"
 	start_process "$next"
 	core+=("$next")
 	next=$((next + 1))
@@ -77,7 +90,7 @@
 for ((i = 0; i < MACHINES; i++)); do
 	add_machine true 1 2 3
 done
-put 1 10000 "${core[@]}" || give_up "the first configuration isn't taken"
+put 1 "$(document 1)" 10000 "${core[@]}" || give_up "the first configuration isn't taken"
 
 watch_until "$ROUND_MS"
 begin=$(elapsed_ms)
@@ -89,7 +102,7 @@
 	[ "$(machines_with_fault)" -lt "$FAULT_MACHINES" ] || break
 done
 
-put 2 $(($(elapsed_ms) + 5000)) "${core[@]}"
+put 2 "$(document 2)" $(($(elapsed_ms) + 5000)) "${core[@]}"
 broken=0
 while [ "$(elapsed_ms)" -lt "$END_MS" ]; do
 	watch_processes
@@ -103,7 +116,7 @@
 
 for machine in "${core[@]}"; do
 	record "machine $machine: ended by itself ${ENDS[$machine]:-0} times;" \
-		"read back: $(http "$machine" GET /v1/config/get | status_of)"
+		"read back: $(http "$machine" "$CONTROL_PORT" GET /v1/config/get | status_of)"
 done
 record "machines of the core with $FAULT_ENDS such ends or more:" \
 	"$(machines_with_fault) of ${#core[@]}"
--- a/review/lib-2/deploy.sh
+++ b/review/lib-2/deploy.sh
@@ -13,6 +13,8 @@
 NET=127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))
 CONTROL_PORT=8229
 DIRECTORY_PORT=8230
+FRONT_PORT=8227
+READY_PORT=8220
 PEERS_PORT=7340
 METRICS_PORT=7341
 
@@ -73,29 +75,35 @@
 	echo "[$list]"
 }
 
-# Fills in deploy/control.toml.in as DEPLOY.md says.
-# write_settings MACHINE BOOTSTRAP SEEDS
+# Fills in a template of the deploy file as DEPLOY.md says.
+# write_settings TEMPLATE MACHINE BOOTSTRAP SEEDS
 write_settings()
 {
 	local ip
 
-	ip=$(address "$1")
-	mkdir -p "$WORK/$1"
-	sed -e "s|{{bootstrap}}|$2|" \
-		-e "s|{{zone}}|${ZONE[$1]}|" \
-		-e "s|{{dataDir}}|$WORK/$1/data|" \
+	ip=$(address "$2")
+	mkdir -p "$WORK/$2"
+	sed -e "s|{{bootstrap}}|$3|" \
+		-e "s|{{zone}}|${ZONE[$2]}|" \
+		-e "s|{{dataDir}}|$WORK/$2/data|" \
 		-e "s|{{listen.control}}|$ip:$CONTROL_PORT|" \
 		-e "s|{{listen.directory}}|$ip:$DIRECTORY_PORT|" \
+		-e "s|{{listen.front}}|$ip:$FRONT_PORT|" \
+		-e "s|{{listen.readyAddr}}|$ip:$READY_PORT|" \
 		-e "s|{{ip}}|$ip|" \
 		-e "s|{{portRange.0}}|$PEERS_PORT|" \
 		-e "s|{{portRange.1}}|$METRICS_PORT|" \
-		-e "s|{{seeds.json}}|$3|" \
+		-e "s|{{seeds.json}}|$4|" \
 		-e "s|{{faultTolerance.machines}}|$TOLERATED|" \
 		-e "s|{{beatIntervalMs}}|$BEAT_MS|" \
 		-e "s|{{bounds.stallMs}}|$STALL_MS|" \
-		"$ROOT/deploy/control.toml.in" > "$WORK/$1/settings.toml"
-	if grep -q '{{' "$WORK/$1/settings.toml"; then
-		give_up "deploy/control.toml.in has a placeholder that isn't known"
+		-e "s|{{[#]bounds.graceS}}\(.*\){{/bounds.graceS}}|\1|" \
+		-e "/{{^bounds.graceS}}/d" \
+		-e "s|{{bounds.graceS}}|$GRACE_S|" \
+		-e "s|{{bounds.retrySlack}}|$RETRY_SLACK|" \
+		"$ROOT/deploy/$1.toml.in" > "$WORK/$2/settings.toml"
+	if grep -q '{{' "$WORK/$2/settings.toml"; then
+		give_up "deploy/$1.toml.in has a placeholder that isn't known"
 	fi
 }
 
@@ -108,6 +116,25 @@
 	PID[$1]=$!
 }
 
+# Starts one replica of a plain service, the project's own stand-in.
+# start_replica NAME LAST_PART_OF_ADDRESS SERVICE CONTROL_MACHINE...
+start_replica()
+{
+	local name=$1 last=$2 service=$3 controls= machine
+
+	shift 3
+	for machine in "$@"; do
+		controls+="${controls:+,}$(address "$machine"):$CONTROL_PORT"
+	done
+	"$ROOT/target/test/fakes/fake_platform_engine" --network="$NET" \
+		--first="$last" --count=1 --service="$service" \
+		--controls="$controls" --heartbeat-ms="$BEAT_MS" --plain-ms=30 \
+		--control="$WORK/$name.address" --log="$WORK/$name.log" \
+		> "$WORK/$name.out" 2>&1 &
+	PID[$name]=$!
+	STOPPED[$name]=1 # it isn't watched as a process of the system is
+}
+
 # Takes note of the processes that ended by themselves, and starts them again.
 watch_processes()
 {
@@ -137,19 +164,22 @@
 	done
 }
 
-# http MACHINE METHOD PATH [BODY]: prints the answer. 408: none within a second.
+# http MACHINE PORT METHOD TARGET [BODY]: prints the answer, if there is one
+# within HTTP_LIMIT_S.
+HTTP_LIMIT_S=1
 http()
 {
 	local ip
 
 	ip=$(address "$1")
-	timeout 1 bash -c '
+	timeout "$HTTP_LIMIT_S" bash -c '
 		exec 3<> "/dev/tcp/$1/$2" || exit
-		printf "%s %s HTTP/1.1\r\nHost: control\r\n" "$3" "$4" >&3
+		printf "%s %s HTTP/1.1\r\nHost: a.example\r\n" "$3" "$4" >&3
+		printf "Attempt-Id: %08x%08x\r\n" "$SRANDOM" "$SRANDOM" >&3
 		printf "Content-Type: application/json\r\n" >&3
 		printf "Content-Length: %d\r\n" "${#5}" >&3
 		printf "Connection: close\r\n\r\n%s" "$5" >&3
-		cat <&3' http "$ip" "$CONTROL_PORT" "$2" "$3" "$4" \
+		cat <&3' http "$ip" "$2" "$3" "$4" "$5" \
 		2> /dev/null | tr -d '\r'
 }
 
@@ -158,30 +188,17 @@
 	sed -n '1s/^HTTP[^ ]* \([0-9]*\).*/\1/p'
 }
 
-# A small configuration. document VERSION
-document()
-{
-	cat <<- EOF
-	{"version":$1,"routes":[{"name":"r-1","host":"a.example",
-	"pathPrefix":"/a/","kind":"safe","timeoutMs":1500,"priority":2,
-	"service":"plain-1","maxAttempts":2,"authExempt":true}],
-	"services":[{"name":"plain-1","healthPath":"/health","maxConns":96,
-	"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,
-	"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}
-	EOF
-}
-
 # The operator sends a configuration until it is acknowledged.
-# put VERSION UNTIL_MS MACHINE...
+# put VERSION DOCUMENT UNTIL_MS MACHINE...
 put()
 {
-	local version=$1 until=$2 machine status
+	local version=$1 document=$2 until=$3 machine status
 
-	shift 2
+	shift 3
 	while [ "$(elapsed_ms)" -lt "$until" ]; do
 		for machine in "$@"; do
-			status=$(http "$machine" POST /v1/config/put \
-				"$(document "$version")" | status_of)
+			status=$(http "$machine" "$CONTROL_PORT" POST \
+				/v1/config/put "$document" | status_of)
 			[ "$status" = 200 ] || continue
 			record "version $version: acknowledged by machine $machine"
 			return 0
