--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,128 +1,119 @@
 #!/bin/bash
 #
-# Replaces the machines of the core, two at a time, as often as it takes until
-# the group has had 33 members. TROUBLE=0: the same time without a replacement.
+# An operator rolls out releases: each version names the services anew, by their
+# release, and moves the routes to them. After some versions, the last one too, a
+# client asks the front for a route of the newest version.
+# TROUBLE=0: as many versions with as many routes, but the services keep their
+# names.
 
-# Those of esh-mastering-grown, read by lib-2/deploy.sh.
+# Those of esh-mastering, read by lib-2/deploy.sh.
 # shellcheck disable=SC2034
-TOLERATED=2 BEAT_MS=1200 STALL_MS=5000
-CATCH_UP_MS=6000
-CONTACT_MS=4000
+TOLERATED=1 BEAT_MS=1200 STALL_MS=5000 GRACE_S=8 RETRY_SLACK=130
+CONFIG_APPLY_MS=2000
 
 # shellcheck source=review/lib-2/deploy.sh
 . "$(dirname "$0")/../lib-2/deploy.sh"
 
-# The deploy file runs the role on half of the nine machines, rounded up in each
-# of the three zones.
-MACHINES=6
-ZONES=3
-# Two at a time are 28 replacements; the first members are 6.
-ROUNDS=14
-ROUND_MS=$((CATCH_UP_MS + 50))
-# The run ends here, or as soon as the rule is broken.
-END_MS=113000
-# Fault: processes end by themselves three times on half of the core.
-FAULT_ENDS=3
-FAULT_MACHINES=$((MACHINES / 2))
+CORE=(1 2 3)
+FRONT=10
+SERVICES=20
+VERSIONS=210
+CHECKED=(140 210) # the versions after which the client asks
+REQUESTS=10
+RESTART_WAIT_MS=8000
 
-core=() # the machines of the core, the oldest first
-next=1
-
-# A small configuration.
-document() # VERSION
-{
-	cat <<- EOF
-	{"version":$1,"routes":[{"name":"r-1","host":"a.example",
-	"pathPrefix":"/a/","kind":"safe","timeoutMs":1500,"priority":2,
-	"service":"plain-1","maxAttempts":2,"authExempt":true}],
-	"services":[{"name":"plain-1","healthPath":"/health","maxConns":96,
-	"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,
-	"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}
-	EOF
-}
-
-add_machine() # BOOTSTRAP SEED_MACHINE...
+# The release of a version's services.
+release_of()
 {
-	local bootstrap=$1
-
-	shift
-	ZONE[$next]=zone-$((next % ZONES))
-	write_settings control "$next" "$bootstrap" "$(seeds_json "$@")"
-	start_process "$next"
-	core+=("$next")
-	next=$((next + 1))
+	if [ "${TROUBLE:-1}" = 0 ]; then
+		echo 1
+	else
+		echo "$1"
+	fi
 }
 
-# The machine never comes back.
-remove_oldest()
+document() # VERSION
 {
-	local old=${core[0]}
-
-	STOPPED[$old]=1
-	kill -TERM "${PID[$old]}"
-	record "machine $old: SIGTERM; it is removed for good"
-	core=("${core[@]:1}")
+	local i routes=() services=() release
+
+	release=$(release_of "$1")
+	for ((i = 1; i <= SERVICES; i++)); do
+		routes+=("$(printf '{"name":"r-%d","host":"a.example",%s%s%s}' \
+			"$i" "\"pathPrefix\":\"/release-$1/app-$i/\"," \
+			"\"kind\":\"safe\",\"timeoutMs\":1500,\"maxAttempts\":2," \
+			"\"service\":\"app-$i-$release\",\"authExempt\":true")")
+		services+=("$(printf '{"name":"app-%d-%s",%s%s}' "$i" "$release" \
+			'"healthPath":"/health","maxConns":96,' \
+			'"protocol":"h1","tls":false')")
+	done
+	printf '{"version":%s,"routes":[%s],"services":[%s],"limits":{%s%s}}' \
+		"$1" "$(IFS=,; echo "${routes[*]}")" \
+		"$(IFS=,; echo "${services[*]}")" \
+		'"maxHeaderBytes":16384,"maxBodyBytes":4194304,' \
+		'"headerTimeoutMs":3000,"idleTimeoutMs":15000'
 }
 
-replace_two()
+# The answers to requests on a route that a version added, more than
+# CONFIG_APPLY_MS after its acknowledgement.
+statuses_of() # VERSION
 {
-	local seeds=("${core[@]:3:3}")
+	local i
 
-	record "machines $next and $((next + 1)): started, with empty disks"
-	add_machine false "${seeds[@]}"
-	add_machine false "${seeds[@]}"
-	remove_oldest
-	remove_oldest
+	for ((i = 0; i < REQUESTS; i++)); do
+		http "$FRONT" "$FRONT_PORT" GET "/release-$1/app-1/x" | status_of
+	done | sort | uniq -c | tr -s ' \n' ' '
 }
 
-machines_with_fault()
+# A 404 is as an older version has it: the route is there.
+broken=0
+check_newest() # VERSION
 {
-	local machine count=0
-
-	for machine in "${!ENDS[@]}"; do
-		if [ "${ENDS[$machine]}" -ge "$FAULT_ENDS" ]; then
-			count=$((count + 1))
-		fi
-	done
-	echo "$count"
+	local statuses
+
+	watch_until $(($(elapsed_ms) + CONFIG_APPLY_MS + 200))
+	statuses=$(statuses_of "$1")
+	record "version $1: the front's answers on a route of it (times status):" \
+		"$statuses"
+	case $statuses in
+	*' 404'*) broken=1 ;;
+	esac
 }
 
-for ((i = 0; i < MACHINES; i++)); do
-	add_machine true 1 2 3
+for machine in "${CORE[@]}"; do
+	ZONE[$machine]=zone-$machine
+	write_settings control "$machine" true "$(seeds_json "${CORE[@]}")"
+	start_process "$machine"
 done
-put 1 "$(document 1)" 10000 "${core[@]}" || give_up "the first configuration isn't taken"
-
-watch_until "$ROUND_MS"
-begin=$(elapsed_ms)
-for ((round = 0; round < ROUNDS; round++)); do
-	if [ "${TROUBLE:-1}" != 0 ]; then
-		replace_two
-	fi
-	watch_until $((begin + (round + 1) * ROUND_MS))
-	[ "$(machines_with_fault)" -lt "$FAULT_MACHINES" ] || break
+ZONE[$FRONT]=zone-1
+write_settings entry "$FRONT" true "$(seeds_json "${CORE[@]}")"
+start_process "$FRONT"
+for version in "${CHECKED[@]}"; do
+	start_replica "replica-$version" "$version" \
+		"app-1-$(release_of "$version")" "${CORE[@]}"
 done
 
-put 2 "$(document 2)" $(($(elapsed_ms) + 5000)) "${core[@]}"
-broken=0
-while [ "$(elapsed_ms)" -lt "$END_MS" ]; do
-	watch_processes
-	if [ "$(machines_with_fault)" -ge "$FAULT_MACHINES" ]; then
-		broken=1
-		break
-	fi
-	[ "${TROUBLE:-1}" != 0 ] || [ "${#ENDS[@]}" != 0 ] || break
-	sleep 0.05
+for ((version = 1; version <= VERSIONS; version++)); do
+	put "$version" "$(document "$version")" \
+		$(($(elapsed_ms) + 10000)) "${CORE[@]}" ||
+		give_up "version $version isn't taken"
+	case " ${CHECKED[*]} " in
+	*" $version "*) check_newest "$version" ;;
+	esac
 done
 
-for machine in "${core[@]}"; do
-	record "machine $machine: ended by itself ${ENDS[$machine]:-0} times;" \
-		"read back: $(http "$machine" "$CONTROL_PORT" GET /v1/config/get | status_of)"
-done
-record "machines of the core with $FAULT_ENDS such ends or more:" \
-	"$(machines_with_fault) of ${#core[@]}"
+# Not judged: what the front does after a planned restart.
+kill -TERM "${PID[$FRONT]}"
+wait "${PID[$FRONT]}" 2> /dev/null
+start_process "$FRONT"
+watch_until $(($(elapsed_ms) + RESTART_WAIT_MS))
+record "the front, $RESTART_WAIT_MS ms after a restart: ready" \
+	"$(http "$FRONT" "$READY_PORT" GET /v1/readiness | status_of)," \
+	"answers $(statuses_of "$VERSIONS")"
+
+record "processes that ended by themselves: ${#ENDS[@]}"
 if [ "$broken" = 1 ]; then
-	record "Fault: broken"
+	record "CONFIG: broken"
 	exit 1
 fi
-record "Fault: kept"
+record "CONFIG: kept"
 exit 0
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -88,6 +88,9 @@
 done
 watch_until $((begin + END_AFTER_MS))
 touch "$WORK/over"
+for ((i = 0; i < CLIENTS; i++)); do
+	wait "${PID[client-$i]}"
+done
 
 # ---- check ----
 
