--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,4 +7,4 @@
 make -s -j8 B=target target/test/fakes/fake_platform_engine
 mkdir -p target/review
 cc -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra $(pkg-config --cflags libevent) \
-	review/8/replica.c $(pkg-config --libs libevent) -o target/review/replica
+	review/9/replica.c $(pkg-config --libs libevent) -o target/review/replica
--- a/review/lib-2/deploy.sh
+++ b/review/lib-2/deploy.sh
@@ -165,22 +165,25 @@
 }
 
 # http MACHINE PORT METHOD TARGET [BODY]: prints the answer, if there is one
-# within HTTP_LIMIT_S.
+# within HTTP_LIMIT_S. A client of a front says how long it waits.
 HTTP_LIMIT_S=1
 http()
 {
-	local ip
+	local ip deadline=
 
 	ip=$(address "$1")
+	if [ "$2" = "$FRONT_PORT" ]; then
+		deadline="Request-Deadline: $((HTTP_LIMIT_S * 1000))"$'\r\n'
+	fi
 	timeout "$HTTP_LIMIT_S" bash -c '
 		exec 3<> "/dev/tcp/$1/$2" || exit
 		printf "%s %s HTTP/1.1\r\nHost: a.example\r\n" "$3" "$4" >&3
 		printf "Attempt-Id: %08x%08x\r\n" "$SRANDOM" "$SRANDOM" >&3
-		printf "Content-Type: application/json\r\n" >&3
+		printf "%sContent-Type: application/json\r\n" "$6" >&3
 		printf "Content-Length: %d\r\n" "${#5}" >&3
 		printf "Connection: close\r\n\r\n%s" "$5" >&3
 		cat <&3' http "$ip" "$2" "$3" "$4" "$5" \
-		2> /dev/null | tr -d '\r'
+		"$deadline" 2> /dev/null | tr -d '\r'
 }
 
 status_of()
