state: services that a deployment no longer has leave the state

Cause: removed services were kept, the image of the state is bounded to 4,096, and state_save() returned NULL from then on, which a poll's reply took for "no change". Ruled out: an entry that can't decode it (a restarted one gets none).

The bounds of radishdeal.x have names; the encoding is unchanged.

--- a/control/operators.c
+++ b/control/operators.c
@@ -312,6 +312,21 @@
 	json_decref(problem.extension_members);
 }
 
+/* Whether the change exceeds a bound of the state, which is answered here. */
+static bool refuse_without_room(const struct request *r,
+				const struct command *command)
+{
+	const struct group *group = r->operators->control->group;
+	const char *why = NULL;
+	enum rd_result code =
+		group ? state_check_room(group_state(group), command, &why)
+		      : RD_OK;
+
+	if (code)
+		send_error(r->req, code, why);
+	return code != RD_OK;
+}
+
 static void submit_change(const struct request *r, struct command *command)
 {
 	struct control *control = r->operators->control;
@@ -327,6 +342,8 @@
 		send_not_leader(r);
 		return;
 	}
+	if (refuse_without_room(r, command))
+		return;
 	id = http_query(r->req, "change_id");
 	base = http_query(r->req, "base");
 	if (!id || !*id || strlen(id) > RD_NAME_MAX || !base) {
--- a/include/radishdeal/state.h
+++ b/include/radishdeal/state.h
@@ -37,6 +37,14 @@
 void state_apply(struct state *state, uint64_t index,
 		 const struct command *command, struct apply_result *result);
 
+/**
+ * Returns RD_TOO_LARGE, with *why set to a constant text, if applying a command
+ * now would add more than the state can hold; to be asked before it is proposed.
+ */
+enum rd_result state_check_room(const struct state *state,
+				const struct command *command,
+				const char **why);
+
 /** Frees the contents of a result. */
 void state_result_clear(struct apply_result *result);
 
--- a/state/deployment.c
+++ b/state/deployment.c
@@ -2,6 +2,10 @@
  * The deployment aggregate: services, routes and client accounts, submitted
  * as one document with a revision number. The highest revision is in force; a
  * document with a lower or equal revision is ignored.
+ *
+ * A service that a later document has no more leaves the state, unless operators
+ * have changed it: its revisions are those of the documents, which only grow, so
+ * nothing of it is needed if its name returns.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -54,26 +58,100 @@
 		g_assert_not_reached();
 }
 
-static bool deployment_has_service(const struct deployment *deployment,
-				   const char *service)
+/* Returns the set of the names of a deployment's services. */
+static GHashTable *service_names(const struct deployment *deployment)
 {
+	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+
 	for (u_int i = 0; i < deployment->services.services_len; i++)
-		if (!strcmp(deployment->services.services_val[i].name, service))
-			return true;
-	return false;
+		g_hash_table_add(names,
+				 deployment->services.services_val[i].name);
+	return names;
 }
 
+struct absent_services {
+	GHashTable *present; /* names of services that stay */
+	GPtrArray *names;    /* of services that leave the state */
+};
+
 static gboolean remove_absent_service(gpointer key, gpointer value,
 				      gpointer data)
 {
-	const struct deployment *deployment = data;
+	struct absent_services *absent = data;
 	struct service_state *s = value;
 
-	if (s->spec.from_deployment && !deployment_has_service(deployment, key))
-		s->removed = TRUE;
+	if (!s->spec.from_deployment ||
+	    g_hash_table_contains(absent->present, key))
+		return FALSE;
+	s->removed = TRUE;
+	if (!s->history.history_len)
+		g_ptr_array_add(absent->names, key);
+	return FALSE;
+}
+
+/* Removes the services of earlier deployments whose names aren't in the set. */
+static void remove_absent_services(struct state *state, GHashTable *present)
+{
+	struct absent_services absent = { present, g_ptr_array_new() };
+
+	g_tree_foreach(state->services, remove_absent_service, &absent);
+	for (guint i = 0; i < absent.names->len; i++)
+		g_tree_remove(state->services, absent.names->pdata[i]);
+	g_ptr_array_unref(absent.names);
+}
+
+void deployment_remove_unused_services(struct state *state)
+{
+	GHashTable *present;
+
+	if (!state->deployment)
+		return;
+	present = service_names(state->deployment);
+	remove_absent_services(state, present);
+	g_hash_table_unref(present);
+}
+
+struct service_count {
+	GHashTable *present;
+	u_int others;
+};
+
+static gboolean count_other_service(gpointer key, gpointer value, gpointer data)
+{
+	struct service_count *count = data;
+	const struct service_state *s = value;
+
+	if (!s->removed && !s->spec.from_deployment &&
+	    !g_hash_table_contains(count->present, key))
+		count->others++;
 	return FALSE;
 }
 
+bool deployment_has_room(const struct state *state,
+			 const struct deployment *deployment)
+{
+	struct service_count count = { .present = service_names(deployment) };
+
+	g_tree_foreach(state->services, count_other_service, &count);
+	g_hash_table_unref(count.present);
+	return count.others + deployment->services.services_len <=
+	       RD_SERVICES_MAX;
+}
+
+static u_int count_new_services(const struct state *state,
+				const struct deployment *deployment)
+{
+	u_int count = 0;
+
+	for (u_int i = 0; i < deployment->services.services_len; i++)
+		count += g_tree_lookup(
+				 state->services,
+				 deployment->services.services_val[i].name)
+				 ? 0
+				 : 1;
+	return count;
+}
+
 void deployment_apply(struct state *state, const struct command *command,
 		      struct apply_result *result)
 {
@@ -84,11 +162,16 @@
 		result->revision = state->deployment->revision;
 		return;
 	}
+	if (!deployment_has_room(state, d)) {
+		state_result_set(result, RD_TOO_LARGE, TOO_MANY_SERVICES);
+		return;
+	}
 	deployment_set(state, d);
+	deployment_remove_unused_services(state);
+	(void)service_make_room(state, count_new_services(state, d));
 	for (u_int i = 0; i < d->services.services_len; i++)
 		upsert_service(state, &d->services.services_val[i],
 			       d->revision);
-	g_tree_foreach(state->services, remove_absent_service, (gpointer)d);
 	result->revision = d->revision;
 }
 
--- a/state/service.c
+++ b/state/service.c
@@ -178,6 +178,69 @@
 	result->revision = service->revision;
 }
 
+/* ---- room for further services ---- */
+
+struct removed_search {
+	struct service_state *oldest; /* NULL: none was removed */
+	u_int removed;
+};
+
+static int64_t last_change_ms(const struct service_state *service)
+{
+	u_int n = service->history.history_len;
+
+	return n ? service->history.history_val[n - 1].time_ms : 0;
+}
+
+static gboolean search_removed(gpointer key, gpointer value, gpointer data)
+{
+	struct removed_search *search = data;
+	struct service_state *service = value;
+
+	(void)key;
+	if (!service->removed)
+		return FALSE;
+	search->removed++;
+	if (!search->oldest ||
+	    last_change_ms(service) < last_change_ms(search->oldest))
+		search->oldest = service;
+	return FALSE;
+}
+
+static struct removed_search find_removed(const struct state *state)
+{
+	struct removed_search search = { NULL, 0 };
+
+	g_tree_foreach(state->services, search_removed, &search);
+	return search;
+}
+
+static u_int count_services(const struct state *state)
+{
+	return (u_int)g_tree_nnodes(state->services);
+}
+
+bool service_make_room(struct state *state, u_int added)
+{
+	if (count_services(state) + added <= RD_SERVICES_MAX)
+		return true;
+	if (count_services(state) - find_removed(state).removed + added >
+	    RD_SERVICES_MAX)
+		return false;
+	while (count_services(state) + added > RD_SERVICES_MAX)
+		g_tree_remove(state->services, find_removed(state).oldest->name);
+	return true;
+}
+
+bool service_has_room(const struct state *state, const char *name)
+{
+	return g_tree_lookup(state->services, name) ||
+	       count_services(state) < RD_SERVICES_MAX ||
+	       find_removed(state).removed;
+}
+
+/* ---- applying ---- */
+
 static struct service_state *add_service(struct state *state, const char *name)
 {
 	struct service_state *service = calloc(1, sizeof(*service));
@@ -225,6 +288,10 @@
 		result->revision = current;
 		goto done;
 	}
+	if (!service && !service_make_room(state, 1)) {
+		state_result_set(result, RD_TOO_LARGE, TOO_MANY_SERVICES);
+		goto done;
+	}
 	if (!service)
 		service = add_service(state, apply->spec.name);
 	service->removed = FALSE;
--- a/state/state.c
+++ b/state/state.c
@@ -171,6 +171,22 @@
 		change_insert_result(state, command, fingerprint, result);
 }
 
+enum rd_result state_check_room(const struct state *state,
+				const struct command *command, const char **why)
+{
+	const struct command_body *body = &command->body;
+	bool has_room = true;
+
+	if (body->kind == CMD_APPLY_SERVICE)
+		has_room = service_has_room(
+			state, body->command_body_u.apply.spec.name);
+	else if (body->kind == CMD_DEPLOY)
+		has_room = deployment_has_room(state,
+					       &body->command_body_u.deploy);
+	*why = has_room ? NULL : TOO_MANY_SERVICES;
+	return has_room ? RD_OK : RD_TOO_LARGE;
+}
+
 /* ---- images ---- */
 
 static gboolean append_value(gpointer key, gpointer value, gpointer data)
@@ -302,6 +318,7 @@
 	if (image.deployed.deployed_len)
 		deployment_set(state, image.deployed.deployed_val);
 	load_services(state, &image);
+	deployment_remove_unused_services(state);
 	load_replicas(state, &image);
 	load_vms(state, &image);
 	for (u_int i = 0; i < image.changes.changes_len; i++)
--- a/state/state_internal.h
+++ b/state/state_internal.h
@@ -38,6 +38,21 @@
 		    struct apply_result *result);
 void service_free(struct service_state *service);
 
+/** Why a command that would add a service is refused. */
+#define TOO_MANY_SERVICES                                            \
+	"the state holds " G_STRINGIFY(RD_SERVICES_MAX) " services " \
+							"at most"
+
+/**
+ * Makes room for services under new names: of those that operators have
+ * removed, the ones that were changed the longest ago leave the state with
+ * their histories. Returns false if too many are in use, with nothing changed.
+ */
+bool service_make_room(struct state *state, u_int added);
+
+/** Whether a service of this name exists or can be added. */
+bool service_has_room(const struct state *state, const char *name);
+
 /* history.c */
 
 /** Appends the current revision of a service to its history. */
@@ -52,6 +67,16 @@
 		      struct apply_result *result);
 void deployment_set(struct state *state, const struct deployment *deployment);
 
+/** Whether its services, with those of operators, are not too many. */
+bool deployment_has_room(const struct state *state,
+			 const struct deployment *deployment);
+
+/**
+ * Removes the services of earlier deployments that only deployments changed.
+ * Earlier builds kept them in the states that they stored.
+ */
+void deployment_remove_unused_services(struct state *state);
+
 /** Frees a deployment. NULL is allowed. */
 void deployment_free(struct deployment *deployment);
 
--- a/wire/radishdeal.h
+++ b/wire/radishdeal.h
@@ -17,6 +17,9 @@
 #define RD_TEXT_MAX 65536
 #define RD_RESPONSE_MAX 1048576
 #define RD_BLOB_MAX 67108864
+#define RD_SERVICES_MAX 4096
+#define RD_REPLICAS_MAX 65536
+#define RD_MEMBERS_MAX 32
 
 struct account_spec {
 	char *name;
--- a/wire/radishdeal.x
+++ b/wire/radishdeal.x
@@ -8,6 +8,9 @@
 const RD_TEXT_MAX = 65536;
 const RD_RESPONSE_MAX = 1048576;
 const RD_BLOB_MAX = 67108864;
+const RD_SERVICES_MAX = 4096;
+const RD_REPLICAS_MAX = 65536;
+const RD_MEMBERS_MAX = 32;
 
 /* ---- services ---- */
 
@@ -124,7 +127,7 @@
 	caller_limits limits;
 	uint32_t weight_loads_per_s;	/* from the weight store; 0: no limit */
 	uint32_t weight_loads_max;	/* in parallel; more slow all down */
-	service_spec services<4096>;
+	service_spec services<RD_SERVICES_MAX>;
 	route_spec routes<65536>;
 	client_account accounts<65536>;
 };
@@ -337,9 +340,9 @@
 	uint64_t last_epoch;
 	int64_t time_ms;
 	deployment deployed<1>;
-	service_state services<4096>;
+	service_state services<RD_SERVICES_MAX>;
 	change_record changes<262144>;
-	replica_state replicas<65536>;
+	replica_state replicas<RD_REPLICAS_MAX>;
 	vm_state vms<262144>;
 	booking_state bookings<1048576>;
 };
@@ -506,7 +509,7 @@
 };
 
 struct member_config {
-	member members<32>;
+	member members<RD_MEMBERS_MAX>;
 };
 
 enum raft_kind {
--- a/wire/radishdeal_xdr.c
+++ b/wire/radishdeal_xdr.c
@@ -253,7 +253,7 @@
 		 return FALSE;
 	 if (!xdr_uint32_t (xdrs, &objp->weight_loads_max))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, 4096,
+	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, RD_SERVICES_MAX,
 		sizeof (service_spec), (xdrproc_t) xdr_service_spec))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->routes.routes_val, (u_int *) &objp->routes.routes_len, 65536,
@@ -687,13 +687,13 @@
 	 if (!xdr_array (xdrs, (char **)&objp->deployed.deployed_val, (u_int *) &objp->deployed.deployed_len, 1,
 		sizeof (deployment), (xdrproc_t) xdr_deployment))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, 4096,
+	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, RD_SERVICES_MAX,
 		sizeof (service_state), (xdrproc_t) xdr_service_state))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, 262144,
 		sizeof (change_record), (xdrproc_t) xdr_change_record))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->replicas.replicas_val, (u_int *) &objp->replicas.replicas_len, 65536,
+	 if (!xdr_array (xdrs, (char **)&objp->replicas.replicas_val, (u_int *) &objp->replicas.replicas_len, RD_REPLICAS_MAX,
 		sizeof (replica_state), (xdrproc_t) xdr_replica_state))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->vms.vms_val, (u_int *) &objp->vms.vms_len, 262144,
@@ -1198,7 +1198,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 32,
+	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, RD_MEMBERS_MAX,
 		sizeof (member), (xdrproc_t) xdr_member))
 		 return FALSE;
 	return TRUE;
