state: released replicas leave the state

The image is bounded to 65,536 replicas. A released one stayed in it, and numbers aren't given twice, so the state couldn't be saved any more after as many: the same class as the names of services, found by listing the bounds.

Of the released ones those with the 32 highest numbers stay, for operators and so that the last number isn't given again. What an assignment, a release or a confirmation answers is the same with and without them.

test_lives, test_replicas_are_formed_and_released: failed before, passes.

--- a/control/operators.c
+++ b/control/operators.c
@@ -318,9 +318,9 @@
 {
 	const struct group *group = r->operators->control->group;
 	const char *why = NULL;
-	enum rd_result code =
-		group ? state_check_room(group_state(group), command, &why)
-		      : RD_OK;
+	enum rd_result code = group ? state_check_room(group_state(group),
+						       command, &why)
+				    : RD_OK;
 
 	if (code)
 		send_error(r->req, code, why);
--- a/include/radishdeal/state.h
+++ b/include/radishdeal/state.h
@@ -39,7 +39,7 @@
 
 /**
  * Returns RD_TOO_LARGE, with *why set to a constant text, if applying a command
- * now would add more than the state can hold; to be asked before it is proposed.
+ * now would add more than the state can hold. Ask before proposing.
  */
 enum rd_result state_check_room(const struct state *state,
 				const struct command *command,
@@ -105,7 +105,7 @@
 bool service_call_is_once_only(const struct service_state *service,
 			       const char *method, const char *path);
 
-/** Returns a replica, released or not, or NULL. */
+/** Returns a replica, released lately or not at all, or NULL. */
 const struct replica_state *state_replica(const struct state *state,
 					  uint32_t replica);
 
--- a/state/deployment.c
+++ b/state/deployment.c
@@ -3,9 +3,9 @@
  * as one document with a revision number. The highest revision is in force; a
  * document with a lower or equal revision is ignored.
  *
- * A service that a later document has no more leaves the state, unless operators
- * have changed it: its revisions are those of the documents, which only grow, so
- * nothing of it is needed if its name returns.
+ * A service that a later document has no more leaves the state, unless
+ * operators have changed it: its revisions are those of the documents, which
+ * only grow, so nothing of it is needed if its name returns.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -144,11 +144,11 @@
 	u_int count = 0;
 
 	for (u_int i = 0; i < deployment->services.services_len; i++)
-		count += g_tree_lookup(
-				 state->services,
-				 deployment->services.services_val[i].name)
-				 ? 0
-				 : 1;
+		count +=
+			g_tree_lookup(state->services,
+				      deployment->services.services_val[i].name)
+				? 0
+				: 1;
 	return count;
 }
 
--- a/state/replica.c
+++ b/state/replica.c
@@ -9,6 +9,12 @@
 #include "state/state_internal.h"
 #include "wire/codec.h"
 
+/*
+ * Released replicas that stay for operators to look at. The last number given
+ * must stay, so that it isn't given again.
+ */
+#define RELEASED_KEPT 32u
+
 static bool assignment_has_vm(const struct assign_replica *assign,
 			      const char *vm)
 {
@@ -100,6 +106,35 @@
 	result->revision = assign->epoch;
 }
 
+struct released_search {
+	u_int count;
+	gpointer lowest; /* number of the first one */
+};
+
+static gboolean search_released(gpointer key, gpointer value, gpointer data)
+{
+	struct released_search *search = data;
+	const struct replica_state *replica = value;
+
+	if (!replica->released)
+		return FALSE;
+	if (!search->count++)
+		search->lowest = key;
+	return FALSE;
+}
+
+void replica_remove_released(struct state *state)
+{
+	for (;;) {
+		struct released_search search = { 0 };
+
+		g_tree_foreach(state->replicas, search_released, &search);
+		if (search.count <= RELEASED_KEPT)
+			return;
+		g_tree_remove(state->replicas, search.lowest);
+	}
+}
+
 /* Returns the replica if it is at this epoch and not released, or NULL. */
 static struct replica_state *find_at_epoch(const struct state *state,
 					   uint32_t number, uint64_t epoch)
@@ -126,6 +161,7 @@
 	}
 	release_unassigned_vms(state, replica, NULL);
 	replica->released = TRUE;
+	replica_remove_released(state);
 	state_result_set(result, RD_OK, "");
 }
 
--- a/state/service.c
+++ b/state/service.c
@@ -228,7 +228,8 @@
 	    RD_SERVICES_MAX)
 		return false;
 	while (count_services(state) + added > RD_SERVICES_MAX)
-		g_tree_remove(state->services, find_removed(state).oldest->name);
+		g_tree_remove(state->services,
+			      find_removed(state).oldest->name);
 	return true;
 }
 
--- a/state/state.c
+++ b/state/state.c
@@ -320,6 +320,7 @@
 	load_services(state, &image);
 	deployment_remove_unused_services(state);
 	load_replicas(state, &image);
+	replica_remove_released(state);
 	load_vms(state, &image);
 	for (u_int i = 0; i < image.changes.changes_len; i++)
 		change_insert(state, &image.changes.changes_val[i]);
--- a/state/state_internal.h
+++ b/state/state_internal.h
@@ -88,6 +88,12 @@
 void replica_release(struct state *state, const struct command *command,
 		     struct apply_result *result);
 
+/**
+ * Removes released replicas but for those with the highest numbers. Earlier
+ * builds kept all of them in the states that they stored.
+ */
+void replica_remove_released(struct state *state);
+
 /* vm.c */
 
 /** Whether a VM is free, or assigned to this replica and not being released. */
--- a/test/test_lives.c
+++ b/test/test_lives.c
@@ -1,7 +1,7 @@
 /*
- * The replicated state over a system's whole life: thousands of names and changes,
- * one after the other, against the bounds of the encoding. At each age it can be
- * saved, so that entries and new members can get it.
+ * The replicated state over a system's whole life: thousands of names, replicas
+ * and changes, one after the other, against the bounds of the encoding. At each
+ * age it can be saved, so that entries and new members can get it.
  */
 #include <inttypes.h>
 #include <setjmp.h>
@@ -20,6 +20,8 @@
 #define SERVICES_PER_DEPLOYMENT 20
 #define DEPLOYMENTS 300
 #define NATIVE_SERVICES (RD_SERVICES_MAX + 50)
+#define REPLICAS (RD_REPLICAS_MAX + 50)
+#define SERVICE "model"
 /* Between two looks at whether the state can be saved. */
 #define SAVE_INTERVAL 1000
 /*
@@ -80,9 +82,8 @@
 	int code;
 
 	for (u_int i = 0; i < services; i++)
-		specs[i] = new_spec(g_strdup_printf("app-%u-%" PRIu64, i,
-						    revision),
-				    true);
+		specs[i] = new_spec(
+			g_strdup_printf("app-%u-%" PRIu64, i, revision), true);
 	d->revision = revision;
 	d->services.services_len = services;
 	d->services.services_val = specs;
@@ -116,6 +117,43 @@
 	return apply(life, &command);
 }
 
+static void form_replica(struct life *life, uint32_t replica)
+{
+	struct command command = new_command(CMD_ASSIGN_REPLICA);
+	struct assign_replica *change = &command.body.command_body_u.assign;
+	struct vm_ref vm = { (char *)"vm", (char *)"127.0.0.1:1", (char *)"",
+			     (char *)"", 1 };
+
+	change->replica = replica;
+	change->service = (char *)SERVICE;
+	change->epoch = state_last_epoch(life->state) + 1;
+	change->model_version = (char *)"1";
+	change->vms.vms_len = 1;
+	change->vms.vms_val = &vm;
+	assert_int_equal(RD_OK, apply(life, &command));
+}
+
+static void dissolve_replica(struct life *life, uint32_t replica)
+{
+	struct command command = new_command(CMD_RELEASE_REPLICA);
+	struct release_replica *change = &command.body.command_body_u.release;
+
+	change->replica = replica;
+	change->epoch = state_last_epoch(life->state);
+	assert_int_equal(RD_OK, apply(life, &command));
+}
+
+static void take_vm_back(struct life *life, uint32_t replica)
+{
+	struct command command = new_command(CMD_FREE_VM);
+	struct free_vm *change = &command.body.command_body_u.freed;
+
+	change->vm = (char *)"vm";
+	change->replica = replica;
+	change->epoch = state_last_epoch(life->state);
+	assert_int_equal(RD_OK, apply(life, &command));
+}
+
 /* ---- checks ---- */
 
 static GBytes *save(const struct life *life)
@@ -243,8 +281,8 @@
 	assert_int_equal(RD_OK, add_service(&life, (char *)"a"));
 	revision = state_service(life.state, "a")->revision;
 	assert_int_equal(3, revision);
-	assert_int_equal(3, state_service(life.state, "a")
-				    ->history.history_len);
+	assert_int_equal(3,
+			 state_service(life.state, "a")->history.history_len);
 	standing.admit = TRUE;
 	end(&life);
 }
@@ -295,6 +333,28 @@
 	end(&life);
 }
 
+/* Replicas are formed and released under ever new numbers. */
+static void test_replicas_are_formed_and_released(void **state)
+{
+	struct life life;
+
+	(void)state;
+	begin(&life);
+	assert_int_equal(RD_OK, add_service(&life, (char *)SERVICE));
+	for (uint32_t i = 1; i <= REPLICAS; i++) {
+		assert_int_equal(i, state_next_replica_number(life.state));
+		form_replica(&life, i);
+		dissolve_replica(&life, i);
+		take_vm_back(&life, i);
+		if (i % SAVE_INTERVAL == 0)
+			(void)saved_bytes(&life);
+	}
+	assert_true(saved_bytes(&life) < GROWTH_MAX_BYTES);
+	restart(&life);
+	assert_int_equal(REPLICAS + 1, state_next_replica_number(life.state));
+	end(&life);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -303,6 +363,7 @@
 		cmocka_unit_test(test_service_of_operators_keeps_its_history),
 		cmocka_unit_test(test_operators_add_and_remove_services),
 		cmocka_unit_test(test_more_services_than_the_bound_are_refused),
+		cmocka_unit_test(test_replicas_are_formed_and_released),
 	};
 
 	return cmocka_run_group_tests_name("lives", tests, NULL, NULL);
