entry, control: a command that can't be encoded is never proposed

An endpoint's answer of over 1 MiB to a booking ended the entry's process; its caller got nothing.

Cause: the ledger's record is bounded to 1 MiB, the entry reads up to body_bytes, and codec_encode()'s NULL was taken for bytes. At another leader it would have become an empty command, which ends every member once committed (by reading).

The caller now gets its answer, and the ledger records an unknown outcome. A leader refuses what it can't decode before it proposes it.

--- a/control/control_internal.h
+++ b/control/control_internal.h
@@ -143,9 +143,10 @@
 void proposals_destroy(struct proposals *proposals);
 /**
  * Submits an encoded command, retrying until the timeout. Calls `done` once:
- * with the result if it was applied, with RD_OVERLOADED if the leader refused
- * it, and after the timeout with RD_CHANGE_UNKNOWN if it may have been
- * accepted, RD_NO_QUORUM if it certainly was not.
+ * with the result if it was applied, with RD_OVERLOADED or RD_TOO_LARGE if it
+ * was refused (also if it is NULL, as it couldn't be encoded), and after the
+ * timeout with RD_CHANGE_UNKNOWN if it may have been accepted, RD_NO_QUORUM if
+ * it certainly was not.
  */
 void proposals_submit(struct proposals *proposals, GBytes *command,
 		      int timeout_ms, control_done_fn done, void *ctx);
--- a/control/group.c
+++ b/control/group.c
@@ -750,16 +750,39 @@
 	return true;
 }
 
+/* A command that no member could read would end all of them once committed. */
+static bool is_readable(GBytes *bytes)
+{
+	struct command command = { 0 };
+
+	if (!bytes || !CODEC_DECODE(command, bytes, &command))
+		return false;
+	CODEC_FREE(command, &command);
+	return true;
+}
+
+static enum rd_result propose(struct group *group, GBytes *command,
+			      uint64_t *index)
+{
+	if (group->failed)
+		return RD_IO;
+	if (raft_role(group->raft) != RAFT_LEADER)
+		return RD_NOT_LEADER;
+	if (!is_readable(command)) {
+		log_error(&group_log, "a command that cannot be encoded or "
+				      "decoded was not proposed");
+		return RD_TOO_LARGE;
+	}
+	return raft_propose(group->raft, now_ms(group), command, index);
+}
+
 void group_propose(struct group *group, GBytes *command, group_done_fn done,
 		   void *ctx)
 {
-	enum rd_result result = RD_IO;
 	struct proposal *p, *superseded;
 	uint64_t index = 0;
+	enum rd_result result = propose(group, command, &index);
 
-	if (!group->failed)
-		result = raft_propose(group->raft, now_ms(group), command,
-				      &index);
 	if (result) {
 		done(ctx, result, NULL);
 		return;
--- a/control/group.h
+++ b/control/group.h
@@ -110,8 +110,8 @@
 
 /**
  * Proposes an encoded command. `done` is called once, possibly before this
- * returns. A committed command that cannot be decoded fails the group, and its
- * `done` gets RD_CHANGE_UNKNOWN.
+ * returns. One that is NULL or cannot be decoded is refused with RD_TOO_LARGE:
+ * a committed one would fail the group.
  */
 void group_propose(struct group *group, GBytes *command, group_done_fn done,
 		   void *ctx);
--- a/control/proposals.c
+++ b/control/proposals.c
@@ -3,12 +3,15 @@
  * are idempotent by their change id or claim id, so one whose reply was lost
  * is submitted again.
  */
+#include "common/log.h"
 #include "control/control_internal.h"
 #include "wire/codec.h"
 
 #define RETRY_DELAY_MS 50
 #define ATTEMPT_TIMEOUT_MS 1500
 
+static const struct log proposals_log = { "proposals" };
+
 struct proposals {
 	struct control *control;
 	GHashTable *pending; /* set of struct submission */
@@ -51,7 +54,7 @@
 static void handle_result(struct submission *s, enum rd_result code,
 			  const struct apply_result *result)
 {
-	if (code == RD_OK || code == RD_OVERLOADED) {
+	if (code == RD_OK || code == RD_OVERLOADED || code == RD_TOO_LARGE) {
 		finish_submission(s, code, result);
 		return;
 	}
@@ -109,8 +112,15 @@
 void proposals_submit(struct proposals *proposals, GBytes *command,
 		      int timeout_ms, control_done_fn done, void *ctx)
 {
-	struct submission *s = g_new0(struct submission, 1);
+	struct submission *s;
 
+	if (!command) {
+		log_error(&proposals_log, "a command exceeds a bound of its "
+					  "encoding and is not submitted");
+		done(ctx, RD_TOO_LARGE, NULL);
+		return;
+	}
+	s = g_new0(struct submission, 1);
 	s->owner = proposals;
 	s->command = g_bytes_ref(command);
 	s->deadline_ms = control_now_ms(proposals->control) + timeout_ms;
--- a/entry/booking.c
+++ b/entry/booking.c
@@ -162,6 +162,25 @@
 	g_hash_table_unref(entry->unrecorded);
 }
 
+/*
+ * The ledger keeps responses of up to RD_RESPONSE_MAX bytes. The caller gets a
+ * larger one, but a repeated request can't: its outcome is unknown then.
+ */
+static GBytes *encode_without_response(const struct call *call,
+				       struct command *command)
+{
+	struct finish_booking *f = &command->body.command_body_u.finish;
+
+	log_warn(&booking_log,
+		 "request %s: response is not recorded bytes=%u limit=%u "
+		 "content_type_bytes=%zu",
+		 call->id, f->response.body.body_len, RD_RESPONSE_MAX,
+		 strlen(f->response.content_type));
+	f->outcome = BOOKING_UNKNOWN;
+	f->response = (struct booking_response){ .content_type = (char *)"" };
+	return encode(command);
+}
+
 static struct proposal_result *new_record(struct call *call,
 					  booking_outcome outcome, int status,
 					  const char *type, const void *body,
@@ -186,6 +205,8 @@
 	f->response.body.body_val = (char *)g_bytes_get_data(r->body, NULL);
 	f->response.body.body_len = (u_int)size;
 	r->record = encode(&command);
+	if (!r->record)
+		r->record = encode_without_response(call, &command);
 	r->entry->open_records++;
 	return r;
 }
