control: what exceeds a bound of its encoding is logged, counted and refused

Each place logs what isn't sent, and counts it in encodings_failed_total. The text of a result is cut at its bound.

test_feed, test_state_that_cannot_be_sent_is_no_unchanged_one, failed before (code 0), passes.

--- a/common/counters.h
+++ b/common/counters.h
@@ -69,6 +69,8 @@
 	X(PROPOSALS, "proposals_total", "counter",                           \
 	  "commands proposed to the log here")                               \
 	X(APPLIED, "applied_total", "counter", "log entries applied")        \
+	X(ENCODINGS_FAILED, "encodings_failed_total", "counter",             \
+	  "messages, snapshots and commands that exceeded a bound")          \
 	X(SYNCS, "syncs_total", "counter", "group commits to disk")          \
 	X(LEADER_CHANGES, "leader_changes_total", "counter",                 \
 	  "changes of leader seen")                                          \
--- a/control/announcements.c
+++ b/control/announcements.c
@@ -36,6 +36,8 @@
 	bytes = CODEC_ENCODE(digest, &digest);
 	monitor_digest_clear(&digest);
 	if (!bytes) {
+		counters_add(control->opts.counters, COUNTER_ENCODINGS_FAILED,
+			     1);
 		log_error(&announcements_log, "digest not sent: "
 					      "exceeds a size limit");
 		return;
--- a/control/feed.c
+++ b/control/feed.c
@@ -225,8 +225,10 @@
 	gsize size;
 	const void *data;
 
-	if (!snapshot)
+	if (!snapshot) {
+		reply->code = RD_TOO_LARGE;
 		return;
+	}
 	data = g_bytes_get_data(snapshot, &size);
 	reply->snapshot.snapshot_val = malloc(size);
 	memcpy(reply->snapshot.snapshot_val, data, size);
--- a/control/feed.h
+++ b/control/feed.h
@@ -44,7 +44,9 @@
 
 /**
  * Answers an entry's poll; to be called on the leader. `state` has all commands
- * applied. `reply` must be zeroed; free it with CODEC_FREE(poll_reply).
+ * applied. `reply` must be zeroed; free it with CODEC_FREE(poll_reply). Its
+ * code is RD_TOO_LARGE, and it gives the entry no lease, if the entry needs a
+ * snapshot that exceeds a bound of its encoding.
  */
 void feed_poll(struct feed *feed, int64_t now_ms, const struct state *state,
 	       const struct poll_request *request, struct poll_reply *reply);
--- a/control/follow.c
+++ b/control/follow.c
@@ -3,6 +3,7 @@
  * each poll, and passes the replies to the entry. Also answers the polls of
  * other processes.
  */
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -59,6 +60,21 @@
 			config->members.members_val[i].node;
 }
 
+/* Logs it once for each state, as entries go on polling. */
+static void report_unsent(struct control *control, uint32_t node)
+{
+	uint64_t index = state_applied_index(group_state(control->group));
+
+	counters_add(control->opts.counters, COUNTER_ENCODINGS_FAILED, 1);
+	if (control->unsent_index == index)
+		return;
+	control->unsent_index = index;
+	log_error(&follow_log,
+		  "configuration not sent to node %u: the state at index "
+		  "%" PRIu64 " exceeds a bound of its encoding",
+		  node, index);
+}
+
 void follow_serve_poll(struct control *control,
 		       const struct poll_request *request,
 		       struct poll_reply *reply)
@@ -71,6 +87,8 @@
 			  group_state(control->group), request, reply);
 		reply->leader = (uint32_t)control->opts.settings->node.id;
 		reply->term = raft_term(raft);
+		if (reply->code)
+			report_unsent(control, request->node);
 		return;
 	}
 	reply->code = RD_NOT_LEADER;
@@ -100,6 +118,17 @@
 	follow->poll_requested = true;
 }
 
+static void handle_refusal(struct follow *follow, uint32_t polled_node,
+			   const struct poll_reply *reply)
+{
+	if (reply->code == RD_NOT_LEADER) {
+		handle_not_leader(follow, polled_node, reply);
+		return;
+	}
+	log_error(&follow_log, "node %u refused a poll: %s", polled_node,
+		  rd_result_info((enum rd_result)reply->code)->name);
+}
+
 /* Handles the reply to `poll`, which may be abandoned; takes its contents. */
 static void handle_reply(struct follow *follow, const struct poll *poll,
 			 struct poll_reply *reply)
@@ -116,7 +145,7 @@
 			control, reply->control_nodes.control_nodes_val[i],
 			true);
 	if (reply->code) {
-		handle_not_leader(follow, poll->node, reply);
+		handle_refusal(follow, poll->node, reply);
 		CODEC_FREE(poll_reply, reply);
 		return;
 	}
@@ -286,6 +315,13 @@
 	if (!peer)
 		return;
 	bytes = CODEC_ENCODE(poll_request, &request);
+	if (!bytes) {
+		counters_add(follow->control->opts.counters,
+			     COUNTER_ENCODINGS_FAILED, 1);
+		log_error(&follow_log, "poll not sent: the entry's status "
+				       "exceeds a bound of its encoding");
+		return;
+	}
 	poll = g_new(struct poll, 1);
 	*poll = (struct poll){
 		.follow = follow,
--- a/control/group.c
+++ b/control/group.c
@@ -118,8 +118,14 @@
 	GBytes *bytes = CODEC_ENCODE(raft_message, message);
 	struct deferred_message *deferred;
 
-	if (!bytes)
+	if (!bytes) {
+		counters_add(group->opts.counters, COUNTER_ENCODINGS_FAILED, 1);
+		log_error(&group_log,
+			  "consensus message of kind %d not sent: it exceeds a "
+			  "bound of its encoding",
+			  (int)message->kind);
 		return;
+	}
 	if (!after_sync) {
 		group->opts.events.send(group->opts.events.ctx, message->to,
 					bytes);
@@ -399,6 +405,7 @@
 
 	group->compacted_index = index;
 	if (!data) {
+		counters_add(group->opts.counters, COUNTER_ENCODINGS_FAILED, 1);
 		log_error(&group_log, "state exceeds an encoding limit: "
 				      "log not compacted");
 		return;
@@ -407,6 +414,7 @@
 	snapshot.data.data_len = (u_int)size;
 	group->snapshot_bytes = size;
 	if (storage_begin_snapshot(group->storage, &snapshot, false)) {
+		counters_add(group->opts.counters, COUNTER_ENCODINGS_FAILED, 1);
 		log_error(&group_log, "state is too large to store as a "
 				      "snapshot: log not compacted");
 		g_bytes_unref(data);
@@ -769,6 +777,7 @@
 	if (raft_role(group->raft) != RAFT_LEADER)
 		return RD_NOT_LEADER;
 	if (!is_readable(command)) {
+		counters_add(group->opts.counters, COUNTER_ENCODINGS_FAILED, 1);
 		log_error(&group_log, "a command that cannot be encoded or "
 				      "decoded was not proposed");
 		return RD_TOO_LARGE;
--- a/control/peers.c
+++ b/control/peers.c
@@ -19,33 +19,57 @@
 
 /* ---- serving ---- */
 
+/* Sends an encoded reply; NULL: it exceeds a bound, and the call times out. */
+static void send_reply(struct control *control, struct rpc_call *call,
+		       const char *what, GBytes *bytes)
+{
+	if (bytes) {
+		rpc_call_reply(call, bytes);
+		g_bytes_unref(bytes);
+		return;
+	}
+	counters_add(control->opts.counters, COUNTER_ENCODINGS_FAILED, 1);
+	log_error(&peers_log,
+		  "reply to a %s not sent: it exceeds a bound of its encoding",
+		  what);
+	rpc_call_discard(call);
+}
+
+/** A proposal of another process. */
+struct remote_proposal {
+	struct control *control;
+	struct rpc_call *call;
+};
+
+/* Answers a remote proposal, and frees it. */
 static void send_propose_reply(void *ctx, enum rd_result code,
 			       const struct apply_result *result)
 {
-	struct rpc_call *call = ctx;
+	struct remote_proposal *p = ctx;
 	struct propose_reply reply = { .code = code };
 	struct apply_result empty = { 0 };
-	GBytes *bytes;
 
 	state_result_set(&empty, RD_OK, "");
 	reply.result = result ? *result : empty;
-	bytes = CODEC_ENCODE(propose_reply, &reply);
-	rpc_call_reply(call, bytes);
-	g_bytes_unref(bytes);
+	send_reply(p->control, p->call, "proposal",
+		   CODEC_ENCODE(propose_reply, &reply));
 	state_result_clear(&empty);
+	g_free(p);
 }
 
 static void serve_propose(struct control *control, struct rpc_call *call,
 			  const void *args, size_t size)
 {
+	struct remote_proposal *p = g_new(struct remote_proposal, 1);
 	GBytes *command;
 
+	*p = (struct remote_proposal){ control, call };
 	if (!control->group) {
-		send_propose_reply(call, RD_NOT_LEADER, NULL);
+		send_propose_reply(p, RD_NOT_LEADER, NULL);
 		return;
 	}
 	command = g_bytes_new(args, size);
-	group_propose(control->group, command, send_propose_reply, call);
+	group_propose(control->group, command, send_propose_reply, p);
 	g_bytes_unref(command);
 }
 
@@ -54,7 +78,6 @@
 {
 	struct poll_request request = { 0 };
 	struct poll_reply reply = { 0 };
-	GBytes *bytes;
 
 	if (!codec_decode((xdrproc_t)xdr_poll_request, args, size, &request)) {
 		rpc_call_discard(call);
@@ -64,10 +87,8 @@
 				      request.member_id != 0);
 	follow_serve_poll(control, &request, &reply);
 	CODEC_FREE(poll_request, &request);
-	bytes = CODEC_ENCODE(poll_reply, &reply);
+	send_reply(control, call, "poll", CODEC_ENCODE(poll_reply, &reply));
 	CODEC_FREE(poll_reply, &reply);
-	rpc_call_reply(call, bytes);
-	g_bytes_unref(bytes);
 }
 
 static void serve_digest(struct control *control, struct rpc_call *call,
@@ -75,7 +96,6 @@
 {
 	struct digest digest = { 0 };
 	bool_t full_digest_needed;
-	GBytes *bytes;
 
 	if (!codec_decode((xdrproc_t)xdr_digest, args, size, &digest)) {
 		rpc_call_discard(call);
@@ -89,9 +109,8 @@
 	if (control->opts.listener.digest)
 		control->opts.listener.digest(control->opts.listener.ctx,
 					      g_bytes_new(args, size));
-	bytes = codec_encode((xdrproc_t)xdr_bool, &full_digest_needed);
-	rpc_call_reply(call, bytes);
-	g_bytes_unref(bytes);
+	send_reply(control, call, "digest",
+		   codec_encode((xdrproc_t)xdr_bool, &full_digest_needed));
 }
 
 static void serve(void *ctx, struct rpc_call *call, uint32_t node,
--- a/control/proposals.c
+++ b/control/proposals.c
@@ -115,6 +115,8 @@
 	struct submission *s;
 
 	if (!command) {
+		counters_add(proposals->control->opts.counters,
+			     COUNTER_ENCODINGS_FAILED, 1);
 		log_error(&proposals_log, "a command exceeds a bound of its "
 					  "encoding and is not submitted");
 		done(ctx, RD_TOO_LARGE, NULL);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -109,8 +109,12 @@
 		entry->full_digest_due = true;
 	bytes = CODEC_ENCODE(digest, &digest);
 	monitor_digest_clear(&digest);
-	if (bytes)
+	if (bytes) {
 		control_post_digest(entry->opts.control, bytes);
+	} else {
+		counters_add(entry->opts.counters, COUNTER_ENCODINGS_FAILED, 1);
+		log_error(&entry_log, "digest not sent: exceeds a size limit");
+	}
 	/* It renews evidence even without a new version, as in run_digest(). */
 	services_update_health(entry);
 }
--- a/state/state.c
+++ b/state/state.c
@@ -91,7 +91,7 @@
 {
 	result->code = code;
 	free(result->text);
-	result->text = strdup(text);
+	result->text = strndup(text, MIN(strlen(text), RD_TEXT_MAX));
 	if (!result->response.content_type)
 		result->response.content_type = strdup("");
 }
--- a/storage/storage.c
+++ b/storage/storage.c
@@ -129,6 +129,8 @@
 static void put_record(GByteArray *records, enum record_type type,
 		       GBytes *payload)
 {
+	/* Its bounds were checked before it got here. */
+	g_assert(payload);
 	record_append(records, type, payload);
 	g_bytes_unref(payload);
 }
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -11,6 +11,9 @@
 #define NODE 7u
 #define LEASE_MS 1000
 #define START_MS 100000
+#define VMS_PER_REPLICA 64
+/* Bound of the VMs in an image of the state. */
+#define VMS_MAX 262144
 
 struct world {
 	struct feed *feed;
@@ -112,6 +115,88 @@
 	world_clear(&w);
 }
 
+static void apply(struct world *w, struct command *command)
+{
+	struct apply_result result = { 0 };
+	uint64_t index = state_applied_index(w->state) + 1;
+
+	command->change_id = command->operator_name = (char *)"";
+	state_apply(w->state, index, command, &result);
+	assert_int_equal(RD_OK, result.code);
+	state_result_clear(&result);
+}
+
+static void add_service(struct world *w)
+{
+	struct preset_spec preset = { (char *)"standing", 1, (char *)"1",
+				      TRUE };
+	struct command command = { .body.kind = CMD_APPLY_SERVICE };
+	struct apply_service *change = &command.body.command_body_u.apply;
+
+	change->spec = (struct service_spec){
+		.name = (char *)"s",
+		.pool = (char *)"",
+		.model = (char *)"m",
+		.adapter = (char *)"",
+		.vms_per_replica = VMS_PER_REPLICA,
+		.slots_per_replica = 1,
+		.presets = { 1, &preset },
+	};
+	change->preset = change->text = (char *)"";
+	apply(w, &command);
+}
+
+static void add_replica(struct world *w, uint32_t number)
+{
+	struct vm_ref vms[VMS_PER_REPLICA];
+	struct command command = { .body.kind = CMD_ASSIGN_REPLICA };
+	struct assign_replica *assign = &command.body.command_body_u.assign;
+
+	for (uint32_t i = 0; i < VMS_PER_REPLICA; i++)
+		vms[i] = (struct vm_ref){
+			.name = g_strdup_printf("vm-%u-%u", number, i),
+			.address = (char *)"",
+			.domain = (char *)"",
+			.data_centre = (char *)"",
+		};
+	assign->replica = number;
+	assign->service = (char *)"s";
+	assign->epoch = number;
+	assign->model_version = (char *)"1";
+	assign->vms.vms_len = VMS_PER_REPLICA;
+	assign->vms.vms_val = vms;
+	apply(w, &command);
+	for (uint32_t i = 0; i < VMS_PER_REPLICA; i++)
+		g_free(vms[i].name);
+}
+
+/*
+ * Guards against CONFIG: a state that couldn't be encoded made a reply that
+ * said that nothing had changed, and renewed the lease of an entry that lagged.
+ */
+static void test_state_that_cannot_be_sent_is_no_unchanged_one(void **state)
+{
+	struct poll_request request = {
+		.node = NODE,
+		.callers_address = (char *)"",
+		.endpoints_address = (char *)"",
+		.data_centre = (char *)"",
+	};
+	struct poll_reply reply = { 0 };
+	struct world w;
+
+	(void)state;
+	world_init(&w);
+	add_service(&w);
+	for (uint32_t i = 1; i <= VMS_MAX / VMS_PER_REPLICA + 1; i++)
+		add_replica(&w, i);
+	feed_reset(w.feed, state_applied_index(w.state));
+	feed_poll(w.feed, w.now_ms, w.state, &request, &reply);
+	assert_int_equal(RD_TOO_LARGE, reply.code);
+	CODEC_FREE(poll_reply, &reply);
+	world_clear(&w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -120,6 +205,8 @@
 			test_delayed_poll_does_not_bring_back_a_former_folder),
 		cmocka_unit_test(
 			test_clock_set_back_does_not_shut_out_an_entry),
+		cmocka_unit_test(
+			test_state_that_cannot_be_sent_is_no_unchanged_one),
 	};
 
 	return cmocka_run_group_tests_name("feed", tests, NULL, NULL);
--- a/wire/codec.h
+++ b/wire/codec.h
@@ -14,8 +14,13 @@
 
 #include "wire/radishdeal.h"
 
-/** Encodes a value. Returns NULL if it exceeds a bound of its type. */
-GBytes *codec_encode(xdrproc_t proc, const void *value);
+/**
+ * Encodes a value. Returns NULL if it exceeds a bound of its type; the caller
+ * logs what is not sent or stored then, and counts it as
+ * COUNTER_ENCODINGS_FAILED.
+ */
+GBytes *codec_encode(xdrproc_t proc,
+		     const void *value) G_GNUC_WARN_UNUSED_RESULT;
 
 /**
  * Decodes `data` into `value`, which must be zeroed. Returns false, with the
