consensus, control: silent learners are removed, and no group outgrows its encoding

Cause: members that were replaced stayed for good, a configuration is bounded to 32, and raft_propose_config() appended the encoder's NULL. Ruled out: the new node's link or poll (a proposal alone does it).

A learner that is silent for 60 s is removed while all voters are well; in a full group the one that is silent the longest makes room. A node is added only if it has polled within a second. Removing a member is written once (control/members.c and the torture had copies).

--- a/consensus/leader.c
+++ b/consensus/leader.c
@@ -194,7 +194,7 @@
 			     uint64_t (*value)(const struct progress *p))
 {
 	const struct member_config *config = raft_latest_config(raft);
-	uint64_t values[32];
+	uint64_t values[RD_MEMBERS_MAX];
 	int count = 0;
 
 	for (u_int i = 0; i < config->members.members_len; i++) {
--- a/consensus/membership.c
+++ b/consensus/membership.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
@@ -106,7 +107,7 @@
 		change->at = i;
 		found = true;
 	}
-	change->voter = true;
+	change->action = MEMBERSHIP_PROMOTE;
 	change->what = "learner promoted to voter";
 	return found;
 }
@@ -153,6 +154,35 @@
 	       count_promotable(view, GROWTH_MAX_LAG) >= missing;
 }
 
+/* Finds the learner that has been silent the longest, over a limit. */
+static bool find_silent_learner(const struct group_view *view, int64_t limit_ms,
+				u_int *at)
+{
+	int64_t longest_ms = limit_ms;
+
+	for (u_int i = 0; i < view->count; i++) {
+		const struct member_health *health = &view->health[i];
+
+		if (view->members[i].voter || is_well(health) ||
+		    health->silent_ms <= longest_ms)
+			continue;
+		longest_ms = health->silent_ms;
+		*at = i;
+	}
+	return longest_ms > limit_ms;
+}
+
+/* With a voter in trouble the next change may be needed for the votes. */
+static bool find_gone_learner(const struct group_view *view,
+			      struct membership_change *change)
+{
+	change->action = MEMBERSHIP_REMOVE;
+	change->what = "silent learner removed";
+	return all_voters_are_well(view) &&
+	       find_silent_learner(view, view->opts->forget_after_ms,
+				   &change->at);
+}
+
 bool membership_next(const struct membership_opts *opts,
 		     const struct member_config *config,
 		     const struct member_health *health,
@@ -164,12 +194,51 @@
 	bool lost = membership_find_lost(opts, config, health, &change->at);
 
 	if (lost && voters > opts->target_voters) {
-		change->voter = false;
+		change->action = MEMBERSHIP_DEMOTE;
 		change->what = "lost voter demoted";
 		return true;
 	}
 	if (lost || voters < opts->target_voters)
 		return promote(&view, PROMOTION_MAX_LAG, change);
-	return may_grow(&view, voters) &&
-	       promote(&view, GROWTH_MAX_LAG, change);
+	if (may_grow(&view, voters) && promote(&view, GROWTH_MAX_LAG, change))
+		return true;
+	return find_gone_learner(&view, change);
+}
+
+enum membership_room membership_find_room(const struct membership_opts *opts,
+					  const struct member_config *config,
+					  const struct member_health *health,
+					  struct membership_change *change)
+{
+	struct group_view view = { opts, config->members.members_val, health,
+				   config->members.members_len };
+
+	if (view.count < opts->members_max)
+		return MEMBERSHIP_HAS_ROOM;
+	change->action = MEMBERSHIP_REMOVE;
+	change->what = "silent learner removed for a new member";
+	return find_silent_learner(&view, opts->replace_after_ms, &change->at)
+		       ? MEMBERSHIP_REMOVE_FIRST
+		       : MEMBERSHIP_FULL;
+}
+
+void membership_remove(struct member_config *config, u_int at)
+{
+	struct member *m = &config->members.members_val[at];
+	u_int behind = config->members.members_len - at - 1;
+
+	free(m->address);
+	free(m->data_centre);
+	memmove(m, m + 1, behind * sizeof(*m));
+	config->members.members_len--;
+}
+
+void membership_apply(const struct membership_change *change,
+		      struct member_config *config)
+{
+	if (change->action == MEMBERSHIP_REMOVE)
+		membership_remove(config, change->at);
+	else
+		config->members.members_val[change->at].voter =
+			change->action == MEMBERSHIP_PROMOTE;
 }
--- a/consensus/membership.h
+++ b/consensus/membership.h
@@ -6,7 +6,10 @@
  * The group has a target number of voters. While more members are well it has
  * up to twice the target less one, in steps of two, of which all but one of the
  * target may end at once. Voters that are lost are demoted down to the target,
- * and at the target replaced.
+ * and at the target replaced. Learners that are silent for long are removed;
+ * one that comes back, with its disk, is added again. No quorum counts on a
+ * learner, so a removal takes nothing from the group, whatever is lost
+ * meanwhile.
  */
 #ifndef CONSENSUS_MEMBERSHIP_H
 #define CONSENSUS_MEMBERSHIP_H
@@ -34,16 +37,31 @@
 
 struct membership_opts {
 	uint32_t target_voters;
+	uint32_t members_max; /* voters and learners; RD_MEMBERS_MAX at most */
 	int64_t replace_after_ms; /* silence of a voter that is lost */
+	int64_t forget_after_ms;  /* silence of a learner that is removed */
+};
+
+enum membership_action {
+	MEMBERSHIP_PROMOTE,
+	MEMBERSHIP_DEMOTE,
+	MEMBERSHIP_REMOVE,
 };
 
 /** A change of one member. */
 struct membership_change {
-	u_int at; /* in the configuration */
-	bool voter;
+	enum membership_action action;
+	u_int at;	  /* in the configuration */
 	const char *what; /* for the log */
 };
 
+/** Whether a member can be added to a configuration. */
+enum membership_room {
+	MEMBERSHIP_HAS_ROOM,
+	MEMBERSHIP_REMOVE_FIRST, /* a learner that doesn't reply */
+	MEMBERSHIP_FULL,
+};
+
 /**
  * Returns since when a member has been silent. One that has not replied to this
  * leader may have been silent before its election: at least since `lost_ms`,
@@ -77,4 +95,20 @@
 		     const struct member_health *health,
 		     struct membership_change *change);
 
+/**
+ * Tells whether a member can be added. `health` is as for membership_next().
+ * Sets `change` to the removal that makes room, if one has to come first.
+ */
+enum membership_room membership_find_room(const struct membership_opts *opts,
+					  const struct member_config *config,
+					  const struct member_health *health,
+					  struct membership_change *change);
+
+/** Makes a change in a configuration that was decoded or copied. */
+void membership_apply(const struct membership_change *change,
+		      struct member_config *config);
+
+/** Removes a member from such a configuration. */
+void membership_remove(struct member_config *config, u_int at);
+
 #endif
--- a/consensus/raft.c
+++ b/consensus/raft.c
@@ -238,6 +238,7 @@
 {
 	struct raft_entry *entry;
 
+	g_assert(data);
 	if (raft->role != RAFT_LEADER || raft->transferring)
 		return RD_NOT_LEADER;
 	if (log_last(&raft->log) - raft->commit >= UNCOMMITTED_MAX)
@@ -294,6 +295,8 @@
 	    raft_voter_count(config) == 0)
 		return RD_INVALID;
 	data = CODEC_ENCODE(member_config, config);
+	if (!data)
+		return RD_TOO_LARGE;
 	result = append_as_leader(raft, now_ms, RAFT_ENTRY_CONFIG, data, index);
 	g_bytes_unref(data);
 	return result;
--- a/control/control_internal.h
+++ b/control/control_internal.h
@@ -57,9 +57,10 @@
 	struct event *tick;
 	int64_t started_ms;
 	bool leader_duties_active;
-	uint64_t leading_term; /* term for which they were started */
-	uint32_t silent_voter; /* node that was logged; 0: none */
-	uint64_t unsent_index; /* of the state that was too large to send */
+	uint64_t leading_term;	 /* term for which they were started */
+	uint32_t silent_voter;	 /* node that was logged; 0: none */
+	uint32_t refused_member; /* node for which no room was logged; 0 */
+	uint64_t unsent_index;	 /* of the state that was too large to send */
 	int64_t leaderless_since_ms; /* 0: a leader is known */
 	int64_t leaderless_line_ms;  /* of the last line about it; 0: none */
 	int64_t orphans_checked_ms;
--- a/control/members.c
+++ b/control/members.c
@@ -14,6 +14,8 @@
 
 /* A node counts as running if it polled within this time. */
 #define POLL_TIMEOUT_MS 1000
+/* Longer than a VM takes to restart. */
+#define FORGET_AFTER_MS 60000
 
 static const struct log members_log = { "members" };
 
@@ -74,20 +76,69 @@
 			       before);
 }
 
+/** The members of the group and what this leader knows of them. */
+struct group_members {
+	struct membership_opts opts;
+	struct member_config config; /* a copy, for the next change */
+	struct member_health *health;
+};
+
+static bool read_members(const struct control *control,
+			 struct group_members *group)
+{
+	const struct cluster_settings *settings =
+		&control->opts.settings->cluster;
+	u_int count;
+
+	memset(group, 0, sizeof(*group));
+	if (!CODEC_COPY(member_config, raft_config(group_raft(control->group)),
+			&group->config))
+		return false;
+	group->opts = (struct membership_opts){
+		.target_voters =
+			daemon_settings_voter_count(control->opts.settings),
+		.members_max = RD_MEMBERS_MAX,
+		.replace_after_ms = settings->replace_after_ms,
+		.forget_after_ms = FORGET_AFTER_MS,
+	};
+	count = group->config.members.members_len;
+	group->health = g_new(struct member_health, count);
+	for (u_int i = 0; i < count; i++)
+		group->health[i] = member_health(
+			control, &group->config.members.members_val[i]);
+	return true;
+}
+
+static void clear_members(struct group_members *group)
+{
+	CODEC_FREE(member_config, &group->config);
+	g_free(group->health);
+}
+
+static enum rd_result propose_membership(struct control *control,
+					 struct group_members *group,
+					 const struct membership_change *change)
+{
+	uint32_t node = group->config.members.members_val[change->at].node;
+
+	membership_apply(change, &group->config);
+	return propose_change(control, &group->config, change->what, node);
+}
+
 /* Logs which voter is lost, once for each. */
 static void log_lost_voter(struct control *control,
-			   const struct membership_opts *opts,
-			   const struct member_config *config,
-			   const struct member_health *health)
+			   const struct group_members *group)
 {
 	uint32_t node = 0;
 	char *line;
 	u_int at = 0;
 
-	if (membership_find_lost(opts, config, health, &at))
-		node = config->members.members_val[at].node;
-	line = members_lost_line(&control->silent_voter, node, &health[at],
-				 opts->replace_after_ms);
+	if (membership_find_lost(&group->opts, &group->config, group->health,
+				 &at))
+		node = group->config.members.members_val[at].node;
+	line = members_lost_line(&control->silent_voter, node,
+				 &group->health[at],
+				 group->opts.replace_after_ms);
 	if (line)
 		log_note(&members_log, "%s", line);
 	g_free(line);
@@ -102,30 +153,15 @@
 	return count;
 }
 
-/* Changes a vote, if the rules for the group ask for it. */
-static void change_votes(struct control *control, struct member_config *config)
+/* Makes the next change, if the rules for the group ask for one. */
+static void apply_rules(struct control *control, struct group_members *group)
 {
-	const struct membership_opts opts = {
-		.target_voters =
-			daemon_settings_voter_count(control->opts.settings),
-		.replace_after_ms =
-			control->opts.settings->cluster.replace_after_ms,
-	};
-	u_int count = config->members.members_len;
-	struct member_health *health = g_new(struct member_health, count);
 	struct membership_change change;
 
-	for (u_int i = 0; i < count; i++)
-		health[i] = member_health(control,
-					  &config->members.members_val[i]);
-	log_lost_voter(control, &opts, config, health);
-	if (membership_next(&opts, config, health, &change)) {
-		struct member *m = &config->members.members_val[change.at];
-
-		m->voter = change.voter;
-		(void)propose_change(control, config, change.what, m->node);
-	}
-	g_free(health);
+	log_lost_voter(control, group);
+	if (membership_next(&group->opts, &group->config, group->health,
+			    &change))
+		(void)propose_membership(control, group, &change);
 }
 
 static const struct peer_settings *find_peer_settings(
@@ -145,6 +181,7 @@
 /** A polling node whose data folder has the id of no member. */
 struct new_member {
 	struct member_config *config;
+	int64_t now_ms;
 	uint64_t id;
 	uint32_t node;
 	char data_centre[64];
@@ -177,22 +214,13 @@
 	config->members.members_len++;
 }
 
-static void remove_member(struct member_config *config, struct member *m)
-{
-	struct member *end = config->members.members_val +
-			     config->members.members_len;
-
-	free(m->address);
-	free(m->data_centre);
-	memmove(m, m + 1, (size_t)(end - (m + 1)) * sizeof(*m));
-	config->members.members_len--;
-}
-
+/* One that has not polled lately may have been removed since. */
 static void find_unknown_member(void *ctx, const struct feed_entry *entry)
 {
 	struct new_member *found = ctx;
 
 	if (!entry->member || found->node ||
+	    found->now_ms - entry->last_poll_ms >= POLL_TIMEOUT_MS ||
 	    find_member(found->config, entry->member))
 		return;
 	found->id = entry->member;
@@ -201,16 +229,37 @@
 		  sizeof(found->data_centre));
 }
 
+static bool may_join(const struct control *control, uint32_t node)
+{
+	const struct peer_settings *peer = find_peer_settings(control, node);
+
+	return peer ? peer->control
+		    : daemon_settings_uses_seeds(control->opts.settings);
+}
+
+/* Logs it once for each node, as it goes on polling. */
+static void log_no_room(struct control *control, uint32_t node)
+{
+	if (control->refused_member == node)
+		return;
+	control->refused_member = node;
+	log_error(&members_log,
+		  "node %u is not added: the group has %d members, none of "
+		  "them a learner that is silent",
+		  node, RD_MEMBERS_MAX);
+}
+
 /*
  * A node with a new data folder is a new member. If the node is still a member
  * under the id of its former folder, that member is removed first, in a change
- * of its own.
+ * of its own. Returns false if there is nothing to change.
  */
-static bool add_new_member(struct control *control,
-			   struct member_config *config)
+static bool add_new_member(struct control *control, struct group_members *group)
 {
-	struct new_member found = { .config = config };
-	const struct peer_settings *peer = NULL;
+	struct member_config *config = &group->config;
+	struct new_member found = { .config = config,
+				    .now_ms = control_now_ms(control) };
+	struct membership_change change;
 	struct member *old;
 
 	feed_each_entry(control->feed, find_unknown_member, &found);
@@ -220,31 +269,40 @@
 	if (old && old->voter && count_voters(config) == 1)
 		return false;
 	if (old) {
-		remove_member(config, old);
+		membership_remove(config,
+				  (u_int)(old - config->members.members_val));
 		(void)propose_change(control, config,
 				     "member of its former data folder removed",
 				     found.node);
 		return true;
 	}
-	peer = find_peer_settings(control, found.node);
-	if (peer ? !peer->control
-		 : !daemon_settings_uses_seeds(control->opts.settings))
+	if (!may_join(control, found.node))
 		return false;
-	append_member(control, config, &found);
-	(void)propose_change(control, config, "added as a learner", found.node);
-	return true;
+	switch (membership_find_room(&group->opts, config, group->health,
+				     &change)) {
+	case MEMBERSHIP_HAS_ROOM:
+		append_member(control, config, &found);
+		(void)propose_change(control, config, "added as a learner",
+				     found.node);
+		return true;
+	case MEMBERSHIP_REMOVE_FIRST:
+		(void)propose_membership(control, group, &change);
+		return true;
+	case MEMBERSHIP_FULL:
+		log_no_room(control, found.node);
+	}
+	return false;
 }
 
 void members_tick(struct control *control)
 {
-	struct member_config config = { { 0 } };
+	struct group_members group;
 
-	if (!CODEC_COPY(member_config, raft_config(group_raft(control->group)),
-			&config))
+	if (!read_members(control, &group))
 		return;
-	if (!add_new_member(control, &config))
-		change_votes(control, &config);
-	CODEC_FREE(member_config, &config);
+	if (!add_new_member(control, &group))
+		apply_rules(control, &group);
+	clear_members(&group);
 }
 
 /* ---- changes by operators ---- */
@@ -315,7 +373,7 @@
 				"stop it first");
 		return RD_INVALID;
 	}
-	remove_member(config, m);
+	membership_remove(config, (u_int)(m - config->members.members_val));
 	return propose_change(control, config, "removed by an operator", node);
 }
 
--- a/test/raft_network.c
+++ b/test/raft_network.c
@@ -127,8 +127,36 @@
 		;
 }
 
+void server_replace(struct server *server)
+{
+	raft_destroy(server->raft);
+	server->raft = NULL;
+	g_ptr_array_set_size(server->entries, 0);
+	g_ptr_array_set_size(server->deferred, 0);
+	CODEC_FREE(member_config, &server->first);
+	server->durable = 0;
+	server->term = server->vote = 0;
+	server->id += SERVERS;
+	server_start(server);
+}
+
 /* ---- the network ---- */
 
+struct server *network_find(struct network *net, uint64_t id)
+{
+	for (int i = 0; i < SERVERS; i++)
+		if (net->servers[i].id == id)
+			return &net->servers[i];
+	return NULL;
+}
+
+static bool is_cut(struct network *net, uint64_t from, const struct server *to)
+{
+	const struct server *sender = network_find(net, from);
+
+	return sender && net->cut[sender - net->servers][to - net->servers];
+}
+
 void network_deliver(struct network *net)
 {
 	GPtrArray *messages = net->messages;
@@ -141,8 +169,8 @@
 
 		assert_true(CODEC_DECODE(raft_message, messages->pdata[i],
 					 &message));
-		to = &net->servers[message.to - 1];
-		if (to->raft && !net->cut[message.from - 1][message.to - 1])
+		to = network_find(net, message.to);
+		if (to && to->raft && !is_cut(net, message.from, to))
 			raft_step(to->raft, net->now_ms, &message);
 		CODEC_FREE(raft_message, &message);
 	}
--- a/test/raft_network.h
+++ b/test/raft_network.h
@@ -22,7 +22,7 @@
 
 struct network;
 
-/** A member with its disk. Its id is its place in the network plus one. */
+/** A member with its disk. The first ids are the places plus one. */
 struct server {
 	struct network *network;
 	uint64_t id;
@@ -55,6 +55,12 @@
 
 void server_start(struct server *server);
 
+/** Puts a new server, with an empty disk and an id of its own, in its place. */
+void server_replace(struct server *server);
+
+/** Returns the server with an id, running or not, or NULL. */
+struct server *network_find(struct network *net, uint64_t id);
+
 /** Ends a server; what it has not synced is lost. */
 void server_crash(struct server *server);
 void server_sync(struct server *server);
--- a/test/test_membership.c
+++ b/test/test_membership.c
@@ -226,9 +226,40 @@
 	assert_int_equal(9000, membership_silent_since_ms(&live, 7000));
 }
 
+/*
+ * Guards against the end of all leaders: a configuration of more members than
+ * its encoding can hold ended the process.
+ */
+static void test_more_members_than_the_bound_are_refused(void **state)
+{
+	struct member members[RD_MEMBERS_MAX + 1] = { { 0 } };
+	struct member_config config = { { RD_MEMBERS_MAX + 1, members } };
+	struct network net;
+	struct server *leader;
+	uint64_t index = 0, last;
+
+	(void)state;
+	network_init(&net, 1);
+	leader = run_until_leader(&net);
+	last = raft_last_index(leader->raft);
+	for (u_int i = 0; i <= RD_MEMBERS_MAX; i++) {
+		members[i].id = i + 1;
+		members[i].node = i + 1;
+		members[i].voter = i == 0;
+		members[i].address = members[i].data_centre = (char *)"";
+	}
+	assert_int_equal(RD_TOO_LARGE,
+			 raft_propose_config(leader->raft, net.now_ms, &config,
+					     &index));
+	assert_int_equal(last, raft_last_index(leader->raft));
+	run_until_committed(&net, last, 1);
+	network_clear(&net);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_more_members_than_the_bound_are_refused),
 		cmocka_unit_test(
 			test_demotion_only_on_the_demoted_member_after_restart),
 		cmocka_unit_test(
--- a/test/test_replacement.c
+++ b/test/test_replacement.c
@@ -19,6 +19,11 @@
 #define TARGET 3
 #define FIRST_VOTERS 3u
 #define REPLACE_AFTER_MS 2500
+#define FORGET_AFTER_MS 60000
+#define MEMBERS_MAX 6u
+/* Of servers that came one after the other in a life. */
+#define IDS_MAX 64
+#define REPLACEMENTS 36
 #define LIVE_MS 1000
 #define TICK_MS 50
 /* For successors to be taken in. */
@@ -31,8 +36,9 @@
 
 struct replacement {
 	struct network net;
-	int64_t ended_ms[SERVERS]; /* when its process ended; 0: not */
+	int64_t ended_ms[IDS_MAX]; /* when its process ended; 0: not */
 	int64_t tick_ms;
+	int64_t forget_after_ms;
 };
 
 static struct member_health server_health(const struct replacement *r,
@@ -45,27 +51,53 @@
 	return membership_health(leader->raft, m->id, r->net.now_ms, &link);
 }
 
-/* What a leader does in each tick. */
-static void apply_rules(struct replacement *r, struct server *leader)
+/** What a leader decides on. */
+struct decision {
+	struct membership_opts opts;
+	const struct member_config *config;
+	struct member_health health[MEMBERS_MAX];
+};
+
+static void read_members(const struct replacement *r,
+			 const struct server *leader, struct decision *d)
+{
+	d->opts = (struct membership_opts){
+		.target_voters = TARGET,
+		.members_max = MEMBERS_MAX,
+		.replace_after_ms = REPLACE_AFTER_MS,
+		.forget_after_ms = r->forget_after_ms,
+	};
+	d->config = raft_config(leader->raft);
+	assert_true(d->config->members.members_len <= MEMBERS_MAX);
+	for (u_int i = 0; i < d->config->members.members_len; i++)
+		d->health[i] = server_health(
+			r, leader, &d->config->members.members_val[i]);
+}
+
+static void propose_change(const struct replacement *r, struct server *leader,
+			   const struct membership_change *change)
 {
-	const struct membership_opts opts = { TARGET, REPLACE_AFTER_MS };
-	const struct member_config *config = raft_config(leader->raft);
-	struct member_health health[SERVERS];
-	struct membership_change change;
 	struct member_config next = { { 0 } };
 	uint64_t index;
 
-	for (u_int i = 0; i < config->members.members_len; i++)
-		health[i] = server_health(r, leader,
-					  &config->members.members_val[i]);
-	if (!membership_next(&opts, config, health, &change))
-		return;
-	assert_true(CODEC_COPY(member_config, config, &next));
-	next.members.members_val[change.at].voter = change.voter;
+	assert_true(
+		CODEC_COPY(member_config, raft_config(leader->raft), &next));
+	membership_apply(change, &next);
 	(void)raft_propose_config(leader->raft, r->net.now_ms, &next, &index);
 	CODEC_FREE(member_config, &next);
 }
 
+/* What a leader does in each tick. */
+static void apply_rules(struct replacement *r, struct server *leader)
+{
+	struct membership_change change;
+	struct decision d;
+
+	read_members(r, leader, &d);
+	if (membership_next(&d.opts, d.config, d.health, &change))
+		propose_change(r, leader, &change);
+}
+
 static void run_ms(struct replacement *r, int64_t ms)
 {
 	int64_t until_ms = r->net.now_ms + ms;
@@ -85,6 +117,7 @@
 static void set_up(struct replacement *r, u_int successors)
 {
 	memset(r, 0, sizeof(*r));
+	r->forget_after_ms = FORGET_AFTER_MS;
 	network_init(&r->net, FIRST_VOTERS);
 	for (u_int i = 0; i < successors; i++)
 		change_membership(&r->net, FIRST_VOTERS + i + 1, LEARNER);
@@ -93,7 +126,7 @@
 
 static void end_server(struct replacement *r, uint64_t id, enum how how)
 {
-	server_crash(&r->net.servers[id - 1]);
+	server_crash(network_find(&r->net, id));
 	if (how == HOW_ENDED)
 		r->ended_ms[id - 1] = r->net.now_ms;
 }
@@ -258,7 +291,7 @@
 /* Starts a server that has ended, with its disk. */
 static void return_server(struct replacement *r, uint64_t id)
 {
-	server_start(&r->net.servers[id - 1]);
+	server_start(network_find(&r->net, id));
 	r->ended_ms[id - 1] = 0;
 	run_ms(r, SETTLE_MS);
 }
@@ -307,9 +340,160 @@
 	network_clear(&r.net);
 }
 
+/* ---- lives ---- */
+
+static bool is_member(struct replacement *r, uint64_t id)
+{
+	const struct member_config *config =
+		raft_config(run_until_leader(&r->net)->raft);
+
+	for (u_int i = 0; i < config->members.members_len; i++)
+		if (config->members.members_val[i].id == id)
+			return true;
+	return false;
+}
+
+/* What a leader does as a server polls that is no member. */
+static void add_or_make_room(struct replacement *r, uint64_t id)
+{
+	struct server *leader = run_until_leader(&r->net);
+	struct membership_change change;
+	struct decision d;
+
+	read_members(r, leader, &d);
+	switch (membership_find_room(&d.opts, d.config, d.health, &change)) {
+	case MEMBERSHIP_HAS_ROOM:
+		(void)propose_membership(leader, id, LEARNER);
+		break;
+	case MEMBERSHIP_REMOVE_FIRST:
+		propose_change(r, leader, &change);
+		break;
+	case MEMBERSHIP_FULL:
+		break;
+	}
+}
+
+static void add_server(struct replacement *r, uint64_t id)
+{
+	int64_t end_ms = r->net.now_ms + SETTLE_MS;
+
+	while (!is_member(r, id)) {
+		if (r->net.now_ms > end_ms)
+			fail_msg("server %d is not added", (int)id);
+		add_or_make_room(r, id);
+		run_ms(r, TICK_MS);
+	}
+}
+
+/* Starts a new server where none runs, and adds it; returns its id. */
+static uint64_t start_successor(struct replacement *r)
+{
+	struct server *server = r->net.servers;
+
+	while (server->raft)
+		server++;
+	assert_true(server < r->net.servers + SERVERS);
+	server_replace(server);
+	add_server(r, server->id);
+	return server->id;
+}
+
+static void check_commits(struct replacement *r)
+{
+	uint64_t index = propose_entry(run_until_leader(&r->net));
+	int64_t end_ms = r->net.now_ms + LIMIT_MS;
+
+	while (raft_commit_index(run_until_leader(&r->net)->raft) < index) {
+		assert_true(r->net.now_ms < end_ms);
+		network_step(&r->net);
+	}
+}
+
+/* All servers are replaced, one after the other, for a life. */
+static void check_life(int64_t forget_after_ms, enum how how)
+{
+	uint64_t running[TARGET] = { 1, 2, 3 };
+	struct replacement r;
+
+	set_up(&r, 0);
+	for (int i = TARGET; i < SERVERS; i++)
+		server_crash(&r.net.servers[i]);
+	r.forget_after_ms = forget_after_ms;
+	for (int i = 0; i < REPLACEMENTS; i++) {
+		uint64_t added = start_successor(&r);
+
+		run_ms(&r, REPLACE_AFTER_MS);
+		end_server(&r, running[i % TARGET], how);
+		running[i % TARGET] = added;
+		run_ms(&r, 2 * REPLACE_AFTER_MS);
+		check_commits(&r);
+	}
+	run_ms(&r, forget_after_ms > LIMIT_MS ? 0 : 2 * forget_after_ms);
+	assert_true(raft_config(run_until_leader(&r.net)->raft)
+			    ->members.members_len <=
+		    (forget_after_ms > LIMIT_MS ? MEMBERS_MAX : TARGET));
+	network_clear(&r.net);
+}
+
+/*
+ * Guards against the end of all leaders: members that are gone stayed in the
+ * group until it had more than its encoding can hold.
+ */
+static void test_a_life_of_replacements(void **state)
+{
+	(void)state;
+	for (int how = 0; how < HOWS; how++) {
+		check_life(LIMIT_MS, (enum how)how);
+		/* Only a new member makes a silent one go. */
+		check_life(INT32_MAX, (enum how)how);
+	}
+}
+
+/* A member that was removed for its silence comes back with its disk. */
+static void test_a_removed_member_comes_back(void **state)
+{
+	struct replacement r;
+	uint64_t id;
+
+	(void)state;
+	set_up(&r, 2);
+	r.forget_after_ms = LIMIT_MS;
+	id = nth_voter(&r, 0, 1);
+	end_server(&r, id, HOW_SILENT);
+	run_ms(&r, REPLACE_AFTER_MS + 2 * LIMIT_MS);
+	assert_false(is_member(&r, id));
+	server_start(network_find(&r.net, id));
+	run_ms(&r, SETTLE_MS);
+	check_commits(&r);
+	add_server(&r, id);
+	run_ms(&r, SETTLE_MS);
+	assert_true(is_voter(&r, id));
+	check_commits(&r);
+	network_clear(&r.net);
+}
+
+/* A group with as many members as it may have takes no further one. */
+static void test_no_room_beside_members_that_are_well(void **state)
+{
+	struct membership_change change;
+	struct replacement r;
+	struct decision d;
+
+	(void)state;
+	set_up(&r, MEMBERS_MAX - FIRST_VOTERS);
+	read_members(&r, run_until_leader(&r.net), &d);
+	assert_int_equal(MEMBERSHIP_FULL,
+			 membership_find_room(&d.opts, d.config, d.health,
+					      &change));
+	network_clear(&r.net);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_a_life_of_replacements),
+		cmocka_unit_test(test_a_removed_member_comes_back),
+		cmocka_unit_test(test_no_room_beside_members_that_are_well),
 		cmocka_unit_test(test_two_end_whose_successors_have_caught_up),
 		cmocka_unit_test(test_another_is_lost_after_a_replacement),
 		cmocka_unit_test(test_three_end_one_after_the_other),
--- a/test/torture.c
+++ b/test/torture.c
@@ -28,6 +28,8 @@
 #define FINAL_DOWN_MS 1000
 /* Silence of a voter that is lost. */
 #define REPLACE_AFTER_MS 2500
+/* Silence of a learner that is removed. */
+#define FORGET_AFTER_MS 5000
 /* More than the operations of a job that syncs entries. */
 #define KILL_OPERATIONS 5
 #define DRIFT_PERMILLE 50
@@ -568,17 +570,6 @@
 	CODEC_FREE(member_config, &config);
 }
 
-static void remove_member(struct member_config *config, u_int at)
-{
-	struct member *all = config->members.members_val;
-
-	free(all[at].address);
-	free(all[at].data_centre);
-	memmove(&all[at], &all[at + 1],
-		(config->members.members_len - at - 1) * sizeof(*all));
-	config->members.members_len--;
-}
-
 static void add_member(struct member_config *config, const struct vm *vm)
 {
 	u_int n = config->members.members_len++;
@@ -627,7 +618,7 @@
 		if (find_member(&config, group_member_id(vm->group), 0) < 0) {
 			old = find_member(&config, 0, vm->node);
 			if (old >= 0)
-				remove_member(&config, (u_int)old);
+				membership_remove(&config, (u_int)old);
 			else
 				add_member(&config, vm);
 			(void)group_propose_config(leader->group, &config);
@@ -983,7 +974,12 @@
 /* Changes a vote if the rules for the group ask for it. */
 static void apply_member_rules(struct simulation *sim)
 {
-	const struct membership_opts opts = { VOTERS, REPLACE_AFTER_MS };
+	const struct membership_opts opts = {
+		.target_voters = VOTERS,
+		.members_max = RD_MEMBERS_MAX,
+		.replace_after_ms = REPLACE_AFTER_MS,
+		.forget_after_ms = FORGET_AFTER_MS,
+	};
 	const struct member_link link = { 0 }; /* none is known */
 	struct vm *leader = pick_leader(sim);
 	struct member_health health[2 * MEMBERS];
@@ -999,7 +995,7 @@
 					      config.members.members_val[i].id,
 					      vm_now_us(leader) / 1000, &link);
 	if (membership_next(&opts, &config, health, &change)) {
-		config.members.members_val[change.at].voter = change.voter;
+		membership_apply(&change, &config);
 		if (group_propose_config(leader->group, &config) == RD_OK)
 			sim->result->config_changes++;
 	}
