consensus, control: a voter that stops gives its vote to a caught-up learner first

Cause: a voter kept its vote until 0.5 s after its end. Ruled out: the handover of leadership (broken with each VM as the leader).

A stopping process says so in its polls, with the field that entries use. The leader promotes a learner and demotes the one that stops, which goes on to vote until that is committed (4 s at most). A member that stops isn't promoted.

--- a/consensus/membership.c
+++ b/consensus/membership.c
@@ -53,13 +53,14 @@
 			   membership_silent_since_ms(&progress, link->lost_ms);
 	health.live = progress.replied && health.silent_ms < LIVE_TIMEOUT_MS;
 	health.ended = has_ended(&progress, now_ms, link);
+	health.stopping = link->stopping;
 	health.lag = raft_last_index(leader) - progress.match;
 	return health;
 }
 
 static bool is_well(const struct member_health *health)
 {
-	return health->live && !health->ended;
+	return health->live && !health->ended && !health->stopping;
 }
 
 static bool has_well_voter(const struct group_view *view,
@@ -132,12 +133,29 @@
 	return false;
 }
 
-static bool all_voters_are_well(const struct group_view *view)
+static u_int count_well_voters(const struct group_view *view)
 {
+	u_int count = 0;
+
 	for (u_int i = 0; i < view->count; i++)
-		if (view->members[i].voter && !is_well(&view->health[i]))
-			return false;
-	return true;
+		count += view->members[i].voter && is_well(&view->health[i]);
+	return count;
+}
+
+static bool find_stopping_voter(const struct group_view *view, u_int *at)
+{
+	for (u_int i = 0; i < view->count; i++) {
+		if (!view->members[i].voter || !view->health[i].stopping)
+			continue;
+		*at = i;
+		return true;
+	}
+	return false;
+}
+
+static bool all_voters_are_well(const struct group_view *view, u_int voters)
+{
+	return count_well_voters(view) == voters;
 }
 
 /*
@@ -150,7 +168,7 @@
 	u_int missing = (voters - target) % 2 ? 1 : 2;
 
 	return voters + missing <= 2 * target - 1 &&
-	       all_voters_are_well(view) &&
+	       all_voters_are_well(view, voters) &&
 	       count_promotable(view, GROWTH_MAX_LAG) >= missing;
 }
 
@@ -173,16 +191,21 @@
 }
 
 /* With a voter in trouble the next change may be needed for the votes. */
-static bool find_gone_learner(const struct group_view *view,
+static bool find_gone_learner(const struct group_view *view, u_int voters,
 			      struct membership_change *change)
 {
 	change->action = MEMBERSHIP_REMOVE;
 	change->what = "silent learner removed";
-	return all_voters_are_well(view) &&
+	return all_voters_are_well(view, voters) &&
 	       find_silent_learner(view, view->opts->forget_after_ms,
 				   &change->at);
 }
 
+u_int membership_count_voters(const struct member_config *config)
+{
+	return (u_int)raft_voter_count(config);
+}
+
 bool membership_next(const struct membership_opts *opts,
 		     const struct member_config *config,
 		     const struct member_health *health,
@@ -200,9 +223,17 @@
 	}
 	if (lost || voters < opts->target_voters)
 		return promote(&view, PROMOTION_MAX_LAG, change);
+	if (find_stopping_voter(&view, &change->at)) {
+		if (voters == opts->target_voters)
+			return promote(&view, PROMOTION_MAX_LAG, change);
+		change->action = MEMBERSHIP_DEMOTE;
+		change->what = "stopping voter demoted";
+		/* The others have to commit it. */
+		return count_well_voters(&view) > (voters - 1) / 2;
+	}
 	if (may_grow(&view, voters) && promote(&view, GROWTH_MAX_LAG, change))
 		return true;
-	return find_gone_learner(&view, change);
+	return find_gone_learner(&view, voters, change);
 }
 
 enum membership_room membership_find_room(const struct membership_opts *opts,
@@ -222,6 +253,18 @@
 		       : MEMBERSHIP_FULL;
 }
 
+bool membership_awaits_successor(const struct membership_opts *opts,
+				 const struct raft *raft, uint64_t id)
+{
+	const struct member_config *committed =
+		raft_config_at(raft, raft_commit_index(raft));
+	u_int voters = membership_count_voters(committed);
+	bool has_learner = voters < committed->members.members_len;
+
+	return (has_learner || voters > opts->target_voters) &&
+	       raft_is_voter(committed, id);
+}
+
 void membership_remove(struct member_config *config, u_int at)
 {
 	struct member *m = &config->members.members_val[at];
--- a/consensus/membership.h
+++ b/consensus/membership.h
@@ -6,10 +6,11 @@
  * The group has a target number of voters. While more members are well it has
  * up to twice the target less one, in steps of two, of which all but one of the
  * target may end at once. Voters that are lost are demoted down to the target,
- * and at the target replaced. Learners that are silent for long are removed;
- * one that comes back, with its disk, is added again. No quorum counts on a
- * learner, so a removal takes nothing from the group, whatever is lost
- * meanwhile.
+ * and at the target replaced. A voter that is stopping is treated alike if a
+ * learner can take its place, so that it gives its vote up before it ends.
+ * Learners that are silent for long are removed; one that comes back, with its
+ * disk, is added again. No quorum counts on a learner, so a removal takes
+ * nothing from the group, whatever is lost meanwhile.
  */
 #ifndef CONSENSUS_MEMBERSHIP_H
 #define CONSENSUS_MEMBERSHIP_H
@@ -25,12 +26,14 @@
 struct member_link {
 	int64_t lost_ms; /* since when there is none; 0: there is one */
 	bool closed;	 /* the process closed or refused it */
+	bool stopping;	 /* the process has said that it is about to end */
 };
 
 /** What the leader knows of a member. */
 struct member_health {
 	bool live;	   /* it has replied lately; the leader is live */
 	bool ended;	   /* its process has ended */
+	bool stopping;	   /* it has said that it is about to end */
 	int64_t silent_ms; /* since its last reply; 0 for the leader */
 	uint64_t lag;	   /* log entries that it lacks */
 };
@@ -104,6 +107,16 @@
 					  const struct member_health *health,
 					  struct membership_change *change);
 
+/**
+ * Whether a member that is stopping should still wait until its vote is taken:
+ * it votes in the configuration that it knows to be committed, and a learner
+ * can take its place, or the group has more voters than it needs.
+ */
+bool membership_awaits_successor(const struct membership_opts *opts,
+				 const struct raft *raft, uint64_t id);
+
+u_int membership_count_voters(const struct member_config *config);
+
 /** Makes a change in a configuration that was decoded or copied. */
 void membership_apply(const struct membership_change *change,
 		      struct member_config *config);
--- a/control/control_internal.h
+++ b/control/control_internal.h
@@ -68,6 +68,9 @@
 	task_fn handover_done;
 	void *handover_arg;
 	int64_t handover_deadline_ms;
+	int64_t successor_deadline_ms; /* for a learner to take its vote */
+	bool successor_awaited;
+	u_int voters_at_stop;
 };
 
 /** Current time of the clock given in the options. */
--- a/control/feed.c
+++ b/control/feed.c
@@ -456,12 +456,16 @@
 	return nodes;
 }
 
+const struct feed_entry *feed_find_entry(const struct feed *feed, uint32_t node)
+{
+	return g_hash_table_lookup(feed->entries, GUINT_TO_POINTER(node));
+}
+
 /* Whether the entry may still act on a configuration older than `index`. */
 static bool may_lag(const struct feed *feed, int64_t now_ms, uint64_t index,
 		    uint32_t node)
 {
-	const struct feed_entry *e =
-		g_hash_table_lookup(feed->entries, GUINT_TO_POINTER(node));
+	const struct feed_entry *e = feed_find_entry(feed, node);
 
 	if (!e)
 		return now_ms <= feed->grace_until_ms;
@@ -491,8 +495,7 @@
 uint64_t feed_expired_claims_end(const struct feed *feed, int64_t now_ms,
 				 uint32_t node, int32_t wait_ms)
 {
-	const struct feed_entry *e =
-		g_hash_table_lookup(feed->entries, GUINT_TO_POINTER(node));
+	const struct feed_entry *e = feed_find_entry(feed, node);
 	int64_t until_ms = e ? e->lease_until_ms : feed->grace_until_ms;
 
 	if (now_ms > until_ms + wait_ms)
@@ -508,8 +511,7 @@
 
 	for (guint i = 0; i < nodes->len; i++) {
 		uint32_t node = g_array_index(nodes, uint32_t, i);
-		const struct feed_entry *e = g_hash_table_lookup(
-			feed->entries, GUINT_TO_POINTER(node));
+		const struct feed_entry *e = feed_find_entry(feed, node);
 
 		if (e)
 			visit(ctx, e);
--- a/control/feed.h
+++ b/control/feed.h
@@ -106,6 +106,10 @@
 	GArray *demands; /* of struct service_demand */
 };
 
+/** Returns the entry on a node if it has polled this leader, or NULL. */
+const struct feed_entry *feed_find_entry(const struct feed *feed,
+					 uint32_t node);
+
 /**
  * Visits, in order of node number, the entries that have polled since this
  * member became the leader.
--- a/control/follow.c
+++ b/control/follow.c
@@ -248,7 +248,8 @@
 	request->endpoints_address = follow->status.endpoints_address;
 	request->data_centre = control->opts.settings->node.data_centre;
 	request->free_permille = follow->status.free_permille;
-	request->draining = follow->status.draining;
+	/* A VM with the control role says so before it ends, too. */
+	request->draining = follow->status.draining || control->stopping;
 	if (follow->status.loads) {
 		request->loads.loads_val =
 			(struct replica_load *)follow->status.loads->data;
--- a/control/members.c
+++ b/control/members.c
@@ -49,11 +49,20 @@
 	return result;
 }
 
+/* Whether the last poll of the member's process said that it is stopping. */
+static bool is_stopping(const struct control *control, const struct member *m)
+{
+	const struct feed_entry *e = feed_find_entry(control->feed, m->node);
+
+	return e && e->member == m->id && e->draining;
+}
+
 static struct member_health member_health(const struct control *control,
 					  const struct member *m)
 {
-	const struct member_link link = peers_link(control, m->node);
+	struct member_link link = peers_link(control, m->node);
 
+	link.stopping = is_stopping(control, m);
 	return membership_health(group_raft(control->group), m->id,
 				 control_now_ms(control), &link);
 }
@@ -144,15 +153,6 @@
 	g_free(line);
 }
 
-static u_int count_voters(const struct member_config *config)
-{
-	u_int count = 0;
-
-	for (u_int i = 0; i < config->members.members_len; i++)
-		count += config->members.members_val[i].voter ? 1 : 0;
-	return count;
-}
-
 /* Makes the next change, if the rules for the group ask for one. */
 static void apply_rules(struct control *control, struct group_members *group)
 {
@@ -266,7 +266,7 @@
 	if (!found.node)
 		return false;
 	old = find_node(config, found.node);
-	if (old && old->voter && count_voters(config) == 1)
+	if (old && old->voter && membership_count_voters(config) == 1)
 		return false;
 	if (old) {
 		membership_remove(config,
@@ -307,25 +307,11 @@
 
 /* ---- changes by operators ---- */
 
-struct poll_time {
-	uint32_t node;
-	int64_t polled_ms;
-};
-
-static void record_poll_time(void *ctx, const struct feed_entry *entry)
-{
-	struct poll_time *p = ctx;
-
-	if (entry->node == p->node)
-		p->polled_ms = entry->last_poll_ms;
-}
-
 static bool is_polling(const struct control *control, uint32_t node)
 {
-	struct poll_time p = { .node = node };
+	const struct feed_entry *e = feed_find_entry(control->feed, node);
 
-	feed_each_entry(control->feed, record_poll_time, &p);
-	return control_now_ms(control) - p.polled_ms < POLL_TIMEOUT_MS;
+	return e && control_now_ms(control) - e->last_poll_ms < POLL_TIMEOUT_MS;
 }
 
 /* Whether the live voters are a majority of all voters in the configuration. */
@@ -340,7 +326,7 @@
 		if (m->voter && member_health(control, m).live)
 			live++;
 	}
-	return live > count_voters(config) / 2;
+	return live > membership_count_voters(config) / 2;
 }
 
 static enum rd_result apply_action(struct control *control, const char *action,
--- a/test/test_replacement.c
+++ b/test/test_replacement.c
@@ -28,15 +28,22 @@
 #define TICK_MS 50
 /* For successors to be taken in. */
 #define SETTLE_MS 10000
+/* A planned stop: for leadership to be handed over; for a successor. */
+#define HANDOVER_MS 1500
+#define SUCCESSOR_MS 4000
 /* From the last end: the users' recoverS. */
 #define RECOVER_MS 12000
 
-/** How a server ends; others see the end of a process, but not a silence. */
-enum how { HOW_ENDED, HOW_SILENT, HOWS };
+/**
+ * How a server ends; others see the end of a process, but not a silence. A
+ * planned end is told before, and the process waits for a successor.
+ */
+enum how { HOW_ENDED, HOW_SILENT, HOW_PLANNED, HOWS };
 
 struct replacement {
 	struct network net;
-	int64_t ended_ms[IDS_MAX]; /* when its process ended; 0: not */
+	int64_t ended_ms[IDS_MAX];    /* when its process ended; 0: not */
+	int64_t stopping_ms[IDS_MAX]; /* since when it is to end; 0: it isn't */
 	int64_t tick_ms;
 	int64_t forget_after_ms;
 };
@@ -45,8 +52,11 @@
 					  const struct server *leader,
 					  const struct member *m)
 {
-	const struct member_link link = { .lost_ms = r->ended_ms[m->id - 1],
-					  .closed = true };
+	const struct member_link link = {
+		.lost_ms = r->ended_ms[m->id - 1],
+		.closed = true,
+		.stopping = r->stopping_ms[m->id - 1] != 0,
+	};
 
 	return membership_health(leader->raft, m->id, r->net.now_ms, &link);
 }
@@ -98,6 +108,29 @@
 		propose_change(r, leader, &change);
 }
 
+static void end_process(struct replacement *r, struct server *server)
+{
+	server_crash(server);
+	r->ended_ms[server->id - 1] = r->net.now_ms;
+}
+
+/* What a server that is to end does in each tick; see control/handover.c. */
+static void tick_stopping(struct replacement *r, struct server *server)
+{
+	const struct membership_opts opts = { .target_voters = TARGET };
+	int64_t since_ms = r->stopping_ms[server->id - 1];
+
+	if (!server->raft || !since_ms)
+		return;
+	if (raft_role(server->raft) == RAFT_LEADER &&
+	    r->net.now_ms < since_ms + HANDOVER_MS)
+		(void)raft_transfer_leadership(server->raft, r->net.now_ms);
+	else if (!membership_awaits_successor(&opts, server->raft,
+					      server->id) ||
+		 r->net.now_ms >= since_ms + SUCCESSOR_MS)
+		end_process(r, server);
+}
+
 static void run_ms(struct replacement *r, int64_t ms)
 {
 	int64_t until_ms = r->net.now_ms + ms;
@@ -109,6 +142,8 @@
 			apply_rules(r, leader);
 			r->tick_ms = r->net.now_ms + TICK_MS;
 		}
+		for (int i = 0; i < SERVERS; i++)
+			tick_stopping(r, &r->net.servers[i]);
 		network_step(&r->net);
 	}
 }
@@ -126,9 +161,21 @@
 
 static void end_server(struct replacement *r, uint64_t id, enum how how)
 {
-	server_crash(network_find(&r->net, id));
-	if (how == HOW_ENDED)
-		r->ended_ms[id - 1] = r->net.now_ms;
+	struct server *server = network_find(&r->net, id);
+
+	if (how == HOW_PLANNED)
+		r->stopping_ms[id - 1] = r->net.now_ms;
+	else if (how == HOW_ENDED)
+		end_process(r, server);
+	else
+		server_crash(server);
+}
+
+/* Runs until a server that is to end has ended, however it does. */
+static void await_end(struct replacement *r, uint64_t id)
+{
+	while (network_find(&r->net, id)->raft)
+		run_ms(r, STEP_MS);
 }
 
 /* The id at `place` in the order in which the leader comes first or last. */
@@ -165,6 +212,7 @@
 	u_int leader_at; /* place of the leader in the order */
 	enum how how[FIRST_VOTERS];
 	int64_t gap_ms;
+	bool from_signal; /* gaps begin with a planned end's notice */
 };
 
 /* Whether what was committed before is there after, with a leader. */
@@ -185,6 +233,8 @@
 		if (i)
 			run_ms(&r, history->gap_ms);
 		end_server(&r, ids[i], history->how[i]);
+		if (!history->from_signal)
+			await_end(&r, ids[i]);
 	}
 	run_ms(&r, RECOVER_MS);
 	leader = ready_leader(&r.net);
@@ -196,11 +246,13 @@
 static void check_history(const struct history *history)
 {
 	if (!survives(history))
-		fail_msg("%u successors, %u ends %d ms apart, the leader's "
+		fail_msg("%u successors, %u ends %d ms apart%s, the leader's "
 			 "at %u, how %d %d %d: no leader",
 			 history->successors, history->ends,
-			 (int)history->gap_ms, history->leader_at,
-			 history->how[0], history->how[1], history->how[2]);
+			 (int)history->gap_ms,
+			 history->from_signal ? " from the notice" : "",
+			 history->leader_at, history->how[0], history->how[1],
+			 history->how[2]);
 }
 
 /*
@@ -242,6 +294,51 @@
 		}
 }
 
+static void check_all_places_and_gaps(struct history *history)
+{
+	for (history->gap_ms = 0; history->gap_ms <= 1000;
+	     history->gap_ms += 50)
+		for (history->leader_at = 0; history->leader_at < FIRST_VOTERS;
+		     history->leader_at++)
+			check_history(history);
+}
+
+/*
+ * Guards against LOST: a server is replaced as planned, its successor has
+ * caught up, and another one is lost within a second of the notice or of its
+ * end, before or after it; no leader could be elected any more.
+ */
+static void test_another_is_lost_around_a_planned_end(void **state)
+{
+	struct history history = { .successors = 1, .ends = 2 };
+
+	(void)state;
+	for (int how = 0; how < HOWS; how++) {
+		history.how[0] = HOW_PLANNED;
+		history.how[1] = (enum how)how;
+		history.from_signal = false;
+		check_all_places_and_gaps(&history);
+		history.from_signal = true;
+		check_all_places_and_gaps(&history);
+		history.how[0] = (enum how)how;
+		history.how[1] = HOW_PLANNED;
+		check_all_places_and_gaps(&history);
+	}
+}
+
+/* Two are replaced as planned, and a third one is lost. */
+static void test_another_is_lost_after_two_planned_ends(void **state)
+{
+	struct history history = { .successors = 2, .ends = 3 };
+
+	(void)state;
+	history.how[0] = history.how[1] = HOW_PLANNED;
+	for (int how = 0; how < HOWS; how++) {
+		history.how[2] = (enum how)how;
+		check_all_places_and_gaps(&history);
+	}
+}
+
 /*
  * All three end, each as soon as the one before is left out: with two
  * successors two of three voters are left in the end.
@@ -292,7 +389,7 @@
 static void return_server(struct replacement *r, uint64_t id)
 {
 	server_start(network_find(&r->net, id));
-	r->ended_ms[id - 1] = 0;
+	r->ended_ms[id - 1] = r->stopping_ms[id - 1] = 0;
 	run_ms(r, SETTLE_MS);
 }
 
@@ -496,6 +593,8 @@
 		cmocka_unit_test(test_no_room_beside_members_that_are_well),
 		cmocka_unit_test(test_two_end_whose_successors_have_caught_up),
 		cmocka_unit_test(test_another_is_lost_after_a_replacement),
+		cmocka_unit_test(test_another_is_lost_around_a_planned_end),
+		cmocka_unit_test(test_another_is_lost_after_two_planned_ends),
 		cmocka_unit_test(test_three_end_one_after_the_other),
 		cmocka_unit_test(test_voters_grow_by_two),
 		cmocka_unit_test(test_restart_keeps_the_vote),
--- a/test/torture.c
+++ b/test/torture.c
@@ -539,15 +539,6 @@
 	sim->result->partitions++;
 }
 
-static u_int voter_count(const struct member_config *config)
-{
-	u_int n = 0;
-
-	for (u_int i = 0; i < config->members.members_len; i++)
-		n += config->members.members_val[i].voter ? 1 : 0;
-	return n;
-}
-
 static bool voters_present(const struct simulation *sim,
 			   const struct member_config *config);
 
@@ -664,7 +655,8 @@
 	return config->members.members_len == MEMBERS &&
 	       same_config(config,
 			   raft_config_at(raft, raft_commit_index(raft))) &&
-	       voters_present(sim, config) && voter_count(config) >= VOTERS;
+	       voters_present(sim, config) &&
+	       membership_count_voters(config) >= VOTERS;
 }
 
 /*
