state, control: a stored empty list of accounts asks for keys, whichever build stored it

Cause: such a build stored "no accounts", which is also how a document without the list is stored; a later build took it as it was. The document tells the two apart, so control asks it when it loads or applies a deployment without accounts; the driver reads it, and no command's result depends on the answer. Entries may hold the open form under the same index, from a leader of before: while a leader has such a deployment each entry gets the state with the replies of its first lease.

The account that stands for an empty list is made in one place now; a field of its own would be unreadable for the last landed build.

--- a/control/control.c
+++ b/control/control.c
@@ -167,6 +167,8 @@
 		 (int)control->opts.settings->limits.config_lease_ms);
 	control->silent_voter = 0;
 	feed_start_leading(control->feed, control_now_ms(control));
+	if (state_deployment_was_completed(group_state(control->group)))
+		feed_send_state_first(control->feed);
 	placer_start_leading(control->placer);
 	peers_notify_update(control);
 }
@@ -271,6 +273,8 @@
 		.incarnation_min = control->identity.incarnation,
 	};
 
+	if (control->opts.driver)
+		opts.documents = control->opts.driver->documents;
 	if (!(control->opts.settings->node.roles & ROLE_CONTROL))
 		return RD_OK;
 	code = open_folder(control, why);
--- a/control/control.h
+++ b/control/control.h
@@ -61,6 +61,8 @@
 	void (*close)(void *driver);
 	/** Encoding of engine orders and decoding of the responses. */
 	const struct order_format *orders;
+	/** Of deployments' documents; without a context. */
+	struct document_reader documents;
 };
 
 struct control_opts {
--- a/control/feed.c
+++ b/control/feed.c
@@ -19,6 +19,7 @@
 	uint64_t last_index;	  /* of the commands sent to entries */
 	int64_t grace_until_ms;	  /* end of previous leaders' leases */
 	GHashTable *entries;	  /* node -> struct feed_entry */
+	bool send_state_first;	  /* feed_send_state_first() */
 	GBytes *snapshot; /* compressed, at snapshot_index; may be NULL */
 	uint32_t snapshot_bytes; /* size before compression */
 	uint64_t snapshot_index;
@@ -99,6 +100,11 @@
 	feed->last_index = index;
 }
 
+const struct feed_entry *feed_find_entry(const struct feed *feed, uint32_t node)
+{
+	return g_hash_table_lookup(feed->entries, GUINT_TO_POINTER(node));
+}
+
 /* Longest time that a lease can last if the entry's clock is slow. */
 static int64_t max_lease_ms(const struct feed *feed)
 {
@@ -109,9 +115,15 @@
 void feed_start_leading(struct feed *feed, int64_t now_ms)
 {
 	g_hash_table_remove_all(feed->entries);
+	feed->send_state_first = false;
 	feed->grace_until_ms = now_ms + max_lease_ms(feed);
 }
 
+void feed_send_state_first(struct feed *feed)
+{
+	feed->send_state_first = true;
+}
+
 /*
  * Whether a poll was sent before the last one that was taken: by a data folder
  * that its VM had before, or by an earlier incarnation. The incarnations of two
@@ -148,6 +160,9 @@
 		return;
 	if (request->member_id != e->member)
 		e->former_member = e->member;
+	if (request->incarnation != e->incarnation ||
+	    now_ms > e->lease_until_ms)
+		e->first_poll_ms = now_ms;
 	e->incarnation = request->incarnation;
 	e->member = request->member_id;
 	e->applied = request->applied_index;
@@ -384,6 +399,16 @@
 	g_array_unref(records);
 }
 
+/* A reply may be lost, but not all of a lease. */
+static bool must_send_state(const struct feed *feed, int64_t now_ms,
+			    uint32_t node)
+{
+	const struct feed_entry *e = feed_find_entry(feed, node);
+
+	return feed->send_state_first &&
+	       now_ms - e->first_poll_ms <= max_lease_ms(feed);
+}
+
 void feed_poll(struct feed *feed, int64_t now_ms, const struct state *state,
 	       const struct poll_request *request, struct poll_reply *reply)
 {
@@ -391,7 +416,8 @@
 	reply->code = RD_OK;
 	reply->commit_index = state_applied_index(state);
 	reply->lease_ms = (uint32_t)feed->opts.lease_ms;
-	if (request->applied_index < feed->discarded_index)
+	if (request->applied_index < feed->discarded_index ||
+	    must_send_state(feed, now_ms, request->node))
 		add_snapshot(feed, state, reply);
 	else if (request->applied_index < feed->last_index)
 		add_deltas(feed, request->applied_index, reply);
@@ -456,11 +482,6 @@
 	return nodes;
 }
 
-const struct feed_entry *feed_find_entry(const struct feed *feed, uint32_t node)
-{
-	return g_hash_table_lookup(feed->entries, GUINT_TO_POINTER(node));
-}
-
 /* Whether the entry may still act on a configuration older than `index`. */
 static bool may_lag(const struct feed *feed, int64_t now_ms, uint64_t index,
 		    uint32_t node)
--- a/control/feed.h
+++ b/control/feed.h
@@ -42,6 +42,13 @@
  */
 void feed_start_leading(struct feed *feed, int64_t now_ms);
 
+/**
+ * While this member leads, each entry gets the whole state with all replies of
+ * its first lease, also if its index is current: what it holds may come from a
+ * leader of an earlier build, which read the stored deployment in another way.
+ */
+void feed_send_state_first(struct feed *feed);
+
 /**
  * Answers an entry's poll; to be called on the leader. `state` has all commands
  * applied. `reply` must be zeroed; free it with CODEC_FREE(poll_reply). Its
@@ -97,6 +104,7 @@
 	uint64_t applied;	/* index */
 	int64_t lease_until_ms; /* includes the allowance for clock drift */
 	int64_t last_poll_ms;
+	int64_t first_poll_ms; /* of those since, none was a lease apart */
 	char callers_address[64];
 	char endpoints_address[64];
 	char data_centre[64];
--- a/control/group.c
+++ b/control/group.c
@@ -645,6 +645,7 @@
 	group->senders = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       g_free, g_free);
 	group->state = state_create();
+	state_set_document_reader(group->state, &opts->documents);
 	*code = open_storage(group, &recovered, why);
 	if (!*code)
 		*code = store_first_members(group, &recovered);
--- a/control/group.h
+++ b/control/group.h
@@ -62,6 +62,7 @@
 	const struct daemon_settings *settings;
 	struct counters *counters;
 	struct group_events events;
+	struct document_reader documents; /* for the state; may be empty */
 	bool bootstrap; /* create a new group of the voters in the settings */
 	uint32_t seed;	/* of the election timeouts */
 	/* Random id for a new folder; bootstrap voters use the node number. */
--- a/entry/take.c
+++ b/entry/take.c
@@ -49,7 +49,7 @@
 	const struct deployment *d = state_deployment(r->entry->config);
 	const char *key = r->request->key;
 
-	if (!d->accounts.accounts_len || r->route->auth_exempt)
+	if (!deployment_asks_for_keys(d) || r->route->auth_exempt)
 		return RD_OK;
 	if (!key || !*key)
 		return RD_NO_KEY;
--- a/include/radishdeal/state.h
+++ b/include/radishdeal/state.h
@@ -25,6 +25,24 @@
 
 struct state *state_create(void);
 
+/** Reads the document of a deployment; `ctx` is passed first. */
+struct document_reader {
+	/**
+	 * Returns whether the document has a list of client accounts. Asked of
+	 * deployments that were stored without any account.
+	 */
+	bool (*has_account_list)(void *ctx, const struct deployment *d);
+	void *ctx;
+};
+
+/**
+ * Sets the reader of documents, before anything is loaded or applied. With it a
+ * deployment that asks for keys does so whichever build has stored it. No
+ * command's result depends on it, so members need not have the same reader.
+ */
+void state_set_document_reader(struct state *state,
+			       const struct document_reader *reader);
+
 /** Frees it. NULL is allowed. */
 void state_destroy(struct state *state);
 
@@ -71,6 +89,22 @@
 /** Returns the deployment in force, or NULL before the first. */
 const struct deployment *state_deployment(const struct state *state);
 
+/**
+ * Whether requests need the key of an account, on routes that aren't exempt. A
+ * deployment whose list of accounts is empty admits nobody; one without the
+ * list asks for no key.
+ */
+bool deployment_asks_for_keys(const struct deployment *deployment);
+
+/** Makes a deployment without accounts ask for keys. */
+void deployment_admit_nobody(struct deployment *deployment);
+
+/**
+ * Whether the deployment in force was stored without saying that it asks for
+ * keys, so that entries may hold it in that form.
+ */
+bool state_deployment_was_completed(const struct state *state);
+
 /**
  * Returns the errors of a deployment, one per line and naming the route,
  * service or account, to be freed with g_free(); NULL if it is valid.
--- a/state/deployment.c
+++ b/state/deployment.c
@@ -22,12 +22,50 @@
 	free(deployment);
 }
 
+/*
+ * The stored form has no field for an empty list: an account without a name and
+ * keys stands for it.
+ */
+void deployment_admit_nobody(struct deployment *deployment)
+{
+	g_assert(!deployment->accounts.accounts_len);
+	free(deployment->accounts.accounts_val);
+	deployment->accounts.accounts_len = 1;
+	deployment->accounts.accounts_val =
+		calloc(1, sizeof(struct client_account));
+	deployment->accounts.accounts_val[0].name = strdup("");
+}
+
+bool deployment_asks_for_keys(const struct deployment *deployment)
+{
+	return deployment->accounts.accounts_len != 0;
+}
+
+/* Some earlier builds stored an empty list as none. */
+static void complete_accounts(struct state *state)
+{
+	struct deployment *d = state->deployment;
+	const struct document_reader *reader = &state->reader;
+
+	state->deployment_was_completed =
+		!deployment_asks_for_keys(d) && reader->has_account_list &&
+		reader->has_account_list(reader->ctx, d);
+	if (state->deployment_was_completed)
+		deployment_admit_nobody(d);
+}
+
 void deployment_set(struct state *state, const struct deployment *deployment)
 {
 	deployment_free(state->deployment);
 	state->deployment = calloc(1, sizeof(*state->deployment));
 	if (!CODEC_COPY(deployment, deployment, state->deployment))
 		g_assert_not_reached();
+	complete_accounts(state);
+}
+
+bool state_deployment_was_completed(const struct state *state)
+{
+	return state->deployment_was_completed;
 }
 
 const struct deployment *state_deployment(const struct state *state)
--- a/state/state.c
+++ b/state/state.c
@@ -76,6 +76,12 @@
 	return state;
 }
 
+void state_set_document_reader(struct state *state,
+			       const struct document_reader *reader)
+{
+	state->reader = *reader;
+}
+
 void state_destroy(struct state *state)
 {
 	if (!state)
--- a/state/state_internal.h
+++ b/state/state_internal.h
@@ -13,7 +13,9 @@
 	uint64_t index;
 	uint64_t last_epoch;
 	int64_t time_ms; /* latest wall-clock time in an applied command */
+	struct document_reader reader;
 	struct deployment *deployment; /* NULL before the first one */
+	bool deployment_was_completed; /* by the reader */
 	GTree *services;	       /* name -> struct service_state */
 	GTree *replicas;	       /* number -> struct replica_state */
 	GTree *vms;		       /* name -> struct vm_state */
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -197,6 +197,52 @@
 	world_clear(&w);
 }
 
+static bool sends_state(struct world *w)
+{
+	struct poll_request request = {
+		.node = NODE,
+		.applied_index = state_applied_index(w->state),
+		.callers_address = (char *)"",
+		.endpoints_address = (char *)"",
+		.data_centre = (char *)"",
+	};
+	struct poll_reply reply = { 0 };
+	bool sent;
+
+	feed_poll(w->feed, w->now_ms, w->state, &request, &reply);
+	sent = reply.snapshot.snapshot_len != 0;
+	CODEC_FREE(poll_reply, &reply);
+	return sent;
+}
+
+/*
+ * Guards against ROUTE: an entry kept the state of a leader of an earlier
+ * build, which had read a stored deployment as one that asks for no key.
+ */
+static void test_state_is_sent_first_to_entries_that_are_current(void **state)
+{
+	struct world w;
+
+	(void)state;
+	world_init(&w);
+	add_service(&w);
+	feed_reset(w.feed, state_applied_index(w.state));
+	assert_false(sends_state(&w));
+	feed_start_leading(w.feed, w.now_ms);
+	feed_send_state_first(w.feed);
+	assert_true(sends_state(&w));
+	w.now_ms += LEASE_MS;
+	assert_true(sends_state(&w));
+	w.now_ms++;
+	assert_false(sends_state(&w));
+	/* It may have got none of the replies. */
+	w.now_ms += LEASE_MS + 1;
+	assert_true(sends_state(&w));
+	feed_start_leading(w.feed, w.now_ms);
+	assert_false(sends_state(&w));
+	world_clear(&w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -207,6 +253,8 @@
 			test_clock_set_back_does_not_shut_out_an_entry),
 		cmocka_unit_test(
 			test_state_that_cannot_be_sent_is_no_unchanged_one),
+		cmocka_unit_test(
+			test_state_is_sent_first_to_entries_that_are_current),
 	};
 
 	return cmocka_run_group_tests_name("feed", tests, NULL, NULL);
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -131,7 +131,7 @@
 
 static void start_entry(struct world *w)
 {
-	static const struct control_driver driver = { NULL, NULL, NULL };
+	static const struct control_driver driver = { .open = NULL };
 	enum rd_result code = RD_OK;
 	char *why = NULL;
 	struct control_opts opts = {
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -100,12 +100,24 @@
 	}
 }
 
-/* deploy FILE [version=]: VERSION in the file is replaced by the number. */
+/* As some earlier builds stored an empty list of accounts. */
+static void store_without_list(struct deployment *d)
+{
+	for (u_int i = 0; i < d->accounts.accounts_len; i++)
+		CODEC_FREE(client_account, &d->accounts.accounts_val[i]);
+	d->accounts.accounts_len = 0;
+}
+
+/*
+ * deploy FILE [version=] [without_list=1]: VERSION in the file is replaced by
+ * the number.
+ */
 static void deploy(struct script *s)
 {
 	struct platform_test *t = s->ctx;
 	char *path = case_file(s, s->words[1]);
 	char *raw = NULL, *why = NULL;
+	bool without_list = script_number(s, "without_list", 0) != 0;
 	struct deployment d = { 0 };
 	enum rd_result code;
 	char **parts;
@@ -120,6 +132,8 @@
 		script_print(s, "%d %s: %s", (int)code,
 			     rd_result_info(code)->name, why);
 	} else {
+		if (without_list)
+			store_without_list(&d);
 		apply_deployment(t, &d);
 		script_print(s, "deployed revision: %d",
 			     (int)state_deployment(t->state)->revision);
@@ -194,6 +208,29 @@
 	script_print(s, "%s: %s", s->words[1], a ? a->name : "no account");
 }
 
+/* read-documents 0|1: whether the state has a reader of them */
+static void set_document_reader(struct script *s)
+{
+	struct platform_test *t = s->ctx;
+	struct document_reader reader = { NULL, NULL };
+
+	if (atoi(s->words[1]))
+		reader.has_account_list = config_has_account_list;
+	state_set_document_reader(t->state, &reader);
+}
+
+static void print_asks_for_keys(struct script *s)
+{
+	struct platform_test *t = s->ctx;
+
+	script_print(s, "asks for keys: %s, completed: %s",
+		     deployment_asks_for_keys(state_deployment(t->state)) ? "ye"
+									    "s"
+									  : "n"
+									    "o",
+		     state_deployment_was_completed(t->state) ? "yes" : "no");
+}
+
 /* ---- announcements and failure detection ---- */
 
 /* announce VM JSON: prints the report, and whether a digest is due */
@@ -687,6 +724,8 @@
 	{ "route", 2, find_route },
 	{ "key", 1, find_account },
 	{ "demand", 1, sum_demand },
+	{ "read-documents", 1, set_document_reader },
+	{ "asks-for-keys", 0, print_asks_for_keys },
 	{ "announce", 2, announce },
 	{ "response", 2, classify_response },
 	{ "document-failure", 1, print_document_problem },
