deploy: the build discards objects of other sources, machines or compilers

A target/ that was carried over, newer than the sources beside it, isn't built again: make goes by times. That the users had such a folder is suspected, not shown.

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 PROGRAMS := $B/radishdeald $B/radishdealctl
 
 .PHONY: all programs check demo measure clean packages lint format wire \
-	torture soak tests doc
+	torture soak tests doc fresh
 programs: $(PROGRAMS)
 all: $(PROGRAMS) $B/libradishdeal.a $(FAKE_BIN) $(EXAMPLE_BIN)
 tests: all $(TEST_BIN) $(BENCH_BIN) $(SOAK_BIN)
@@ -102,6 +102,17 @@
 		DEBIAN_FRONTEND=noninteractive apt-get install -y -q \
 		$(PACKAGES); }
 
+# Discards objects of other sources, machines or compilers. A build folder that was
+# carried over may have them, newer than the sources.
+fresh:
+	@mkdir -p $B
+	@sum=$$({ uname -m; $(CC) --version; cat Makefile \
+		$(sort $(wildcard */*.[ch] */*.cc */*/*.[ch])); } | cksum); \
+	if [ "$$sum" != "$$(cat $B/sources.sum 2>/dev/null)" ]; then \
+		find $B -name '*.o' -delete; \
+		echo "$$sum" >$B/sources.sum; \
+	fi
+
 OWN_C := $(filter-out wire/radishdeal_xdr.c,$(shell git ls-files '*.c'))
 OWN_SOURCE := $(OWN_C) $(filter-out wire/radishdeal.h,\
 	$(shell git ls-files '*.h' '*.cc'))
