--- a/consensus/follower.c
+++ b/consensus/follower.c
@@ -155,13 +155,14 @@
 	struct incoming_snapshot *r = &raft->incoming;
 
 	if (r->data && r->index == message->log_index &&
-	    r->term == message->log_term)
+	    r->term == message->log_term && r->bytes == message->snapshot_bytes)
 		return;
 	if (r->data)
 		g_byte_array_unref(r->data);
 	r->data = g_byte_array_new();
 	r->index = message->log_index;
 	r->term = message->log_term;
+	r->bytes = message->snapshot_bytes;
 }
 
 void raft_on_snapshot(struct raft *raft, int64_t now_ms,
--- a/consensus/leader.c
+++ b/consensus/leader.c
@@ -98,6 +98,17 @@
 		p->probe_in_flight = true;
 }
 
+/* A snapshot that was made meanwhile is sent from its start. */
+static void choose_snapshot(const struct raft *raft, struct progress *p,
+			    gsize total)
+{
+	if (p->snapshot_index == raft->snapshot_index &&
+	    p->snapshot_offset <= total)
+		return;
+	p->snapshot_index = raft->snapshot_index;
+	p->snapshot_offset = 0;
+}
+
 static void send_chunk(struct raft *raft, struct progress *p, int64_t now_ms)
 {
 	gsize total;
@@ -109,11 +120,12 @@
 		.log_index = raft->snapshot_index,
 		.log_term = raft->snapshot_term,
 		.sent_ms = now_ms,
-		.chunk_offset = p->snapshot_offset,
 		.snapshot_bytes = total,
 		.config = raft->snapshot_config,
 	};
 
+	choose_snapshot(raft, p, total);
+	chunk.chunk_offset = p->snapshot_offset;
 	chunk.chunk.chunk_val = (char *)data + p->snapshot_offset;
 	chunk.chunk.chunk_len = (u_int)MIN(total - p->snapshot_offset,
 					   SNAPSHOT_CHUNK_BYTES);
--- a/consensus/raft_internal.h
+++ b/consensus/raft_internal.h
@@ -23,13 +23,16 @@
 	bool probe_in_flight;
 	int64_t last_reply_ms;
 	int64_t acked_send_ms;	  /* latest send time that a reply echoed */
-	uint64_t snapshot_offset; /* of the next chunk */
+	uint64_t snapshot_index;  /* of the snapshot being sent */
+	uint64_t snapshot_offset; /* of the next chunk in it */
 	int64_t chunk_sent_ms;
 };
 
 /** A snapshot being received in chunks. */
 struct incoming_snapshot {
 	uint64_t index, term;
+	uint64_t bytes; /* of all chunks; builds may encode a state differently
+			 */
 	GByteArray *data;
 };
 
