evidence, control: a lost VM that says it leaves needs no second announcement

Cause: the first announcement of a lost VM is ignored, as it may be old; for one that leaves its age doesn't matter. Ruled out: late digests (held without a cut).

--- a/control/announcements.c
+++ b/control/announcements.c
@@ -14,16 +14,10 @@
 	struct control *control;
 	struct monitor *monitor;
 	struct event *digest_timer;
-	GHashTable *unconfirmed; /* name -> struct unconfirmed */
+	struct unconfirmed *unconfirmed;
 	bool full_digest_needed;
 };
 
-/** The first announcement of a VM since it was declared lost. */
-struct unconfirmed {
-	uint64_t incarnation;
-	uint64_t sequence;
-};
-
 static void send_digest(struct announcements *a)
 {
 	struct control *control = a->control;
@@ -53,33 +47,6 @@
 	send_digest(ctx);
 }
 
-/*
- * The first announcement after a VM was declared lost may have been delayed in
- * the network, and its sender may have stopped since. A lost VM is therefore
- * accepted again only with a second, later announcement, unless it restarted.
- */
-static bool needs_confirmation(struct announcements *a,
-			       const struct vm_report *report)
-{
-	struct control *control = a->control;
-	const struct view_vm *seen = view_find(control->view, report->name);
-	struct unconfirmed *pending;
-
-	if (!seen || seen->report.incarnation != report->incarnation ||
-	    view_alive(control->view, seen, control_now_ms(control))) {
-		g_hash_table_remove(a->unconfirmed, report->name);
-		return false;
-	}
-	pending = g_hash_table_lookup(a->unconfirmed, report->name);
-	if (pending && pending->incarnation == report->incarnation)
-		return report->sequence <= pending->sequence;
-	pending = g_new(struct unconfirmed, 1);
-	*pending = (struct unconfirmed){ report->incarnation,
-					 report->sequence };
-	g_hash_table_replace(a->unconfirmed, g_strdup(report->name), pending);
-	return true;
-}
-
 char *announcements_line(const struct vm_report *report)
 {
 	GString *staged = g_string_new(NULL);
@@ -108,7 +75,8 @@
 	char *line;
 
 	counters_add(counters, COUNTER_ANNOUNCEMENTS, 1);
-	if (needs_confirmation(a, report)) {
+	if (unconfirmed_hold(a->unconfirmed, a->control->view,
+			     control_now_ms(a->control), report)) {
 		log_info(&announcements_log,
 			 "VM %s was lost: ignoring one announcement, which "
 			 "may have been delayed, until another arrives",
@@ -157,8 +125,7 @@
 	a->control = control;
 	a->monitor = monitor_create(&opts);
 	a->full_digest_needed = true;
-	a->unconfirmed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					       g_free);
+	a->unconfirmed = unconfirmed_create();
 	return a;
 }
 
@@ -181,6 +148,6 @@
 	if (a->digest_timer)
 		event_free(a->digest_timer);
 	monitor_destroy(a->monitor);
-	g_hash_table_unref(a->unconfirmed);
+	unconfirmed_destroy(a->unconfirmed);
 	g_free(a);
 }
--- a/include/radishdeal/evidence.h
+++ b/include/radishdeal/evidence.h
@@ -106,6 +106,24 @@
 void view_suspect(struct view *view, const char *name, int64_t now_ms,
 		  int64_t for_ms);
 
+/**
+ * The first announcements of VMs since they were declared lost, at one monitor.
+ * Such an announcement may have been delayed in the network, and its sender may
+ * have stopped since.
+ */
+struct unconfirmed;
+
+struct unconfirmed *unconfirmed_create(void);
+void unconfirmed_destroy(struct unconfirmed *unconfirmed);
+
+/**
+ * Whether an announcement is to be ignored until another follows. One of a VM
+ * that has started anew, or that says that it leaves, is not: nothing is sent
+ * to a VM that leaves, also if it has stopped.
+ */
+bool unconfirmed_hold(struct unconfirmed *unconfirmed, const struct view *view,
+		      int64_t now_ms, const struct vm_report *report);
+
 /** Calls `visit` for every VM in order of names. */
 void view_each(const struct view *view,
 	       void (*visit)(void *ctx, const struct view_vm *vm), void *ctx);
--- a/test/test_view.c
+++ b/test/test_view.c
@@ -252,11 +252,90 @@
 	view_destroy(view);
 }
 
+/* A VM that was alive and is lost, and what is kept of its announcements. */
+struct lost_vm {
+	struct view *view;
+	struct unconfirmed *unconfirmed;
+	int64_t now_ms;
+};
+
+static void lose_vm(struct lost_vm *vm)
+{
+	struct view_opts opts = { SILENCE_MS };
+	struct vm_report report = make_report(1);
+
+	vm->view = view_create(&opts);
+	vm->unconfirmed = unconfirmed_create();
+	vm->now_ms = 1000;
+	merge(vm->view, vm->now_ms, 1, 1, &report);
+	assert_false(unconfirmed_hold(vm->unconfirmed, vm->view, vm->now_ms,
+				      &report));
+	vm->now_ms += SILENCE_MS;
+	view_expire(vm->view, vm->now_ms);
+}
+
+static bool is_held(const struct lost_vm *vm, const struct vm_report *report)
+{
+	return unconfirmed_hold(vm->unconfirmed, vm->view, vm->now_ms, report);
+}
+
+static void clear_vm(struct lost_vm *vm)
+{
+	unconfirmed_destroy(vm->unconfirmed);
+	view_destroy(vm->view);
+}
+
+static void test_lost_vm_needs_two_announcements(void **state)
+{
+	struct vm_report second = make_report(2), third = make_report(3);
+	struct lost_vm vm;
+
+	(void)state;
+	lose_vm(&vm);
+	assert_true(is_held(&vm, &second));
+	assert_true(is_held(&vm, &second));
+	assert_false(is_held(&vm, &third));
+	clear_vm(&vm);
+}
+
+static void test_restarted_vm_needs_one_announcement(void **state)
+{
+	struct vm_report report = make_report(1);
+	struct lost_vm vm;
+
+	(void)state;
+	lose_vm(&vm);
+	report.incarnation++;
+	assert_false(is_held(&vm, &report));
+	clear_vm(&vm);
+}
+
+/*
+ * Guards against DRAIN: a VM that came back from a cut and left was
+ * acknowledged, and requests reached it until it had announced that a second
+ * time.
+ */
+static void test_lost_vm_that_leaves_needs_one_announcement(void **state)
+{
+	struct vm_report report = make_report(2);
+	struct lost_vm vm;
+
+	(void)state;
+	lose_vm(&vm);
+	report.leaving = TRUE;
+	assert_false(is_held(&vm, &report));
+	clear_vm(&vm);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_clock_set_back_does_not_shut_out_a_monitor),
+		cmocka_unit_test(test_lost_vm_needs_two_announcements),
+		cmocka_unit_test(test_restarted_vm_needs_one_announcement),
+		cmocka_unit_test(
+			test_lost_vm_that_leaves_needs_one_announcement),
 		cmocka_unit_test(test_leaving_counts_in_an_outdated_report),
 		cmocka_unit_test(
 			test_leaving_is_told_by_a_monitor_without_recent_heartbeats),
