--- a/consensus/membership.c
+++ b/consensus/membership.c
@@ -253,15 +253,15 @@
 		       : MEMBERSHIP_FULL;
 }
 
-bool membership_awaits_successor(const struct membership_opts *opts,
-				 const struct raft *raft, uint64_t id)
+bool membership_awaits_successor(const struct raft *raft, uint64_t id,
+				 uint32_t target_voters)
 {
 	const struct member_config *committed =
 		raft_config_at(raft, raft_commit_index(raft));
 	u_int voters = membership_count_voters(committed);
 	bool has_learner = voters < committed->members.members_len;
 
-	return (has_learner || voters > opts->target_voters) &&
+	return (has_learner || voters > target_voters) &&
 	       raft_is_voter(committed, id);
 }
 
--- a/consensus/membership.h
+++ b/consensus/membership.h
@@ -112,8 +112,8 @@
  * it votes in the configuration that it knows to be committed, and a learner
  * can take its place, or the group has more voters than it needs.
  */
-bool membership_awaits_successor(const struct membership_opts *opts,
-				 const struct raft *raft, uint64_t id);
+bool membership_awaits_successor(const struct raft *raft, uint64_t id,
+				 uint32_t target_voters);
 
 u_int membership_count_voters(const struct member_config *config);
 
--- a/control/handover.c
+++ b/control/handover.c
@@ -26,13 +26,9 @@
 
 static bool awaits_successor(const struct control *control)
 {
-	const struct membership_opts opts = {
-		.target_voters =
-			daemon_settings_voter_count(control->opts.settings),
-	};
-
-	return membership_awaits_successor(&opts, group_raft(control->group),
-					   group_member_id(control->group));
+	return membership_awaits_successor(
+		group_raft(control->group), group_member_id(control->group),
+		daemon_settings_voter_count(control->opts.settings));
 }
 
 /* Whether a leader has begun to change the votes since the stop began. */
--- a/state/replica.c
+++ b/state/replica.c
@@ -106,33 +106,23 @@
 	result->revision = assign->epoch;
 }
 
-struct released_search {
-	u_int count;
-	gpointer lowest; /* number of the first one */
-};
-
-static gboolean search_released(gpointer key, gpointer value, gpointer data)
+static gboolean append_released(gpointer key, gpointer value, gpointer data)
 {
-	struct released_search *search = data;
 	const struct replica_state *replica = value;
 
-	if (!replica->released)
-		return FALSE;
-	if (!search->count++)
-		search->lowest = key;
+	if (replica->released)
+		g_ptr_array_add(data, key);
 	return FALSE;
 }
 
 void replica_remove_released(struct state *state)
 {
-	for (;;) {
-		struct released_search search = { 0 };
+	GPtrArray *numbers = g_ptr_array_new();
 
-		g_tree_foreach(state->replicas, search_released, &search);
-		if (search.count <= RELEASED_KEPT)
-			return;
-		g_tree_remove(state->replicas, search.lowest);
-	}
+	g_tree_foreach(state->replicas, append_released, numbers);
+	for (guint i = 0; i + RELEASED_KEPT < numbers->len; i++)
+		g_tree_remove(state->replicas, numbers->pdata[i]);
+	g_ptr_array_unref(numbers);
 }
 
 /* Returns the replica if it is at this epoch and not released, or NULL. */
--- a/test/test_lives.c
+++ b/test/test_lives.c
@@ -355,6 +355,35 @@
 	end(&life);
 }
 
+/* The state of a build that kept released replicas, at the bound already. */
+static void test_released_replicas_at_the_bound_come_back(void **state)
+{
+	struct replica_state *replicas = g_new0(struct replica_state,
+						RD_REPLICAS_MAX);
+	struct state_image image = { .index = 1 };
+	struct life life;
+	GBytes *bytes;
+
+	(void)state;
+	for (u_int i = 0; i < RD_REPLICAS_MAX; i++) {
+		replicas[i].released = TRUE;
+		replicas[i].assign.replica = i + 1;
+		replicas[i].assign.service = (char *)SERVICE;
+		replicas[i].assign.model_version = (char *)"1";
+	}
+	image.replicas.replicas_len = RD_REPLICAS_MAX;
+	image.replicas.replicas_val = replicas;
+	bytes = CODEC_ENCODE(state_image, &image);
+	begin(&life);
+	assert_true(state_load(life.state, bytes));
+	assert_int_equal(RD_REPLICAS_MAX + 1,
+			 state_next_replica_number(life.state));
+	assert_true(saved_bytes(&life) < GROWTH_MAX_BYTES);
+	end(&life);
+	g_bytes_unref(bytes);
+	g_free(replicas);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -364,6 +393,7 @@
 		cmocka_unit_test(test_operators_add_and_remove_services),
 		cmocka_unit_test(test_more_services_than_the_bound_are_refused),
 		cmocka_unit_test(test_replicas_are_formed_and_released),
+		cmocka_unit_test(test_released_replicas_at_the_bound_come_back),
 	};
 
 	return cmocka_run_group_tests_name("lives", tests, NULL, NULL);
--- a/test/test_replacement.c
+++ b/test/test_replacement.c
@@ -117,7 +117,6 @@
 /* What a server that is to end does in each tick; see control/handover.c. */
 static void tick_stopping(struct replacement *r, struct server *server)
 {
-	const struct membership_opts opts = { .target_voters = TARGET };
 	int64_t since_ms = r->stopping_ms[server->id - 1];
 
 	if (!server->raft || !since_ms)
@@ -125,8 +124,8 @@
 	if (raft_role(server->raft) == RAFT_LEADER &&
 	    r->net.now_ms < since_ms + HANDOVER_MS)
 		(void)raft_transfer_leadership(server->raft, r->net.now_ms);
-	else if (!membership_awaits_successor(&opts, server->raft,
-					      server->id) ||
+	else if (!membership_awaits_successor(server->raft, server->id,
+					      TARGET) ||
 		 r->net.now_ms >= since_ms + SUCCESSOR_MS)
 		end_process(r, server);
 }
