--- a/test/test_snapshot.c
+++ b/test/test_snapshot.c
@@ -8,6 +8,7 @@
 
 #include <radishdeal/raft.h>
 
+#include "test/raft_ignore.h"
 #include "wire/codec.h"
 
 #define LEADER 1u
@@ -41,25 +42,6 @@
 	w->chunks++;
 }
 
-static void on_hard_state(void *ctx, uint64_t term, uint64_t vote)
-{
-	(void)ctx;
-	(void)term;
-	(void)vote;
-}
-
-static void on_append(void *ctx, const struct raft_entry *entry)
-{
-	(void)ctx;
-	(void)entry;
-}
-
-static void on_truncate(void *ctx, uint64_t from)
-{
-	(void)ctx;
-	(void)from;
-}
-
 static void on_install(void *ctx, uint64_t index, uint64_t term,
 		       const struct member_config *config, GBytes *data)
 {
@@ -72,15 +54,6 @@
 	w->installed_bytes = g_bytes_get_size(data);
 }
 
-static void on_role_changed(void *ctx, enum raft_role role, uint64_t term,
-			    uint64_t leader)
-{
-	(void)ctx;
-	(void)role;
-	(void)term;
-	(void)leader;
-}
-
 static void world_init(struct world *w, uint64_t id)
 {
 	struct member members[] = {
@@ -94,12 +67,13 @@
 		.election_ms = ELECTION_MS,
 		.heartbeat_ms = HEARTBEAT_MS,
 		.drift_permille = 50,
-		.callbacks = { on_send, on_hard_state, on_append, on_truncate,
-			       on_install, on_role_changed, w },
+		.callbacks = raft_ignore(w),
 		.now_ms = 1000,
 		.config = &config,
 	};
 
+	opts.callbacks.send = on_send;
+	opts.callbacks.install_snapshot = on_install;
 	memset(w, 0, sizeof(*w));
 	w->now_ms = opts.now_ms;
 	w->raft = raft_create(&opts);
--- a/test/test_transfer.c
+++ b/test/test_transfer.c
@@ -9,6 +9,7 @@
 
 #include <radishdeal/raft.h>
 
+#include "test/raft_ignore.h"
 #include "wire/codec.h"
 
 #define MEMBERS 3
@@ -36,7 +37,7 @@
 	GQueue packets; /* of struct packet, the next one first */
 };
 
-/* ---- callbacks; nothing is stored ---- */
+/* ---- callbacks; those of the storage are ignored ---- */
 
 static void on_send(void *ctx, const struct raft_message *message,
 		    bool after_sync)
@@ -53,44 +54,6 @@
 	g_queue_push_tail(&member->test->packets, packet);
 }
 
-static void on_hard_state(void *ctx, uint64_t term, uint64_t vote)
-{
-	(void)ctx;
-	(void)term;
-	(void)vote;
-}
-
-static void on_append(void *ctx, const struct raft_entry *entry)
-{
-	(void)ctx;
-	(void)entry;
-}
-
-static void on_truncate(void *ctx, uint64_t from)
-{
-	(void)ctx;
-	(void)from;
-}
-
-static void on_install(void *ctx, uint64_t index, uint64_t term,
-		       const struct member_config *config, GBytes *data)
-{
-	(void)ctx;
-	(void)index;
-	(void)term;
-	(void)config;
-	(void)data;
-}
-
-static void on_changed(void *ctx, enum raft_role role, uint64_t term,
-		       uint64_t leader)
-{
-	(void)ctx;
-	(void)role;
-	(void)term;
-	(void)leader;
-}
-
 /* ---- simulated time ---- */
 
 static void deliver(struct group_test *test, GBytes *bytes)
@@ -176,11 +139,11 @@
 			.election_ms = ELECTION_MS,
 			.heartbeat_ms = HEARTBEAT_MS,
 			.keep_entries = 8,
-			.callbacks = { on_send, on_hard_state, on_append,
-				       on_truncate, on_install, on_changed, m },
+			.callbacks = raft_ignore(m),
 			.config = &config,
 		};
 
+		opts.callbacks.send = on_send;
 		m->test = test;
 		m->raft = raft_create(&opts);
 	}
