state: one rule for room for services, and one function for those that leave

service_has_room() and service_make_room() stated the same condition in two forms, and remove_absent_services() had one caller, which made its argument. The condition is can_hold() now. The set of a document's names is still made twice for a deployment, once to refuse it before anything changes and once to remove what it lacks. Two comments and a macro that the formatter had torn apart are whole; the text of the refusal is the same.

--- a/consensus/raft_internal.h
+++ b/consensus/raft_internal.h
@@ -31,8 +31,8 @@
 /** A snapshot being received in chunks. */
 struct incoming_snapshot {
 	uint64_t index, term;
-	uint64_t bytes; /* of all chunks; builds may encode a state differently
-			 */
+	/* Of all chunks. Builds may encode a state differently. */
+	uint64_t bytes;
 	GByteArray *data;
 };
 
--- a/state/deployment.c
+++ b/state/deployment.c
@@ -127,26 +127,19 @@
 	return FALSE;
 }
 
-/* Removes the services of earlier deployments whose names aren't in the set. */
-static void remove_absent_services(struct state *state, GHashTable *present)
+void deployment_remove_unused_services(struct state *state)
 {
-	struct absent_services absent = { present, g_ptr_array_new() };
+	struct absent_services absent;
 
+	if (!state->deployment)
+		return;
+	absent.present = service_names(state->deployment);
+	absent.names = g_ptr_array_new();
 	g_tree_foreach(state->services, remove_absent_service, &absent);
 	for (guint i = 0; i < absent.names->len; i++)
 		g_tree_remove(state->services, absent.names->pdata[i]);
 	g_ptr_array_unref(absent.names);
-}
-
-void deployment_remove_unused_services(struct state *state)
-{
-	GHashTable *present;
-
-	if (!state->deployment)
-		return;
-	present = service_names(state->deployment);
-	remove_absent_services(state, present);
-	g_hash_table_unref(present);
+	g_hash_table_unref(absent.present);
 }
 
 struct service_count {
--- a/state/service.c
+++ b/state/service.c
@@ -220,12 +220,16 @@
 	return (u_int)g_tree_nnodes(state->services);
 }
 
+/* Whether there is room once all that were removed have left. */
+static bool can_hold(const struct state *state, u_int added)
+{
+	return count_services(state) - find_removed(state).removed + added <=
+	       RD_SERVICES_MAX;
+}
+
 bool service_make_room(struct state *state, u_int added)
 {
-	if (count_services(state) + added <= RD_SERVICES_MAX)
-		return true;
-	if (count_services(state) - find_removed(state).removed + added >
-	    RD_SERVICES_MAX)
+	if (!can_hold(state, added))
 		return false;
 	while (count_services(state) + added > RD_SERVICES_MAX)
 		g_tree_remove(state->services,
@@ -235,9 +239,7 @@
 
 bool service_has_room(const struct state *state, const char *name)
 {
-	return g_tree_lookup(state->services, name) ||
-	       count_services(state) < RD_SERVICES_MAX ||
-	       find_removed(state).removed;
+	return g_tree_lookup(state->services, name) || can_hold(state, 1);
 }
 
 /* ---- applying ---- */
--- a/state/state_internal.h
+++ b/state/state_internal.h
@@ -41,9 +41,8 @@
 void service_free(struct service_state *service);
 
 /** Why a command that would add a service is refused. */
-#define TOO_MANY_SERVICES                                            \
-	"the state holds " G_STRINGIFY(RD_SERVICES_MAX) " services " \
-							"at most"
+#define TOO_MANY_SERVICES \
+	"the state holds " G_STRINGIFY(RD_SERVICES_MAX) " services at most"
 
 /**
  * Makes room for services under new names: of those that operators have
--- a/test/test_group.c
+++ b/test/test_group.c
@@ -203,8 +203,7 @@
 	g_bytes_unref(undecodable);
 }
 
-/* One that another build's leader has committed, in place of a proposal here.
- */
+/* Another build's leader has committed it, in place of a proposal here. */
 static void test_committed_undecodable_command_is_named_as_the_cause(
 	void **state)
 {
