review: case 12, the log in memory outgrows the machines of the core

Cause: the last 1,024 entries of the log stay in memory, whatever their size, and each change of a configuration is an entry with the whole of it.

Done: a script with 4,551 routes and changes in two storms at a time, and the platform's limit of 256 MB.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,3 +7,5 @@
 mkdir -p target/review
 cc -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra $(pkg-config --cflags libevent) \
 	review/11/releases.c $(pkg-config --libs libevent) -o target/review/releases
+cc -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra $(pkg-config --cflags libevent) \
+	review/12/operator.c $(pkg-config --libs libevent) -o target/review/operator
